The whole path, thin, as separate processes

Cause: nothing existed. A request now goes caller -> gateway -> owner -> head of a 4-box replica -> back, over daemons, log, box list, engines and a plain service that are processes of their own.

Chosen: the log as the arbiter (one pure state machine in every process), no election; owners derived by bounded rendezvous hashing; Netty for the peer frames, Undertow for HTTP since Javalin can't be had.

Not yet measured: latency, throughput.

--- /dev/null
+++ b/core/src/main/java/org/shoreroad/config/ConfigJson.java
@@ -0,0 +1,56 @@
+package org.shoreroad.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.Map;
+
+/**
+ * The JSON form of entries, as it travels in the log and to operators.
+ *
+ * <p>All methods are thread-safe.
+ *
+ * @since 0.1
+ */
+public final class ConfigJson {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final Map<String, Class<? extends ConfigEntry>> TYPE_BY_PREFIX =
+      Map.of(
+          "model", ModelSpec.class,
+          "account", AccountSpec.class,
+          "kind", KindSpec.class,
+          "route", RouteSpec.class,
+          "service", ServiceSpec.class,
+          "box", BoxLabels.class,
+          "policy", PolicySpec.class);
+
+  private ConfigJson() {}
+
+  /** Returns the JSON form of the entry. */
+  public static String toJson(ConfigEntry entry) {
+    try {
+      return MAPPER.writeValueAsString(entry);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /**
+   * Parses the JSON form of an entry.
+   *
+   * @param key the entry's key, which tells its type
+   * @param json the JSON form
+   * @return the entry
+   * @throws IllegalArgumentException if the text is not an entry of that type
+   */
+  public static ConfigEntry parse(String key, String json) {
+    Class<? extends ConfigEntry> type = TYPE_BY_PREFIX.get(key.split("/", 2)[0]);
+    if (type == null) {
+      throw new IllegalArgumentException("no such type of entry: " + key);
+    }
+    try {
+      return MAPPER.readValue(json, type);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("not an entry: " + key, e);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/shoreroad/routing/Rendezvous.java
@@ -0,0 +1,56 @@
+package org.shoreroad.routing;
+
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+
+/**
+ * Rendezvous hashing: every process that knows the same names ranks them alike for a key, and a
+ * name that comes or goes moves only the keys it wins.
+ *
+ * <p>All methods are pure and thread-safe.
+ *
+ * @since 0.1
+ */
+public final class Rendezvous {
+  private static final HashFunction HASH = Hashing.murmur3_128(0x5e0a);
+
+  private Rendezvous() {}
+
+  /** Returns the score of a name for a key; the highest wins. */
+  public static long score(String key, String name) {
+    return HASH.newHasher()
+        .putString(key, StandardCharsets.UTF_8)
+        .putByte((byte) 0)
+        .putString(name, StandardCharsets.UTF_8)
+        .hash()
+        .asLong();
+  }
+
+  /**
+   * Returns the candidate that wins the key.
+   *
+   * @param key the key, not null
+   * @param candidates the candidates, not null
+   * @param name gives a candidate's name
+   * @return the winner, or empty if there is no candidate
+   */
+  public static <T> Optional<T> choose(
+      String key, Collection<T> candidates, Function<T, String> name) {
+    return candidates.stream().max(byScore(key, name));
+  }
+
+  /** Returns the candidates, the one that wins the key first. */
+  public static <T> List<T> rank(String key, Collection<T> candidates, Function<T, String> name) {
+    return candidates.stream().sorted(byScore(key, name).reversed()).toList();
+  }
+
+  private static <T> Comparator<T> byScore(String key, Function<T, String> name) {
+    return Comparator.comparingLong((T c) -> score(key, name.apply(c))).thenComparing(name);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/shoreroad/state/ClusterState.java
@@ -0,0 +1,87 @@
+package org.shoreroad.state;
+
+import java.util.List;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+import org.pcollections.TreePMap;
+import org.shoreroad.config.Configuration;
+
+/**
+ * What the control stream says up to one offset.
+ *
+ * <p>This class is immutable and thread-safe; states share structure.
+ *
+ * @param appliedOffset the offset of the last applied record, or -1 for none
+ * @param configVersion the offset of the last accepted configuration change, or 0 for none
+ * @param configuration what operators declared
+ * @param changedAt the offset at which each configuration key was last changed or removed
+ * @param generations the generations that still hold a box, by number
+ * @param generationByBox the generation that holds each box, by box name
+ * @param nodes the processes of the system, by id, with the offset of their joining
+ * @param recentIds the ids of recent records with their outcome, by id
+ * @param recentOrder the same ids by offset, to forget the oldest
+ * @since 0.1
+ */
+public record ClusterState(
+    long appliedOffset,
+    long configVersion,
+    Configuration configuration,
+    PMap<String, Long> changedAt,
+    TreePMap<Long, Generation> generations,
+    PMap<String, Long> generationByBox,
+    PMap<String, JoinedNode> nodes,
+    PMap<String, Outcome> recentIds,
+    TreePMap<Long, String> recentOrder) {
+  /** The state before any record. */
+  public static final ClusterState EMPTY =
+      new ClusterState(
+          -1,
+          0,
+          Configuration.EMPTY,
+          HashTreePMap.empty(),
+          TreePMap.empty(),
+          HashTreePMap.empty(),
+          HashTreePMap.empty(),
+          HashTreePMap.empty(),
+          TreePMap.empty());
+
+  /**
+   * A process and when it joined.
+   *
+   * @param node the process
+   * @param joinedAt the offset of the joining
+   */
+  public record JoinedNode(Node node, long joinedAt) {}
+
+  /** Returns the generation of this number, if it still holds a box. */
+  public Optional<Generation> generation(long number) {
+    return Optional.ofNullable(generations.get(number));
+  }
+
+  /** Returns the standing generations, by number. */
+  public List<Generation> standing() {
+    return generations.values().stream().filter(Generation::isStanding).toList();
+  }
+
+  /** Returns the standing generations of the model, by number. */
+  public List<Generation> standing(String model) {
+    return standing().stream().filter(g -> g.model().equals(model)).toList();
+  }
+
+  /** Returns the dissolved generations that still hold a box, by number. */
+  public List<Generation> dissolving() {
+    return generations.values().stream().filter(g -> !g.isStanding()).toList();
+  }
+
+  /** Returns the number of the generation that holds the box, or null if it is free. */
+  public @Nullable Long holderOf(String box) {
+    return generationByBox.get(box);
+  }
+
+  /** Returns what became of the record, if it is among the recent ones. */
+  public Optional<Outcome> outcomeOf(String id) {
+    return Optional.ofNullable(recentIds.get(id));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/shoreroad/daemon/DaemonComponent.java
@@ -0,0 +1,22 @@
+package org.shoreroad.daemon;
+
+import dagger.BindsInstance;
+import dagger.Component;
+import javax.inject.Singleton;
+import org.shoreroad.daemon.kernel.Kernel;
+import org.shoreroad.daemon.settings.Settings;
+
+/** Makes the kernel of a process out of its settings. */
+@Singleton
+@Component(modules = DaemonModule.class)
+interface DaemonComponent {
+  /** Returns the kernel with all services, not started. */
+  Kernel kernel();
+
+  /** Makes the component. */
+  @Component.Factory
+  interface Factory {
+    /** Returns the component for these settings. */
+    DaemonComponent create(@BindsInstance Settings settings);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/shoreroad/daemon/gateway/Caller.java
@@ -0,0 +1,111 @@
+package org.shoreroad.daemon.gateway;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.ErrorCode;
+import org.shoreroad.ShoreroadException;
+import org.shoreroad.config.AccountSpec;
+import org.shoreroad.config.Configuration;
+import org.shoreroad.config.KindSpec;
+import org.shoreroad.intent.RequestKey;
+
+/**
+ * Who calls, and as what: the client account, the request kind and the key, checked.
+ *
+ * <p>This class is immutable and thread-safe.
+ *
+ * @param account the client account
+ * @param kind the request kind
+ * @param key the key of a request that may not be repeated, else null
+ */
+record Caller(AccountSpec account, KindSpec kind, @Nullable RequestKey key) {
+  private static final String BEARER = "Bearer ";
+  private static final String KIND_HEADER = "X-Request-Kind";
+  private static final String KEY_HEADER = "Idempotency-Key";
+
+  /**
+   * Checks a request's headers.
+   *
+   * @param exchange the request
+   * @param configuration the applied configuration
+   * @param target what the request is for: {@code model/NAME} or {@code service/NAME}
+   * @param nowMs the time in milliseconds since 1970
+   * @param windowMs how old a key may be
+   * @return the caller
+   * @throws ShoreroadException if a header is missing or wrong, or no route allows the request
+   */
+  static Caller check(
+      HttpServerExchange exchange,
+      Configuration configuration,
+      String target,
+      long nowMs,
+      long windowMs) {
+    AccountSpec account = findAccount(exchange, configuration);
+    String kindName = exchange.getRequestHeaders().getFirst(KIND_HEADER);
+    KindSpec kind =
+        configuration
+            .kind(kindName == null ? "" : kindName)
+            .orElseThrow(
+                () ->
+                    ShoreroadException.notRun(
+                        ErrorCode.UNKNOWN_KIND,
+                        KIND_HEADER + " is '" + kindName + "', which is no declared kind"));
+    if (!configuration.isRouted(account.name(), kind.name(), target)) {
+      throw ShoreroadException.notRun(
+          ErrorCode.NOT_ROUTED,
+          "no route lets " + account.name() + " send " + kind.name() + " to " + target);
+    }
+    return new Caller(account, kind, findKey(exchange, account, kind, nowMs, windowMs));
+  }
+
+  /** Returns the account whose key the request carries. */
+  static AccountSpec findAccount(HttpServerExchange exchange, Configuration configuration) {
+    String header = exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION);
+    if (header != null && header.startsWith(BEARER)) {
+      byte[] digest = sha256(header.substring(BEARER.length()));
+      for (AccountSpec account : configuration.all(AccountSpec.class)) {
+        byte[] wanted = java.util.HexFormat.of().parseHex(account.keySha256());
+        if (MessageDigest.isEqual(digest, wanted)) {
+          return account;
+        }
+      }
+    }
+    throw ShoreroadException.notRun(
+        ErrorCode.UNKNOWN_ACCOUNT, "Authorization carries no key of a declared account");
+  }
+
+  private static byte[] sha256(String text) {
+    return com.google.common.hash.Hashing.sha256()
+        .hashString(text, StandardCharsets.UTF_8)
+        .asBytes();
+  }
+
+  private static @Nullable RequestKey findKey(
+      HttpServerExchange exchange, AccountSpec account, KindSpec kind, long nowMs, long windowMs) {
+    if (kind.isRepeatable()) {
+      return null;
+    }
+    String text = exchange.getRequestHeaders().getFirst(KEY_HEADER);
+    if (text == null) {
+      throw ShoreroadException.notRun(
+          ErrorCode.IDEMPOTENCY_KEY_REQUIRED,
+          "kind " + kind.name() + " may not be repeated and needs " + KEY_HEADER);
+    }
+    RequestKey key;
+    try {
+      key = RequestKey.parse(account.name(), text);
+    } catch (IllegalArgumentException e) {
+      throw ShoreroadException.notRun(
+          ErrorCode.IDEMPOTENCY_KEY_REQUIRED, KEY_HEADER + " must be a version 7 UUID");
+    }
+    if (key.findMiss(nowMs, windowMs).isPresent()) {
+      throw ShoreroadException.notRun(
+          ErrorCode.IDEMPOTENCY_KEY_REQUIRED,
+          KEY_HEADER + " was not made within the last " + windowMs + " ms");
+    }
+    return key;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/shoreroad/daemon/intent/IntentKeeper.java
@@ -0,0 +1,217 @@
+package org.shoreroad.daemon.intent;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.shoreroad.daemon.kernel.Duty;
+import org.shoreroad.daemon.kernel.Kernel;
+import org.shoreroad.daemon.kernel.Service;
+import org.shoreroad.daemon.metrics.Metrics;
+import org.shoreroad.daemon.peer.ClaimResult;
+import org.shoreroad.daemon.peer.PeerLink;
+import org.shoreroad.daemon.peer.PeerListener;
+import org.shoreroad.daemon.peer.PeerMessage;
+import org.shoreroad.daemon.peer.PeerTransport;
+import org.shoreroad.daemon.platform.LogBatch;
+import org.shoreroad.daemon.platform.LogException;
+import org.shoreroad.daemon.platform.PlatformLog;
+import org.shoreroad.daemon.settings.Settings;
+import org.shoreroad.intent.IntentRecord;
+import org.shoreroad.intent.IntentTable;
+import org.shoreroad.intent.KeyState;
+import org.shoreroad.state.Node;
+
+/**
+ * Keeps intent streams: appends what gateways claim, in batches, and answers from the stream.
+ *
+ * <p>An answer is given only after the stream was read through the claim's own record, so it does
+ * not matter how many processes keep a stream at once. Nothing is read while nobody claims. All
+ * work is done on one thread; calls are thread-safe.
+ *
+ * @since 0.1
+ */
+@Singleton
+public final class IntentKeeper implements Service, PeerListener {
+  /** The name of this service. */
+  public static final String NAME = "intent-keeper";
+
+  /** What the names of intent streams begin with; the shard follows. */
+  public static final String STREAM_PREFIX = "intents-";
+
+  private static final long TICK_MS = 5;
+  private static final int MAX_RECORDS = 5_000;
+  private static final int MAX_WAITING = 10_000;
+  private static final Runnable IGNORE = () -> {};
+
+  private final PlatformLog log;
+  private final PeerLink link;
+  private final PeerTransport transport;
+  private final Metrics metrics;
+  private final long appendNanos;
+  private final Duty duty = new Duty(NAME, TICK_MS, this::tick);
+  private final Map<Integer, Shard> shards = new HashMap<>();
+
+  private record Waiting(IntentRecord record, Consumer<ClaimResult> answer) {}
+
+  /** One stream. */
+  private static final class Shard {
+    private final IntentTable table = new IntentTable();
+    private List<Waiting> waiting = new ArrayList<>();
+    private long appendedNanos;
+    private boolean hasAppended;
+  }
+
+  /** Creates the keeper; {@link #start} starts its thread. */
+  @Inject
+  public IntentKeeper(
+      PlatformLog log, PeerTransport transport, Metrics metrics, Settings settings) {
+    this.log = log;
+    this.link = transport;
+    this.transport = transport;
+    this.metrics = metrics;
+    this.appendNanos = TimeUnit.MILLISECONDS.toNanos(settings.intentAppendMs());
+  }
+
+  @Override
+  public String name() {
+    return NAME;
+  }
+
+  @Override
+  public void start(Kernel kernel) {
+    transport.addListener(this);
+    duty.start();
+  }
+
+  @Override
+  public void stop() {
+    duty.stop();
+  }
+
+  /**
+   * Appends an intent record and tells what became of it.
+   *
+   * @param shard the stream
+   * @param record the record
+   * @param answer takes the result, on the keeper's thread or the caller's
+   */
+  public void claim(int shard, IntentRecord record, Consumer<ClaimResult> answer) {
+    boolean isPosted = duty.tryPost(() -> enqueue(shard, new Waiting(record, answer)));
+    if (!isPosted) {
+      answer.accept(ClaimResult.UNAVAILABLE);
+    }
+  }
+
+  @Override
+  public void onMessage(Node from, PeerMessage message) {
+    if (message instanceof PeerMessage.ClaimAsk ask) {
+      claim(
+          ask.shard(),
+          ask.record(),
+          result -> link.send(from, new PeerMessage.ClaimAnswer(ask.callId(), result), IGNORE));
+    }
+  }
+
+  private void enqueue(int number, Waiting claim) {
+    Shard shard = shards.computeIfAbsent(number, n -> new Shard());
+    if (shard.waiting.size() >= MAX_WAITING) {
+      claim.answer().accept(ClaimResult.UNAVAILABLE);
+      return;
+    }
+    shard.waiting.add(claim);
+    appendIfDue(number, shard, System.nanoTime());
+  }
+
+  private void tick(long nowNanos) {
+    shards.forEach((number, shard) -> appendIfDue(number, shard, nowNanos));
+  }
+
+  private void appendIfDue(int number, Shard shard, long nowNanos) {
+    boolean isDue = !shard.hasAppended || nowNanos - shard.appendedNanos >= appendNanos;
+    if (shard.waiting.isEmpty() || !isDue) {
+      return;
+    }
+    List<Waiting> batch = shard.waiting;
+    shard.waiting = new ArrayList<>();
+    shard.hasAppended = true;
+    shard.appendedNanos = nowNanos;
+    appendBatch(STREAM_PREFIX + number, shard.table, batch);
+  }
+
+  private void appendBatch(String stream, IntentTable table, List<Waiting> batch) {
+    long lastOffset = Long.MAX_VALUE;
+    try {
+      long first =
+          log.append(stream, batch.stream().map(claim -> claim.record().toBytes()).toList());
+      lastOffset = first + batch.size() - 1;
+      metrics.count("shoreroad.intents.appends", "result", "taken");
+    } catch (LogException e) {
+      metrics.count("shoreroad.intents.appends", "result", e.isRefused() ? "refused" : "unknown");
+      if (e.isRefused()) {
+        batch.forEach(claim -> claim.answer().accept(ClaimResult.UNAVAILABLE));
+        return;
+      }
+    }
+    boolean isRead = readThrough(stream, table, lastOffset);
+    Map<ClaimResult, Integer> counts = new LinkedHashMap<>();
+    for (Waiting claim : batch) {
+      ClaimResult result = isRead ? judge(table, claim.record()) : ClaimResult.UNAVAILABLE;
+      counts.merge(result, 1, Integer::sum);
+      claim.answer().accept(result);
+    }
+    counts.forEach(
+        (result, count) -> metrics.add("shoreroad.intents.claims", "result", result.name(), count));
+  }
+
+  /** Reads the stream through an offset, or to its head if the offset lies beyond it. */
+  private boolean readThrough(String stream, IntentTable table, long lastOffset) {
+    try {
+      while (table.appliedOffset() < lastOffset) {
+        long from = Math.max(1, table.appliedOffset() + 1);
+        LogBatch batch = log.read(stream, from, MAX_RECORDS, 0);
+        table.forgetBefore(batch.earliest());
+        for (LogBatch.Entry entry : batch.records()) {
+          apply(table, entry);
+        }
+        if (table.appliedOffset() >= batch.head() || batch.records().isEmpty()) {
+          table.advanceTo(batch.head());
+          return lastOffset == Long.MAX_VALUE || table.appliedOffset() >= lastOffset;
+        }
+      }
+      return true;
+    } catch (LogException e) {
+      metrics.count("shoreroad.intents.read.failures");
+      return false;
+    }
+  }
+
+  private void apply(IntentTable table, LogBatch.Entry entry) {
+    try {
+      table.apply(entry.offset(), IntentRecord.fromBytes(entry.bytes()));
+    } catch (IllegalArgumentException e) {
+      metrics.count("shoreroad.intents.unreadable");
+      table.advanceTo(entry.offset());
+    }
+  }
+
+  private static ClaimResult judge(IntentTable table, IntentRecord record) {
+    KeyState state = table.find(record.keyHash()).orElse(null);
+    if (state == null) {
+      return ClaimResult.UNAVAILABLE;
+    }
+    if (state.intentId().equals(record.intentId())) {
+      boolean isStart = record.type() == IntentRecord.Type.STARTING;
+      boolean isStarted = state.status() == KeyState.Status.STARTED;
+      return !isStart || isStarted ? ClaimResult.WON : ClaimResult.UNAVAILABLE;
+    }
+    return state.status() == KeyState.Status.FINISHED
+        ? ClaimResult.LOST_FINISHED
+        : ClaimResult.LOST_STARTED;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/shoreroad/daemon/metrics/package-info.java
@@ -0,0 +1,5 @@
+/** The counters and gauges of a process. */
+@NullMarked
+package org.shoreroad.daemon.metrics;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/shoreroad/daemon/owner/EngineStream.java
@@ -0,0 +1,180 @@
+package org.shoreroad.daemon.owner;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.Response;
+import okio.BufferedSource;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.ErrorCode;
+import org.shoreroad.ShoreroadException;
+import org.shoreroad.Verdict;
+import org.shoreroad.daemon.request.Submission;
+
+/**
+ * Reads one answer of an engine and tells its pieces, its end, or what went wrong.
+ *
+ * <p>From the event that carries a finish reason on, nothing is passed on but kept for the end, so
+ * that an answer looks finished only when the owner has found the replica whole to its end. An
+ * answer without its end marker is a failure, whatever came of it. Used on one thread.
+ */
+final class EngineStream implements Callback {
+  private static final String DATA = "data: ";
+  private static final String DONE = "[DONE]";
+  private static final String FINISH = "\"finish_reason\":\"";
+  private static final long RETRY_AFTER_MS = 1_000;
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+  private static final int TOO_MANY = 429;
+  private static final int UNAVAILABLE = 503;
+
+  private final String model;
+  private final String loadName;
+  private final Submission submission;
+  private final DispatchGuard guard;
+  private final ObjectMapper mapper;
+  private final Listener listener;
+  private final List<byte[]> held = new ArrayList<>();
+  private long events;
+
+  /** Takes the answer. */
+  interface Listener {
+    /** The next piece. */
+    void onChunk(byte[] bytes);
+
+    /**
+     * The engine's end marker came.
+     *
+     * @param held the last pieces, to be passed on once the replica is known to be whole
+     * @param tokens how many tokens were generated
+     */
+    void onComplete(List<byte[]> held, long tokens);
+
+    /**
+     * It went wrong.
+     *
+     * @param failure what happened
+     * @param isResumable whether the engine's stream may be taken up again
+     */
+    void onFailure(ShoreroadException failure, boolean isResumable);
+  }
+
+  EngineStream(
+      String model,
+      String loadName,
+      Submission submission,
+      DispatchGuard guard,
+      ObjectMapper mapper,
+      Listener listener) {
+    this.model = model;
+    this.loadName = loadName;
+    this.submission = submission;
+    this.guard = guard;
+    this.mapper = mapper;
+    this.listener = listener;
+  }
+
+  @Override
+  public void onFailure(Call call, IOException e) {
+    if (guard.hasPassed() || submission.isResume()) {
+      fail(ErrorCode.UPSTREAM_FAILED, Verdict.MAY_HAVE_RUN, "the engine broke off", true);
+    } else {
+      fail(ErrorCode.UPSTREAM_UNREACHABLE, Verdict.NOT_RUN, "the engine can't be reached", false);
+    }
+  }
+
+  @Override
+  public void onResponse(Call call, Response response) {
+    try (response) {
+      if (!response.isSuccessful()) {
+        refuse(response.code());
+      } else if (!isOwnAnswer(response)) {
+        fail(ErrorCode.UPSTREAM_FAILED, Verdict.MAY_HAVE_RUN, "another request's answer", false);
+      } else if (submission.isStreaming()) {
+        readEvents(response.body().source());
+      } else {
+        readWhole(response.body().bytes());
+      }
+    } catch (IOException e) {
+      fail(ErrorCode.UPSTREAM_FAILED, Verdict.MAY_HAVE_RUN, "the engine broke off", true);
+    }
+  }
+
+  private boolean isOwnAnswer(Response response) {
+    String id = response.header(EngineClient.REQUEST_ID_HEADER);
+    return id == null || id.equals(submission.requestId());
+  }
+
+  /** Only these answers say explicitly that the engine did not take the request. */
+  private void refuse(int status) {
+    boolean isRefusal =
+        status == NOT_FOUND || status == CONFLICT || status == TOO_MANY || status == UNAVAILABLE;
+    String message = "the engine answered " + status;
+    if (isRefusal && !submission.isResume()) {
+      fail(ErrorCode.UPSTREAM_REFUSED, Verdict.NOT_RUN, message, false);
+    } else {
+      fail(ErrorCode.UPSTREAM_FAILED, Verdict.MAY_HAVE_RUN, message, false);
+    }
+  }
+
+  private void readEvents(BufferedSource source) throws IOException {
+    while (true) {
+      String line = source.readUtf8Line();
+      if (line == null) {
+        throw new IOException("no end marker");
+      }
+      if (!line.startsWith(DATA)) {
+        continue;
+      }
+      String data = line.substring(DATA.length());
+      if (data.equals(DONE)) {
+        listener.onComplete(held, events);
+        return;
+      }
+      if (data.startsWith("{\"error\"")) {
+        fail(ErrorCode.UPSTREAM_FAILED, Verdict.MAY_HAVE_RUN, "the engine gave up", false);
+        return;
+      }
+      events++;
+      take(DATA + withModelName(data) + "\n\n", data.contains(FINISH));
+    }
+  }
+
+  private void take(String event, boolean isFinish) {
+    byte[] bytes = event.getBytes(StandardCharsets.UTF_8);
+    if (isFinish || !held.isEmpty()) {
+      held.add(bytes);
+    } else {
+      listener.onChunk(bytes);
+    }
+  }
+
+  private void readWhole(byte[] bytes) throws IOException {
+    JsonNode root = mapper.readTree(bytes);
+    JsonNode reason = root.path("choices").path(0).path("finish_reason");
+    if (!reason.isTextual()) {
+      fail(ErrorCode.UPSTREAM_FAILED, Verdict.MAY_HAVE_RUN, "the answer has no end", false);
+      return;
+    }
+    String text = withModelName(new String(bytes, StandardCharsets.UTF_8));
+    held.add(text.getBytes(StandardCharsets.UTF_8));
+    listener.onComplete(held, root.path("usage").path("completion_tokens").asLong());
+  }
+
+  /** Callers know the declared name, not the one the model is loaded under. */
+  private String withModelName(String json) {
+    return json.replace(loadName, model);
+  }
+
+  private void fail(
+      ErrorCode code, Verdict verdict, @Nullable String message, boolean isResumable) {
+    listener.onFailure(
+        ShoreroadException.of(code, verdict, String.valueOf(message), RETRY_AFTER_MS),
+        isResumable && submission.isStreaming());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/shoreroad/daemon/owner/OwnedReplica.java
@@ -0,0 +1,382 @@
+package org.shoreroad.daemon.owner;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.Box;
+import org.shoreroad.ErrorCode;
+import org.shoreroad.ShoreroadException;
+import org.shoreroad.Verdict;
+import org.shoreroad.config.ModelSpec;
+import org.shoreroad.daemon.kernel.Duty;
+import org.shoreroad.daemon.member.Contact;
+import org.shoreroad.daemon.metrics.Metrics;
+import org.shoreroad.daemon.request.Submission;
+import org.shoreroad.queue.DrainRate;
+import org.shoreroad.queue.FairQueue;
+import org.shoreroad.queue.QueuedItem;
+import org.shoreroad.replica.BoxReport;
+import org.shoreroad.replica.ReplicaController;
+
+/**
+ * One generation that this process owns: its probes, its queue and its running requests.
+ *
+ * <p>Belongs to the owner's thread.
+ */
+final class OwnedReplica {
+  private static final long NO_REPLICA_RETRY_MS = 2_000;
+  private static final long CERTIFY_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+  private static final int MAX_RESUMES = 2;
+
+  private final ReplicaController controller;
+  private final EngineClient engines;
+  private final Contact contact;
+  private final Metrics metrics;
+  private final Duty duty;
+  private final long probeNanos;
+  private final FairQueue<PendingRequest> queue = new FairQueue<>(0);
+  private final DrainRate drainRate;
+  private final Map<String, RunningRequest> running = new LinkedHashMap<>();
+  private long nextProbeNanos;
+  private long lastProbeNanos;
+  private int maxRunning = 1;
+  private boolean isIntakeOpen = true;
+
+  OwnedReplica(
+      ReplicaController controller,
+      EngineClient engines,
+      Contact contact,
+      Metrics metrics,
+      Duty duty,
+      long probeNanos,
+      long nowNanos) {
+    this.controller = controller;
+    this.engines = engines;
+    this.contact = contact;
+    this.metrics = metrics;
+    this.duty = duty;
+    this.probeNanos = probeNanos;
+    this.drainRate = new DrainRate(nowNanos);
+    this.nextProbeNanos = nowNanos;
+    this.lastProbeNanos = nowNanos - CERTIFY_GAP_NANOS;
+  }
+
+  ReplicaController controller() {
+    return controller;
+  }
+
+  int runningCount() {
+    return running.size();
+  }
+
+  int queuedCount() {
+    return queue.size();
+  }
+
+  /** Takes over the model's bounds as declared. */
+  void setModel(ModelSpec model) {
+    maxRunning = model.maxRunning();
+    queue.setCapacity(model.maxQueued());
+  }
+
+  boolean isServing(long nowNanos) {
+    return controller.findWhole(nowNanos).isPresent();
+  }
+
+  /** Takes in a request: queued, or refused at once. */
+  void submit(PendingRequest request, long nowNanos) {
+    ShoreroadException refusal = findRefusal(nowNanos);
+    if (refusal != null) {
+      refuse(request, refusal);
+      return;
+    }
+    Submission s = request.submission();
+    QueuedItem<PendingRequest> item =
+        new QueuedItem<>(
+            request,
+            s.account(),
+            s.accountWeight(),
+            s.priority(),
+            s.cost(),
+            nowNanos + TimeUnit.MILLISECONDS.toNanos(s.waitMs()));
+    // A resume has its place in the engine already.
+    if (s.isResume()) {
+      dispatch(item, nowNanos);
+      return;
+    }
+    int capacityLeft = maxRunning - running.size() - queue.size();
+    FairQueue.Offered<PendingRequest> offered =
+        capacityLeft > 0 ? offerBeyond(item) : queue.offer(item);
+    offered.displaced().ifPresent(victim -> refuseFull(victim.value(), nowNanos));
+    if (!offered.isAccepted()) {
+      refuseFull(request, nowNanos);
+    }
+    dispatchWaiting(nowNanos);
+  }
+
+  /** A request that can be started at once needs no place in the queue. */
+  private FairQueue.Offered<PendingRequest> offerBeyond(QueuedItem<PendingRequest> item) {
+    dispatch(item, System.nanoTime());
+    return new FairQueue.Offered<>(true, Optional.empty());
+  }
+
+  private @Nullable ShoreroadException findRefusal(long nowNanos) {
+    if (!isIntakeOpen) {
+      return ShoreroadException.notRun(ErrorCode.NOT_OWNER, "the owner has changed", 1);
+    }
+    if (!contact.mayServe(nowNanos)) {
+      return ShoreroadException.notRun(
+          ErrorCode.OUT_OF_CONTACT, "the owner is out of contact", NO_REPLICA_RETRY_MS);
+    }
+    if (!isServing(nowNanos)) {
+      return notWhole();
+    }
+    return null;
+  }
+
+  private static ShoreroadException notWhole() {
+    long jitterMs = ThreadLocalRandom.current().nextLong(NO_REPLICA_RETRY_MS / 2);
+    return ShoreroadException.notRun(
+        ErrorCode.NO_REPLICA, "the replica is not whole", NO_REPLICA_RETRY_MS + jitterMs);
+  }
+
+  /** Does what is due. */
+  void tick(long nowNanos) {
+    if (nowNanos - nextProbeNanos >= 0) {
+      nextProbeNanos = nowNanos + probeNanos;
+      probeAll(nowNanos);
+    }
+    for (QueuedItem<PendingRequest> late : queue.removeOverdue(nowNanos)) {
+      long retryMs = retryAfterMs(nowNanos);
+      refuse(
+          late.value(),
+          ShoreroadException.notRun(
+              ErrorCode.DEADLINE_PASSED, "it waited past its deadline", retryMs));
+    }
+    checkRunning(nowNanos);
+    if (queue.size() > 0 && (!isServing(nowNanos) || !contact.mayServe(nowNanos))) {
+      refuseQueued(notWhole());
+    }
+    dispatchWaiting(nowNanos);
+  }
+
+  /** Ends the intake: what waits is refused at once and can go to another owner. */
+  void closeIntake() {
+    if (isIntakeOpen) {
+      isIntakeOpen = false;
+      refuseQueued(ShoreroadException.notRun(ErrorCode.NOT_OWNER, "the owner has changed", 1));
+    }
+  }
+
+  /** Opens the intake again. */
+  void openIntake() {
+    isIntakeOpen = true;
+  }
+
+  /** Gives up a request that nobody waits for. */
+  void cancel(String requestId) {
+    queue.removeIf(item -> item.value().submission().requestId().equals(requestId));
+    RunningRequest request = running.remove(requestId);
+    if (request != null) {
+      request.abandon();
+      engines.cancel(controller.generation(), requestId);
+    }
+  }
+
+  /** Gives up all requests of a gateway that is gone; the engine's streams stay for a resume. */
+  void dropGateway(String gatewayId) {
+    queue.removeIf(item -> item.value().gatewayId().equals(gatewayId));
+    running
+        .values()
+        .removeIf(
+            request -> {
+              boolean isOf = request.item().value().gatewayId().equals(gatewayId);
+              if (isOf) {
+                request.abandon();
+                engines.cancel(controller.generation(), request.submission().requestId());
+              }
+              return isOf;
+            });
+  }
+
+  /** Fails all running requests, since the replica can't finish them. */
+  void failRunning(ErrorCode code, String message) {
+    ShoreroadException failure =
+        ShoreroadException.of(code, Verdict.MAY_HAVE_RUN, message, NO_REPLICA_RETRY_MS);
+    List<RunningRequest> all = new ArrayList<>(running.values());
+    running.clear();
+    all.forEach(request -> request.fail(failure));
+  }
+
+  private void probeAll(long nowNanos) {
+    lastProbeNanos = nowNanos;
+    for (Box box : controller.generation().boxes()) {
+      engines.probe(
+          box,
+          new EngineClient.ProbeListener() {
+            @Override
+            public void onReport(BoxReport report, long sentNanos) {
+              duty.tryPost(
+                  () -> {
+                    controller.recordReport(box.name(), report, sentNanos);
+                    checkRunning(System.nanoTime());
+                  });
+            }
+
+            @Override
+            public void onFailure(long sentNanos) {
+              metrics.count("shoreroad.owner.probe.failures");
+              duty.tryPost(() -> controller.recordFailure(box.name(), sentNanos));
+            }
+          });
+    }
+  }
+
+  private void dispatchWaiting(long nowNanos) {
+    while (running.size() < maxRunning && queue.size() > 0 && isServing(nowNanos)) {
+      queue.poll().ifPresent(item -> dispatch(item, nowNanos));
+    }
+  }
+
+  private void dispatch(QueuedItem<PendingRequest> item, long nowNanos) {
+    Optional<ReplicaController.Wholeness> whole = controller.findWhole(nowNanos);
+    if (whole.isEmpty()) {
+      refuse(item.value(), notWhole());
+      return;
+    }
+    RunningRequest request = new RunningRequest(item, whole.get());
+    running.put(item.value().submission().requestId(), request);
+    send(request, item.value().submission(), nowNanos);
+  }
+
+  private void send(RunningRequest request, Submission submission, long nowNanos) {
+    long contactUntil = contact.serveUntilNanos(nowNanos);
+    long evidenceUntil = controller.evidenceUntilNanos();
+    DispatchGuard guard =
+        DispatchGuard.of(contactUntil - evidenceUntil < 0 ? contactUntil : evidenceUntil);
+    String loadName = request.wholeness().headLoadName();
+    EngineStream.Listener listener = new StreamListener(request);
+    request.setCall(
+        submission.isResume()
+            ? engines.resume(controller.generation(), loadName, submission, guard, listener)
+            : engines.run(controller.generation(), loadName, submission, guard, listener));
+  }
+
+  /** Passes pieces on and hands ends and failures to the owner's thread. */
+  private final class StreamListener implements EngineStream.Listener {
+    private final RunningRequest request;
+
+    StreamListener(RunningRequest request) {
+      this.request = request;
+    }
+
+    @Override
+    public void onChunk(byte[] bytes) {
+      request.takeChunk(bytes);
+    }
+
+    @Override
+    public void onComplete(List<byte[]> held, long tokens) {
+      request.takeEndMarker(held, tokens, System.nanoTime());
+      post(() -> certify());
+    }
+
+    @Override
+    public void onFailure(ShoreroadException failure, boolean isResumable) {
+      post(() -> takeFailure(request, failure, isResumable));
+    }
+
+    private void post(Runnable task) {
+      if (!duty.tryPost(task)) {
+        metrics.count("shoreroad.owner.ring.full");
+        request.fail(
+            ShoreroadException.of(
+                ErrorCode.INTERNAL, Verdict.MAY_HAVE_RUN, "the owner is overloaded", 1_000));
+      }
+    }
+  }
+
+  /** Asks all boxes anew, so that the end of an answer is passed on only by a whole replica. */
+  private void certify() {
+    long now = System.nanoTime();
+    if (now - lastProbeNanos >= CERTIFY_GAP_NANOS) {
+      probeAll(now);
+    } else {
+      nextProbeNanos = Math.min(nextProbeNanos, lastProbeNanos + CERTIFY_GAP_NANOS);
+    }
+  }
+
+  private void checkRunning(long nowNanos) {
+    if (running.isEmpty()) {
+      return;
+    }
+    for (RunningRequest request : new ArrayList<>(running.values())) {
+      if (request.isEnding()
+          && controller.isWholeSince(request.wholeness(), request.endedNanos())) {
+        running.remove(request.submission().requestId());
+        complete(request, nowNanos);
+      } else if (controller.isBroken(request.wholeness(), nowNanos)) {
+        running.remove(request.submission().requestId());
+        request.fail(
+            ShoreroadException.of(
+                ErrorCode.REPLICA_LOST,
+                Verdict.MAY_HAVE_RUN,
+                "a box of the replica went missing",
+                NO_REPLICA_RETRY_MS));
+      }
+    }
+  }
+
+  private void complete(RunningRequest request, long nowNanos) {
+    drainRate.record(nowNanos);
+    queue.settle(request.item(), Math.max(1, request.tokens()) * request.submission().costWeight());
+    request.end();
+    metrics.count("shoreroad.owner.completed");
+    dispatchWaiting(nowNanos);
+  }
+
+  private void takeFailure(
+      RunningRequest request, ShoreroadException failure, boolean isResumable) {
+    long now = System.nanoTime();
+    String id = request.submission().requestId();
+    if (running.get(id) != request) {
+      return;
+    }
+    // The engine goes on after a broken connection; its stream is taken up where it broke.
+    if (isResumable
+        && !controller.isBroken(request.wholeness(), now)
+        && request.countResume() <= MAX_RESUMES) {
+      metrics.countRetry("stream_resumed");
+      send(request, request.submission().withResumeAfter(request.chunkCount()), now);
+      return;
+    }
+    running.remove(id);
+    request.fail(failure);
+    dispatchWaiting(now);
+  }
+
+  private long retryAfterMs(long nowNanos) {
+    return drainRate.retryAfterMs(nowNanos, queue.size(), ThreadLocalRandom.current().nextDouble());
+  }
+
+  private void refuseFull(PendingRequest request, long nowNanos) {
+    refuse(
+        request,
+        ShoreroadException.notRun(
+            ErrorCode.QUEUE_FULL, "the replica's queue is full", retryAfterMs(nowNanos)));
+  }
+
+  private void refuseQueued(ShoreroadException refusal) {
+    queue.removeIf(item -> true).forEach(item -> refuse(item.value(), refusal));
+  }
+
+  private void refuse(PendingRequest request, ShoreroadException refusal) {
+    metrics.count("shoreroad.owner.refusals", "code", refusal.code().toString());
+    request.sink().onFailure(refusal);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/shoreroad/daemon/owner/RunningRequest.java
@@ -0,0 +1,121 @@
+package org.shoreroad.daemon.owner;
+
+import java.util.ArrayList;
+import java.util.List;
+import okhttp3.Call;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.ShoreroadException;
+import org.shoreroad.daemon.request.AnswerSink;
+import org.shoreroad.daemon.request.Submission;
+import org.shoreroad.queue.QueuedItem;
+import org.shoreroad.replica.ReplicaController;
+
+/**
+ * A request that was sent to an engine: pieces go on to the sink until one end or failure.
+ *
+ * <p>Pieces come on the engine client's threads, ends and failures on the owner's; the lock keeps
+ * anything from following the end. Thread-safe.
+ */
+final class RunningRequest {
+  private final QueuedItem<PendingRequest> item;
+  private final ReplicaController.Wholeness wholeness;
+  private final List<byte[]> held = new ArrayList<>();
+  private long nextSequence;
+  private boolean isOver;
+  private boolean isEnding;
+  private long endedNanos;
+  private int resumes;
+  private long tokens;
+  private @Nullable Call call;
+
+  RunningRequest(QueuedItem<PendingRequest> item, ReplicaController.Wholeness wholeness) {
+    this.item = item;
+    this.wholeness = wholeness;
+    this.nextSequence = Math.max(0, item.value().submission().resumeAfter());
+  }
+
+  QueuedItem<PendingRequest> item() {
+    return item;
+  }
+
+  Submission submission() {
+    return item.value().submission();
+  }
+
+  /** Returns what the boxes showed when the request was sent. */
+  ReplicaController.Wholeness wholeness() {
+    return wholeness;
+  }
+
+  private AnswerSink sink() {
+    return item.value().sink();
+  }
+
+  synchronized void setCall(Call next) {
+    call = next;
+    if (isOver) {
+      next.cancel();
+    }
+  }
+
+  synchronized void takeChunk(byte[] bytes) {
+    if (!isOver) {
+      sink().onChunk(nextSequence++, bytes);
+    }
+  }
+
+  /** Notes the engine's end marker; the end is told only once the replica is known to be whole. */
+  synchronized void takeEndMarker(List<byte[]> last, long tokenCount, long nowNanos) {
+    held.addAll(last);
+    tokens = tokenCount;
+    isEnding = true;
+    endedNanos = nowNanos;
+  }
+
+  synchronized boolean isEnding() {
+    return isEnding;
+  }
+
+  synchronized long endedNanos() {
+    return endedNanos;
+  }
+
+  synchronized long tokens() {
+    return tokens;
+  }
+
+  synchronized long chunkCount() {
+    return nextSequence;
+  }
+
+  /** Counts one more resume and returns how many there were. */
+  synchronized int countResume() {
+    return ++resumes;
+  }
+
+  synchronized void end() {
+    if (!isOver) {
+      isOver = true;
+      held.forEach(bytes -> sink().onChunk(nextSequence++, bytes));
+      sink().onEnd();
+    }
+  }
+
+  synchronized void fail(ShoreroadException failure) {
+    if (!isOver) {
+      isOver = true;
+      if (call != null) {
+        call.cancel();
+      }
+      sink().onFailure(failure);
+    }
+  }
+
+  /** Ends it without telling anybody, since nobody waits. */
+  synchronized void abandon() {
+    isOver = true;
+    if (call != null) {
+      call.cancel();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/shoreroad/daemon/owner/package-info.java
@@ -0,0 +1,5 @@
+/** The owner's duty: probes, orders, the queue and the running requests of each owned replica. */
+@NullMarked
+package org.shoreroad.daemon.owner;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/shoreroad/daemon/peer/package-info.java
@@ -0,0 +1,5 @@
+/** The link between processes: MessagePack messages in length-prefixed TCP frames. */
+@NullMarked
+package org.shoreroad.daemon.peer;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standins/src/main/java/org/shoreroad/standins/EngineHistory.java
@@ -0,0 +1,23 @@
+package org.shoreroad.standins;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What all engine stand-ins of a process did, in order. Thread-safe. */
+public final class EngineHistory {
+  private static final int MAX_EVENTS = 2_000_000;
+
+  private final List<EngineEvent> events = new ArrayList<>();
+
+  /** Adds an event. */
+  synchronized void add(String box, String kind, String name, String requestId) {
+    if (events.size() < MAX_EVENTS) {
+      events.add(new EngineEvent(System.nanoTime(), box, kind, name, requestId));
+    }
+  }
+
+  /** Returns the events so far. */
+  public synchronized List<EngineEvent> events() {
+    return List.copyOf(events);
+  }
+}
