--- a/daemon/src/main/java/org/shoreroad/daemon/Daemon.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/Daemon.java
@@ -53,8 +53,8 @@
   /**
    * Stops by plan: not ready, owns nothing new, finishes what runs, ends.
    *
-   * <p>New requests are still taken for {@code --unready-ms}, until the balancer has noticed; what
-   * is open after {@code --drain-ms} is cut.
+   * <p>New requests are still taken for {@code --unready-ms}, until the balancer has noticed, and
+   * refused after that; what is open after {@code --drain-ms} is cut.
    */
   public void drainAndStop() {
     LOG.infof("SR-0011 process %s is stopping", settings.nodeId());
@@ -63,6 +63,7 @@
     final GatewayService gateway = kernel.find(GatewayService.NAME, GatewayService.class);
     owner.closeIntake();
     sleep(settings.unreadyMs());
+    gateway.closeIntake();
     long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.drainMs());
     while (isBusy(owner, gateway) && System.nanoTime() - endNanos < 0) {
       sleep(POLL_MS);
--- a/daemon/src/main/java/org/shoreroad/daemon/gateway/CallerAnswer.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/gateway/CallerAnswer.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.RejectedExecutionException;
 import org.shoreroad.ErrorCode;
 import org.shoreroad.ShoreroadException;
 import org.shoreroad.daemon.owner.EngineClient;
@@ -139,14 +140,19 @@
   }
 
   private void onIoThread(Runnable task) {
-    exchange
-        .getIoThread()
-        .execute(
-            () -> {
-              if (!isOver) {
-                task.run();
-              }
-            });
+    try {
+      exchange
+          .getIoThread()
+          .execute(
+              () -> {
+                if (!isOver) {
+                  task.run();
+                }
+              });
+    } catch (RejectedExecutionException e) {
+      // The server is stopping at once: its connections are cut, and nobody can be told.
+      IoUtils.safeClose(exchange.getConnection());
+    }
   }
 
   private void pump() {
@@ -173,18 +179,16 @@
             new IoCallback() {
               @Override
               public void onComplete(HttpServerExchange done, Sender sender) {
-                exchange
-                    .getIoThread()
-                    .execute(
-                        () -> {
-                          isWriting = false;
-                          pump();
-                        });
+                onIoThread(
+                    () -> {
+                      isWriting = false;
+                      pump();
+                    });
               }
 
               @Override
               public void onException(HttpServerExchange done, Sender sender, IOException e) {
-                exchange.getIoThread().execute(CallerAnswer.this::giveUp);
+                onIoThread(CallerAnswer.this::giveUp);
               }
             });
   }
--- a/daemon/src/main/java/org/shoreroad/daemon/gateway/GatewayService.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/gateway/GatewayService.java
@@ -75,6 +75,7 @@
   private final ThreadPoolExecutor serviceCalls = newPool("service-call", SERVICE_THREADS);
   private final ScheduledThreadPoolExecutor timer;
   private @Nullable Undertow server;
+  private volatile boolean isIntakeClosed;
 
   /** Creates the gateway; {@link #start} opens its port. */
   @Inject
@@ -164,12 +165,25 @@
     return (InetSocketAddress) started.getListenerInfo().get(0).getAddress();
   }
 
+  /** Refuses every new request from now on; what is open goes on. */
+  public void closeIntake() {
+    isIntakeClosed = true;
+  }
+
   /** Returns how many callers' requests are open. */
   public int openCount() {
     return open.get();
   }
 
   private void handle(HttpServerExchange exchange) {
+    if (isIntakeClosed) {
+      exchange.setPersistent(false);
+      refuse(
+          exchange,
+          ShoreroadException.notRun(
+              ErrorCode.STOPPING, "this process is stopping", LIMIT_RETRY_MS));
+      return;
+    }
     String path = exchange.getRequestPath();
     String method = exchange.getRequestMethod().toString();
     if (path.equals(CHAT_PATH)) {
--- a/it/src/test/java/org/shoreroad/it/Site.java
+++ b/it/src/test/java/org/shoreroad/it/Site.java
@@ -36,6 +36,8 @@
   final EngineHistory history = new EngineHistory();
   final Map<String, EngineServer> engines = new LinkedHashMap<>();
   final List<Daemon> daemons = new ArrayList<>();
+  final List<String> callerUrls = new java.util.concurrent.CopyOnWriteArrayList<>();
+  final List<String> opsUrls = new java.util.concurrent.CopyOnWriteArrayList<>();
   final OkHttpClient client =
       new OkHttpClient.Builder()
           .retryOnConnectionFailure(false)
@@ -74,7 +76,7 @@
     for (int n = 1; n <= daemons; n++) {
       site.addDaemon("n" + n);
     }
-    site.await("all ready", () -> site.daemons.stream().allMatch(site::isReady));
+    site.await("all ready", () -> site.opsUrls.stream().allMatch(site::isReady));
     return site;
   }
 
@@ -101,11 +103,13 @@
     args.addAll(List.of(extra));
     Daemon daemon = Daemon.start(Settings.parse(args.toArray(String[]::new), Map.of()));
     daemons.add(daemon);
+    callerUrls.add("http://" + text(daemon.callerAddress()));
+    opsUrls.add("http://" + text(daemon.opsAddress()));
     return daemon;
   }
 
-  boolean isReady(Daemon daemon) {
-    return get("http://" + text(daemon.opsAddress()) + "/readyz").status() == 200;
+  boolean isReady(String opsUrl) {
+    return get(opsUrl + "/readyz").status() == 200;
   }
 
   static String text(java.net.InetSocketAddress address) {
@@ -119,7 +123,7 @@
   Answer ops(int daemon, String method, String call, String body) {
     return call(
         new Request.Builder()
-            .url("http://" + text(daemons.get(daemon).opsAddress()) + "/ops/" + call)
+            .url(opsUrls.get(daemon) + "/ops/" + call)
             .header("Authorization", "Bearer " + OPERATOR)
             .method(method, method.equals("GET") ? null : RequestBody.create(body, JSON))
             .build());
@@ -127,7 +131,7 @@
 
   /** Reads one value of a daemon's metrics; 0 if it is not there. */
   double metric(int daemon, String name) {
-    String text = get("http://" + text(daemons.get(daemon).opsAddress()) + "/metrics").body();
+    String text = get(opsUrls.get(daemon) + "/metrics").body();
     return text.lines()
         .filter(line -> line.startsWith(name + " ") || line.startsWith(name + "{"))
         .mapToDouble(line -> Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
@@ -221,7 +225,7 @@
   Request chatRequest(int daemon, String kind, String key, String body) {
     Request.Builder builder =
         new Request.Builder()
-            .url("http://" + text(daemons.get(daemon).callerAddress()) + "/v1/chat/completions")
+            .url(callerUrls.get(daemon) + "/v1/chat/completions")
             .header("Authorization", "Bearer " + KEY)
             .header("X-Request-Kind", kind)
             .post(RequestBody.create(body, JSON));
--- a/standins/src/main/java/org/shoreroad/standins/EngineBox.java
+++ b/standins/src/main/java/org/shoreroad/standins/EngineBox.java
@@ -156,7 +156,7 @@
       return null;
     }
     EngineRun run = new EngineRun(this, requestId, loadName, body, history);
-    history.add(name, "start", loadName, requestId);
+    history.add(name, "start", loadName, requestId, run.prompt());
     runs.put(requestId, run);
     runningCount.incrementAndGet();
     load.running().incrementAndGet();
--- a/standins/src/main/java/org/shoreroad/standins/EngineEvent.java
+++ b/standins/src/main/java/org/shoreroad/standins/EngineEvent.java
@@ -8,5 +8,7 @@
  * @param kind what: load, unload, refused, start, token, end, cancelled
  * @param name the load name, for all but cancelled
  * @param requestId the request, or an empty text
+ * @param prompt the text of the request that was started, or an empty text
  */
-public record EngineEvent(long atNanos, String box, String kind, String name, String requestId) {}
+public record EngineEvent(
+    long atNanos, String box, String kind, String name, String requestId, String prompt) {}
--- a/standins/src/main/java/org/shoreroad/standins/EngineHistory.java
+++ b/standins/src/main/java/org/shoreroad/standins/EngineHistory.java
@@ -10,9 +10,14 @@
   private final List<EngineEvent> events = new ArrayList<>();
 
   /** Adds an event. */
-  synchronized void add(String box, String kind, String name, String requestId) {
+  void add(String box, String kind, String name, String requestId) {
+    add(box, kind, name, requestId, "");
+  }
+
+  /** Adds an event with the text of a request. */
+  synchronized void add(String box, String kind, String name, String requestId, String prompt) {
     if (events.size() < MAX_EVENTS) {
-      events.add(new EngineEvent(System.nanoTime(), box, kind, name, requestId));
+      events.add(new EngineEvent(System.nanoTime(), box, kind, name, requestId, prompt));
     }
   }
 
--- a/standins/src/main/java/org/shoreroad/standins/EngineRun.java
+++ b/standins/src/main/java/org/shoreroad/standins/EngineRun.java
@@ -40,6 +40,10 @@
     return loadName;
   }
 
+  String prompt() {
+    return prompt;
+  }
+
   int tokenCount() {
     return tokenCount;
   }
