Boxes stay bound for the quarantine whatever their engine checks

Cause: a box whose engine checks fencing numbers was released without waiting out the quarantine. An engine that restarts forgets the highest number it saw, so a process that was late on the log by less than its contact time could load a dissolved generation again on a released box, read it back and serve it.

Cost: 3 s more until the boxes of a dissolved generation are free, against loads that take minutes.

--- a/core/src/main/java/org/shoreroad/replica/ReplicaController.java
+++ b/core/src/main/java/org/shoreroad/replica/ReplicaController.java
@@ -31,7 +31,6 @@
 public final class ReplicaController {
   private final ReplicaTiming timing;
   private final Supplier<String> orderNumbers;
-  private final Predicate<String> isFenced;
   private final long ownedSinceNanos;
   private final Map<String, BoxEvidence> evidenceByBox = new HashMap<>();
   private final Map<String, Long> orderedAtNanos = new HashMap<>();
@@ -47,19 +46,13 @@
    * @param generation the generation, not null
    * @param timing the times, not null
    * @param orderNumbers gives a number for each load order, unique for ever
-   * @param isFenced tells of a box's name whether its engine refuses old fencing numbers
    * @param nowNanos the monotonic time
    */
   public ReplicaController(
-      Generation generation,
-      ReplicaTiming timing,
-      Supplier<String> orderNumbers,
-      Predicate<String> isFenced,
-      long nowNanos) {
+      Generation generation, ReplicaTiming timing, Supplier<String> orderNumbers, long nowNanos) {
     this.generation = generation;
     this.timing = timing;
     this.orderNumbers = orderNumbers;
-    this.isFenced = isFenced;
     this.ownedSinceNanos = nowNanos;
     this.dissolvedSeenNanos = nowNanos;
     for (Box box : generation.boxes()) {
@@ -238,8 +231,7 @@
           actions.add(new ReplicaAction.OrderUnload(box, load.name()));
         }
       }
-      boolean isQuarantined =
-          !isFenced.test(box.name()) && nowNanos - dissolvedSeenNanos < timing.quarantineNanos();
+      boolean isQuarantined = nowNanos - dissolvedSeenNanos < timing.quarantineNanos();
       if (own.isEmpty() && !isQuarantined && mayOrderAgain("release/" + box.name(), nowNanos)) {
         actions.add(new ReplicaAction.ProposeRelease(box.name()));
       }
--- a/core/src/main/java/org/shoreroad/replica/ReplicaTiming.java
+++ b/core/src/main/java/org/shoreroad/replica/ReplicaTiming.java
@@ -11,8 +11,8 @@
  * @param lostNanos how long a box is silent before its generation is dissolved
  * @param loadNanos how long a load may take before the generation is dissolved
  * @param orderNanos how long to wait before an order without visible effect is sent again
- * @param quarantineNanos how long after a dissolving the boxes stay bound at least, where engines
- *     ignore fencing numbers: longer than a process may act on what it last read of the log
+ * @param quarantineNanos how long after a dissolving the boxes stay bound at least: longer than a
+ *     process may act on what it last read of the log
  * @param drainNanos how long running requests are waited for when a generation ends by plan
  * @since 0.1
  */
--- a/daemon/src/main/java/org/shoreroad/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/owner/OwnerService.java
@@ -282,9 +282,6 @@
             generation,
             settings.replicaTiming(),
             () -> orderPrefix + nextOrder.getAndIncrement(),
-            box ->
-                "checked"
-                    .equals(control.state().configuration().boxLabels(box).labels().get("fencing")),
             nowNanos);
     return new OwnedReplica(
         controller,
--- a/daemon/src/main/java/org/shoreroad/daemon/settings/DaemonOptions.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/settings/DaemonOptions.java
@@ -123,7 +123,7 @@
   @Option(
       name = "--quarantine-ms",
       title = "quarantine-ms",
-      description = "How long boxes stay bound after a dissolving, where engines ignore fencing.")
+      description = "How long boxes stay bound at least after a dissolving.")
   long quarantineMs = 3_000;
 
   @LongRange(min = 0, max = 3_600_000)
