Suspects can object in time; an avoided upstream is never taken before others

Cause 1: a suspect had 3 periods to object, whatever the size of the fleet. At 27 nodes and 10 % loss up to 7 beliefs that a living node is dead at once (MembershipTest lossDoesNotKillTheLiving red). The rumor needs about log2(n) periods to reach the suspect and all others. Now whoever raised the suspicion asks the suspect again in each period, and the time is log2(n) periods where that is more than 3. Cause 2: UpstreamChooser fell back to all candidates when those not avoided were slow, so one that had just failed could be taken (jqwik, red). It now falls back to those not avoided first. Ruled out: the rumor board (a rumor is spread 3 log2(n) times).

--- a/core/src/main/java/org/shoreroad/member/Membership.java
+++ b/core/src/main/java/org/shoreroad/member/Membership.java
@@ -60,6 +60,7 @@
   private static final class Peer {
     private Rumor rumor;
     private long suspectSinceNanos;
+    private boolean isSuspectedByMe;
     private long appliedOffset = -1;
 
     Peer(Rumor rumor) {
@@ -197,6 +198,7 @@
       if (target != null) {
         ping(target, "", 0, nowNanos, out);
       }
+      askSuspectsAgain(nowNanos, out);
     }
     buryOverdue(nowNanos);
     return out;
@@ -273,6 +275,16 @@
     }
   }
 
+  /** Whoever raised a suspicion asks the suspect in each period, so that it can object in time. */
+  private void askSuspectsAgain(long nowNanos, List<Outgoing> out) {
+    for (Map.Entry<String, Peer> entry : peers.entrySet()) {
+      Peer peer = entry.getValue();
+      if (peer.isSuspectedByMe && peer.rumor.status() == PeerStatus.SUSPECT) {
+        ping(entry.getKey(), "", 0, nowNanos, out);
+      }
+    }
+  }
+
   private List<String> pickHelpers(String target) {
     List<String> others = new ArrayList<>(aliveIds());
     others.remove(selfId);
@@ -301,12 +313,16 @@
     Peer peer = peers.get(nodeId);
     if (peer != null && peer.rumor.status().compareTo(PeerStatus.SUSPECT) < 0) {
       hear(new Rumor(nodeId, PeerStatus.SUSPECT, peer.rumor.incarnation()), nowNanos);
+      peer.isSuspectedByMe = true;
     }
   }
 
   private void buryOverdue(long nowNanos) {
+    // A rumor needs about the logarithm of the fleet in periods to reach all, and back.
+    long periods = Math.max(timing.suspicionPeriods(), log2Ceiling(peers.size() + 1));
+    long suspicionNanos = periods * timing.periodNanos();
     for (Peer peer : peers.values()) {
-      boolean isOverdue = nowNanos - peer.suspectSinceNanos >= timing.suspicionNanos();
+      boolean isOverdue = nowNanos - peer.suspectSinceNanos >= suspicionNanos;
       if (peer.rumor.status() == PeerStatus.SUSPECT && isOverdue) {
         hear(new Rumor(peer.rumor.nodeId(), PeerStatus.DEAD, peer.rumor.incarnation()), nowNanos);
       }
@@ -324,6 +340,7 @@
     }
     if (rumor.status() == PeerStatus.SUSPECT) {
       peer.suspectSinceNanos = nowNanos;
+      peer.isSuspectedByMe = false;
     }
     peer.rumor = rumor;
     board.post(rumor, spreads());
@@ -365,7 +382,10 @@
   }
 
   private int spreads() {
-    int bits = Integer.SIZE - Integer.numberOfLeadingZeros(peers.size() + 1);
-    return SPREAD_FACTOR * bits;
+    return SPREAD_FACTOR * log2Ceiling(peers.size() + 1);
+  }
+
+  private static int log2Ceiling(int number) {
+    return Integer.SIZE - Integer.numberOfLeadingZeros(number);
   }
 }
--- a/core/src/main/java/org/shoreroad/member/MembershipTiming.java
+++ b/core/src/main/java/org/shoreroad/member/MembershipTiming.java
@@ -9,13 +9,13 @@
  *
  * @param periodNanos how often one peer is asked
  * @param ackTimeoutNanos how long an answer may take before others are asked to ask
- * @param suspicionNanos how long a suspect has to object
+ * @param suspicionPeriods how many periods a suspect has to object at least
  * @since 0.1
  */
-public record MembershipTiming(long periodNanos, long ackTimeoutNanos, long suspicionNanos) {
+public record MembershipTiming(long periodNanos, long ackTimeoutNanos, int suspicionPeriods) {
   /** Returns the times that follow from the period. */
   public static MembershipTiming of(long periodMs) {
     long period = TimeUnit.MILLISECONDS.toNanos(periodMs);
-    return new MembershipTiming(period, period / 3, 3 * period);
+    return new MembershipTiming(period, period / 3, 3);
   }
 }
--- a/core/src/main/java/org/shoreroad/routing/UpstreamChooser.java
+++ b/core/src/main/java/org/shoreroad/routing/UpstreamChooser.java
@@ -74,12 +74,18 @@
       long nowNanos) {
     double median = medianLatencyMs(candidates, stats, unknown);
     double limitMs = median * SLOW_FACTOR + SLOW_MARGIN_MS;
-    List<String> usable =
+    List<String> notAvoided =
         candidates.stream()
             .filter(name -> !stats.getOrDefault(name, unknown).isAvoided(nowNanos))
+            .toList();
+    List<String> fast =
+        notAvoided.stream()
             .filter(name -> median == 0 || isFastEnough(stats, unknown, name, limitMs))
             .toList();
-    return usable.isEmpty() ? candidates : usable;
+    if (!fast.isEmpty()) {
+      return fast;
+    }
+    return notAvoided.isEmpty() ? candidates : notAvoided;
   }
 
   private static boolean isFastEnough(
--- /dev/null
+++ b/core/src/test/java/org/shoreroad/placement/PlannerTest.java
@@ -0,0 +1,110 @@
+package org.shoreroad.placement;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.shoreroad.Box;
+import org.shoreroad.config.BoxLabels;
+import org.shoreroad.config.ConfigChange;
+import org.shoreroad.config.ConfigEntry;
+import org.shoreroad.config.ModelSpec;
+import org.shoreroad.config.PolicySpec;
+import org.shoreroad.state.ClusterState;
+import org.shoreroad.state.DissolveReason;
+import org.shoreroad.state.LogRecord;
+import org.shoreroad.state.StateMachine;
+
+/** What the planner plans is taken by the log, is enough, and moves nothing that need not move. */
+class PlannerTest {
+  private static final Map<String, String> LABEL = Map.of("engine", "m");
+
+  private static List<ListedBox> boxes(int... perDomain) {
+    List<ListedBox> boxes = new ArrayList<>();
+    for (int d = 0; d < perDomain.length; d++) {
+      for (int b = 0; b < perDomain[d]; b++) {
+        boxes.add(new ListedBox(new Box("d" + d + "-" + b, "h:1", "d" + d, "z"), false));
+      }
+    }
+    return boxes;
+  }
+
+  private static ClusterState state(List<ListedBox> boxes, int replicas, int weight) {
+    List<ConfigEntry> entries = new ArrayList<>();
+    entries.add(new ModelSpec("m", "1", 4, replicas, true, LABEL, 1, 1));
+    entries.add(new PolicySpec(weight));
+    boxes.forEach(b -> entries.add(new BoxLabels(b.box().name(), LABEL, false)));
+    return StateMachine.apply(
+            ClusterState.EMPTY,
+            1,
+            new LogRecord.ConfigChanged("c", 0, "t", new ConfigChange(entries, List.of())))
+        .state();
+  }
+
+  private static ClusterState take(ClusterState state, List<PlanStep> steps) {
+    ClusterState now = state;
+    for (PlanStep step : steps) {
+      long offset = now.appliedOffset() + 1;
+      LogRecord record =
+          step instanceof PlanStep.Form form
+              ? new LogRecord.ReplicaFormed("p" + offset, form.model(), form.boxes())
+              : new LogRecord.ReplicaDissolved(
+                  "p" + offset,
+                  ((PlanStep.Dissolve) step).generation(),
+                  ((PlanStep.Dissolve) step).reason());
+      StateMachine.Applied applied = StateMachine.apply(now, offset, record);
+      assertThat(applied.outcome().toString(), applied.outcome().isAccepted(), is(true));
+      now = applied.state();
+    }
+    return now;
+  }
+
+  @Property(tries = 200)
+  void testPlan_isTakenAndThenNothingIsLeftToDo(@ForAll long seed) {
+    Random random = new Random(seed);
+    List<ListedBox> boxes =
+        boxes(random.nextInt(10), random.nextInt(10), random.nextInt(10), random.nextInt(10));
+    ClusterState state = state(boxes, random.nextInt(9), random.nextInt(101));
+    state = take(state, Planner.plan(state, boxes));
+    assertThat(Planner.plan(state, boxes), is(empty()));
+    // Some boxes are about to leave: only their replicas are touched.
+    List<ListedBox> leaving =
+        boxes.stream().map(b -> new ListedBox(b.box(), random.nextInt(8) == 0)).toList();
+    for (PlanStep step : Planner.plan(state, leaving)) {
+      if (step instanceof PlanStep.Dissolve dissolve) {
+        assertThat(dissolve.reason(), is(DissolveReason.BOX_LEAVING));
+      }
+    }
+    state = take(state, Planner.plan(state, leaving));
+    assertThat(Planner.plan(state, leaving), is(empty()));
+  }
+
+  @Test
+  void testPlan_weightChoosesBetweenSpareAndNoFragment() {
+    List<ListedBox> boxes = boxes(4, 5);
+    PlanStep forDowntime = Planner.plan(state(boxes, 1, 100), boxes).get(0);
+    PlanStep forStranded = Planner.plan(state(boxes, 1, 0), boxes).get(0);
+    assertThat(((PlanStep.Form) forDowntime).boxes().get(0).fabricDomain(), is("d1"));
+    assertThat(((PlanStep.Form) forStranded).boxes().get(0).fabricDomain(), is("d0"));
+  }
+
+  @Test
+  void testPlan_formsNothingAcrossDomains() {
+    List<ListedBox> boxes = boxes(3, 3);
+    assertThat(Planner.plan(state(boxes, 1, 50), boxes), is(empty()));
+  }
+
+  @Test
+  void testPlan_passesOverUnselectedBoxes() {
+    List<ListedBox> boxes = boxes(5);
+    ClusterState state = state(boxes.subList(0, 3), 1, 50);
+    assertThat(Planner.plan(state, boxes), is(empty()));
+  }
+}
