--- /dev/null
+++ b/bench/src/main/java/org/shoreroad/bench/MembershipBench.java
@@ -0,0 +1,114 @@
+package org.shoreroad.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.shoreroad.daemon.peer.PeerCodec;
+import org.shoreroad.daemon.peer.PeerMessage;
+import org.shoreroad.member.Heartbeat;
+import org.shoreroad.member.Membership;
+import org.shoreroad.member.MembershipTiming;
+import org.shoreroad.member.PeerStatus;
+
+/**
+ * Heartbeats between many processes over a network in memory: bytes, time, and noticing a death.
+ */
+final class MembershipBench {
+  private static final int[] SIZES = {9, 27, 81, 243, 810};
+  private static final long PERIOD_MS = 1_000;
+  private static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+  private static final int FRAME_BYTES = 4;
+  private static final int TCP_BYTES = 2 * 66;
+  private static final int WARM_UP_STEPS = 200;
+  private static final int MEASURED_STEPS = 400;
+  private static final int MAX_STEPS = 4_000;
+
+  private final List<Membership> nodes = new ArrayList<>();
+  private List<Message> inFlight = new ArrayList<>();
+  private long nowNanos;
+  private long bytes;
+  private int dead = -1;
+
+  private record Message(int from, int to, Heartbeat heartbeat) {}
+
+  private MembershipBench(int size) {
+    MembershipTiming timing = MembershipTiming.of(PERIOD_MS);
+    List<String> ids = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      ids.add("n-0123abcd" + i);
+    }
+    for (int i = 0; i < size; i++) {
+      Membership node =
+          new Membership(ids.get(i), timing, i, i * STEP_NANOS % (PERIOD_MS * 1_000_000));
+      node.setNodes(ids);
+      nodes.add(node);
+    }
+  }
+
+  static void run(Report report) {
+    report.title("membership: one heartbeat a second, TCP headers counted at 2 x 66 bytes");
+    List<Slope.Point> bytesPoints = new ArrayList<>();
+    for (int size : SIZES) {
+      MembershipBench bench = new MembershipBench(size);
+      bench.steps(WARM_UP_STEPS);
+      bench.bytes = 0;
+      long begun = System.nanoTime();
+      bench.steps(MEASURED_STEPS);
+      double seconds = MEASURED_STEPS * STEP_NANOS / 1e9;
+      double perNode = bench.bytes / seconds / size;
+      double cpuShare = (System.nanoTime() - begun) / 1e9 / seconds / size;
+      double noticedSeconds = bench.kill(size / 2);
+      report.line(
+          "%d processes: %.0f bytes/s sent by each, %.4f %% of a core each; a death is believed by"
+              + " all after %.1f s",
+          size, perNode, cpuShare * 100, noticedSeconds);
+      bytesPoints.add(new Slope.Point(size, perNode));
+    }
+    report.slope("heartbeat bytes/s of one process", "processes", Slope.of(bytesPoints));
+  }
+
+  private double kill(int index) {
+    dead = index;
+    String id = "n-0123abcd" + index;
+    long begunNanos = nowNanos;
+    for (int step = 0; step < MAX_STEPS; step++) {
+      steps(1);
+      boolean isKnown = true;
+      for (int i = 0; i < nodes.size() && isKnown; i++) {
+        isKnown = i == index || nodes.get(i).statusOf(id) == PeerStatus.DEAD;
+      }
+      if (isKnown) {
+        break;
+      }
+    }
+    return (nowNanos - begunNanos) / 1e9;
+  }
+
+  private void steps(int count) {
+    for (int step = 0; step < count; step++) {
+      nowNanos += STEP_NANOS;
+      List<Message> arriving = inFlight;
+      inFlight = new ArrayList<>();
+      for (Message message : arriving) {
+        if (message.to() != dead && message.from() != dead) {
+          String from = "n-0123abcd" + message.from();
+          send(message.to(), nodes.get(message.to()).receive(from, message.heartbeat(), nowNanos));
+        }
+      }
+      for (int i = 0; i < nodes.size(); i++) {
+        if (i != dead) {
+          send(i, nodes.get(i).tick(nowNanos));
+        }
+      }
+    }
+  }
+
+  private void send(int from, List<Membership.Outgoing> outgoing) {
+    for (Membership.Outgoing message : outgoing) {
+      PeerMessage.Beat beat = new PeerMessage.Beat(message.heartbeat());
+      bytes += FRAME_BYTES + TCP_BYTES + PeerCodec.toBytes(beat).length;
+      int to = Integer.parseInt(message.nodeId().substring("n-0123abcd".length()));
+      inFlight.add(new Message(from, to, message.heartbeat()));
+    }
+  }
+}
--- a/core/src/main/java/org/shoreroad/config/ConfigCheck.java
+++ b/core/src/main/java/org/shoreroad/config/ConfigCheck.java
@@ -44,6 +44,29 @@
     return findings;
   }
 
+  /**
+   * Returns everything that a change makes wrong, given that the configuration was right before.
+   *
+   * <p>Only routes point to other entries, so the touched entries and all routes are looked at; the
+   * cost does not grow with the number of boxes.
+   *
+   * @param change the change, not null
+   * @param after the configuration with the change made, not null
+   * @return the findings, empty if it is right
+   */
+  public static List<Finding> findIn(ConfigChange change, Configuration after) {
+    List<Finding> findings = new ArrayList<>();
+    change.upserts().forEach(entry -> findings.addAll(findIn(entry, after)));
+    if (change.keys().stream().anyMatch(ConfigCheck::isPointedTo)) {
+      after.all(RouteSpec.class).forEach(route -> findings.addAll(findIn(route, after)));
+    }
+    return findings;
+  }
+
+  private static boolean isPointedTo(String key) {
+    return !key.startsWith("box/") && !key.equals(PolicySpec.KEY);
+  }
+
   private static List<Finding> findIn(ConfigEntry entry, Configuration all) {
     Findings found = new Findings(entry.key());
     if (entry instanceof ModelSpec model) {
--- a/core/src/main/java/org/shoreroad/config/ConfigJson.java
+++ b/core/src/main/java/org/shoreroad/config/ConfigJson.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 /**
  * The JSON form of entries, as it travels in the log and to operators.
@@ -23,8 +24,17 @@
           "box", BoxLabels.class,
           "policy", PolicySpec.class);
 
+  private static final Map<Class<? extends ConfigEntry>, String> PREFIX_BY_TYPE =
+      TYPE_BY_PREFIX.entrySet().stream()
+          .collect(Collectors.toUnmodifiableMap(Map.Entry::getValue, Map.Entry::getKey));
+
   private ConfigJson() {}
 
+  /** Returns what the keys of a type begin with, up to the slash. */
+  static String prefix(Class<? extends ConfigEntry> type) {
+    return PREFIX_BY_TYPE.getOrDefault(type, "");
+  }
+
   /** Returns the JSON form of the entry. */
   public static String toJson(ConfigEntry entry) {
     try {
--- a/core/src/main/java/org/shoreroad/config/Configuration.java
+++ b/core/src/main/java/org/shoreroad/config/Configuration.java
@@ -4,8 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.pcollections.HashTreePMap;
-import org.pcollections.PMap;
+import org.pcollections.TreePMap;
 
 /**
  * All declared entries, by key.
@@ -16,9 +15,9 @@
  * @param entries the entries by key
  * @since 0.1
  */
-public record Configuration(PMap<String, ConfigEntry> entries) {
+public record Configuration(TreePMap<String, ConfigEntry> entries) {
   /** The configuration without any entry. */
-  public static final Configuration EMPTY = new Configuration(HashTreePMap.empty());
+  public static final Configuration EMPTY = new Configuration(TreePMap.empty());
 
   /**
    * Returns the configuration that holds the entries.
@@ -74,23 +73,26 @@
     return find(PolicySpec.class, PolicySpec.KEY).orElse(PolicySpec.DEFAULT);
   }
 
+  /** Returns how many replicas of the model may stand, those on standby counted. */
+  public int maxStanding(ModelSpec model) {
+    return model.replicas() + policy().standbyReplicas(model.replicas());
+  }
+
   /** Returns true if some route lets the account send the kind to the target. */
   public boolean isRouted(String account, String kind, String target) {
     return all(RouteSpec.class).stream().anyMatch(r -> r.isCovering(account, kind, target));
   }
 
   /**
-   * Returns all entries of one type, ordered by key.
+   * Returns all entries of one type, ordered by key; the cost does not grow with other types.
    *
-   * @param type the type, not null
+   * @param type the type, not null, but for the single policy
    * @return the entries
    */
   public <T extends ConfigEntry> List<T> all(Class<T> type) {
-    return entries.values().stream()
-        .filter(type::isInstance)
-        .map(type::cast)
-        .sorted(java.util.Comparator.comparing(ConfigEntry::key))
-        .toList();
+    String prefix = ConfigJson.prefix(type);
+    // '0' follows '/', so this is every key of the type and no other.
+    return entries.subMap(prefix + "/", prefix + "0").values().stream().map(type::cast).toList();
   }
 
   private <T extends ConfigEntry> Optional<T> find(Class<T> type, String key) {
--- a/core/src/main/java/org/shoreroad/placement/Planner.java
+++ b/core/src/main/java/org/shoreroad/placement/Planner.java
@@ -58,6 +58,7 @@
     while (true) {
       Optional<PlanStep.Form> form = planNext(state, models, standing, free);
       if (form.isEmpty()) {
+        planYielding(state, models, standing, steps);
         return steps;
       }
       steps.add(form.get());
@@ -85,7 +86,7 @@
       Configuration configuration, Generation generation, Set<String> leaving, int keptBefore) {
     ModelSpec model = configuration.model(generation.model()).orElse(null);
     if (model == null
-        || keptBefore >= model.replicas()
+        || keptBefore >= configuration.maxStanding(model)
         || generation.boxes().size() != model.boxesPerReplica()) {
       return DissolveReason.NOT_WANTED;
     }
@@ -101,11 +102,41 @@
     return null;
   }
 
+  /** Ends one replica on standby for each model that lacks one and could use its boxes. */
+  private static void planYielding(
+      ClusterState state,
+      List<ModelSpec> models,
+      Map<String, Integer> standing,
+      List<PlanStep> steps) {
+    for (ModelSpec lacking : models) {
+      if (standing.getOrDefault(lacking.name(), 0) >= lacking.replicas()) {
+        continue;
+      }
+      for (Generation generation : state.standing()) {
+        ModelSpec holder = state.configuration().model(generation.model()).orElse(null);
+        boolean isStandby =
+            holder != null && standing.getOrDefault(holder.name(), 0) > holder.replicas();
+        if (isStandby && isUsable(state.configuration(), generation, lacking)) {
+          steps.add(new PlanStep.Dissolve(generation.number(), DissolveReason.NOT_WANTED));
+          standing.merge(holder.name(), -1, Integer::sum);
+          break;
+        }
+      }
+    }
+  }
+
+  private static boolean isUsable(
+      Configuration configuration, Generation generation, ModelSpec model) {
+    return generation.boxes().size() >= model.boxesPerReplica()
+        && generation.boxes().stream()
+            .allMatch(b -> model.isSelecting(configuration.boxLabels(b.name()).labels()));
+  }
+
   private static Optional<PlanStep.Form> planNext(
       ClusterState state, List<ModelSpec> models, Map<String, Integer> standing, FreeBoxes free) {
     List<ModelSpec> lacking =
         models.stream()
-            .filter(m -> standing.getOrDefault(m.name(), 0) < m.replicas())
+            .filter(m -> standing.getOrDefault(m.name(), 0) < state.configuration().maxStanding(m))
             .sorted(
                 Comparator.comparingDouble(
                         (ModelSpec m) -> standing.getOrDefault(m.name(), 0) / (double) m.replicas())
--- a/core/src/main/java/org/shoreroad/routing/Rendezvous.java
+++ b/core/src/main/java/org/shoreroad/routing/Rendezvous.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.stream.Stream;
 
 /**
  * Rendezvous hashing: every process that knows the same names ranks them alike for a key, and a
@@ -42,15 +43,25 @@
    */
   public static <T> Optional<T> choose(
       String key, Collection<T> candidates, Function<T, String> name) {
-    return candidates.stream().max(byScore(key, name));
+    return scoreAll(key, candidates, name).max(Scored.ORDER).map(Scored::candidate);
   }
 
   /** Returns the candidates, the one that wins the key first. */
   public static <T> List<T> rank(String key, Collection<T> candidates, Function<T, String> name) {
-    return candidates.stream().sorted(byScore(key, name).reversed()).toList();
+    return scoreAll(key, candidates, name)
+        .sorted(Scored.ORDER.reversed())
+        .map(Scored::candidate)
+        .toList();
   }
 
-  private static <T> Comparator<T> byScore(String key, Function<T, String> name) {
-    return Comparator.comparingLong((T c) -> score(key, name.apply(c))).thenComparing(name);
+  /** Scores each candidate once; comparing would score it again and again. */
+  private static <T> Stream<Scored<T>> scoreAll(
+      String key, Collection<T> candidates, Function<T, String> name) {
+    return candidates.stream().map(c -> new Scored<>(c, name.apply(c), score(key, name.apply(c))));
+  }
+
+  private record Scored<T>(T candidate, String name, long score) {
+    private static final Comparator<Scored<?>> ORDER =
+        Comparator.<Scored<?>>comparingLong(Scored::score).thenComparing(Scored::name);
   }
 }
--- a/core/src/main/java/org/shoreroad/routing/UpstreamChooser.java
+++ b/core/src/main/java/org/shoreroad/routing/UpstreamChooser.java
@@ -1,10 +1,10 @@
 package org.shoreroad.routing;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.ToLongFunction;
 
 /**
  * Chooses the upstream for a request.
@@ -44,62 +44,57 @@
       return Optional.empty();
     }
     UpstreamStats unknown = UpstreamStats.of(nowNanos);
-    List<String> ordered = candidates.stream().sorted().toList();
-    List<String> usable = findUsable(ordered, stats, unknown, nowNanos);
-    ToLongFunction<String> load =
-        name -> {
-          UpstreamStats s = stats.getOrDefault(name, unknown);
-          return (long) s.inFlight() + s.reportedLoad();
-        };
+    List<Candidate> all =
+        candidates.stream()
+            .map(name -> new Candidate(name, stats.getOrDefault(name, unknown)))
+            .toList();
+    List<Candidate> usable = findUsable(all, nowNanos);
     // The prefix's own upstream, while its load is near the mean.
     if (!prefixKey.isEmpty()) {
-      Optional<String> home = Rendezvous.choose(prefixKey, usable, name -> name);
-      double mean = usable.stream().mapToLong(load).average().orElse(0);
+      Optional<Candidate> home = Rendezvous.choose(prefixKey, usable, Candidate::name);
+      double mean = usable.stream().mapToLong(Candidate::load).average().orElse(0);
       double bound = mean * AFFINITY_LOAD_BOUND + AFFINITY_LOAD_SLACK;
-      if (home.isPresent() && load.applyAsLong(home.get()) <= bound) {
-        return home;
+      if (home.isPresent() && home.get().load() <= bound) {
+        return home.map(Candidate::name);
       }
     }
     // Else the least loaded; of equals, the faster.
-    return usable.stream()
-        .min(
-            java.util.Comparator.comparingLong(load)
-                .thenComparingDouble(n -> stats.getOrDefault(n, unknown).latencyMs()));
+    return usable.stream().min(Candidate.BY_LOAD).map(Candidate::name);
   }
 
-  private static List<String> findUsable(
-      List<String> candidates,
-      Map<String, UpstreamStats> stats,
-      UpstreamStats unknown,
-      long nowNanos) {
-    double median = medianLatencyMs(candidates, stats, unknown);
+  private record Candidate(String name, UpstreamStats stats) {
+    private static final Comparator<Candidate> BY_LOAD =
+        Comparator.comparingLong(Candidate::load)
+            .thenComparingDouble(c -> c.stats().latencyMs())
+            .thenComparing(Candidate::name);
+
+    long load() {
+      return (long) stats.inFlight() + stats.reportedLoad();
+    }
+  }
+
+  private static List<Candidate> findUsable(List<Candidate> candidates, long nowNanos) {
+    double median = medianLatencyMs(candidates);
     double limitMs = median * SLOW_FACTOR + SLOW_MARGIN_MS;
-    List<String> notAvoided =
-        candidates.stream()
-            .filter(name -> !stats.getOrDefault(name, unknown).isAvoided(nowNanos))
-            .toList();
-    List<String> fast =
-        notAvoided.stream()
-            .filter(name -> median == 0 || isFastEnough(stats, unknown, name, limitMs))
-            .toList();
+    List<Candidate> notAvoided =
+        candidates.stream().filter(c -> !c.stats().isAvoided(nowNanos)).toList();
+    List<Candidate> fast =
+        notAvoided.stream().filter(c -> median == 0 || isFastEnough(c.stats(), limitMs)).toList();
     if (!fast.isEmpty()) {
       return fast;
     }
     return notAvoided.isEmpty() ? candidates : notAvoided;
   }
 
-  private static boolean isFastEnough(
-      Map<String, UpstreamStats> stats, UpstreamStats unknown, String name, double limitMs) {
-    UpstreamStats s = stats.getOrDefault(name, unknown);
-    // A slow upstream is still tried with one request at a time, or it could never return.
-    return s.latencyMs() <= limitMs || s.inFlight() == 0;
+  /** A slow upstream is still tried with one request at a time, or it could never return. */
+  private static boolean isFastEnough(UpstreamStats stats, double limitMs) {
+    return stats.latencyMs() <= limitMs || stats.inFlight() == 0;
   }
 
-  private static double medianLatencyMs(
-      List<String> candidates, Map<String, UpstreamStats> stats, UpstreamStats unknown) {
+  private static double medianLatencyMs(List<Candidate> candidates) {
     double[] known =
         candidates.stream()
-            .mapToDouble(name -> stats.getOrDefault(name, unknown).latencyMs())
+            .mapToDouble(c -> c.stats().latencyMs())
             .filter(ms -> ms > 0)
             .sorted()
             .toArray();
--- a/core/src/main/java/org/shoreroad/state/StateMachine.java
+++ b/core/src/main/java/org/shoreroad/state/StateMachine.java
@@ -112,7 +112,7 @@
     }
     // Two changes that are each right may be wrong together.
     Configuration after = changed.change().applyTo(s.configuration());
-    List<ConfigCheck.Finding> findings = ConfigCheck.findAll(after);
+    List<ConfigCheck.Finding> findings = ConfigCheck.findIn(changed.change(), after);
     if (!findings.isEmpty()) {
       return new Outcome(offset, Outcome.Kind.INVALID, findings.get(0).message());
     }
@@ -146,7 +146,7 @@
     if (formed.boxes().size() != model.boxesPerReplica()) {
       return "a replica needs " + model.boxesPerReplica() + " boxes";
     }
-    if (s.standing(formed.model()).size() >= model.replicas()) {
+    if (s.standing(formed.model()).size() >= s.configuration().maxStanding(model)) {
       return "all replicas of " + formed.model() + " stand";
     }
     Set<String> names = new HashSet<>();
--- a/core/src/test/java/org/shoreroad/placement/PlannerTest.java
+++ b/core/src/test/java/org/shoreroad/placement/PlannerTest.java
@@ -95,6 +95,28 @@
     assertThat(((PlanStep.Form) forStranded).boxes().get(0).fabricDomain(), is("d0"));
   }
 
+  @Test
+  void testPlan_standbyIsKeptForDowntimeAndYieldsToAnotherModel() {
+    List<ListedBox> boxes = boxes(4, 4);
+    ClusterState two = state(boxes, 1, 100);
+    two = take(two, Planner.plan(two, boxes));
+    assertThat(two.standing("m").size(), is(2));
+    ClusterState one = state(boxes, 1, 0);
+    assertThat(take(one, Planner.plan(one, boxes)).standing("m").size(), is(1));
+    // Another model that lacks its replica gets the boxes of the one on standby.
+    ModelSpec other = new ModelSpec("other", "1", 4, 1, true, LABEL, 1, 1);
+    ConfigChange change = new ConfigChange(List.of(other), List.of());
+    two =
+        StateMachine.apply(
+                two,
+                two.appliedOffset() + 1,
+                new LogRecord.ConfigChanged("c2", two.configVersion(), "t", change))
+            .state();
+    List<PlanStep> steps = Planner.plan(two, boxes);
+    assertThat(steps.size(), is(1));
+    assertThat(((PlanStep.Dissolve) steps.get(0)).reason(), is(DissolveReason.NOT_WANTED));
+  }
+
   @Test
   void testPlan_formsNothingAcrossDomains() {
     List<ListedBox> boxes = boxes(3, 3);
--- a/core/src/test/java/org/shoreroad/replica/ReplicaSimulation.java
+++ b/core/src/test/java/org/shoreroad/replica/ReplicaSimulation.java
@@ -69,6 +69,7 @@
     private boolean isAlive = true;
     private int boots;
     private long highestFence;
+    private long deafUntilNanos;
 
     SimBox(Box box) {
       this.box = box;
@@ -126,6 +127,7 @@
         events.remove().task().run();
       }
       disturb();
+      deafen();
       plan();
       for (SimNode node : nodes) {
         if (nowNanos >= node.pausedUntilNanos) {
@@ -162,6 +164,14 @@
     }
   }
 
+  /** For a while, a box's engine takes no unload order, as when it is busy. */
+  private void deafen() {
+    if (random.nextInt(50) == 0) {
+      SimBox box = boxes.get("b" + random.nextInt(BOXES));
+      box.deafUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(random.nextInt(15_000));
+    }
+  }
+
   /** Somebody who reads the log plans, and may be late by a record or two. */
   private void plan() {
     if (random.nextInt(4) == 0) {
@@ -242,7 +252,8 @@
           node,
           () -> {
             SimBox box = boxes.get(unload.box().name());
-            if (box.isAlive && passes(box, fence)) {
+            boolean isDeaf = nowNanos < box.deafUntilNanos;
+            if (box.isAlive && !isDeaf && passes(box, fence)) {
               box.loads.remove(unload.loadName());
             }
           });
--- a/daemon/src/main/java/org/shoreroad/daemon/gateway/GatewayService.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/gateway/GatewayService.java
@@ -37,6 +37,7 @@
 import org.shoreroad.daemon.owner.OwnerService;
 import org.shoreroad.daemon.peer.ClaimResult;
 import org.shoreroad.daemon.settings.Settings;
+import org.xnio.Options;
 
 /**
  * The gateway's duty: takes callers' requests, checks them, claims what may not be repeated, and
@@ -129,6 +130,7 @@
     Undertow built =
         Undertow.builder()
             .addHttpListener(address.getPort(), address.getHostString(), this::handle)
+            .setWorkerOption(Options.WORKER_NAME, NAME)
             .setIoThreads(2)
             .setWorkerThreads(2)
             .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
--- a/daemon/src/main/java/org/shoreroad/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/owner/OwnerService.java
@@ -68,6 +68,8 @@
   private volatile OwnerMap owners = OwnerMap.EMPTY;
   private volatile Snapshot snapshot = new Snapshot(List.of(), 0, 0, 0);
   private boolean isStale = true;
+  private List<Node> derivedFromNodes = List.of();
+  private Set<Long> derivedFromGenerations = Set.of();
   private volatile boolean isStopping;
   private long lastTickNanos;
   private double downtimeSeconds;
@@ -248,7 +250,7 @@
   }
 
   private void assign(ClusterState state, long nowNanos) {
-    owners = OwnerMap.of(state.generations().values(), members.view().workingNodes());
+    deriveOwners(state);
     Set<Long> owned = new HashSet<>(owners.ownedBy(settings.nodeId()));
     for (long number : owned) {
       Generation generation = state.generations().get(number);
@@ -276,6 +278,17 @@
         });
   }
 
+  /** Derives the owners anew only if a generation or a working process came or went. */
+  private void deriveOwners(ClusterState state) {
+    List<Node> working = members.view().workingNodes();
+    Set<Long> numbers = state.generations().keySet();
+    if (!working.equals(derivedFromNodes) || !numbers.equals(derivedFromGenerations)) {
+      derivedFromNodes = working;
+      derivedFromGenerations = Set.copyOf(numbers);
+      owners = OwnerMap.of(state.generations().values(), working);
+    }
+  }
+
   private OwnedReplica newReplica(Generation generation, long nowNanos) {
     ReplicaController controller =
         new ReplicaController(
--- a/it/src/test/java/org/shoreroad/it/Site.java
+++ b/it/src/test/java/org/shoreroad/it/Site.java
@@ -116,6 +116,19 @@
   Daemon addDaemon(String id, String... extra) {
     List<String> args = new ArrayList<>(daemonArgs(id));
     args.addAll(List.of(extra));
+    return start(args);
+  }
+
+  /** Starts a daemon that peers reach by way of another address and that reads another log URL. */
+  Daemon addDaemonWith(String id, int peerPort, String advertised, String logUrl) {
+    List<String> args = new ArrayList<>(daemonArgs(id));
+    args.set(args.indexOf("--peer-listen") + 1, "127.0.0.1:" + peerPort);
+    args.set(args.indexOf("--log-url") + 1, logUrl);
+    args.addAll(List.of("--peer-advertise", advertised));
+    return start(args);
+  }
+
+  private Daemon start(List<String> args) {
     Daemon daemon = Daemon.start(Settings.parse(args.toArray(String[]::new), Map.of()));
     daemons.add(daemon);
     callerUrls.add("http://" + text(daemon.callerAddress()));
@@ -172,6 +185,7 @@
   String yaml(int replicas, long base) {
     StringBuilder text = new StringBuilder();
     text.append("base_version: ").append(base).append('\n');
+    text.append("policy: {downtime_weight_percent: 0}\n");
     text.append("models:\n  - {name: m, boxes_per_replica: 4, replicas: ").append(replicas);
     text.append(", box_selector: {engine: m}, max_running: 64, max_queued: 512}\n");
     text.append("accounts:\n  - {name: a, max_open: 2000, key_sha256: ").append(sha256(KEY));
