--- a/core/src/main/java/org/shoreroad/ErrorCode.java
+++ b/core/src/main/java/org/shoreroad/ErrorCode.java
@@ -62,8 +62,6 @@
   OWNER_LOST("owner_lost", 502),
   /** The caller went away. */
   CALLER_GONE("caller_gone", 499),
-  /** Too many retries in proportion to the work. */
-  RETRY_BUDGET("retry_budget", 503),
   /** The configuration file has faults. */
   CONFIGURATION_INVALID("configuration_invalid", 422),
   /** The change was made on a base that others have changed since. */
--- a/core/src/main/java/org/shoreroad/config/ConfigCheck.java
+++ b/core/src/main/java/org/shoreroad/config/ConfigCheck.java
@@ -54,7 +54,7 @@
    * @param after the configuration with the change made, not null
    * @return the findings, empty if it is right
    */
-  public static List<Finding> findIn(ConfigChange change, Configuration after) {
+  public static List<Finding> findByChange(ConfigChange change, Configuration after) {
     List<Finding> findings = new ArrayList<>();
     change.upserts().forEach(entry -> findings.addAll(findIn(entry, after)));
     if (change.keys().stream().anyMatch(ConfigCheck::isPointedTo)) {
--- a/core/src/main/java/org/shoreroad/state/StateMachine.java
+++ b/core/src/main/java/org/shoreroad/state/StateMachine.java
@@ -112,7 +112,7 @@
     }
     // Two changes that are each right may be wrong together.
     Configuration after = changed.change().applyTo(s.configuration());
-    List<ConfigCheck.Finding> findings = ConfigCheck.findIn(changed.change(), after);
+    List<ConfigCheck.Finding> findings = ConfigCheck.findByChange(changed.change(), after);
     if (!findings.isEmpty()) {
       return new Outcome(offset, Outcome.Kind.INVALID, findings.get(0).message());
     }
--- a/daemon/src/main/java/org/shoreroad/daemon/gateway/CallerAnswer.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/gateway/CallerAnswer.java
@@ -12,7 +12,6 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.RejectedExecutionException;
-import org.shoreroad.ErrorCode;
 import org.shoreroad.ShoreroadException;
 import org.shoreroad.daemon.owner.EngineClient;
 import org.xnio.IoUtils;
@@ -210,10 +209,4 @@
       onGone.run();
     }
   }
-
-  /** Returns the failure of a caller that has gone. */
-  static ShoreroadException gone() {
-    return ShoreroadException.of(
-        ErrorCode.CALLER_GONE, org.shoreroad.Verdict.MAY_HAVE_RUN, "the caller has gone", 0);
-  }
 }
--- a/daemon/src/main/java/org/shoreroad/daemon/gateway/GatewayService.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/gateway/GatewayService.java
@@ -9,22 +9,17 @@
 import io.undertow.server.HttpServerExchange;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.ErrorCode;
 import org.shoreroad.ShoreroadException;
-import org.shoreroad.Verdict;
-import org.shoreroad.config.AccountSpec;
 import org.shoreroad.config.Configuration;
 import org.shoreroad.config.ModelSpec;
 import org.shoreroad.config.ServiceSpec;
@@ -35,7 +30,6 @@
 import org.shoreroad.daemon.member.Contact;
 import org.shoreroad.daemon.metrics.Metrics;
 import org.shoreroad.daemon.owner.OwnerService;
-import org.shoreroad.daemon.peer.ClaimResult;
 import org.shoreroad.daemon.settings.Settings;
 import org.xnio.Options;
 
@@ -70,8 +64,8 @@
   private final GatewayParts parts;
   private final ServiceCaller services;
   private final ObjectMapper mapper = new ObjectMapper();
-  private final Map<String, AtomicInteger> openByAccount = new ConcurrentHashMap<>();
-  private final AtomicInteger open = new AtomicInteger();
+  private final Admission admission = new Admission();
+  private final ClaimGate claims;
   private final ThreadPoolExecutor checks = newPool("gateway", CHECK_THREADS);
   private final ThreadPoolExecutor serviceCalls = newPool("service-call", SERVICE_THREADS);
   private final ScheduledThreadPoolExecutor timer;
@@ -97,6 +91,7 @@
         new GatewayParts(
             control, owner, link, intents, new UpstreamLoads(), trace, metrics, settings, timer);
     this.services = new ServiceCaller(parts);
+    this.claims = new ClaimGate(intents, trace, this::refuseLater);
   }
 
   private static ThreadPoolExecutor newPool(String name, int threads) {
@@ -125,7 +120,7 @@
 
   @Override
   public void start(Kernel kernel) {
-    metrics.gauge("shoreroad.gateway.requests.open", open::get);
+    metrics.gauge("shoreroad.gateway.requests.open", admission::openCount);
     InetSocketAddress address = settings.callerListen();
     Undertow built =
         Undertow.builder()
@@ -174,7 +169,7 @@
 
   /** Returns how many callers' requests are open. */
   public int openCount() {
-    return open.get();
+    return admission.openCount();
   }
 
   private void handle(HttpServerExchange exchange) {
@@ -237,21 +232,14 @@
           try {
             pool.execute(command);
           } catch (RejectedExecutionException e) {
-            exchange
-                .getIoThread()
-                .execute(
-                    () ->
-                        refuse(
-                            exchange,
-                            ShoreroadException.notRun(
-                                ErrorCode.QUEUE_FULL, "the gateway is full", LIMIT_RETRY_MS)));
+            refuseLater(exchange, full());
           }
         },
         () -> {
           try {
             task.run();
           } catch (ShoreroadException e) {
-            exchange.getIoThread().execute(() -> refuse(exchange, e));
+            refuseLater(exchange, e);
           }
         });
   }
@@ -261,19 +249,22 @@
     CallerAnswer.sendError(exchange, failure, ChatRequest.newId());
   }
 
+  private void refuseLater(HttpServerExchange exchange, ShoreroadException failure) {
+    exchange.getIoThread().execute(() -> refuse(exchange, failure));
+  }
+
   private Configuration configuration() {
     return parts.control().state().configuration();
   }
 
   private void sendModels(HttpServerExchange exchange) {
-    AccountSpec account = Caller.findAccount(exchange, configuration());
+    Caller.findAccount(exchange, configuration());
     ObjectNode root = mapper.createObjectNode();
     root.put("object", "list");
     ArrayNode data = root.putArray("data");
     for (ModelSpec model : configuration().all(ModelSpec.class)) {
       data.addObject().put("id", model.name()).put("object", "model").put("owned_by", "shoreroad");
     }
-    parts.trace().add("models", account.name());
     new CallerAnswer(exchange, ChatRequest.newId(), settings.maxUnsentBytes(), () -> {})
         .sendWhole(200, "application/json", root.toString().getBytes(StandardCharsets.UTF_8));
   }
@@ -289,8 +280,8 @@
     }
     Caller caller = checkCaller(exchange, configuration, "model/" + chat.model());
     ChatRequest request = new ChatRequest(ChatRequest.newId(), caller, chat, bytes, arrivedNanos);
-    Runnable release = enter(caller.account());
-    claim(
+    Runnable release = admission.enter(caller.account());
+    claims.pass(
         caller,
         request.requestId(),
         exchange,
@@ -326,25 +317,42 @@
                         ErrorCode.NOT_FOUND, "no service '" + name + "' is declared"));
     Caller caller = checkCaller(exchange, configuration, service.key());
     ServiceCaller.ServiceCall call = ServiceCaller.ServiceCall.of(exchange, caller, service, bytes);
-    Runnable release = enter(caller.account());
-    claim(
+    Runnable release = admission.enter(caller.account());
+    claims.pass(
         caller,
         call.requestId(),
         exchange,
         release,
-        claim ->
-            serviceCalls.execute(
-                () -> {
-                  try {
-                    services.run(
-                        call,
-                        new CallerAnswer(
-                            exchange, call.requestId(), settings.maxUnsentBytes(), () -> {}),
-                        claim);
-                  } finally {
-                    release.run();
-                  }
-                }));
+        claim -> startService(exchange, call, claim, release));
+  }
+
+  private void startService(
+      HttpServerExchange exchange,
+      ServiceCaller.ServiceCall call,
+      IntentClient.@Nullable Claim claim,
+      Runnable release) {
+    CallerAnswer answer =
+        new CallerAnswer(exchange, call.requestId(), settings.maxUnsentBytes(), () -> {});
+    try {
+      serviceCalls.execute(
+          () -> {
+            try {
+              services.run(call, answer, claim);
+            } finally {
+              release.run();
+            }
+          });
+    } catch (RejectedExecutionException e) {
+      release.run();
+      if (claim != null) {
+        parts.intents().withdraw(claim);
+      }
+      refuseLater(exchange, full());
+    }
+  }
+
+  private static ShoreroadException full() {
+    return ShoreroadException.notRun(ErrorCode.QUEUE_FULL, "the gateway is full", LIMIT_RETRY_MS);
   }
 
   private Caller checkCaller(
@@ -360,74 +368,4 @@
     }
     return caller;
   }
-
-  /** Counts a request in; returns what counts it out, once. */
-  private Runnable enter(AccountSpec account) {
-    AtomicInteger own = openByAccount.computeIfAbsent(account.name(), n -> new AtomicInteger());
-    if (own.incrementAndGet() > account.maxOpen()) {
-      own.decrementAndGet();
-      throw ShoreroadException.notRun(
-          ErrorCode.ACCOUNT_LIMIT,
-          account.name() + " has " + account.maxOpen() + " requests open",
-          LIMIT_RETRY_MS);
-    }
-    open.incrementAndGet();
-    java.util.concurrent.atomic.AtomicBoolean isOut =
-        new java.util.concurrent.atomic.AtomicBoolean();
-    return () -> {
-      if (isOut.compareAndSet(false, true)) {
-        own.decrementAndGet();
-        open.decrementAndGet();
-      }
-    };
-  }
-
-  /** Claims what may not be repeated; goes on with the claim, or with null if none is needed. */
-  private void claim(
-      Caller caller,
-      String requestId,
-      HttpServerExchange exchange,
-      Runnable release,
-      Consumer<IntentClient.@Nullable Claim> next) {
-    if (caller.key() == null) {
-      next.accept(null);
-      return;
-    }
-    IntentClient.Claim claim = parts.intents().newClaim(caller.key());
-    parts
-        .intents()
-        .claim(claim)
-        .thenAccept(
-            result -> {
-              parts.trace().add(requestId, "claim " + result);
-              if (result == ClaimResult.WON) {
-                next.accept(claim);
-                return;
-              }
-              release.run();
-              if (result == ClaimResult.UNAVAILABLE) {
-                parts.intents().withdraw(claim);
-              }
-              exchange.getIoThread().execute(() -> refuse(exchange, refusal(result)));
-            });
-  }
-
-  private static ShoreroadException refusal(ClaimResult result) {
-    return switch (result) {
-      case LOST_FINISHED ->
-          ShoreroadException.of(
-              ErrorCode.ALREADY_RAN, Verdict.RAN, "a request with this key ran to its end", 0);
-      case LOST_STARTED ->
-          ShoreroadException.of(
-              ErrorCode.ALREADY_STARTED,
-              Verdict.MAY_HAVE_RUN,
-              "a request with this key was started",
-              LIMIT_RETRY_MS);
-      default ->
-          ShoreroadException.notRun(
-              ErrorCode.LOG_UNAVAILABLE,
-              "the log did not take the request's intent",
-              CONTACT_RETRY_MS);
-    };
-  }
 }
--- a/daemon/src/main/java/org/shoreroad/daemon/ops/OpsCalls.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/ops/OpsCalls.java
@@ -25,6 +25,7 @@
 import org.shoreroad.daemon.member.Members;
 import org.shoreroad.daemon.member.MembershipView;
 import org.shoreroad.daemon.owner.OwnerService;
+import org.shoreroad.daemon.owner.OwnerSnapshot;
 import org.shoreroad.daemon.settings.Settings;
 import org.shoreroad.placement.ListedBox;
 import org.shoreroad.state.ClusterState;
@@ -138,7 +139,7 @@
 
   private List<Object> replicas() {
     List<Object> rows = new ArrayList<>();
-    Map<Long, OwnerService.ReplicaView> own = new LinkedHashMap<>();
+    Map<Long, OwnerSnapshot.ReplicaView> own = new LinkedHashMap<>();
     owner.snapshot().replicas().forEach(view -> own.put(view.generation().number(), view));
     for (Generation generation : control.state().generations().values()) {
       Map<String, Object> row = new LinkedHashMap<>();
@@ -149,7 +150,7 @@
       row.put("boxes", generation.boxes().stream().map(Box::name).toList());
       row.put("held", generation.heldBoxes().stream().sorted().toList());
       row.put("owner", owner.owners().owner(generation.number()).map(Node::id).orElse("none"));
-      OwnerService.ReplicaView view = own.get(generation.number());
+      OwnerSnapshot.ReplicaView view = own.get(generation.number());
       if (view != null) {
         row.put("serving", view.isServing());
         row.put("running", view.running());
--- a/daemon/src/main/java/org/shoreroad/daemon/owner/EngineClient.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/owner/EngineClient.java
@@ -53,6 +53,18 @@
   private static final long IDLE_THREAD_SECONDS = 10;
   private static final long IDLE_CONNECTION_SECONDS = 60;
 
+  /** Whether an order took effect only a probe tells, so its answer is not read. */
+  private static final Callback IGNORE =
+      new Callback() {
+        @Override
+        public void onFailure(Call call, IOException e) {}
+
+        @Override
+        public void onResponse(Call call, Response response) {
+          response.close();
+        }
+      };
+
   private final ObjectMapper mapper = new ObjectMapper();
   private final OkHttpClient probes;
   private final OkHttpClient orders;
@@ -178,7 +190,7 @@
     order(box, "/orders/unload", generation.fencingNumber(), body);
   }
 
-  /** Sends an order; whether it took effect only a probe tells, so the answer is not read. */
+  /** Sends an order, once. */
   private void order(Box box, String path, long fencingNumber, ObjectNode body) {
     Request request =
         new Request.Builder()
@@ -186,18 +198,7 @@
             .header(FENCING_HEADER, Long.toString(fencingNumber))
             .post(RequestBody.create(body.toString(), JSON))
             .build();
-    orders
-        .newCall(request)
-        .enqueue(
-            new Callback() {
-              @Override
-              public void onFailure(Call call, IOException e) {}
-
-              @Override
-              public void onResponse(Call call, Response response) {
-                response.close();
-              }
-            });
+    orders.newCall(request).enqueue(IGNORE);
   }
 
   /**
@@ -250,18 +251,7 @@
             .url(url(generation.head(), "/v1/streams/" + requestId))
             .delete()
             .build();
-    orders
-        .newCall(request)
-        .enqueue(
-            new Callback() {
-              @Override
-              public void onFailure(Call call, IOException e) {}
-
-              @Override
-              public void onResponse(Call call, Response response) {
-                response.close();
-              }
-            });
+    orders.newCall(request).enqueue(IGNORE);
   }
 
   private Call enqueue(
--- a/daemon/src/main/java/org/shoreroad/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/owner/OwnerService.java
@@ -66,7 +66,7 @@
   private final String orderPrefix = UUID.randomUUID().toString().substring(0, 8) + "-";
   private final AtomicLong nextOrder = new AtomicLong();
   private volatile OwnerMap owners = OwnerMap.EMPTY;
-  private volatile Snapshot snapshot = new Snapshot(List.of(), 0, 0, 0);
+  private volatile OwnerSnapshot snapshot = OwnerSnapshot.EMPTY;
   private boolean isStale = true;
   private List<Node> derivedFromNodes = List.of();
   private Set<Long> derivedFromGenerations = Set.of();
@@ -75,42 +75,6 @@
   private double downtimeSeconds;
   private double strandedBoxSeconds;
 
-  /**
-   * What this process owns, for operators and metrics.
-   *
-   * @param replicas each owned generation
-   * @param serving how many of them serve
-   * @param running how many requests run
-   * @param queued how many requests wait
-   */
-  public record Snapshot(List<ReplicaView> replicas, int serving, int running, int queued) {
-    /** Copies the list. */
-    public Snapshot {
-      replicas = List.copyOf(replicas);
-    }
-  }
-
-  /**
-   * One owned generation.
-   *
-   * @param generation the generation
-   * @param isServing whether it is whole and standing
-   * @param running how many requests run
-   * @param queued how many requests wait
-   * @param boxes what was last seen of each box, by name
-   */
-  public record ReplicaView(
-      Generation generation,
-      boolean isServing,
-      int running,
-      int queued,
-      Map<String, String> boxes) {
-    /** Copies the map. */
-    public ReplicaView {
-      boxes = Map.copyOf(boxes);
-    }
-  }
-
   /** Creates the service; {@link #start} starts its thread. */
   @Inject
   public OwnerService(
@@ -162,7 +126,7 @@
   }
 
   /** Returns what this process owns. */
-  public Snapshot snapshot() {
+  public OwnerSnapshot snapshot() {
     return snapshot;
   }
 
@@ -325,7 +289,7 @@
   }
 
   private void publish(ClusterState state, long nowNanos) {
-    List<ReplicaView> views = new ArrayList<>();
+    List<OwnerSnapshot.ReplicaView> views = new ArrayList<>();
     int serving = 0;
     int running = 0;
     int queued = 0;
@@ -335,7 +299,7 @@
       Generation generation = replica.controller().generation();
       boolean isServing = replica.isServing(nowNanos);
       views.add(
-          new ReplicaView(
+          new OwnerSnapshot.ReplicaView(
               generation,
               isServing,
               replica.runningCount(),
@@ -349,7 +313,7 @@
         strandedBoxSeconds += generation.heldBoxes().size() * elapsedSeconds;
       }
     }
-    snapshot = new Snapshot(views, serving, running, queued);
+    snapshot = new OwnerSnapshot(views, serving, running, queued);
   }
 
   private static Map<String, String> describeBoxes(ReplicaController controller) {
