Checkpoints also by time, so that a quiet log does not expire them

Also: a gateway that misses a piece of an answer cancels the request at its owner instead of leaving it running.

--- a/daemon/src/main/java/org/shoreroad/daemon/control/CheckpointService.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/control/CheckpointService.java
@@ -16,11 +16,12 @@
 import org.shoreroad.state.ClusterState;
 
 /**
- * Appends a checkpoint of the control state every so many records, on the process that plans.
+ * Appends a checkpoint of the control state every so many records and every so often, on the
+ * process that plans.
  *
- * <p>A checkpoint is also due when half of the time to the expiry of what the last one does not
- * cover is estimated to be over, which the count of records and a fixed longest interval stand for.
- * Two processes may both append one; the later is as good as the earlier. Thread-safe.
+ * <p>The log keeps records, and checkpoints too, for a limited time; so one is due after {@code
+ * --checkpoint-ms} even if nothing has changed. Two processes may both append one; the later is as
+ * good as the earlier. Thread-safe.
  *
  * @since 0.1
  */
@@ -39,6 +40,7 @@
   private final Settings settings;
   private final Duty duty = new Duty(NAME, this::tick);
   private long coveredOffset = -1;
+  private long appendedNanos;
   private boolean isCoveredKnown;
 
   /** Creates the service; {@link #start} starts its thread. */
@@ -72,11 +74,11 @@
   }
 
   private long tick(long nowNanos) {
-    appendIfDue();
+    appendIfDue(nowNanos);
     return TICK_MS;
   }
 
-  private void appendIfDue() {
+  private void appendIfDue(long nowNanos) {
     ClusterState state = control.state();
     if (!control.isJoined() || !planner.isPlanner()) {
       isCoveredKnown = false;
@@ -85,11 +87,15 @@
     try {
       if (!isCoveredKnown) {
         coveredOffset = readCoveredOffset();
+        appendedNanos = nowNanos;
         isCoveredKnown = true;
       }
-      if (state.appliedOffset() - coveredOffset >= settings.checkpointRecords()) {
+      boolean isOld = nowNanos - appendedNanos >= settings.checkpointNanos();
+      boolean hasMany = state.appliedOffset() - coveredOffset >= settings.checkpointRecords();
+      if (isOld || hasMany) {
         log.append(ControlLog.CHECKPOINT_STREAM, List.of(CheckpointCodec.toBytes(state)));
         coveredOffset = state.appliedOffset();
+        appendedNanos = nowNanos;
         metrics.count("shoreroad.control.checkpoints");
         LOG.infof("SR-0104 checkpoint at offset %d", coveredOffset);
       }
--- a/daemon/src/main/java/org/shoreroad/daemon/gateway/ChatExchange.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/gateway/ChatExchange.java
@@ -89,20 +89,25 @@
       to = sentTo;
       parts.loads().cancel(upstream(), System.nanoTime());
     }
-    if (to != null) {
-      parts.link().cancel(to, request.requestId() + "-" + attempts);
-    }
+    cancelAtOwner(to);
     parts.metrics().countRefusal(ErrorCode.CALLER_GONE, Verdict.MAY_HAVE_RUN);
     parts.trace().add(request.requestId(), "the caller has gone");
     onOver.run();
   }
 
+  private void cancelAtOwner(@Nullable Node owner) {
+    if (owner != null) {
+      parts.link().cancel(owner, submission().requestId());
+    }
+  }
+
   @Override
   public synchronized void onChunk(long sequence, byte[] bytes) {
     if (isOver || sequence < received) {
       return;
     }
     if (sequence > received) {
+      cancelAtOwner(sentTo);
       finishFailed(
           ShoreroadException.of(
               ErrorCode.INTERNAL, Verdict.MAY_HAVE_RUN, "a piece of the answer is missing", 0));
--- a/daemon/src/main/java/org/shoreroad/daemon/settings/DaemonOptions.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/settings/DaemonOptions.java
@@ -182,6 +182,13 @@
       description = "After how many control records a checkpoint is appended.")
   long checkpointRecords = 1_000;
 
+  @LongRange(min = 50, max = 86_400_000)
+  @Option(
+      name = "--checkpoint-ms",
+      title = "checkpoint-ms",
+      description = "After how long a checkpoint is appended in any case; less than the log keeps.")
+  long checkpointMs = 600_000;
+
   @Option(name = "--log-format", title = "log-format", description = "Lines as text or json.")
   String logFormat = "text";
 }
--- a/daemon/src/main/java/org/shoreroad/daemon/settings/Settings.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/settings/Settings.java
@@ -320,6 +320,11 @@
     return options.checkpointRecords;
   }
 
+  /** Returns after how long a checkpoint is appended in any case, in nanoseconds. */
+  public long checkpointNanos() {
+    return options.checkpointMs * 1_000_000;
+  }
+
   /** Returns true if log lines are JSON. */
   public boolean isLogJson() {
     return options.logFormat.equals("json");
--- a/it/src/test/java/org/shoreroad/it/RequestTest.java
+++ b/it/src/test/java/org/shoreroad/it/RequestTest.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Single requests at the moments that matter. */
 class RequestTest {
@@ -231,15 +233,21 @@
     }
   }
 
-  @Test
-  void testCheckpoint_newProcessJoinsAfterRecordsExpired() {
-    try (Site small = Site.startWithRetention(2, 12, "--checkpoint-records", "5")) {
+  @ParameterizedTest
+  @CsvSource({"--checkpoint-records,5", "--checkpoint-ms,300"})
+  void testCheckpoint_newProcessJoinsAfterRecordsExpired(String flag, String value) {
+    try (Site small = Site.startWithRetention(2, 12, flag, value)) {
       small.configure(1);
       small.awaitServing(1);
       for (int i = 0; i < 12; i++) {
         assertThat(small.ops(0, "POST", "drain/d1-b1", "").status(), is(200));
         assertThat(small.ops(0, "POST", "undrain/d1-b1", "").status(), is(200));
       }
+      // What lies after the last checkpoint must not expire before the next one.
+      small.await(
+          "a checkpoint stands",
+          () -> small.metricOfAll("shoreroad_control_checkpoints_total") > 0);
+      Site.sleep(400);
       small.addDaemon("late");
       small.await("joined", () -> small.isReady(small.opsUrls.get(2)));
       assertThat(
