--- a/bench/src/main/java/org/shoreroad/bench/Main.java
+++ b/bench/src/main/java/org/shoreroad/bench/Main.java
@@ -14,7 +14,7 @@
 @Command(name = "bench", description = "Measures decisions, slopes and the whole path.")
 public final class Main {
   private static final List<String> ALL =
-      List.of("placement", "policy", "state", "membership", "path");
+      List.of("placement", "policy", "state", "membership", "fleet", "path");
 
   @Option(
       name = "--capacity",
@@ -22,7 +22,7 @@
       description = "Rewrites the table of measured slopes in this page.")
   String capacityPage = "";
 
-  @Arguments(description = "Which: placement, policy, state, membership, path; all if none.")
+  @Arguments(description = "Which: placement, policy, state, membership, fleet, path; all if none.")
   List<String> names = new ArrayList<>();
 
   /** Creates the command, for Airline to fill in. */
@@ -42,6 +42,7 @@
         case "policy" -> PolicyBench.run(report);
         case "state" -> StateBench.run(report);
         case "membership" -> MembershipBench.run(report);
+        case "fleet" -> FleetBench.run(report);
         case "path" -> PathBench.run(report);
         default -> throw new IllegalArgumentException("no such measurement: " + name);
       }
--- a/daemon/src/main/java/org/shoreroad/daemon/control/CheckpointService.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/control/CheckpointService.java
@@ -37,7 +37,7 @@
   private final PlatformLog log;
   private final Metrics metrics;
   private final Settings settings;
-  private final Duty duty = new Duty(NAME, TICK_MS, this::tick);
+  private final Duty duty = new Duty(NAME, this::tick);
   private long coveredOffset = -1;
   private boolean isCoveredKnown;
 
@@ -71,7 +71,12 @@
     duty.stop();
   }
 
-  private void tick(long nowNanos) {
+  private long tick(long nowNanos) {
+    appendIfDue();
+    return TICK_MS;
+  }
+
+  private void appendIfDue() {
     ClusterState state = control.state();
     if (!control.isJoined() || !planner.isPlanner()) {
       isCoveredKnown = false;
--- a/daemon/src/main/java/org/shoreroad/daemon/control/ControlAppender.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/control/ControlAppender.java
@@ -39,7 +39,8 @@
   /** The name of this service. */
   public static final String NAME = "control-append";
 
-  private static final long TICK_MS = 20;
+  private static final long BUSY_TICK_MS = 20;
+  private static final long IDLE_TICK_MS = 200;
   private static final long RETRY_MS = 300;
   private static final long GIVE_UP_MS = 3_000;
   private static final long RETRY_AFTER_MS = 2_000;
@@ -70,7 +71,7 @@
     this.control = control;
     this.metrics = metrics;
     this.idPrefix = settings.nodeId() + "-" + UUID.randomUUID().toString().substring(0, 8) + "-";
-    this.duty = new Duty(NAME, TICK_MS, this::tick);
+    this.duty = new Duty(NAME, this::tick);
   }
 
   @Override
@@ -115,7 +116,7 @@
     return outcome;
   }
 
-  private void tick(long nowNanos) {
+  private long tick(long nowNanos) {
     giveUpLate(nowNanos);
     List<Pending> due = new ArrayList<>();
     for (Pending pending : pendingById.values()) {
@@ -128,6 +129,7 @@
       appendAll(due);
     }
     settle(control.state());
+    return pendingById.isEmpty() ? IDLE_TICK_MS : BUSY_TICK_MS;
   }
 
   private void appendAll(List<Pending> due) {
--- a/daemon/src/main/java/org/shoreroad/daemon/control/PlannerService.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/control/PlannerService.java
@@ -40,6 +40,7 @@
   public static final String NAME = "planner";
 
   private static final long TICK_MS = 250;
+  private static final long IDLE_TICK_MS = 2_000;
   private static final long BURY_AFTER_MS = 10_000;
 
   private final ControlLog control;
@@ -48,7 +49,7 @@
   private final BoxList boxList;
   private final Metrics metrics;
   private final Settings settings;
-  private final Duty duty = new Duty(NAME, TICK_MS, this::tick);
+  private final Duty duty = new Duty(NAME, this::tick);
   private final Map<String, Long> deadSinceNanos = new HashMap<>();
   private CompletableFuture<?> outstanding = CompletableFuture.completedFuture(null);
   private volatile List<ListedBox> listed = List.of();
@@ -109,7 +110,13 @@
     return Planner.findLacking(control.state()).size();
   }
 
-  private void tick(long nowNanos) {
+  /** Only the process that plans needs a fresh list; the others show it to operators. */
+  private long tick(long nowNanos) {
+    plan(nowNanos);
+    return isPlanner() ? TICK_MS : IDLE_TICK_MS;
+  }
+
+  private void plan(long nowNanos) {
     try {
       listed = boxList.read();
     } catch (LogException e) {
--- a/daemon/src/main/java/org/shoreroad/daemon/intent/IntentClient.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/intent/IntentClient.java
@@ -48,6 +48,7 @@
   private final int shards;
   private final Map<Long, CompletableFuture<ClaimResult>> open = new ConcurrentHashMap<>();
   private final AtomicLong nextCall = new AtomicLong();
+  private volatile boolean isStopping;
 
   /**
    * A claim that was won.
@@ -85,6 +86,7 @@
 
   @Override
   public void stop() {
+    isStopping = true;
     open.values().forEach(answer -> answer.complete(ClaimResult.UNAVAILABLE));
   }
 
@@ -112,7 +114,7 @@
     send(claim, type)
         .thenAccept(
             result -> {
-              if (result == ClaimResult.UNAVAILABLE && triesLeft > 1) {
+              if (result == ClaimResult.UNAVAILABLE && triesLeft > 1 && !isStopping) {
                 metrics.countRetry("intent_end");
                 CompletableFuture.delayedExecutor(END_RETRY_MS, TimeUnit.MILLISECONDS)
                     .execute(() -> end(claim, type, triesLeft - 1));
--- a/daemon/src/main/java/org/shoreroad/daemon/intent/IntentKeeper.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/intent/IntentKeeper.java
@@ -44,7 +44,8 @@
   /** What the names of intent streams begin with; the shard follows. */
   public static final String STREAM_PREFIX = "intents-";
 
-  private static final long TICK_MS = 5;
+  private static final long BUSY_TICK_MS = 2;
+  private static final long IDLE_TICK_MS = 200;
   private static final int MAX_RECORDS = 5_000;
   private static final int MAX_WAITING = 10_000;
   private static final Runnable IGNORE = () -> {};
@@ -54,7 +55,7 @@
   private final PeerTransport transport;
   private final Metrics metrics;
   private final long appendNanos;
-  private final Duty duty = new Duty(NAME, TICK_MS, this::tick);
+  private final Duty duty = new Duty(NAME, this::tick);
   private final Map<Integer, Shard> shards = new HashMap<>();
 
   private record Waiting(IntentRecord record, Consumer<ClaimResult> answer) {}
@@ -128,8 +129,10 @@
     appendIfDue(number, shard, System.nanoTime());
   }
 
-  private void tick(long nowNanos) {
+  private long tick(long nowNanos) {
     shards.forEach((number, shard) -> appendIfDue(number, shard, nowNanos));
+    boolean isBusy = shards.values().stream().anyMatch(shard -> !shard.waiting.isEmpty());
+    return isBusy ? BUSY_TICK_MS : IDLE_TICK_MS;
   }
 
   private void appendIfDue(int number, Shard shard, long nowNanos) {
--- a/daemon/src/main/java/org/shoreroad/daemon/member/Members.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/member/Members.java
@@ -40,7 +40,7 @@
   public static final String NAME = "members";
 
   private static final Logger LOG = Logger.getLogger(Members.class);
-  private static final long TICK_MS = 20;
+  private static final long TICK_MS = 40;
   private static final long JOIN_RETRY_MS = 1_000;
   private static final long CATCH_UP_RETRY_MS = 200;
   private static final Runnable IGNORE = () -> {};
@@ -51,7 +51,7 @@
   private final ControlAppender appender;
   private final Metrics metrics;
   private final Membership membership;
-  private final Duty duty = new Duty(NAME, TICK_MS, this::tick);
+  private final Duty duty = new Duty(NAME, this::tick);
   private final List<Consumer<MembershipView>> listeners = new CopyOnWriteArrayList<>();
   private final Map<String, Node> nodeById = new HashMap<>();
   private volatile MembershipView view = MembershipView.EMPTY;
@@ -166,11 +166,12 @@
     publish(System.nanoTime());
   }
 
-  private void tick(long nowNanos) {
+  private long tick(long nowNanos) {
     sendAll(membership.tick(nowNanos));
     publish(nowNanos);
     join(nowNanos);
     catchUp(nowNanos);
+    return TICK_MS;
   }
 
   private void sendAll(List<Membership.Outgoing> messages) {
--- a/daemon/src/main/java/org/shoreroad/daemon/owner/OwnedReplica.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/owner/OwnedReplica.java
@@ -30,7 +30,7 @@
  */
 final class OwnedReplica {
   private static final long NO_REPLICA_RETRY_MS = 2_000;
-  private static final long CERTIFY_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(4);
+  private static final long CERTIFY_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
   private static final int MAX_RESUMES = 2;
 
   private final ReplicaController controller;
@@ -74,6 +74,11 @@
     return running.size();
   }
 
+  /** Returns true if the end of some answer waits for the boxes to answer. */
+  boolean isCertifying() {
+    return running.values().stream().anyMatch(RunningRequest::isEnding);
+  }
+
   int queuedCount() {
     return queue.size();
   }
@@ -104,14 +109,13 @@
             s.priority(),
             s.cost(),
             nowNanos + TimeUnit.MILLISECONDS.toNanos(s.waitMs()));
-    // A resume has its place in the engine already.
-    if (s.isResume()) {
+    // A resume has its place in the engine already; what can be started at once needs none here.
+    boolean isFree = running.size() < maxRunning && queue.size() == 0;
+    if (s.isResume() || isFree) {
       dispatch(item, nowNanos);
       return;
     }
-    int capacityLeft = maxRunning - running.size() - queue.size();
-    FairQueue.Offered<PendingRequest> offered =
-        capacityLeft > 0 ? offerBeyond(item) : queue.offer(item);
+    FairQueue.Offered<PendingRequest> offered = queue.offer(item);
     offered.displaced().ifPresent(victim -> refuseFull(victim.value(), nowNanos));
     if (!offered.isAccepted()) {
       refuseFull(request, nowNanos);
@@ -119,12 +123,6 @@
     dispatchWaiting(nowNanos);
   }
 
-  /** A request that can be started at once needs no place in the queue. */
-  private FairQueue.Offered<PendingRequest> offerBeyond(QueuedItem<PendingRequest> item) {
-    dispatch(item, System.nanoTime());
-    return new FairQueue.Offered<>(true, Optional.empty());
-  }
-
   private @Nullable ShoreroadException findRefusal(long nowNanos) {
     if (!isIntakeOpen) {
       return ShoreroadException.notRun(ErrorCode.NOT_OWNER, "the owner has changed", 1);
--- a/daemon/src/main/java/org/shoreroad/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/owner/OwnerService.java
@@ -51,7 +51,9 @@
   public static final String NAME = "owner";
 
   private static final Logger LOG = Logger.getLogger(OwnerService.class);
-  private static final long TICK_MS = 5;
+  private static final long CERTIFYING_TICK_MS = 1;
+  private static final long BUSY_TICK_MS = 5;
+  private static final long IDLE_TICK_MS = 40;
 
   private final Settings settings;
   private final ControlLog control;
@@ -61,7 +63,7 @@
   private final EngineClient engines;
   private final PeerTransport transport;
   private final Metrics metrics;
-  private final Duty duty = new Duty(NAME, TICK_MS, this::tick);
+  private final Duty duty = new Duty(NAME, this::tick);
   private final Map<Long, OwnedReplica> replicas = new HashMap<>();
   private final String orderPrefix = UUID.randomUUID().toString().substring(0, 8) + "-";
   private final AtomicLong nextOrder = new AtomicLong();
@@ -186,7 +188,7 @@
     duty.tryPost(() -> replicas.values().forEach(replica -> replica.dropGateway(nodeId)));
   }
 
-  private void tick(long nowNanos) {
+  private long tick(long nowNanos) {
     ClusterState state = control.state();
     if (isStale) {
       isStale = false;
@@ -207,6 +209,10 @@
                 entry.getValue().runningCount() == 0
                     && (state.generation(entry.getKey()).isEmpty() || !isOwned(entry.getKey())));
     publish(state, nowNanos);
+    if (replicas.values().stream().anyMatch(OwnedReplica::isCertifying)) {
+      return CERTIFYING_TICK_MS;
+    }
+    return snapshot.running() + snapshot.queued() > 0 ? BUSY_TICK_MS : IDLE_TICK_MS;
   }
 
   private boolean isOwned(long generation) {
--- a/daemon/src/main/java/org/shoreroad/daemon/peer/PeerTransport.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/peer/PeerTransport.java
@@ -55,6 +55,7 @@
   private final ConcurrentHashMap<String, ChannelFuture> outgoing = new ConcurrentHashMap<>();
   private final List<PeerListener> listeners = new CopyOnWriteArrayList<>();
   private volatile Node self;
+  private volatile boolean isStopping;
 
   /** Creates the transport; {@link #start} opens its port. */
   @Inject
@@ -103,11 +104,16 @@
 
   @Override
   public void stop() {
+    isStopping = true;
     loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
   }
 
   @Override
   public void send(Node to, PeerMessage message, Runnable onNotSent) {
+    if (isStopping) {
+      onNotSent.run();
+      return;
+    }
     ChannelFuture connecting = outgoing.computeIfAbsent(to.id(), id -> connect(to));
     if (connecting.channel().isActive() && !connecting.channel().isWritable()) {
       metrics.count("shoreroad.peer.links.dropped", "reason", "slow");
--- a/it/src/test/java/org/shoreroad/it/FailureTest.java
+++ b/it/src/test/java/org/shoreroad/it/FailureTest.java
@@ -93,6 +93,30 @@
         site.log.setDown(false);
       }
     },
+    LOG_SLOW {
+      @Override
+      void begin(Site site) {
+        site.log.setDelayMs(700);
+        Site.sleep(3_000);
+      }
+
+      @Override
+      void end(Site site) {
+        site.log.setDelayMs(0);
+      }
+    },
+    BOX_SLOW {
+      @Override
+      void begin(Site site) {
+        site.engines.get("d1-b1").setTokenDelayMs(15);
+        Site.sleep(1_500);
+      }
+
+      @Override
+      void end(Site site) {
+        site.engines.get("d1-b1").setTokenDelayMs(1);
+      }
+    },
     LOG_ANSWERS_LOST {
       @Override
       void begin(Site site) {
@@ -141,6 +165,8 @@
     "DOMAIN_DARK,true",
     "STREAMS_CUT,false",
     "LOG_DOWN,false",
+    "LOG_SLOW,false",
+    "BOX_SLOW,true",
     "LOG_ANSWERS_LOST,false",
     "LOG_DOWN_AND_BOX_KILLED,true",
     "DAEMON_STOPPED,false",
--- a/standins/src/main/java/org/shoreroad/standins/EngineBox.java
+++ b/standins/src/main/java/org/shoreroad/standins/EngineBox.java
@@ -22,7 +22,8 @@
   private final EngineHistory history;
   private final Map<String, Load> loads = new LinkedHashMap<>();
   private final Map<String, EngineRun> runs = new ConcurrentHashMap<>();
-  private final AtomicInteger runningCount = new AtomicInteger();
+  private final LaggingCount runningCount = new LaggingCount();
+  private final CacheEvents cacheEvents = new CacheEvents();
   private String bootId = UUID.randomUUID().toString();
   private long highestFence;
   private volatile boolean isDead;
@@ -107,7 +108,8 @@
               "state", now - load.readyNanos() >= 0 ? "ready" : "loading",
               "running", load.running().get()));
     }
-    return Map.of("box", name, "boot_id", bootId, "loads", list, "running", runningCount.get());
+    return Map.of(
+        "box", name, "boot_id", bootId, "loads", list, "running", runningCount.reported());
   }
 
   /** Takes a load order; returns false if its fencing number is refused. */
@@ -158,16 +160,22 @@
     EngineRun run = new EngineRun(this, requestId, loadName, body, history);
     history.add(name, "start", loadName, requestId, run.prompt());
     runs.put(requestId, run);
-    runningCount.incrementAndGet();
+    runningCount.add(1);
+    cacheEvents.add(run.prompt());
     load.running().incrementAndGet();
     run.setOnOver(
         () -> {
-          runningCount.decrementAndGet();
+          runningCount.add(-1);
           load.running().decrementAndGet();
         });
     return run;
   }
 
+  /** Returns what is known of the prompt cache after an event's number. */
+  java.util.List<CacheEvents.Event> cacheEventsAfter(long number) {
+    return cacheEvents.after(number);
+  }
+
   /** Returns a run whose stream can still be taken up. */
   @Nullable EngineRun find(String requestId) {
     return runs.get(requestId);
--- a/standins/src/main/java/org/shoreroad/standins/EngineServer.java
+++ b/standins/src/main/java/org/shoreroad/standins/EngineServer.java
@@ -13,7 +13,8 @@
 
 /**
  * One box's engine over HTTP, in the shape of an OpenAI-style server, with health, orders and a
- * stream that can be taken up again.
+ * stream that can be taken up again. Its load report lags; {@code GET /cache/events?after=N} tells
+ * of its prompt cache, late and with gaps.
  *
  * <p>{@code POST /control/ACTION}: {@code kill}, {@code revive}, {@code freeze}, {@code thaw},
  * {@code slow?ms=N} (between tokens), {@code load_ms?ms=N}, {@code cut?tokens=N}.
@@ -106,6 +107,9 @@
       exchange.getConnection().close();
     } else if (path.equals("/health")) {
       StandInServer.sendJson(exchange, 200, box.health());
+    } else if (path.equals("/cache/events")) {
+      long after = StandInServer.number(exchange, "after", -1);
+      StandInServer.sendJson(exchange, 200, box.cacheEventsAfter(after));
     } else if (path.startsWith("/orders/")) {
       order(exchange, path.endsWith("/load"));
     } else if (path.equals("/v1/chat/completions")) {
