--- a/bench/src/main/java/org/shoreroad/bench/FleetBench.java
+++ b/bench/src/main/java/org/shoreroad/bench/FleetBench.java
@@ -5,7 +5,6 @@
 import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
@@ -13,7 +12,6 @@
 import okhttp3.Response;
 import org.HdrHistogram.Histogram;
 import org.shoreroad.daemon.Daemon;
-import org.shoreroad.daemon.settings.Settings;
 import org.shoreroad.standins.BoxListServer;
 import org.shoreroad.standins.LogServer;
 
@@ -48,27 +46,7 @@
   private Slope.Point measure(Report report, int size, LogServer log, BoxListServer boxes)
       throws Exception {
     for (int i = 0; i < size; i++) {
-      String[] args = {
-        "--node-id",
-        "n" + i,
-        "--zone",
-        "z",
-        "--caller-listen",
-        "127.0.0.1:0",
-        "--ops-listen",
-        "127.0.0.1:0",
-        "--peer-listen",
-        "127.0.0.1:0",
-        "--log-url",
-        log.url(),
-        "--boxes-url",
-        boxes.url(),
-        "--peer-token",
-        "p",
-        "--operator-token",
-        "o"
-      };
-      daemons.add(Daemon.start(Settings.parse(args, Map.of())));
+      daemons.add(BenchDaemon.start("n" + i, log.url(), boxes.url()));
     }
     awaitNodes(size);
     Histogram histogram = new Histogram(3);
--- a/bench/src/main/java/org/shoreroad/bench/PathBench.java
+++ b/bench/src/main/java/org/shoreroad/bench/PathBench.java
@@ -17,7 +17,6 @@
 import okhttp3.Response;
 import org.HdrHistogram.Histogram;
 import org.shoreroad.daemon.Daemon;
-import org.shoreroad.daemon.settings.Settings;
 import org.shoreroad.standins.BoxListServer;
 import org.shoreroad.standins.EngineHistory;
 import org.shoreroad.standins.EngineServer;
@@ -78,27 +77,7 @@
       boxes.append("  - {name: b").append(i).append(", labels: {e: m}}\n");
     }
     for (int i = 0; i < DAEMONS; i++) {
-      String[] args = {
-        "--node-id",
-        "n" + i,
-        "--zone",
-        "z",
-        "--caller-listen",
-        "127.0.0.1:0",
-        "--ops-listen",
-        "127.0.0.1:0",
-        "--peer-listen",
-        "127.0.0.1:0",
-        "--log-url",
-        log.url(),
-        "--boxes-url",
-        boxList.url(),
-        "--peer-token",
-        "p",
-        "--operator-token",
-        "o"
-      };
-      daemons.add(Daemon.start(Settings.parse(args, Map.of())));
+      daemons.add(BenchDaemon.start("n" + i, log.url(), boxList.url()));
     }
     String sha =
         com.google.common.hash.Hashing.sha256()
