--- /dev/null
+++ b/core/src/main/java/org/shoreroad/fleet/BoxSight.java
@@ -0,0 +1,54 @@
+package org.shoreroad.fleet;
+
+import java.util.Objects;
+
+/**
+ * What the keeper of a domain knows of one box: its own newest word, and whether it can be reached.
+ *
+ * <p>This class is immutable and thread-safe.
+ *
+ * @param box the box with the newest word of its engine, not null
+ * @param isListed true if the list of upstreams still names the box
+ * @param reach whether it answers, not null
+ * @since 0.2
+ */
+public record BoxSight(FleetBox box, boolean isListed, Reach reach) {
+  /** Checks that the parts are there. */
+  public BoxSight {
+    Objects.requireNonNull(box, "box");
+    Objects.requireNonNull(reach, "reach");
+  }
+
+  /** Returns true if the box can be part of a replica that is formed now. */
+  public boolean isFit() {
+    return isListed && !box.isLeaving() && reach == Reach.LIKELY;
+  }
+
+  /** Returns true if this life of the box is over, so that nothing runs on it any more. */
+  public boolean isDead() {
+    return reach == Reach.GONE || (!isListed && reach == Reach.LOST);
+  }
+
+  /** Returns true if the box can't be relied on to carry a request further. */
+  public boolean isLost() {
+    return reach != Reach.LIKELY;
+  }
+
+  /** Returns true if the box is a member of the replica and stands at the state. */
+  public boolean isIn(ReplicaId replica, MemberState state) {
+    Membership membership = box.membership();
+    return membership != null
+        && membership.replica().equals(replica)
+        && membership.state() == state;
+  }
+
+  /** Whether a box answers when it is asked. */
+  public enum Reach {
+    /** Nothing speaks against it. */
+    LIKELY,
+    /** It was asked lately and did not answer. */
+    LOST,
+    /** Its address refuses connections, or another life answers there. */
+    GONE
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -0,0 +1,339 @@
+package org.shoreroad.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.IntPredicate;
+import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.fleet.BoxOrder.Verb;
+
+/**
+ * Forms the replicas of one fabric domain and mends them.
+ *
+ * <p>It looks at what the boxes themselves say and gives the next orders; an order whose effect
+ * does not show is given again. A box passes to another replica only after the head of its former
+ * one was seen neither open nor closing and has left, or is dead: so no head ever runs requests
+ * while a member belongs elsewhere, and a delayed opening finds nobody it fits. Used by one thread.
+ *
+ * @since 0.2
+ */
+public final class DomainKeeper {
+  private final String domain;
+  private final KeeperTiming timing;
+  private final LongSupplier epochs;
+  private final IntPredicate loadBudget;
+  private final Map<ReplicaId, Formation> formations = new LinkedHashMap<>();
+  private final Map<ReplicaId, Long> closingSinceNanos = new HashMap<>();
+  private final Map<String, Long> orderedAtNanos = new HashMap<>();
+  private List<BoxOrder> orders = new ArrayList<>();
+  private Map<String, BoxSight> sightsById = Map.of();
+  private final Set<String> boundIds = new HashSet<>();
+  private final Map<String, Integer> standing = new HashMap<>();
+  private boolean isMending;
+
+  /**
+   * Creates a keeper that knows nothing yet.
+   *
+   * @param domain the domain's name, not null
+   * @param timing its times, not null
+   * @param epochs gives a number higher than any given before, by whatever process, not null
+   * @param loadBudget takes that many loads from the weight store out of the common budget, or
+   *     returns false, not null
+   */
+  public DomainKeeper(
+      String domain, KeeperTiming timing, LongSupplier epochs, IntPredicate loadBudget) {
+    this.domain = domain;
+    this.timing = timing;
+    this.epochs = epochs;
+    this.loadBudget = loadBudget;
+  }
+
+  /** Returns true if a formation or a closing is under way, so that the boxes are worth asking. */
+  public boolean isBusy() {
+    return !formations.isEmpty() || !closingSinceNanos.isEmpty();
+  }
+
+  /**
+   * Returns the orders to give now.
+   *
+   * @param nowNanos the steady clock
+   * @param spec the engines of the service, not null
+   * @param sights the boxes of the domain, not null
+   * @param plan what every domain is to hold, not null
+   * @return the orders, each for a box that is fit to take one
+   */
+  public List<BoxOrder> decide(
+      long nowNanos, EngineSpec spec, Collection<BoxSight> sights, ReplicaPlan plan) {
+    orders = new ArrayList<>();
+    boundIds.clear();
+    standing.clear();
+    isMending = false;
+    sightsById = new HashMap<>();
+    sights.forEach(sight -> sightsById.put(sight.box().id(), sight));
+    Map<ReplicaId, ObservedReplica> observed = ObservedReplica.from(sights);
+    closingSinceNanos.keySet().retainAll(observed.keySet());
+
+    formations.values().removeIf(formation -> !advance(formation, nowNanos));
+    for (ObservedReplica replica : observed.values()) {
+      if (!formations.containsKey(replica.replica())) {
+        keep(replica, spec, nowNanos);
+      }
+    }
+    formMissing(spec, plan, nowNanos);
+    prepareSpares(spec, nowNanos);
+    return orders;
+  }
+
+  /** Takes a formation a step further; returns false if it is done or given up. */
+  private boolean advance(Formation formation, long nowNanos) {
+    ReplicaId replica = formation.replica();
+    List<BoxSight> members = new ArrayList<>();
+    for (String id : formation.memberIds()) {
+      BoxSight sight = sightsById.get(id);
+      if (sight == null || !sight.isFit()) {
+        return giveUp(formation, "member " + id + " is not fit", nowNanos);
+      }
+      members.add(sight);
+    }
+    BoxSight head = members.get(0);
+    if (head.isIn(replica, MemberState.OPEN)) {
+      // From now on it is kept as any standing replica.
+      return false;
+    }
+    if (formation.isOverdue(nowNanos)) {
+      return giveUp(formation, "not ready in time", nowNanos);
+    }
+    bind(members, formation.model().name());
+    if (members.stream().allMatch(member -> member.isIn(replica, MemberState.READY))) {
+      order(BoxOrder.of(head.box().id(), Verb.OPEN, replica, "all members are ready"), nowNanos);
+      return true;
+    }
+    for (BoxSight member : members) {
+      if (!isMemberOf(member, replica)) {
+        order(
+            BoxOrder.join(
+                member.box().id(),
+                replica,
+                formation.model().name(),
+                formation.memberIds(),
+                "forming"),
+            nowNanos);
+      }
+    }
+    return true;
+  }
+
+  private boolean giveUp(Formation formation, String why, long nowNanos) {
+    BoxSight head = sightsById.get(formation.headId());
+    if (head != null && isMemberOf(head, formation.replica()) && !head.isLost()) {
+      boundIds.addAll(formation.memberIds());
+      order(
+          BoxOrder.of(head.box().id(), Verb.LEAVE, formation.replica(), "given up: " + why),
+          nowNanos);
+    }
+    return false;
+  }
+
+  /** Decides on a replica that is not being formed by this keeper. */
+  private void keep(ObservedReplica replica, EngineSpec spec, long nowNanos) {
+    BoxSight head = replica.head();
+    String modelName = replica.model();
+    ModelShape model = modelName == null ? null : spec.findModel(modelName).orElse(null);
+    if (head == null) {
+      // Its head is dead or belongs elsewhere by now: the members are free.
+      return;
+    }
+    Membership membership = head.box().membership();
+    MemberState state = membership == null ? MemberState.BROKEN : membership.state();
+    boolean isWhole = model != null && !replica.hasLostMember(model.boxes());
+    if (isWhole
+        && !replica.hasLeavingMember()
+        && keepWhole(replica, head, state, model, nowNanos)) {
+      return;
+    }
+    // Until its head has let go, nobody of it may be joined elsewhere.
+    replica.members().forEach(member -> boundIds.add(member.box().id()));
+    isMending = true;
+    if (head.isLost()) {
+      return;
+    }
+    if (state.isServing()) {
+      close(replica, head, state, isWhole, nowNanos);
+    } else {
+      order(BoxOrder.of(head.box().id(), Verb.LEAVE, replica.replica(), "let go"), nowNanos);
+    }
+  }
+
+  private boolean keepWhole(
+      ObservedReplica replica, BoxSight head, MemberState state, ModelShape model, long nowNanos) {
+    if (state == MemberState.OPEN) {
+      bind(replica.members(), model.name());
+      return true;
+    }
+    if (state == MemberState.READY && replica.isEveryMemberReady()) {
+      // Left ready by an earlier keeper: it only needs to be opened.
+      bind(replica.members(), model.name());
+      order(BoxOrder.of(head.box().id(), Verb.OPEN, replica.replica(), "found ready"), nowNanos);
+      return true;
+    }
+    return false;
+  }
+
+  private void close(
+      ObservedReplica replica, BoxSight head, MemberState state, boolean isWhole, long nowNanos) {
+    long sinceNanos = closingSinceNanos.computeIfAbsent(replica.replica(), id -> nowNanos);
+    boolean isOverdue = nowNanos - sinceNanos > timing.drainLimitNanos();
+    if (isWhole && !isOverdue) {
+      if (state == MemberState.OPEN) {
+        order(
+            BoxOrder.of(
+                head.box().id(), Verb.CLOSE_AFTER_WORK, replica.replica(), "a member leaves"),
+            nowNanos);
+      }
+    } else {
+      order(
+          BoxOrder.of(
+              head.box().id(),
+              Verb.CLOSE_NOW,
+              replica.replica(),
+              isWhole ? "its work lasts too long" : "a member is lost"),
+          nowNanos);
+    }
+  }
+
+  private void formMissing(EngineSpec spec, ReplicaPlan plan, long nowNanos) {
+    List<ModelShape> models = new ArrayList<>(spec.models());
+    // The model that lacks the largest part of what it should have comes first.
+    models.sort(Comparator.comparingDouble(model -> coverage(model, plan)));
+    for (ModelShape model : models) {
+      while (standing.getOrDefault(model.name(), 0) < plan.wanted(domain, model.name())) {
+        if (!form(model, nowNanos)) {
+          break;
+        }
+      }
+    }
+  }
+
+  private double coverage(ModelShape model, ReplicaPlan plan) {
+    int wanted = plan.wanted(domain, model.name());
+    return wanted == 0 ? 1 : (double) standing.getOrDefault(model.name(), 0) / wanted;
+  }
+
+  private boolean form(ModelShape model, long nowNanos) {
+    List<BoxSight> free = freeBoxes();
+    if (free.size() < model.boxes()) {
+      return false;
+    }
+    free.sort(
+        Comparator.comparingInt((BoxSight sight) -> joinCost(sight.box(), model))
+            .thenComparing(sight -> sight.box().id()));
+    List<BoxSight> members = free.subList(0, model.boxes());
+    int loads = (int) members.stream().filter(sight -> isCold(sight.box(), model)).count();
+    // With boxes about to come free that hold the weights, a load would only take longer.
+    if (loads > 0 && (isMending || !loadBudget.test(loads))) {
+      return false;
+    }
+    List<String> ids = members.stream().map(sight -> sight.box().id()).toList();
+    long epoch = epochs.getAsLong();
+    ReplicaId replica = new ReplicaId(domain + "-" + model.name() + "-" + epoch, epoch);
+    double seconds = loads > 0 ? model.loadSeconds() * loads : model.warmSeconds();
+    long limitNanos = (long) (seconds * 1e9) + timing.joinSlackNanos();
+    Formation formation = new Formation(replica, model, ids, nowNanos, limitNanos);
+    formations.put(replica, formation);
+    bind(members, model.name());
+    for (String id : ids) {
+      order(BoxOrder.join(id, replica, model.name(), ids, "to hold " + model.name()), nowNanos);
+    }
+    return true;
+  }
+
+  /** Puts weights on the hosts of spares that have none. */
+  private void prepareSpares(EngineSpec spec, long nowNanos) {
+    for (BoxSight spare : freeBoxes()) {
+      FleetBox box = spare.box();
+      if (box.model() == null && box.stagedModels().isEmpty()) {
+        ModelShape model = leastStaged(spec);
+        if (model != null && isOrderDue(box.id(), nowNanos) && loadBudget.test(1)) {
+          order(BoxOrder.stage(box.id(), model.name(), "a spare without weights"), nowNanos);
+        }
+      }
+    }
+  }
+
+  private @Nullable ModelShape leastStaged(EngineSpec spec) {
+    return spec.models().stream()
+        .filter(model -> model.share() > 0)
+        .min(Comparator.comparingDouble(model -> countWarm(model) / (double) model.boxes()))
+        .orElse(null);
+  }
+
+  private long countWarm(ModelShape model) {
+    return freeBoxes().stream().filter(sight -> !isCold(sight.box(), model)).count();
+  }
+
+  private List<BoxSight> freeBoxes() {
+    List<BoxSight> free = new ArrayList<>();
+    for (BoxSight sight : sightsById.values()) {
+      if (sight.isFit() && !boundIds.contains(sight.box().id())) {
+        free.add(sight);
+      }
+    }
+    return free;
+  }
+
+  private void bind(Collection<BoxSight> members, String model) {
+    members.forEach(member -> boundIds.add(member.box().id()));
+    standing.merge(model, 1, Integer::sum);
+  }
+
+  private void order(BoxOrder order, long nowNanos) {
+    String key = order.boxId() + order.verb() + order.replica();
+    Long lastNanos = orderedAtNanos.get(key);
+    if (lastNanos != null && nowNanos - lastNanos < timing.orderRepeatNanos()) {
+      return;
+    }
+    forgetOldOrders(nowNanos);
+    orderedAtNanos.put(key, nowNanos);
+    orderedAtNanos.put(order.boxId(), nowNanos);
+    orders.add(order);
+  }
+
+  private boolean isOrderDue(String boxId, long nowNanos) {
+    Long lastNanos = orderedAtNanos.get(boxId);
+    return lastNanos == null || nowNanos - lastNanos > timing.joinSlackNanos();
+  }
+
+  private void forgetOldOrders(long nowNanos) {
+    Iterator<Long> times = orderedAtNanos.values().iterator();
+    while (times.hasNext()) {
+      if (nowNanos - times.next() > 2 * timing.joinSlackNanos()) {
+        times.remove();
+      }
+    }
+  }
+
+  private static boolean isMemberOf(BoxSight sight, ReplicaId replica) {
+    Membership membership = sight.box().membership();
+    return membership != null && membership.replica().equals(replica);
+  }
+
+  private static boolean isCold(FleetBox box, ModelShape model) {
+    return !model.name().equals(box.model()) && !box.stagedModels().contains(model.name());
+  }
+
+  /** Returns 0 for a box that held the model last, 1 if it lies on its host, 2 if it must load. */
+  private static int joinCost(FleetBox box, ModelShape model) {
+    if (model.name().equals(box.model())) {
+      return 0;
+    }
+    return isCold(box, model) ? 2 : 1;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/shoreroad/fleet/FleetBox.java
@@ -0,0 +1,55 @@
+package org.shoreroad.fleet;
+
+import java.util.List;
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One life of an upstream process as the list of upstreams shows it.
+ *
+ * <p>This class is immutable and thread-safe.
+ *
+ * @param id names this life; a restart has another, not null
+ * @param service the service it belongs to, not null
+ * @param address its address as {@code host:port}, not null
+ * @param zone its availability zone, not null
+ * @param slots the requests that it works on at once
+ * @param isLeaving true once it has said that it is about to end
+ * @param domain its fabric domain, or null for an upstream that forms no replicas
+ * @param model the model whose weights it holds, or null
+ * @param stagedModels the models whose weights lie on its host
+ * @param membership its place in a replica, or null
+ * @since 0.2
+ */
+public record FleetBox(
+    String id,
+    String service,
+    String address,
+    String zone,
+    int slots,
+    boolean isLeaving,
+    @Nullable String domain,
+    @Nullable String model,
+    List<String> stagedModels,
+    @Nullable Membership membership) {
+  /** Copies the list and checks the rest. */
+  public FleetBox {
+    Objects.requireNonNull(id, "id");
+    Objects.requireNonNull(service, "service");
+    Objects.requireNonNull(address, "address");
+    Objects.requireNonNull(zone, "zone");
+    stagedModels = List.copyOf(stagedModels);
+  }
+
+  /** Returns true if this box is the head of a replica that takes requests. */
+  public boolean isOpenHead() {
+    return membership != null && membership.isHead() && membership.state() == MemberState.OPEN;
+  }
+
+  /** Returns this box with what a newer word of its engine says of model, host and replica. */
+  public FleetBox withEngineState(
+      @Nullable String newModel, List<String> newStaged, @Nullable Membership newMembership) {
+    return new FleetBox(
+        id, service, address, zone, slots, isLeaving, domain, newModel, newStaged, newMembership);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/shoreroad/fleet/KeeperTiming.java
@@ -0,0 +1,25 @@
+package org.shoreroad.fleet;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The times by which a domain's replicas are kept.
+ *
+ * <p>This class is immutable and thread-safe.
+ *
+ * @param orderRepeatNanos how long the effect of an order is waited for before it is given again
+ * @param joinSlackNanos how much longer than its model's load time a formation may take
+ * @param drainLimitNanos how long running requests may keep a closing replica, then they are cut
+ * @since 0.2
+ */
+public record KeeperTiming(long orderRepeatNanos, long joinSlackNanos, long drainLimitNanos) {
+  /**
+   * Half a second covers an order, its effect and the word of it; four seconds cover a loss in
+   * between; eight seconds are below the ten for which a leaving member waits for its head.
+   */
+  public static final KeeperTiming DEFAULT =
+      new KeeperTiming(
+          TimeUnit.MILLISECONDS.toNanos(500),
+          TimeUnit.SECONDS.toNanos(4),
+          TimeUnit.SECONDS.toNanos(8));
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/EdgePorts.java
@@ -0,0 +1,23 @@
+package org.shoreroad.edge;
+
+import org.shoreroad.edge.caller.HeaderNames;
+import org.shoreroad.edge.replica.Engines;
+import org.shoreroad.edge.sync.Fleet;
+import org.shoreroad.edge.sync.Store;
+
+/**
+ * What the adapter of a platform gives to the process.
+ *
+ * @param headers the names of the headers
+ * @param store the platform's store
+ * @param engines the engines of the boxes
+ * @param configDecoder reads the configuration
+ * @param upstreamDecoder reads entries of the list of upstreams
+ * @since 0.2
+ */
+public record EdgePorts(
+    HeaderNames headers,
+    Store store,
+    Engines engines,
+    Knowledge.Decoder configDecoder,
+    Fleet.Decoder upstreamDecoder) {}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -0,0 +1,332 @@
+package org.shoreroad.edge;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.shoreroad.edge.caller.AnswerChannel;
+import org.shoreroad.edge.caller.CallerExchange;
+import org.shoreroad.edge.caller.CallerRequest;
+import org.shoreroad.edge.caller.CallerServer;
+import org.shoreroad.edge.http.HttpCalls;
+import org.shoreroad.edge.peer.Heartbeat;
+import org.shoreroad.edge.peer.PeerMesh;
+import org.shoreroad.edge.relay.Relay;
+import org.shoreroad.edge.relay.UpstreamBoard;
+import org.shoreroad.edge.replica.ReplicaService;
+import org.shoreroad.edge.sync.DomainLease;
+import org.shoreroad.edge.sync.Fleet;
+import org.shoreroad.edge.sync.StoreCallback;
+import org.shoreroad.edge.sync.StoreFault;
+import org.shoreroad.edge.sync.StoreRecord;
+import org.shoreroad.edge.sync.Topic;
+import org.shoreroad.edge.sync.TopicFollower;
+import org.shoreroad.traffic.CallerLimits;
+
+/**
+ * Puts the parts of a process together, starts and stops them.
+ *
+ * <p>All parts work on one event loop, so none needs a lock; only log lines are written by another
+ * thread.
+ *
+ * @since 0.2
+ */
+public final class EdgeProcess {
+  /** A read of the configuration waits this long: its end renews the proof of freshness. */
+  private static final int CONFIG_WAIT_MS = 1_200;
+
+  /** A read of the list waits this long for a change. */
+  private static final int LIST_WAIT_MS = 1_500;
+
+  /** The least time between two reads of the list: changes come in bunches. */
+  private static final int LIST_INTERVAL_MS = 250;
+
+  private static final int PROCESS_WAIT_MS = 10_000;
+  private static final int PROCESS_INTERVAL_MS = 500;
+  private static final int UPKEEP_MS = 100;
+  private static final int WRITE_AGAIN_MS = 500;
+
+  /** This part of the grace is left for the end itself. */
+  private static final int END_MARGIN_MS = 500;
+
+  private final EdgeSettings settings;
+  private final EdgePorts ports;
+  private final EventLoop loop;
+  private final LongSupplier clockNanos;
+  private final EventLog log;
+  private final EdgeMetrics metrics = new EdgeMetrics();
+  private final String life;
+  private final Knowledge knowledge;
+  private final Fleet fleet;
+  private final TopicFollower configFollower;
+  private final TopicFollower listFollower;
+  private final DomainLease lease;
+  private final UpstreamBoard board;
+  private final Relay relay;
+  private final PeerMesh mesh;
+  private final CallerServer callers;
+  private boolean isStopping;
+
+  /**
+   * Puts a process together.
+   *
+   * @param settings its settings, not null
+   * @param ports the platform, not null
+   * @param loop the event loop, not null
+   * @param calls the connections to upstreams, not null
+   * @param clockNanos the steady clock, not null
+   * @param log the log, not null
+   */
+  public EdgeProcess(
+      EdgeSettings settings,
+      EdgePorts ports,
+      EventLoop loop,
+      HttpCalls calls,
+      LongSupplier clockNanos,
+      EventLog log) {
+    this.settings = settings;
+    this.ports = ports;
+    this.loop = loop;
+    this.clockNanos = clockNanos;
+    this.log = log;
+    SplittableRandom random = new SplittableRandom();
+    this.life = settings.node() + "~" + Long.toHexString(random.nextLong());
+    this.knowledge = new Knowledge(ports.configDecoder(), clockNanos, log, settings.revokeMs());
+    this.fleet = new Fleet(ports.upstreamDecoder(), clockNanos, log);
+    this.configFollower = follower(Topic.CONFIGURATION, CONFIG_WAIT_MS, 0, knowledge);
+    this.listFollower = follower(Topic.UPSTREAMS, LIST_WAIT_MS, LIST_INTERVAL_MS, fleet);
+    this.lease =
+        new DomainLease(ports.store(), loop, clockNanos, log, life, settings.workPartitions());
+    this.board = new UpstreamBoard(fleet, clockNanos, random, log, settings.zone());
+    this.relay =
+        new Relay(
+            loop,
+            clockNanos,
+            random,
+            log,
+            metrics,
+            ports.headers(),
+            calls,
+            board,
+            knowledge,
+            settings.rules());
+    this.mesh = new PeerMesh(loop, clockNanos, log, life, this::makeHeartbeat, this::learn);
+    this.callers =
+        new CallerServer(
+            loop,
+            clockNanos,
+            this::limits,
+            relay,
+            reason -> metrics.count("shoreroad.bad_input", reason));
+    knowledge.setFollower(configFollower);
+    fleet.addRemovalListener(box -> calls.forget(box.address()));
+  }
+
+  /**
+   * Opens the ports and starts all parts; to be called on the event loop.
+   *
+   * @param onFatal called if a port can't be opened, not null
+   */
+  public void start(Consumer<Throwable> onFatal) {
+    log.write(
+        "start",
+        "life",
+        life,
+        "zone",
+        settings.zone(),
+        "callers",
+        settings.callerListen(),
+        "revokeMs",
+        settings.revokeMs());
+    List.of(
+            callers.start(settings.callerListen()),
+            answerWith(settings.readyListen(), this::answerReady),
+            answerWith(settings.metricsListen(), this::answerMetrics),
+            mesh.start(settings.peerListen()))
+        .forEach(
+            opening ->
+                opening.addListener(
+                    done -> {
+                      if (!done.isSuccess()) {
+                        onFatal.accept(done.cause());
+                      }
+                    }));
+    configFollower.start();
+    listFollower.start();
+    follower(Topic.PROCESSES, PROCESS_WAIT_MS, PROCESS_INTERVAL_MS, this::learnProcess).start();
+    announce();
+    lease.start();
+    relay.start();
+    new ReplicaService(
+            loop,
+            clockNanos,
+            log,
+            fleet,
+            lease,
+            ports.engines(),
+            knowledge::config,
+            board::suspectedIds)
+        .start();
+    loop.scheduleWithFixedDelay(this::upkeep, UPKEEP_MS, UPKEEP_MS, TimeUnit.MILLISECONDS);
+    metrics.gauge("shoreroad.requests.open", relay::openCount);
+    metrics.gauge("shoreroad.callers.connections", callers::connectionCount);
+    metrics.gauge("shoreroad.config.age_ms", () -> knowledge.configAgeNanos() / 1_000_000);
+    metrics.gauge("shoreroad.processes.alive", mesh::aliveCount);
+    metrics.gauge("shoreroad.log.dropped_lines", log::droppedLines);
+  }
+
+  /**
+   * Stops by plan: is no longer ready, passes its duties on, answers what comes on connections that
+   * are open, and ends when nothing is left or the grace is over.
+   *
+   * @param onEnd called when the process may end
+   */
+  public void stop(Runnable onEnd) {
+    if (isStopping) {
+      return;
+    }
+    isStopping = true;
+    log.write("stop", "open", relay.openCount(), "connections", callers.connectionCount());
+    lease.leave();
+    callers.stopKeeping();
+    long endNanos =
+        clockNanos.getAsLong() + TimeUnit.MILLISECONDS.toNanos(settings.graceMs() - END_MARGIN_MS);
+    loop.scheduleWithFixedDelay(
+        () -> {
+          boolean isIdle = callers.connectionCount() == 0 && relay.openCount() == 0;
+          if (isIdle || clockNanos.getAsLong() - endNanos >= 0) {
+            log.write("end", "open", relay.openCount());
+            log.flush();
+            onEnd.run();
+          }
+        },
+        UPKEEP_MS,
+        UPKEEP_MS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  private TopicFollower follower(
+      Topic topic, int waitMs, int minIntervalMs, TopicFollower.Listener listener) {
+    return new TopicFollower(
+        topic, ports.store(), loop, clockNanos, log, waitMs, minIntervalMs, listener);
+  }
+
+  private CallerLimits limits() {
+    return knowledge.config() == null ? CallerLimits.DEFAULT : knowledge.config().limits();
+  }
+
+  private boolean isReady() {
+    return !isStopping
+        && knowledge.config() != null
+        && listFollower.isCurrent()
+        && knowledge.mayTrustKeys();
+  }
+
+  private void upkeep() {
+    fleet.dropRemoved(listFollower.reachableForNanos());
+    knowledge.setProcessCount(mesh.sharingCount());
+    Map<String, Integer> elsewhere = new HashMap<>();
+    for (Heartbeat heartbeat : mesh.newest()) {
+      heartbeat.openByUpstream().forEach((id, n) -> elsewhere.merge(id, n, Integer::sum));
+    }
+    board.setOpenElsewhere(elsewhere);
+  }
+
+  private Heartbeat makeHeartbeat(String sender, long sentNanos, long echoNanos) {
+    return new Heartbeat(
+        sender,
+        sentNanos,
+        echoNanos,
+        knowledge.configVersion(),
+        knowledge.configOffset(),
+        knowledge.configAgeNanos(),
+        board.ownOpenCounts(),
+        List.copyOf(board.suspectedIds()));
+  }
+
+  private void learn(Heartbeat heartbeat) {
+    knowledge.learn(heartbeat);
+    heartbeat.suspectedUpstreams().forEach(board::suspectByPeer);
+  }
+
+  private void announce() {
+    byte[] address =
+        (settings.peerListen().getAddress().getHostAddress()
+                + ":"
+                + settings.peerListen().getPort())
+            .getBytes(StandardCharsets.UTF_8);
+    ports
+        .store()
+        .write(
+            Topic.PROCESSES,
+            life,
+            address,
+            new StoreCallback<>() {
+              @Override
+              public void onValue(Long offset) {
+                log.write("announced", "offset", offset);
+              }
+
+              @Override
+              public void onFault(StoreFault fault) {
+                loop.schedule(EdgeProcess.this::announce, WRITE_AGAIN_MS, TimeUnit.MILLISECONDS);
+              }
+            });
+  }
+
+  private void learnProcess(StoreRecord record) {
+    byte[] value = record.value();
+    if (value == null) {
+      mesh.remove(record.key());
+    } else {
+      mesh.add(record.key(), new String(value, StandardCharsets.UTF_8));
+    }
+  }
+
+  private ChannelFuture answerWith(InetSocketAddress address, CallerExchange.Factory factory) {
+    return new CallerServer(loop, clockNanos, this::limits, factory, reason -> {}).start(address);
+  }
+
+  private CallerExchange answerReady(CallerRequest request, AnswerChannel answers) {
+    request.body().release();
+    answers.answer(
+        isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+        new DefaultHttpHeaders(),
+        Unpooled.EMPTY_BUFFER);
+    return Answered.INSTANCE;
+  }
+
+  private CallerExchange answerMetrics(CallerRequest request, AnswerChannel answers) {
+    request.body().release();
+    answers.answer(
+        HttpResponseStatus.OK,
+        new DefaultHttpHeaders().set("Content-Type", "text/plain; version=0.0.4"),
+        Unpooled.copiedBuffer(metrics.toPrometheusText(), StandardCharsets.UTF_8));
+    return Answered.INSTANCE;
+  }
+
+  /** An exchange that was answered at once. */
+  private enum Answered implements CallerExchange {
+    INSTANCE;
+
+    @Override
+    public void onCallerGone() {
+      // Nothing runs for it.
+    }
+
+    @Override
+    public void onWritabilityChanged(boolean isWritable) {
+      // Nothing more is written.
+    }
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeSettings.java
@@ -0,0 +1,31 @@
+package org.shoreroad.edge;
+
+import java.net.InetSocketAddress;
+import org.shoreroad.edge.relay.RelayRules;
+
+/**
+ * The settings of one process.
+ *
+ * @param node the name of the process
+ * @param zone its availability zone
+ * @param callerListen where callers connect
+ * @param readyListen where the balancer asks whether the process is ready
+ * @param peerListen where the other processes connect
+ * @param metricsListen where the metrics are read
+ * @param workPartitions the partitions among which the fabric domains are dealt out
+ * @param revokeMs a key that was taken away must not be used longer than this, in milliseconds
+ * @param graceMs the time between the signal to stop and the end, in milliseconds
+ * @param rules the bounds on repeats
+ * @since 0.2
+ */
+public record EdgeSettings(
+    String node,
+    String zone,
+    InetSocketAddress callerListen,
+    InetSocketAddress readyListen,
+    InetSocketAddress peerListen,
+    InetSocketAddress metricsListen,
+    int workPartitions,
+    int revokeMs,
+    int graceMs,
+    RelayRules rules) {}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/Knowledge.java
@@ -0,0 +1,128 @@
+package org.shoreroad.edge;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.edge.peer.Heartbeat;
+import org.shoreroad.edge.relay.Freshness;
+import org.shoreroad.edge.sync.StoreRecord;
+import org.shoreroad.edge.sync.TopicFollower;
+import org.shoreroad.traffic.TrafficConfig;
+
+/**
+ * The configuration in force here, and how old the proof is that it is the newest.
+ *
+ * <p>Versions only rise within the life of a process. Used on the event loop.
+ *
+ * @since 0.2
+ */
+public final class Knowledge implements Freshness, TopicFollower.Listener {
+  /** Kept back from the time to take a key away: the way of a request, and a late timer. */
+  private static final int REVOKE_MARGIN_MS = 500;
+
+  private final Decoder decoder;
+  private final LongSupplier clockNanos;
+  private final EventLog log;
+  private final long keyTrustNanos;
+  private @Nullable TrafficConfig config;
+  private @Nullable TopicFollower follower;
+  private int processCount = 1;
+
+  Knowledge(Decoder decoder, LongSupplier clockNanos, EventLog log, int revokeMs) {
+    this.decoder = decoder;
+    this.clockNanos = clockNanos;
+    this.log = log;
+    this.keyTrustNanos = TimeUnit.MILLISECONDS.toNanos(revokeMs - REVOKE_MARGIN_MS);
+  }
+
+  void setFollower(TopicFollower configFollower) {
+    follower = configFollower;
+  }
+
+  void setProcessCount(int count) {
+    processCount = count;
+  }
+
+  @Override
+  public void onRecord(StoreRecord record) {
+    byte[] value = record.value();
+    if (value == null || !decoder.isConfiguration(record.key())) {
+      return;
+    }
+    try {
+      TrafficConfig next = decoder.decode(value);
+      if (config == null || next.version() > config.version()) {
+        config = next;
+        log.write("configuration_taken", "version", next.version(), "offset", record.offset());
+      }
+    } catch (RuntimeException e) {
+      log.write(
+          "configuration_unreadable",
+          "offset",
+          record.offset(),
+          "keptVersion",
+          config == null ? -1 : config.version(),
+          "why",
+          String.valueOf(e));
+    }
+  }
+
+  @Override
+  public @Nullable TrafficConfig config() {
+    return config;
+  }
+
+  @Override
+  public boolean mayTrustKeys() {
+    TopicFollower from = follower;
+    return from != null
+        && from.isCurrent()
+        && clockNanos.getAsLong() - from.provenNanos() < keyTrustNanos;
+  }
+
+  @Override
+  public int processCount() {
+    return processCount;
+  }
+
+  /**
+   * Takes over a peer's proof that the configuration is the newest.
+   *
+   * <p>The peer sent its heartbeat after it got the echoed one, which left here at the echoed time:
+   * so its proof is no older than that time less the age it tells.
+   */
+  void learn(Heartbeat heartbeat) {
+    TopicFollower from = follower;
+    if (from != null && heartbeat.echoNanos() != 0) {
+      from.proveByPeer(
+          heartbeat.configOffset(), heartbeat.echoNanos() - heartbeat.configAgeNanos());
+    }
+  }
+
+  long configVersion() {
+    return config == null ? -1 : config.version();
+  }
+
+  long configOffset() {
+    return follower == null ? -1 : follower.nextOffset();
+  }
+
+  long configAgeNanos() {
+    return follower == null || !follower.isCurrent()
+        ? Long.MAX_VALUE / 4
+        : clockNanos.getAsLong() - follower.provenNanos();
+  }
+
+  /** Reads records of the topic of the configuration. */
+  public interface Decoder {
+    /** Returns true if the key is that of the configuration. */
+    boolean isConfiguration(String key);
+
+    /**
+     * Returns the configuration.
+     *
+     * @throws RuntimeException if the value can't be read
+     */
+    TrafficConfig decode(byte[] value);
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
@@ -0,0 +1,164 @@
+package org.shoreroad.edge.caller;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.traffic.CallerLimits;
+
+/**
+ * Takes callers' connections on one address. Used on the event loop only.
+ *
+ * @since 0.2
+ */
+public final class CallerServer {
+  private static final int MAX_INITIAL_LINE_BYTES = 8_192;
+  private static final int MAX_CHUNK_BYTES = 65_536;
+  private static final int BACKLOG = 1_024;
+  private static final int SWEEP_MS = 250;
+
+  private final EventLoop loop;
+  private final LongSupplier clockNanos;
+  private final Supplier<CallerLimits> limits;
+  private final CallerExchange.Factory factory;
+  private final Consumer<String> badInputCounter;
+  private final Set<CallerConnection> connections = new HashSet<>();
+  private @Nullable Channel listening;
+  private boolean isStopping;
+
+  /** Creates a server; {@link #start} opens its port. */
+  public CallerServer(
+      EventLoop loop,
+      LongSupplier clockNanos,
+      Supplier<CallerLimits> limits,
+      CallerExchange.Factory factory,
+      Consumer<String> badInputCounter) {
+    this.loop = loop;
+    this.clockNanos = clockNanos;
+    this.limits = limits;
+    this.factory = factory;
+    this.badInputCounter = badInputCounter;
+  }
+
+  /**
+   * Opens the port.
+   *
+   * @param address where to listen, not null
+   * @return tells when the port is open, or why it can't be
+   */
+  public ChannelFuture start(InetSocketAddress address) {
+    ChannelFuture opening =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new Initializer())
+            .bind(address);
+    listening = opening.channel();
+    loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    return opening;
+  }
+
+  /** From now on each answer is the last on its connection. */
+  public void stopKeeping() {
+    isStopping = true;
+  }
+
+  /** Returns the number of open connections. */
+  public int connectionCount() {
+    return connections.size();
+  }
+
+  /** Returns the number of connections with a request arriving or being answered. */
+  public long busyCount() {
+    return connections.stream().filter(connection -> !connection.isResting()).count();
+  }
+
+  /** Closes the port, so that no new connection comes. */
+  public void close() {
+    if (listening != null) {
+      listening.close();
+    }
+  }
+
+  boolean isStopping() {
+    return isStopping;
+  }
+
+  long nowNanos() {
+    return clockNanos.getAsLong();
+  }
+
+  CallerLimits limits() {
+    return limits.get();
+  }
+
+  CallerExchange.Factory factory() {
+    return factory;
+  }
+
+  void countBadInput(String reason) {
+    badInputCounter.accept(reason);
+  }
+
+  void add(CallerConnection connection) {
+    connections.add(connection);
+  }
+
+  void remove(CallerConnection connection) {
+    connections.remove(connection);
+  }
+
+  private void sweep() {
+    long nowNanos = nowNanos();
+    // A connection that is closed takes itself out of the set.
+    new ArrayList<>(connections).forEach(connection -> connection.checkTimes(nowNanos));
+  }
+
+  private final class Initializer extends ChannelInitializer<SocketChannel> {
+    @Override
+    protected void initChannel(SocketChannel channel) {
+      CallerConnection connection = new CallerConnection(CallerServer.this);
+      channel
+          .pipeline()
+          .addLast(
+              new ByteWatch(connection),
+              new HttpServerCodec(
+                  MAX_INITIAL_LINE_BYTES, limits().maxHeaderBytes(), MAX_CHUNK_BYTES),
+              connection);
+    }
+  }
+
+  /** Tells the connection that bytes came, so that a head that never ends is noticed. */
+  private static final class ByteWatch extends ChannelInboundHandlerAdapter {
+    private final CallerConnection connection;
+
+    ByteWatch(CallerConnection connection) {
+      this.connection = connection;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      connection.onBytes();
+      context.fireChannelRead(message);
+    }
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/http/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The HTTP client side: kept connections to upstreams and the platform, one call at a time on each.
+ */
+@NullMarked
+package org.shoreroad.edge.http;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -0,0 +1,213 @@
+package org.shoreroad.edge.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.edge.http.CallFailure;
+import org.shoreroad.edge.http.CallListener;
+import org.shoreroad.edge.http.HttpCall;
+
+/**
+ * One sending of a request to one upstream; used on the event loop only.
+ *
+ * @since 0.2
+ */
+final class Attempt implements CallListener {
+  /** How long an upstream that could not be reached is passed over. */
+  private static final long AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+
+  /** How long an upstream that said it is full is passed over. */
+  private static final long FULL_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
+
+  private final Exchange exchange;
+  private final Relay relay;
+  private final Target target;
+  private final long startedNanos;
+  private @Nullable HttpCall call;
+  private @Nullable HttpResponse head;
+  private @Nullable CompositeByteBuf body;
+  private @Nullable EventRelay events;
+  private boolean isPromptRead;
+  private boolean isOver;
+
+  Attempt(Exchange exchange, Relay relay, Target target, long startedNanos) {
+    this.exchange = exchange;
+    this.relay = relay;
+    this.target = target;
+    this.startedNanos = startedNanos;
+  }
+
+  void start(int maxConnections) {
+    target.load().add(exchange, exchange.promptTokens(), startedNanos);
+    call =
+        relay
+            .calls()
+            .send(target.box().address(), exchange.toUpstreamRequest(target), maxConnections, this);
+  }
+
+  Target target() {
+    return target;
+  }
+
+  boolean hasLeft() {
+    return call != null && call.hasLeft();
+  }
+
+  void cancel() {
+    if (!isOver) {
+      end();
+      if (call != null) {
+        call.cancel();
+      }
+    }
+  }
+
+  void setReading(boolean isReading) {
+    if (call != null) {
+      call.setReading(isReading);
+    }
+  }
+
+  @Override
+  public boolean onSending() {
+    if (!exchange.maySendNow()) {
+      return false;
+    }
+    exchange.onSent(target);
+    return true;
+  }
+
+  @Override
+  public boolean onHead(HttpResponse response) {
+    String echoed = response.headers().get(relay.headers().attemptId());
+    boolean isMarked = response.headers().contains(relay.headers().seal());
+    if (echoed == null ? isMarked : !echoed.equals(exchange.attemptId())) {
+      relay.counters().count("shoreroad.answers.passed_over", "other_request");
+      return false;
+    }
+    head = response;
+    target.load().recordProgress(relay.nowNanos());
+    if (isRefusal(response)) {
+      return true;
+    }
+    boolean isSuccess = response.status().codeClass() == HttpStatusClass.SUCCESS;
+    if (isSuccess && !isMarked) {
+      fail(AttemptEnd.BROKEN);
+      return true;
+    }
+    if (isSuccess && exchange.isStream()) {
+      notePromptRead();
+      events = exchange.onStreamHead(response);
+      if (events != null) {
+        events.restart();
+      }
+    } else {
+      body = Unpooled.compositeBuffer(64);
+    }
+    return true;
+  }
+
+  private boolean isRefusal(HttpResponse response) {
+    return response.headers().contains(relay.headers().notRun())
+        || response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
+  }
+
+  @Override
+  public void onContent(ByteBuf content) {
+    target.load().recordProgress(relay.nowNanos());
+    if (events != null) {
+      if (!events.take(content)) {
+        fail(AttemptEnd.BROKEN);
+      }
+    } else if (body != null) {
+      body.addComponent(true, content.retain());
+    }
+  }
+
+  @Override
+  public void onEnd() {
+    HttpResponse answered = head;
+    if (isOver || answered == null) {
+      return;
+    }
+    if (isRefusal(answered)) {
+      boolean isElsewhere = answered.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
+      target.load().avoidUntil(relay.nowNanos() + (isElsewhere ? AVOID_NANOS : FULL_NANOS));
+      end();
+      exchange.onAttemptFailed(target, AttemptEnd.REFUSED);
+    } else if (events != null) {
+      endStream(events);
+    } else {
+      endWhole(answered);
+    }
+  }
+
+  private void endStream(EventRelay relayed) {
+    if (relayed.hasPart()) {
+      fail(AttemptEnd.BROKEN);
+      return;
+    }
+    target.load().recordOutcome(false);
+    end();
+    exchange.onStreamEnd();
+  }
+
+  private void endWhole(HttpResponse answered) {
+    boolean hasFailed = answered.status().codeClass() == HttpStatusClass.SERVER_ERROR;
+    target.load().recordOutcome(hasFailed);
+    if (hasFailed && exchange.canRepeat() && relay.nowNanos() >= 0) {
+      end();
+      exchange.onAttemptFailed(target, AttemptEnd.FAILED);
+      return;
+    }
+    ByteBuf whole = body == null ? Unpooled.EMPTY_BUFFER : body;
+    body = null;
+    end();
+    exchange.onWholeAnswer(answered, whole);
+  }
+
+  @Override
+  public void onFailure(CallFailure failure) {
+    if (isOver) {
+      return;
+    }
+    if (!failure.hasLeft()) {
+      if (failure.reason() != CallFailure.Reason.WITHDRAWN) {
+        target.load().avoidUntil(relay.nowNanos() + AVOID_NANOS);
+      }
+      end();
+      exchange.onAttemptFailed(target, AttemptEnd.NOT_SENT);
+      return;
+    }
+    target.load().recordOutcome(true);
+    end();
+    exchange.onAttemptFailed(target, AttemptEnd.BROKEN);
+  }
+
+  private void fail(AttemptEnd why) {
+    target.load().recordOutcome(true);
+    cancel();
+    exchange.onAttemptFailed(target, why);
+  }
+
+  private void notePromptRead() {
+    if (!isPromptRead) {
+      isPromptRead = true;
+      target.load().promptRead(exchange.promptTokens());
+    }
+  }
+
+  private void end() {
+    isOver = true;
+    target.load().remove(exchange, isPromptRead ? 0 : exchange.promptTokens());
+    if (body != null) {
+      body.release();
+      body = null;
+    }
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/AttemptEnd.java
@@ -0,0 +1,19 @@
+package org.shoreroad.edge.relay;
+
+/**
+ * How an attempt ended that brought nothing to pass on.
+ *
+ * @since 0.2
+ */
+enum AttemptEnd {
+  /** Nothing of the request left this process. */
+  NOT_SENT,
+  /** The upstream said that it did not run the request. */
+  REFUSED,
+  /** The upstream failed the request by its own word. */
+  FAILED,
+  /** The connection broke, or what came was out of form. */
+  BROKEN,
+  /** Nothing came for too long. */
+  STALLED
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/EventRelay.java
@@ -0,0 +1,59 @@
+package org.shoreroad.edge.relay;
+
+import io.netty.buffer.ByteBuf;
+import org.shoreroad.edge.caller.AnswerChannel;
+
+/**
+ * Passes the whole events of a stream on, each once, over all attempts of a request.
+ *
+ * <p>Used on the event loop only.
+ *
+ * @since 0.2
+ */
+final class EventRelay {
+  private final AnswerChannel answers;
+  private EventSplitter splitter = new EventSplitter();
+  private long lastId;
+
+  EventRelay(AnswerChannel answers, long callersLastId) {
+    this.answers = answers;
+    this.lastId = callersLastId;
+  }
+
+  /** Begins with the bytes of another upstream. */
+  void restart() {
+    splitter.clear();
+    splitter = new EventSplitter();
+  }
+
+  /** Takes bytes; returns false if they can't be events. */
+  boolean take(ByteBuf bytes) {
+    return splitter.add(bytes, this::pass);
+  }
+
+  private void pass(ByteBuf event, long id) {
+    if (id >= 0 && id <= lastId) {
+      // The caller has it already.
+      event.release();
+      return;
+    }
+    if (id >= 0) {
+      lastId = id;
+    }
+    answers.send(event);
+  }
+
+  /** Returns the id of the last event that was passed on, or -1. */
+  long lastId() {
+    return lastId;
+  }
+
+  /** Returns true if the upstream stopped in the middle of an event. */
+  boolean hasPart() {
+    return splitter.hasPart();
+  }
+
+  void release() {
+    splitter.clear();
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/EventSplitter.java
@@ -0,0 +1,100 @@
+package org.shoreroad.edge.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.util.ByteProcessor;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Cuts the bytes of an event stream into whole events and reads their ids.
+ *
+ * <p>An upstream may stop in the middle of an event; what is not whole is never passed on, so that
+ * the stream can be taken up at another upstream. Used by one thread.
+ *
+ * @since 0.2
+ */
+final class EventSplitter {
+  /** No event of a model is near this size; a stream without any end of event is cut here. */
+  private static final int MAX_EVENT_BYTES = 1_048_576;
+
+  private static final String ID_FIELD = "id:";
+
+  private ByteBuf waiting = Unpooled.EMPTY_BUFFER;
+
+  /** Hears the whole events. */
+  interface Sink {
+    /**
+     * Takes one event.
+     *
+     * @param event its bytes with the blank line that ends it; the taker releases them
+     * @param id its id, or -1 if it has none that is a number
+     */
+    void onEvent(ByteBuf event, long id);
+  }
+
+  /**
+   * Adds bytes and passes on every event that is whole now.
+   *
+   * @param bytes the bytes; released by their owner
+   * @param sink takes the events
+   * @return false if an event is larger than any can be
+   */
+  boolean add(ByteBuf bytes, Sink sink) {
+    ByteBuf all = waiting.isReadable() ? Unpooled.wrappedBuffer(waiting, bytes.retain()) : bytes;
+    boolean isOwned = all != bytes;
+    int end = findEventEnd(all);
+    while (end >= 0) {
+      ByteBuf event = Unpooled.copiedBuffer(all.readSlice(end - all.readerIndex()));
+      sink.onEvent(event, readId(event));
+      end = findEventEnd(all);
+    }
+    ByteBuf rest = all.isReadable() ? Unpooled.copiedBuffer(all) : Unpooled.EMPTY_BUFFER;
+    if (isOwned) {
+      all.release();
+    }
+    waiting = rest;
+    return rest.readableBytes() <= MAX_EVENT_BYTES;
+  }
+
+  /** Returns true if the bytes so far end in the middle of an event. */
+  boolean hasPart() {
+    return waiting.isReadable();
+  }
+
+  /** Forgets what is not whole. */
+  void clear() {
+    waiting.release();
+    waiting = Unpooled.EMPTY_BUFFER;
+  }
+
+  /** Returns the index after the blank line that ends the first event, or -1. */
+  private static int findEventEnd(ByteBuf bytes) {
+    int from = bytes.readerIndex();
+    while (true) {
+      int lineFeed = bytes.forEachByte(from, bytes.writerIndex() - from, ByteProcessor.FIND_LF);
+      if (lineFeed < 0) {
+        return -1;
+      }
+      int next = lineFeed + 1;
+      if (next < bytes.writerIndex() && bytes.getByte(next) == '\n') {
+        return next + 1;
+      }
+      if (next + 1 < bytes.writerIndex()
+          && bytes.getByte(next) == '\r'
+          && bytes.getByte(next + 1) == '\n') {
+        return next + 2;
+      }
+      from = next;
+    }
+  }
+
+  private static long readId(ByteBuf event) {
+    for (String line : event.toString(StandardCharsets.ISO_8859_1).split("\r?\n")) {
+      if (line.startsWith(ID_FIELD)) {
+        String text = line.substring(ID_FIELD.length()).trim();
+        return text.matches("[0-9]{1,18}") ? Long.parseLong(text) : -1;
+      }
+    }
+    return -1;
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -0,0 +1,514 @@
+package org.shoreroad.edge.relay;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.edge.caller.AnswerChannel;
+import org.shoreroad.edge.caller.CallerExchange;
+import org.shoreroad.edge.caller.CallerRequest;
+import org.shoreroad.edge.caller.HeaderNames;
+import org.shoreroad.traffic.ClientAccount;
+import org.shoreroad.traffic.RequestKind;
+import org.shoreroad.traffic.Route;
+import org.shoreroad.traffic.TrafficConfig;
+import org.shoreroad.traffic.UpstreamService;
+
+/**
+ * One request from its arrival to its last byte: admission, attempts, resumption, answer.
+ *
+ * <p>A request that may not be repeated is sent again only if the former upstream itself said that
+ * it did not run, or nothing of it had left. Used on the event loop only.
+ *
+ * @since 0.2
+ */
+final class Exchange implements CallerExchange {
+  /** A request waits for a place this part of its target latency; then it is refused. */
+  private static final int PATIENCE_DIVISOR = 5;
+
+  /** The time to come back after a refusal for want of a place: a place frees in about this. */
+  private static final int COME_BACK_MS = 300;
+
+  /** The time to come back while no replica stands: a mending takes about this. */
+  private static final int COME_BACK_LATER_MS = 700;
+
+  /** Attempts that never left this process, such as refused connections, are bounded by this. */
+  private static final int MAX_UNSENT_TRIES = 6;
+
+  private static final int SMALLEST_DEADLINE_MS = 20;
+  private static final int LOWEST_RANK = 9;
+  private static final int DEFAULT_DEADLINE_MS = 60_000;
+  private static final String BEARER = "Bearer ";
+
+  private final Relay relay;
+  private final CallerRequest request;
+  private final AnswerChannel answers;
+  private final Set<String> triedIds = new HashSet<>();
+  private final String model;
+  private final long promptTokens;
+  private @Nullable Route route;
+  private @Nullable UpstreamService service;
+  private @Nullable ClientAccount account;
+  private @Nullable Attempt attempt;
+  private @Nullable EventRelay events;
+  private long endNanos;
+  private long waitUntilNanos;
+  private int attemptsLeft;
+  private int unsentTries;
+  private int sends;
+  private boolean mayHaveRun;
+  private boolean isWaiting;
+  private boolean isOver;
+
+  Exchange(Relay relay, CallerRequest request, AnswerChannel answers) {
+    this.relay = relay;
+    this.request = request;
+    this.answers = answers;
+    this.model = request.header(relay.headers().model());
+    this.promptTokens = readPromptTokens(request.header(relay.headers().tokenCount()));
+  }
+
+  /** Admits the request and sends it, or answers it at once. */
+  void start() {
+    TrafficConfig config = relay.freshness().config();
+    if (config == null) {
+      refuse(Refusal.NO_CONFIGURATION, COME_BACK_LATER_MS);
+      return;
+    }
+    Route found =
+        config
+            .findRoute(request.header(HttpHeaderNames.HOST.toString()), request.uri())
+            .orElse(null);
+    if (found == null) {
+      refuse(Refusal.NO_ROUTE, 0);
+      return;
+    }
+    route = found;
+    if (!admitKey(config, found)) {
+      return;
+    }
+    service = config.findService(found.chooseService(relay.random().nextDouble())).orElse(null);
+    long holdMs = Math.min(readDeadlineMs(), found.timeoutMs());
+    endNanos = request.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(holdMs);
+    waitUntilNanos =
+        request.arrivedNanos()
+            + TimeUnit.MILLISECONDS.toNanos(found.targetLatencyMs() / PATIENCE_DIVISOR);
+    attemptsLeft = found.maxAttempts();
+    if (service != null) {
+      relay.budgetOf(service.name()).recordFirst(relay.nowNanos());
+    }
+    send();
+  }
+
+  private boolean admitKey(TrafficConfig config, Route found) {
+    if (!config.hasAccounts()) {
+      return true;
+    }
+    String authorization = request.header(HttpHeaderNames.AUTHORIZATION.toString());
+    String key =
+        authorization.startsWith(BEARER) ? authorization.substring(BEARER.length()).trim() : "";
+    account = config.findAccount(key).orElse(null);
+    if (account == null && !found.allowsAnonymous()) {
+      refuse(Refusal.UNKNOWN_KEY, 0);
+      return false;
+    }
+    if (!mayUseKey()) {
+      refuse(Refusal.KEYS_TOO_OLD, COME_BACK_LATER_MS);
+      return false;
+    }
+    return true;
+  }
+
+  /** Returns true if the key, if there is one, would be known as taken away by now. */
+  private boolean mayUseKey() {
+    return account == null || relay.freshness().mayTrustKeys();
+  }
+
+  /** Sends the request to the best upstream, waits a little for one, or gives up. */
+  private void send() {
+    isWaiting = false;
+    UpstreamService to = service;
+    Optional<Target> target =
+        to == null
+            ? Optional.empty()
+            : relay.board().choose(to, to.engine() == null ? null : model, triedIds);
+    if (to == null || target.isEmpty()) {
+      waitOrRefuse();
+      return;
+    }
+    Attempt next = new Attempt(this, relay, target.get(), relay.nowNanos());
+    attempt = next;
+    // Connections are shared with the other processes: each takes its part.
+    int connections = Math.max(2, to.maxConnections() / relay.freshness().processCount());
+    next.start(to.maxConnections() == 0 ? Integer.MAX_VALUE : connections);
+  }
+
+  private void waitOrRefuse() {
+    long nowNanos = relay.nowNanos();
+    if (sends == 0 && nowNanos < waitUntilNanos) {
+      isWaiting = true;
+      return;
+    }
+    if (hasBegun()) {
+      // A stream that was begun waits for another replica as long as there is time.
+      isWaiting = true;
+      return;
+    }
+    boolean isStanding =
+        service != null && relay.board().hasAny(service, service.engine() == null ? null : model);
+    refuseOrFail(
+        isStanding ? Refusal.NO_PLACE : Refusal.NO_REPLICA,
+        isStanding ? COME_BACK_MS : COME_BACK_LATER_MS);
+  }
+
+  /** Looks after time limits and waiting. */
+  void onTick() {
+    if (isOver) {
+      return;
+    }
+    if (relay.nowNanos() >= endNanos && route != null) {
+      endForTime();
+    } else if (isWaiting) {
+      send();
+    }
+  }
+
+  private void endForTime() {
+    if (hasBegun()) {
+      relay.counters().count("shoreroad.streams.cut", "time");
+      abort("time");
+    } else {
+      boolean hasLeft = mayHaveRun || (attempt != null && attempt.hasLeft());
+      cancelAttempt();
+      refuse(hasLeft ? Refusal.NOT_ANSWERED_IN_TIME : Refusal.NOT_SENT_IN_TIME, COME_BACK_MS);
+    }
+  }
+
+  /** Returns the request as the upstream gets it. */
+  FullHttpRequest toUpstreamRequest(Target target) {
+    HeaderNames names = relay.headers();
+    HttpHeaders headers = HopHeaders.copyWithout(request.headers());
+    headers.remove(HttpHeaderNames.AUTHORIZATION);
+    headers.remove(names.account());
+    headers.remove(names.rank());
+    headers.set(names.expectedUpstream(), target.box().id());
+    headers.set(names.deadlineMs(), Long.toString(remainingMs()));
+    if (account != null) {
+      headers.set(names.account(), account.name());
+    }
+    if (target.box().domain() != null && route != null) {
+      headers.set(names.rank(), Integer.toString(rank(route)));
+    }
+    EventRelay begun = events;
+    if (begun != null && begun.lastId() >= 0) {
+      headers.set(names.lastEventId(), Long.toString(begun.lastId()));
+    }
+    if (request.body().isReadable() || headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
+    }
+    return new DefaultFullHttpRequest(
+        HttpVersion.HTTP_1_1,
+        request.method(),
+        request.uri(),
+        request.body().retainedDuplicate(),
+        headers,
+        new DefaultHttpHeaders());
+  }
+
+  private int rank(Route of) {
+    boolean isAccounts = account != null && account.priority() != ClientAccount.NO_PRIORITY;
+    int priority = isAccounts && account != null ? account.priority() : of.priority();
+    return Math.max(0, Math.min(LOWEST_RANK, priority));
+  }
+
+  /** Asked right before the first byte leaves. */
+  boolean maySendNow() {
+    return !isOver && mayUseKey() && relay.nowNanos() < endNanos;
+  }
+
+  /** Notes that a byte may have left for an upstream. */
+  void onSent(Target target) {
+    sends++;
+    attemptsLeft--;
+    triedIds.add(target.box().id());
+  }
+
+  /** Takes an answer's head; returns where its body goes. */
+  @Nullable EventRelay onStreamHead(io.netty.handler.codec.http.HttpResponse head) {
+    EventRelay begun = events;
+    if (begun == null) {
+      begun = new EventRelay(answers, readCallersLastId());
+      events = begun;
+      relay.counters().record("shoreroad.first_head", relay.nowNanos() - request.arrivedNanos());
+      answers.begin(head.status(), HopHeaders.copyWithout(head.headers()));
+    }
+    return begun;
+  }
+
+  /** Passes a whole answer on. */
+  void onWholeAnswer(io.netty.handler.codec.http.HttpResponse head, io.netty.buffer.ByteBuf body) {
+    relay.counters().count("shoreroad.answers", Integer.toString(head.status().code()));
+    relay.counters().record("shoreroad.answer", relay.nowNanos() - request.arrivedNanos());
+    finish();
+    answers.answer(head.status(), HopHeaders.copyWithout(head.headers()), body);
+  }
+
+  /** Ends a stream that came to its own end. */
+  void onStreamEnd() {
+    relay.counters().count("shoreroad.answers", "stream");
+    finish();
+    answers.end();
+  }
+
+  /** Decides what follows when an attempt brought nothing that can be passed on. */
+  void onAttemptFailed(Target target, AttemptEnd end) {
+    attempt = null;
+    relay
+        .counters()
+        .count("shoreroad.attempts.failed", end.name().toLowerCase(java.util.Locale.ROOT));
+    logAttempt(target, end);
+    if (isOver) {
+      return;
+    }
+    if (end == AttemptEnd.NOT_SENT) {
+      triedIds.add(target.box().id());
+      retryUnsent();
+      return;
+    }
+    if (end != AttemptEnd.REFUSED) {
+      mayHaveRun = true;
+    }
+    Route of = route;
+    boolean isAllowed = of != null && (end == AttemptEnd.REFUSED || of.isRepeatable());
+    if (isAllowed && attemptsLeft > 0 && takeRepeat()) {
+      relay.counters().count("shoreroad.retries", end.name().toLowerCase(java.util.Locale.ROOT));
+      send();
+    } else if (hasBegun()) {
+      abort(end.name());
+    } else {
+      refuseOrFail(
+          end == AttemptEnd.REFUSED ? Refusal.UPSTREAM_REFUSED : Refusal.UPSTREAM_FAILED,
+          COME_BACK_MS);
+    }
+  }
+
+  private void retryUnsent() {
+    unsentTries++;
+    if (!mayUseKey()) {
+      refuseOrFail(Refusal.KEYS_TOO_OLD, COME_BACK_LATER_MS);
+    } else if (unsentTries >= MAX_UNSENT_TRIES) {
+      refuseOrFail(Refusal.NO_PLACE, COME_BACK_MS);
+    } else {
+      send();
+    }
+  }
+
+  private boolean takeRepeat() {
+    return service != null
+        && relay
+            .budgetOf(service.name())
+            .tryRepeat(relay.nowNanos(), relay.freshness().processCount());
+  }
+
+  /** Takes a request away from an upstream that stands still. */
+  void onStalled() {
+    Attempt stalled = attempt;
+    Route of = route;
+    if (stalled == null || of == null || !stalled.hasLeft()) {
+      return;
+    }
+    boolean canMove = of.isRepeatable() && attemptsLeft > 0 && service != null;
+    if (!canMove || relay.board().choose(service, model, triedIds).isEmpty()) {
+      // Nobody else could do better; the engine may still move.
+      return;
+    }
+    stalled.cancel();
+    onAttemptFailed(stalled.target(), AttemptEnd.STALLED);
+  }
+
+  @Override
+  public void onCallerGone() {
+    if (!isOver) {
+      relay.counters().count("shoreroad.callers.gone", hasBegun() ? "midway" : "before");
+      cancelAttempt();
+      finish();
+    }
+  }
+
+  @Override
+  public void onWritabilityChanged(boolean isWritable) {
+    if (attempt != null) {
+      attempt.setReading(isWritable);
+    }
+  }
+
+  private void refuseOrFail(Refusal refusal, int comeBackMs) {
+    if (hasBegun()) {
+      abort(refusal.code());
+      return;
+    }
+    boolean isFalse = refusal.isPromise() && mayHaveRun;
+    refuse(isFalse ? Refusal.UPSTREAM_FAILED : refusal, comeBackMs);
+  }
+
+  private void refuse(Refusal refusal, int comeBackMs) {
+    relay.counters().count("shoreroad.refusals", refusal.code());
+    relay
+        .log()
+        .write(
+            "request_refused",
+            "request",
+            request.header(relay.headers().attemptId()),
+            "reason",
+            refusal.code(),
+            "route",
+            route == null ? "" : route.name(),
+            "model",
+            model,
+            "account",
+            account == null ? "" : account.name(),
+            "sends",
+            sends,
+            "tried",
+            triedIds,
+            "heldMs",
+            TimeUnit.NANOSECONDS.toMillis(relay.nowNanos() - request.arrivedNanos()));
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set("X-Shoreroad-Reason", refusal.code());
+    if (refusal.isPromise() && comeBackMs > 0) {
+      headers.set(HttpHeaderNames.RETRY_AFTER, Double.toString(comeBackMs / 1e3));
+    }
+    finish();
+    answers.answer(refusal.status(), headers, Unpooled.EMPTY_BUFFER);
+  }
+
+  private void abort(String why) {
+    relay
+        .log()
+        .write(
+            "answer_cut",
+            "request",
+            request.header(relay.headers().attemptId()),
+            "reason",
+            why,
+            "sends",
+            sends,
+            "tried",
+            triedIds,
+            "model",
+            model,
+            "lastEvent",
+            events == null ? -1 : events.lastId(),
+            "heldMs",
+            TimeUnit.NANOSECONDS.toMillis(relay.nowNanos() - request.arrivedNanos()));
+    relay.counters().count("shoreroad.answers.cut", why);
+    cancelAttempt();
+    finish();
+    answers.abort();
+  }
+
+  private void logAttempt(Target target, AttemptEnd end) {
+    relay
+        .log()
+        .write(
+            "attempt_failed",
+            "request",
+            request.header(relay.headers().attemptId()),
+            "end",
+            end,
+            "upstream",
+            target.box().id(),
+            "replica",
+            String.valueOf(target.replicaName()),
+            "sends",
+            sends,
+            "attemptsLeft",
+            attemptsLeft,
+            "heldMs",
+            TimeUnit.NANOSECONDS.toMillis(relay.nowNanos() - request.arrivedNanos()));
+  }
+
+  private void cancelAttempt() {
+    Attempt running = attempt;
+    attempt = null;
+    if (running != null) {
+      running.cancel();
+    }
+  }
+
+  private void finish() {
+    if (!isOver) {
+      isOver = true;
+      attempt = null;
+      relay.remove(this);
+      request.body().release();
+      if (events != null) {
+        events.release();
+      }
+    }
+  }
+
+  boolean isStream() {
+    return route != null && route.kind() == RequestKind.STREAM;
+  }
+
+  boolean isRepeatable() {
+    return route != null && route.isRepeatable();
+  }
+
+  boolean canRepeat() {
+    return isRepeatable() && attemptsLeft > 0;
+  }
+
+  boolean isOver() {
+    return isOver;
+  }
+
+  String model() {
+    return model;
+  }
+
+  long promptTokens() {
+    return promptTokens;
+  }
+
+  String attemptId() {
+    return request.header(relay.headers().attemptId());
+  }
+
+  String targetId() {
+    return attempt == null ? "" : attempt.target().box().id();
+  }
+
+  private boolean hasBegun() {
+    return events != null;
+  }
+
+  private long remainingMs() {
+    long leftMs = TimeUnit.NANOSECONDS.toMillis(endNanos - relay.nowNanos());
+    return Math.max(SMALLEST_DEADLINE_MS, leftMs);
+  }
+
+  private long readDeadlineMs() {
+    String text = request.header(relay.headers().deadlineMs());
+    return text.matches("[0-9]{1,9}") ? Long.parseLong(text) : DEFAULT_DEADLINE_MS;
+  }
+
+  private long readCallersLastId() {
+    String text = request.header(relay.headers().lastEventId());
+    return text.matches("[0-9]{1,18}") ? Long.parseLong(text) : -1;
+  }
+
+  private static long readPromptTokens(String tokenCount) {
+    String first = tokenCount.split(",", 2)[0].trim();
+    return first.matches("[0-9]{1,9}") ? Long.parseLong(first) : 0;
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Freshness.java
@@ -0,0 +1,20 @@
+package org.shoreroad.edge.relay;
+
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.traffic.TrafficConfig;
+
+/**
+ * What operators declare, as far as this process knows, and for how long it may act on it.
+ *
+ * @since 0.2
+ */
+public interface Freshness {
+  /** Returns the configuration in force, or null if none is known yet. */
+  @Nullable TrafficConfig config();
+
+  /** Returns true if keys that were taken away would be known here by now. */
+  boolean mayTrustKeys();
+
+  /** Returns the number of processes believed alive, this one among them. */
+  int processCount();
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Refusal.java
@@ -0,0 +1,42 @@
+package org.shoreroad.edge.relay;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+
+/**
+ * Why a request gets an answer of this system's own, and with which status.
+ *
+ * <p>429 and 503 promise that the request has not run; 502 and 504 promise nothing.
+ *
+ * @since 0.2
+ */
+enum Refusal {
+  NO_CONFIGURATION(HttpResponseStatus.SERVICE_UNAVAILABLE),
+  NO_ROUTE(HttpResponseStatus.NOT_FOUND),
+  UNKNOWN_KEY(HttpResponseStatus.UNAUTHORIZED),
+  KEYS_TOO_OLD(HttpResponseStatus.SERVICE_UNAVAILABLE),
+  NO_REPLICA(HttpResponseStatus.SERVICE_UNAVAILABLE),
+  NO_PLACE(HttpResponseStatus.SERVICE_UNAVAILABLE),
+  UPSTREAM_REFUSED(HttpResponseStatus.SERVICE_UNAVAILABLE),
+  NOT_SENT_IN_TIME(HttpResponseStatus.SERVICE_UNAVAILABLE),
+  UPSTREAM_FAILED(HttpResponseStatus.BAD_GATEWAY),
+  NOT_ANSWERED_IN_TIME(HttpResponseStatus.GATEWAY_TIMEOUT);
+
+  private final HttpResponseStatus status;
+
+  Refusal(HttpResponseStatus status) {
+    this.status = status;
+  }
+
+  HttpResponseStatus status() {
+    return status;
+  }
+
+  /** Returns true if the answer promises that the request has not run. */
+  boolean isPromise() {
+    return status == HttpResponseStatus.SERVICE_UNAVAILABLE;
+  }
+
+  String code() {
+    return name().toLowerCase(java.util.Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -0,0 +1,145 @@
+package org.shoreroad.edge.relay;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.caller.AnswerChannel;
+import org.shoreroad.edge.caller.CallerExchange;
+import org.shoreroad.edge.caller.CallerRequest;
+import org.shoreroad.edge.caller.HeaderNames;
+import org.shoreroad.edge.http.HttpCalls;
+import org.shoreroad.routing.AttemptBudget;
+import org.shoreroad.traffic.TrafficConfig;
+import org.shoreroad.traffic.UpstreamService;
+
+/**
+ * Begins the exchanges and holds what they share. Used on the event loop.
+ *
+ * @since 0.2
+ */
+public final class Relay implements CallerExchange.Factory {
+  /** How often waiting requests look for a place and heads for silence. */
+  private static final int TICK_MS = 20;
+
+  private static final int TICKS_PER_STALL_CHECK = 5;
+
+  private final EventLoop loop;
+  private final LongSupplier clockNanos;
+  private final RandomGenerator random;
+  private final EventLog log;
+  private final RelayCounters counters;
+  private final HeaderNames headers;
+  private final HttpCalls calls;
+  private final UpstreamBoard board;
+  private final Freshness freshness;
+  private final RelayRules rules;
+  private final Map<String, AttemptBudget> budgets = new HashMap<>();
+  private final Set<Exchange> open = new HashSet<>();
+  private int ticks;
+
+  /** Creates a relay; {@link #start} begins its clockwork. */
+  public Relay(
+      EventLoop loop,
+      LongSupplier clockNanos,
+      RandomGenerator random,
+      EventLog log,
+      RelayCounters counters,
+      HeaderNames headers,
+      HttpCalls calls,
+      UpstreamBoard board,
+      Freshness freshness,
+      RelayRules rules) {
+    this.loop = loop;
+    this.clockNanos = clockNanos;
+    this.random = random;
+    this.log = log;
+    this.counters = counters;
+    this.headers = headers;
+    this.calls = calls;
+    this.board = board;
+    this.freshness = freshness;
+    this.rules = rules;
+  }
+
+  /** Starts to look after waiting requests and silent heads. */
+  public void start() {
+    loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public CallerExchange begin(CallerRequest request, AnswerChannel answers) {
+    Exchange exchange = new Exchange(this, request, answers);
+    open.add(exchange);
+    exchange.start();
+    return exchange;
+  }
+
+  /** Returns the number of requests that are not answered yet. */
+  public int openCount() {
+    return open.size();
+  }
+
+  private void tick() {
+    ticks++;
+    for (Exchange exchange : open.toArray(new Exchange[0])) {
+      exchange.onTick();
+    }
+    TrafficConfig config = freshness.config();
+    if (ticks % TICKS_PER_STALL_CHECK == 0 && config != null) {
+      for (UpstreamService service : config.services()) {
+        board.findStalled(service);
+      }
+      calls.sweep();
+    }
+  }
+
+  void remove(Exchange exchange) {
+    open.remove(exchange);
+  }
+
+  AttemptBudget budgetOf(String service) {
+    return budgets.computeIfAbsent(
+        service,
+        name ->
+            new AttemptBudget(
+                rules.repeatRatio(), rules.repeatSlack(), rules.repeatWindowSeconds()));
+  }
+
+  long nowNanos() {
+    return clockNanos.getAsLong();
+  }
+
+  RandomGenerator random() {
+    return random;
+  }
+
+  EventLog log() {
+    return log;
+  }
+
+  RelayCounters counters() {
+    return counters;
+  }
+
+  HeaderNames headers() {
+    return headers;
+  }
+
+  HttpCalls calls() {
+    return calls;
+  }
+
+  UpstreamBoard board() {
+    return board;
+  }
+
+  Freshness freshness() {
+    return freshness;
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RelayCounters.java
@@ -0,0 +1,14 @@
+package org.shoreroad.edge.relay;
+
+/**
+ * Counts what happens to requests, by reason.
+ *
+ * @since 0.2
+ */
+public interface RelayCounters {
+  /** Counts one of the name with a reason. */
+  void count(String name, String reason);
+
+  /** Records how long something took, in nanoseconds. */
+  void record(String name, long nanos);
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
@@ -0,0 +1,277 @@
+package org.shoreroad.edge.relay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.sync.Fleet;
+import org.shoreroad.fleet.EngineSpec;
+import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.fleet.Membership;
+import org.shoreroad.fleet.ModelShape;
+import org.shoreroad.traffic.UpstreamService;
+
+/**
+ * Chooses the upstream for a request, and notices replicas that stand still.
+ *
+ * <p>A replica whose engine lost a member takes requests on, and none of them moves. So a head from
+ * which no request of this process got anything for longer than its passes can take is suspected:
+ * it gets nothing new, and what it has is taken elsewhere. Used on the event loop.
+ *
+ * @since 0.2
+ */
+public final class UpstreamBoard {
+  /** Passes with nothing for any request before a head is suspected; and the least such time. */
+  private static final int SILENT_PASSES = 4;
+
+  private static final long LEAST_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  /** How long a suspected head is left alone before one request may try it again. */
+  private static final long SUSPICION_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+  /** Requests beyond its places that a replica may be given, as a part of its places. */
+  private static final double QUEUE_PART = 0.35;
+
+  private static final double FAILURE_COST = 3;
+  private static final double OTHER_ZONE_COST = 0.03;
+  private static final double JITTER_COST = 0.04;
+
+  private final Fleet fleet;
+  private final LongSupplier clockNanos;
+  private final RandomGenerator random;
+  private final EventLog log;
+  private final String zone;
+  private final Map<String, UpstreamLoad> loads = new HashMap<>();
+  private final Map<String, List<FleetBox>> openHeads = new HashMap<>();
+  private final Map<String, List<FleetBox>> plainUpstreams = new HashMap<>();
+  private long seenChanges = -1;
+
+  /** Creates a board over the fleet. */
+  public UpstreamBoard(
+      Fleet fleet, LongSupplier clockNanos, RandomGenerator random, EventLog log, String zone) {
+    this.fleet = fleet;
+    this.clockNanos = clockNanos;
+    this.random = random;
+    this.log = log;
+    this.zone = zone;
+  }
+
+  /**
+   * Returns the upstream with the least to do that is fit for a request.
+   *
+   * @param service the service, not null
+   * @param model the model asked for, or null for a plain service
+   * @param tried the ids of upstreams that had the request already
+   * @return the upstream, or empty if none is there or none has a place
+   */
+  Optional<Target> choose(UpstreamService service, @Nullable String model, Set<String> tried) {
+    refresh();
+    EngineSpec engine = service.engine();
+    long nowNanos = clockNanos.getAsLong();
+    List<FleetBox> candidates = candidates(service, model);
+    FleetBox best = null;
+    double bestCost = Double.MAX_VALUE;
+    for (FleetBox box : candidates) {
+      UpstreamLoad load = loadOf(box.id());
+      if (tried.contains(box.id()) || isShunned(load, nowNanos) || isFull(load, box, engine)) {
+        continue;
+      }
+      double cost = cost(load, box, engine);
+      if (cost < bestCost) {
+        best = box;
+        bestCost = cost;
+      }
+    }
+    return best == null ? Optional.empty() : Optional.of(new Target(best, loadOf(best.id())));
+  }
+
+  /** Returns true if any upstream stands for the model or the service, free or not. */
+  boolean hasAny(UpstreamService service, @Nullable String model) {
+    refresh();
+    return !candidates(service, model).isEmpty();
+  }
+
+  private List<FleetBox> candidates(UpstreamService service, @Nullable String model) {
+    return service.engine() == null
+        ? plainUpstreams.getOrDefault(service.name(), List.of())
+        : openHeads.getOrDefault(service.name() + "/" + model, List.of());
+  }
+
+  private boolean isShunned(UpstreamLoad load, long nowNanos) {
+    if (load.isAvoided(nowNanos)) {
+      return true;
+    }
+    return load.isSuspected() && nowNanos - load.suspectedNanos() < SUSPICION_NANOS;
+  }
+
+  private static boolean isFull(UpstreamLoad load, FleetBox box, @Nullable EngineSpec engine) {
+    int places = engine == null ? box.slots() : engine.slots();
+    return places > 0 && load.openCount() >= places * (1 + QUEUE_PART);
+  }
+
+  private double cost(UpstreamLoad load, FleetBox box, @Nullable EngineSpec engine) {
+    int places = Math.max(1, engine == null ? box.slots() : engine.slots());
+    double cost = (double) load.openCount() / places;
+    if (engine != null) {
+      // Reading a prompt holds up all others: a chunk that waits counts as a part of the places.
+      cost += (double) load.waitingPromptTokens() / (engine.chunkTokens() * 8.0);
+    }
+    cost += FAILURE_COST * load.failureMean();
+    cost += box.zone().equals(zone) ? 0 : OTHER_ZONE_COST;
+    return cost + JITTER_COST * random.nextDouble();
+  }
+
+  /** Returns the load of an upstream life. */
+  UpstreamLoad loadOf(String boxId) {
+    return loads.computeIfAbsent(boxId, id -> new UpstreamLoad());
+  }
+
+  /** Returns the requests this process has open at each upstream that has any. */
+  public Map<String, Integer> ownOpenCounts() {
+    Map<String, Integer> counts = new HashMap<>();
+    loads.forEach(
+        (id, load) -> {
+          if (load.ownOpenCount() > 0) {
+            counts.put(id, load.ownOpenCount());
+          }
+        });
+    return counts;
+  }
+
+  /** Takes over how many requests all other processes have open at each upstream. */
+  public void setOpenElsewhere(Map<String, Integer> counts) {
+    loads.forEach((id, load) -> load.setOpenElsewhere(counts.getOrDefault(id, 0)));
+    counts.forEach((id, count) -> loadOf(id).setOpenElsewhere(count));
+  }
+
+  /** Returns the heads that this process suspects now. */
+  public Set<String> suspectedIds() {
+    Set<String> suspected = new HashSet<>();
+    loads.forEach(
+        (id, load) -> {
+          if (load.isSuspected()
+              && clockNanos.getAsLong() - load.suspectedNanos() < SUSPICION_NANOS) {
+            suspected.add(id);
+          }
+        });
+    return suspected;
+  }
+
+  /** Takes over a peer's suspicion, unless the head has moved for this process since. */
+  public void suspectByPeer(String boxId) {
+    UpstreamLoad load = loadOf(boxId);
+    long nowNanos = clockNanos.getAsLong();
+    boolean hasMoved =
+        load.ownOpenCount() > 0 && nowNanos - load.progressNanos() < LEAST_SILENCE_NANOS / 2;
+    if (!hasMoved && !load.isSuspected()) {
+      load.suspect(nowNanos);
+      log.write("replica_suspected", "head", boxId, "by", "peer");
+    }
+  }
+
+  /** Looks for heads that stand still and takes their requests elsewhere. */
+  public void findStalled(UpstreamService service) {
+    refresh();
+    EngineSpec engine = service.engine();
+    if (engine == null) {
+      return;
+    }
+    long nowNanos = clockNanos.getAsLong();
+    for (UpstreamLoad load : new ArrayList<>(loads.values())) {
+      for (Exchange exchange : new ArrayList<>(load.open())) {
+        long limitNanos = silenceLimitNanos(engine, exchange);
+        if (nowNanos - load.progressNanos() > limitNanos) {
+          stall(load, exchange, nowNanos);
+        }
+      }
+    }
+  }
+
+  private void stall(UpstreamLoad load, Exchange exchange, long nowNanos) {
+    if (!load.isSuspected()) {
+      load.suspect(nowNanos);
+      log.write(
+          "replica_suspected",
+          "head",
+          exchange.targetId(),
+          "by",
+          "silence",
+          "silentMs",
+          TimeUnit.NANOSECONDS.toMillis(nowNanos - load.progressNanos()),
+          "open",
+          load.ownOpenCount());
+    }
+    exchange.onStalled();
+  }
+
+  private static long silenceLimitNanos(EngineSpec engine, Exchange exchange) {
+    ModelShape model = engine.findModel(exchange.model()).orElse(null);
+    if (model == null) {
+      return Long.MAX_VALUE;
+    }
+    double readMs =
+        engine.stepsPerPass() * engine.chunkTokens() / engine.promptTokensPerSecond() * 1e3;
+    double passMs = engine.fullPassMs(model) + readMs * model.paceFactor();
+    return Math.max(LEAST_SILENCE_NANOS, (long) (SILENT_PASSES * passMs * 1e6));
+  }
+
+  /** Derives what stands from the fleet, if that has changed. */
+  private void refresh() {
+    if (fleet.changes() == seenChanges) {
+      return;
+    }
+    seenChanges = fleet.changes();
+    openHeads.clear();
+    plainUpstreams.clear();
+    Map<String, Integer> soundMembers = countSoundMembers();
+    for (FleetBox box : fleet.boxes()) {
+      if (box.isLeaving()) {
+        continue;
+      }
+      if (box.domain() == null) {
+        plainUpstreams.computeIfAbsent(box.service(), name -> new ArrayList<>()).add(box);
+      } else if (box.isOpenHead() && box.model() != null) {
+        openHeads
+            .computeIfAbsent(box.service() + "/" + box.model(), name -> new ArrayList<>())
+            .add(box);
+        noteFormation(box, soundMembers);
+      }
+    }
+    loads.keySet().removeIf(id -> fleet.find(id) == null && loads.get(id).open().isEmpty());
+  }
+
+  private Map<String, Integer> countSoundMembers() {
+    Map<String, Integer> counts = new HashMap<>();
+    for (FleetBox box : fleet.boxes()) {
+      Membership membership = box.membership();
+      if (membership != null && fleet.isListed(box.id())) {
+        counts.merge(membership.replica().toString(), 1, Integer::sum);
+      }
+    }
+    return counts;
+  }
+
+  private void noteFormation(FleetBox head, Map<String, Integer> soundMembers) {
+    Membership membership = head.membership();
+    UpstreamLoad load = loadOf(head.id());
+    // A new formation at the same head starts without the old one's suspicion.
+    if (membership != null && load.takeFormation(membership.replica().toString())) {
+      log.write(
+          "replica_open",
+          "replica",
+          membership.replica(),
+          "head",
+          head.id(),
+          "members",
+          soundMembers.getOrDefault(membership.replica().toString(), 0));
+    }
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
@@ -0,0 +1,118 @@
+package org.shoreroad.edge.relay;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * What this process knows of the load and the health of one upstream; used on the event loop.
+ *
+ * @since 0.2
+ */
+final class UpstreamLoad {
+  /** The weight of the newest outcome in the mean of failures: about the last eight count. */
+  private static final double FAILURE_WEIGHT = 0.12;
+
+  private final Set<Exchange> open = new LinkedHashSet<>();
+  private long waitingPromptTokens;
+  private int openElsewhere;
+  private double failureMean;
+  private long progressNanos;
+  private long suspectedNanos;
+  private boolean isSuspected;
+  private long avoidedUntilNanos = Long.MIN_VALUE;
+  private String formation = "";
+
+  /** Takes over the replica that this head belongs to; returns true if it is another one. */
+  boolean takeFormation(String replica) {
+    if (formation.equals(replica)) {
+      return false;
+    }
+    formation = replica;
+    isSuspected = false;
+    avoidedUntilNanos = Long.MIN_VALUE;
+    return true;
+  }
+
+  void add(Exchange exchange, long promptTokens, long nowNanos) {
+    if (open.isEmpty()) {
+      progressNanos = nowNanos;
+    }
+    open.add(exchange);
+    waitingPromptTokens += promptTokens;
+  }
+
+  void remove(Exchange exchange, long promptTokensNotRead) {
+    if (open.remove(exchange)) {
+      waitingPromptTokens -= promptTokensNotRead;
+    }
+  }
+
+  void promptRead(long promptTokens) {
+    waitingPromptTokens -= promptTokens;
+  }
+
+  /** Notes that the upstream moved: an event, or an answer. */
+  void recordProgress(long nowNanos) {
+    progressNanos = nowNanos;
+    isSuspected = false;
+  }
+
+  void recordOutcome(boolean hasFailed) {
+    failureMean += FAILURE_WEIGHT * ((hasFailed ? 1 : 0) - failureMean);
+  }
+
+  void avoidUntil(long untilNanos) {
+    avoidedUntilNanos = untilNanos;
+  }
+
+  boolean isAvoided(long nowNanos) {
+    return nowNanos < avoidedUntilNanos;
+  }
+
+  void suspect(long nowNanos) {
+    if (!isSuspected) {
+      suspectedNanos = nowNanos;
+    }
+    isSuspected = true;
+  }
+
+  void trust() {
+    isSuspected = false;
+  }
+
+  boolean isSuspected() {
+    return isSuspected;
+  }
+
+  long suspectedNanos() {
+    return suspectedNanos;
+  }
+
+  long progressNanos() {
+    return progressNanos;
+  }
+
+  Set<Exchange> open() {
+    return open;
+  }
+
+  int openCount() {
+    return open.size() + openElsewhere;
+  }
+
+  int ownOpenCount() {
+    return open.size();
+  }
+
+  void setOpenElsewhere(int count) {
+    openElsewhere = count;
+  }
+
+  long waitingPromptTokens() {
+    return waitingPromptTokens;
+  }
+
+  double failureMean() {
+    return failureMean;
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/replica/Engines.java
@@ -0,0 +1,60 @@
+package org.shoreroad.edge.replica;
+
+import org.shoreroad.fleet.BoxOrder;
+import org.shoreroad.fleet.FleetBox;
+
+/**
+ * The engines of boxes, as far as this system asks and orders them. Callbacks come on the event
+ * loop.
+ *
+ * @since 0.2
+ */
+public interface Engines {
+  /** Asks an engine where it stands. */
+  void ask(FleetBox box, AskCallback callback);
+
+  /**
+   * Gives an engine an order.
+   *
+   * @param fence the fencing number; an engine that has seen a higher one refuses
+   */
+  void order(FleetBox box, BoxOrder order, long fence, OrderCallback callback);
+
+  /** Hears what an engine says of itself. */
+  interface AskCallback {
+    /** Tells the box with its engine's newest word. */
+    void onWord(FleetBox newest);
+
+    /** Tells that it did not answer. */
+    void onSilence(Silence silence);
+  }
+
+  /** Hears how an order was taken. */
+  @FunctionalInterface
+  interface OrderCallback {
+    /** Tells the outcome. */
+    void onOutcome(OrderOutcome outcome);
+  }
+
+  /** Why an engine did not answer. */
+  enum Silence {
+    /** Nothing came in time. */
+    NO_ANSWER,
+    /** Nobody listens at the address, or another life does. */
+    GONE
+  }
+
+  /** How an order was taken. */
+  enum OrderOutcome {
+    /** Begun, or done already. */
+    TAKEN,
+    /** It does not fit the engine's state. */
+    NOT_FITTING,
+    /** A higher fencing number, or a later formation, was seen there. */
+    OUTDATED,
+    /** Another life answers at the address. */
+    ELSEWHERE,
+    /** No answer: it may be carried out, also much later. */
+    UNANSWERED
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReachBook.java
@@ -0,0 +1,83 @@
+package org.shoreroad.edge.replica;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.shoreroad.fleet.BoxSight.Reach;
+
+/**
+ * Which boxes answered when they were asked; used on the event loop.
+ *
+ * @since 0.2
+ */
+final class ReachBook {
+  /** Silent answers in a row after which a box counts as lost. */
+  private static final int SILENCES = 2;
+
+  /** How long a box must be silent in any case: one answer may be lost or late. */
+  private static final long LEAST_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(350);
+
+  private final Map<String, Entry> entries = new HashMap<>();
+
+  void recordAsked(String id, long nowNanos) {
+    Entry entry = entries.computeIfAbsent(id, key -> new Entry());
+    entry.askedNanos = nowNanos;
+    entry.isAsking = true;
+  }
+
+  void recordWord(String id) {
+    Entry entry = entries.computeIfAbsent(id, key -> new Entry());
+    entry.isAsking = false;
+    entry.silences = 0;
+    entry.isGone = false;
+  }
+
+  void recordSilence(String id, boolean isGone, long nowNanos) {
+    Entry entry = entries.computeIfAbsent(id, key -> new Entry());
+    entry.isAsking = false;
+    entry.isGone |= isGone;
+    if (entry.silences == 0) {
+      entry.silentSinceNanos = nowNanos;
+    }
+    entry.silences++;
+  }
+
+  Reach reach(String id, long nowNanos) {
+    Entry entry = entries.get(id);
+    if (entry == null) {
+      return Reach.LIKELY;
+    }
+    if (entry.isGone) {
+      return Reach.GONE;
+    }
+    boolean isSilent =
+        entry.silences >= SILENCES
+            || (entry.silences > 0 && nowNanos - entry.silentSinceNanos > LEAST_SILENCE_NANOS);
+    return isSilent ? Reach.LOST : Reach.LIKELY;
+  }
+
+  /** Returns true if the box was not asked for that long and no answer is awaited. */
+  boolean isDue(String id, long intervalNanos, long nowNanos) {
+    Entry entry = entries.get(id);
+    return entry == null || (!entry.isAsking && nowNanos - entry.askedNanos >= intervalNanos);
+  }
+
+  /** Returns true if the last answer was a silence. */
+  boolean isSilent(String id) {
+    Entry entry = entries.get(id);
+    return entry != null && entry.silences > 0;
+  }
+
+  void retain(Set<String> ids) {
+    entries.keySet().retainAll(ids);
+  }
+
+  private static final class Entry {
+    private long askedNanos = Long.MIN_VALUE / 2;
+    private long silentSinceNanos;
+    private int silences;
+    private boolean isAsking;
+    private boolean isGone;
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -0,0 +1,241 @@
+package org.shoreroad.edge.replica;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.sync.DomainLease;
+import org.shoreroad.edge.sync.Fleet;
+import org.shoreroad.fleet.BoxOrder;
+import org.shoreroad.fleet.BoxSight;
+import org.shoreroad.fleet.DomainKeeper;
+import org.shoreroad.fleet.EngineSpec;
+import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.fleet.KeeperTiming;
+import org.shoreroad.fleet.Membership;
+import org.shoreroad.fleet.ReplicaPlan;
+import org.shoreroad.traffic.TrafficConfig;
+import org.shoreroad.traffic.UpstreamService;
+
+/**
+ * Keeps the replicas of the domains whose lease this process holds.
+ *
+ * <p>Asks engines only where something is in doubt or under way, since each question has its price;
+ * else the list tells enough. Used on the event loop.
+ *
+ * @since 0.2
+ */
+public final class ReplicaService {
+  private static final int TICK_MS = 50;
+
+  /** Between two questions to a box of a replica that is being formed or closed, or in doubt. */
+  private static final long BUSY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(140);
+
+  /** While weights are loaded, which takes seconds. */
+  private static final long LOADING_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+
+  /** To a box that did not answer. */
+  private static final long SILENT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
+  /** A formation is asked after quickly for this long; then it must be loading. */
+  private static final long QUICK_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
+  private final EventLoop loop;
+  private final LongSupplier clockNanos;
+  private final EventLog log;
+  private final Fleet fleet;
+  private final DomainLease lease;
+  private final Engines engines;
+  private final Supplier<@Nullable TrafficConfig> config;
+  private final Supplier<Set<String>> suspectedHeads;
+  private final ReachBook reach = new ReachBook();
+  private final Map<String, DomainKeeper> keepers = new HashMap<>();
+  private final Map<String, Long> busySinceNanos = new HashMap<>();
+
+  /** Creates a service; {@link #start} begins its clockwork. */
+  public ReplicaService(
+      EventLoop loop,
+      LongSupplier clockNanos,
+      EventLog log,
+      Fleet fleet,
+      DomainLease lease,
+      Engines engines,
+      Supplier<@Nullable TrafficConfig> config,
+      Supplier<Set<String>> suspectedHeads) {
+    this.loop = loop;
+    this.clockNanos = clockNanos;
+    this.log = log;
+    this.fleet = fleet;
+    this.lease = lease;
+    this.engines = engines;
+    this.config = config;
+    this.suspectedHeads = suspectedHeads;
+  }
+
+  /** Starts to keep. */
+  public void start() {
+    loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void tick() {
+    TrafficConfig current = config.get();
+    if (current == null) {
+      return;
+    }
+    for (UpstreamService service : current.services()) {
+      EngineSpec engine = service.engine();
+      if (engine != null) {
+        keepService(service.name(), engine);
+      }
+    }
+    Set<String> known = new HashSet<>();
+    fleet.boxes().forEach(box -> known.add(box.id()));
+    reach.retain(known);
+  }
+
+  private void keepService(String service, EngineSpec engine) {
+    Map<String, List<FleetBox>> domains = new TreeMap<>();
+    for (FleetBox box : fleet.boxes()) {
+      if (box.service().equals(service) && box.domain() != null) {
+        domains.computeIfAbsent(box.domain(), name -> new ArrayList<>()).add(box);
+      }
+    }
+    Map<String, Integer> sizes = new HashMap<>();
+    domains.forEach((name, boxes) -> sizes.put(name, boxes.size()));
+    ReplicaPlan plan = ReplicaPlan.of(engine, sizes);
+    Set<String> suspected = suspectedHeads.get();
+    domains.forEach(
+        (domain, boxes) -> {
+          String key = service + "/" + domain;
+          if (lease.holds(key)) {
+            keepDomain(key, domain, engine, boxes, plan, suspected);
+          } else {
+            keepers.remove(key);
+            busySinceNanos.remove(key);
+          }
+        });
+  }
+
+  private void keepDomain(
+      String key,
+      String domain,
+      EngineSpec engine,
+      List<FleetBox> boxes,
+      ReplicaPlan plan,
+      Set<String> suspected) {
+    long nowNanos = clockNanos.getAsLong();
+    DomainKeeper keeper = keepers.get(key);
+    if (keeper == null) {
+      log.write("domain_taken", "domain", key, "boxes", boxes.size(), "fence", lease.fence());
+      keeper = new DomainKeeper(domain, KeeperTiming.DEFAULT, lease::nextEpoch, loads -> true);
+      keepers.put(key, keeper);
+    }
+    askInDoubt(boxes, suspected, nowNanos);
+    if (keeper.isBusy()) {
+      long sinceNanos = busySinceNanos.computeIfAbsent(key, name -> nowNanos);
+      boolean isQuick = nowNanos - sinceNanos < QUICK_NANOS;
+      askAll(boxes, isQuick ? BUSY_INTERVAL_NANOS : LOADING_INTERVAL_NANOS, nowNanos);
+    } else {
+      busySinceNanos.remove(key);
+    }
+    List<BoxSight> sights = new ArrayList<>();
+    for (FleetBox box : boxes) {
+      FleetBox newest = fleet.find(box.id());
+      if (newest != null) {
+        sights.add(new BoxSight(newest, fleet.isListed(box.id()), reach.reach(box.id(), nowNanos)));
+      }
+    }
+    keeper.decide(nowNanos, engine, sights, plan).forEach(this::give);
+  }
+
+  /** Asks boxes that are silent or unlisted, and all members of suspected replicas. */
+  private void askInDoubt(List<FleetBox> boxes, Set<String> suspected, long nowNanos) {
+    Set<String> doubtful = new HashSet<>();
+    for (FleetBox box : boxes) {
+      Membership membership = box.membership();
+      if (membership != null && suspected.contains(box.id())) {
+        doubtful.add(membership.replica().toString());
+      }
+    }
+    for (FleetBox box : boxes) {
+      Membership membership = box.membership();
+      boolean isDoubtful = membership != null && doubtful.contains(membership.replica().toString());
+      if (reach.isSilent(box.id()) || !fleet.isListed(box.id())) {
+        ask(box, SILENT_INTERVAL_NANOS, nowNanos);
+      } else if (isDoubtful) {
+        ask(box, BUSY_INTERVAL_NANOS, nowNanos);
+      }
+    }
+  }
+
+  private void askAll(List<FleetBox> boxes, long intervalNanos, long nowNanos) {
+    boxes.stream()
+        .filter(box -> box.membership() != null || box.model() == null)
+        .forEach(box -> ask(box, intervalNanos, nowNanos));
+  }
+
+  private void ask(FleetBox box, long intervalNanos, long nowNanos) {
+    if (!reach.isDue(box.id(), intervalNanos, nowNanos)) {
+      return;
+    }
+    reach.recordAsked(box.id(), nowNanos);
+    engines.ask(
+        box,
+        new Engines.AskCallback() {
+          @Override
+          public void onWord(FleetBox newest) {
+            reach.recordWord(box.id());
+            FleetBox listed = fleet.find(box.id());
+            if (listed != null) {
+              fleet.update(
+                  listed.withEngineState(
+                      newest.model(), newest.stagedModels(), newest.membership()));
+            }
+          }
+
+          @Override
+          public void onSilence(Engines.Silence silence) {
+            log.write("box_silent", "box", box.id(), "address", box.address(), "why", silence);
+            reach.recordSilence(box.id(), silence == Engines.Silence.GONE, clockNanos.getAsLong());
+          }
+        });
+  }
+
+  private void give(BoxOrder order) {
+    FleetBox box = fleet.find(order.boxId());
+    if (box == null) {
+      return;
+    }
+    long fence = lease.fence();
+    engines.order(
+        box,
+        order,
+        fence,
+        outcome ->
+            log.write(
+                "box_order",
+                "box",
+                order.boxId(),
+                "verb",
+                order.verb(),
+                "replica",
+                String.valueOf(order.replica()),
+                "model",
+                String.valueOf(order.model()),
+                "reason",
+                order.reason(),
+                "fence",
+                fence,
+                "outcome",
+                outcome));
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/sync/PartitionGrant.java
@@ -0,0 +1,17 @@
+package org.shoreroad.edge.sync;
+
+import java.util.Set;
+
+/**
+ * The partitions of work that this process holds by the store's word.
+ *
+ * @param generation a number that rises with every change among the members
+ * @param partitions the partitions held
+ * @since 0.2
+ */
+public record PartitionGrant(long generation, Set<Integer> partitions) {
+  /** Copies the set. */
+  public PartitionGrant {
+    partitions = Set.copyOf(partitions);
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
@@ -0,0 +1,203 @@
+package org.shoreroad.edge.sync;
+
+import io.netty.channel.EventLoop;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.shoreroad.edge.EventLog;
+
+/**
+ * Follows a keyed topic of the store: first the newest of each key, then every record.
+ *
+ * <p>A long wait in the store tells a change at once; when no change comes, its end still proves
+ * that nothing was missed. The proof counts from the sending of the read. Used on the event loop.
+ *
+ * @since 0.2
+ */
+public final class TopicFollower {
+  /** The pause after a fault; doubled up to the longest, so that a store in need is left alone. */
+  private static final int SHORTEST_PAUSE_MS = 100;
+
+  private static final int LONGEST_PAUSE_MS = 800;
+
+  private final Topic topic;
+  private final Store store;
+  private final EventLoop loop;
+  private final LongSupplier clockNanos;
+  private final EventLog log;
+  private final int waitMs;
+  private final int minIntervalMs;
+  private final Listener listener;
+  private final Set<String> listedKeys = new HashSet<>();
+  private long nextOffset = -1;
+  private long provenNanos;
+  private boolean isCurrent;
+  private boolean isReachable;
+  private long reachableSinceNanos;
+  private int pauseMs = SHORTEST_PAUSE_MS;
+
+  /**
+   * Creates a follower; {@link #start} begins.
+   *
+   * @param waitMs how long a read waits in the store, in milliseconds
+   * @param minIntervalMs the least time between the sending of two reads, in milliseconds
+   */
+  public TopicFollower(
+      Topic topic,
+      Store store,
+      EventLoop loop,
+      LongSupplier clockNanos,
+      EventLog log,
+      int waitMs,
+      int minIntervalMs,
+      Listener listener) {
+    this.topic = topic;
+    this.store = store;
+    this.loop = loop;
+    this.clockNanos = clockNanos;
+    this.log = log;
+    this.waitMs = waitMs;
+    this.minIntervalMs = minIntervalMs;
+    this.listener = listener;
+  }
+
+  /** Begins to follow. */
+  public void start() {
+    readNewest("", -1, clockNanos.getAsLong());
+  }
+
+  /** Returns true once the newest of every key was read. */
+  public boolean isCurrent() {
+    return isCurrent;
+  }
+
+  /** Returns the time on the steady clock up to which nothing was missed. */
+  public long provenNanos() {
+    return provenNanos;
+  }
+
+  /** Returns the offset of the next record. */
+  public long nextOffset() {
+    return nextOffset;
+  }
+
+  /** Returns how long the store has answered without a fault, or 0 if the last call failed. */
+  public long reachableForNanos() {
+    return isReachable ? clockNanos.getAsLong() - reachableSinceNanos : 0;
+  }
+
+  /** Takes over what a peer has proved, if this process has read as far. */
+  public void proveByPeer(long offset, long peerProvenNanos) {
+    if (isCurrent && offset <= nextOffset && peerProvenNanos > provenNanos) {
+      provenNanos = peerProvenNanos;
+    }
+  }
+
+  private void readNewest(String afterKey, long endOffset, long startedNanos) {
+    if (afterKey.isEmpty()) {
+      listedKeys.clear();
+    }
+    store.readNewest(
+        topic,
+        afterKey,
+        new StoreCallback<>() {
+          @Override
+          public void onValue(StorePage page) {
+            markReached();
+            String lastKey = afterKey;
+            for (StoreRecord record : page.records()) {
+              listedKeys.add(record.key());
+              listener.onRecord(record);
+              lastKey = record.key();
+            }
+            // The pages are no snapshot: what changed since the first one is read afterwards.
+            long end = endOffset < 0 ? page.endOffset() : endOffset;
+            if (page.hasMore() && !page.records().isEmpty()) {
+              readNewest(lastKey, end, startedNanos);
+            } else {
+              finishListing(end, startedNanos);
+            }
+          }
+
+          @Override
+          public void onFault(StoreFault fault) {
+            pauseAfter(fault, () -> readNewest("", -1, clockNanos.getAsLong()));
+          }
+        });
+  }
+
+  private void finishListing(long endOffset, long startedNanos) {
+    listener.onListed(Set.copyOf(listedKeys));
+    listedKeys.clear();
+    nextOffset = endOffset;
+    provenNanos = Math.max(provenNanos, startedNanos);
+    isCurrent = true;
+    readOn();
+  }
+
+  private void readOn() {
+    long sentNanos = clockNanos.getAsLong();
+    store.read(
+        topic,
+        nextOffset,
+        waitMs,
+        new StoreCallback<>() {
+          @Override
+          public void onValue(StorePage page) {
+            markReached();
+            takeRecords(page);
+            provenNanos = Math.max(provenNanos, sentNanos);
+            long spentMs = TimeUnit.NANOSECONDS.toMillis(clockNanos.getAsLong() - sentNanos);
+            long restMs = Math.max(0, minIntervalMs - spentMs);
+            loop.schedule(TopicFollower.this::readOn, restMs, TimeUnit.MILLISECONDS);
+          }
+
+          @Override
+          public void onFault(StoreFault fault) {
+            if (fault == StoreFault.TRIMMED) {
+              log.write("store_history_gone", "topic", topic, "offset", nextOffset);
+              readNewest("", -1, clockNanos.getAsLong());
+            } else {
+              pauseAfter(fault, TopicFollower.this::readOn);
+            }
+          }
+        });
+  }
+
+  private void takeRecords(StorePage page) {
+    for (StoreRecord record : page.records()) {
+      if (record.offset() >= nextOffset) {
+        listener.onRecord(record);
+        nextOffset = record.offset() + 1;
+      }
+    }
+  }
+
+  private void markReached() {
+    pauseMs = SHORTEST_PAUSE_MS;
+    if (!isReachable) {
+      isReachable = true;
+      reachableSinceNanos = clockNanos.getAsLong();
+      log.write("store_reached", "topic", topic);
+    }
+  }
+
+  private void pauseAfter(StoreFault fault, Runnable again) {
+    if (isReachable) {
+      isReachable = false;
+      log.write("store_lost", "topic", topic, "fault", fault);
+    }
+    loop.schedule(again, pauseMs, TimeUnit.MILLISECONDS);
+    pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+  }
+
+  /** Hears the records of a topic. */
+  public interface Listener {
+    /** Tells the newest record of a key. */
+    void onRecord(StoreRecord record);
+
+    /** Tells all keys of a full listing; others are gone. */
+    default void onListed(Set<String> keys) {}
+  }
+}
