--- a/core/src/main/java/org/shoreroad/fleet/BoxSight.java
+++ b/core/src/main/java/org/shoreroad/fleet/BoxSight.java
@@ -26,7 +26,7 @@
 
   /** Returns true if this life of the box is over, so that nothing runs on it any more. */
   public boolean isDead() {
-    return reach == Reach.GONE || (!isListed && reach == Reach.LOST);
+    return reach == Reach.GONE;
   }
 
   /** Returns true if the box can't be relied on to carry a request further. */
@@ -48,7 +48,7 @@
     LIKELY,
     /** It was asked lately and did not answer. */
     LOST,
-    /** Its address refuses connections, or another life answers there. */
+    /** Dead for certain: another life answers there, or it is off the list and answers nobody. */
     GONE
   }
 }
--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -32,6 +32,7 @@
   private final IntPredicate loadBudget;
   private final Map<ReplicaId, Formation> formations = new LinkedHashMap<>();
   private final Map<ReplicaId, Long> closingSinceNanos = new HashMap<>();
+  private final Map<ReplicaId, Long> headlessSinceNanos = new HashMap<>();
   private final Map<String, Long> orderedAtNanos = new HashMap<>();
   private List<BoxOrder> orders = new ArrayList<>();
   private Map<String, BoxSight> sightsById = Map.of();
@@ -68,10 +69,15 @@
    * @param spec the engines of the service, not null
    * @param sights the boxes of the domain, not null
    * @param plan what every domain is to hold, not null
+   * @param headsSeen the replicas whose heads were seen by this process at any time
    * @return the orders, each for a box that is fit to take one
    */
   public List<BoxOrder> decide(
-      long nowNanos, EngineSpec spec, Collection<BoxSight> sights, ReplicaPlan plan) {
+      long nowNanos,
+      EngineSpec spec,
+      Collection<BoxSight> sights,
+      ReplicaPlan plan,
+      Set<ReplicaId> headsSeen) {
     orders = new ArrayList<>();
     boundIds.clear();
     standing.clear();
@@ -80,11 +86,16 @@
     sights.forEach(sight -> sightsById.put(sight.box().id(), sight));
     Map<ReplicaId, ObservedReplica> observed = ObservedReplica.from(sights);
     closingSinceNanos.keySet().retainAll(observed.keySet());
+    headlessSinceNanos.keySet().retainAll(observed.keySet());
 
     formations.values().removeIf(formation -> !advance(formation, nowNanos));
     for (ObservedReplica replica : observed.values()) {
       if (!formations.containsKey(replica.replica())) {
-        keep(replica, spec, nowNanos);
+        if (replica.head() == null) {
+          keepHeadless(replica, headsSeen, nowNanos);
+        } else {
+          keep(replica, replica.head(), spec, nowNanos);
+        }
       }
     }
     formMissing(spec, plan, nowNanos);
@@ -142,15 +153,24 @@
     return false;
   }
 
+  /**
+   * Decides on members whose head is not among the boxes: one that was seen is dead or belongs
+   * elsewhere by now, and the members are free; one that never was may still be open somewhere.
+   */
+  private void keepHeadless(ObservedReplica replica, Set<ReplicaId> headsSeen, long nowNanos) {
+    if (headsSeen.contains(replica.replica())) {
+      return;
+    }
+    long sinceNanos = headlessSinceNanos.computeIfAbsent(replica.replica(), id -> nowNanos);
+    if (nowNanos - sinceNanos < timing.headlessNanos()) {
+      replica.members().forEach(member -> boundIds.add(member.box().id()));
+    }
+  }
+
   /** Decides on a replica that is not being formed by this keeper. */
-  private void keep(ObservedReplica replica, EngineSpec spec, long nowNanos) {
-    BoxSight head = replica.head();
+  private void keep(ObservedReplica replica, BoxSight head, EngineSpec spec, long nowNanos) {
     String modelName = replica.model();
     ModelShape model = modelName == null ? null : spec.findModel(modelName).orElse(null);
-    if (head == null) {
-      // Its head is dead or belongs elsewhere by now: the members are free.
-      return;
-    }
     Membership membership = head.box().membership();
     MemberState state = membership == null ? MemberState.BROKEN : membership.state();
     boolean isWhole = model != null && !replica.hasLostMember(model.boxes());
--- a/core/src/main/java/org/shoreroad/fleet/EngineSpec.java
+++ b/core/src/main/java/org/shoreroad/fleet/EngineSpec.java
@@ -42,12 +42,16 @@
   }
 
   /**
-   * Returns how long one pass takes when every place is taken.
+   * Returns how long one pass takes with what runs and waits.
    *
    * @param model the model that runs
-   * @return the time in milliseconds, without the reading of prompts
+   * @param running the requests that run
+   * @param waitingPromptTokens the tokens of prompts that wait to be read
+   * @return the time in milliseconds
    */
-  public double fullPassMs(ModelShape model) {
-    return stepsPerPass * (stepMs + slots * perSequenceMs) * model.paceFactor();
+  public double passMs(ModelShape model, int running, long waitingPromptTokens) {
+    double stepsMs = stepsPerPass * (stepMs + Math.min(slots, running) * perSequenceMs);
+    long readTokens = Math.min(waitingPromptTokens, (long) stepsPerPass * chunkTokens);
+    return (stepsMs + readTokens / promptTokensPerSecond * 1e3) * model.paceFactor();
   }
 }
--- a/core/src/main/java/org/shoreroad/fleet/KeeperTiming.java
+++ b/core/src/main/java/org/shoreroad/fleet/KeeperTiming.java
@@ -10,16 +10,21 @@
  * @param orderRepeatNanos how long the effect of an order is waited for before it is given again
  * @param joinSlackNanos how much longer than its model's load time a formation may take
  * @param drainLimitNanos how long running requests may keep a closing replica, then they are cut
+ * @param headlessNanos how long the members of a replica whose head was never seen stay bound
  * @since 0.2
  */
-public record KeeperTiming(long orderRepeatNanos, long joinSlackNanos, long drainLimitNanos) {
+public record KeeperTiming(
+    long orderRepeatNanos, long joinSlackNanos, long drainLimitNanos, long headlessNanos) {
   /**
    * Half a second covers an order, its effect and the word of it; four seconds cover a loss in
-   * between; eight seconds are below the ten for which a leaving member waits for its head.
+   * between; eight seconds are below the ten for which a leaving member waits for its head; a head
+   * that nobody can find is broken by its own engine after five seconds, and three more for the
+   * store's list to come.
    */
   public static final KeeperTiming DEFAULT =
       new KeeperTiming(
           TimeUnit.MILLISECONDS.toNanos(500),
           TimeUnit.SECONDS.toNanos(4),
+          TimeUnit.SECONDS.toNanos(8),
           TimeUnit.SECONDS.toNanos(8));
 }
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -7,9 +7,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -19,6 +17,7 @@
 import org.shoreroad.edge.caller.CallerRequest;
 import org.shoreroad.edge.caller.CallerServer;
 import org.shoreroad.edge.http.HttpCalls;
+import org.shoreroad.edge.peer.Doubts;
 import org.shoreroad.edge.peer.Heartbeat;
 import org.shoreroad.edge.peer.PeerMesh;
 import org.shoreroad.edge.relay.Relay;
@@ -31,6 +30,7 @@
 import org.shoreroad.edge.sync.StoreRecord;
 import org.shoreroad.edge.sync.Topic;
 import org.shoreroad.edge.sync.TopicFollower;
+import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.traffic.CallerLimits;
 
 /**
@@ -43,13 +43,13 @@
  */
 public final class EdgeProcess {
   /** A read of the configuration waits this long: its end renews the proof of freshness. */
-  private static final int CONFIG_WAIT_MS = 1_200;
+  private static final int CONFIG_WAIT_MS = 2_000;
 
   /** A read of the list waits this long for a change. */
   private static final int LIST_WAIT_MS = 1_500;
 
   /** The least time between two reads of the list: changes come in bunches. */
-  private static final int LIST_INTERVAL_MS = 250;
+  private static final int LIST_INTERVAL_MS = 900;
 
   private static final int PROCESS_WAIT_MS = 10_000;
   private static final int PROCESS_INTERVAL_MS = 500;
@@ -73,8 +73,11 @@
   private final DomainLease lease;
   private final UpstreamBoard board;
   private final Relay relay;
+  private final Doubts doubts;
   private final PeerMesh mesh;
+  private final ReplicaService replicas;
   private final CallerServer callers;
+  private List<FleetBox> news = List.of();
   private boolean isStopping;
 
   /**
@@ -120,7 +123,20 @@
             board,
             knowledge,
             settings.rules());
-    this.mesh = new PeerMesh(loop, clockNanos, log, life, this::makeHeartbeat, this::learn);
+    this.doubts = new Doubts(clockNanos);
+    this.mesh = new PeerMesh(loop, clockNanos, log, life, new Teller(), this::learn);
+    this.replicas =
+        new ReplicaService(
+            loop,
+            clockNanos,
+            log,
+            fleet,
+            lease,
+            ports.engines(),
+            knowledge::config,
+            board::suspectedIds,
+            doubts,
+            mesh::aliveNames);
     this.callers =
         new CallerServer(
             loop,
@@ -167,16 +183,7 @@
     announce();
     lease.start();
     relay.start();
-    new ReplicaService(
-            loop,
-            clockNanos,
-            log,
-            fleet,
-            lease,
-            ports.engines(),
-            knowledge::config,
-            board::suspectedIds)
-        .start();
+    replicas.start();
     loop.scheduleWithFixedDelay(this::upkeep, UPKEEP_MS, UPKEEP_MS, TimeUnit.MILLISECONDS);
     metrics.gauge("shoreroad.requests.open", relay::openCount);
     metrics.gauge("shoreroad.callers.connections", callers::connectionCount);
@@ -235,11 +242,7 @@
   private void upkeep() {
     fleet.dropRemoved(listFollower.reachableForNanos());
     knowledge.setProcessCount(mesh.sharingCount());
-    Map<String, Integer> elsewhere = new HashMap<>();
-    for (Heartbeat heartbeat : mesh.newest()) {
-      heartbeat.openByUpstream().forEach((id, n) -> elsewhere.merge(id, n, Integer::sum));
-    }
-    board.setOpenElsewhere(elsewhere);
+    board.setElsewhere(mesh.newest());
   }
 
   private Heartbeat makeHeartbeat(String sender, long sentNanos, long echoNanos) {
@@ -247,15 +250,19 @@
         sender,
         sentNanos,
         echoNanos,
-        knowledge.configVersion(),
         knowledge.configOffset(),
         knowledge.configAgeNanos(),
-        board.ownOpenCounts(),
-        List.copyOf(board.suspectedIds()));
+        board.ownLoads(),
+        board.suspectedIds(),
+        doubts.questions(),
+        replicas.silentForPeers(),
+        news);
   }
 
   private void learn(Heartbeat heartbeat) {
     knowledge.learn(heartbeat);
+    doubts.learn(heartbeat);
+    heartbeat.words().forEach(fleet::update);
     heartbeat.suspectedUpstreams().forEach(board::suspectByPeer);
   }
 
@@ -315,6 +322,19 @@
     return Answered.INSTANCE;
   }
 
+  /** Makes the heartbeats of one round; all peers get the same news. */
+  private final class Teller implements PeerMesh.HeartbeatSource {
+    @Override
+    public Heartbeat make(String sender, long sentNanos, long echoNanos) {
+      return makeHeartbeat(sender, sentNanos, echoNanos);
+    }
+
+    @Override
+    public void onSent() {
+      news = replicas.takeNews();
+    }
+  }
+
   /** An exchange that was answered at once. */
   private enum Answered implements CallerExchange {
     INSTANCE;
--- a/edge/src/main/java/org/shoreroad/edge/peer/Heartbeat.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Heartbeat.java
@@ -1,93 +1,55 @@
 package org.shoreroad.edge.peer;
 
-import java.io.IOException;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
-import org.msgpack.core.MessageUnpacker;
+import java.util.Set;
+import org.shoreroad.fleet.FleetBox;
 
 /**
  * What a process tells each other one, again and again.
  *
+ * <p>This class is immutable and thread-safe.
+ *
  * @param sender the name of the sender's life
  * @param sentNanos the sender's steady clock at the sending
  * @param echoNanos the receiver's own clock in the last heartbeat that the sender got from it, or 0
- * @param configVersion the version of the configuration that the sender has
  * @param configOffset how far the sender has read the topic of the configuration
  * @param configAgeNanos how long ago the sender had proof that it missed no change
- * @param openByUpstream the requests that the sender has open at each upstream
- * @param suspectedUpstreams the heads that the sender suspects
+ * @param loads what the sender has open at upstreams
+ * @param suspectedUpstreams the heads that the sender suspects of standing still
+ * @param askedUpstreams boxes that do not answer the sender: do they answer the receiver? By id,
+ *     with their addresses
+ * @param silentUpstreams the boxes asked about that do not answer this sender either
+ * @param words what engines have newly told the sender of themselves
  * @since 0.2
  */
 public record Heartbeat(
     String sender,
     long sentNanos,
     long echoNanos,
-    long configVersion,
     long configOffset,
     long configAgeNanos,
-    Map<String, Integer> openByUpstream,
-    List<String> suspectedUpstreams) {
+    List<Load> loads,
+    Set<String> suspectedUpstreams,
+    Map<String, String> askedUpstreams,
+    Set<String> silentUpstreams,
+    List<FleetBox> words) {
   /** Copies the collections. */
   public Heartbeat {
-    openByUpstream = Map.copyOf(openByUpstream);
-    suspectedUpstreams = List.copyOf(suspectedUpstreams);
-  }
-
-  /** Returns the bytes of this message. */
-  public byte[] toBytes() {
-    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-      out.packString(sender).packLong(sentNanos).packLong(echoNanos);
-      out.packLong(configVersion).packLong(configOffset).packLong(configAgeNanos);
-      out.packMapHeader(openByUpstream.size());
-      for (Map.Entry<String, Integer> entry : openByUpstream.entrySet()) {
-        out.packString(entry.getKey()).packInt(entry.getValue());
-      }
-      out.packArrayHeader(suspectedUpstreams.size());
-      for (String id : suspectedUpstreams) {
-        out.packString(id);
-      }
-      return out.toByteArray();
-    } catch (IOException e) {
-      throw new IllegalStateException("a buffer can't fail to be written", e);
-    }
+    loads = List.copyOf(loads);
+    suspectedUpstreams = Set.copyOf(suspectedUpstreams);
+    askedUpstreams = Map.copyOf(askedUpstreams);
+    silentUpstreams = Set.copyOf(silentUpstreams);
+    words = List.copyOf(words);
   }
 
   /**
-   * Reads a message.
+   * What a process has open at one upstream.
    *
-   * @throws IOException if the bytes are no heartbeat
+   * @param upstream the id of the upstream's life
+   * @param open the requests that are open
+   * @param waitingPromptTokens the tokens of prompts from which nothing has come yet
+   * @param progressAgeMs how long ago anything came from it, in milliseconds
    */
-  public static Heartbeat parse(byte[] bytes) throws IOException {
-    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
-      String sender = in.unpackString();
-      long sentNanos = in.unpackLong();
-      long echoNanos = in.unpackLong();
-      long configVersion = in.unpackLong();
-      long configOffset = in.unpackLong();
-      long configAgeNanos = in.unpackLong();
-      Map<String, Integer> open = new HashMap<>();
-      int entries = in.unpackMapHeader();
-      for (int i = 0; i < entries; i++) {
-        open.put(in.unpackString(), in.unpackInt());
-      }
-      List<String> suspected = new ArrayList<>();
-      int suspects = in.unpackArrayHeader();
-      for (int i = 0; i < suspects; i++) {
-        suspected.add(in.unpackString());
-      }
-      return new Heartbeat(
-          sender,
-          sentNanos,
-          echoNanos,
-          configVersion,
-          configOffset,
-          configAgeNanos,
-          open,
-          suspected);
-    }
-  }
+  public record Load(String upstream, int open, long waitingPromptTokens, int progressAgeMs) {}
 }
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatCodec.java
@@ -0,0 +1,157 @@
+package org.shoreroad.edge.peer;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.fleet.MemberState;
+import org.shoreroad.fleet.Membership;
+import org.shoreroad.fleet.ReplicaId;
+
+/** The MessagePack form of heartbeats: the fields in order. All methods are thread-safe. */
+final class HeartbeatCodec {
+  private HeartbeatCodec() {}
+
+  static byte[] toBytes(Heartbeat heartbeat) {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      out.packString(heartbeat.sender());
+      out.packLong(heartbeat.sentNanos()).packLong(heartbeat.echoNanos());
+      out.packLong(heartbeat.configOffset()).packLong(heartbeat.configAgeNanos());
+      out.packArrayHeader(heartbeat.loads().size());
+      for (Heartbeat.Load load : heartbeat.loads()) {
+        out.packString(load.upstream()).packInt(load.open());
+        out.packLong(load.waitingPromptTokens()).packInt(load.progressAgeMs());
+      }
+      packTexts(out, heartbeat.suspectedUpstreams());
+      out.packMapHeader(heartbeat.askedUpstreams().size());
+      for (Map.Entry<String, String> asked : heartbeat.askedUpstreams().entrySet()) {
+        out.packString(asked.getKey()).packString(asked.getValue());
+      }
+      packTexts(out, heartbeat.silentUpstreams());
+      out.packArrayHeader(heartbeat.words().size());
+      for (FleetBox word : heartbeat.words()) {
+        packBox(out, word);
+      }
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("a buffer can't fail to be written", e);
+    }
+  }
+
+  /**
+   * Reads a heartbeat.
+   *
+   * @throws IOException or an unchecked exception of the library if the bytes are none
+   */
+  static Heartbeat parse(byte[] bytes) throws IOException {
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+      return new Heartbeat(
+          in.unpackString(),
+          in.unpackLong(),
+          in.unpackLong(),
+          in.unpackLong(),
+          in.unpackLong(),
+          unpackLoads(in),
+          new HashSet<>(unpackTexts(in)),
+          unpackAsked(in),
+          new HashSet<>(unpackTexts(in)),
+          unpackBoxes(in));
+    }
+  }
+
+  private static List<Heartbeat.Load> unpackLoads(MessageUnpacker in) throws IOException {
+    int count = in.unpackArrayHeader();
+    List<Heartbeat.Load> loads = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      loads.add(
+          new Heartbeat.Load(in.unpackString(), in.unpackInt(), in.unpackLong(), in.unpackInt()));
+    }
+    return loads;
+  }
+
+  private static Map<String, String> unpackAsked(MessageUnpacker in) throws IOException {
+    int count = in.unpackMapHeader();
+    Map<String, String> asked = new HashMap<>();
+    for (int i = 0; i < count; i++) {
+      asked.put(in.unpackString(), in.unpackString());
+    }
+    return asked;
+  }
+
+  private static void packBox(MessageBufferPacker out, FleetBox box) throws IOException {
+    out.packString(box.id()).packString(box.service()).packString(box.address());
+    out.packString(box.zone()).packInt(box.slots()).packBoolean(box.isLeaving());
+    packOptional(out, box.domain());
+    packOptional(out, box.model());
+    packTexts(out, box.stagedModels());
+    Membership membership = box.membership();
+    out.packBoolean(membership != null);
+    if (membership != null) {
+      out.packString(membership.replica().name()).packLong(membership.replica().epoch());
+      out.packInt(membership.rank()).packString(membership.state().name());
+    }
+  }
+
+  private static List<FleetBox> unpackBoxes(MessageUnpacker in) throws IOException {
+    int count = in.unpackArrayHeader();
+    List<FleetBox> boxes = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      boxes.add(
+          new FleetBox(
+              in.unpackString(),
+              in.unpackString(),
+              in.unpackString(),
+              in.unpackString(),
+              in.unpackInt(),
+              in.unpackBoolean(),
+              unpackOptional(in),
+              unpackOptional(in),
+              unpackTexts(in),
+              unpackMembership(in)));
+    }
+    return boxes;
+  }
+
+  private static @Nullable Membership unpackMembership(MessageUnpacker in) throws IOException {
+    if (!in.unpackBoolean()) {
+      return null;
+    }
+    ReplicaId replica = new ReplicaId(in.unpackString(), in.unpackLong());
+    return new Membership(replica, in.unpackInt(), MemberState.valueOf(in.unpackString()));
+  }
+
+  private static void packTexts(MessageBufferPacker out, Collection<String> texts)
+      throws IOException {
+    out.packArrayHeader(texts.size());
+    for (String text : texts) {
+      out.packString(text);
+    }
+  }
+
+  private static List<String> unpackTexts(MessageUnpacker in) throws IOException {
+    int count = in.unpackArrayHeader();
+    List<String> texts = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      texts.add(in.unpackString());
+    }
+    return texts;
+  }
+
+  private static void packOptional(MessageBufferPacker out, @Nullable String text)
+      throws IOException {
+    out.packString(text == null ? "" : text);
+  }
+
+  private static @Nullable String unpackOptional(MessageUnpacker in) throws IOException {
+    String text = in.unpackString();
+    return text.isEmpty() ? null : text;
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -19,10 +19,11 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
+import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -82,10 +83,12 @@
   }
 
   /** Makes heartbeats; the mesh fills in clock and echo. */
-  @FunctionalInterface
   public interface HeartbeatSource {
     /** Returns what to tell now. */
     Heartbeat make(String sender, long sentNanos, long echoNanos);
+
+    /** Tells that all peers were told. */
+    void onSent();
   }
 
   /**
@@ -125,6 +128,18 @@
     return 1 + (int) peers.values().stream().filter(peer -> peer.isAlive(nowNanos)).count();
   }
 
+  /** Returns the names of the other processes that are alive. */
+  public Set<String> aliveNames() {
+    long nowNanos = clockNanos.getAsLong();
+    Set<String> names = new HashSet<>();
+    for (Peer peer : peers.values()) {
+      if (peer.isAlive(nowNanos)) {
+        names.add(peer.name);
+      }
+    }
+    return names;
+  }
+
   /** Returns the number of processes that common budgets are divided by. */
   public int sharingCount() {
     long nowNanos = clockNanos.getAsLong();
@@ -135,13 +150,13 @@
     return 1 + (int) sharing;
   }
 
-  /** Returns the newest heartbeats of the peers that are alive. */
-  public List<Heartbeat> newest() {
+  /** Returns the newest heartbeats of the peers that are alive, with when each was heard. */
+  public Map<Heartbeat, Long> newest() {
     long nowNanos = clockNanos.getAsLong();
-    List<Heartbeat> newest = new ArrayList<>();
+    Map<Heartbeat, Long> newest = new IdentityHashMap<>();
     for (Peer peer : peers.values()) {
       if (peer.last != null && peer.isAlive(nowNanos)) {
-        newest.add(peer.last);
+        newest.put(peer.last, peer.heardNanos);
       }
     }
     return newest;
@@ -158,6 +173,7 @@
   private void sendAll() {
     long nowNanos = clockNanos.getAsLong();
     peers.values().forEach(peer -> peer.send(nowNanos));
+    source.onSent();
     scheduleNext();
   }
 
@@ -195,7 +211,7 @@
       if (open != null && open.isActive()) {
         if (open.isWritable()) {
           long echo = last == null ? 0 : last.sentNanos();
-          byte[] bytes = source.make(self, nowNanos, echo).toBytes();
+          byte[] bytes = HeartbeatCodec.toBytes(source.make(self, nowNanos, echo));
           open.writeAndFlush(Unpooled.wrappedBuffer(bytes));
         }
       } else if (!isConnecting && nowNanos - failedNanos > RECONNECT_NANOS) {
@@ -251,8 +267,8 @@
       byte[] bytes = new byte[frame.readableBytes()];
       frame.readBytes(bytes);
       try {
-        receive(Heartbeat.parse(bytes));
-      } catch (IOException | MessagePackException e) {
+        receive(HeartbeatCodec.parse(bytes));
+      } catch (IOException | MessagePackException | IllegalArgumentException e) {
         log.write(
             "peer_message_unreadable",
             "from",
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
@@ -12,6 +12,7 @@
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.peer.Heartbeat;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.fleet.EngineSpec;
 import org.shoreroad.fleet.FleetBox;
@@ -29,10 +30,14 @@
  * @since 0.2
  */
 public final class UpstreamBoard {
-  /** Passes with nothing for any request before a head is suspected; and the least such time. */
-  private static final int SILENT_PASSES = 4;
+  /** Passes with nothing for any request of any process before a head is suspected. */
+  private static final double SILENT_PASSES = 2;
 
-  private static final long LEAST_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+  /**
+   * The least such time: a heartbeat's interval, within which another process may have heard of it,
+   * and half as much again.
+   */
+  private static final long LEAST_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
   /** How long a suspected head is left alone before one request may try it again. */
   private static final long SUSPICION_NANOS = TimeUnit.SECONDS.toNanos(4);
@@ -134,22 +139,36 @@
     return loads.computeIfAbsent(boxId, id -> new UpstreamLoad());
   }
 
-  /** Returns the requests this process has open at each upstream that has any. */
-  public Map<String, Integer> ownOpenCounts() {
-    Map<String, Integer> counts = new HashMap<>();
+  /** Returns what this process has open at each upstream that has any. */
+  public List<Heartbeat.Load> ownLoads() {
+    long nowNanos = clockNanos.getAsLong();
+    List<Heartbeat.Load> own = new ArrayList<>();
     loads.forEach(
         (id, load) -> {
           if (load.ownOpenCount() > 0) {
-            counts.put(id, load.ownOpenCount());
+            long ageMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - load.progressNanos());
+            own.add(
+                new Heartbeat.Load(
+                    id,
+                    load.ownOpenCount(),
+                    load.ownWaitingPromptTokens(),
+                    (int) Math.min(Integer.MAX_VALUE, ageMs)));
           }
         });
-    return counts;
+    return own;
   }
 
-  /** Takes over how many requests all other processes have open at each upstream. */
-  public void setOpenElsewhere(Map<String, Integer> counts) {
-    loads.forEach((id, load) -> load.setOpenElsewhere(counts.getOrDefault(id, 0)));
-    counts.forEach((id, count) -> loadOf(id).setOpenElsewhere(count));
+  /** Takes over what all other processes have open, with when each told it. */
+  public void setElsewhere(Map<Heartbeat, Long> newest) {
+    loads.values().forEach(UpstreamLoad::clearElsewhere);
+    newest.forEach(
+        (heartbeat, heardNanos) -> {
+          for (Heartbeat.Load load : heartbeat.loads()) {
+            long progressNanos = heardNanos - TimeUnit.MILLISECONDS.toNanos(load.progressAgeMs());
+            loadOf(load.upstream())
+                .addElsewhere(load.open(), load.waitingPromptTokens(), progressNanos);
+          }
+        });
   }
 
   /** Returns the heads that this process suspects now. */
@@ -170,7 +189,7 @@
     UpstreamLoad load = loadOf(boxId);
     long nowNanos = clockNanos.getAsLong();
     boolean hasMoved =
-        load.ownOpenCount() > 0 && nowNanos - load.progressNanos() < LEAST_SILENCE_NANOS / 2;
+        load.ownOpenCount() > 0 && nowNanos - load.progressNanos() < LEAST_SILENCE_NANOS;
     if (!hasMoved && !load.isSuspected()) {
       load.suspect(nowNanos);
       log.write("replica_suspected", "head", boxId, "by", "peer");
@@ -187,8 +206,9 @@
     long nowNanos = clockNanos.getAsLong();
     for (UpstreamLoad load : new ArrayList<>(loads.values())) {
       for (Exchange exchange : new ArrayList<>(load.open())) {
-        long limitNanos = silenceLimitNanos(engine, exchange);
-        if (nowNanos - load.progressNanos() > limitNanos) {
+        long silentNanos = nowNanos - load.silentSinceNanos();
+        if (silentNanos > LEAST_SILENCE_NANOS
+            && silentNanos > silenceLimitNanos(engine, exchange, load)) {
           stall(load, exchange, nowNanos);
         }
       }
@@ -205,22 +225,23 @@
           "by",
           "silence",
           "silentMs",
-          TimeUnit.NANOSECONDS.toMillis(nowNanos - load.progressNanos()),
+          TimeUnit.NANOSECONDS.toMillis(nowNanos - load.silentSinceNanos()),
           "open",
-          load.ownOpenCount());
+          load.openCount(),
+          "waitingTokens",
+          load.waitingPromptTokens());
     }
     exchange.onStalled();
   }
 
-  private static long silenceLimitNanos(EngineSpec engine, Exchange exchange) {
+  /** Returns how long a head may be silent: some passes with what runs and waits there. */
+  private static long silenceLimitNanos(EngineSpec engine, Exchange exchange, UpstreamLoad load) {
     ModelShape model = engine.findModel(exchange.model()).orElse(null);
     if (model == null) {
       return Long.MAX_VALUE;
     }
-    double readMs =
-        engine.stepsPerPass() * engine.chunkTokens() / engine.promptTokensPerSecond() * 1e3;
-    double passMs = engine.fullPassMs(model) + readMs * model.paceFactor();
-    return Math.max(LEAST_SILENCE_NANOS, (long) (SILENT_PASSES * passMs * 1e6));
+    double passMs = engine.passMs(model, load.openCount(), load.waitingPromptTokens());
+    return LEAST_SILENCE_NANOS / 2 + (long) (SILENT_PASSES * passMs * 1e6);
   }
 
   /** Derives what stands from the fleet, if that has changed. */
@@ -233,7 +254,7 @@
     plainUpstreams.clear();
     Map<String, Integer> soundMembers = countSoundMembers();
     for (FleetBox box : fleet.boxes()) {
-      if (box.isLeaving()) {
+      if (box.isLeaving() || !fleet.isOnList(box.id())) {
         continue;
       }
       if (box.domain() == null) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
@@ -15,8 +15,11 @@
   private final Set<Exchange> open = new LinkedHashSet<>();
   private long waitingPromptTokens;
   private int openElsewhere;
+  private long waitingTokensElsewhere;
+  private long progressElsewhereNanos = Long.MIN_VALUE / 2;
   private double failureMean;
-  private long progressNanos;
+  private long progressNanos = Long.MIN_VALUE / 2;
+  private long openSinceNanos;
   private long suspectedNanos;
   private boolean isSuspected;
   private long avoidedUntilNanos = Long.MIN_VALUE;
@@ -35,7 +38,7 @@
 
   void add(Exchange exchange, long promptTokens, long nowNanos) {
     if (open.isEmpty()) {
-      progressNanos = nowNanos;
+      openSinceNanos = nowNanos;
     }
     open.add(exchange);
     waitingPromptTokens += promptTokens;
@@ -104,14 +107,33 @@
     return open.size();
   }
 
-  void setOpenElsewhere(int count) {
-    openElsewhere = count;
+  /** Forgets what the other processes told, before their newest words are added. */
+  void clearElsewhere() {
+    openElsewhere = 0;
+    waitingTokensElsewhere = 0;
   }
 
+  /** Adds what another process told. */
+  void addElsewhere(int openCount, long waitingTokens, long lastProgressNanos) {
+    openElsewhere += openCount;
+    waitingTokensElsewhere += waitingTokens;
+    progressElsewhereNanos = Math.max(progressElsewhereNanos, lastProgressNanos);
+  }
+
+  /** Returns the tokens of prompts, over all processes, from which nothing has come yet. */
   long waitingPromptTokens() {
+    return waitingPromptTokens + waitingTokensElsewhere;
+  }
+
+  long ownWaitingPromptTokens() {
     return waitingPromptTokens;
   }
 
+  /** Returns since when the upstream, with something of this process open, gave nobody anything. */
+  long silentSinceNanos() {
+    return Math.max(openSinceNanos, Math.max(progressNanos, progressElsewhereNanos));
+  }
+
   double failureMean() {
     return failureMean;
   }
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -13,15 +13,18 @@
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.peer.Doubts;
 import org.shoreroad.edge.sync.DomainLease;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.fleet.BoxOrder;
 import org.shoreroad.fleet.BoxSight;
+import org.shoreroad.fleet.BoxSight.Reach;
 import org.shoreroad.fleet.DomainKeeper;
 import org.shoreroad.fleet.EngineSpec;
 import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.fleet.KeeperTiming;
 import org.shoreroad.fleet.Membership;
+import org.shoreroad.fleet.ReplicaId;
 import org.shoreroad.fleet.ReplicaPlan;
 import org.shoreroad.traffic.TrafficConfig;
 import org.shoreroad.traffic.UpstreamService;
@@ -57,6 +60,10 @@
   private final Engines engines;
   private final Supplier<@Nullable TrafficConfig> config;
   private final Supplier<Set<String>> suspectedHeads;
+  private final Doubts doubts;
+  private final Supplier<Set<String>> alivePeers;
+  private final Set<ReplicaId> headsSeen = new HashSet<>();
+  private final Map<String, FleetBox> news = new HashMap<>();
   private final ReachBook reach = new ReachBook();
   private final Map<String, DomainKeeper> keepers = new HashMap<>();
   private final Map<String, Long> busySinceNanos = new HashMap<>();
@@ -70,7 +77,9 @@
       DomainLease lease,
       Engines engines,
       Supplier<@Nullable TrafficConfig> config,
-      Supplier<Set<String>> suspectedHeads) {
+      Supplier<Set<String>> suspectedHeads,
+      Doubts doubts,
+      Supplier<Set<String>> alivePeers) {
     this.loop = loop;
     this.clockNanos = clockNanos;
     this.log = log;
@@ -79,6 +88,8 @@
     this.engines = engines;
     this.config = config;
     this.suspectedHeads = suspectedHeads;
+    this.doubts = doubts;
+    this.alivePeers = alivePeers;
   }
 
   /** Starts to keep. */
@@ -97,9 +108,61 @@
         keepService(service.name(), engine);
       }
     }
-    Set<String> known = new HashSet<>();
-    fleet.boxes().forEach(box -> known.add(box.id()));
+    answerPeers();
+    forgetOthers();
+  }
+
+  /**
+   * Returns what engines have newly said to this process; the next call returns only later news.
+   */
+  public List<FleetBox> takeNews() {
+    List<FleetBox> taken = List.copyOf(news.values());
+    news.clear();
+    return taken;
+  }
+
+  /** Returns the boxes that peers asked about and that do not answer this process either. */
+  public Set<String> silentForPeers() {
+    long nowNanos = clockNanos.getAsLong();
+    Set<String> silent = new HashSet<>();
+    for (String id : doubts.askedByPeers().keySet()) {
+      if (reach.reach(id, nowNanos) != Reach.LIKELY) {
+        silent.add(id);
+      }
+    }
+    return silent;
+  }
+
+  private void answerPeers() {
+    long nowNanos = clockNanos.getAsLong();
+    doubts
+        .askedByPeers()
+        .forEach(
+            (id, address) -> {
+              FleetBox known = fleet.find(id);
+              ask(known == null ? strangerAt(id, address) : known, SILENT_INTERVAL_NANOS, nowNanos);
+            });
+  }
+
+  private static FleetBox strangerAt(String id, String address) {
+    return new FleetBox(id, "", address, "", 0, false, null, null, List.of(), null);
+  }
+
+  private void forgetOthers() {
+    Set<String> known = new HashSet<>(doubts.askedByPeers().keySet());
+    Set<ReplicaId> replicas = new HashSet<>();
+    for (FleetBox box : fleet.boxes()) {
+      known.add(box.id());
+      Membership membership = box.membership();
+      if (membership != null) {
+        replicas.add(membership.replica());
+        if (membership.isHead()) {
+          headsSeen.add(membership.replica());
+        }
+      }
+    }
     reach.retain(known);
+    headsSeen.retainAll(replicas);
   }
 
   private void keepService(String service, EngineSpec engine) {
@@ -151,10 +214,27 @@
     for (FleetBox box : boxes) {
       FleetBox newest = fleet.find(box.id());
       if (newest != null) {
-        sights.add(new BoxSight(newest, fleet.isListed(box.id()), reach.reach(box.id(), nowNanos)));
+        sights.add(see(newest, nowNanos));
+      }
+    }
+    keeper.decide(nowNanos, engine, sights, plan, headsSeen).forEach(this::give);
+    for (BoxSight sight : sights) {
+      if (sight.isDead() && !sight.isListed()) {
+        fleet.forget(sight.box().id());
+      }
+    }
+  }
+
+  private BoxSight see(FleetBox box, long nowNanos) {
+    boolean isListed = fleet.isListed(box.id());
+    Reach reached = reach.reach(box.id(), nowNanos);
+    if (reached == Reach.LOST && !isListed) {
+      doubts.raise(box.id(), box.address());
+      if (doubts.isSilentForAll(box.id(), alivePeers.get())) {
+        reached = Reach.GONE;
       }
     }
-    keeper.decide(nowNanos, engine, sights, plan).forEach(this::give);
+    return new BoxSight(box, isListed, reached);
   }
 
   /** Asks boxes that are silent or unlisted, and all members of suspected replicas. */
@@ -194,11 +274,8 @@
           @Override
           public void onWord(FleetBox newest) {
             reach.recordWord(box.id());
-            FleetBox listed = fleet.find(box.id());
-            if (listed != null) {
-              fleet.update(
-                  listed.withEngineState(
-                      newest.model(), newest.stagedModels(), newest.membership()));
+            if (fleet.update(newest)) {
+              news.put(newest.id(), newest);
             }
           }
 
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -18,7 +18,9 @@
  * The upstreams by the list of the store, and by newer words of their own.
  *
  * <p>An entry that is taken away may come back: while the store was out of reach entries lapse, and
- * they are back within two seconds of its return if the upstream lives. Used on the event loop.
+ * they are back within two seconds of its return if the upstream lives. An upstream that is off the
+ * list gets no more requests; but a box of a replica stays known until it is dead for certain,
+ * since it may run on without the store. Used on the event loop.
  *
  * @since 0.2
  */
@@ -26,11 +28,15 @@
   /** Entries that lapsed in an outage are back within about two seconds (users' letter 2). */
   private static final long RETURN_NANOS = TimeUnit.MILLISECONDS.toNanos(2_300);
 
+  /** A box off the list that nobody could make sure of is forgotten after this time. */
+  private static final long FORGET_NANOS = TimeUnit.MINUTES.toNanos(2);
+
   private final Decoder decoder;
   private final LongSupplier clockNanos;
   private final EventLog log;
   private final Map<String, FleetBox> boxes = new HashMap<>();
   private final Map<String, Long> removedAtNanos = new HashMap<>();
+  private final Set<String> offListIds = new HashSet<>();
   private final List<Consumer<FleetBox>> removalListeners = new ArrayList<>();
   private long changes;
 
@@ -76,6 +82,7 @@
   private void put(FleetBox box) {
     FleetBox before = boxes.put(box.id(), box);
     boolean wasRemoved = removedAtNanos.remove(box.id()) != null;
+    offListIds.remove(box.id());
     if (!box.equals(before) || wasRemoved) {
       changes++;
       if (before == null || before.isLeaving() != box.isLeaving()) {
@@ -93,38 +100,64 @@
     }
   }
 
-  /** Takes over what an engine has just said itself. */
-  public void update(FleetBox newer) {
-    FleetBox before = boxes.get(newer.id());
-    if (before != null && !before.equals(newer)) {
-      boxes.put(newer.id(), newer);
-      changes++;
+  /**
+   * Takes over what an engine has just said itself of model, host and replica.
+   *
+   * @return true if that was news
+   */
+  public boolean update(FleetBox word) {
+    FleetBox before = boxes.get(word.id());
+    if (before == null) {
+      return false;
+    }
+    FleetBox after = before.withEngineState(word.model(), word.stagedModels(), word.membership());
+    if (after.equals(before)) {
+      return false;
     }
+    boxes.put(after.id(), after);
+    changes++;
+    return true;
   }
 
   /**
-   * Drops the upstreams whose entries have been away long enough.
+   * Takes the upstreams off whose entries are gone for good.
    *
    * @param storeReachableNanos how long the store has answered without a fault
    */
   public void dropRemoved(long storeReachableNanos) {
-    long nowNanos = clockNanos.getAsLong();
     if (storeReachableNanos < RETURN_NANOS) {
       return;
     }
-    for (String id : new ArrayList<>(removedAtNanos.keySet())) {
-      if (nowNanos - removedAtNanos.get(id) >= RETURN_NANOS) {
-        removedAtNanos.remove(id);
-        FleetBox gone = boxes.remove(id);
+    long nowNanos = clockNanos.getAsLong();
+    for (Map.Entry<String, Long> removed : new HashMap<>(removedAtNanos).entrySet()) {
+      FleetBox box = boxes.get(removed.getKey());
+      if (box != null && offListIds.add(box.id())) {
         changes++;
-        if (gone != null) {
-          log.write("upstream_gone", "upstream", id, "address", gone.address());
-          removalListeners.forEach(listener -> listener.accept(gone));
-        }
+        log.write("upstream_off_list", "upstream", box.id(), "address", box.address());
+      }
+      if (box != null && (box.domain() == null || nowNanos - removed.getValue() > FORGET_NANOS)) {
+        forget(box.id());
       }
     }
   }
 
+  /** Forgets an upstream that is dead for certain. */
+  public void forget(String id) {
+    FleetBox gone = boxes.remove(id);
+    removedAtNanos.remove(id);
+    offListIds.remove(id);
+    if (gone != null) {
+      changes++;
+      log.write("upstream_gone", "upstream", id, "address", gone.address());
+      removalListeners.forEach(listener -> listener.accept(gone));
+    }
+  }
+
+  /** Returns true if the upstream may be given requests, as far as the list goes. */
+  public boolean isOnList(String id) {
+    return boxes.containsKey(id) && !offListIds.contains(id);
+  }
+
   /** Returns a number that rises with each change. */
   public long changes() {
     return changes;
