--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -136,7 +136,8 @@
             knowledge::config,
             board::suspectedIds,
             doubts,
-            mesh::aliveNames);
+            mesh::aliveNames,
+            settings.stallMs());
     this.callers =
         new CallerServer(
             loop,
--- a/edge/src/main/java/org/shoreroad/edge/EdgeSettings.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeSettings.java
@@ -14,6 +14,8 @@
  * @param metricsListen where the metrics are read
  * @param workPartitions the partitions among which the fabric domains are dealt out
  * @param revokeMs a key that was taken away must not be used longer than this, in milliseconds
+ * @param stallMs a head that lost a member counts as broken by its own engine after this time, in
+ *     milliseconds
  * @param graceMs the time between the signal to stop and the end, in milliseconds
  * @param rules the bounds on repeats
  * @since 0.2
@@ -27,5 +29,6 @@
     InetSocketAddress metricsListen,
     int workPartitions,
     int revokeMs,
+    int stallMs,
     int graceMs,
     RelayRules rules) {}
--- a/edge/src/main/java/org/shoreroad/edge/EventLog.java
+++ b/edge/src/main/java/org/shoreroad/edge/EventLog.java
@@ -24,10 +24,10 @@
  */
 public final class EventLog {
   /** Lines waiting to be written; at most some hundred bytes each. */
-  private static final int RING_LINES = 2_048;
+  private static final int RING_LINES = 4_096;
 
   /** Lines of one kind in a second: enough to follow an incident, bounded under load. */
-  private static final int LINES_PER_SECOND = 20;
+  private static final int LINES_PER_SECOND = 40;
 
   private static final long SECOND_NANOS = 1_000_000_000L;
   private static final long WRITER_PAUSE_NANOS = 200_000_000L;
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReachBook.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReachBook.java
@@ -57,6 +57,12 @@
     return isSilent ? Reach.LOST : Reach.LIKELY;
   }
 
+  /** Returns how long the box has been silent whenever it was asked, or 0. */
+  long silentNanos(String id, long nowNanos) {
+    Entry entry = entries.get(id);
+    return entry == null || entry.silences == 0 ? 0 : nowNanos - entry.silentSinceNanos;
+  }
+
   /** Returns true if the box was not asked for that long and no answer is awaited. */
   boolean isDue(String id, long intervalNanos, long nowNanos) {
     Entry entry = entries.get(id);
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -52,6 +52,9 @@
   /** A formation is asked after quickly for this long; then it must be loading. */
   private static final long QUICK_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
+  /** Beyond the time in which an engine breaks a replica that lost a member. */
+  private static final int STALL_MARGIN_MS = 1_000;
+
   private final EventLoop loop;
   private final LongSupplier clockNanos;
   private final EventLog log;
@@ -62,6 +65,7 @@
   private final Supplier<Set<String>> suspectedHeads;
   private final Doubts doubts;
   private final Supplier<Set<String>> alivePeers;
+  private final long certainNanos;
   private final Set<ReplicaId> headsSeen = new HashSet<>();
   private final Map<String, FleetBox> news = new HashMap<>();
   private final ReachBook reach = new ReachBook();
@@ -79,7 +83,8 @@
       Supplier<@Nullable TrafficConfig> config,
       Supplier<Set<String>> suspectedHeads,
       Doubts doubts,
-      Supplier<Set<String>> alivePeers) {
+      Supplier<Set<String>> alivePeers,
+      int stallMs) {
     this.loop = loop;
     this.clockNanos = clockNanos;
     this.log = log;
@@ -90,6 +95,7 @@
     this.suspectedHeads = suspectedHeads;
     this.doubts = doubts;
     this.alivePeers = alivePeers;
+    this.certainNanos = TimeUnit.MILLISECONDS.toNanos(stallMs + STALL_MARGIN_MS);
   }
 
   /** Starts to keep. */
@@ -230,7 +236,9 @@
     Reach reached = reach.reach(box.id(), nowNanos);
     if (reached == Reach.LOST && !isListed) {
       doubts.raise(box.id(), box.address());
-      if (doubts.isSilentForAll(box.id(), alivePeers.get())) {
+      // A head that only was cut off has been broken by its own engine by then.
+      boolean isLong = reach.silentNanos(box.id(), nowNanos) > certainNanos;
+      if (isLong && doubts.isSilentForAll(box.id(), alivePeers.get())) {
         reached = Reach.GONE;
       }
     }
