--- a/core/src/main/java/org/shoreroad/fleet/BoxSight.java
+++ b/core/src/main/java/org/shoreroad/fleet/BoxSight.java
@@ -10,9 +10,10 @@
  * @param box the box with the newest word of its engine, not null
  * @param isListed true if the list of upstreams still names the box
  * @param reach whether it answers, not null
+ * @param isSteady true if it has not been silent for as long as an engine takes to break a replica
  * @since 0.2
  */
-public record BoxSight(FleetBox box, boolean isListed, Reach reach) {
+public record BoxSight(FleetBox box, boolean isListed, Reach reach, boolean isSteady) {
   /** Checks that the parts are there. */
   public BoxSight {
     Objects.requireNonNull(box, "box");
--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -99,6 +99,7 @@
       }
     }
     formMissing(spec, plan, nowNanos);
+    giveUpSurplus(spec, plan, observed.values(), nowNanos);
     prepareSpares(spec, nowNanos);
     return orders;
   }
@@ -159,6 +160,10 @@
    */
   private void keepHeadless(ObservedReplica replica, Set<ReplicaId> headsSeen, long nowNanos) {
     if (headsSeen.contains(replica.replica())) {
+      // A member that was cut off together with its head did not make the head break.
+      replica.members().stream()
+          .filter(member -> !member.isSteady())
+          .forEach(member -> boundIds.add(member.box().id()));
       return;
     }
     long sinceNanos = headlessSinceNanos.computeIfAbsent(replica.replica(), id -> nowNanos);
@@ -198,7 +203,8 @@
       bind(replica.members(), model.name());
       return true;
     }
-    if (state == MemberState.READY && replica.isEveryMemberReady()) {
+    boolean isClosed = closingSinceNanos.containsKey(replica.replica());
+    if (state == MemberState.READY && replica.isEveryMemberReady() && !isClosed) {
       // Left ready by an earlier keeper: it only needs to be opened.
       bind(replica.members(), model.name());
       order(BoxOrder.of(head.box().id(), Verb.OPEN, replica.replica(), "found ready"), nowNanos);
@@ -242,6 +248,34 @@
     }
   }
 
+  /** Closes a replica beyond the plan if another model lacks one and has no boxes for it. */
+  private void giveUpSurplus(
+      EngineSpec spec, ReplicaPlan plan, Collection<ObservedReplica> observed, long nowNanos) {
+    boolean isLacking = spec.models().stream().anyMatch(model -> surplus(model.name(), plan) < 0);
+    if (!isLacking || isMending || !formations.isEmpty()) {
+      return;
+    }
+    for (ObservedReplica replica : observed) {
+      BoxSight head = replica.head();
+      String model = replica.model();
+      if (head != null && model != null && head.box().isOpenHead() && surplus(model, plan) > 0) {
+        closingSinceNanos.put(replica.replica(), nowNanos);
+        order(
+            BoxOrder.of(
+                head.box().id(),
+                Verb.CLOSE_AFTER_WORK,
+                replica.replica(),
+                "another model lacks boxes"),
+            nowNanos);
+        return;
+      }
+    }
+  }
+
+  private int surplus(String model, ReplicaPlan plan) {
+    return standing.getOrDefault(model, 0) - plan.wanted(domain, model);
+  }
+
   private double coverage(ModelShape model, ReplicaPlan plan) {
     int wanted = plan.wanted(domain, model.name());
     return wanted == 0 ? 1 : (double) standing.getOrDefault(model.name(), 0) / wanted;
--- /dev/null
+++ b/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
@@ -0,0 +1,219 @@
+package org.shoreroad.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class DomainKeeperTest {
+  private static final int BOXES = 8;
+
+  private final EngineSpec spec = FakeDomain.spec();
+  private final Random random = new Random(17);
+  private final FakeDomain domain = new FakeDomain(spec, random);
+  private final Set<ReplicaId> headsSeen = new HashSet<>();
+  private final List<BoxOrder> given = new ArrayList<>();
+  private long epoch;
+  private DomainKeeper keeper = newKeeper();
+
+  private DomainKeeper newKeeper() {
+    return new DomainKeeper("d", KeeperTiming.DEFAULT, () -> ++epoch, loads -> true);
+  }
+
+  private void addBoxes(int count) {
+    for (int i = 0; i < count; i++) {
+      domain.addBox();
+    }
+  }
+
+  private void run(double seconds) {
+    long endNanos = domain.nowNanos() + (long) (seconds * FakeDomain.SECOND_NANOS);
+    while (domain.nowNanos() < endNanos) {
+      domain.step();
+      List<BoxSight> sights = domain.sights();
+      for (BoxSight sight : sights) {
+        Membership membership = sight.box().membership();
+        if (membership != null && membership.isHead()) {
+          headsSeen.add(membership.replica());
+        }
+      }
+      sights.removeIf(BoxSight::isDead);
+      int fit = (int) sights.stream().filter(s -> s.isListed() && !s.box().isLeaving()).count();
+      ReplicaPlan plan = ReplicaPlan.of(spec, Map.of("d", fit));
+      for (BoxOrder order : keeper.decide(domain.nowNanos(), spec, sights, plan, headsSeen)) {
+        given.add(order);
+        domain.give(order);
+      }
+    }
+  }
+
+  private String headOf(String model) {
+    return domain.sights().stream()
+        .map(BoxSight::box)
+        .filter(box -> box.isOpenHead() && model.equals(box.model()))
+        .findFirst()
+        .orElseThrow()
+        .id();
+  }
+
+  private String memberOf(String model) {
+    return domain.sights().stream()
+        .map(BoxSight::box)
+        .filter(box -> model.equals(box.model()) && box.membership() != null)
+        .filter(box -> !box.membership().isHead())
+        .findFirst()
+        .orElseThrow()
+        .id();
+  }
+
+  @Test
+  void formsWhatThePlanWants() {
+    addBoxes(BOXES);
+    run(80);
+    assertThat(domain.countOpen("large"), is(1L));
+    assertThat(domain.countOpen("small"), is(1L));
+    assertThat(domain.violations(), is(empty()));
+  }
+
+  @Test
+  void givesNoOrderWhileAllStands() {
+    addBoxes(BOXES);
+    run(80);
+    given.clear();
+    run(20);
+    assertThat(given, is(empty()));
+  }
+
+  @Test
+  void mendsAReplicaThatLostAMember() {
+    addBoxes(BOXES);
+    run(80);
+    domain.kill(memberOf("large"));
+    run(20);
+    assertThat(domain.countOpen("large"), is(1L));
+    assertThat(domain.violations(), is(empty()));
+  }
+
+  @Test
+  void keepsMembersBoundUntilASilentHeadIsDeadForCertain() {
+    addBoxes(BOXES);
+    run(80);
+    String head = headOf("large");
+    ReplicaId replica = domain.openReplicaOf(head);
+    domain.cut(head, true);
+    given.clear();
+    run(4);
+    Set<String> members = new HashSet<>();
+    for (BoxSight sight : domain.sights()) {
+      Membership membership = sight.box().membership();
+      if (membership != null && membership.replica().equals(replica)) {
+        members.add(sight.box().id());
+      }
+    }
+    given.removeIf(order -> !members.contains(order.boxId()));
+    assertThat(given, is(empty()));
+    run(30);
+    assertThat(domain.countOpen("large"), is(1L));
+    assertThat(domain.violations(), is(empty()));
+  }
+
+  @Test
+  void closesAHeadThatIsOffTheListButAnswers() {
+    addBoxes(BOXES);
+    run(80);
+    domain.cut(headOf("small"), false);
+    run(20);
+    assertThat(domain.countOpen("small"), is(greaterThanOrEqualTo(1L)));
+    assertThat(domain.violations(), is(empty()));
+  }
+
+  @Test
+  void replacesALeavingMemberAfterItsWork() {
+    addBoxes(BOXES);
+    run(80);
+    String leaving = memberOf("large");
+    domain.leaveSoon(leaving);
+    given.clear();
+    run(10);
+    assertThat(
+        given.stream().filter(o -> o.verb() == BoxOrder.Verb.CLOSE_NOW).toList(), is(empty()));
+    assertThat(domain.countOpen("large"), is(1L));
+    assertThat(domain.violations(), is(empty()));
+  }
+
+  @Test
+  void adoptsWhatStandsAfterTheKeeperIsReplaced() {
+    addBoxes(BOXES);
+    run(80);
+    keeper = newKeeper();
+    headsSeen.clear();
+    given.clear();
+    run(10);
+    assertThat(given, is(empty()));
+  }
+
+  @Test
+  void opensWhatAnEarlierKeeperLeftReady() {
+    addBoxes(BOXES);
+    run(5);
+    keeper = newKeeper();
+    run(80);
+    assertThat(domain.countOpen("large"), is(1L));
+    assertThat(domain.countOpen("small"), is(1L));
+    assertThat(domain.violations(), is(empty()));
+  }
+
+  @Test
+  void holdsBothRulesUnderAnyMixOfFaults() {
+    for (int seed = 0; seed < 300; seed++) {
+      playFaults(seed);
+    }
+  }
+
+  private void playFaults(int seed) {
+    DomainKeeperTest play = new DomainKeeperTest();
+    Random faults = new Random(seed);
+    play.addBoxes(BOXES);
+    play.run(60);
+    for (int i = 0; i < 30; i++) {
+      play.strike(faults);
+      play.run(faults.nextDouble() * 3);
+    }
+    assertThat("seed " + seed, play.domain.violations(), is(empty()));
+    play.domain.setLateShare(0);
+    play.domain.liveIds().forEach(play.domain::heal);
+    play.domain.endLeaving();
+    play.addBoxes(Math.max(0, BOXES - play.domain.liveIds().size()));
+    play.run(120);
+    assertThat("seed " + seed, play.domain.violations(), is(empty()));
+    assertThat("seed " + seed, play.domain.countOpen("large"), is(greaterThanOrEqualTo(1L)));
+    assertThat("seed " + seed, play.domain.countOpen("small"), is(greaterThanOrEqualTo(1L)));
+    play.given.clear();
+    play.run(10);
+    assertThat("seed " + seed + " settles", play.given.size(), is(lessThan(12)));
+  }
+
+  private void strike(Random faults) {
+    List<String> live = domain.liveIds();
+    String id = live.isEmpty() ? domain.addBox() : live.get(faults.nextInt(live.size()));
+    switch (faults.nextInt(8)) {
+      case 0 -> domain.kill(id);
+      case 1 -> domain.cut(id, true);
+      case 2 -> domain.cut(id, false);
+      case 3 -> live.forEach(domain::heal);
+      case 4 -> domain.setLateShare(faults.nextDouble() * 0.5);
+      case 5 -> domain.addBox();
+      case 6 -> domain.leaveSoon(id);
+      default -> keeper = newKeeper();
+    }
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReachBook.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReachBook.java
@@ -41,6 +41,7 @@
       entry.silentSinceNanos = nowNanos;
     }
     entry.silences++;
+    entry.lastSilenceNanos = nowNanos;
   }
 
   Reach reach(String id, long nowNanos) {
@@ -57,6 +58,12 @@
     return isSilent ? Reach.LOST : Reach.LIKELY;
   }
 
+  /** Returns true if the box has not been silent within the time. */
+  boolean isSteady(String id, long withinNanos, long nowNanos) {
+    Entry entry = entries.get(id);
+    return entry == null || nowNanos - entry.lastSilenceNanos > withinNanos;
+  }
+
   /** Returns how long the box has been silent whenever it was asked, or 0. */
   long silentNanos(String id, long nowNanos) {
     Entry entry = entries.get(id);
@@ -82,6 +89,7 @@
   private static final class Entry {
     private long askedNanos = Long.MIN_VALUE / 2;
     private long silentSinceNanos;
+    private long lastSilenceNanos = Long.MIN_VALUE / 2;
     private int silences;
     private boolean isAsking;
     private boolean isGone;
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -179,7 +179,7 @@
       }
     }
     Map<String, Integer> sizes = new HashMap<>();
-    domains.forEach((name, boxes) -> sizes.put(name, boxes.size()));
+    domains.forEach((name, boxes) -> sizes.put(name, countLasting(boxes)));
     ReplicaPlan plan = ReplicaPlan.of(engine, sizes);
     Set<String> suspected = suspectedHeads.get();
     domains.forEach(
@@ -194,6 +194,10 @@
         });
   }
 
+  private int countLasting(List<FleetBox> boxes) {
+    return (int) boxes.stream().filter(box -> !box.isLeaving() && fleet.isListed(box.id())).count();
+  }
+
   private void keepDomain(
       String key,
       String domain,
@@ -242,7 +246,8 @@
         reached = Reach.GONE;
       }
     }
-    return new BoxSight(box, isListed, reached);
+    boolean isSteady = reach.isSteady(box.id(), certainNanos, nowNanos);
+    return new BoxSight(box, isListed, reached, isSteady);
   }
 
   /** Asks boxes that are silent or unlisted, and all members of suspected replicas. */
