--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -12,7 +12,6 @@
 import java.util.Set;
 import java.util.function.IntPredicate;
 import java.util.function.LongSupplier;
-import org.jspecify.annotations.Nullable;
 import org.shoreroad.fleet.BoxOrder.Verb;
 
 /**
@@ -26,6 +25,15 @@
  * @since 0.2
  */
 public final class DomainKeeper {
+  /** Of the loads that run at full speed at a time, a domain takes this part. */
+  private static final int STAGING_DIVISOR = 4;
+
+  /** The part that it takes while none of its replicas stands. */
+  private static final int URGENT_STAGING_DIVISOR = 2;
+
+  /** A load that has not shown after this many times its length is taken as lost. */
+  private static final double STAGING_LIMIT = 2;
+
   private final String domain;
   private final KeeperTiming timing;
   private final LongSupplier epochs;
@@ -33,12 +41,16 @@
   private final Map<ReplicaId, Formation> formations = new LinkedHashMap<>();
   private final Map<ReplicaId, Long> closingSinceNanos = new HashMap<>();
   private final Map<ReplicaId, Long> headlessSinceNanos = new HashMap<>();
+  private final Map<String, Staging> stagings = new HashMap<>();
   private final Map<String, Long> orderedAtNanos = new HashMap<>();
   private List<BoxOrder> orders = new ArrayList<>();
   private Map<String, BoxSight> sightsById = Map.of();
   private final Set<String> boundIds = new HashSet<>();
   private final Map<String, Integer> standing = new HashMap<>();
   private boolean isMending;
+  private int comingFree;
+  private boolean isFresh;
+  private boolean hasLoss;
 
   /**
    * Creates a keeper that knows nothing yet.
@@ -70,6 +82,7 @@
    * @param sights the boxes of the domain, not null
    * @param plan what every domain is to hold, not null
    * @param headsSeen the replicas whose heads were seen by this process at any time
+   * @param pressure the requests open at each model's replicas, over all domains, for each place
    * @return the orders, each for a box that is fit to take one
    */
   public List<BoxOrder> decide(
@@ -77,11 +90,14 @@
       EngineSpec spec,
       Collection<BoxSight> sights,
       ReplicaPlan plan,
-      Set<ReplicaId> headsSeen) {
+      Set<ReplicaId> headsSeen,
+      Map<String, Double> pressure) {
     orders = new ArrayList<>();
     boundIds.clear();
     standing.clear();
     isMending = false;
+    comingFree = 0;
+    hasLoss = false;
     sightsById = new HashMap<>();
     sights.forEach(sight -> sightsById.put(sight.box().id(), sight));
     Map<ReplicaId, ObservedReplica> observed = ObservedReplica.from(sights);
@@ -98,9 +114,12 @@
         }
       }
     }
-    formMissing(spec, plan, nowNanos);
-    giveUpSurplus(spec, plan, observed.values(), nowNanos);
-    prepareSpares(spec, nowNanos);
+    isFresh = sights.stream().allMatch(DomainKeeper::isBlank);
+    List<ModelShape> models = byNeed(spec, plan, pressure);
+    formMissing(models, plan, nowNanos);
+    giveUpReserve(spec, plan, observed.values(), nowNanos);
+    formReserve(models, plan, nowNanos);
+    prepareHosts(spec, models, plan, nowNanos);
     return orders;
   }
 
@@ -187,6 +206,8 @@
     // Until its head has let go, nobody of it may be joined elsewhere.
     replica.members().forEach(member -> boundIds.add(member.box().id()));
     isMending = true;
+    hasLoss = hasLoss || !isWhole;
+    comingFree += (int) replica.members().stream().filter(BoxSight::isFit).count();
     if (head.isLost()) {
       return;
     }
@@ -235,12 +256,19 @@
     }
   }
 
-  private void formMissing(EngineSpec spec, ReplicaPlan plan, long nowNanos) {
+  /** Returns the models, the most pressed first; of equal ones the one that lacks the most. */
+  private List<ModelShape> byNeed(EngineSpec spec, ReplicaPlan plan, Map<String, Double> pressure) {
     List<ModelShape> models = new ArrayList<>(spec.models());
-    // The model that lacks the largest part of what it should have comes first.
-    models.sort(Comparator.comparingDouble(model -> coverage(model, plan)));
+    models.removeIf(model -> model.share() <= 0);
+    models.sort(
+        Comparator.comparingDouble((ModelShape model) -> -pressure.getOrDefault(model.name(), 0.0))
+            .thenComparingDouble(model -> coverage(model, plan)));
+    return models;
+  }
+
+  private void formMissing(List<ModelShape> models, ReplicaPlan plan, long nowNanos) {
     for (ModelShape model : models) {
-      while (standing.getOrDefault(model.name(), 0) < plan.wanted(domain, model.name())) {
+      while (surplus(model.name(), plan) < 0) {
         if (!form(model, nowNanos)) {
           break;
         }
@@ -248,30 +276,53 @@
     }
   }
 
-  /** Closes a replica beyond the plan if another model lacks one and has no boxes for it. */
-  private void giveUpSurplus(
+  /** Closes a replica beyond the plan if a wanted one has no boxes otherwise. */
+  private void giveUpReserve(
       EngineSpec spec, ReplicaPlan plan, Collection<ObservedReplica> observed, long nowNanos) {
-    boolean isLacking = spec.models().stream().anyMatch(model -> surplus(model.name(), plan) < 0);
-    if (!isLacking || isMending || !formations.isEmpty()) {
+    if (!isLacking(spec, plan)) {
       return;
     }
     for (ObservedReplica replica : observed) {
       BoxSight head = replica.head();
       String model = replica.model();
-      if (head != null && model != null && head.box().isOpenHead() && surplus(model, plan) > 0) {
+      boolean isReserve =
+          head != null
+              && model != null
+              && head.box().isOpenHead()
+              && !closingSinceNanos.containsKey(replica.replica())
+              && surplus(model, plan) > 0;
+      if (isReserve) {
         closingSinceNanos.put(replica.replica(), nowNanos);
+        // After a loss each second counts; else the work may end first, as the leaving one's does.
+        Verb verb = hasLoss ? Verb.CLOSE_NOW : Verb.CLOSE_AFTER_WORK;
         order(
-            BoxOrder.of(
-                head.box().id(),
-                Verb.CLOSE_AFTER_WORK,
-                replica.replica(),
-                "another model lacks boxes"),
+            BoxOrder.of(head.box().id(), verb, replica.replica(), "a wanted replica lacks boxes"),
             nowNanos);
         return;
       }
     }
   }
 
+  /** Returns true if a model lacks a replica and the boxes free now or soon are too few for it. */
+  private boolean isLacking(EngineSpec spec, ReplicaPlan plan) {
+    int available = freeBoxes().size() + comingFree;
+    return spec.models().stream()
+        .anyMatch(model -> surplus(model.name(), plan) < 0 && model.boxes() > available);
+  }
+
+  /** Lets the boxes that nobody wants serve too, for the most pressed model that they can hold. */
+  private void formReserve(List<ModelShape> models, ReplicaPlan plan, long nowNanos) {
+    boolean isComplete = models.stream().allMatch(model -> surplus(model.name(), plan) >= 0);
+    if (!isComplete || isMending || !closingSinceNanos.isEmpty()) {
+      return;
+    }
+    for (ModelShape model : models) {
+      if (form(model, nowNanos)) {
+        return;
+      }
+    }
+  }
+
   private int surplus(String model, ReplicaPlan plan) {
     return standing.getOrDefault(model, 0) - plan.wanted(domain, model);
   }
@@ -281,18 +332,23 @@
     return wanted == 0 ? 1 : (double) standing.getOrDefault(model.name(), 0) / wanted;
   }
 
-  private boolean form(ModelShape model, long nowNanos) {
+  /** Returns the free boxes that can hold the model soonest, as many as it needs if there are. */
+  private List<BoxSight> pickMembers(ModelShape model) {
     List<BoxSight> free = freeBoxes();
-    if (free.size() < model.boxes()) {
-      return false;
-    }
     free.sort(
         Comparator.comparingInt((BoxSight sight) -> joinCost(sight.box(), model))
             .thenComparing(sight -> sight.box().id()));
-    List<BoxSight> members = free.subList(0, model.boxes());
+    return free.subList(0, Math.min(free.size(), model.boxes()));
+  }
+
+  private boolean form(ModelShape model, long nowNanos) {
+    List<BoxSight> members = pickMembers(model);
+    if (members.size() < model.boxes()) {
+      return false;
+    }
     int loads = (int) members.stream().filter(sight -> isCold(sight.box(), model)).count();
-    // With boxes about to come free that hold the weights, a load would only take longer.
-    if (loads > 0 && (isMending || !loadBudget.test(loads))) {
+    // A load keeps all members idle: the weights are put on the hosts first, but at the very start.
+    if (loads > 0 && !(isFresh && loadBudget.test(loads))) {
       return false;
     }
     List<String> ids = members.stream().map(sight -> sight.box().id()).toList();
@@ -309,28 +365,72 @@
     return true;
   }
 
-  /** Puts weights on the hosts of spares that have none. */
-  private void prepareSpares(EngineSpec spec, long nowNanos) {
-    for (BoxSight spare : freeBoxes()) {
-      FleetBox box = spare.box();
-      if (box.model() == null && box.stagedModels().isEmpty()) {
-        ModelShape model = leastStaged(spec);
-        if (model != null && isOrderDue(box.id(), nowNanos) && loadBudget.test(1)) {
-          order(BoxOrder.stage(box.id(), model.name(), "a spare without weights"), nowNanos);
-        }
+  /**
+   * Puts weights on hosts, few at a time, since loads slow each other down: first for models that
+   * lack a replica, then for boxes that have none, then the other models' for the reserve.
+   */
+  private void prepareHosts(
+      EngineSpec spec, List<ModelShape> models, ReplicaPlan plan, long nowNanos) {
+    stagings.entrySet().removeIf(entry -> isOver(entry.getKey(), entry.getValue(), nowNanos));
+    for (ModelShape model : models) {
+      if (surplus(model.name(), plan) < 0) {
+        pickMembers(model).forEach(sight -> stage(sight.box(), model, spec, nowNanos));
+      }
+    }
+    for (BoxSight sight : freeBoxes()) {
+      if (isBlank(sight)) {
+        stage(sight.box(), models.get(0), spec, nowNanos);
+      }
+    }
+    if (!formations.isEmpty() || isMending) {
+      return;
+    }
+    for (BoxSight sight : sightsById.values()) {
+      FleetBox box = sight.box();
+      ModelShape largest =
+          models.stream()
+              .filter(model -> isCold(box, model))
+              .max(Comparator.comparingInt(ModelShape::boxes))
+              .orElse(null);
+      if (sight.isFit() && largest != null && isSmall(box, spec)) {
+        stage(box, largest, spec, nowNanos);
       }
     }
   }
 
-  private @Nullable ModelShape leastStaged(EngineSpec spec) {
-    return spec.models().stream()
-        .filter(model -> model.share() > 0)
-        .min(Comparator.comparingDouble(model -> countWarm(model) / (double) model.boxes()))
-        .orElse(null);
+  private void stage(FleetBox box, ModelShape model, EngineSpec spec, long nowNanos) {
+    int divisor = standing.isEmpty() ? URGENT_STAGING_DIVISOR : STAGING_DIVISOR;
+    int atOnce = Math.max(1, spec.loadsAtOnce() / divisor);
+    boolean isPossible = stagings.size() < atOnce && !stagings.containsKey(box.id());
+    if (isPossible && isCold(box, model) && loadBudget.test(1)) {
+      stagings.put(box.id(), new Staging(model, nowNanos));
+      order(BoxOrder.stage(box.id(), model.name(), "to be at hand for a loss"), nowNanos);
+    }
+  }
+
+  /** Returns true if the load has shown, can't be, or has taken so long that it must be lost. */
+  private boolean isOver(String boxId, Staging staging, long nowNanos) {
+    BoxSight sight = sightsById.get(boxId);
+    return sight == null
+        || !sight.isFit()
+        || !isCold(sight.box(), staging.model())
+        || nowNanos - staging.sinceNanos() > STAGING_LIMIT * staging.model().loadSeconds() * 1e9;
+  }
+
+  /** A load to a host that was ordered. */
+  private record Staging(ModelShape model, long sinceNanos) {}
+
+  /** Returns true if the box has no weights at all. */
+  private static boolean isBlank(BoxSight sight) {
+    return sight.box().model() == null && sight.box().stagedModels().isEmpty();
   }
 
-  private long countWarm(ModelShape model) {
-    return freeBoxes().stream().filter(sight -> !isCold(sight.box(), model)).count();
+  /** Returns true if the box serves in a replica of the smallest model. */
+  private static boolean isSmall(FleetBox box, EngineSpec spec) {
+    int smallest = spec.models().stream().mapToInt(ModelShape::boxes).min().orElse(0);
+    return spec.findModel(String.valueOf(box.model()))
+        .filter(model -> model.boxes() == smallest)
+        .isPresent();
   }
 
   private List<BoxSight> freeBoxes() {
--- a/core/src/main/java/org/shoreroad/fleet/EngineSpec.java
+++ b/core/src/main/java/org/shoreroad/fleet/EngineSpec.java
@@ -17,6 +17,7 @@
  * @param chunkTokens the most prompt tokens read in one step
  * @param stepsPerPass the steps between two looks at what waits
  * @param loadsPerSecond the loads from the weight store that may begin in a second, in all
+ * @param loadsAtOnce the loads that may run at a time at full speed, in all
  * @param models the models, with what a replica of each needs
  * @since 0.2
  */
@@ -30,6 +31,7 @@
     int chunkTokens,
     int stepsPerPass,
     double loadsPerSecond,
+    int loadsAtOnce,
     List<ModelShape> models) {
   /** Copies the list. */
   public EngineSpec {
--- a/core/src/main/java/org/shoreroad/fleet/ReplicaPlan.java
+++ b/core/src/main/java/org/shoreroad/fleet/ReplicaPlan.java
@@ -9,18 +9,18 @@
 /**
  * How many replicas of each model every domain is to hold.
  *
- * <p>Every process derives the same plan from the same list. A quarter of a large domain stays free
- * so that a lost member is replaced at once; a small domain has nothing to spare. This class is
- * immutable and thread-safe.
+ * <p>Every process derives the same plan from the same list. Of a large domain a quarter of the
+ * boxes is a reserve: it serves in small replicas that give way as soon as a wanted one lacks a
+ * box. A small domain has nothing to spare. This class is immutable and thread-safe.
  *
  * @since 0.2
  */
 public final class ReplicaPlan {
-  /** From this many boxes on, a domain keeps spares. */
-  private static final int SPARES_FROM_BOXES = 8;
+  /** From this many boxes on, a domain keeps a reserve. */
+  private static final int RESERVE_FROM_BOXES = 8;
 
-  /** One box in this many is a spare: measured against none and an eighth in docs/ROUNDS.md. */
-  private static final int BOXES_PER_SPARE = 4;
+  /** One box in this many belongs to the reserve: enough for two losses before new boxes come. */
+  private static final int BOXES_PER_RESERVE = 4;
 
   private final Map<String, Map<String, Integer>> wantedByDomain;
 
@@ -51,8 +51,8 @@
 
   private static Map<String, Integer> fill(
       EngineSpec spec, int boxes, Map<String, Integer> boxesUsed) {
-    int spares = boxes >= SPARES_FROM_BOXES ? boxes / BOXES_PER_SPARE : 0;
-    int left = boxes - spares;
+    int reserve = boxes >= RESERVE_FROM_BOXES ? boxes / BOXES_PER_RESERVE : 0;
+    int left = boxes - reserve;
     Map<String, Integer> counts = new HashMap<>();
     while (true) {
       int free = left;
--- a/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
@@ -17,6 +17,9 @@
 class DomainKeeperTest {
   private static final int BOXES = 8;
 
+  /** Every host is prepared by then, one load after the other. */
+  private static final double SETTLE_SECONDS = 120;
+
   private final EngineSpec spec = FakeDomain.spec();
   private final Random random = new Random(17);
   private final FakeDomain domain = new FakeDomain(spec, random);
@@ -49,7 +52,8 @@
       sights.removeIf(BoxSight::isDead);
       int fit = (int) sights.stream().filter(s -> s.isListed() && !s.box().isLeaving()).count();
       ReplicaPlan plan = ReplicaPlan.of(spec, Map.of("d", fit));
-      for (BoxOrder order : keeper.decide(domain.nowNanos(), spec, sights, plan, headsSeen)) {
+      for (BoxOrder order :
+          keeper.decide(domain.nowNanos(), spec, sights, plan, headsSeen, Map.of())) {
         given.add(order);
         domain.give(order);
       }
@@ -76,18 +80,18 @@
   }
 
   @Test
-  void formsWhatThePlanWants() {
+  void formsWhatThePlanWantsAndLetsTheReserveServe() {
     addBoxes(BOXES);
-    run(80);
+    run(SETTLE_SECONDS);
     assertThat(domain.countOpen("large"), is(1L));
-    assertThat(domain.countOpen("small"), is(1L));
+    assertThat(domain.countOpen("small"), is(2L));
     assertThat(domain.violations(), is(empty()));
   }
 
   @Test
   void givesNoOrderWhileAllStands() {
     addBoxes(BOXES);
-    run(80);
+    run(SETTLE_SECONDS);
     given.clear();
     run(20);
     assertThat(given, is(empty()));
@@ -96,7 +100,7 @@
   @Test
   void mendsAReplicaThatLostAMember() {
     addBoxes(BOXES);
-    run(80);
+    run(SETTLE_SECONDS);
     domain.kill(memberOf("large"));
     run(20);
     assertThat(domain.countOpen("large"), is(1L));
@@ -106,7 +110,7 @@
   @Test
   void keepsMembersBoundUntilASilentHeadIsDeadForCertain() {
     addBoxes(BOXES);
-    run(80);
+    run(SETTLE_SECONDS);
     String head = headOf("large");
     ReplicaId replica = domain.openReplicaOf(head);
     domain.cut(head, true);
@@ -129,7 +133,7 @@
   @Test
   void closesAHeadThatIsOffTheListButAnswers() {
     addBoxes(BOXES);
-    run(80);
+    run(SETTLE_SECONDS);
     domain.cut(headOf("small"), false);
     run(20);
     assertThat(domain.countOpen("small"), is(greaterThanOrEqualTo(1L)));
@@ -139,7 +143,7 @@
   @Test
   void replacesALeavingMemberAfterItsWork() {
     addBoxes(BOXES);
-    run(80);
+    run(SETTLE_SECONDS);
     String leaving = memberOf("large");
     domain.leaveSoon(leaving);
     given.clear();
@@ -153,7 +157,7 @@
   @Test
   void adoptsWhatStandsAfterTheKeeperIsReplaced() {
     addBoxes(BOXES);
-    run(80);
+    run(SETTLE_SECONDS);
     keeper = newKeeper();
     headsSeen.clear();
     given.clear();
@@ -166,7 +170,18 @@
     addBoxes(BOXES);
     run(5);
     keeper = newKeeper();
-    run(80);
+    run(SETTLE_SECONDS);
+    assertThat(domain.countOpen("large"), is(1L));
+    assertThat(domain.countOpen("small"), is(2L));
+    assertThat(domain.violations(), is(empty()));
+  }
+
+  @Test
+  void givesTheReserveUpForAWantedReplica() {
+    addBoxes(BOXES);
+    run(SETTLE_SECONDS);
+    domain.kill(memberOf("large"));
+    run(8);
     assertThat(domain.countOpen("large"), is(1L));
     assertThat(domain.countOpen("small"), is(1L));
     assertThat(domain.violations(), is(empty()));
@@ -193,7 +208,7 @@
     play.domain.liveIds().forEach(play.domain::heal);
     play.domain.endLeaving();
     play.addBoxes(Math.max(0, BOXES - play.domain.liveIds().size()));
-    play.run(120);
+    play.run(2 * SETTLE_SECONDS);
     assertThat("seed " + seed, play.domain.violations(), is(empty()));
     assertThat("seed " + seed, play.domain.countOpen("large"), is(greaterThanOrEqualTo(1L)));
     assertThat("seed " + seed, play.domain.countOpen("small"), is(greaterThanOrEqualTo(1L)));
--- a/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
+++ b/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
@@ -52,6 +52,7 @@
         2_048,
         5,
         4,
+        6,
         List.of(
             new ModelShape("large", 4, 0.67, 1, 16, 1.6),
             new ModelShape("small", 2, 0.33, 0.6, 12, 1.1)));
@@ -191,6 +192,8 @@
     private long changeNanos;
     private @Nullable MemberState changeTo;
     private long stalledSinceNanos = -1;
+    private @Nullable String staging;
+    private long stagedNanos;
 
     Engine(String id) {
       this.id = id;
@@ -206,7 +209,11 @@
     void take(BoxOrder order) {
       switch (order.verb()) {
         case JOIN -> join(order);
-        case STAGE -> staged.add(String.valueOf(order.model()));
+        case STAGE -> {
+          staging = order.model();
+          ModelShape shape = spec.findModel(String.valueOf(staging)).orElseThrow();
+          stagedNanos = nowNanos + (long) (shape.loadSeconds() * SECOND_NANOS);
+        }
         default -> {
           if (replica != null && replica.equals(order.replica())) {
             change(order.verb());
@@ -292,6 +299,11 @@
       if (!isAlive) {
         return;
       }
+      if (staging != null && nowNanos >= stagedNanos) {
+        staged.clear();
+        staged.add(staging);
+        staging = null;
+      }
       if (changeTo != null && nowNanos >= changeNanos) {
         state = changeTo;
         changeTo = null;
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -54,6 +54,7 @@
   private static final int PROCESS_WAIT_MS = 10_000;
   private static final int PROCESS_INTERVAL_MS = 500;
   private static final int UPKEEP_MS = 100;
+  private static final int SUMMARY_MS = 2_000;
   private static final int WRITE_AGAIN_MS = 500;
 
   /** This part of the grace is left for the end itself. */
@@ -135,6 +136,7 @@
             ports.engines(),
             knowledge::config,
             board::suspectedIds,
+            board::pressures,
             doubts,
             mesh::aliveNames,
             settings.stallMs());
@@ -186,6 +188,7 @@
     relay.start();
     replicas.start();
     loop.scheduleWithFixedDelay(this::upkeep, UPKEEP_MS, UPKEEP_MS, TimeUnit.MILLISECONDS);
+    loop.scheduleWithFixedDelay(this::summarize, SUMMARY_MS, SUMMARY_MS, TimeUnit.MILLISECONDS);
     metrics.gauge("shoreroad.requests.open", relay::openCount);
     metrics.gauge("shoreroad.callers.connections", callers::connectionCount);
     metrics.gauge("shoreroad.config.age_ms", () -> knowledge.configAgeNanos() / 1_000_000);
@@ -240,6 +243,13 @@
         && knowledge.mayTrustKeys();
   }
 
+  /** Writes where the fleet stands, so that a lack of replicas can be seen afterwards. */
+  private void summarize() {
+    if (knowledge.config() != null) {
+      knowledge.config().services().forEach(board::summarize);
+    }
+  }
+
   private void upkeep() {
     fleet.dropRemoved(listFollower.reachableForNanos());
     knowledge.setProcessCount(mesh.sharingCount());
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
@@ -45,6 +45,7 @@
   /** Requests beyond its places that a replica may be given, as a part of its places. */
   private static final double QUEUE_PART = 0.35;
 
+  private static final double NO_REPLICA_PRESSURE = 1_000;
   private static final double FAILURE_COST = 3;
   private static final double OTHER_ZONE_COST = 0.03;
   private static final double JITTER_COST = 0.04;
@@ -196,6 +197,60 @@
     }
   }
 
+  /**
+   * Returns how pressed each model of the service is: the requests open at its replicas, over all
+   * processes, for each of their places. A model without any replica is pressed beyond measure.
+   */
+  public Map<String, Double> pressures(UpstreamService service) {
+    refresh();
+    Map<String, Double> pressures = new HashMap<>();
+    EngineSpec engine = service.engine();
+    if (engine == null) {
+      return pressures;
+    }
+    for (ModelShape model : engine.models()) {
+      List<FleetBox> heads = candidates(service, model.name());
+      int open = heads.stream().mapToInt(head -> loadOf(head.id()).openCount()).sum();
+      double places = (double) heads.size() * engine.slots();
+      pressures.put(model.name(), places == 0 ? NO_REPLICA_PRESSURE : open / places);
+    }
+    return pressures;
+  }
+
+  /** Writes a line on each model of the service: heads, those suspected, and what they have. */
+  public void summarize(UpstreamService service) {
+    refresh();
+    if (service.engine() == null) {
+      return;
+    }
+    for (ModelShape model : service.engine().models()) {
+      List<FleetBox> heads = candidates(service, model.name());
+      int open = 0;
+      long waitingTokens = 0;
+      int suspected = 0;
+      for (FleetBox head : heads) {
+        UpstreamLoad load = loadOf(head.id());
+        open += load.openCount();
+        waitingTokens += load.waitingPromptTokens();
+        suspected += load.isSuspected() ? 1 : 0;
+      }
+      log.write(
+          "model_state",
+          "model",
+          model.name(),
+          "heads",
+          heads.size(),
+          "suspected",
+          suspected,
+          "open",
+          open,
+          "places",
+          heads.size() * service.engine().slots(),
+          "waitingTokens",
+          waitingTokens);
+    }
+  }
+
   /** Looks for heads that stand still and takes their requests elsewhere. */
   public void findStalled(UpstreamService service) {
     refresh();
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -63,6 +64,7 @@
   private final Engines engines;
   private final Supplier<@Nullable TrafficConfig> config;
   private final Supplier<Set<String>> suspectedHeads;
+  private final Function<UpstreamService, Map<String, Double>> pressures;
   private final Doubts doubts;
   private final Supplier<Set<String>> alivePeers;
   private final long certainNanos;
@@ -82,6 +84,7 @@
       Engines engines,
       Supplier<@Nullable TrafficConfig> config,
       Supplier<Set<String>> suspectedHeads,
+      Function<UpstreamService, Map<String, Double>> pressures,
       Doubts doubts,
       Supplier<Set<String>> alivePeers,
       int stallMs) {
@@ -93,6 +96,7 @@
     this.engines = engines;
     this.config = config;
     this.suspectedHeads = suspectedHeads;
+    this.pressures = pressures;
     this.doubts = doubts;
     this.alivePeers = alivePeers;
     this.certainNanos = TimeUnit.MILLISECONDS.toNanos(stallMs + STALL_MARGIN_MS);
@@ -111,7 +115,7 @@
     for (UpstreamService service : current.services()) {
       EngineSpec engine = service.engine();
       if (engine != null) {
-        keepService(service.name(), engine);
+        keepService(service, engine);
       }
     }
     answerPeers();
@@ -171,10 +175,10 @@
     headsSeen.retainAll(replicas);
   }
 
-  private void keepService(String service, EngineSpec engine) {
+  private void keepService(UpstreamService service, EngineSpec engine) {
     Map<String, List<FleetBox>> domains = new TreeMap<>();
     for (FleetBox box : fleet.boxes()) {
-      if (box.service().equals(service) && box.domain() != null) {
+      if (box.service().equals(service.name()) && box.domain() != null) {
         domains.computeIfAbsent(box.domain(), name -> new ArrayList<>()).add(box);
       }
     }
@@ -182,11 +186,12 @@
     domains.forEach((name, boxes) -> sizes.put(name, countLasting(boxes)));
     ReplicaPlan plan = ReplicaPlan.of(engine, sizes);
     Set<String> suspected = suspectedHeads.get();
+    Map<String, Double> pressure = pressures.apply(service);
     domains.forEach(
         (domain, boxes) -> {
-          String key = service + "/" + domain;
+          String key = service.name() + "/" + domain;
           if (lease.holds(key)) {
-            keepDomain(key, domain, engine, boxes, plan, suspected);
+            keepDomain(key, domain, engine, boxes, plan, suspected, pressure);
           } else {
             keepers.remove(key);
             busySinceNanos.remove(key);
@@ -204,7 +209,8 @@
       EngineSpec engine,
       List<FleetBox> boxes,
       ReplicaPlan plan,
-      Set<String> suspected) {
+      Set<String> suspected,
+      Map<String, Double> pressure) {
     long nowNanos = clockNanos.getAsLong();
     DomainKeeper keeper = keepers.get(key);
     if (keeper == null) {
@@ -227,7 +233,7 @@
         sights.add(see(newest, nowNanos));
       }
     }
-    keeper.decide(nowNanos, engine, sights, plan, headsSeen).forEach(this::give);
+    keeper.decide(nowNanos, engine, sights, plan, headsSeen, pressure).forEach(this::give);
     for (BoxSight sight : sights) {
       if (sight.isDead() && !sight.isListed()) {
         fleet.forget(sight.box().id());
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -116,6 +116,16 @@
     }
     boxes.put(after.id(), after);
     changes++;
+    log.write(
+        "box_word",
+        "box",
+        after.id(),
+        "model",
+        after.model(),
+        "staged",
+        after.stagedModels(),
+        "membership",
+        String.valueOf(after.membership()));
     return true;
   }
 
