--- /dev/null
+++ b/core/src/main/java/org/shoreroad/fleet/Demand.java
@@ -0,0 +1,28 @@
+package org.shoreroad.fleet;
+
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * How pressed the models of a service are, over all domains and processes.
+ *
+ * <p>This class is immutable and thread-safe.
+ *
+ * @param pressures the requests open at each model's replicas, for each of their places
+ * @param hasTraffic true once a request was seen: loads before the first are quick
+ * @since 0.2
+ */
+public record Demand(Map<String, Double> pressures, boolean hasTraffic) {
+  /** Nothing asked for yet. */
+  public static final Demand NONE = new Demand(Map.of(), false);
+
+  /** Copies the map. */
+  public Demand {
+    pressures = Map.copyOf(pressures);
+  }
+
+  /** Returns the requests open at the model's replicas for each of their places, 0 if unknown. */
+  public double pressure(@Nullable String model) {
+    return model == null ? 0 : pressures.getOrDefault(model, 0.0);
+  }
+}
--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.function.IntPredicate;
 import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
 import org.shoreroad.fleet.BoxOrder.Verb;
 
 /**
@@ -28,7 +29,12 @@
   /** Of the loads that run at full speed at a time, a domain takes this part. */
   private static final int STAGING_DIVISOR = 4;
 
-  /** The part that it takes while none of its replicas stands. */
+  /**
+   * Hosts of a model's boxes are prepared for another one while this part of its places is free.
+   */
+  private static final double PREPARING_PRESSURE = 0.5;
+
+  /** The part that it takes while none of its replicas stands, or before the first request. */
   private static final int URGENT_STAGING_DIVISOR = 2;
 
   /** A load that has not shown after this many times its length is taken as lost. */
@@ -50,6 +56,7 @@
   private boolean isMending;
   private int comingFree;
   private boolean isFresh;
+  private Demand demand = Demand.NONE;
   private boolean hasLoss;
 
   /**
@@ -82,7 +89,7 @@
    * @param sights the boxes of the domain, not null
    * @param plan what every domain is to hold, not null
    * @param headsSeen the replicas whose heads were seen by this process at any time
-   * @param pressure the requests open at each model's replicas, over all domains, for each place
+   * @param demand how pressed the models are, not null
    * @return the orders, each for a box that is fit to take one
    */
   public List<BoxOrder> decide(
@@ -91,7 +98,8 @@
       Collection<BoxSight> sights,
       ReplicaPlan plan,
       Set<ReplicaId> headsSeen,
-      Map<String, Double> pressure) {
+      Demand demand) {
+    this.demand = demand;
     orders = new ArrayList<>();
     boundIds.clear();
     standing.clear();
@@ -115,7 +123,7 @@
       }
     }
     isFresh = sights.stream().allMatch(DomainKeeper::isBlank);
-    List<ModelShape> models = byNeed(spec, plan, pressure);
+    List<ModelShape> models = byNeed(spec, plan);
     formMissing(models, plan, nowNanos);
     giveUpReserve(spec, plan, observed.values(), nowNanos);
     formReserve(models, plan, nowNanos);
@@ -257,11 +265,11 @@
   }
 
   /** Returns the models, the most pressed first; of equal ones the one that lacks the most. */
-  private List<ModelShape> byNeed(EngineSpec spec, ReplicaPlan plan, Map<String, Double> pressure) {
+  private List<ModelShape> byNeed(EngineSpec spec, ReplicaPlan plan) {
     List<ModelShape> models = new ArrayList<>(spec.models());
     models.removeIf(model -> model.share() <= 0);
     models.sort(
-        Comparator.comparingDouble((ModelShape model) -> -pressure.getOrDefault(model.name(), 0.0))
+        Comparator.comparingDouble((ModelShape model) -> -demand.pressure(model.name()))
             .thenComparingDouble(model -> coverage(model, plan)));
     return models;
   }
@@ -279,7 +287,8 @@
   /** Closes a replica beyond the plan if a wanted one has no boxes otherwise. */
   private void giveUpReserve(
       EngineSpec spec, ReplicaPlan plan, Collection<ObservedReplica> observed, long nowNanos) {
-    if (!isLacking(spec, plan)) {
+    ModelShape lacking = findLacking(spec, plan);
+    if (lacking == null) {
       return;
     }
     for (ObservedReplica replica : observed) {
@@ -290,7 +299,8 @@
               && model != null
               && head.box().isOpenHead()
               && !closingSinceNanos.containsKey(replica.replica())
-              && surplus(model, plan) > 0;
+              && surplus(model, plan) > 0
+              && demand.pressure(model) <= demand.pressure(lacking.name());
       if (isReserve) {
         closingSinceNanos.put(replica.replica(), nowNanos);
         // After a loss each second counts; else the work may end first, as the leaving one's does.
@@ -303,11 +313,13 @@
     }
   }
 
-  /** Returns true if a model lacks a replica and the boxes free now or soon are too few for it. */
-  private boolean isLacking(EngineSpec spec, ReplicaPlan plan) {
+  /** Returns the most pressed model that lacks a replica and boxes for it, or null. */
+  private @Nullable ModelShape findLacking(EngineSpec spec, ReplicaPlan plan) {
     int available = freeBoxes().size() + comingFree;
-    return spec.models().stream()
-        .anyMatch(model -> surplus(model.name(), plan) < 0 && model.boxes() > available);
+    return byNeed(spec, plan).stream()
+        .filter(model -> surplus(model.name(), plan) < 0 && model.boxes() > available)
+        .findFirst()
+        .orElse(null);
   }
 
   /** Lets the boxes that nobody wants serve too, for the most pressed model that they can hold. */
@@ -387,19 +399,19 @@
     }
     for (BoxSight sight : sightsById.values()) {
       FleetBox box = sight.box();
-      ModelShape largest =
-          models.stream()
-              .filter(model -> isCold(box, model))
-              .max(Comparator.comparingInt(ModelShape::boxes))
-              .orElse(null);
-      if (sight.isFit() && largest != null && isSmall(box, spec)) {
-        stage(box, largest, spec, nowNanos);
+      ModelShape other =
+          models.stream().filter(model -> isCold(box, model)).findFirst().orElse(null);
+      // In traffic only the reserve is prepared, and not while its own model is pressed.
+      boolean isSpare = isSmall(box, spec) && demand.pressure(box.model()) < PREPARING_PRESSURE;
+      if (sight.isFit() && other != null && (isSpare || !demand.hasTraffic())) {
+        stage(box, other, spec, nowNanos);
       }
     }
   }
 
   private void stage(FleetBox box, ModelShape model, EngineSpec spec, long nowNanos) {
-    int divisor = standing.isEmpty() ? URGENT_STAGING_DIVISOR : STAGING_DIVISOR;
+    boolean isUrgent = standing.isEmpty() || !demand.hasTraffic();
+    int divisor = isUrgent ? URGENT_STAGING_DIVISOR : STAGING_DIVISOR;
     int atOnce = Math.max(1, spec.loadsAtOnce() / divisor);
     boolean isPossible = stagings.size() < atOnce && !stagings.containsKey(box.id());
     if (isPossible && isCold(box, model) && loadBudget.test(1)) {
--- a/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
@@ -53,7 +53,7 @@
       int fit = (int) sights.stream().filter(s -> s.isListed() && !s.box().isLeaving()).count();
       ReplicaPlan plan = ReplicaPlan.of(spec, Map.of("d", fit));
       for (BoxOrder order :
-          keeper.decide(domain.nowNanos(), spec, sights, plan, headsSeen, Map.of())) {
+          keeper.decide(domain.nowNanos(), spec, sights, plan, headsSeen, Demand.NONE)) {
         given.add(order);
         domain.give(order);
       }
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -136,7 +136,7 @@
             ports.engines(),
             knowledge::config,
             board::suspectedIds,
-            board::pressures,
+            board::demand,
             doubts,
             mesh::aliveNames,
             settings.stallMs());
@@ -247,6 +247,7 @@
   private void summarize() {
     if (knowledge.config() != null) {
       knowledge.config().services().forEach(board::summarize);
+      board.summarizeBoxes();
     }
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
@@ -4,9 +4,11 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -14,10 +16,12 @@
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.peer.Heartbeat;
 import org.shoreroad.edge.sync.Fleet;
+import org.shoreroad.fleet.Demand;
 import org.shoreroad.fleet.EngineSpec;
 import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.fleet.Membership;
 import org.shoreroad.fleet.ModelShape;
+import org.shoreroad.fleet.ReplicaId;
 import org.shoreroad.traffic.UpstreamService;
 
 /**
@@ -58,7 +62,9 @@
   private final Map<String, UpstreamLoad> loads = new HashMap<>();
   private final Map<String, List<FleetBox>> openHeads = new HashMap<>();
   private final Map<String, List<FleetBox>> plainUpstreams = new HashMap<>();
+  private final Set<ReplicaId> servingReplicas = new HashSet<>();
   private long seenChanges = -1;
+  private boolean hasTraffic;
 
   /** Creates a board over the fleet. */
   public UpstreamBoard(
@@ -201,20 +207,21 @@
    * Returns how pressed each model of the service is: the requests open at its replicas, over all
    * processes, for each of their places. A model without any replica is pressed beyond measure.
    */
-  public Map<String, Double> pressures(UpstreamService service) {
+  public Demand demand(UpstreamService service) {
     refresh();
     Map<String, Double> pressures = new HashMap<>();
     EngineSpec engine = service.engine();
     if (engine == null) {
-      return pressures;
+      return Demand.NONE;
     }
     for (ModelShape model : engine.models()) {
       List<FleetBox> heads = candidates(service, model.name());
       int open = heads.stream().mapToInt(head -> loadOf(head.id()).openCount()).sum();
       double places = (double) heads.size() * engine.slots();
       pressures.put(model.name(), places == 0 ? NO_REPLICA_PRESSURE : open / places);
+      hasTraffic |= open > 0;
     }
-    return pressures;
+    return new Demand(pressures, hasTraffic);
   }
 
   /** Writes a line on each model of the service: heads, those suspected, and what they have. */
@@ -251,6 +258,34 @@
     }
   }
 
+  /** Writes a line on how many boxes serve, and what the others are doing. */
+  public void summarizeBoxes() {
+    Map<String, Integer> counts = new TreeMap<>();
+    for (FleetBox box : fleet.boxes()) {
+      if (box.domain() != null) {
+        counts.merge(describe(box), 1, Integer::sum);
+      }
+    }
+    log.write("fleet_state", "boxes", counts);
+  }
+
+  private String describe(FleetBox box) {
+    Membership membership = box.membership();
+    if (!fleet.isOnList(box.id())) {
+      return "off_list";
+    }
+    if (box.isLeaving()) {
+      return "leaving";
+    }
+    if (membership == null) {
+      boolean isBlank = box.model() == null && box.stagedModels().isEmpty();
+      return isBlank ? "blank" : "idle";
+    }
+    return servingReplicas.contains(membership.replica())
+        ? "serving"
+        : membership.state().name().toLowerCase(Locale.ROOT);
+  }
+
   /** Looks for heads that stand still and takes their requests elsewhere. */
   public void findStalled(UpstreamService service) {
     refresh();
@@ -307,6 +342,7 @@
     seenChanges = fleet.changes();
     openHeads.clear();
     plainUpstreams.clear();
+    servingReplicas.clear();
     Map<String, Integer> soundMembers = countSoundMembers();
     for (FleetBox box : fleet.boxes()) {
       if (box.isLeaving() || !fleet.isOnList(box.id())) {
@@ -319,6 +355,7 @@
             .computeIfAbsent(box.service() + "/" + box.model(), name -> new ArrayList<>())
             .add(box);
         noteFormation(box, soundMembers);
+        servingReplicas.add(box.membership().replica());
       }
     }
     loads.keySet().removeIf(id -> fleet.find(id) == null && loads.get(id).open().isEmpty());
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -20,6 +20,7 @@
 import org.shoreroad.fleet.BoxOrder;
 import org.shoreroad.fleet.BoxSight;
 import org.shoreroad.fleet.BoxSight.Reach;
+import org.shoreroad.fleet.Demand;
 import org.shoreroad.fleet.DomainKeeper;
 import org.shoreroad.fleet.EngineSpec;
 import org.shoreroad.fleet.FleetBox;
@@ -64,7 +65,7 @@
   private final Engines engines;
   private final Supplier<@Nullable TrafficConfig> config;
   private final Supplier<Set<String>> suspectedHeads;
-  private final Function<UpstreamService, Map<String, Double>> pressures;
+  private final Function<UpstreamService, Demand> demands;
   private final Doubts doubts;
   private final Supplier<Set<String>> alivePeers;
   private final long certainNanos;
@@ -84,7 +85,7 @@
       Engines engines,
       Supplier<@Nullable TrafficConfig> config,
       Supplier<Set<String>> suspectedHeads,
-      Function<UpstreamService, Map<String, Double>> pressures,
+      Function<UpstreamService, Demand> demands,
       Doubts doubts,
       Supplier<Set<String>> alivePeers,
       int stallMs) {
@@ -96,7 +97,7 @@
     this.engines = engines;
     this.config = config;
     this.suspectedHeads = suspectedHeads;
-    this.pressures = pressures;
+    this.demands = demands;
     this.doubts = doubts;
     this.alivePeers = alivePeers;
     this.certainNanos = TimeUnit.MILLISECONDS.toNanos(stallMs + STALL_MARGIN_MS);
@@ -186,12 +187,12 @@
     domains.forEach((name, boxes) -> sizes.put(name, countLasting(boxes)));
     ReplicaPlan plan = ReplicaPlan.of(engine, sizes);
     Set<String> suspected = suspectedHeads.get();
-    Map<String, Double> pressure = pressures.apply(service);
+    Demand demand = demands.apply(service);
     domains.forEach(
         (domain, boxes) -> {
           String key = service.name() + "/" + domain;
           if (lease.holds(key)) {
-            keepDomain(key, domain, engine, boxes, plan, suspected, pressure);
+            keepDomain(key, domain, engine, boxes, plan, suspected, demand);
           } else {
             keepers.remove(key);
             busySinceNanos.remove(key);
@@ -210,7 +211,7 @@
       List<FleetBox> boxes,
       ReplicaPlan plan,
       Set<String> suspected,
-      Map<String, Double> pressure) {
+      Demand demand) {
     long nowNanos = clockNanos.getAsLong();
     DomainKeeper keeper = keepers.get(key);
     if (keeper == null) {
@@ -233,7 +234,7 @@
         sights.add(see(newest, nowNanos));
       }
     }
-    keeper.decide(nowNanos, engine, sights, plan, headsSeen, pressure).forEach(this::give);
+    keeper.decide(nowNanos, engine, sights, plan, headsSeen, demand).forEach(this::give);
     for (BoxSight sight : sights) {
       if (sight.isDead() && !sight.isListed()) {
         fleet.forget(sight.box().id());
