A stopping process refuses what it could not end; tests of relay, heartbeats, plans

Now requests are refused from 2.8 s after the signal, with when to come back, and resting connections are closed. Ruled out: the balancer (new connections end after two missed questions).

--- /dev/null
+++ b/core/src/test/java/org/shoreroad/fleet/ReplicaPlanTest.java
@@ -0,0 +1,51 @@
+package org.shoreroad.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class ReplicaPlanTest {
+  private final EngineSpec spec = FakeDomain.spec();
+
+  @Test
+  void aLargeDomainKeepsAQuarterAsReserve() {
+    ReplicaPlan plan = ReplicaPlan.of(spec, Map.of("d", 8));
+    assertThat(plan.wanted("d", "large"), is(1));
+    assertThat(plan.wanted("d", "small"), is(1));
+  }
+
+  @Test
+  void aSmallDomainUsesAllItHas() {
+    ReplicaPlan plan = ReplicaPlan.of(spec, Map.of("d", 6));
+    assertThat(plan.wanted("d", "large"), is(1));
+    assertThat(plan.wanted("d", "small"), is(1));
+  }
+
+  @Test
+  void sharesHoldOverAllDomains() {
+    Map<String, Integer> sizes = new HashMap<>();
+    for (int i = 0; i < 40; i++) {
+      sizes.put("d" + i, 7);
+    }
+    ReplicaPlan plan = ReplicaPlan.of(spec, sizes);
+    int large = 0;
+    int small = 0;
+    for (String domain : sizes.keySet()) {
+      large += plan.wanted(domain, "large");
+      small += plan.wanted(domain, "small");
+    }
+    assertThat(large, is(40));
+    assertThat(small, is(40));
+  }
+
+  @Test
+  void nothingFitsIntoTooFewBoxes() {
+    ReplicaPlan plan = ReplicaPlan.of(spec, Map.of("d", 1));
+    assertThat(plan.wanted("d", "large"), is(0));
+    assertThat(plan.wanted("d", "small"), is(0));
+    assertThat(plan.wanted("unknown", "large"), is(0));
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -57,8 +57,14 @@
   private static final int SUMMARY_MS = 2_000;
   private static final int WRITE_AGAIN_MS = 500;
 
+  /**
+   * Requests are taken this long after the signal to stop: the balancer needs two missed questions,
+   * a second apart, to send no more; and what is taken later may not end within the grace.
+   */
+  private static final int TAKE_AFTER_SIGNAL_MS = 2_800;
+
   /** This part of the grace is left for the end itself. */
-  private static final int END_MARGIN_MS = 500;
+  private static final int END_MARGIN_MS = 300;
 
   private final EdgeSettings settings;
   private final EdgePorts ports;
@@ -210,6 +216,14 @@
     log.write("stop", "open", relay.openCount(), "connections", callers.connectionCount());
     lease.leave();
     callers.stopKeeping();
+    long takeMs = Math.min(TAKE_AFTER_SIGNAL_MS, settings.graceMs() / 2);
+    loop.schedule(
+        () -> {
+          relay.refuseNew();
+          callers.closeResting();
+        },
+        takeMs,
+        TimeUnit.MILLISECONDS);
     long endNanos =
         clockNanos.getAsLong() + TimeUnit.MILLISECONDS.toNanos(settings.graceMs() - END_MARGIN_MS);
     loop.scheduleWithFixedDelay(
--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
@@ -82,6 +82,15 @@
     isStopping = true;
   }
 
+  /** Closes the connections on which nothing is arriving or being answered. */
+  public void closeResting() {
+    for (CallerConnection connection : new ArrayList<>(connections)) {
+      if (connection.isResting()) {
+        connection.abort();
+      }
+    }
+  }
+
   /** Returns the number of open connections. */
   public int connectionCount() {
     return connections.size();
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -40,6 +40,9 @@
   /** The time to come back while no replica stands: a mending takes about this. */
   private static final int COME_BACK_LATER_MS = 700;
 
+  /** The time to come back when another process can take the request now. */
+  private static final int COME_BACK_AT_ONCE_MS = 10;
+
   /** Attempts that never left this process, such as refused connections, are bounded by this. */
   private static final int MAX_UNSENT_TRIES = 6;
 
@@ -78,6 +81,10 @@
 
   /** Admits the request and sends it, or answers it at once. */
   void start() {
+    if (relay.isRefusingNew()) {
+      refuse(Refusal.STOPPING, COME_BACK_AT_ONCE_MS);
+      return;
+    }
     TrafficConfig config = relay.freshness().config();
     if (config == null) {
       refuse(Refusal.NO_CONFIGURATION, COME_BACK_LATER_MS);
--- a/edge/src/main/java/org/shoreroad/edge/relay/Refusal.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Refusal.java
@@ -11,6 +11,7 @@
  */
 enum Refusal {
   NO_CONFIGURATION(HttpResponseStatus.SERVICE_UNAVAILABLE),
+  STOPPING(HttpResponseStatus.SERVICE_UNAVAILABLE),
   NO_ROUTE(HttpResponseStatus.NOT_FOUND),
   UNKNOWN_KEY(HttpResponseStatus.UNAUTHORIZED),
   KEYS_TOO_OLD(HttpResponseStatus.SERVICE_UNAVAILABLE),
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -42,6 +42,7 @@
   private final Map<String, AttemptBudget> budgets = new HashMap<>();
   private final Set<Exchange> open = new HashSet<>();
   private int ticks;
+  private boolean isRefusingNew;
 
   /** Creates a relay; {@link #start} begins its clockwork. */
   public Relay(
@@ -80,6 +81,11 @@
     return exchange;
   }
 
+  /** From now on new requests are refused, so that those under way can end in time. */
+  public void refuseNew() {
+    isRefusingNew = true;
+  }
+
   /** Returns the number of requests that are not answered yet. */
   public int openCount() {
     return open.size();
@@ -99,6 +105,10 @@
     }
   }
 
+  boolean isRefusingNew() {
+    return isRefusingNew;
+  }
+
   void remove(Exchange exchange) {
     open.remove(exchange);
   }
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/peer/DoubtsTest.java
@@ -0,0 +1,69 @@
+package org.shoreroad.edge.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class DoubtsTest {
+  private static final long MILLI_NANOS = 1_000_000L;
+  private static final String BOX = "i-1";
+
+  private long nowNanos;
+  private final Doubts doubts = new Doubts(() -> nowNanos);
+
+  private static Heartbeat from(String peer, Map<String, String> asked, Set<String> silent) {
+    return new Heartbeat(peer, 0, 0, 0, 0, List.of(), Set.of(), asked, silent, List.of());
+  }
+
+  private void raiseFor(int millis) {
+    for (int i = 0; i <= millis; i += 100) {
+      doubts.raise(BOX, "h:1");
+      nowNanos += 100 * MILLI_NANOS;
+    }
+  }
+
+  @Test
+  void aBoxThatAnswersOnePeerIsNotDead() {
+    raiseFor(2_000);
+    doubts.learn(from("p1", Map.of(), Set.of(BOX)));
+    doubts.learn(from("p2", Map.of(), Set.of()));
+    assertThat(doubts.isSilentForAll(BOX, Set.of("p1", "p2")), is(false));
+  }
+
+  @Test
+  void aBoxThatAnswersNobodyIsDead() {
+    raiseFor(2_000);
+    doubts.learn(from("p1", Map.of(), Set.of(BOX)));
+    doubts.learn(from("p2", Map.of(), Set.of(BOX)));
+    assertThat(doubts.isSilentForAll(BOX, Set.of("p1", "p2")), is(true));
+    doubts.learn(from("p2", Map.of(), Set.of()));
+    assertThat(doubts.isSilentForAll(BOX, Set.of("p1", "p2")), is(false));
+  }
+
+  @Test
+  void nothingIsCertainBeforePeersHadTime() {
+    raiseFor(500);
+    doubts.learn(from("p1", Map.of(), Set.of(BOX)));
+    assertThat(doubts.isSilentForAll(BOX, Set.of("p1")), is(false));
+  }
+
+  @Test
+  void aQuestionEndsWhenItIsNotRaisedAgain() {
+    raiseFor(100);
+    assertThat(doubts.questions(), is(Map.of(BOX, "h:1")));
+    nowNanos += 2_000 * MILLI_NANOS;
+    assertThat(doubts.questions(), is(Map.of()));
+  }
+
+  @Test
+  void questionsOfPeersAreKeptForAWhile() {
+    doubts.learn(from("p1", Map.of("i-9", "h:9"), Set.of()));
+    assertThat(doubts.askedByPeers(), is(Map.of("i-9", "h:9")));
+    nowNanos += 2_000 * MILLI_NANOS;
+    assertThat(doubts.askedByPeers(), is(Map.of()));
+  }
+}
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/relay/EventSplitterTest.java
@@ -0,0 +1,85 @@
+package org.shoreroad.edge.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class EventSplitterTest {
+  private final EventSplitter splitter = new EventSplitter();
+  private final List<String> events = new ArrayList<>();
+  private final List<Long> ids = new ArrayList<>();
+
+  private boolean add(String text) {
+    ByteBuf bytes = Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+    boolean isFit = splitter.add(bytes, this::take);
+    bytes.release();
+    return isFit;
+  }
+
+  private void take(ByteBuf event, long id) {
+    events.add(event.toString(StandardCharsets.UTF_8));
+    ids.add(id);
+    event.release();
+  }
+
+  @Test
+  void eventsAreCutAtBlankLines() {
+    add("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\n");
+    assertThat(events, contains("id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n"));
+    assertThat(ids, contains(1L, 2L));
+    assertThat(splitter.hasPart(), is(true));
+  }
+
+  @Test
+  void anEventInPiecesIsPassedOnOnceItIsWhole() {
+    add("versions: 3\nid: 4\nda");
+    add("ta: x\n");
+    assertThat(events.isEmpty(), is(true));
+    add("\n");
+    assertThat(ids, contains(4L));
+    assertThat(splitter.hasPart(), is(false));
+  }
+
+  @Test
+  void anIdThatIsNoNumberIsNone() {
+    add("id: x\ndata: 1\n\ndata: 2\n\n");
+    assertThat(ids, contains(-1L, -1L));
+  }
+
+  @Test
+  void anyCutOfTheBytesGivesTheSameEvents() {
+    StringBuilder stream = new StringBuilder();
+    for (int i = 1; i <= 40; i++) {
+      stream.append("id: ").append(i).append("\ndata: ").append("x".repeat(i)).append("\n\n");
+    }
+    for (int seed = 0; seed < 50; seed++) {
+      ids.clear();
+      Random random = new Random(seed);
+      String rest = stream.toString();
+      while (!rest.isEmpty()) {
+        int length = Math.min(rest.length(), 1 + random.nextInt(60));
+        add(rest.substring(0, length));
+        rest = rest.substring(length);
+      }
+      assertThat(ids.size(), is(40));
+      assertThat(ids.get(39), is(40L));
+    }
+  }
+
+  @Test
+  void aStreamWithoutAnyEndOfEventIsRefused() {
+    boolean isFit = true;
+    for (int i = 0; i < 30 && isFit; i++) {
+      isFit = add("x".repeat(50_000));
+    }
+    assertThat(isFit, is(false));
+  }
+}
