--- a/core/src/main/java/org/shoreroad/fleet/BoxSight.java
+++ b/core/src/main/java/org/shoreroad/fleet/BoxSight.java
@@ -25,6 +25,11 @@
     return isListed && !box.isLeaving() && reach == Reach.LIKELY;
   }
 
+  /** Returns true if the box has no weights at all. */
+  public boolean isBlank() {
+    return box.model() == null && box.stagedModels().isEmpty();
+  }
+
   /** Returns true if this life of the box is over, so that nothing runs on it any more. */
   public boolean isDead() {
     return reach == Reach.GONE;
--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -5,12 +5,10 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.IntPredicate;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.fleet.BoxOrder.Verb;
@@ -26,29 +24,19 @@
  * @since 0.2
  */
 public final class DomainKeeper {
-  /** Of the loads that run at full speed at a time, a domain takes this part. */
-  private static final int STAGING_DIVISOR = 4;
-
   /**
    * Hosts of a model's boxes are prepared for another one while this part of its places is free.
    */
   private static final double PREPARING_PRESSURE = 0.5;
 
-  /** The part that it takes while none of its replicas stands, or before the first request. */
-  private static final int URGENT_STAGING_DIVISOR = 2;
-
-  /** A load that has not shown after this many times its length is taken as lost. */
-  private static final double STAGING_LIMIT = 2;
-
   private final String domain;
   private final KeeperTiming timing;
   private final LongSupplier epochs;
-  private final IntPredicate loadBudget;
   private final Map<ReplicaId, Formation> formations = new LinkedHashMap<>();
   private final Map<ReplicaId, Long> closingSinceNanos = new HashMap<>();
   private final Map<ReplicaId, Long> headlessSinceNanos = new HashMap<>();
-  private final Map<String, Staging> stagings = new HashMap<>();
-  private final Map<String, Long> orderedAtNanos = new HashMap<>();
+  private final HostStagings stagings = new HostStagings();
+  private final OrderBook orderBook;
   private List<BoxOrder> orders = new ArrayList<>();
   private Map<String, BoxSight> sightsById = Map.of();
   private final Set<String> boundIds = new HashSet<>();
@@ -65,15 +53,12 @@
    * @param domain the domain's name, not null
    * @param timing its times, not null
    * @param epochs gives a number higher than any given before, by whatever process, not null
-   * @param loadBudget takes that many loads from the weight store out of the common budget, or
-   *     returns false, not null
    */
-  public DomainKeeper(
-      String domain, KeeperTiming timing, LongSupplier epochs, IntPredicate loadBudget) {
+  public DomainKeeper(String domain, KeeperTiming timing, LongSupplier epochs) {
     this.domain = domain;
     this.timing = timing;
     this.epochs = epochs;
-    this.loadBudget = loadBudget;
+    this.orderBook = new OrderBook(timing.orderRepeatNanos());
   }
 
   /** Returns true if a formation or a closing is under way, so that the boxes are worth asking. */
@@ -122,7 +107,7 @@
         }
       }
     }
-    isFresh = sights.stream().allMatch(DomainKeeper::isBlank);
+    isFresh = sights.stream().allMatch(BoxSight::isBlank);
     List<ModelShape> models = byNeed(spec, plan);
     formMissing(models, plan, nowNanos);
     giveUpReserve(spec, plan, observed.values(), nowNanos);
@@ -348,7 +333,7 @@
   private List<BoxSight> pickMembers(ModelShape model) {
     List<BoxSight> free = freeBoxes();
     free.sort(
-        Comparator.comparingInt((BoxSight sight) -> joinCost(sight.box(), model))
+        Comparator.comparingInt((BoxSight sight) -> sight.box().joinCost(model))
             .thenComparing(sight -> sight.box().id()));
     return free.subList(0, Math.min(free.size(), model.boxes()));
   }
@@ -358,9 +343,9 @@
     if (members.size() < model.boxes()) {
       return false;
     }
-    int loads = (int) members.stream().filter(sight -> isCold(sight.box(), model)).count();
+    int loads = (int) members.stream().filter(sight -> sight.box().isCold(model)).count();
     // A load keeps all members idle: the weights are put on the hosts first, but at the very start.
-    if (loads > 0 && !(isFresh && loadBudget.test(loads))) {
+    if (loads > 0 && !isFresh) {
       return false;
     }
     List<String> ids = members.stream().map(sight -> sight.box().id()).toList();
@@ -377,64 +362,42 @@
     return true;
   }
 
-  /**
-   * Puts weights on hosts, few at a time, since loads slow each other down: first for models that
-   * lack a replica, then for boxes that have none, then the other models' for the reserve.
-   */
+  /** Orders the loads to hosts: of what lacks first, then of what is free, then of the reserve. */
   private void prepareHosts(
       EngineSpec spec, List<ModelShape> models, ReplicaPlan plan, long nowNanos) {
-    stagings.entrySet().removeIf(entry -> isOver(entry.getKey(), entry.getValue(), nowNanos));
+    boolean isUrgent = standing.isEmpty() || !demand.hasTraffic();
+    stagings.begin(spec, sightsById, isUrgent, nowNanos);
     for (ModelShape model : models) {
       if (surplus(model.name(), plan) < 0) {
-        pickMembers(model).forEach(sight -> stage(sight.box(), model, spec, nowNanos));
+        pickMembers(model).forEach(sight -> stage(sight.box(), model, nowNanos));
       }
     }
     for (BoxSight sight : freeBoxes()) {
-      if (isBlank(sight)) {
-        stage(sight.box(), models.get(0), spec, nowNanos);
+      if (sight.isBlank()) {
+        stage(sight.box(), models.get(0), nowNanos);
       }
     }
-    if (!formations.isEmpty() || isMending) {
-      return;
-    }
-    for (BoxSight sight : sightsById.values()) {
-      FleetBox box = sight.box();
-      ModelShape other =
-          models.stream().filter(model -> isCold(box, model)).findFirst().orElse(null);
-      // In traffic only the reserve is prepared, and not while its own model is pressed.
-      boolean isSpare = isSmall(box, spec) && demand.pressure(box.model()) < PREPARING_PRESSURE;
-      if (sight.isFit() && other != null && (isSpare || !demand.hasTraffic())) {
-        stage(box, other, spec, nowNanos);
-      }
+    if (formations.isEmpty() && !isMending) {
+      sightsById.values().forEach(sight -> prepareForOther(sight, spec, models, nowNanos));
     }
   }
 
-  private void stage(FleetBox box, ModelShape model, EngineSpec spec, long nowNanos) {
-    boolean isUrgent = standing.isEmpty() || !demand.hasTraffic();
-    int divisor = isUrgent ? URGENT_STAGING_DIVISOR : STAGING_DIVISOR;
-    int atOnce = Math.max(1, spec.loadsAtOnce() / divisor);
-    boolean isPossible = stagings.size() < atOnce && !stagings.containsKey(box.id());
-    if (isPossible && isCold(box, model) && loadBudget.test(1)) {
-      stagings.put(box.id(), new Staging(model, nowNanos));
-      order(BoxOrder.stage(box.id(), model.name(), "to be at hand for a loss"), nowNanos);
+  /** Puts another model's weights on the host of a box that could be spared for it. */
+  private void prepareForOther(
+      BoxSight sight, EngineSpec spec, List<ModelShape> models, long nowNanos) {
+    FleetBox box = sight.box();
+    ModelShape other = models.stream().filter(model -> box.isCold(model)).findFirst().orElse(null);
+    // In traffic only the reserve is prepared, and not while its own model is pressed.
+    boolean isSpare = isSmall(box, spec) && demand.pressure(box.model()) < PREPARING_PRESSURE;
+    if (sight.isFit() && other != null && (isSpare || !demand.hasTraffic())) {
+      stage(box, other, nowNanos);
     }
   }
 
-  /** Returns true if the load has shown, can't be, or has taken so long that it must be lost. */
-  private boolean isOver(String boxId, Staging staging, long nowNanos) {
-    BoxSight sight = sightsById.get(boxId);
-    return sight == null
-        || !sight.isFit()
-        || !isCold(sight.box(), staging.model())
-        || nowNanos - staging.sinceNanos() > STAGING_LIMIT * staging.model().loadSeconds() * 1e9;
-  }
-
-  /** A load to a host that was ordered. */
-  private record Staging(ModelShape model, long sinceNanos) {}
-
-  /** Returns true if the box has no weights at all. */
-  private static boolean isBlank(BoxSight sight) {
-    return sight.box().model() == null && sight.box().stagedModels().isEmpty();
+  private void stage(FleetBox box, ModelShape model, long nowNanos) {
+    if (stagings.tryBegin(box, model, nowNanos)) {
+      order(BoxOrder.stage(box.id(), model.name(), "to be at hand for a loss"), nowNanos);
+    }
   }
 
   /** Returns true if the box serves in a replica of the smallest model. */
@@ -461,28 +424,8 @@
   }
 
   private void order(BoxOrder order, long nowNanos) {
-    String key = order.boxId() + order.verb() + order.replica();
-    Long lastNanos = orderedAtNanos.get(key);
-    if (lastNanos != null && nowNanos - lastNanos < timing.orderRepeatNanos()) {
-      return;
-    }
-    forgetOldOrders(nowNanos);
-    orderedAtNanos.put(key, nowNanos);
-    orderedAtNanos.put(order.boxId(), nowNanos);
-    orders.add(order);
-  }
-
-  private boolean isOrderDue(String boxId, long nowNanos) {
-    Long lastNanos = orderedAtNanos.get(boxId);
-    return lastNanos == null || nowNanos - lastNanos > timing.joinSlackNanos();
-  }
-
-  private void forgetOldOrders(long nowNanos) {
-    Iterator<Long> times = orderedAtNanos.values().iterator();
-    while (times.hasNext()) {
-      if (nowNanos - times.next() > 2 * timing.joinSlackNanos()) {
-        times.remove();
-      }
+    if (orderBook.isDue(order, nowNanos)) {
+      orders.add(order);
     }
   }
 
@@ -490,16 +433,4 @@
     Membership membership = sight.box().membership();
     return membership != null && membership.replica().equals(replica);
   }
-
-  private static boolean isCold(FleetBox box, ModelShape model) {
-    return !model.name().equals(box.model()) && !box.stagedModels().contains(model.name());
-  }
-
-  /** Returns 0 for a box that held the model last, 1 if it lies on its host, 2 if it must load. */
-  private static int joinCost(FleetBox box, ModelShape model) {
-    if (model.name().equals(box.model())) {
-      return 0;
-    }
-    return isCold(box, model) ? 2 : 1;
-  }
 }
--- a/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
@@ -29,7 +29,7 @@
   private DomainKeeper keeper = newKeeper();
 
   private DomainKeeper newKeeper() {
-    return new DomainKeeper("d", KeeperTiming.DEFAULT, () -> ++epoch, loads -> true);
+    return new DomainKeeper("d", KeeperTiming.DEFAULT, () -> ++epoch);
   }
 
   private void addBoxes(int count) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -160,7 +160,7 @@
   private void endWhole(HttpResponse answered) {
     boolean hasFailed = answered.status().codeClass() == HttpStatusClass.SERVER_ERROR;
     target.load().recordOutcome(hasFailed);
-    if (hasFailed && exchange.canRepeat() && relay.nowNanos() >= 0) {
+    if (hasFailed && exchange.canRepeat()) {
       end();
       exchange.onAttemptFailed(target, AttemptEnd.FAILED);
       return;
--- a/edge/src/main/java/org/shoreroad/edge/relay/AttemptEnd.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/AttemptEnd.java
@@ -1,5 +1,7 @@
 package org.shoreroad.edge.relay;
 
+import java.util.Locale;
+
 /**
  * How an attempt ended that brought nothing to pass on.
  *
@@ -15,5 +17,10 @@
   /** The connection broke, or what came was out of form. */
   BROKEN,
   /** Nothing came for too long. */
-  STALLED
+  STALLED;
+
+  /** Returns the text form for counters, such as {@code not_sent}. */
+  String code() {
+    return name().toLowerCase(Locale.ROOT);
+  }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -1,12 +1,12 @@
 package org.shoreroad.edge.relay;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.HttpResponse;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -15,7 +15,6 @@
 import org.shoreroad.edge.caller.AnswerChannel;
 import org.shoreroad.edge.caller.CallerExchange;
 import org.shoreroad.edge.caller.CallerRequest;
-import org.shoreroad.edge.caller.HeaderNames;
 import org.shoreroad.traffic.ClientAccount;
 import org.shoreroad.traffic.RequestKind;
 import org.shoreroad.traffic.Route;
@@ -48,13 +47,12 @@
 
   private static final int SMALLEST_DEADLINE_MS = 20;
   private static final int LOWEST_RANK = 9;
-  private static final int DEFAULT_DEADLINE_MS = 60_000;
-  private static final String BEARER = "Bearer ";
 
   private final Relay relay;
   private final CallerRequest request;
   private final AnswerChannel answers;
   private final Set<String> triedIds = new HashSet<>();
+  private final RequestReader reader;
   private final String model;
   private final long promptTokens;
   private @Nullable Route route;
@@ -75,8 +73,9 @@
     this.relay = relay;
     this.request = request;
     this.answers = answers;
-    this.model = request.header(relay.headers().model());
-    this.promptTokens = readPromptTokens(request.header(relay.headers().tokenCount()));
+    this.reader = new RequestReader(request, relay.headers());
+    this.model = reader.model();
+    this.promptTokens = reader.promptTokens();
   }
 
   /** Admits the request and sends it, or answers it at once. */
@@ -103,7 +102,7 @@
       return;
     }
     service = config.findService(found.chooseService(relay.random().nextDouble())).orElse(null);
-    long holdMs = Math.min(readDeadlineMs(), found.timeoutMs());
+    long holdMs = Math.min(reader.deadlineMs(), found.timeoutMs());
     endNanos = request.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(holdMs);
     waitUntilNanos =
         request.arrivedNanos()
@@ -119,10 +118,7 @@
     if (!config.hasAccounts()) {
       return true;
     }
-    String authorization = request.header(HttpHeaderNames.AUTHORIZATION.toString());
-    String key =
-        authorization.startsWith(BEARER) ? authorization.substring(BEARER.length()).trim() : "";
-    account = config.findAccount(key).orElse(null);
+    account = config.findAccount(reader.key()).orElse(null);
     if (account == null && !found.allowsAnonymous()) {
       refuse(Refusal.UNKNOWN_KEY, 0);
       return false;
@@ -201,33 +197,15 @@
 
   /** Returns the request as the upstream gets it. */
   FullHttpRequest toUpstreamRequest(Target target) {
-    HeaderNames names = relay.headers();
-    HttpHeaders headers = HopHeaders.copyWithout(request.headers());
-    headers.remove(HttpHeaderNames.AUTHORIZATION);
-    headers.remove(names.account());
-    headers.remove(names.rank());
-    headers.set(names.expectedUpstream(), target.box().id());
-    headers.set(names.deadlineMs(), Long.toString(remainingMs()));
-    if (account != null) {
-      headers.set(names.account(), account.name());
-    }
-    if (target.box().domain() != null && route != null) {
-      headers.set(names.rank(), Integer.toString(rank(route)));
-    }
     EventRelay begun = events;
-    if (begun != null && begun.lastId() >= 0) {
-      headers.set(names.lastEventId(), Long.toString(begun.lastId()));
-    }
-    if (request.body().isReadable() || headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
-    }
-    return new DefaultFullHttpRequest(
-        HttpVersion.HTTP_1_1,
-        request.method(),
-        request.uri(),
-        request.body().retainedDuplicate(),
-        headers,
-        new DefaultHttpHeaders());
+    Route of = route;
+    boolean isRanked = target.box().domain() != null && of != null;
+    return reader.toUpstreamRequest(
+        target.box().id(),
+        remainingMs(),
+        account,
+        isRanked && of != null ? rank(of) : RequestReader.NO_RANK,
+        begun == null ? -1 : begun.lastId());
   }
 
   private int rank(Route of) {
@@ -249,10 +227,10 @@
   }
 
   /** Takes an answer's head; returns where its body goes. */
-  @Nullable EventRelay onStreamHead(io.netty.handler.codec.http.HttpResponse head) {
+  @Nullable EventRelay onStreamHead(HttpResponse head) {
     EventRelay begun = events;
     if (begun == null) {
-      begun = new EventRelay(answers, readCallersLastId());
+      begun = new EventRelay(answers, reader.lastEventId());
       events = begun;
       relay.counters().record("shoreroad.first_head", relay.nowNanos() - request.arrivedNanos());
       answers.begin(head.status(), HopHeaders.copyWithout(head.headers()));
@@ -261,7 +239,7 @@
   }
 
   /** Passes a whole answer on. */
-  void onWholeAnswer(io.netty.handler.codec.http.HttpResponse head, io.netty.buffer.ByteBuf body) {
+  void onWholeAnswer(HttpResponse head, ByteBuf body) {
     relay.counters().count("shoreroad.answers", Integer.toString(head.status().code()));
     relay.counters().record("shoreroad.answer", relay.nowNanos() - request.arrivedNanos());
     finish();
@@ -278,9 +256,7 @@
   /** Decides what follows when an attempt brought nothing that can be passed on. */
   void onAttemptFailed(Target target, AttemptEnd end) {
     attempt = null;
-    relay
-        .counters()
-        .count("shoreroad.attempts.failed", end.name().toLowerCase(java.util.Locale.ROOT));
+    relay.counters().count("shoreroad.attempts.failed", end.code());
     logAttempt(target, end);
     if (isOver) {
       return;
@@ -296,7 +272,7 @@
     Route of = route;
     boolean isAllowed = of != null && (end == AttemptEnd.REFUSED || of.isRepeatable());
     if (isAllowed && attemptsLeft > 0 && takeRepeat()) {
-      relay.counters().count("shoreroad.retries", end.name().toLowerCase(java.util.Locale.ROOT));
+      relay.counters().count("shoreroad.retries", end.code());
       send();
     } else if (hasBegun()) {
       abort(end.name());
@@ -373,7 +349,7 @@
         .write(
             "request_refused",
             "request",
-            request.header(relay.headers().attemptId()),
+            reader.attemptId(),
             "reason",
             refusal.code(),
             "route",
@@ -403,7 +379,7 @@
         .write(
             "answer_cut",
             "request",
-            request.header(relay.headers().attemptId()),
+            reader.attemptId(),
             "reason",
             why,
             "sends",
@@ -428,7 +404,7 @@
         .write(
             "attempt_failed",
             "request",
-            request.header(relay.headers().attemptId()),
+            reader.attemptId(),
             "end",
             end,
             "upstream",
@@ -467,12 +443,8 @@
     return route != null && route.kind() == RequestKind.STREAM;
   }
 
-  boolean isRepeatable() {
-    return route != null && route.isRepeatable();
-  }
-
   boolean canRepeat() {
-    return isRepeatable() && attemptsLeft > 0;
+    return route != null && route.isRepeatable() && attemptsLeft > 0;
   }
 
   boolean isOver() {
@@ -488,7 +460,7 @@
   }
 
   String attemptId() {
-    return request.header(relay.headers().attemptId());
+    return reader.attemptId();
   }
 
   String targetId() {
@@ -503,19 +475,4 @@
     long leftMs = TimeUnit.NANOSECONDS.toMillis(endNanos - relay.nowNanos());
     return Math.max(SMALLEST_DEADLINE_MS, leftMs);
   }
-
-  private long readDeadlineMs() {
-    String text = request.header(relay.headers().deadlineMs());
-    return text.matches("[0-9]{1,9}") ? Long.parseLong(text) : DEFAULT_DEADLINE_MS;
-  }
-
-  private long readCallersLastId() {
-    String text = request.header(relay.headers().lastEventId());
-    return text.matches("[0-9]{1,18}") ? Long.parseLong(text) : -1;
-  }
-
-  private static long readPromptTokens(String tokenCount) {
-    String first = tokenCount.split(",", 2)[0].trim();
-    return first.matches("[0-9]{1,9}") ? Long.parseLong(first) : 0;
-  }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Refusal.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Refusal.java
@@ -1,6 +1,7 @@
 package org.shoreroad.edge.relay;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.Locale;
 
 /**
  * Why a request gets an answer of this system's own, and with which status.
@@ -37,7 +38,8 @@
     return status == HttpResponseStatus.SERVICE_UNAVAILABLE;
   }
 
+  /** Returns the text form for answers, logs and counters, such as {@code no_place}. */
   String code() {
-    return name().toLowerCase(java.util.Locale.ROOT);
+    return name().toLowerCase(Locale.ROOT);
   }
 }
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
@@ -0,0 +1,103 @@
+package org.shoreroad.edge.relay;
+
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpVersion;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.edge.caller.CallerRequest;
+import org.shoreroad.edge.caller.HeaderNames;
+import org.shoreroad.traffic.ClientAccount;
+
+/** Reads what a request's headers say, and writes those that its upstream gets. */
+final class RequestReader {
+  /** Stands for a request whose urgency the upstream is not told. */
+  static final int NO_RANK = -1;
+
+  private static final String BEARER = "Bearer ";
+  private static final int DEFAULT_DEADLINE_MS = 60_000;
+
+  private final CallerRequest request;
+  private final HeaderNames names;
+
+  RequestReader(CallerRequest request, HeaderNames names) {
+    this.request = request;
+    this.names = names;
+  }
+
+  String attemptId() {
+    return request.header(names.attemptId());
+  }
+
+  String model() {
+    return request.header(names.model());
+  }
+
+  /** Returns the key that the caller shows, or an empty text. */
+  String key() {
+    String authorization = request.header(HttpHeaderNames.AUTHORIZATION.toString());
+    return authorization.startsWith(BEARER) ? authorization.substring(BEARER.length()).trim() : "";
+  }
+
+  long deadlineMs() {
+    return toNumber(request.header(names.deadlineMs()), DEFAULT_DEADLINE_MS);
+  }
+
+  /** Returns the last event that the caller has, or -1. */
+  long lastEventId() {
+    return toNumber(request.header(names.lastEventId()), -1);
+  }
+
+  long promptTokens() {
+    return toNumber(request.header(names.tokenCount()).split(",", 2)[0].trim(), 0);
+  }
+
+  /**
+   * Returns the request for an upstream: unaltered but for the headers of one connection, the key,
+   * and those that this system sets.
+   *
+   * @param upstreamId the only life of an upstream that may run it
+   * @param deadlineMs the time that is left, in milliseconds
+   * @param account the client account, or null
+   * @param rank how urgent it is, or {@link #NO_RANK}
+   * @param lastEventId the last event that was passed on by an earlier attempt, or -1
+   */
+  FullHttpRequest toUpstreamRequest(
+      String upstreamId,
+      long deadlineMs,
+      @Nullable ClientAccount account,
+      int rank,
+      long lastEventId) {
+    HttpHeaders headers = HopHeaders.copyWithout(request.headers());
+    headers.remove(HttpHeaderNames.AUTHORIZATION);
+    headers.remove(names.account());
+    headers.remove(names.rank());
+    headers.set(names.expectedUpstream(), upstreamId);
+    headers.set(names.deadlineMs(), Long.toString(deadlineMs));
+    if (account != null) {
+      headers.set(names.account(), account.name());
+    }
+    if (rank != NO_RANK) {
+      headers.set(names.rank(), Integer.toString(rank));
+    }
+    if (lastEventId >= 0) {
+      headers.set(names.lastEventId(), Long.toString(lastEventId));
+    }
+    if (request.body().isReadable() || headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
+    }
+    return new DefaultFullHttpRequest(
+        HttpVersion.HTTP_1_1,
+        request.method(),
+        request.uri(),
+        request.body().retainedDuplicate(),
+        headers,
+        new DefaultHttpHeaders());
+  }
+
+  private static long toNumber(String text, long otherwise) {
+    return text.matches("[0-9]{1,18}") ? Long.parseLong(text) : otherwise;
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -216,7 +216,7 @@
     DomainKeeper keeper = keepers.get(key);
     if (keeper == null) {
       log.write("domain_taken", "domain", key, "boxes", boxes.size(), "fence", lease.fence());
-      keeper = new DomainKeeper(domain, KeeperTiming.DEFAULT, lease::nextEpoch, loads -> true);
+      keeper = new DomainKeeper(domain, KeeperTiming.DEFAULT, lease::nextEpoch);
       keepers.put(key, keeper);
     }
     askInDoubt(boxes, suspected, nowNanos);
