--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
@@ -140,10 +140,10 @@
       ahead.add(request);
       return;
     }
-    begin(request);
+    answerNext(request);
   }
 
-  private void begin(CallerRequest request) {
+  private void answerNext(CallerRequest request) {
     isAnswering = true;
     isLastAnswer = false;
     exchange = null;
@@ -227,7 +227,7 @@
     }
     CallerRequest next = ahead.poll();
     if (next != null) {
-      begin(next);
+      answerNext(next);
     }
   }
 
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FakeStore.java
@@ -0,0 +1,104 @@
+package org.shoreroad.edge.sync;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** A store in memory that answers at once, unless it is told to fail; used by one thread. */
+final class FakeStore implements Store {
+  static final int PAGE_RECORDS = 2;
+
+  private final List<StoreRecord> records = new ArrayList<>();
+  private final List<String> calls = new ArrayList<>();
+  private final List<Long> joinedGenerations = new ArrayList<>();
+  private long firstOffset;
+  private @Nullable StoreFault fault;
+  private PartitionGrant grant = new PartitionGrant(1, Set.of());
+  private boolean hasLeft;
+
+  void put(String key, @Nullable String value) {
+    byte[] bytes = value == null ? null : value.getBytes(StandardCharsets.UTF_8);
+    records.add(new StoreRecord(records.size(), key, bytes));
+  }
+
+  void trim() {
+    firstOffset = records.size();
+  }
+
+  void failWith(@Nullable StoreFault next) {
+    fault = next;
+  }
+
+  void grant(PartitionGrant next) {
+    grant = next;
+  }
+
+  List<String> calls() {
+    return calls;
+  }
+
+  boolean hasLeft() {
+    return hasLeft;
+  }
+
+  @Override
+  public void read(Topic topic, long fromOffset, int waitMs, StoreCallback<StorePage> callback) {
+    calls.add("read " + fromOffset);
+    if (fault != null) {
+      callback.onFault(fault);
+    } else if (fromOffset < firstOffset) {
+      callback.onFault(StoreFault.TRIMMED);
+    } else {
+      List<StoreRecord> found = records.subList((int) fromOffset, records.size());
+      callback.onValue(new StorePage(found, records.size(), false));
+    }
+  }
+
+  @Override
+  public void readNewest(Topic topic, String afterKey, StoreCallback<StorePage> callback) {
+    calls.add("newest " + afterKey);
+    if (fault != null) {
+      callback.onFault(fault);
+      return;
+    }
+    Map<String, StoreRecord> newest = new LinkedHashMap<>();
+    for (StoreRecord record : records) {
+      newest.remove(record.key());
+      if (record.value() != null) {
+        newest.put(record.key(), record);
+      }
+    }
+    List<StoreRecord> after =
+        newest.values().stream()
+            .sorted((a, b) -> a.key().compareTo(b.key()))
+            .filter(record -> record.key().compareTo(afterKey) > 0)
+            .toList();
+    List<StoreRecord> page = after.subList(0, Math.min(PAGE_RECORDS, after.size()));
+    callback.onValue(new StorePage(page, records.size(), after.size() > page.size()));
+  }
+
+  @Override
+  public void write(Topic topic, String key, byte[] value, StoreCallback<Long> callback) {
+    callback.onFault(StoreFault.REFUSED);
+  }
+
+  @Override
+  public void join(
+      String member, int ttlMs, long generation, StoreCallback<PartitionGrant> callback) {
+    joinedGenerations.add(generation);
+    if (fault == null) {
+      callback.onValue(grant);
+    } else {
+      callback.onFault(fault);
+    }
+  }
+
+  @Override
+  public void leave(String member, long generation) {
+    hasLeft = true;
+  }
+}
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
@@ -0,0 +1,202 @@
+package org.shoreroad.edge.sync;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.shoreroad.edge.EventLog;
+import org.shoreroad.fleet.FleetBox;
+
+/** Following a topic, the fleet made of it, and the leases; with a clock that the test turns. */
+class FollowingTest {
+  private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private long nowNanos = 100 * SECOND_NANOS;
+  private final EventLog log = new EventLog("t", () -> nowNanos, OutputStream.nullOutputStream());
+  private final FakeStore store = new FakeStore();
+  private final Map<String, String> seen = new LinkedHashMap<>();
+  private final TopicFollower follower = follow(new Recorder());
+  private final Fleet fleet = new Fleet(FollowingTest::decode, () -> nowNanos, log);
+
+  private TopicFollower follow(TopicFollower.Listener listener) {
+    return new TopicFollower(
+        Topic.UPSTREAMS, store, channel.eventLoop(), () -> nowNanos, log, 1_000, 0, listener);
+  }
+
+  private static FleetBox decode(String id, byte[] entry) {
+    String text = new String(entry, StandardCharsets.UTF_8);
+    if (text.equals("bad")) {
+      throw new IllegalArgumentException("unreadable");
+    }
+    return new FleetBox(id, "s", "h:1", "z", 1, text.equals("leaving"), "d", null, List.of(), null);
+  }
+
+  private final class Recorder implements TopicFollower.Listener {
+    @Override
+    public void onRecord(StoreRecord record) {
+      byte[] value = record.value();
+      seen.put(record.key(), value == null ? "-" : new String(value, StandardCharsets.UTF_8));
+    }
+  }
+
+  /** Lets time pass for the follower's next call. */
+  private void pass(long nanos) {
+    nowNanos += nanos;
+    channel.advanceTimeBy(nanos, TimeUnit.NANOSECONDS);
+    channel.runScheduledPendingTasks();
+  }
+
+  @Test
+  void allPagesAreReadThenEveryRecord() {
+    for (int i = 0; i < 5; i++) {
+      store.put("k" + i, "v" + i);
+    }
+    follower.start();
+    assertThat(seen.size(), is(5));
+    assertThat(follower.isCurrent(), is(true));
+    store.put("k1", "new");
+    store.put("k2", null);
+    pass(SECOND_NANOS / 1_000);
+    assertThat(seen.get("k1"), is("new"));
+    assertThat(seen.get("k2"), is("-"));
+  }
+
+  @Test
+  void theProofCountsFromTheSending() {
+    follower.start();
+    assertThat(follower.provenNanos(), is(nowNanos));
+    store.failWith(StoreFault.NO_ANSWER);
+    pass(2 * SECOND_NANOS);
+    assertThat(follower.provenNanos(), is(nowNanos - 2 * SECOND_NANOS));
+  }
+
+  @Test
+  void aTrimmedHistoryIsReadAnewFromTheNewest() {
+    store.put("a", "1");
+    follower.start();
+    store.put("b", "2");
+    store.trim();
+    pass(SECOND_NANOS / 1_000);
+    assertThat(seen.keySet(), contains("a", "b"));
+    assertThat(store.calls(), hasItem("newest "));
+  }
+
+  @Test
+  void aFaultIsFollowedByAPauseAndAnotherCall() {
+    store.put("a", "1");
+    store.failWith(StoreFault.REFUSED);
+    follower.start();
+    assertThat(follower.isCurrent(), is(false));
+    store.failWith(null);
+    pass(SECOND_NANOS);
+    assertThat(follower.isCurrent(), is(true));
+  }
+
+  @Test
+  void aPeersProofCountsOnlyIfThisProcessHasReadAsFar() {
+    store.put("a", "1");
+    follower.start();
+    long proven = follower.provenNanos();
+    follower.proveByPeer(2, proven + 50);
+    assertThat(follower.provenNanos(), is(proven));
+    follower.proveByPeer(1, proven + 50);
+    assertThat(follower.provenNanos(), is(proven + 50));
+    follower.proveByPeer(1, proven + 20);
+    assertThat(follower.provenNanos(), is(proven + 50));
+  }
+
+  @Test
+  void anEntryThatLapsedWhileTheStoreWasAwayIsKept() {
+    fleet.onRecord(new StoreRecord(0, "i-1", "ready".getBytes(StandardCharsets.UTF_8)));
+    fleet.onRecord(new StoreRecord(1, "i-1", null));
+    fleet.dropRemoved(SECOND_NANOS);
+    assertThat(fleet.isOnList("i-1"), is(true));
+    fleet.onRecord(new StoreRecord(2, "i-1", "ready".getBytes(StandardCharsets.UTF_8)));
+    fleet.dropRemoved(60 * SECOND_NANOS);
+    assertThat(fleet.isOnList("i-1"), is(true));
+  }
+
+  @Test
+  void anEntryMissingInCalmTimesIsOffTheListAtOnceButTheBoxIsKnown() {
+    fleet.onRecord(new StoreRecord(0, "i-1", "ready".getBytes(StandardCharsets.UTF_8)));
+    fleet.onRecord(new StoreRecord(1, "i-1", null));
+    fleet.dropRemoved(60 * SECOND_NANOS);
+    assertThat(fleet.isOnList("i-1"), is(false));
+    assertThat(fleet.find("i-1") != null, is(true));
+    fleet.forget("i-1");
+    assertThat(fleet.find("i-1") == null, is(true));
+  }
+
+  @Test
+  void aFullListingTakesOffWhatItLacks() {
+    fleet.onRecord(new StoreRecord(0, "i-1", "ready".getBytes(StandardCharsets.UTF_8)));
+    fleet.onRecord(new StoreRecord(1, "i-2", "ready".getBytes(StandardCharsets.UTF_8)));
+    fleet.onListed(Set.of("i-2"));
+    fleet.dropRemoved(60 * SECOND_NANOS);
+    assertThat(fleet.isOnList("i-1"), is(false));
+    assertThat(fleet.isOnList("i-2"), is(true));
+  }
+
+  @Test
+  void anUnreadableEntryLeavesTheOldOne() {
+    fleet.onRecord(new StoreRecord(0, "i-1", "leaving".getBytes(StandardCharsets.UTF_8)));
+    fleet.onRecord(new StoreRecord(1, "i-1", "bad".getBytes(StandardCharsets.UTF_8)));
+    assertThat(fleet.find("i-1").isLeaving(), is(true));
+  }
+
+  private DomainLease lease() {
+    return new DomainLease(store, channel.eventLoop(), () -> nowNanos, log, "me", 1);
+  }
+
+  @Test
+  void aLeaseHoldsAfterItSettledAndUntilItsOwnEnd() {
+    store.grant(new PartitionGrant(7, Set.of(0)));
+    DomainLease lease = lease();
+    lease.start();
+    assertThat(lease.holds("s/d"), is(false));
+    pass(700_000_000L);
+    assertThat(lease.holds("s/d"), is(true));
+    assertThat(lease.fence(), is(7L));
+    store.failWith(StoreFault.NO_ANSWER);
+    pass(1_000_000_000L);
+    pass(1_000_000_000L);
+    assertThat(lease.holds("s/d"), is(false));
+  }
+
+  @Test
+  void numbersOfFormationsRiseOverGenerations() {
+    store.grant(new PartitionGrant(7, Set.of(0)));
+    DomainLease lease = lease();
+    lease.start();
+    long first = lease.nextEpoch();
+    long second = lease.nextEpoch();
+    store.grant(new PartitionGrant(8, Set.of(0)));
+    pass(700_000_000L);
+    long third = lease.nextEpoch();
+    assertThat(first < second && second < third, is(true));
+  }
+
+  @Test
+  void aProcessThatLeavesHoldsNothingMore() {
+    store.grant(new PartitionGrant(7, Set.of(0)));
+    DomainLease lease = lease();
+    lease.start();
+    pass(700_000_000L);
+    lease.leave();
+    assertThat(lease.holds("s/d"), is(false));
+    assertThat(store.hasLeft(), is(true));
+    pass(700_000_000L);
+    assertThat(lease.holds("s/d"), is(false));
+  }
+}
