No queue at engines: refuse at once what has no place, and let it come back

A caller refused at once, with when to come back, finds a free place. Ruled out: more replicas (boxes that load weights bind, see fleet_state).

--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -31,10 +31,10 @@
  */
 final class Exchange implements CallerExchange {
   /** A request waits for a place this part of its target latency; then it is refused. */
-  private static final int PATIENCE_DIVISOR = 5;
+  private static final int PATIENCE_DIVISOR = 8;
 
   /** The time to come back after a refusal for want of a place: a place frees in about this. */
-  private static final int COME_BACK_MS = 300;
+  private static final int COME_BACK_MS = 400;
 
   /** The time to come back while no replica stands: a mending takes about this. */
   private static final int COME_BACK_LATER_MS = 700;
@@ -45,6 +45,7 @@
   /** Attempts that never left this process, such as refused connections, are bounded by this. */
   private static final int MAX_UNSENT_TRIES = 6;
 
+  private static final double COME_BACK_SPREAD = 0.5;
   private static final int SMALLEST_DEADLINE_MS = 20;
   private static final int LOWEST_RANK = 9;
 
@@ -139,10 +140,7 @@
   private void send() {
     isWaiting = false;
     UpstreamService to = service;
-    Optional<Target> target =
-        to == null
-            ? Optional.empty()
-            : relay.board().choose(to, to.engine() == null ? null : model, triedIds);
+    Optional<Target> target = to == null ? Optional.empty() : choose(to);
     if (to == null || target.isEmpty()) {
       waitOrRefuse();
       return;
@@ -154,6 +152,11 @@
     next.start(to.maxConnections() == 0 ? Integer.MAX_VALUE : connections);
   }
 
+  private Optional<Target> choose(UpstreamService to) {
+    int targetMs = route == null ? 0 : route.targetLatencyMs();
+    return relay.board().choose(to, to.engine() == null ? null : model, triedIds, targetMs);
+  }
+
   private void waitOrRefuse() {
     long nowNanos = relay.nowNanos();
     if (sends == 0 && nowNanos < waitUntilNanos) {
@@ -309,7 +312,7 @@
       return;
     }
     boolean canMove = of.isRepeatable() && attemptsLeft > 0 && service != null;
-    if (!canMove || relay.board().choose(service, model, triedIds).isEmpty()) {
+    if (!canMove || choose(service).isEmpty()) {
       // Nobody else could do better; the engine may still move.
       return;
     }
@@ -367,7 +370,9 @@
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set("X-Shoreroad-Reason", refusal.code());
     if (refusal.isPromise() && comeBackMs > 0) {
-      headers.set(HttpHeaderNames.RETRY_AFTER, Double.toString(comeBackMs / 1e3));
+      // Spread, so that those refused together do not come back together.
+      double spreadMs = comeBackMs * (1 + COME_BACK_SPREAD * relay.random().nextDouble());
+      headers.set(HttpHeaderNames.RETRY_AFTER, Double.toString(Math.round(spreadMs) / 1e3));
     }
     finish();
     answers.answer(refusal.status(), headers, Unpooled.EMPTY_BUFFER);
@@ -447,10 +452,6 @@
     return route != null && route.isRepeatable() && attemptsLeft > 0;
   }
 
-  boolean isOver() {
-    return isOver;
-  }
-
   String model() {
     return model;
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
@@ -46,10 +46,14 @@
   /** How long a suspected head is left alone before one request may try it again. */
   private static final long SUSPICION_NANOS = TimeUnit.SECONDS.toNanos(4);
 
-  /** Requests beyond its places that a replica may be given, as a part of its places. */
-  private static final double QUEUE_PART = 0.35;
+  /** The part of the target latency that the prompts waiting at a replica may take to be read. */
+  private static final double BACKLOG_PART = 0.6;
 
   private static final double NO_REPLICA_PRESSURE = 1_000;
+
+  /** A plain upstream queues as many again as it works on: its requests are short. */
+  private static final int PLAIN_QUEUE_FACTOR = 2;
+
   private static final double FAILURE_COST = 3;
   private static final double OTHER_ZONE_COST = 0.03;
   private static final double JITTER_COST = 0.04;
@@ -82,9 +86,11 @@
    * @param service the service, not null
    * @param model the model asked for, or null for a plain service
    * @param tried the ids of upstreams that had the request already
+   * @param targetLatencyMs the time within which an answer is wanted, in milliseconds
    * @return the upstream, or empty if none is there or none has a place
    */
-  Optional<Target> choose(UpstreamService service, @Nullable String model, Set<String> tried) {
+  Optional<Target> choose(
+      UpstreamService service, @Nullable String model, Set<String> tried, int targetLatencyMs) {
     refresh();
     EngineSpec engine = service.engine();
     long nowNanos = clockNanos.getAsLong();
@@ -93,7 +99,9 @@
     double bestCost = Double.MAX_VALUE;
     for (FleetBox box : candidates) {
       UpstreamLoad load = loadOf(box.id());
-      if (tried.contains(box.id()) || isShunned(load, nowNanos) || isFull(load, box, engine)) {
+      if (tried.contains(box.id())
+          || isShunned(load, nowNanos)
+          || isFull(load, box, engine, targetLatencyMs)) {
         continue;
       }
       double cost = cost(load, box, engine);
@@ -124,9 +132,17 @@
     return load.isSuspected() && nowNanos - load.suspectedNanos() < SUSPICION_NANOS;
   }
 
-  private static boolean isFull(UpstreamLoad load, FleetBox box, @Nullable EngineSpec engine) {
-    int places = engine == null ? box.slots() : engine.slots();
-    return places > 0 && load.openCount() >= places * (1 + QUEUE_PART);
+  private static boolean isFull(
+      UpstreamLoad load, FleetBox box, @Nullable EngineSpec engine, int targetLatencyMs) {
+    if (engine == null) {
+      return box.slots() > 0 && load.openCount() >= box.slots() * PLAIN_QUEUE_FACTOR;
+    }
+    double readMs = load.waitingPromptTokens() / engine.promptTokensPerSecond() * 1e3;
+    // What waits at an engine is late, and makes all after it late; a caller that is refused at
+    // once
+    // comes back to a free place.
+    return load.openCount() >= engine.slots()
+        || (load.openCount() > 0 && readMs > BACKLOG_PART * targetLatencyMs);
   }
 
   private double cost(UpstreamLoad load, FleetBox box, @Nullable EngineSpec engine) {
