--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -197,7 +197,7 @@
     loop.scheduleWithFixedDelay(this::summarize, SUMMARY_MS, SUMMARY_MS, TimeUnit.MILLISECONDS);
     metrics.gauge("shoreroad.requests.open", relay::openCount);
     metrics.gauge("shoreroad.callers.connections", callers::connectionCount);
-    metrics.gauge("shoreroad.config.age_ms", () -> knowledge.configAgeNanos() / 1_000_000);
+    metrics.gauge("shoreroad.config.age_ms", knowledge::configAgeMs);
     metrics.gauge("shoreroad.processes.alive", mesh::aliveCount);
     metrics.gauge("shoreroad.log.dropped_lines", log::droppedLines);
   }
--- a/edge/src/main/java/org/shoreroad/edge/Knowledge.java
+++ b/edge/src/main/java/org/shoreroad/edge/Knowledge.java
@@ -80,6 +80,11 @@
         && clockNanos.getAsLong() - from.provenNanos() < keyTrustNanos;
   }
 
+  @Override
+  public long configAgeMs() {
+    return TimeUnit.NANOSECONDS.toMillis(configAgeNanos());
+  }
+
   @Override
   public int processCount() {
     return processCount;
@@ -99,10 +104,6 @@
     }
   }
 
-  long configVersion() {
-    return config == null ? -1 : config.version();
-  }
-
   long configOffset() {
     return follower == null ? -1 : follower.nextOffset();
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -7,7 +7,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -347,26 +350,7 @@
 
   private void refuse(Refusal refusal, int comeBackMs) {
     relay.counters().count("shoreroad.refusals", refusal.code());
-    relay
-        .log()
-        .write(
-            "request_refused",
-            "request",
-            reader.attemptId(),
-            "reason",
-            refusal.code(),
-            "route",
-            route == null ? "" : route.name(),
-            "model",
-            model,
-            "account",
-            account == null ? "" : account.name(),
-            "sends",
-            sends,
-            "tried",
-            triedIds,
-            "heldMs",
-            TimeUnit.NANOSECONDS.toMillis(relay.nowNanos() - request.arrivedNanos()));
+    writeLine("request_refused", "reason", refusal.code());
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set("X-Shoreroad-Reason", refusal.code());
     if (refusal.isPromise() && comeBackMs > 0) {
@@ -379,24 +363,7 @@
   }
 
   private void abort(String why) {
-    relay
-        .log()
-        .write(
-            "answer_cut",
-            "request",
-            reader.attemptId(),
-            "reason",
-            why,
-            "sends",
-            sends,
-            "tried",
-            triedIds,
-            "model",
-            model,
-            "lastEvent",
-            events == null ? -1 : events.lastId(),
-            "heldMs",
-            TimeUnit.NANOSECONDS.toMillis(relay.nowNanos() - request.arrivedNanos()));
+    writeLine("answer_cut", "reason", why, "lastEvent", events == null ? -1 : events.lastId());
     relay.counters().count("shoreroad.answers.cut", why);
     cancelAttempt();
     finish();
@@ -404,24 +371,22 @@
   }
 
   private void logAttempt(Target target, AttemptEnd end) {
-    relay
-        .log()
-        .write(
-            "attempt_failed",
-            "request",
-            reader.attemptId(),
-            "end",
-            end,
-            "upstream",
-            target.box().id(),
-            "replica",
-            String.valueOf(target.replicaName()),
-            "sends",
-            sends,
-            "attemptsLeft",
-            attemptsLeft,
-            "heldMs",
-            TimeUnit.NANOSECONDS.toMillis(relay.nowNanos() - request.arrivedNanos()));
+    String replica = String.valueOf(target.replicaName());
+    writeLine("attempt_failed", "end", end, "upstream", target.box().id(), "replica", replica);
+  }
+
+  /** Writes a line on this request: what happened, and all that the decision went by. */
+  private void writeLine(String event, Object... what) {
+    long heldMs = TimeUnit.NANOSECONDS.toMillis(relay.nowNanos() - request.arrivedNanos());
+    TrafficConfig config = relay.freshness().config();
+    List<Object> fields = new ArrayList<>(List.of("request", reader.attemptId()));
+    fields.addAll(Arrays.asList(what));
+    fields.addAll(List.of("route", route == null ? "" : route.name(), "model", model));
+    fields.addAll(List.of("account", account == null ? "" : account.name()));
+    fields.addAll(List.of("sends", sends, "tried", triedIds, "attemptsLeft", attemptsLeft));
+    fields.addAll(List.of("heldMs", heldMs, "configAgeMs", relay.freshness().configAgeMs()));
+    fields.addAll(List.of("configVersion", config == null ? -1 : config.version()));
+    relay.log().write(event, fields.toArray());
   }
 
   private void cancelAttempt() {
--- a/edge/src/main/java/org/shoreroad/edge/relay/Freshness.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Freshness.java
@@ -15,6 +15,9 @@
   /** Returns true if keys that were taken away would be known here by now. */
   boolean mayTrustKeys();
 
+  /** Returns how long ago it was proved that no change was missed, in milliseconds. */
+  long configAgeMs();
+
   /** Returns the number of processes believed alive, this one among them. */
   int processCount();
 }
--- a/edge/src/test/java/org/shoreroad/edge/relay/RelayTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/RelayTest.java
@@ -114,6 +114,11 @@
       return mayTrustKeys;
     }
 
+    @Override
+    public long configAgeMs() {
+      return 0;
+    }
+
     @Override
     public int processCount() {
       return 1;
