--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/KnowledgeTest.java
@@ -0,0 +1,153 @@
+package org.shoreroad.edge;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.shoreroad.edge.peer.Heartbeat;
+import org.shoreroad.edge.sync.PartitionGrant;
+import org.shoreroad.edge.sync.Store;
+import org.shoreroad.edge.sync.StoreCallback;
+import org.shoreroad.edge.sync.StorePage;
+import org.shoreroad.edge.sync.StoreRecord;
+import org.shoreroad.edge.sync.Topic;
+import org.shoreroad.edge.sync.TopicFollower;
+import org.shoreroad.traffic.CallerLimits;
+import org.shoreroad.traffic.TrafficConfig;
+
+class KnowledgeTest {
+  private static final int REVOKE_MS = 5_000;
+  private static final long MILLI_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+
+  private long nowNanos = 1_000_000 * MILLI_NANOS;
+  private final EventLog log = new EventLog("t", () -> nowNanos, OutputStream.nullOutputStream());
+  private final Knowledge knowledge =
+      new Knowledge(new NumberDecoder(), () -> nowNanos, log, REVOKE_MS);
+
+  /** Takes the text of a number for a configuration of that version. */
+  private static final class NumberDecoder implements Knowledge.Decoder {
+    @Override
+    public boolean isConfiguration(String key) {
+      return key.equals("config");
+    }
+
+    @Override
+    public TrafficConfig decode(byte[] value) {
+      long version = Long.parseLong(new String(value, StandardCharsets.UTF_8));
+      return TrafficConfig.of(version, List.of(), List.of(), null, CallerLimits.DEFAULT);
+    }
+  }
+
+  /** A store with one page of nothing, which answers the first call and no other. */
+  private static final class OnceStore implements Store {
+    @Override
+    public void read(Topic topic, long from, int waitMs, StoreCallback<StorePage> callback) {
+      // Never answers.
+    }
+
+    @Override
+    public void readNewest(Topic topic, String afterKey, StoreCallback<StorePage> callback) {
+      callback.onValue(new StorePage(List.of(), 3, false));
+    }
+
+    @Override
+    public void write(Topic topic, String key, byte[] value, StoreCallback<Long> callback) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void join(String member, int ttlMs, long gen, StoreCallback<PartitionGrant> callback) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void leave(String member, long generation) {
+      throw new UnsupportedOperationException();
+    }
+  }
+
+  private void take(String text) {
+    knowledge.onRecord(new StoreRecord(0, "config", text.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  private void follow() {
+    TopicFollower follower =
+        new TopicFollower(
+            Topic.CONFIGURATION,
+            new OnceStore(),
+            new EmbeddedChannel().eventLoop(),
+            () -> nowNanos,
+            log,
+            1_000,
+            0,
+            knowledge);
+    knowledge.setFollower(follower);
+    follower.start();
+  }
+
+  private static Heartbeat heartbeat(long echoNanos, long offset, long ageNanos) {
+    return new Heartbeat(
+        "p", 0, echoNanos, offset, ageNanos, List.of(), Set.of(), Map.of(), Set.of(), List.of());
+  }
+
+  @Test
+  void versionsOnlyRise() {
+    assertThat(knowledge.config(), is(nullValue()));
+    take("7");
+    take("5");
+    assertThat(knowledge.config().version(), is(7L));
+    take("8");
+    assertThat(knowledge.config().version(), is(8L));
+  }
+
+  @Test
+  void anUnreadableVersionLeavesTheLastGoodOne() {
+    take("7");
+    take("nonsense");
+    assertThat(knowledge.config().version(), is(7L));
+  }
+
+  @Test
+  void otherKeysAreNoConfiguration() {
+    knowledge.onRecord(new StoreRecord(0, "other", new byte[] {'9'}));
+    assertThat(knowledge.config(), is(nullValue()));
+  }
+
+  @Test
+  void keysAreTrustedForLessThanTheTimeToTakeThemAway() {
+    assertThat(knowledge.mayTrustKeys(), is(false));
+    follow();
+    assertThat(knowledge.mayTrustKeys(), is(true));
+    nowNanos += (REVOKE_MS - 501) * MILLI_NANOS;
+    assertThat(knowledge.mayTrustKeys(), is(true));
+    nowNanos += 2 * MILLI_NANOS;
+    assertThat(knowledge.mayTrustKeys(), is(false));
+  }
+
+  @Test
+  void aPeersProofCountsFromThisProcessesOwnClock() {
+    follow();
+    nowNanos += 4_000 * MILLI_NANOS;
+    long echoNanos = nowNanos - 200 * MILLI_NANOS;
+    knowledge.learn(heartbeat(echoNanos, 3, 300 * MILLI_NANOS));
+    assertThat(knowledge.configAgeMs(), is(500L));
+  }
+
+  @Test
+  void aPeerThatKnowsMoreOrEchoesNothingProvesNothing() {
+    follow();
+    nowNanos += 4_000 * MILLI_NANOS;
+    knowledge.learn(heartbeat(nowNanos, 4, 0));
+    assertThat(knowledge.configAgeMs(), is(4_000L));
+    knowledge.learn(heartbeat(0, 3, 0));
+    assertThat(knowledge.configAgeMs(), is(4_000L));
+  }
+}
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/caller/CallerServerTest.java
@@ -0,0 +1,167 @@
+package org.shoreroad.edge.caller;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.shoreroad.traffic.CallerLimits;
+
+/** Callers' connections over real sockets on loopback; short limits, no time is measured. */
+class CallerServerTest {
+  private static final CallerLimits LIMITS = new CallerLimits(2_000, 1_000, 300, 600);
+  private static final int READ_TIMEOUT_MS = 10_000;
+
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private final EventLoop loop = group.next();
+  private final List<String> bad = new CopyOnWriteArrayList<>();
+  private final List<String> gone = new CopyOnWriteArrayList<>();
+  private final List<String> bodies = new CopyOnWriteArrayList<>();
+  private CallerServer server;
+  private InetSocketAddress address;
+
+  @BeforeEach
+  void start() throws Exception {
+    server = new CallerServer(loop, System::nanoTime, () -> LIMITS, this::begin, bad::add);
+    address =
+        (InetSocketAddress)
+            server
+                .start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .sync()
+                .channel()
+                .localAddress();
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+  }
+
+  /** Answers with the path, but for /silent, which is never answered. */
+  private CallerExchange begin(CallerRequest request, AnswerChannel answers) {
+    bodies.add(request.body().toString(StandardCharsets.UTF_8));
+    request.body().release();
+    if (!request.uri().equals("/silent")) {
+      answers.answer(
+          HttpResponseStatus.OK,
+          new DefaultHttpHeaders(),
+          Unpooled.copiedBuffer(request.uri(), StandardCharsets.UTF_8));
+    }
+    return new CallerExchange() {
+      @Override
+      public void onCallerGone() {
+        gone.add(request.uri());
+      }
+
+      @Override
+      public void onWritabilityChanged(boolean isWritable) {
+        // Small answers only.
+      }
+    };
+  }
+
+  /** Sends bytes and returns what comes until the server closes. */
+  private String send(String text) throws IOException {
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      socket.setSoTimeout(READ_TIMEOUT_MS);
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+  }
+
+  @Test
+  void requestsSentAheadAreAnsweredInOrder() throws Exception {
+    String answers =
+        send(
+            "GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\nGET /c HTTP/1.1\r\nConnection: close\r\n\r\n");
+    assertThat(answers.indexOf("/a") < answers.indexOf("/b"), is(true));
+    assertThat(answers.indexOf("/b") < answers.indexOf("/c"), is(true));
+    assertThat(answers.toLowerCase(), containsString("connection: close"));
+  }
+
+  @Test
+  void aBodyInChunksIsTakenWhole() throws Exception {
+    send(
+        "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+            + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    assertThat(bodies, is(List.of("abcde")));
+  }
+
+  @Test
+  void aHeadThatNeverEndsIsRefused() throws Exception {
+    assertThat(send("GET /a HTTP/1.1\r\nHost: x"), startsWith("HTTP/1.1 408"));
+    assertThat(bad, is(List.of("slow_head")));
+  }
+
+  @Test
+  void aRestingConnectionIsClosed() throws Exception {
+    assertThat(send(""), is(""));
+  }
+
+  @Test
+  void aBodyThatIsTooLargeIsRefusedAtItsLimit() throws Exception {
+    String chunk = "400\r\n" + "x".repeat(0x400) + "\r\n";
+    assertThat(
+        send("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk),
+        startsWith("HTTP/1.1 413"));
+    assertThat(bad, is(List.of("body_too_large")));
+  }
+
+  @Test
+  void whatIsNoRequestIsRefused() throws Exception {
+    assertThat(send("nonsense\r\n\r\n"), startsWith("HTTP/1.1 400"));
+  }
+
+  @Test
+  void theLossOfTheCallerIsTold() throws Exception {
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      socket.getOutputStream().write("GET /silent HTTP/1.1\r\n\r\n".getBytes());
+      while (bodies.isEmpty()) {
+        Thread.sleep(5);
+      }
+    }
+    while (gone.isEmpty()) {
+      Thread.sleep(5);
+    }
+    assertThat(gone, is(List.of("/silent")));
+  }
+
+  @Test
+  void aStoppingServerSaysThatTheAnswerIsTheLast() throws Exception {
+    loop.submit(server::stopKeeping).sync();
+    String answer = send("GET /a HTTP/1.1\r\n\r\n");
+    assertThat(answer.toLowerCase(), containsString("connection: close"));
+  }
+
+  @Test
+  void restingConnectionsCanBeClosedAtOnce() throws Exception {
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      socket.setSoTimeout(READ_TIMEOUT_MS);
+      InputStream in = socket.getInputStream();
+      socket.getOutputStream().write("GET /a HTTP/1.1\r\n\r\n".getBytes());
+      StringBuilder answer = new StringBuilder();
+      while (!answer.toString().endsWith("\r\n\r\n/a")) {
+        answer.append((char) in.read());
+      }
+      loop.submit(server::closeResting).sync();
+      assertThat(in.read(), is(-1));
+    }
+  }
+}
