A repeated task that fails once is logged and goes on

Cause, found by reading: the loop drops a repeated task at its first exception without a word, so one defect would have ended the keeping of replicas for good.

--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -193,8 +193,9 @@
     lease.start();
     relay.start();
     replicas.start();
-    loop.scheduleWithFixedDelay(this::upkeep, UPKEEP_MS, UPKEEP_MS, TimeUnit.MILLISECONDS);
-    loop.scheduleWithFixedDelay(this::summarize, SUMMARY_MS, SUMMARY_MS, TimeUnit.MILLISECONDS);
+    Clockwork clockwork = new Clockwork(loop, log);
+    clockwork.every(UPKEEP_MS, "upkeep", this::upkeep);
+    clockwork.every(SUMMARY_MS, "summary", this::summarize);
     metrics.gauge("shoreroad.requests.open", relay::openCount);
     metrics.gauge("shoreroad.callers.connections", callers::connectionCount);
     metrics.gauge("shoreroad.config.age_ms", knowledge::configAgeMs);
@@ -226,18 +227,18 @@
         TimeUnit.MILLISECONDS);
     long endNanos =
         clockNanos.getAsLong() + TimeUnit.MILLISECONDS.toNanos(settings.graceMs() - END_MARGIN_MS);
-    loop.scheduleWithFixedDelay(
-        () -> {
-          boolean isIdle = callers.connectionCount() == 0 && relay.openCount() == 0;
-          if (isIdle || clockNanos.getAsLong() - endNanos >= 0) {
-            log.write("end", "open", relay.openCount());
-            log.flush();
-            onEnd.run();
-          }
-        },
-        UPKEEP_MS,
-        UPKEEP_MS,
-        TimeUnit.MILLISECONDS);
+    new Clockwork(loop, log)
+        .every(
+            UPKEEP_MS,
+            "stopping",
+            () -> {
+              boolean isIdle = callers.connectionCount() == 0 && relay.openCount() == 0;
+              if (isIdle || clockNanos.getAsLong() - endNanos >= 0) {
+                log.write("end", "open", relay.openCount());
+                log.flush();
+                onEnd.run();
+              }
+            });
   }
 
   private TopicFollower follower(
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -172,9 +172,14 @@
 
   private void sendAll() {
     long nowNanos = clockNanos.getAsLong();
-    peers.values().forEach(peer -> peer.send(nowNanos));
-    source.onSent();
-    scheduleNext();
+    try {
+      peers.values().forEach(peer -> peer.send(nowNanos));
+      source.onSent();
+    } catch (RuntimeException e) {
+      log.write("task_failed", "task", "heartbeats", "why", String.valueOf(e));
+    } finally {
+      scheduleNext();
+    }
   }
 
   private void receive(Heartbeat heartbeat) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -5,9 +5,9 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.shoreroad.edge.Clockwork;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.caller.AnswerChannel;
 import org.shoreroad.edge.caller.CallerExchange;
@@ -70,7 +70,7 @@
 
   /** Starts to look after waiting requests and silent heads. */
   public void start() {
-    loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    new Clockwork(loop, log).every(TICK_MS, "relay", this::tick);
   }
 
   @Override
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -13,6 +13,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
+import org.shoreroad.edge.Clockwork;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.peer.Doubts;
 import org.shoreroad.edge.sync.DomainLease;
@@ -105,7 +106,7 @@
 
   /** Starts to keep. */
   public void start() {
-    loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    new Clockwork(loop, log).every(TICK_MS, "replicas", this::tick);
   }
 
   private void tick() {
