Few loads at a time in traffic also for a new domain; no denial of keys on old knowledge

Cause, found by reading: a domain whose boxes are all blank ordered all its loads at once (8 in one moment, test red before), also in traffic, where loads beginning within 5 s are bounded; and an unknown key was denied for good (401) by a process that could not prove its configuration new. Both tests red before, green after.

--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -107,7 +107,7 @@
         }
       }
     }
-    isFresh = sights.stream().allMatch(BoxSight::isBlank);
+    isFresh = !demand.hasTraffic() && sights.stream().allMatch(BoxSight::isBlank);
     List<ModelShape> models = byNeed(spec, plan);
     formMissing(models, plan, nowNanos);
     giveUpReserve(spec, plan, observed.values(), nowNanos);
--- a/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
@@ -25,6 +25,7 @@
   private final FakeDomain domain = new FakeDomain(spec, random);
   private final Set<ReplicaId> headsSeen = new HashSet<>();
   private final List<BoxOrder> given = new ArrayList<>();
+  private Demand demand = Demand.NONE;
   private long epoch;
   private DomainKeeper keeper = newKeeper();
 
@@ -53,7 +54,7 @@
       int fit = (int) sights.stream().filter(s -> s.isListed() && !s.box().isLeaving()).count();
       ReplicaPlan plan = ReplicaPlan.of(spec, Map.of("d", fit));
       for (BoxOrder order :
-          keeper.decide(domain.nowNanos(), spec, sights, plan, headsSeen, Demand.NONE)) {
+          keeper.decide(domain.nowNanos(), spec, sights, plan, headsSeen, demand)) {
         given.add(order);
         domain.give(order);
       }
@@ -187,6 +188,23 @@
     assertThat(domain.violations(), is(empty()));
   }
 
+  @Test
+  void loadsOfANewDomainInTrafficBeginFewAtATime() {
+    demand = new Demand(Map.of("large", 0.5, "small", 0.5), true);
+    addBoxes(BOXES);
+    run(5);
+    long loads =
+        given.stream()
+            .filter(order -> order.verb() != BoxOrder.Verb.OPEN)
+            .map(BoxOrder::boxId)
+            .distinct()
+            .count();
+    assertThat(loads, is(3L));
+    run(SETTLE_SECONDS);
+    assertThat(domain.countOpen("large"), is(1L));
+    assertThat(domain.countOpen("small"), is(greaterThanOrEqualTo(1L)));
+  }
+
   @Test
   void holdsBothRulesUnderAnyMixOfFaults() {
     for (int seed = 0; seed < 300; seed++) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -123,15 +123,16 @@
       return true;
     }
     account = config.findAccount(reader.key()).orElse(null);
-    if (account == null && !found.allowsAnonymous()) {
-      refuse(Refusal.UNKNOWN_KEY, 0);
-      return false;
-    }
-    if (!mayUseKey()) {
+    boolean isUnknown = account == null && !found.allowsAnonymous();
+    // What is not known here may be known elsewhere by now.
+    if (isUnknown ? !relay.freshness().mayTrustKeys() : !mayUseKey()) {
       refuse(Refusal.KEYS_TOO_OLD, COME_BACK_LATER_MS);
       return false;
     }
-    return true;
+    if (isUnknown) {
+      refuse(Refusal.UNKNOWN_KEY, 0);
+    }
+    return !isUnknown;
   }
 
   /** Returns true if the key, if there is one, would be known as taken away by now. */
--- a/edge/src/test/java/org/shoreroad/edge/relay/RelayTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/RelayTest.java
@@ -384,6 +384,12 @@
     assertThat(upstream.heads().isEmpty(), is(true));
   }
 
+  @Test
+  void anUnknownKeyIsNotDeniedOnOldKnowledge() throws Exception {
+    freshness.mayTrustKeys = false;
+    assertThat(call("/once/", "wrong", ""), startsWith("HTTP/1.1 503"));
+  }
+
   @Test
   void aStoppingProcessRefusesWhatItCouldNotEnd() throws Exception {
     FakeUpstream upstream = upstream("i-1", (head, out, socket) -> true);
