--- a/core/src/main/java/org/shoreroad/fleet/BoxSight.java
+++ b/core/src/main/java/org/shoreroad/fleet/BoxSight.java
@@ -11,9 +11,11 @@
  * @param isListed true if the list of upstreams still names the box
  * @param reach whether it answers, not null
  * @param isSteady true if it has not been silent for as long as an engine takes to break a replica
+ * @param isConfirmed true if its engine itself said a moment ago where it stands; the list may lag
  * @since 0.2
  */
-public record BoxSight(FleetBox box, boolean isListed, Reach reach, boolean isSteady) {
+public record BoxSight(
+    FleetBox box, boolean isListed, Reach reach, boolean isSteady, boolean isConfirmed) {
   /** Checks that the parts are there. */
   public BoxSight {
     Objects.requireNonNull(box, "box");
--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -42,6 +42,7 @@
   private final Set<String> boundIds = new HashSet<>();
   private final Map<String, Integer> standing = new HashMap<>();
   private boolean isMending;
+  private boolean needsWords;
   private int comingFree;
   private boolean isFresh;
   private Demand demand = Demand.NONE;
@@ -61,6 +62,11 @@
     this.orderBook = new OrderBook(timing.orderRepeatNanos());
   }
 
+  /** Returns true if a formation waits until the engines themselves have said where they stand. */
+  public boolean needsWords() {
+    return needsWords;
+  }
+
   /** Returns true if a formation or a closing is under way, so that the boxes are worth asking. */
   public boolean isBusy() {
     return !formations.isEmpty() || !closingSinceNanos.isEmpty();
@@ -89,6 +95,7 @@
     boundIds.clear();
     standing.clear();
     isMending = false;
+    needsWords = false;
     comingFree = 0;
     hasLoss = false;
     sightsById = new HashMap<>();
@@ -343,6 +350,11 @@
     if (members.size() < model.boxes()) {
       return false;
     }
+    // The list may lag behind the engines: a head that it shows as free may be open again.
+    if (sightsById.values().stream().anyMatch(sight -> sight.isFit() && !sight.isConfirmed())) {
+      needsWords = true;
+      return false;
+    }
     int loads = (int) members.stream().filter(sight -> sight.box().isCold(model)).count();
     // A load keeps all members idle: the weights are put on the hosts first, but at the very start.
     if (loads > 0 && !isFresh) {
@@ -365,6 +377,9 @@
   /** Orders the loads to hosts: of what lacks first, then of what is free, then of the reserve. */
   private void prepareHosts(
       EngineSpec spec, List<ModelShape> models, ReplicaPlan plan, long nowNanos) {
+    if (needsWords) {
+      return;
+    }
     boolean isUrgent = standing.isEmpty() || !demand.hasTraffic();
     stagings.begin(spec, sightsById, isUrgent, nowNanos);
     for (ModelShape model : models) {
--- a/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
@@ -205,6 +205,18 @@
     assertThat(domain.countOpen("small"), is(greaterThanOrEqualTo(1L)));
   }
 
+  @Test
+  void nothingIsFormedOnTheListAlone() {
+    domain.setConfirmed(false);
+    addBoxes(BOXES);
+    run(5);
+    assertThat(given, is(empty()));
+    assertThat(keeper.needsWords(), is(true));
+    domain.setConfirmed(true);
+    run(SETTLE_SECONDS);
+    assertThat(domain.countOpen("large"), is(1L));
+  }
+
   @Test
   void holdsBothRulesUnderAnyMixOfFaults() {
     for (int seed = 0; seed < 300; seed++) {
--- a/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
+++ b/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
@@ -33,6 +33,7 @@
   private final Random random;
   private final List<String> violations = new ArrayList<>();
   private double lateShare;
+  private boolean isConfirmed = true;
   private long nowNanos = SECOND_NANOS;
   private int born;
 
@@ -64,6 +65,10 @@
     return id;
   }
 
+  void setConfirmed(boolean confirmed) {
+    isConfirmed = confirmed;
+  }
+
   void setLateShare(double share) {
     lateShare = share;
   }
@@ -140,7 +145,7 @@
         reach = Reach.GONE;
       }
       boolean isSteady = nowNanos - engine.healedNanos > CERTAIN_NANOS;
-      sights.add(new BoxSight(engine.toBox(), isListed, reach, isSteady && !isSilent));
+      sights.add(new BoxSight(engine.toBox(), isListed, reach, isSteady && !isSilent, isConfirmed));
     }
     return sights;
   }
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReachBook.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReachBook.java
@@ -26,8 +26,9 @@
     entry.isAsking = true;
   }
 
-  void recordWord(String id) {
+  void recordWord(String id, long nowNanos) {
     Entry entry = entries.computeIfAbsent(id, key -> new Entry());
+    entry.wordNanos = nowNanos;
     entry.isAsking = false;
     entry.silences = 0;
     entry.isGone = false;
@@ -58,6 +59,12 @@
     return isSilent ? Reach.LOST : Reach.LIKELY;
   }
 
+  /** Returns true if the box answered a question that was asked within the time. */
+  boolean hasWord(String id, long withinNanos, long nowNanos) {
+    Entry entry = entries.get(id);
+    return entry != null && nowNanos - entry.wordNanos < withinNanos;
+  }
+
   /** Returns true if the box has not been silent within the time. */
   boolean isSteady(String id, long withinNanos, long nowNanos) {
     Entry entry = entries.get(id);
@@ -88,6 +95,7 @@
 
   private static final class Entry {
     private long askedNanos = Long.MIN_VALUE / 2;
+    private long wordNanos = Long.MIN_VALUE / 2;
     private long silentSinceNanos;
     private long lastSilenceNanos = Long.MIN_VALUE / 2;
     private int silences;
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -46,6 +46,11 @@
   /** Between two questions to a box of a replica that is being formed or closed, or in doubt. */
   private static final long BUSY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(140);
 
+  /** A word of an engine confirms where it stands for this long after it was asked. */
+  private static final long CONFIRMED_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
+  private static final long CONFIRMING_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
   /** While weights are loaded, which takes seconds. */
   private static final long LOADING_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
@@ -221,6 +226,9 @@
       keepers.put(key, keeper);
     }
     askInDoubt(boxes, suspected, nowNanos);
+    if (keeper.needsWords()) {
+      boxes.forEach(box -> ask(box, CONFIRMING_INTERVAL_NANOS, nowNanos));
+    }
     if (keeper.isBusy()) {
       long sinceNanos = busySinceNanos.computeIfAbsent(key, name -> nowNanos);
       boolean isQuick = nowNanos - sinceNanos < QUICK_NANOS;
@@ -255,7 +263,8 @@
       }
     }
     boolean isSteady = reach.isSteady(box.id(), certainNanos, nowNanos);
-    return new BoxSight(box, isListed, reached, isSteady);
+    boolean isConfirmed = reach.hasWord(box.id(), CONFIRMED_NANOS, nowNanos);
+    return new BoxSight(box, isListed, reached, isSteady, isConfirmed);
   }
 
   /** Asks boxes that are silent or unlisted, and all members of suspected replicas. */
@@ -289,12 +298,13 @@
       return;
     }
     reach.recordAsked(box.id(), nowNanos);
+    long askedNanos = nowNanos;
     engines.ask(
         box,
         new Engines.AskCallback() {
           @Override
           public void onWord(FleetBox newest) {
-            reach.recordWord(box.id());
+            reach.recordWord(box.id(), askedNanos);
             if (fleet.update(newest)) {
               news.put(newest.id(), newest);
             }
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -31,6 +31,12 @@
   /** A box off the list that nobody could make sure of is forgotten after this time. */
   private static final long FORGET_NANOS = TimeUnit.MINUTES.toNanos(2);
 
+  /**
+   * An engine's word goes before entries read within this time: an entry and a read take as long.
+   */
+  private static final long WORD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+  private final Map<String, Long> wordAtNanos = new HashMap<>();
   private final Decoder decoder;
   private final LongSupplier clockNanos;
   private final EventLog log;
@@ -79,8 +85,10 @@
     }
   }
 
-  private void put(FleetBox box) {
-    FleetBox before = boxes.put(box.id(), box);
+  private void put(FleetBox listed) {
+    FleetBox before = boxes.get(listed.id());
+    FleetBox box = before == null ? listed : withNewerState(before, listed);
+    boxes.put(box.id(), box);
     boolean wasRemoved = removedAtNanos.remove(box.id()) != null;
     offListIds.remove(box.id());
     if (!box.equals(before) || wasRemoved) {
@@ -100,6 +108,19 @@
     }
   }
 
+  /** Keeps the engine's own word of a moment ago against an entry that may be older. */
+  private FleetBox withNewerState(FleetBox before, FleetBox listed) {
+    Long wordNanos = wordAtNanos.get(listed.id());
+    boolean isRecent = wordNanos != null && clockNanos.getAsLong() - wordNanos < WORD_NANOS;
+    return isRecent && epochOf(listed) <= epochOf(before)
+        ? listed.withEngineState(before.model(), before.stagedModels(), before.membership())
+        : listed;
+  }
+
+  private static long epochOf(FleetBox box) {
+    return box.membership() == null ? 0 : box.membership().replica().epoch();
+  }
+
   /**
    * Takes over what an engine has just said itself of model, host and replica.
    *
@@ -110,6 +131,7 @@
     if (before == null) {
       return false;
     }
+    wordAtNanos.put(word.id(), clockNanos.getAsLong());
     FleetBox after = before.withEngineState(word.model(), word.stagedModels(), word.membership());
     if (after.equals(before)) {
       return false;
@@ -156,6 +178,7 @@
     FleetBox gone = boxes.remove(id);
     removedAtNanos.remove(id);
     offListIds.remove(id);
+    wordAtNanos.remove(id);
     if (gone != null) {
       changes++;
       log.write("upstream_gone", "upstream", id, "address", gone.address());
--- a/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
@@ -16,6 +16,9 @@
 import org.junit.jupiter.api.Test;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.fleet.MemberState;
+import org.shoreroad.fleet.Membership;
+import org.shoreroad.fleet.ReplicaId;
 
 /** Following a topic, the fleet made of it, and the leases; with a clock that the test turns. */
 class FollowingTest {
@@ -148,6 +151,23 @@
     assertThat(fleet.isOnList("i-2"), is(true));
   }
 
+  @Test
+  void anEntryThatLagsBehindTheEnginesWordDoesNotUndoIt() {
+    byte[] entry = "ready".getBytes(StandardCharsets.UTF_8);
+    fleet.onRecord(new StoreRecord(0, "i-1", entry));
+    FleetBox word =
+        fleet
+            .find("i-1")
+            .withEngineState(
+                "m", List.of(), new Membership(new ReplicaId("r", 5), 0, MemberState.OPEN));
+    fleet.update(word);
+    fleet.onRecord(new StoreRecord(1, "i-1", entry));
+    assertThat(fleet.find("i-1").isOpenHead(), is(true));
+    nowNanos += 2 * SECOND_NANOS;
+    fleet.onRecord(new StoreRecord(2, "i-1", entry));
+    assertThat(fleet.find("i-1").isOpenHead(), is(false));
+  }
+
   @Test
   void anUnreadableEntryLeavesTheOldOne() {
     fleet.onRecord(new StoreRecord(0, "i-1", "leaving".getBytes(StandardCharsets.UTF_8)));
