--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -17,20 +17,22 @@
 import org.shoreroad.edge.caller.CallerRequest;
 import org.shoreroad.edge.caller.CallerServer;
 import org.shoreroad.edge.http.HttpCalls;
+import org.shoreroad.edge.peer.Announcement;
 import org.shoreroad.edge.peer.Doubts;
 import org.shoreroad.edge.peer.Heartbeat;
 import org.shoreroad.edge.peer.PeerMesh;
+import org.shoreroad.edge.peer.ProcessBook;
 import org.shoreroad.edge.relay.Relay;
 import org.shoreroad.edge.relay.UpstreamBoard;
 import org.shoreroad.edge.replica.ReplicaService;
 import org.shoreroad.edge.sync.DomainLease;
 import org.shoreroad.edge.sync.Fleet;
-import org.shoreroad.edge.sync.StoreCallback;
-import org.shoreroad.edge.sync.StoreFault;
+import org.shoreroad.edge.sync.ListNews;
 import org.shoreroad.edge.sync.StoreRecord;
 import org.shoreroad.edge.sync.Topic;
 import org.shoreroad.edge.sync.TopicFollower;
 import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.member.HubPlan;
 import org.shoreroad.traffic.CallerLimits;
 
 /**
@@ -42,20 +44,21 @@
  * @since 0.2
  */
 public final class EdgeProcess {
-  /** A read of the configuration waits this long: its end renews the proof of freshness. */
-  private static final int CONFIG_WAIT_MS = 2_000;
+  /** A read of the list waits this long for a change; upstreams write more often. */
+  private static final int LIST_WAIT_MS = 200;
 
-  /** A read of the list waits this long for a change. */
-  private static final int LIST_WAIT_MS = 1_500;
-
-  /** The least time between two reads of the list: changes come in bunches. */
+  /**
+   * The least time between two reads of the list: changes come in bunches. One answer may be lost,
+   * and what an upstream says of its leaving must still be known within two seconds.
+   */
   private static final int LIST_INTERVAL_MS = 900;
 
-  private static final int PROCESS_WAIT_MS = 10_000;
+  /** Processes come and go seldom; each read that ends without one has its price. */
+  private static final int PROCESS_WAIT_MS = 15_000;
+
   private static final int PROCESS_INTERVAL_MS = 500;
   private static final int UPKEEP_MS = 100;
   private static final int SUMMARY_MS = 2_000;
-  private static final int WRITE_AGAIN_MS = 500;
 
   /**
    * Requests are taken this long after the signal to stop: the balancer needs two missed questions,
@@ -113,7 +116,8 @@
     this.life = settings.node() + "~" + Long.toHexString(random.nextLong());
     this.knowledge = new Knowledge(ports.configDecoder(), clockNanos, log, settings.revokeMs());
     this.fleet = new Fleet(ports.upstreamDecoder(), clockNanos, log);
-    this.configFollower = follower(Topic.CONFIGURATION, CONFIG_WAIT_MS, 0, knowledge);
+    int configWaitMs = Knowledge.readWaitMs(settings.revokeMs());
+    this.configFollower = follower(Topic.CONFIGURATION, configWaitMs, 0, knowledge);
     this.listFollower = follower(Topic.UPSTREAMS, LIST_WAIT_MS, LIST_INTERVAL_MS, fleet);
     this.lease =
         new DomainLease(ports.store(), loop, clockNanos, log, life, settings.workPartitions());
@@ -131,7 +135,14 @@
             knowledge,
             settings.rules());
     this.doubts = new Doubts(clockNanos);
-    this.mesh = new PeerMesh(loop, clockNanos, log, life, new Teller(), this::learn);
+    this.mesh =
+        new PeerMesh(
+            loop,
+            clockNanos,
+            log,
+            new HubPlan.Place(life, settings.zone()),
+            new Teller(),
+            this::learn);
     this.replicas =
         new ReplicaService(
             loop,
@@ -144,7 +155,7 @@
             board::suspectedIds,
             board::demand,
             doubts,
-            mesh::aliveNames,
+            mesh::witnessNames,
             settings.stallMs());
     this.callers =
         new CallerServer(
@@ -154,6 +165,10 @@
             relay,
             reason -> metrics.count("shoreroad.bad_input", reason));
     knowledge.setFollower(configFollower);
+    configFollower.spareWhile(mesh::isMember);
+    listFollower.spareWhile(mesh::isMember);
+    lease.joinWhile(() -> !mesh.isMember());
+    replicas.setUrgentNewsListener(mesh::hurry);
     fleet.addRemovalListener(box -> calls.forget(box.address()));
   }
 
@@ -188,8 +203,13 @@
                     }));
     configFollower.start();
     listFollower.start();
-    follower(Topic.PROCESSES, PROCESS_WAIT_MS, PROCESS_INTERVAL_MS, this::learnProcess).start();
-    announce();
+    String host = settings.peerListen().getAddress().getHostAddress();
+    Announcement announcement =
+        new Announcement(host + ":" + settings.peerListen().getPort(), settings.zone());
+    ProcessBook processes =
+        new ProcessBook(ports.store(), loop, log, mesh, new HubPlan.Place(life, settings.zone()));
+    follower(Topic.PROCESSES, PROCESS_WAIT_MS, PROCESS_INTERVAL_MS, processes).start();
+    processes.announce(announcement);
     lease.start();
     relay.start();
     replicas.start();
@@ -269,64 +289,38 @@
   private void upkeep() {
     fleet.dropRemoved(listFollower.reachableForNanos());
     knowledge.setProcessCount(mesh.sharingCount());
+    board.setProcessCount(mesh.sharingCount());
     board.setElsewhere(mesh.newest());
   }
 
-  private Heartbeat makeHeartbeat(String sender, long sentNanos, long echoNanos) {
+  private Heartbeat makeHeartbeat(String sender, long sentNanos) {
     return new Heartbeat(
         sender,
         sentNanos,
-        echoNanos,
+        0,
+        Heartbeat.Scope.SELF,
+        1,
         knowledge.configOffset(),
         knowledge.configAgeNanos(),
         board.ownLoads(),
         board.suspectedIds(),
         doubts.questions(),
         replicas.silentForPeers(),
-        news);
+        news,
+        ListNews.readTo(listFollower.nextOffset()));
   }
 
   private void learn(Heartbeat heartbeat) {
     knowledge.learn(heartbeat);
     doubts.learn(heartbeat);
+    if (heartbeat.scope() == Heartbeat.Scope.REST) {
+      ListNews told = heartbeat.listNews();
+      listFollower.takeOver(told, heartbeat.echoNanos() - told.ageNanos());
+    }
     heartbeat.words().forEach(fleet::update);
     heartbeat.suspectedUpstreams().forEach(board::suspectByPeer);
   }
 
-  private void announce() {
-    byte[] address =
-        (settings.peerListen().getAddress().getHostAddress()
-                + ":"
-                + settings.peerListen().getPort())
-            .getBytes(StandardCharsets.UTF_8);
-    ports
-        .store()
-        .write(
-            Topic.PROCESSES,
-            life,
-            address,
-            new StoreCallback<>() {
-              @Override
-              public void onValue(Long offset) {
-                log.write("announced", "offset", offset);
-              }
-
-              @Override
-              public void onFault(StoreFault fault) {
-                loop.schedule(EdgeProcess.this::announce, WRITE_AGAIN_MS, TimeUnit.MILLISECONDS);
-              }
-            });
-  }
-
-  private void learnProcess(StoreRecord record) {
-    byte[] value = record.value();
-    if (value == null) {
-      mesh.remove(record.key());
-    } else {
-      mesh.add(record.key(), new String(value, StandardCharsets.UTF_8));
-    }
-  }
-
   private ChannelFuture answerWith(InetSocketAddress address, CallerExchange.Factory factory) {
     return new CallerServer(loop, clockNanos, this::limits, factory, reason -> {}).start(address);
   }
@@ -352,8 +346,22 @@
   /** Makes the heartbeats of one round; all peers get the same news. */
   private final class Teller implements PeerMesh.HeartbeatSource {
     @Override
-    public Heartbeat make(String sender, long sentNanos, long echoNanos) {
-      return makeHeartbeat(sender, sentNanos, echoNanos);
+    public Heartbeat make(String sender, long sentNanos) {
+      return makeHeartbeat(sender, sentNanos);
+    }
+
+    @Override
+    public ListNews listSince(long offset) {
+      List<StoreRecord> records = fleet.news().since(offset);
+      if (records == null || !listFollower.isCurrent()) {
+        return ListNews.NONE;
+      }
+      return new ListNews(
+          offset,
+          listFollower.nextOffset(),
+          clockNanos.getAsLong() - listFollower.provenNanos(),
+          listFollower.reachableForNanos(),
+          records);
     }
 
     @Override
--- a/edge/src/main/java/org/shoreroad/edge/Knowledge.java
+++ b/edge/src/main/java/org/shoreroad/edge/Knowledge.java
@@ -20,6 +20,12 @@
   /** Kept back from the time to take a key away: the way of a request, and a late timer. */
   private static final int REVOKE_MARGIN_MS = 500;
 
+  /** What the way of a read adds to its waiting. */
+  private static final int READ_WAY_MS = 250;
+
+  private static final int LONGEST_WAIT_MS = 2_000;
+  private static final int SHORTEST_WAIT_MS = 100;
+
   private final Decoder decoder;
   private final LongSupplier clockNanos;
   private final EventLog log;
@@ -35,6 +41,15 @@
     this.keyTrustNanos = TimeUnit.MILLISECONDS.toNanos(revokeMs - REVOKE_MARGIN_MS);
   }
 
+  /**
+   * Returns how long a read of the configuration may wait in the store, in milliseconds: a proof
+   * counts from the sending of its read and must last until the answer of the next one.
+   */
+  static int readWaitMs(int revokeMs) {
+    int waitMs = (revokeMs - REVOKE_MARGIN_MS) / 2 - READ_WAY_MS;
+    return Math.max(SHORTEST_WAIT_MS, Math.min(LONGEST_WAIT_MS, waitMs));
+  }
+
   void setFollower(TopicFollower configFollower) {
     follower = configFollower;
   }
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Digest.java
@@ -0,0 +1,96 @@
+package org.shoreroad.edge.peer;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.shoreroad.edge.peer.Heartbeat.Load;
+import org.shoreroad.edge.peer.Heartbeat.Scope;
+import org.shoreroad.edge.sync.ListNews;
+import org.shoreroad.fleet.FleetBox;
+
+/**
+ * Makes one heartbeat of several: the loads are added up, suspicions and questions are joined.
+ *
+ * <p>All methods are pure and thread-safe.
+ */
+final class Digest {
+  private Digest() {}
+
+  /**
+   * Returns what a hub tells in the name of itself and others.
+   *
+   * @param own the hub's own words, not null
+   * @param scope for whom it then speaks, not null
+   * @param others what the others told, not null
+   * @param witnesses the other hubs that were asked about silent boxes, not null; a box that
+   *     answers any of them is not silent
+   * @param words what engines said, not null
+   * @param listNews what the receiver lacks of the list, not null
+   * @param nowNanos the steady clock
+   * @return the heartbeat, without an echo
+   */
+  static Heartbeat merge(
+      Heartbeat own,
+      Scope scope,
+      Collection<Heard> others,
+      Collection<Heard> witnesses,
+      List<FleetBox> words,
+      ListNews listNews,
+      long nowNanos) {
+    Map<String, Load> loads = new HashMap<>();
+    own.loads().forEach(load -> add(loads, load, 0));
+    Set<String> suspected = new HashSet<>(own.suspectedUpstreams());
+    Map<String, String> asked = new HashMap<>(own.askedUpstreams());
+    int processes = own.processes();
+    for (Heard other : others) {
+      long heldMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - other.heardNanos());
+      other.heartbeat().loads().forEach(load -> add(loads, load, heldMs));
+      suspected.addAll(other.heartbeat().suspectedUpstreams());
+      asked.putAll(other.heartbeat().askedUpstreams());
+      processes += other.heartbeat().processes();
+    }
+    Set<String> silent = new HashSet<>(own.silentUpstreams());
+    witnesses.forEach(witness -> silent.retainAll(witness.heartbeat().silentUpstreams()));
+    return new Heartbeat(
+        own.sender(),
+        own.sentNanos(),
+        0,
+        scope,
+        processes,
+        own.configOffset(),
+        own.configAgeNanos(),
+        new ArrayList<>(loads.values()),
+        suspected,
+        // Members are not asked: the hubs of all zones are witnesses enough.
+        scope == Scope.REST ? Map.of() : asked,
+        silent,
+        words,
+        listNews);
+  }
+
+  private static void add(Map<String, Load> loads, Load load, long heldMs) {
+    int ageMs = (int) Math.min(Integer.MAX_VALUE, load.progressAgeMs() + heldMs);
+    loads.merge(
+        load.upstream(),
+        new Load(load.upstream(), load.open(), load.waitingPromptTokens(), ageMs),
+        (one, other) ->
+            new Load(
+                one.upstream(),
+                one.open() + other.open(),
+                one.waitingPromptTokens() + other.waitingPromptTokens(),
+                Math.min(one.progressAgeMs(), other.progressAgeMs())));
+  }
+
+  /**
+   * A heartbeat and when it came.
+   *
+   * @param heartbeat the heartbeat
+   * @param heardNanos when it came, on the receiver's steady clock
+   */
+  record Heard(Heartbeat heartbeat, long heardNanos) {}
+}
--- a/edge/src/main/java/org/shoreroad/edge/peer/Heartbeat.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Heartbeat.java
@@ -2,49 +2,108 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
+import org.shoreroad.edge.sync.ListNews;
 import org.shoreroad.fleet.FleetBox;
 
 /**
- * What a process tells each other one, again and again.
+ * What a process tells another one, again and again: of itself, or of all it speaks for.
  *
  * <p>This class is immutable and thread-safe.
  *
- * @param sender the name of the sender's life
+ * @param sender the name of the sender's life, not null
  * @param sentNanos the sender's steady clock at the sending
  * @param echoNanos the receiver's own clock in the last heartbeat that the sender got from it, or 0
+ * @param scope whom the sender speaks for, not null
+ * @param processes how many processes it speaks for
  * @param configOffset how far the sender has read the topic of the configuration
  * @param configAgeNanos how long ago the sender had proof that it missed no change
- * @param loads what the sender has open at upstreams
- * @param suspectedUpstreams the heads that the sender suspects of standing still
- * @param askedUpstreams boxes that do not answer the sender: do they answer the receiver? By id,
+ * @param loads what they have open at upstreams
+ * @param suspectedUpstreams the heads that they suspect of standing still
+ * @param askedUpstreams boxes that do not answer one of them: do they answer the receiver? By id,
  *     with their addresses
- * @param silentUpstreams the boxes asked about that do not answer this sender either
- * @param words what engines have newly told the sender of themselves
+ * @param silentUpstreams the boxes asked about that do not answer any of them either
+ * @param words what engines have newly told them of themselves
+ * @param listNews how far the sender has read the list of upstreams, and what a member lacks of it
  * @since 0.2
  */
 public record Heartbeat(
     String sender,
     long sentNanos,
     long echoNanos,
+    Scope scope,
+    int processes,
     long configOffset,
     long configAgeNanos,
     List<Load> loads,
     Set<String> suspectedUpstreams,
     Map<String, String> askedUpstreams,
     Set<String> silentUpstreams,
-    List<FleetBox> words) {
+    List<FleetBox> words,
+    ListNews listNews) {
   /** Copies the collections. */
   public Heartbeat {
+    Objects.requireNonNull(sender, "sender");
+    Objects.requireNonNull(scope, "scope");
     loads = List.copyOf(loads);
     suspectedUpstreams = Set.copyOf(suspectedUpstreams);
     askedUpstreams = Map.copyOf(askedUpstreams);
     silentUpstreams = Set.copyOf(silentUpstreams);
     words = List.copyOf(words);
+    Objects.requireNonNull(listNews, "listNews");
+  }
+
+  /** Returns the heartbeat as it is sent to one receiver, with what that one last sent. */
+  public Heartbeat withEcho(long newEchoNanos) {
+    return new Heartbeat(
+        sender,
+        sentNanos,
+        newEchoNanos,
+        scope,
+        processes,
+        configOffset,
+        configAgeNanos,
+        loads,
+        suspectedUpstreams,
+        askedUpstreams,
+        silentUpstreams,
+        words,
+        listNews);
+  }
+
+  /** Returns the same words as spoken for others. */
+  public Heartbeat withScope(Scope newScope) {
+    return new Heartbeat(
+        sender,
+        sentNanos,
+        echoNanos,
+        newScope,
+        processes,
+        configOffset,
+        configAgeNanos,
+        loads,
+        suspectedUpstreams,
+        askedUpstreams,
+        silentUpstreams,
+        words,
+        listNews);
+  }
+
+  /** Whom the sender of a heartbeat speaks for. */
+  public enum Scope {
+    /** For itself, to all others. */
+    SELF,
+    /** For itself, to its hub, which is to answer with all the rest. */
+    MEMBER,
+    /** A hub for itself and its members, to another hub. */
+    HUB,
+    /** A hub for all but the receiver, to its member. */
+    REST
   }
 
   /**
-   * What a process has open at one upstream.
+   * What processes have open at one upstream.
    *
    * @param upstream the id of the upstream's life
    * @param open the requests that are open
--- a/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatCodec.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatCodec.java
@@ -11,6 +11,8 @@
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
+import org.shoreroad.edge.sync.ListNews;
+import org.shoreroad.edge.sync.StoreRecord;
 import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.fleet.MemberState;
 import org.shoreroad.fleet.Membership;
@@ -24,6 +26,7 @@
     try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
       out.packString(heartbeat.sender());
       out.packLong(heartbeat.sentNanos()).packLong(heartbeat.echoNanos());
+      out.packString(heartbeat.scope().name()).packInt(heartbeat.processes());
       out.packLong(heartbeat.configOffset()).packLong(heartbeat.configAgeNanos());
       out.packArrayHeader(heartbeat.loads().size());
       for (Heartbeat.Load load : heartbeat.loads()) {
@@ -40,6 +43,7 @@
       for (FleetBox word : heartbeat.words()) {
         packBox(out, word);
       }
+      packListNews(out, heartbeat.listNews());
       return out.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("a buffer can't fail to be written", e);
@@ -57,16 +61,49 @@
           in.unpackString(),
           in.unpackLong(),
           in.unpackLong(),
+          Heartbeat.Scope.valueOf(in.unpackString()),
+          in.unpackInt(),
           in.unpackLong(),
           in.unpackLong(),
           unpackLoads(in),
           new HashSet<>(unpackTexts(in)),
           unpackAsked(in),
           new HashSet<>(unpackTexts(in)),
-          unpackBoxes(in));
+          unpackBoxes(in),
+          unpackListNews(in));
     }
   }
 
+  private static void packListNews(MessageBufferPacker out, ListNews news) throws IOException {
+    out.packLong(news.fromOffset()).packLong(news.endOffset());
+    out.packLong(news.ageNanos()).packLong(news.reachableNanos());
+    out.packArrayHeader(news.records().size());
+    for (StoreRecord record : news.records()) {
+      byte[] value = record.value();
+      out.packLong(record.offset()).packString(record.key()).packBoolean(value != null);
+      if (value != null) {
+        out.packBinaryHeader(value.length).writePayload(value);
+      }
+    }
+  }
+
+  private static ListNews unpackListNews(MessageUnpacker in) throws IOException {
+    return new ListNews(
+        in.unpackLong(), in.unpackLong(), in.unpackLong(), in.unpackLong(), unpackRecords(in));
+  }
+
+  private static List<StoreRecord> unpackRecords(MessageUnpacker in) throws IOException {
+    int count = in.unpackArrayHeader();
+    List<StoreRecord> records = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      long offset = in.unpackLong();
+      String key = in.unpackString();
+      byte[] value = in.unpackBoolean() ? in.readPayload(in.unpackBinaryHeader()) : null;
+      records.add(new StoreRecord(offset, key, value));
+    }
+    return records;
+  }
+
   private static List<Heartbeat.Load> unpackLoads(MessageUnpacker in) throws IOException {
     int count = in.unpackArrayHeader();
     List<Heartbeat.Load> loads = new ArrayList<>();
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Peer.java
@@ -0,0 +1,101 @@
+package org.shoreroad.edge.peer;
+
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.edge.EventLog;
+import org.shoreroad.member.HubPlan.Place;
+
+/** One other process: what was last heard of it, and the way to it. Used on the event loop. */
+final class Peer {
+  /** A peer that was not heard for this long is not counted as alive: six heartbeats. */
+  static final long ALIVE_NANOS = TimeUnit.MILLISECONDS.toNanos(6 * PeerMesh.INTERVAL_MS);
+
+  /** How long a hub that did not answer is passed over. */
+  private static final long OUT_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+  private final Place place;
+  private final long offset;
+  private final PeerLink link;
+  private final EventLog log;
+  private long outSinceNanos = Long.MIN_VALUE / 2;
+  private long usedNanos;
+  private long awaitedSinceNanos;
+  private long heardNanos;
+  private @Nullable Heartbeat last;
+
+  /**
+   * Creates a peer that was not heard yet.
+   *
+   * @param offset the place of its announcement among all
+   */
+  Peer(Place place, long offset, PeerLink link, EventLog log) {
+    this.place = place;
+    this.offset = offset;
+    this.link = link;
+    this.log = log;
+  }
+
+  String name() {
+    return place.name();
+  }
+
+  Place place() {
+    return place;
+  }
+
+  long offset() {
+    return offset;
+  }
+
+  void hear(Heartbeat heartbeat, long nowNanos) {
+    last = heartbeat;
+    heardNanos = nowNanos;
+  }
+
+  boolean isHeard(long windowNanos, long nowNanos) {
+    return last != null && nowNanos - heardNanos < windowNanos;
+  }
+
+  long heardNanos() {
+    return heardNanos;
+  }
+
+  /** Returns the last heartbeat of a peer that was heard. */
+  Heartbeat lastHeard() {
+    return Objects.requireNonNull(last, "last");
+  }
+
+  /** Returns true if it did not answer lately, so that others are to be hubs. */
+  boolean isOut(long nowNanos) {
+    boolean hasFailed =
+        nowNanos - outSinceNanos < OUT_NANOS || nowNanos - link.refusedNanos() < OUT_NANOS;
+    return hasFailed && !isHeard(ALIVE_NANOS, nowNanos);
+  }
+
+  /** Sends to a hub; one that stays silent for long is passed over. */
+  void sendExpectingAnswer(Heartbeat heartbeat, long nowNanos) {
+    if (nowNanos - usedNanos > ALIVE_NANOS) {
+      awaitedSinceNanos = nowNanos;
+    }
+    boolean isSilent = !isHeard(ALIVE_NANOS, nowNanos);
+    if (isSilent && nowNanos - awaitedSinceNanos > ALIVE_NANOS && !isOut(nowNanos)) {
+      outSinceNanos = nowNanos;
+      log.write("hub_silent", "peer", place.name());
+    }
+    send(heartbeat, nowNanos);
+  }
+
+  void send(Heartbeat heartbeat, long nowNanos) {
+    usedNanos = nowNanos;
+    link.send(heartbeat, last == null ? 0 : last.sentNanos(), nowNanos);
+  }
+
+  void closeIfUnused(long nowNanos) {
+    link.closeIfUnused(nowNanos);
+  }
+
+  void close() {
+    link.close();
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -1,12 +1,8 @@
 package org.shoreroad.edge.peer;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -14,64 +10,80 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.IdentityHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import org.jspecify.annotations.Nullable;
 import org.msgpack.core.MessagePackException;
 import org.shoreroad.edge.EventLog;
-import org.shoreroad.edge.http.HttpCalls;
+import org.shoreroad.edge.peer.Digest.Heard;
+import org.shoreroad.edge.peer.Heartbeat.Scope;
+import org.shoreroad.edge.sync.ListNews;
+import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.member.HubPlan;
+import org.shoreroad.member.HubPlan.Place;
 
 /**
  * Heartbeats to and from the other processes: who lives, what load they have, what they know.
  *
- * <p>Each process opens a connection to each other one and only sends on it. Used on the event
- * loop.
+ * <p>Each process opens a connection to each one that it tells anything, and only sends on it. In a
+ * small system each tells all others; in a large one members tell their hub, as {@link HubPlan}
+ * says. Used on the event loop.
  *
  * @since 0.2
  */
 public final class PeerMesh {
-  /** Between two heartbeats to one peer while there are few. */
-  private static final int INTERVAL_MS = 200;
+  /** Between two heartbeats to one peer. */
+  static final int INTERVAL_MS = 200;
 
-  /** From this many peers on the interval grows, so that their number does not cost more. */
-  private static final int PEERS_AT_FULL_RATE = 12;
-
-  /** A peer that was not heard for this many intervals is not counted as alive. */
-  private static final int ALIVE_INTERVALS = 6;
+  /** News that can't wait are told at once, but not more often than this. */
+  private static final long URGENT_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
   /** How long a peer that was alive still counts for shares of common budgets. */
   private static final long SHARE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
-  private static final int CONNECT_TIMEOUT_MS = 800;
-  private static final long RECONNECT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+  /** How often the plan is made anew. */
+  private static final long PLAN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
   private static final int MAX_FRAME_BYTES = 1_048_576;
   private static final int LENGTH_BYTES = 4;
 
+  /** Stands between the name of a node and the number of its life. */
+  private static final char LIFE_MARK = '~';
+
   private final EventLoop loop;
   private final LongSupplier clockNanos;
   private final EventLog log;
-  private final String self;
+  private final Place self;
   private final HeartbeatSource source;
   private final Consumer<Heartbeat> listener;
   private final Map<String, Peer> peers = new HashMap<>();
+  private final List<FleetBox> wordsOfMembers = new ArrayList<>();
+  private final List<FleetBox> wordsOfHubs = new ArrayList<>();
+  private HubPlan plan;
+  private long plannedNanos;
+  private long sentNanos;
+  private boolean isUrgent;
 
   /** Creates a mesh without peers. */
   public PeerMesh(
       EventLoop loop,
       LongSupplier clockNanos,
       EventLog log,
-      String self,
+      Place self,
       HeartbeatSource source,
       Consumer<Heartbeat> listener) {
     this.loop = loop;
@@ -80,12 +92,16 @@
     this.self = self;
     this.source = source;
     this.listener = listener;
+    this.plan = HubPlan.of(self, List.of());
   }
 
-  /** Makes heartbeats; the mesh fills in clock and echo. */
+  /** Makes the words of this process. */
   public interface HeartbeatSource {
-    /** Returns what to tell now. */
-    Heartbeat make(String sender, long sentNanos, long echoNanos);
+    /** Returns what to tell now, for this process alone. */
+    Heartbeat make(String sender, long sentNanos);
+
+    /** Returns what a process lacks of the list that has read as far as the offset. */
+    ListNews listSince(long offset);
 
     /** Tells that all peers were told. */
     void onSent();
@@ -106,152 +122,228 @@
         .bind(address);
   }
 
-  /** Adds a process, by the name of its life. */
-  public void add(String name, String address) {
-    if (!name.equals(self) && !peers.containsKey(name)) {
-      peers.put(name, new Peer(name, address));
-      log.write("peer_known", "peer", name, "address", address);
+  /**
+   * Adds a process; an earlier life of the same node is over.
+   *
+   * @param place the name of its life and its zone
+   * @param address where it takes heartbeats
+   * @param offset the place of its announcement among all: a later one counts
+   */
+  public void add(Place place, String address, long offset) {
+    if (place.name().equals(self.name()) || peers.containsKey(place.name())) {
+      return;
     }
+    String node = nodeOf(place.name());
+    if (node.equals(nodeOf(self.name()))) {
+      return;
+    }
+    for (Peer other : List.copyOf(peers.values())) {
+      if (nodeOf(other.name()).equals(node)) {
+        if (other.offset() > offset) {
+          return;
+        }
+        remove(other.name());
+      }
+    }
+    PeerLink link = new PeerLink(loop, clockNanos, log, place.name(), address, new Initializer());
+    peers.put(place.name(), new Peer(place, offset, link, log));
+    log.write("peer_known", "peer", place.name(), "address", address);
+  }
+
+  private static String nodeOf(String life) {
+    int mark = life.lastIndexOf(LIFE_MARK);
+    return mark < 0 ? life : life.substring(0, mark);
   }
 
   /** Forgets a process. */
   public void remove(String name) {
     Peer peer = peers.remove(name);
-    if (peer != null && peer.channel != null) {
-      peer.channel.close();
+    if (peer != null) {
+      peer.close();
     }
   }
 
   /** Returns the number of processes alive, this one among them. */
   public int aliveCount() {
-    long nowNanos = clockNanos.getAsLong();
-    return 1 + (int) peers.values().stream().filter(peer -> peer.isAlive(nowNanos)).count();
-  }
-
-  /** Returns the names of the other processes that are alive. */
-  public Set<String> aliveNames() {
-    long nowNanos = clockNanos.getAsLong();
-    Set<String> names = new HashSet<>();
-    for (Peer peer : peers.values()) {
-      if (peer.isAlive(nowNanos)) {
-        names.add(peer.name);
-      }
-    }
-    return names;
+    return 1 + countProcesses(Peer.ALIVE_NANOS);
   }
 
   /** Returns the number of processes that common budgets are divided by. */
   public int sharingCount() {
-    long nowNanos = clockNanos.getAsLong();
-    long sharing =
-        peers.values().stream()
-            .filter(peer -> peer.heardNanos != 0 && nowNanos - peer.heardNanos < SHARE_NANOS)
-            .count();
-    return 1 + (int) sharing;
+    return 1 + countProcesses(SHARE_NANOS);
+  }
+
+  /** Returns the names of the peers that are asked, and answer, whether a box is silent for all. */
+  public Set<String> witnessNames() {
+    Scope scope = plan.isFullMesh() ? Scope.SELF : isHub() ? Scope.HUB : Scope.REST;
+    Set<String> names = new HashSet<>();
+    heard(scope, Peer.ALIVE_NANOS).forEach(peer -> names.add(peer.name()));
+    return names;
   }
 
-  /** Returns the newest heartbeats of the peers that are alive, with when each was heard. */
+  /** Returns the newest heartbeats that together speak for all others, with when each was heard. */
   public Map<Heartbeat, Long> newest() {
-    long nowNanos = clockNanos.getAsLong();
     Map<Heartbeat, Long> newest = new IdentityHashMap<>();
-    for (Peer peer : peers.values()) {
-      if (peer.last != null && peer.isAlive(nowNanos)) {
-        newest.put(peer.last, peer.heardNanos);
-      }
+    for (Heard heard : speakers(Peer.ALIVE_NANOS)) {
+      newest.put(heard.heartbeat(), heard.heardNanos());
     }
     return newest;
   }
 
-  private int intervalMs() {
-    return INTERVAL_MS * Math.max(1, peers.size() / PEERS_AT_FULL_RATE);
+  /** Returns true if this process does not read the list itself while its hub tells it. */
+  public boolean isMember() {
+    return !plan.isFullMesh() && !isHub();
+  }
+
+  /** Tells all peers soon, since something can't wait. */
+  public void hurry() {
+    if (!isUrgent) {
+      isUrgent = true;
+      long restNanos = Math.max(0, URGENT_GAP_NANOS - (clockNanos.getAsLong() - sentNanos));
+      loop.schedule(this::sendAll, restNanos, TimeUnit.NANOSECONDS);
+    }
+  }
+
+  private int countProcesses(long windowNanos) {
+    return speakers(windowNanos).stream().mapToInt(heard -> heard.heartbeat().processes()).sum();
+  }
+
+  /** Returns the heartbeats that together speak for all others, each process by one of them. */
+  private List<Heard> speakers(long windowNanos) {
+    if (plan.isFullMesh()) {
+      return toHeard(heard(Scope.SELF, windowNanos));
+    }
+    if (isHub()) {
+      List<Peer> speakers = new ArrayList<>(heard(Scope.HUB, windowNanos));
+      speakers.addAll(heard(Scope.MEMBER, windowNanos));
+      return toHeard(speakers);
+    }
+    // A former hub's words are covered by those of the present one.
+    return heard(Scope.REST, windowNanos).stream()
+        .max(Comparator.comparingLong(peer -> peer.heardNanos()))
+        .map(peer -> toHeard(List.of(peer)))
+        .orElse(List.of());
+  }
+
+  private static List<Heard> toHeard(Collection<Peer> peers) {
+    return peers.stream().map(peer -> new Heard(peer.lastHeard(), peer.heardNanos())).toList();
+  }
+
+  /** Returns the peers whose newest heartbeat came within the time and has the scope. */
+  private List<Peer> heard(Scope scope, long windowNanos) {
+    long nowNanos = clockNanos.getAsLong();
+    return peers.values().stream()
+        .filter(peer -> peer.isHeard(windowNanos, nowNanos) && peer.lastHeard().scope() == scope)
+        .toList();
+  }
+
+  /** Returns true if this process is a hub by the plan, or others took it as theirs. */
+  private boolean isHub() {
+    return plan.isHub() || !heard(Scope.MEMBER, Peer.ALIVE_NANOS).isEmpty();
   }
 
   private void scheduleNext() {
-    loop.schedule(this::sendAll, intervalMs(), TimeUnit.MILLISECONDS);
+    loop.schedule(
+        () -> {
+          try {
+            sendAll();
+          } finally {
+            scheduleNext();
+          }
+        },
+        INTERVAL_MS,
+        TimeUnit.MILLISECONDS);
   }
 
   private void sendAll() {
     long nowNanos = clockNanos.getAsLong();
+    sentNanos = nowNanos;
+    isUrgent = false;
     try {
-      peers.values().forEach(peer -> peer.send(nowNanos));
+      makePlan(nowNanos);
+      Heartbeat own = source.make(self.name(), nowNanos);
+      if (plan.isFullMesh()) {
+        peers.values().forEach(peer -> peer.send(own, nowNanos));
+      } else if (isHub()) {
+        sendAsHub(own, nowNanos);
+      } else {
+        sendToHub(own.withScope(Scope.MEMBER), nowNanos);
+      }
+      wordsOfMembers.clear();
+      wordsOfHubs.clear();
+      peers.values().forEach(peer -> peer.closeIfUnused(nowNanos));
       source.onSent();
     } catch (RuntimeException e) {
       log.write("task_failed", "task", "heartbeats", "why", String.valueOf(e));
-    } finally {
-      scheduleNext();
     }
   }
 
-  private void receive(Heartbeat heartbeat) {
-    Peer peer = peers.get(heartbeat.sender());
-    if (peer != null) {
-      peer.last = heartbeat;
-      peer.heardNanos = clockNanos.getAsLong();
-      listener.accept(heartbeat);
+  private void makePlan(long nowNanos) {
+    if (nowNanos - plannedNanos < PLAN_NANOS) {
+      return;
     }
-  }
-
-  /** One other process. */
-  private final class Peer {
-    private final String name;
-    private final String address;
-    private @Nullable Channel channel;
-    private boolean isConnecting;
-    private long failedNanos = Long.MIN_VALUE / 2;
-    private long heardNanos;
-    private @Nullable Heartbeat last;
-
-    Peer(String name, String address) {
-      this.name = name;
-      this.address = address;
+    plannedNanos = nowNanos;
+    List<Place> usable = new ArrayList<>();
+    for (Peer peer : peers.values()) {
+      if (!peer.isOut(nowNanos)) {
+        usable.add(peer.place());
+      }
     }
+    HubPlan next = HubPlan.of(self, usable);
+    if (!Objects.equals(next.ownHub(), plan.ownHub()) || next.isHub() != plan.isHub()) {
+      log.write("hub_chosen", "isHub", next.isHub(), "hub", String.valueOf(next.ownHub()));
+    }
+    plan = next;
+  }
 
-    boolean isAlive(long nowNanos) {
-      long limitNanos = TimeUnit.MILLISECONDS.toNanos((long) ALIVE_INTERVALS * intervalMs());
-      return heardNanos != 0 && nowNanos - heardNanos < limitNanos;
+  private void sendToHub(Heartbeat own, long nowNanos) {
+    Peer hub = plan.ownHub() == null ? null : peers.get(plan.ownHub());
+    if (hub != null) {
+      hub.sendExpectingAnswer(own, nowNanos);
     }
+  }
 
-    void send(long nowNanos) {
-      Channel open = channel;
-      if (open != null && open.isActive()) {
-        if (open.isWritable()) {
-          long echo = last == null ? 0 : last.sentNanos();
-          byte[] bytes = HeartbeatCodec.toBytes(source.make(self, nowNanos, echo));
-          open.writeAndFlush(Unpooled.wrappedBuffer(bytes));
-        }
-      } else if (!isConnecting && nowNanos - failedNanos > RECONNECT_NANOS) {
-        connect();
+  private void sendAsHub(Heartbeat own, long nowNanos) {
+    List<Peer> members = heard(Scope.MEMBER, Peer.ALIVE_NANOS);
+    List<Heard> hubsHeard = toHeard(heard(Scope.HUB, Peer.ALIVE_NANOS));
+    List<FleetBox> words = new ArrayList<>(own.words());
+    words.addAll(wordsOfMembers);
+    Heartbeat toHubs =
+        Digest.merge(own, Scope.HUB, toHeard(members), List.of(), words, ListNews.NONE, nowNanos);
+    Set<Peer> hubs = new HashSet<>(heard(Scope.HUB, Peer.ALIVE_NANOS));
+    for (String name : plan.hubs()) {
+      Peer hub = peers.get(name);
+      if (hub != null) {
+        hubs.add(hub);
       }
     }
-
-    private void connect() {
-      isConnecting = true;
-      new Bootstrap()
-          .group(loop)
-          .channel(NioSocketChannel.class)
-          .option(ChannelOption.TCP_NODELAY, true)
-          .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-          .handler(new Initializer())
-          .connect(HttpCalls.toSocketAddress(address))
-          .addListener(
-              (ChannelFutureListener)
-                  done -> {
-                    isConnecting = false;
-                    if (done.isSuccess()) {
-                      channel = done.channel();
-                      log.write("peer_connected", "peer", name);
-                      done.channel().closeFuture().addListener(closed -> lose());
-                    } else {
-                      failedNanos = clockNanos.getAsLong();
-                    }
-                  });
+    hubs.forEach(hub -> hub.sendExpectingAnswer(toHubs, nowNanos));
+    words.addAll(wordsOfHubs);
+    for (Peer member : members) {
+      List<Peer> others = new ArrayList<>(members);
+      others.remove(member);
+      List<Heard> all = new ArrayList<>(toHeard(others));
+      all.addAll(hubsHeard);
+      ListNews news = source.listSince(member.lastHeard().listNews().endOffset());
+      member.send(Digest.merge(own, Scope.REST, all, hubsHeard, words, news, nowNanos), nowNanos);
     }
+  }
 
-    private void lose() {
-      channel = null;
-      failedNanos = clockNanos.getAsLong();
-      log.write("peer_lost", "peer", name);
+  private void receive(Heartbeat heartbeat) {
+    Peer peer = peers.get(heartbeat.sender());
+    if (peer == null) {
+      return;
+    }
+    peer.hear(heartbeat, clockNanos.getAsLong());
+    if (heartbeat.scope() == Scope.MEMBER) {
+      wordsOfMembers.addAll(heartbeat.words());
+    } else if (heartbeat.scope() == Scope.HUB) {
+      wordsOfHubs.addAll(heartbeat.words());
+    }
+    if (!heartbeat.words().isEmpty() && isHub()) {
+      hurry();
     }
+    listener.accept(heartbeat);
   }
 
   private final class Initializer extends ChannelInitializer<SocketChannel> {
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/peer/ProcessBook.java
@@ -0,0 +1,71 @@
+package org.shoreroad.edge.peer;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.TimeUnit;
+import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.sync.Store;
+import org.shoreroad.edge.sync.StoreCallback;
+import org.shoreroad.edge.sync.StoreFault;
+import org.shoreroad.edge.sync.StoreRecord;
+import org.shoreroad.edge.sync.Topic;
+import org.shoreroad.edge.sync.TopicFollower;
+import org.shoreroad.member.HubPlan.Place;
+
+/**
+ * The processes that have announced themselves in the store, this one among them.
+ *
+ * <p>Used on the event loop.
+ *
+ * @since 0.2
+ */
+public final class ProcessBook implements TopicFollower.Listener {
+  /** An announcement that was not taken is written again after this time. */
+  private static final int WRITE_AGAIN_MS = 500;
+
+  private final Store store;
+  private final EventLoop loop;
+  private final EventLog log;
+  private final PeerMesh mesh;
+  private final Place self;
+
+  /** Creates a book; {@link #announce} adds this process. */
+  public ProcessBook(Store store, EventLoop loop, EventLog log, PeerMesh mesh, Place self) {
+    this.store = store;
+    this.loop = loop;
+    this.log = log;
+    this.mesh = mesh;
+    this.self = self;
+  }
+
+  /** Announces this process, again and again until the store has taken it. */
+  public void announce(Announcement announcement) {
+    store.write(
+        Topic.PROCESSES,
+        self.name(),
+        announcement.toBytes(),
+        new StoreCallback<>() {
+          @Override
+          public void onValue(Long offset) {
+            log.write("announced", "offset", offset);
+          }
+
+          @Override
+          public void onFault(StoreFault fault) {
+            log.write("not_announced", "fault", fault);
+            loop.schedule(() -> announce(announcement), WRITE_AGAIN_MS, TimeUnit.MILLISECONDS);
+          }
+        });
+  }
+
+  @Override
+  public void onRecord(StoreRecord record) {
+    byte[] value = record.value();
+    if (value == null) {
+      mesh.remove(record.key());
+    } else {
+      Announcement announcement = Announcement.parse(value);
+      Place place = new Place(record.key(), announcement.zone());
+      mesh.add(place, announcement.address(), record.offset());
+    }
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -262,9 +262,7 @@
 
   /** Decides what follows when an attempt brought nothing that can be passed on. */
   void onAttemptFailed(Target target, AttemptEnd end) {
-    attempt = null;
-    relay.counters().count("shoreroad.attempts.failed", end.code());
-    logAttempt(target, end);
+    noteFailure(target, end);
     if (isOver) {
       return;
     }
@@ -316,12 +314,15 @@
       return;
     }
     boolean canMove = of.isRepeatable() && attemptsLeft > 0 && service != null;
-    if (!canMove || choose(service).isEmpty()) {
-      // Nobody else could do better; the engine may still move.
+    if (!canMove || choose(service).isEmpty() || !takeRepeat()) {
+      // Nobody else could do better, or may be asked to; the engine may still move.
       return;
     }
     stalled.cancel();
-    onAttemptFailed(stalled.target(), AttemptEnd.STALLED);
+    noteFailure(stalled.target(), AttemptEnd.STALLED);
+    mayHaveRun = true;
+    relay.counters().count("shoreroad.retries", AttemptEnd.STALLED.code());
+    send();
   }
 
   @Override
@@ -371,7 +372,9 @@
     answers.abort();
   }
 
-  private void logAttempt(Target target, AttemptEnd end) {
+  private void noteFailure(Target target, AttemptEnd end) {
+    attempt = null;
+    relay.counters().count("shoreroad.attempts.failed", end.code());
     String replica = String.valueOf(target.replicaName());
     writeLine("attempt_failed", "end", end, "upstream", target.box().id(), "replica", replica);
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
@@ -49,6 +49,15 @@
   /** The part of the target latency that the prompts waiting at a replica may take to be read. */
   private static final double BACKLOG_PART = 0.6;
 
+  /**
+   * Up to this many processes each may choose among all upstreams: what one does shows to the
+   * others before many of them have chosen alike.
+   */
+  private static final int PROCESSES_THAT_COMPARE_ALL = 12;
+
+  /** The fewest upstreams to compare: already two, drawn by chance, keep the load even. */
+  private static final int LEAST_SAMPLE = 2;
+
   private static final double NO_REPLICA_PRESSURE = 1_000;
 
   /** A plain upstream queues as many again as it works on: its requests are short. */
@@ -69,6 +78,7 @@
   private final Set<ReplicaId> servingReplicas = new HashSet<>();
   private long seenChanges = -1;
   private boolean hasTraffic;
+  private int processCount = 1;
 
   /** Creates a board over the fleet. */
   public UpstreamBoard(
@@ -80,8 +90,14 @@
     this.zone = zone;
   }
 
+  /** Sets how many processes choose beside each other, this one among them. */
+  public void setProcessCount(int count) {
+    processCount = count;
+  }
+
   /**
-   * Returns the upstream with the least to do that is fit for a request.
+   * Returns an upstream with little to do that is fit for a request: the one with the least, or,
+   * where many processes choose on old words of each other, the one with the least of a few drawn.
    *
    * @param service the service, not null
    * @param model the model asked for, or null for a plain service
@@ -94,17 +110,20 @@
     refresh();
     EngineSpec engine = service.engine();
     long nowNanos = clockNanos.getAsLong();
-    List<FleetBox> candidates = candidates(service, model);
-    FleetBox best = null;
-    double bestCost = Double.MAX_VALUE;
-    for (FleetBox box : candidates) {
+    List<FleetBox> fit = new ArrayList<>();
+    for (FleetBox box : candidates(service, model)) {
       UpstreamLoad load = loadOf(box.id());
-      if (tried.contains(box.id())
-          || isShunned(load, nowNanos)
-          || isFull(load, box, engine, targetLatencyMs)) {
-        continue;
+      if (!tried.contains(box.id())
+          && !isShunned(load, nowNanos)
+          && !isFull(load, box, engine, targetLatencyMs)) {
+        fit.add(box);
       }
-      double cost = cost(load, box, engine);
+    }
+    drawSample(fit);
+    FleetBox best = null;
+    double bestCost = Double.MAX_VALUE;
+    for (FleetBox box : fit) {
+      double cost = cost(loadOf(box.id()), box, engine);
       if (cost < bestCost) {
         best = box;
         bestCost = cost;
@@ -113,6 +132,16 @@
     return best == null ? Optional.empty() : Optional.of(new Target(best, loadOf(best.id())));
   }
 
+  /** Leaves as many upstreams as can be compared without all processes choosing the same one. */
+  private void drawSample(List<FleetBox> fit) {
+    int size = fit.size() * PROCESSES_THAT_COMPARE_ALL / processCount;
+    while (fit.size() > Math.max(LEAST_SAMPLE, size)) {
+      int drawn = random.nextInt(fit.size());
+      fit.set(drawn, fit.get(fit.size() - 1));
+      fit.remove(fit.size() - 1);
+    }
+  }
+
   /** Returns true if any upstream stands for the model or the service, free or not. */
   boolean hasAny(UpstreamService service, @Nullable String model) {
     refresh();
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -60,6 +60,9 @@
   /** A formation is asked after quickly for this long; then it must be loading. */
   private static final long QUICK_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
+  /** Boxes and replicas that are gone are forgotten this often. */
+  private static final long FORGET_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
   /** Beyond the time in which an engine breaks a replica that lost a member. */
   private static final int STALL_MARGIN_MS = 1_000;
 
@@ -80,6 +83,9 @@
   private final ReachBook reach = new ReachBook();
   private final Map<String, DomainKeeper> keepers = new HashMap<>();
   private final Map<String, Long> busySinceNanos = new HashMap<>();
+  private final Map<String, ServiceDomains> domainsByService = new HashMap<>();
+  private Runnable onUrgentNews = () -> {};
+  private long forgottenNanos;
 
   /** Creates a service; {@link #start} begins its clockwork. */
   public ReplicaService(
@@ -109,6 +115,11 @@
     this.certainNanos = TimeUnit.MILLISECONDS.toNanos(stallMs + STALL_MARGIN_MS);
   }
 
+  /** Sets what is done when the head of a replica has said something that others wait for. */
+  public void setUrgentNewsListener(Runnable listener) {
+    onUrgentNews = listener;
+  }
+
   /** Starts to keep. */
   public void start() {
     new Clockwork(loop, log).every(TICK_MS, "replicas", this::tick);
@@ -119,14 +130,22 @@
     if (current == null) {
       return;
     }
-    for (UpstreamService service : current.services()) {
-      EngineSpec engine = service.engine();
-      if (engine != null) {
-        keepService(service, engine);
+    if (lease.holdsAny()) {
+      for (UpstreamService service : current.services()) {
+        EngineSpec engine = service.engine();
+        if (engine != null) {
+          keepService(service, engine);
+        }
       }
+    } else {
+      keepers.clear();
+      busySinceNanos.clear();
     }
     answerPeers();
-    forgetOthers();
+    if (clockNanos.getAsLong() - forgottenNanos > FORGET_INTERVAL_NANOS) {
+      forgottenNanos = clockNanos.getAsLong();
+      forgetOthers();
+    }
   }
 
   /**
@@ -183,29 +202,52 @@
   }
 
   private void keepService(UpstreamService service, EngineSpec engine) {
-    Map<String, List<FleetBox>> domains = new TreeMap<>();
+    ServiceDomains known = domainsByService.get(service.name());
+    if (known == null || known.changes() != fleet.changes() || known.engine() != engine) {
+      known = deriveDomains(service, engine);
+      domainsByService.put(service.name(), known);
+    }
+    ReplicaPlan plan = known.plan();
+    Set<String> suspected = suspectedHeads.get();
+    Demand demand = demands.apply(service);
+    known
+        .boxes()
+        .forEach(
+            (domain, boxes) -> {
+              String key = service.name() + "/" + domain;
+              if (lease.holds(key)) {
+                keepDomain(key, domain, engine, boxes, plan, suspected, demand);
+              } else {
+                keepers.remove(key);
+                busySinceNanos.remove(key);
+              }
+            });
+  }
+
+  private ServiceDomains deriveDomains(UpstreamService service, EngineSpec engine) {
+    Map<String, List<FleetBox>> boxesByDomain = new TreeMap<>();
     for (FleetBox box : fleet.boxes()) {
       if (box.service().equals(service.name()) && box.domain() != null) {
-        domains.computeIfAbsent(box.domain(), name -> new ArrayList<>()).add(box);
+        boxesByDomain.computeIfAbsent(box.domain(), name -> new ArrayList<>()).add(box);
       }
     }
     Map<String, Integer> sizes = new HashMap<>();
-    domains.forEach((name, boxes) -> sizes.put(name, countLasting(boxes)));
-    ReplicaPlan plan = ReplicaPlan.of(engine, sizes);
-    Set<String> suspected = suspectedHeads.get();
-    Demand demand = demands.apply(service);
-    domains.forEach(
-        (domain, boxes) -> {
-          String key = service.name() + "/" + domain;
-          if (lease.holds(key)) {
-            keepDomain(key, domain, engine, boxes, plan, suspected, demand);
-          } else {
-            keepers.remove(key);
-            busySinceNanos.remove(key);
-          }
-        });
+    boxesByDomain.forEach((name, boxes) -> sizes.put(name, countLasting(boxes)));
+    return new ServiceDomains(
+        fleet.changes(), engine, boxesByDomain, ReplicaPlan.of(engine, sizes));
   }
 
+  /**
+   * The fabric domains of a service, as derived from the fleet.
+   *
+   * @param changes the fleet's number of changes that this was derived at
+   * @param engine the engines that the plan was made for
+   * @param boxes the boxes of each domain
+   * @param plan what each domain is to hold
+   */
+  private record ServiceDomains(
+      long changes, EngineSpec engine, Map<String, List<FleetBox>> boxes, ReplicaPlan plan) {}
+
   private int countLasting(List<FleetBox> boxes) {
     return (int) boxes.stream().filter(box -> !box.isLeaving() && fleet.isListed(box.id())).count();
   }
@@ -307,6 +349,10 @@
             reach.recordWord(box.id(), askedNanos);
             if (fleet.update(newest)) {
               news.put(newest.id(), newest);
+              Membership membership = newest.membership();
+              if (membership != null && membership.isHead()) {
+                onUrgentNews.run();
+              }
             }
           }
 
--- a/edge/src/main/java/org/shoreroad/edge/sync/DomainLease.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/DomainLease.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.routing.Rendezvous;
@@ -45,6 +46,8 @@
   private long changedNanos;
   private long sequence;
   private boolean isLeaving;
+  private boolean hasJoined;
+  private BooleanSupplier isCandidate = () -> true;
 
   /** Creates a lease that holds nothing; {@link #start} joins the group. */
   public DomainLease(
@@ -62,6 +65,16 @@
     this.partitions = partitions;
   }
 
+  /** Sets whether this process is one of those that share the domains; it leaves if it is not. */
+  public void joinWhile(BooleanSupplier isWanted) {
+    isCandidate = isWanted;
+  }
+
+  /** Returns true if this process may give orders for any domain now. */
+  public boolean holdsAny() {
+    return clockNanos.getAsLong() < validUntilNanos && !grant.partitions().isEmpty();
+  }
+
   /** Joins the group and stays in it. */
   public void start() {
     renew();
@@ -101,6 +114,12 @@
     if (isLeaving) {
       return;
     }
+    if (!isCandidate.getAsBoolean()) {
+      standBack();
+      loop.schedule(this::renew, RENEW_MS, TimeUnit.MILLISECONDS);
+      return;
+    }
+    hasJoined = true;
     long sentNanos = clockNanos.getAsLong();
     store.join(
         member,
@@ -120,8 +139,18 @@
         });
   }
 
+  /** Lets others have the domains. */
+  private void standBack() {
+    validUntilNanos = Long.MIN_VALUE;
+    if (hasJoined) {
+      hasJoined = false;
+      store.leave(member, grant.generation());
+      grant = new PartitionGrant(grant.generation(), Set.of());
+    }
+  }
+
   private void take(PartitionGrant next, long sentNanos) {
-    if (isLeaving) {
+    if (isLeaving || !hasJoined) {
       return;
     }
     if (!next.equals(grant)) {
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -20,7 +20,8 @@
  * <p>An entry that is taken away may come back: while the store was out of reach entries lapse, and
  * they are back within two seconds of its return if the upstream lives. An upstream that is off the
  * list gets no more requests; but a box of a replica stays known until it is dead for certain,
- * since it may run on without the store. Used on the event loop.
+ * since it may run on without the store. Where another life is listed at the same address later,
+ * the former one is over. Used on the event loop.
  *
  * @since 0.2
  */
@@ -43,6 +44,10 @@
   private final Map<String, FleetBox> boxes = new HashMap<>();
   private final Map<String, Long> removedAtNanos = new HashMap<>();
   private final Set<String> offListIds = new HashSet<>();
+  private final Map<String, FleetBox> entries = new HashMap<>();
+  private final Map<String, Long> entryOffsets = new HashMap<>();
+  private final Map<String, String> idsByAddress = new HashMap<>();
+  private final RecentNews news = new RecentNews();
   private final List<Consumer<FleetBox>> removalListeners = new ArrayList<>();
   private long changes;
 
@@ -62,6 +67,8 @@
   public void onRecord(StoreRecord record) {
     byte[] value = record.value();
     if (value == null) {
+      entries.remove(record.key());
+      news.add(record);
       if (boxes.containsKey(record.key())) {
         removedAtNanos.putIfAbsent(record.key(), clockNanos.getAsLong());
         changes++;
@@ -69,14 +76,23 @@
       return;
     }
     try {
-      put(decoder.decode(record.key(), value));
+      FleetBox entry = decoder.decode(record.key(), value);
+      // Most records only say that the upstream lives.
+      if (!entry.equals(entries.put(entry.id(), entry))) {
+        news.add(record);
+      }
+      if (takeAddress(entry, record.offset())) {
+        put(entry);
+      }
     } catch (RuntimeException e) {
       log.write("upstream_entry_unreadable", "upstream", record.key(), "why", e.getMessage());
     }
   }
 
   @Override
-  public void onListed(Set<String> keys) {
+  public void onListed(Set<String> keys, long endOffset) {
+    news.restart(endOffset);
+    entries.keySet().retainAll(keys);
     for (String id : new HashSet<>(boxes.keySet())) {
       if (!keys.contains(id)) {
         removedAtNanos.putIfAbsent(id, clockNanos.getAsLong());
@@ -85,6 +101,21 @@
     }
   }
 
+  /** Returns true unless a later life is listed at the same address; an earlier one is over. */
+  private boolean takeAddress(FleetBox entry, long offset) {
+    String other = idsByAddress.get(entry.address());
+    if (other != null && !other.equals(entry.id())) {
+      if (entryOffsets.getOrDefault(other, -1L) > offset) {
+        return false;
+      }
+      log.write("upstream_superseded", "upstream", other, "by", entry.id());
+      forget(other);
+    }
+    idsByAddress.put(entry.address(), entry.id());
+    entryOffsets.put(entry.id(), offset);
+    return true;
+  }
+
   private void put(FleetBox listed) {
     FleetBox before = boxes.get(listed.id());
     FleetBox box = before == null ? listed : withNewerState(before, listed);
@@ -179,13 +210,20 @@
     removedAtNanos.remove(id);
     offListIds.remove(id);
     wordAtNanos.remove(id);
+    entryOffsets.remove(id);
     if (gone != null) {
+      idsByAddress.remove(gone.address(), id);
       changes++;
       log.write("upstream_gone", "upstream", id, "address", gone.address());
       removalListeners.forEach(listener -> listener.accept(gone));
     }
   }
 
+  /** Returns the newest records that changed something. */
+  public RecentNews news() {
+    return news;
+  }
+
   /** Returns true if the upstream may be given requests, as far as the list goes. */
   public boolean isOnList(String id) {
     return boxes.containsKey(id) && !offListIds.contains(id);
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/sync/ListNews.java
@@ -0,0 +1,37 @@
+package org.shoreroad.edge.sync;
+
+import java.util.List;
+
+/**
+ * A stretch of the list of upstreams that one process has read and tells another one.
+ *
+ * <p>Records that changed nothing are left out. This class is immutable and thread-safe.
+ *
+ * @param fromOffset where the stretch begins: who has read as far misses nothing
+ * @param endOffset where it ends
+ * @param ageNanos how long ago the teller had proof that it missed no change
+ * @param reachableNanos how long the store has answered the teller without a fault, 0 if it does
+ *     not
+ * @param records what changed in between, in the order of the offsets
+ * @since 0.2
+ */
+public record ListNews(
+    long fromOffset,
+    long endOffset,
+    long ageNanos,
+    long reachableNanos,
+    List<StoreRecord> records) {
+  /** Nothing that anybody could use. */
+  public static final ListNews NONE =
+      new ListNews(Long.MAX_VALUE, -1, Long.MAX_VALUE / 4, 0, List.of());
+
+  /** Copies the list. */
+  public ListNews {
+    records = List.copyOf(records);
+  }
+
+  /** Returns what a process tells that has read as far, without any record. */
+  public static ListNews readTo(long endOffset) {
+    return new ListNews(endOffset, endOffset, 0, 0, List.of());
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
@@ -2,8 +2,10 @@
 
 import io.netty.channel.EventLoop;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.shoreroad.edge.EventLog;
 
@@ -21,6 +23,15 @@
 
   private static final int LONGEST_PAUSE_MS = 800;
 
+  /** What a peer told counts this long: five heartbeats. */
+  private static final long TOLD_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** A proof by peers may be as old as a waiting read of theirs, and three heartbeats. */
+  private static final long TOLD_PROOF_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
+
+  /** While peers tell what is new, this process looks this often whether they still do. */
+  private static final int TOLD_CHECK_MS = 200;
+
   private final Topic topic;
   private final Store store;
   private final EventLoop loop;
@@ -36,6 +47,9 @@
   private boolean isReachable;
   private long reachableSinceNanos;
   private int pauseMs = SHORTEST_PAUSE_MS;
+  private BooleanSupplier isSpared = () -> false;
+  private long toldNanos = Long.MIN_VALUE / 2;
+  private long toldReachableNanos;
 
   /**
    * Creates a follower; {@link #start} begins.
@@ -62,6 +76,11 @@
     this.listener = listener;
   }
 
+  /** Sets whether peers read for this process; it reads itself when they cease to tell. */
+  public void spareWhile(BooleanSupplier isTold) {
+    isSpared = isTold;
+  }
+
   /** Begins to follow. */
   public void start() {
     readNewest("", -1, clockNanos.getAsLong());
@@ -84,16 +103,43 @@
 
   /** Returns how long the store has answered without a fault, or 0 if the last call failed. */
   public long reachableForNanos() {
+    if (isTold()) {
+      return toldReachableNanos;
+    }
     return isReachable ? clockNanos.getAsLong() - reachableSinceNanos : 0;
   }
 
   /** Takes over what a peer has proved, if this process has read as far. */
   public void proveByPeer(long offset, long peerProvenNanos) {
-    if (isCurrent && offset <= nextOffset && peerProvenNanos > provenNanos) {
-      provenNanos = peerProvenNanos;
+    if (isCurrent && offset <= nextOffset) {
+      provenNanos = Math.max(provenNanos, peerProvenNanos);
+      toldNanos = clockNanos.getAsLong();
+    } else {
+      // There is more to read than this peer told.
+      toldNanos = Long.MIN_VALUE / 2;
     }
   }
 
+  /** Takes over a stretch that a peer has read, if nothing is missing before it. */
+  public void takeOver(ListNews news, long peerProvenNanos) {
+    if (!isCurrent || news.fromOffset() > nextOffset) {
+      return;
+    }
+    takeRecords(news.records());
+    nextOffset = Math.max(nextOffset, news.endOffset());
+    provenNanos = Math.max(provenNanos, peerProvenNanos);
+    toldNanos = clockNanos.getAsLong();
+    toldReachableNanos = news.reachableNanos();
+  }
+
+  /** Returns true if peers read for this process, and have lately told it enough. */
+  private boolean isTold() {
+    long nowNanos = clockNanos.getAsLong();
+    return isSpared.getAsBoolean()
+        && nowNanos - toldNanos < TOLD_NANOS
+        && nowNanos - provenNanos < TOLD_PROOF_NANOS;
+  }
+
   private void readNewest(String afterKey, long endOffset, long startedNanos) {
     if (afterKey.isEmpty()) {
       listedKeys.clear();
@@ -128,7 +174,7 @@
   }
 
   private void finishListing(long endOffset, long startedNanos) {
-    listener.onListed(Set.copyOf(listedKeys));
+    listener.onListed(Set.copyOf(listedKeys), endOffset);
     listedKeys.clear();
     nextOffset = endOffset;
     provenNanos = Math.max(provenNanos, startedNanos);
@@ -137,6 +183,10 @@
   }
 
   private void readOn() {
+    if (isTold()) {
+      loop.schedule(this::readOn, TOLD_CHECK_MS, TimeUnit.MILLISECONDS);
+      return;
+    }
     long sentNanos = clockNanos.getAsLong();
     store.read(
         topic,
@@ -146,7 +196,7 @@
           @Override
           public void onValue(StorePage page) {
             markReached();
-            takeRecords(page);
+            takeRecords(page.records());
             provenNanos = Math.max(provenNanos, sentNanos);
             long spentMs = TimeUnit.NANOSECONDS.toMillis(clockNanos.getAsLong() - sentNanos);
             long restMs = Math.max(0, minIntervalMs - spentMs);
@@ -165,8 +215,8 @@
         });
   }
 
-  private void takeRecords(StorePage page) {
-    for (StoreRecord record : page.records()) {
+  private void takeRecords(List<StoreRecord> records) {
+    for (StoreRecord record : records) {
       if (record.offset() >= nextOffset) {
         listener.onRecord(record);
         nextOffset = record.offset() + 1;
@@ -197,7 +247,11 @@
     /** Tells the newest record of a key. */
     void onRecord(StoreRecord record);
 
-    /** Tells all keys of a full listing; others are gone. */
-    default void onListed(Set<String> keys) {}
+    /**
+     * Tells all keys of a full listing; others are gone.
+     *
+     * @param endOffset from here on every record follows
+     */
+    default void onListed(Set<String> keys, long endOffset) {}
   }
 }
--- a/edge/src/test/java/org/shoreroad/edge/KnowledgeTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/KnowledgeTest.java
@@ -2,17 +2,17 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.nullValue;
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.shoreroad.edge.peer.Heartbeat;
+import org.shoreroad.edge.peer.Heartbeats;
 import org.shoreroad.edge.sync.PartitionGrant;
 import org.shoreroad.edge.sync.Store;
 import org.shoreroad.edge.sync.StoreCallback;
@@ -94,8 +94,7 @@
   }
 
   private static Heartbeat heartbeat(long echoNanos, long offset, long ageNanos) {
-    return new Heartbeat(
-        "p", 0, echoNanos, offset, ageNanos, List.of(), Set.of(), Map.of(), Set.of(), List.of());
+    return Heartbeats.of("p").withConfig(echoNanos, offset, ageNanos);
   }
 
   @Test
@@ -132,6 +131,15 @@
     assertThat(knowledge.mayTrustKeys(), is(false));
   }
 
+  @Test
+  void aProofLastsUntilTheNextReadHasCome() {
+    for (int revokeMs : new int[] {1_500, 3_000, 5_000, 20_000}) {
+      int waitMs = Knowledge.readWaitMs(revokeMs);
+      // Two reads in a row are the oldest that a proof becomes in calm times.
+      assertThat(2 * (waitMs + 100), is(lessThan(revokeMs - 500)));
+    }
+  }
+
   @Test
   void aPeersProofCountsFromThisProcessesOwnClock() {
     follow();
--- a/edge/src/test/java/org/shoreroad/edge/peer/DoubtsTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/DoubtsTest.java
@@ -3,7 +3,6 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -16,7 +15,7 @@
   private final Doubts doubts = new Doubts(() -> nowNanos);
 
   private static Heartbeat from(String peer, Map<String, String> asked, Set<String> silent) {
-    return new Heartbeat(peer, 0, 0, 0, 0, List.of(), Set.of(), asked, silent, List.of());
+    return Heartbeats.of(peer).withDoubts(asked, silent);
   }
 
   private void raiseFor(int millis) {
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/peer/Heartbeats.java
@@ -0,0 +1,82 @@
+package org.shoreroad.edge.peer;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.shoreroad.edge.peer.Heartbeat.Load;
+import org.shoreroad.edge.peer.Heartbeat.Scope;
+import org.shoreroad.edge.sync.ListNews;
+import org.shoreroad.fleet.FleetBox;
+
+/** Makes heartbeats that say little; for tests. */
+public record Heartbeats(Heartbeat bare) {
+  /** Returns a maker for heartbeats of a sender that says nothing. */
+  public static Heartbeats of(String sender) {
+    return new Heartbeats(
+        new Heartbeat(
+            sender,
+            0,
+            0,
+            Scope.SELF,
+            1,
+            0,
+            0,
+            List.of(),
+            Set.of(),
+            Map.of(),
+            Set.of(),
+            List.of(),
+            ListNews.NONE));
+  }
+
+  /** Returns the heartbeat with loads. */
+  public Heartbeat withLoads(List<Load> loads) {
+    return make(0, 0, 0, loads, Map.of(), Set.of(), List.of(), ListNews.NONE);
+  }
+
+  /** Returns the heartbeat with questions and what was found silent. */
+  public Heartbeat withDoubts(Map<String, String> asked, Set<String> silent) {
+    return make(0, 0, 0, List.of(), asked, silent, List.of(), ListNews.NONE);
+  }
+
+  /** Returns the heartbeat with a proof of the configuration. */
+  public Heartbeat withConfig(long echoNanos, long offset, long ageNanos) {
+    return make(
+        echoNanos, offset, ageNanos, List.of(), Map.of(), Set.of(), List.of(), ListNews.NONE);
+  }
+
+  /** Returns the heartbeat with news of the list. */
+  public Heartbeat withListNews(ListNews news) {
+    return make(0, 0, 0, List.of(), Map.of(), Set.of(), List.of(), news);
+  }
+
+  /** Returns the heartbeat with words of engines. */
+  public Heartbeat withWords(List<FleetBox> words) {
+    return make(0, 0, 0, List.of(), Map.of(), Set.of(), words, ListNews.NONE);
+  }
+
+  private Heartbeat make(
+      long echoNanos,
+      long offset,
+      long ageNanos,
+      List<Load> loads,
+      Map<String, String> asked,
+      Set<String> silent,
+      List<FleetBox> words,
+      ListNews news) {
+    return new Heartbeat(
+        bare.sender(),
+        0,
+        echoNanos,
+        bare.scope(),
+        bare.processes(),
+        offset,
+        ageNanos,
+        loads,
+        bare.suspectedUpstreams(),
+        asked,
+        silent,
+        words,
+        news);
+  }
+}
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/peer/PeerMeshTest.java
@@ -0,0 +1,210 @@
+package org.shoreroad.edge.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.sync.ListNews;
+import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.member.HubPlan.Place;
+
+/** Several meshes on one event loop, over real connections on loopback. */
+class PeerMeshTest {
+  private static final int ZONES = 2;
+  private static final String BUSY = "i-busy";
+
+  /** Waiting for what must come at last; far beyond what a loaded machine needs. */
+  private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private final EventLoop loop = group.next();
+  private final EventLog log = new EventLog("t", System::nanoTime, OutputStream.nullOutputStream());
+  private final List<Process> processes = new ArrayList<>();
+
+  /** One process: a mesh, what it has to say, and what it heard. */
+  private final class Process implements PeerMesh.HeartbeatSource {
+    private final Place place;
+    private final PeerMesh mesh;
+    private final Set<String> wordsHeard = new HashSet<>();
+    private final Set<Long> listHeard = new HashSet<>();
+    private List<FleetBox> words = List.of();
+    private String address = "";
+
+    Process(int number) {
+      place = new Place("box-" + number + "~" + number, "zone-" + number % ZONES);
+      mesh = new PeerMesh(loop, System::nanoTime, log, place, this, this::hear);
+    }
+
+    private void hear(Heartbeat heartbeat) {
+      heartbeat.words().forEach(word -> wordsHeard.add(word.id()));
+      listHeard.add(heartbeat.listNews().endOffset());
+    }
+
+    @Override
+    public Heartbeat make(String sender, long sentNanos) {
+      Heartbeat bare = Heartbeats.of(sender).withLoads(List.of(new Heartbeat.Load(BUSY, 1, 10, 5)));
+      return new Heartbeat(
+          sender,
+          sentNanos,
+          0,
+          Heartbeat.Scope.SELF,
+          1,
+          0,
+          0,
+          bare.loads(),
+          Set.of(),
+          bare.askedUpstreams(),
+          Set.of(),
+          words,
+          ListNews.readTo(3));
+    }
+
+    @Override
+    public ListNews listSince(long offset) {
+      return new ListNews(offset, offset + 4, 0, 0, List.of());
+    }
+
+    @Override
+    public void onSent() {
+      words = List.of();
+    }
+
+    int openElsewhere() {
+      return mesh.newest().keySet().stream()
+          .flatMap(heartbeat -> heartbeat.loads().stream())
+          .mapToInt(Heartbeat.Load::open)
+          .sum();
+    }
+  }
+
+  private void start(int count) throws Exception {
+    for (int i = 0; i < count; i++) {
+      Process process = new Process(i);
+      InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+      InetSocketAddress bound =
+          (InetSocketAddress) onLoop(() -> process.mesh.start(any)).sync().channel().localAddress();
+      process.address = "127.0.0.1:" + bound.getPort();
+      processes.add(process);
+    }
+    onLoop(
+        () -> {
+          for (Process one : processes) {
+            processes.forEach(other -> one.mesh.add(other.place, other.address, 1));
+          }
+          return true;
+        });
+  }
+
+  private <T> T onLoop(Callable<T> task) throws Exception {
+    return loop.submit(task).sync().getNow();
+  }
+
+  private boolean becomesTrue(BooleanSupplier condition) throws Exception {
+    long endNanos = System.nanoTime() + PATIENCE_NANOS;
+    while (System.nanoTime() < endNanos) {
+      if (onLoop(condition::getAsBoolean)) {
+        return true;
+      }
+      Thread.sleep(20);
+    }
+    return false;
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+  }
+
+  @Test
+  void aFewProcessesHearEachOther() throws Exception {
+    start(4);
+    assertThat(
+        becomesTrue(() -> processes.stream().allMatch(p -> p.openElsewhere() == 3)), is(true));
+    assertThat(processes.get(0).mesh.isMember(), is(false));
+    assertThat(processes.get(0).mesh.aliveCount(), is(4));
+  }
+
+  @Test
+  void amongManyEachLoadIsCountedOnceByEverybody() throws Exception {
+    start(30);
+    assertThat(
+        becomesTrue(
+            () ->
+                processes.stream()
+                    .allMatch(p -> p.openElsewhere() == 29 && p.mesh.aliveCount() == 30)),
+        is(true));
+    long members = processes.stream().filter(p -> p.mesh.isMember()).count();
+    assertThat(members, is(24L));
+  }
+
+  @Test
+  void theWordOfAnEngineReachesEverybodyThroughTheHubs() throws Exception {
+    start(30);
+    becomesTrue(() -> processes.stream().allMatch(p -> p.mesh.aliveCount() == 30));
+    Process teller = processes.stream().filter(p -> p.mesh.isMember()).findFirst().orElseThrow();
+    onLoop(
+        () -> {
+          teller.words =
+              List.of(new FleetBox("i-1", "s", "h:1", "z", 1, false, "d", null, List.of(), null));
+          teller.mesh.hurry();
+          return true;
+        });
+    assertThat(
+        becomesTrue(
+            () -> processes.stream().allMatch(p -> p == teller || p.wordsHeard.contains("i-1"))),
+        is(true));
+  }
+
+  @Test
+  void aMemberIsToldTheListFromWhereItStands() throws Exception {
+    start(30);
+    assertThat(
+        becomesTrue(
+            () -> processes.stream().allMatch(p -> !p.mesh.isMember() || p.listHeard.contains(7L))),
+        is(true));
+  }
+
+  @Test
+  void anotherHubIsChosenWhenOneIsGone() throws Exception {
+    start(30);
+    becomesTrue(() -> processes.stream().allMatch(p -> p.mesh.aliveCount() == 30));
+    Process hub = processes.stream().filter(p -> !p.mesh.isMember()).findFirst().orElseThrow();
+    onLoop(
+        () -> {
+          processes.forEach(p -> p.mesh.remove(hub.place.name()));
+          processes.forEach(p -> hub.mesh.remove(p.place.name()));
+          return true;
+        });
+    assertThat(
+        becomesTrue(() -> processes.stream().allMatch(p -> p == hub || (p.openElsewhere() == 28))),
+        is(true));
+  }
+
+  @Test
+  void aLaterLifeOfANodeTakesThePlaceOfTheFormerOne() throws Exception {
+    start(2);
+    Process one = processes.get(0);
+    onLoop(
+        () -> {
+          one.mesh.add(new Place("box-1~later", "zone-1"), processes.get(1).address, 9);
+          one.mesh.add(new Place("box-1~earlier", "zone-1"), processes.get(1).address, 4);
+          return true;
+        });
+    // The former life's heartbeats count no more.
+    assertThat(becomesTrue(() -> one.mesh.aliveCount() == 1), is(true));
+  }
+}
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -0,0 +1,220 @@
+package org.shoreroad.edge.relay;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.shoreroad.edge.EdgeMetrics;
+import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.caller.CallerServer;
+import org.shoreroad.edge.caller.HeaderNames;
+import org.shoreroad.edge.http.HttpCalls;
+import org.shoreroad.edge.sync.Fleet;
+import org.shoreroad.edge.sync.StoreRecord;
+import org.shoreroad.fleet.EngineSpec;
+import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.fleet.MemberState;
+import org.shoreroad.fleet.Membership;
+import org.shoreroad.fleet.ModelShape;
+import org.shoreroad.fleet.ReplicaId;
+import org.shoreroad.traffic.CallerLimits;
+import org.shoreroad.traffic.ClientAccount;
+import org.shoreroad.traffic.RequestKind;
+import org.shoreroad.traffic.Route;
+import org.shoreroad.traffic.ServiceShare;
+import org.shoreroad.traffic.TrafficConfig;
+import org.shoreroad.traffic.UpstreamService;
+
+/** A relay between real sockets on loopback: callers on one side, scripted upstreams beyond. */
+abstract class LoopbackRelay {
+  private static final HeaderNames NAMES =
+      new HeaderNames(
+          "X-Attempt",
+          "X-Deadline",
+          "X-Model",
+          "X-Tokens",
+          "Last-Event-Id",
+          "X-Expect",
+          "X-Account",
+          "X-Rank",
+          "X-Seal",
+          "X-Not-Run");
+  static final int READ_TIMEOUT_MS = 10_000;
+
+  /** Ids that begin so are heads of replicas of model {@code m}. */
+  static final String HEAD_PREFIX = "head-";
+
+  private static final int SLOTS = 4;
+  private static final EngineSpec ENGINE =
+      new EngineSpec(
+          SLOTS, 9_999, 1, 0, 0, 46_000, 64, 1, 4, 6, List.of(new ModelShape("m", 1, 1, 1, 9, 1)));
+
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  final EventLoop loop = group.next();
+  private final EventLog log =
+      new EventLog("test", System::nanoTime, OutputStream.nullOutputStream());
+  private final Fleet fleet = new Fleet(LoopbackRelay::decode, System::nanoTime, log);
+  private final List<FakeUpstream> upstreams = new ArrayList<>();
+  final FixedFreshness freshness = new FixedFreshness();
+  Relay relay;
+  private InetSocketAddress address;
+
+  private static FleetBox decode(String id, byte[] entry) {
+    String address = new String(entry, StandardCharsets.UTF_8);
+    if (id.startsWith(HEAD_PREFIX)) {
+      Membership head = new Membership(new ReplicaId("r-" + id, 1), 0, MemberState.OPEN);
+      return new FleetBox(id, "llm", address, "z", SLOTS, false, "d", "m", List.of(), head);
+    }
+    return new FleetBox(id, "web", address, "z", 6, false, null, null, List.of(), null);
+  }
+
+  static final class FixedFreshness implements Freshness {
+    private @Nullable TrafficConfig config;
+    boolean mayTrustKeys = true;
+
+    private static TrafficConfig makeConfig() {
+      List<ServiceShare> web = List.of(new ServiceShare("web", 1));
+      return TrafficConfig.of(
+          1,
+          List.of(
+              route("/once/", RequestKind.ONCE, web, 1),
+              route("/again/", RequestKind.REPEATABLE, web, 2),
+              route("/stream/", RequestKind.STREAM, web, 2),
+              route("/llm/", RequestKind.STREAM, List.of(new ServiceShare("llm", 1)), 2)),
+          List.of(new UpstreamService("web", 100, null), new UpstreamService("llm", 100, ENGINE)),
+          List.of(new ClientAccount("office", Set.of("secret"), ClientAccount.NO_PRIORITY)),
+          CallerLimits.DEFAULT);
+    }
+
+    private static Route route(
+        String prefix, RequestKind kind, List<ServiceShare> shares, int attempts) {
+      return new Route(
+          prefix, "h.example", prefix, kind, 2_000, 200, 100, 1, shares, attempts, false, true);
+    }
+
+    @Override
+    public @Nullable TrafficConfig config() {
+      return config == null ? config = makeConfig() : config;
+    }
+
+    @Override
+    public boolean mayTrustKeys() {
+      return mayTrustKeys;
+    }
+
+    @Override
+    public long configAgeMs() {
+      return 0;
+    }
+
+    @Override
+    public int processCount() {
+      return 1;
+    }
+  }
+
+  @BeforeEach
+  void start() throws Exception {
+    relay =
+        new Relay(
+            loop,
+            System::nanoTime,
+            new SplittableRandom(1),
+            log,
+            new EdgeMetrics(),
+            NAMES,
+            new HttpCalls(loop, System::nanoTime, 500),
+            new UpstreamBoard(fleet, System::nanoTime, new SplittableRandom(2), log, "z"),
+            freshness,
+            rules());
+    CallerServer server =
+        new CallerServer(loop, System::nanoTime, () -> CallerLimits.DEFAULT, relay, reason -> {});
+    address =
+        (InetSocketAddress)
+            server
+                .start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .sync()
+                .channel()
+                .localAddress();
+    loop.submit(relay::start).sync();
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    for (FakeUpstream upstream : upstreams) {
+      upstream.close();
+    }
+    group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).sync();
+  }
+
+  final FakeUpstream upstream(String id, FakeUpstream.Script script) throws Exception {
+    FakeUpstream upstream = new FakeUpstream(script);
+    upstreams.add(upstream);
+    byte[] entry = upstream.address().getBytes(StandardCharsets.UTF_8);
+    loop.submit(() -> fleet.onRecord(new StoreRecord(0, id, entry))).sync();
+    return upstream;
+  }
+
+  /** Returns the rules on repeats. */
+  RelayRules rules() {
+    return new RelayRules(0.2, 100, 10);
+  }
+
+  static void write(OutputStream out, String text) throws IOException {
+    out.write(text.getBytes(StandardCharsets.UTF_8));
+    out.flush();
+  }
+
+  static String whole(String head, String body) {
+    return "HTTP/1.1 200 OK\r\nX-Attempt: "
+        + FakeUpstream.header(head, "X-Attempt")
+        + "\r\nX-Seal: s\r\nContent-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  final String call(String path) throws IOException {
+    return call(path, "secret", "");
+  }
+
+  /** Sends one request and returns all that comes until the connection ends; "!" marks a reset. */
+  final String call(String path, String key, String more) throws IOException {
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      socket.setSoTimeout(READ_TIMEOUT_MS);
+      write(
+          socket.getOutputStream(),
+          "GET "
+              + path
+              + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt: a1\r\nX-Deadline: 1500\r\n"
+              + "X-Account: forged\r\nX-Model: m\r\nAuthorization: Bearer "
+              + key
+              + "\r\nConnection: close\r\n"
+              + more
+              + "\r\n");
+      StringBuilder answer = new StringBuilder();
+      try {
+        InputStream in = socket.getInputStream();
+        for (int next = in.read(); next >= 0; next = in.read()) {
+          answer.append((char) next);
+        }
+      } catch (SocketException e) {
+        answer.append('!');
+      }
+      return answer.toString();
+    }
+  }
+}
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/relay/StalledStreamTest.java
@@ -0,0 +1,48 @@
+package org.shoreroad.edge.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import org.junit.jupiter.api.Test;
+
+/** A stream whose head is silent for longer than its passes take. */
+class StalledStreamTest extends LoopbackRelay {
+  private static final int SILENCE_MS = 1_000;
+
+  /** Sends an event, then nothing for a while, then the last event and the end. */
+  private static final FakeUpstream.Script PAUSES =
+      (head, out, socket) -> {
+        write(
+            out,
+            "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Seal: s\r\n"
+                + "Transfer-Encoding: chunked\r\n\r\n");
+        writeChunk(out, "id: 1\ndata: a\n\n");
+        Thread.sleep(SILENCE_MS);
+        writeChunk(out, "id: 2\ndata: b\n\n");
+        write(out, "0\r\n\r\n");
+        return true;
+      };
+
+  @Override
+  RelayRules rules() {
+    return new RelayRules(0, 0, 10);
+  }
+
+  private static void writeChunk(OutputStream out, String text) throws IOException {
+    write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+  }
+
+  @Test
+  void staysWhereItIsIfNoRepeatIsAllowed() throws Exception {
+    FakeUpstream one = upstream(HEAD_PREFIX + "1", PAUSES);
+    FakeUpstream two = upstream(HEAD_PREFIX + "2", PAUSES);
+    String answer = call("/llm/");
+    assertThat(answer, containsString("id: 2\ndata: b\n\n"));
+    assertThat(answer, endsWith("0\r\n\r\n"));
+    assertThat(one.heads().size() + two.heads().size(), is(1));
+  }
+}
--- a/edge/src/test/java/org/shoreroad/edge/relay/UpstreamBoardTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UpstreamBoardTest.java
@@ -1,12 +1,15 @@
 package org.shoreroad.edge.relay;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.both;
 import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +20,7 @@
 import org.junit.jupiter.api.Test;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.peer.Heartbeat;
+import org.shoreroad.edge.peer.Heartbeats;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.edge.sync.StoreRecord;
 import org.shoreroad.fleet.EngineSpec;
@@ -58,13 +62,13 @@
     String text = new String(entry, StandardCharsets.UTF_8);
     boolean isLeaving = text.equals("leaving");
     if (text.equals("web")) {
-      return new FleetBox(id, "web", "h:1", "z", 6, false, null, null, List.of(), null);
+      return new FleetBox(id, "web", "h-" + id + ":1", "z", 6, false, null, null, List.of(), null);
     }
     MemberState state = isLeaving ? MemberState.OPEN : MemberState.valueOf(text);
     return new FleetBox(
         id,
         "llm",
-        "h:1",
+        "h-" + id + ":1",
         "z",
         SLOTS,
         isLeaving,
@@ -84,19 +88,12 @@
   }
 
   private void tellElsewhere(String id, int open, long waitingTokens, int ageMs) {
-    Heartbeat heartbeat =
-        new Heartbeat(
-            "p",
-            0,
-            0,
-            0,
-            0,
-            List.of(new Heartbeat.Load(id, open, waitingTokens, ageMs)),
-            Set.of(),
-            Map.of(),
-            Set.of(),
-            List.of());
-    board.setElsewhere(Map.of(heartbeat, nowNanos));
+    Heartbeat.Load load = new Heartbeat.Load(id, open, waitingTokens, ageMs);
+    board.setElsewhere(Map.of(heartbeatWith(List.of(load)), nowNanos));
+  }
+
+  private static Heartbeat heartbeatWith(List<Heartbeat.Load> loads) {
+    return Heartbeats.of("p").withLoads(loads);
   }
 
   @Test
@@ -128,6 +125,25 @@
     }
   }
 
+  @Test
+  void manyProcessesThatChooseOnOldWordsDoNotAllChooseTheSameHead() {
+    int heads = 20;
+    List<Heartbeat.Load> told = new ArrayList<>();
+    for (int i = 0; i < heads; i++) {
+      list("h" + i, "OPEN");
+      told.add(new Heartbeat.Load("h" + i, i == 0 ? 0 : 1, 0, 0));
+    }
+    board.setElsewhere(Map.of(heartbeatWith(told), nowNanos));
+    board.setProcessCount(80);
+    int choices = 400;
+    int idle = 0;
+    for (int i = 0; i < choices; i++) {
+      idle += "h0".equals(choose(Set.of())) ? 1 : 0;
+    }
+    // By chance each head would get a twentieth; the idle one is preferred, but not by all.
+    assertThat(idle, is(both(greaterThan(choices / heads)).and(lessThan(choices / 4))));
+  }
+
   @Test
   void aFullHeadGetsNothing() {
     list("a", "OPEN");
--- a/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 
@@ -42,7 +43,9 @@
     if (text.equals("bad")) {
       throw new IllegalArgumentException("unreadable");
     }
-    return new FleetBox(id, "s", "h:1", "z", 1, text.equals("leaving"), "d", null, List.of(), null);
+    String address = text.startsWith("at ") ? text.substring(3) : "h-" + id + ":1";
+    boolean isLeaving = text.equals("leaving");
+    return new FleetBox(id, "s", address, "z", 1, isLeaving, "d", null, List.of(), null);
   }
 
   private final class Recorder implements TopicFollower.Listener {
@@ -119,6 +122,89 @@
     assertThat(follower.provenNanos(), is(proven + 50));
   }
 
+  private ListNews told(long from, long end, StoreRecord... records) {
+    return new ListNews(from, end, 0, 60 * SECOND_NANOS, List.of(records));
+  }
+
+  @Test
+  void whomPeersTellDoesNotReadItself() {
+    store.put("a", "1");
+    follower.spareWhile(() -> true);
+    follower.start();
+    int calls = store.calls().size();
+    byte[] two = {'2'};
+    for (int i = 0; i < 20; i++) {
+      follower.takeOver(told(1, 5, new StoreRecord(3, "b", two)), nowNanos);
+      pass(SECOND_NANOS / 5);
+    }
+    assertThat(store.calls().size(), is(calls));
+    assertThat(seen.get("b"), is("2"));
+    assertThat(follower.nextOffset(), is(5L));
+    assertThat(follower.reachableForNanos(), is(60 * SECOND_NANOS));
+  }
+
+  @Test
+  void whenPeersCeaseToTellItReadsItself() {
+    store.put("a", "1");
+    follower.spareWhile(() -> true);
+    follower.start();
+    follower.takeOver(told(1, 1), nowNanos);
+    int calls = store.calls().size();
+    pass(SECOND_NANOS / 5);
+    assertThat(store.calls().size(), is(calls));
+    pass(2 * SECOND_NANOS);
+    pass(SECOND_NANOS);
+    assertThat(store.calls().size(), is(greaterThan(calls)));
+  }
+
+  @Test
+  void anOldProofByPeersIsNotReliedOn() {
+    store.put("a", "1");
+    follower.spareWhile(() -> true);
+    follower.start();
+    int calls = store.calls().size();
+    long firstNanos = nowNanos;
+    for (int i = 0; i < 25; i++) {
+      follower.takeOver(told(1, 1), firstNanos);
+      pass(SECOND_NANOS / 5);
+    }
+    assertThat(store.calls().size(), is(greaterThan(calls)));
+  }
+
+  @Test
+  void aStretchThatBeginsTooLateIsNotTakenOver() {
+    store.put("a", "1");
+    follower.start();
+    follower.takeOver(told(2, 9, new StoreRecord(8, "b", new byte[] {'2'})), nowNanos);
+    assertThat(seen.containsKey("b"), is(false));
+    assertThat(follower.nextOffset(), is(1L));
+  }
+
+  @Test
+  void aPeerThatKnowsOfMoreMakesItRead() {
+    store.put("a", "1");
+    follower.spareWhile(() -> true);
+    follower.start();
+    follower.proveByPeer(1, nowNanos);
+    store.put("b", "2");
+    follower.proveByPeer(2, nowNanos);
+    pass(SECOND_NANOS);
+    assertThat(seen.get("b"), is("2"));
+  }
+
+  @Test
+  void onlyWhatChangedSomethingIsToldOn() {
+    byte[] entry = "ready".getBytes(StandardCharsets.UTF_8);
+    fleet.onListed(Set.of(), 0);
+    fleet.onRecord(new StoreRecord(0, "i-1", entry));
+    fleet.onRecord(new StoreRecord(1, "i-1", entry));
+    fleet.onRecord(new StoreRecord(2, "i-1", null));
+    assertThat(fleet.news().since(0).stream().map(StoreRecord::offset).toList(), contains(0L, 2L));
+    fleet.onListed(Set.of(), 7);
+    assertThat(fleet.news().since(6) == null, is(true));
+    assertThat(fleet.news().since(7).isEmpty(), is(true));
+  }
+
   @Test
   void anEntryThatLapsedWhileTheStoreWasAwayIsKept() {
     fleet.onRecord(new StoreRecord(0, "i-1", "ready".getBytes(StandardCharsets.UTF_8)));
@@ -141,11 +227,24 @@
     assertThat(fleet.find("i-1") == null, is(true));
   }
 
+  @Test
+  void aLaterLifeAtTheSameAddressEndsTheFormerOne() {
+    byte[] entry = "at h:9".getBytes(StandardCharsets.UTF_8);
+    fleet.onRecord(new StoreRecord(3, "old", entry));
+    fleet.onRecord(new StoreRecord(7, "new", entry));
+    assertThat(fleet.find("old") == null, is(true));
+    assertThat(fleet.isListed("new"), is(true));
+    // A listing comes in the order of the keys.
+    fleet.onRecord(new StoreRecord(3, "old", entry));
+    assertThat(fleet.find("old") == null, is(true));
+    assertThat(fleet.isListed("new"), is(true));
+  }
+
   @Test
   void aFullListingTakesOffWhatItLacks() {
     fleet.onRecord(new StoreRecord(0, "i-1", "ready".getBytes(StandardCharsets.UTF_8)));
     fleet.onRecord(new StoreRecord(1, "i-2", "ready".getBytes(StandardCharsets.UTF_8)));
-    fleet.onListed(Set.of("i-2"));
+    fleet.onListed(Set.of("i-2"), 0);
     fleet.dropRemoved(60 * SECOND_NANOS);
     assertThat(fleet.isOnList("i-1"), is(false));
     assertThat(fleet.isOnList("i-2"), is(true));
@@ -194,6 +293,25 @@
     assertThat(lease.holds("s/d"), is(false));
   }
 
+  @Test
+  void aProcessThatIsNoCandidateLeavesTheDomainsToOthers() {
+    store.grant(new PartitionGrant(7, Set.of(0)));
+    DomainLease lease = lease();
+    boolean[] isCandidate = {true};
+    lease.joinWhile(() -> isCandidate[0]);
+    lease.start();
+    pass(700_000_000L);
+    assertThat(lease.holdsAny(), is(true));
+    isCandidate[0] = false;
+    pass(500_000_000L);
+    assertThat(lease.holdsAny(), is(false));
+    assertThat(store.hasLeft(), is(true));
+    isCandidate[0] = true;
+    pass(500_000_000L);
+    pass(700_000_000L);
+    assertThat(lease.holds("s/d"), is(true));
+  }
+
   @Test
   void numbersOfFormationsRiseOverGenerations() {
     store.grant(new PartitionGrant(7, Set.of(0)));
