--- a/core/src/main/java/org/shoreroad/fleet/BoxSight.java
+++ b/core/src/main/java/org/shoreroad/fleet/BoxSight.java
@@ -1,6 +1,7 @@
 package org.shoreroad.fleet;
 
 import java.util.Objects;
+import org.jspecify.annotations.Nullable;
 
 /**
  * What the keeper of a domain knows of one box: its own newest word, and whether it can be reached.
@@ -12,10 +13,17 @@
  * @param reach whether it answers, not null
  * @param isSteady true if it has not been silent for as long as an engine takes to break a replica
  * @param isConfirmed true if its engine itself said a moment ago where it stands; the list may lag
+ * @param lastModel the model of its last replica in this life, which it joins again almost at once,
+ *     or null; an engine that left its replica no longer names it
  * @since 0.2
  */
 public record BoxSight(
-    FleetBox box, boolean isListed, Reach reach, boolean isSteady, boolean isConfirmed) {
+    FleetBox box,
+    boolean isListed,
+    Reach reach,
+    boolean isSteady,
+    boolean isConfirmed,
+    @Nullable String lastModel) {
   /** Checks that the parts are there. */
   public BoxSight {
     Objects.requireNonNull(box, "box");
@@ -29,7 +37,20 @@
 
   /** Returns true if the box has no weights at all. */
   public boolean isBlank() {
-    return box.model() == null && box.stagedModels().isEmpty();
+    return box.model() == null && lastModel == null && box.stagedModels().isEmpty();
+  }
+
+  /** Returns true if the box would have to load the model's weights from the weight store. */
+  public boolean isCold(ModelShape shape) {
+    return !shape.name().equals(lastModel) && !box.stagedModels().contains(shape.name());
+  }
+
+  /** Returns 0 for a box that held the model last, 1 if it lies on its host, 2 if it must load. */
+  public int joinCost(ModelShape shape) {
+    if (shape.name().equals(lastModel)) {
+      return 0;
+    }
+    return isCold(shape) ? 2 : 1;
   }
 
   /** Returns true if this life of the box is over, so that nothing runs on it any more. */
--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -29,6 +29,9 @@
    */
   private static final double PREPARING_PRESSURE = 0.5;
 
+  /** Spare boxes of a domain that take weights at a time; the others are at hand for a loss. */
+  private static final int MOST_WARMINGS = 1;
+
   private final String domain;
   private final KeeperTiming timing;
   private final LongSupplier epochs;
@@ -36,6 +39,7 @@
   private final Map<ReplicaId, Long> closingSinceNanos = new HashMap<>();
   private final Map<ReplicaId, Long> headlessSinceNanos = new HashMap<>();
   private final HostStagings stagings = new HostStagings();
+  private final Map<ReplicaId, Long> warmingsSinceNanos = new HashMap<>();
   private final OrderBook orderBook;
   private List<BoxOrder> orders = new ArrayList<>();
   private Map<String, BoxSight> sightsById = Map.of();
@@ -105,8 +109,9 @@
     headlessSinceNanos.keySet().retainAll(observed.keySet());
 
     formations.values().removeIf(formation -> !advance(formation, nowNanos));
+    warmingsSinceNanos.values().removeIf(since -> nowNanos - since > timing.warmingNanos());
     for (ObservedReplica replica : observed.values()) {
-      if (!formations.containsKey(replica.replica())) {
+      if (!formations.containsKey(replica.replica()) && !isStillWarming(replica)) {
         if (replica.head() == null) {
           keepHeadless(replica, headsSeen, nowNanos);
         } else {
@@ -120,9 +125,48 @@
     giveUpReserve(spec, plan, observed.values(), nowNanos);
     formReserve(models, plan, nowNanos);
     prepareHosts(spec, models, plan, nowNanos);
+    warmSpares(models, nowNanos);
     return orders;
   }
 
+  /** Returns true for a spare box that is just taking weights from its host, and keeps it so. */
+  private boolean isStillWarming(ObservedReplica replica) {
+    BoxSight head = replica.head();
+    boolean isWarming =
+        warmingsSinceNanos.containsKey(replica.replica())
+            && head != null
+            && head.isIn(replica.replica(), MemberState.JOINING);
+    if (isWarming) {
+      boundIds.add(head.box().id());
+    }
+    return isWarming;
+  }
+
+  /**
+   * Lets spare boxes that were in no replica yet hold a model once, alone and never opened: a box
+   * joins the model of its last replica at once. It is let go as soon as it has the weights.
+   */
+  private void warmSpares(List<ModelShape> models, long nowNanos) {
+    if (!formations.isEmpty() || isMending || needsWords) {
+      return;
+    }
+    for (BoxSight sight : freeBoxes()) {
+      ModelShape at = models.stream().filter(m -> !sight.isCold(m)).findFirst().orElse(null);
+      if (sight.lastModel() == null && sight.box().membership() == null && at != null) {
+        warm(sight.box().id(), at, nowNanos);
+      }
+    }
+  }
+
+  private void warm(String id, ModelShape model, long nowNanos) {
+    if (warmingsSinceNanos.size() < MOST_WARMINGS) {
+      long epoch = epochs.getAsLong();
+      ReplicaId alone = new ReplicaId(domain + "-spare-" + epoch, epoch);
+      warmingsSinceNanos.put(alone, nowNanos);
+      order(BoxOrder.join(id, alone, model.name(), List.of(id), "to be warm"), nowNanos);
+    }
+  }
+
   /** Takes a formation a step further; returns false if it is done or given up. */
   private boolean advance(Formation formation, long nowNanos) {
     ReplicaId replica = formation.replica();
@@ -340,7 +384,7 @@
   private List<BoxSight> pickMembers(ModelShape model) {
     List<BoxSight> free = freeBoxes();
     free.sort(
-        Comparator.comparingInt((BoxSight sight) -> sight.box().joinCost(model))
+        Comparator.comparingInt((BoxSight sight) -> sight.joinCost(model))
             .thenComparing(sight -> sight.box().id()));
     return free.subList(0, Math.min(free.size(), model.boxes()));
   }
@@ -355,7 +399,7 @@
       needsWords = true;
       return false;
     }
-    int loads = (int) members.stream().filter(sight -> sight.box().isCold(model)).count();
+    int loads = (int) members.stream().filter(sight -> sight.isCold(model)).count();
     // A load keeps all members idle: the weights are put on the hosts first, but at the very start.
     if (loads > 0 && !isFresh) {
       return false;
@@ -384,12 +428,12 @@
     stagings.begin(spec, sightsById, isUrgent, nowNanos);
     for (ModelShape model : models) {
       if (surplus(model.name(), plan) < 0) {
-        pickMembers(model).forEach(sight -> stage(sight.box(), model, nowNanos));
+        pickMembers(model).forEach(sight -> stage(sight, model, nowNanos));
       }
     }
     for (BoxSight sight : freeBoxes()) {
       if (sight.isBlank()) {
-        stage(sight.box(), models.get(0), nowNanos);
+        stage(sight, models.get(0), nowNanos);
       }
     }
     if (formations.isEmpty() && !isMending) {
@@ -401,17 +445,17 @@
   private void prepareForOther(
       BoxSight sight, EngineSpec spec, List<ModelShape> models, long nowNanos) {
     FleetBox box = sight.box();
-    ModelShape other = models.stream().filter(model -> box.isCold(model)).findFirst().orElse(null);
+    ModelShape other = models.stream().filter(sight::isCold).findFirst().orElse(null);
     // In traffic only the reserve is prepared, and not while its own model is pressed.
     boolean isSpare = isSmall(box, spec) && demand.pressure(box.model()) < PREPARING_PRESSURE;
     if (sight.isFit() && other != null && (isSpare || !demand.hasTraffic())) {
-      stage(box, other, nowNanos);
+      stage(sight, other, nowNanos);
     }
   }
 
-  private void stage(FleetBox box, ModelShape model, long nowNanos) {
-    if (stagings.tryBegin(box, model, nowNanos)) {
-      order(BoxOrder.stage(box.id(), model.name(), "to be at hand for a loss"), nowNanos);
+  private void stage(BoxSight sight, ModelShape model, long nowNanos) {
+    if (stagings.tryBegin(sight, model, nowNanos)) {
+      order(BoxOrder.stage(sight.box().id(), model.name(), "to be at hand for a loss"), nowNanos);
     }
   }
 
--- a/core/src/main/java/org/shoreroad/fleet/FleetBox.java
+++ b/core/src/main/java/org/shoreroad/fleet/FleetBox.java
@@ -46,19 +46,6 @@
     return membership != null && membership.isHead() && membership.state() == MemberState.OPEN;
   }
 
-  /** Returns true if the box would have to load the model's weights from the weight store. */
-  public boolean isCold(ModelShape shape) {
-    return !shape.name().equals(model) && !stagedModels.contains(shape.name());
-  }
-
-  /** Returns 0 for a box that held the model last, 1 if it lies on its host, 2 if it must load. */
-  public int joinCost(ModelShape shape) {
-    if (shape.name().equals(model)) {
-      return 0;
-    }
-    return isCold(shape) ? 2 : 1;
-  }
-
   /** Returns this box with what a newer word of its engine says of model, host and replica. */
   public FleetBox withEngineState(
       @Nullable String newModel, List<String> newStaged, @Nullable Membership newMembership) {
--- a/core/src/main/java/org/shoreroad/fleet/HostStagings.java
+++ b/core/src/main/java/org/shoreroad/fleet/HostStagings.java
@@ -33,11 +33,12 @@
   }
 
   /** Returns true if the load may begin now, and counts it. */
-  boolean tryBegin(FleetBox box, ModelShape model, long nowNanos) {
-    if (running.size() >= atOnce || running.containsKey(box.id()) || !box.isCold(model)) {
+  boolean tryBegin(BoxSight sight, ModelShape model, long nowNanos) {
+    String id = sight.box().id();
+    if (running.size() >= atOnce || running.containsKey(id) || !sight.isCold(model)) {
       return false;
     }
-    running.put(box.id(), new Staging(model, nowNanos));
+    running.put(id, new Staging(model, nowNanos));
     return true;
   }
 
@@ -46,7 +47,7 @@
     /** Returns true if it has shown, or has taken so long that it must be lost. */
     boolean isOver(BoxSight sight, long nowNanos) {
       double limitNanos = LOST_AFTER_LENGTHS * model.loadSeconds() * 1e9;
-      return !sight.box().isCold(model) || nowNanos - sinceNanos > limitNanos;
+      return !sight.isCold(model) || nowNanos - sinceNanos > limitNanos;
     }
   }
 }
--- a/core/src/main/java/org/shoreroad/fleet/KeeperTiming.java
+++ b/core/src/main/java/org/shoreroad/fleet/KeeperTiming.java
@@ -11,20 +11,26 @@
  * @param joinSlackNanos how much longer than its model's load time a formation may take
  * @param drainLimitNanos how long running requests may keep a closing replica, then they are cut
  * @param headlessNanos how long the members of a replica whose head was never seen stay bound
+ * @param warmingNanos how long a spare box may take weights from its host
  * @since 0.2
  */
 public record KeeperTiming(
-    long orderRepeatNanos, long joinSlackNanos, long drainLimitNanos, long headlessNanos) {
+    long orderRepeatNanos,
+    long joinSlackNanos,
+    long drainLimitNanos,
+    long headlessNanos,
+    long warmingNanos) {
   /**
    * Half a second covers an order, its effect and the word of it; four seconds cover a loss in
    * between; eight seconds are below the ten for which a leaving member waits for its head; a head
    * that nobody can find is broken by its own engine after five seconds, and three more for the
-   * store's list to come.
+   * store's list to come; weights come from a host within two seconds, and twice that is lost.
    */
   public static final KeeperTiming DEFAULT =
       new KeeperTiming(
           TimeUnit.MILLISECONDS.toNanos(500),
           TimeUnit.SECONDS.toNanos(4),
           TimeUnit.SECONDS.toNanos(8),
-          TimeUnit.SECONDS.toNanos(8));
+          TimeUnit.SECONDS.toNanos(8),
+          TimeUnit.SECONDS.toNanos(4));
 }
--- a/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
@@ -188,6 +188,44 @@
     assertThat(domain.violations(), is(empty()));
   }
 
+  @Test
+  void boxesTakeUpWhatTheyHeldLastThoughAnotherModelLiesOnTheirHosts() {
+    addBoxes(BOXES);
+    run(SETTLE_SECONDS);
+    demand = new Demand(Map.of("large", 0.9, "small", 0.1), true);
+    List<String> members =
+        domain.sights().stream()
+            .map(BoxSight::box)
+            .filter(box -> "large".equals(box.model()))
+            .map(FleetBox::id)
+            .toList();
+    members.forEach(id -> domain.putOnHost(id, "small"));
+    given.clear();
+    domain.leaveAtOnce(headOf("large"));
+    run(5);
+    // A load would take sixteen seconds.
+    assertThat(domain.countOpen("large"), is(1L));
+    assertThat(
+        given.stream()
+            .filter(o -> o.verb() == BoxOrder.Verb.STAGE && members.contains(o.boxId()))
+            .toList(),
+        is(empty()));
+  }
+
+  @Test
+  void aSpareBoxHoldsAModelOnceSoThatItTakesItUpAtOnce() {
+    addBoxes(BOXES + 1);
+    run(SETTLE_SECONDS + 20);
+    List<BoxSight> spares =
+        domain.sights().stream().filter(s -> s.box().membership() == null).toList();
+    assertThat(spares.size(), is(1));
+    assertThat(spares.get(0).lastModel() != null, is(true));
+    given.clear();
+    run(20);
+    assertThat(given, is(empty()));
+    assertThat(domain.violations(), is(empty()));
+  }
+
   @Test
   void loadsOfANewDomainInTrafficBeginFewAtATime() {
     demand = new Demand(Map.of("large", 0.5, "small", 0.5), true);
--- a/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
+++ b/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
@@ -43,20 +43,13 @@
   }
 
   static EngineSpec spec() {
-    return new EngineSpec(
-        18,
-        969_230,
-        6.07,
-        0.348,
-        0.007,
-        46_000,
-        2_048,
-        5,
-        4,
-        6,
-        List.of(
-            new ModelShape("large", 4, 0.67, 1, 16, 1.6),
-            new ModelShape("small", 2, 0.33, 0.6, 12, 1.1)));
+    return spec(
+        new ModelShape("large", 4, 0.67, 1, 16, 1.6),
+        new ModelShape("small", 2, 0.33, 0.6, 12, 1.1));
+  }
+
+  static EngineSpec spec(ModelShape... models) {
+    return new EngineSpec(18, 969_230, 6.07, 0.348, 0.007, 46_000, 2_048, 5, 4, 6, List.of(models));
   }
 
   String addBox() {
@@ -95,6 +88,19 @@
     engines.values().stream().filter(e -> e.isAlive && e.isLeaving).forEach(e -> kill(e.id));
   }
 
+  /** Weights come to a host by another way. */
+  void putOnHost(String id, String model) {
+    engines.get(id).staged.clear();
+    engines.get(id).staged.add(model);
+  }
+
+  /** A head lets its replica go, as if ordered. */
+  void leaveAtOnce(String id) {
+    Engine engine = engines.get(id);
+    engine.take(BoxOrder.of(id, BoxOrder.Verb.CLOSE_NOW, engine.replica, "test"));
+    engine.take(BoxOrder.of(id, BoxOrder.Verb.LEAVE, engine.replica, "test"));
+  }
+
   void leaveSoon(String id) {
     engines.get(id).isLeaving = true;
   }
@@ -145,7 +151,14 @@
         reach = Reach.GONE;
       }
       boolean isSteady = nowNanos - engine.healedNanos > CERTAIN_NANOS;
-      sights.add(new BoxSight(engine.toBox(), isListed, reach, isSteady && !isSilent, isConfirmed));
+      sights.add(
+          new BoxSight(
+              engine.toBox(),
+              isListed,
+              reach,
+              isSteady && !isSilent,
+              isConfirmed,
+              engine.lastModel()));
     }
     return sights;
   }
@@ -207,8 +220,14 @@
     FleetBox toBox() {
       Membership membership =
           replica == null || state == null ? null : new Membership(replica, rank, state);
+      // As on the platform, an engine names its model only while it is a member and holds it.
+      String named = membership == null || state == MemberState.JOINING ? null : model;
       return new FleetBox(
-          id, "llm", id + ":1", "z", 18, isLeaving, "d", model, List.copyOf(staged), membership);
+          id, "llm", id + ":1", "z", 18, isLeaving, "d", named, List.copyOf(staged), membership);
+    }
+
+    @Nullable String lastModel() {
+      return state == MemberState.JOINING ? null : model;
     }
 
     void take(BoxOrder order) {
--- a/core/src/test/java/org/shoreroad/fleet/ReplicaPlanTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/ReplicaPlanTest.java
@@ -41,6 +41,23 @@
     assertThat(small, is(40));
   }
 
+  @Test
+  void modelsOfHalfADomainAreInEachDomain() {
+    EngineSpec of =
+        FakeDomain.spec(
+            new ModelShape("wide", 8, 0.5, 1, 16, 1.6), new ModelShape("slim", 4, 0.5, 1, 12, 1.1));
+    Map<String, Integer> sizes = new HashMap<>();
+    for (int i = 0; i < 12; i++) {
+      sizes.put("d" + i, 19);
+    }
+    ReplicaPlan plan = ReplicaPlan.of(of, sizes);
+    for (String domain : sizes.keySet()) {
+      // The reserve of four boxes holds another slim one, and three are at hand for losses.
+      assertThat(plan.wanted(domain, "wide"), is(1));
+      assertThat(plan.wanted(domain, "slim"), is(1));
+    }
+  }
+
   @Test
   void nothingFitsIntoTooFewBoxes() {
     ReplicaPlan plan = ReplicaPlan.of(spec, Map.of("d", 1));
--- a/edge/src/main/java/org/shoreroad/edge/Clockwork.java
+++ b/edge/src/main/java/org/shoreroad/edge/Clockwork.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 
 /**
  * Does things again and again on the event loop, also after one of them failed.
@@ -28,8 +29,27 @@
    * @param task the task, not null
    */
   public void every(int intervalMs, String name, Runnable task) {
-    loop.scheduleWithFixedDelay(
-        () -> run(name, task), intervalMs, intervalMs, TimeUnit.MILLISECONDS);
+    every(() -> intervalMs, name, task);
+  }
+
+  /**
+   * Does a task again and again, as {@link #every(int, String, Runnable)}, with pauses that change.
+   *
+   * @param intervalMs tells the next pause, in milliseconds
+   */
+  public void every(IntSupplier intervalMs, String name, Runnable task) {
+    loop.schedule(
+        () -> {
+          run(name, task);
+          every(intervalMs, name, task);
+        },
+        intervalMs.getAsInt(),
+        TimeUnit.MILLISECONDS);
+  }
+
+  /** Does a task once, after a time; a failure is logged. */
+  public void once(long delayMs, String name, Runnable task) {
+    loop.schedule(() -> run(name, task), delayMs, TimeUnit.MILLISECONDS);
   }
 
   private void run(String name, Runnable task) {
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -288,8 +288,9 @@
 
   private void upkeep() {
     fleet.dropRemoved(listFollower.reachableForNanos());
-    knowledge.setProcessCount(mesh.sharingCount());
-    board.setProcessCount(mesh.sharingCount());
+    int processes = mesh.sharingCount();
+    knowledge.setProcessCount(processes);
+    board.setProcessCount(processes);
     board.setElsewhere(mesh.newest());
   }
 
@@ -317,7 +318,7 @@
       ListNews told = heartbeat.listNews();
       listFollower.takeOver(told, heartbeat.echoNanos() - told.ageNanos());
     }
-    heartbeat.words().forEach(fleet::update);
+    heartbeat.words().forEach(fleet::updateByPeer);
     heartbeat.suspectedUpstreams().forEach(board::suspectByPeer);
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -28,6 +28,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.msgpack.core.MessagePackException;
+import org.shoreroad.edge.Clockwork;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.peer.Digest.Heard;
 import org.shoreroad.edge.peer.Heartbeat.Scope;
@@ -50,7 +51,7 @@
   static final int INTERVAL_MS = 200;
 
   /** News that can't wait are told at once, but not more often than this. */
-  private static final long URGENT_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+  private static final long URGENT_GAP_MS = 50;
 
   /** How long a peer that was alive still counts for shares of common budgets. */
   private static final long SHARE_NANOS = TimeUnit.SECONDS.toNanos(30);
@@ -67,6 +68,7 @@
   private final EventLoop loop;
   private final LongSupplier clockNanos;
   private final EventLog log;
+  private final Clockwork clockwork;
   private final Place self;
   private final HeartbeatSource source;
   private final Consumer<Heartbeat> listener;
@@ -89,6 +91,7 @@
     this.loop = loop;
     this.clockNanos = clockNanos;
     this.log = log;
+    this.clockwork = new Clockwork(loop, log);
     this.self = self;
     this.source = source;
     this.listener = listener;
@@ -113,7 +116,7 @@
    * @return tells when the port is open, or why it can't be
    */
   public ChannelFuture start(InetSocketAddress address) {
-    scheduleNext();
+    clockwork.every(INTERVAL_MS, "heartbeats", this::sendAll);
     return new ServerBootstrap()
         .group(loop)
         .channel(NioServerSocketChannel.class)
@@ -199,8 +202,8 @@
   public void hurry() {
     if (!isUrgent) {
       isUrgent = true;
-      long restNanos = Math.max(0, URGENT_GAP_NANOS - (clockNanos.getAsLong() - sentNanos));
-      loop.schedule(this::sendAll, restNanos, TimeUnit.NANOSECONDS);
+      long sinceMs = TimeUnit.NANOSECONDS.toMillis(clockNanos.getAsLong() - sentNanos);
+      clockwork.once(Math.max(0, URGENT_GAP_MS - sinceMs), "urgent heartbeats", this::sendAll);
     }
   }
 
@@ -242,40 +245,23 @@
     return plan.isHub() || !heard(Scope.MEMBER, Peer.ALIVE_NANOS).isEmpty();
   }
 
-  private void scheduleNext() {
-    loop.schedule(
-        () -> {
-          try {
-            sendAll();
-          } finally {
-            scheduleNext();
-          }
-        },
-        INTERVAL_MS,
-        TimeUnit.MILLISECONDS);
-  }
-
   private void sendAll() {
     long nowNanos = clockNanos.getAsLong();
     sentNanos = nowNanos;
     isUrgent = false;
-    try {
-      makePlan(nowNanos);
-      Heartbeat own = source.make(self.name(), nowNanos);
-      if (plan.isFullMesh()) {
-        peers.values().forEach(peer -> peer.send(own, nowNanos));
-      } else if (isHub()) {
-        sendAsHub(own, nowNanos);
-      } else {
-        sendToHub(own.withScope(Scope.MEMBER), nowNanos);
-      }
-      wordsOfMembers.clear();
-      wordsOfHubs.clear();
-      peers.values().forEach(peer -> peer.closeIfUnused(nowNanos));
-      source.onSent();
-    } catch (RuntimeException e) {
-      log.write("task_failed", "task", "heartbeats", "why", String.valueOf(e));
+    makePlan(nowNanos);
+    Heartbeat own = source.make(self.name(), nowNanos);
+    if (plan.isFullMesh()) {
+      peers.values().forEach(peer -> peer.send(own, nowNanos));
+    } else if (isHub()) {
+      sendAsHub(own, nowNanos);
+    } else {
+      sendToHub(own.withScope(Scope.MEMBER), nowNanos);
     }
+    wordsOfMembers.clear();
+    wordsOfHubs.clear();
+    peers.values().forEach(peer -> peer.closeIfUnused(nowNanos));
+    source.onSent();
   }
 
   private void makePlan(long nowNanos) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -163,13 +163,10 @@
 
   private void waitOrRefuse() {
     long nowNanos = relay.nowNanos();
-    if (sends == 0 && nowNanos < waitUntilNanos) {
-      isWaiting = true;
-      return;
-    }
-    if (hasBegun()) {
-      // A stream that was begun waits for another replica as long as there is time.
+    // A stream that was begun waits for another replica as long as there is time.
+    if (hasBegun() || (sends == 0 && nowNanos < waitUntilNanos)) {
       isWaiting = true;
+      relay.await(this);
       return;
     }
     boolean isStanding =
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -24,12 +24,13 @@
  * @since 0.2
  */
 public final class Relay implements CallerExchange.Factory {
-  /** How often waiting requests look for a place and heads for silence. */
-  private static final int TICK_MS = 20;
+  /** How often waiting requests look for a place. */
+  private static final int WAITING_TICK_MS = 20;
 
-  private static final int TICKS_PER_STALL_CHECK = 5;
+  /** How often time limits and silent heads are looked after. */
+  private static final int TICK_MS = 100;
 
-  private final EventLoop loop;
+  private final Clockwork clockwork;
   private final LongSupplier clockNanos;
   private final RandomGenerator random;
   private final EventLog log;
@@ -41,7 +42,8 @@
   private final RelayRules rules;
   private final Map<String, AttemptBudget> budgets = new HashMap<>();
   private final Set<Exchange> open = new HashSet<>();
-  private int ticks;
+  private final Set<Exchange> waiting = new HashSet<>();
+  private boolean isTicking;
   private boolean isRefusingNew;
 
   /** Creates a relay; {@link #start} begins its clockwork. */
@@ -56,7 +58,7 @@
       UpstreamBoard board,
       Freshness freshness,
       RelayRules rules) {
-    this.loop = loop;
+    this.clockwork = new Clockwork(loop, log);
     this.clockNanos = clockNanos;
     this.random = random;
     this.log = log;
@@ -70,7 +72,7 @@
 
   /** Starts to look after waiting requests and silent heads. */
   public void start() {
-    new Clockwork(loop, log).every(TICK_MS, "relay", this::tick);
+    clockwork.every(TICK_MS, "relay", this::tick);
   }
 
   @Override
@@ -92,12 +94,11 @@
   }
 
   private void tick() {
-    ticks++;
     for (Exchange exchange : open.toArray(new Exchange[0])) {
       exchange.onTick();
     }
     TrafficConfig config = freshness.config();
-    if (ticks % TICKS_PER_STALL_CHECK == 0 && config != null) {
+    if (config != null) {
       for (UpstreamService service : config.services()) {
         board.findStalled(service);
       }
@@ -105,12 +106,31 @@
     }
   }
 
+  /** Looks for a place again soon, for as long as the request waits. */
+  void await(Exchange exchange) {
+    waiting.add(exchange);
+    if (!isTicking) {
+      isTicking = true;
+      clockwork.once(WAITING_TICK_MS, "waiting", this::tickWaiting);
+    }
+  }
+
+  private void tickWaiting() {
+    isTicking = false;
+    Exchange[] due = waiting.toArray(new Exchange[0]);
+    waiting.clear();
+    for (Exchange exchange : due) {
+      exchange.onTick();
+    }
+  }
+
   boolean isRefusingNew() {
     return isRefusingNew;
   }
 
   void remove(Exchange exchange) {
     open.remove(exchange);
+    waiting.remove(exchange);
   }
 
   AttemptBudget budgetOf(String service) {
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -43,6 +43,9 @@
 public final class ReplicaService {
   private static final int TICK_MS = 50;
 
+  /** A process that keeps no domain only answers the questions of others, this often. */
+  private static final int TICK_WITHOUT_DOMAIN_MS = 200;
+
   /** Between two questions to a box of a replica that is being formed or closed, or in doubt. */
   private static final long BUSY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(140);
 
@@ -122,7 +125,8 @@
 
   /** Starts to keep. */
   public void start() {
-    new Clockwork(loop, log).every(TICK_MS, "replicas", this::tick);
+    new Clockwork(loop, log)
+        .every(() -> lease.holdsAny() ? TICK_MS : TICK_WITHOUT_DOMAIN_MS, "replicas", this::tick);
   }
 
   private void tick() {
@@ -274,7 +278,8 @@
     if (keeper.isBusy()) {
       long sinceNanos = busySinceNanos.computeIfAbsent(key, name -> nowNanos);
       boolean isQuick = nowNanos - sinceNanos < QUICK_NANOS;
-      askAll(boxes, isQuick ? BUSY_INTERVAL_NANOS : LOADING_INTERVAL_NANOS, nowNanos);
+      long intervalNanos = isQuick ? BUSY_INTERVAL_NANOS : LOADING_INTERVAL_NANOS;
+      boxes.forEach(box -> ask(box, intervalNanos, nowNanos));
     } else {
       busySinceNanos.remove(key);
     }
@@ -306,7 +311,8 @@
     }
     boolean isSteady = reach.isSteady(box.id(), certainNanos, nowNanos);
     boolean isConfirmed = reach.hasWord(box.id(), CONFIRMED_NANOS, nowNanos);
-    return new BoxSight(box, isListed, reached, isSteady, isConfirmed);
+    String lastModel = fleet.lastModel(box.id());
+    return new BoxSight(box, isListed, reached, isSteady, isConfirmed, lastModel);
   }
 
   /** Asks boxes that are silent or unlisted, and all members of suspected replicas. */
@@ -329,12 +335,6 @@
     }
   }
 
-  private void askAll(List<FleetBox> boxes, long intervalNanos, long nowNanos) {
-    boxes.stream()
-        .filter(box -> box.membership() != null || box.model() == null)
-        .forEach(box -> ask(box, intervalNanos, nowNanos));
-  }
-
   private void ask(FleetBox box, long intervalNanos, long nowNanos) {
     if (!reach.isDue(box.id(), intervalNanos, nowNanos)) {
       return;
@@ -348,6 +348,7 @@
           public void onWord(FleetBox newest) {
             reach.recordWord(box.id(), askedNanos);
             if (fleet.update(newest)) {
+              fleet.logWord(newest);
               news.put(newest.id(), newest);
               Membership membership = newest.membership();
               if (membership != null && membership.isHead()) {
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -13,6 +13,8 @@
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.fleet.MemberState;
+import org.shoreroad.fleet.Membership;
 
 /**
  * The upstreams by the list of the store, and by newer words of their own.
@@ -45,6 +47,7 @@
   private final Map<String, Long> removedAtNanos = new HashMap<>();
   private final Set<String> offListIds = new HashSet<>();
   private final Map<String, FleetBox> entries = new HashMap<>();
+  private final Map<String, String> lastModels = new HashMap<>();
   private final Map<String, Long> entryOffsets = new HashMap<>();
   private final Map<String, String> idsByAddress = new HashMap<>();
   private final RecentNews news = new RecentNews();
@@ -120,6 +123,7 @@
     FleetBox before = boxes.get(listed.id());
     FleetBox box = before == null ? listed : withNewerState(before, listed);
     boxes.put(box.id(), box);
+    noteModel(box);
     boolean wasRemoved = removedAtNanos.remove(box.id()) != null;
     offListIds.remove(box.id());
     if (!box.equals(before) || wasRemoved) {
@@ -148,6 +152,24 @@
         : listed;
   }
 
+  /**
+   * An engine names its model only while it is a member; what it held last, it takes up at once.
+   */
+  private void noteModel(FleetBox box) {
+    Membership membership = box.membership();
+    if (box.model() != null) {
+      lastModels.put(box.id(), box.model());
+    } else if (membership != null && membership.state() == MemberState.JOINING) {
+      // Another model may be on its way; it is not held before it is named.
+      lastModels.remove(box.id());
+    }
+  }
+
+  /** Returns the model that the box held last in this life, or null if it is not known. */
+  public @Nullable String lastModel(String id) {
+    return lastModels.get(id);
+  }
+
   private static long epochOf(FleetBox box) {
     return box.membership() == null ? 0 : box.membership().replica().epoch();
   }
@@ -168,18 +190,34 @@
       return false;
     }
     boxes.put(after.id(), after);
+    noteModel(after);
     changes++;
+    return true;
+  }
+
+  /**
+   * Takes over what a peer heard from an engine. Only the word of a head is logged: requests go by
+   * it, while of the others the process that asked tells.
+   */
+  public void updateByPeer(FleetBox word) {
+    Membership membership = word.membership();
+    if (update(word) && membership != null && membership.isHead()) {
+      logWord(word);
+    }
+  }
+
+  /** Writes a line on what an engine said. */
+  public void logWord(FleetBox word) {
     log.write(
         "box_word",
         "box",
-        after.id(),
+        word.id(),
         "model",
-        after.model(),
+        word.model(),
         "staged",
-        after.stagedModels(),
+        word.stagedModels(),
         "membership",
-        String.valueOf(after.membership()));
-    return true;
+        String.valueOf(word.membership()));
   }
 
   /**
@@ -211,6 +249,7 @@
     offListIds.remove(id);
     wordAtNanos.remove(id);
     entryOffsets.remove(id);
+    lastModels.remove(id);
     if (gone != null) {
       idsByAddress.remove(gone.address(), id);
       changes++;
--- a/edge/src/test/java/org/shoreroad/edge/ClockworkTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/ClockworkTest.java
@@ -28,12 +28,36 @@
               }
             });
     for (int i = 0; i < 3; i++) {
-      channel.advanceTimeBy(10, TimeUnit.MILLISECONDS);
-      channel.runScheduledPendingTasks();
+      passMs(10);
     }
     log.flush();
     assertThat(runs.get(), is(3));
     assertThat(out.toString(), containsString("\"event\":\"task_failed\",\"task\":\"counting\""));
     assertThat(out.toString(), containsString("once"));
   }
+
+  @Test
+  void pausesMayChangeAndATaskDoneOnceIsNotRepeated() {
+    AtomicInteger pauseMs = new AtomicInteger(10);
+    AtomicInteger runs = new AtomicInteger();
+    AtomicInteger single = new AtomicInteger();
+    Clockwork clockwork = new Clockwork(channel.eventLoop(), log);
+    clockwork.every(pauseMs::get, "changing", runs::incrementAndGet);
+    clockwork.once(10, "single", single::incrementAndGet);
+    passMs(10);
+    assertThat(runs.get(), is(1));
+    pauseMs.set(100);
+    passMs(10);
+    assertThat(runs.get(), is(2));
+    passMs(50);
+    assertThat(runs.get(), is(2));
+    passMs(50);
+    assertThat(runs.get(), is(3));
+    assertThat(single.get(), is(1));
+  }
+
+  private void passMs(int millis) {
+    channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+    channel.runScheduledPendingTasks();
+  }
 }
--- a/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
@@ -267,6 +267,23 @@
     assertThat(fleet.find("i-1").isOpenHead(), is(false));
   }
 
+  private static FleetBox member(FleetBox box, String model, MemberState state) {
+    Membership membership = new Membership(new ReplicaId("r", 5), 1, state);
+    return box.withEngineState(model, List.of(), membership);
+  }
+
+  @Test
+  void whatABoxHeldLastIsRememberedUntilItTakesSomethingElse() {
+    fleet.onRecord(new StoreRecord(0, "i-1", "ready".getBytes(StandardCharsets.UTF_8)));
+    FleetBox box = fleet.find("i-1");
+    assertThat(fleet.lastModel("i-1") == null, is(true));
+    fleet.update(member(box, "m", MemberState.READY));
+    fleet.update(box.withEngineState(null, List.of("other"), null));
+    assertThat(fleet.lastModel("i-1"), is("m"));
+    fleet.update(member(box, null, MemberState.JOINING));
+    assertThat(fleet.lastModel("i-1") == null, is(true));
+  }
+
   @Test
   void anUnreadableEntryLeavesTheOldOne() {
     fleet.onRecord(new StoreRecord(0, "i-1", "leaving".getBytes(StandardCharsets.UTF_8)));
