An order that was taken is not given again at once; a head that can't be opened is let go

One head was ordered to open every half second, each time taken (202), and never opened before the orders ceased: each order began the opening anew. Another refused (409) an opening every half second, since a new keeper took a closed replica for one left ready. Ruled out: a list that is not read (entries of other boxes came all the time), silent boxes (no box_silent for either).

Both tests of the keeper red before, green after (the fake now begins an opening anew, as the platform's engines seem to).

--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -129,6 +129,21 @@
     return orders;
   }
 
+  /** Notes that an engine said that it carries an order out. */
+  public void noteTaken(BoxOrder order, long nowNanos) {
+    orderBook.noteTaken(order, nowNanos);
+  }
+
+  /**
+   * Notes that an order does not fit an engine's state. A head that can't be opened though it seems
+   * ready is let go, so that its boxes serve in another formation.
+   */
+  public void noteUnfit(BoxOrder order, long nowNanos) {
+    if (order.verb() == Verb.OPEN && order.replica() != null) {
+      closingSinceNanos.putIfAbsent(order.replica(), nowNanos);
+    }
+  }
+
   /** Returns true for a spare box that is just taking weights from its host, and keeps it so. */
   private boolean isStillWarming(ObservedReplica replica) {
     BoxSight head = replica.head();
--- a/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
@@ -56,7 +56,9 @@
       for (BoxOrder order :
           keeper.decide(domain.nowNanos(), spec, sights, plan, headsSeen, demand)) {
         given.add(order);
-        domain.give(order);
+        if (domain.give(order)) {
+          keeper.noteTaken(order, domain.nowNanos());
+        }
       }
     }
   }
@@ -212,6 +214,28 @@
         is(empty()));
   }
 
+  @Test
+  void aHeadThatOpensSlowlyIsNotToldAgainAllTheTime() {
+    domain.setFormNanos(2 * FakeDomain.SECOND_NANOS);
+    addBoxes(BOXES);
+    run(SETTLE_SECONDS);
+    assertThat(domain.countOpen("large"), is(1L));
+    assertThat(domain.countOpen("small"), is(2L));
+  }
+
+  @Test
+  void aHeadThatCannotBeOpenedIsLetGo() {
+    addBoxes(BOXES);
+    run(SETTLE_SECONDS);
+    ReplicaId replica = domain.openReplicaOf(headOf("large"));
+    BoxOrder opening = BoxOrder.of(headOf("large"), BoxOrder.Verb.OPEN, replica, "test");
+    domain.closeAtOnce(headOf("large"));
+    keeper.noteUnfit(opening, domain.nowNanos());
+    run(5);
+    assertThat(domain.countOpen("large"), is(1L));
+    assertThat(domain.openReplicaOf(headOf("large")).equals(replica), is(false));
+  }
+
   @Test
   void aSpareBoxHoldsAModelOnceSoThatItTakesItUpAtOnce() {
     addBoxes(BOXES + 1);
--- a/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
+++ b/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
@@ -33,6 +33,7 @@
   private final Random random;
   private final List<String> violations = new ArrayList<>();
   private double lateShare;
+  private long formNanos = FORM_NANOS;
   private boolean isConfirmed = true;
   private long nowNanos = SECOND_NANOS;
   private int born;
@@ -94,10 +95,16 @@
     engines.get(id).staged.add(model);
   }
 
+  /** A head closes, as if ordered. */
+  void closeAtOnce(String id) {
+    Engine engine = engines.get(id);
+    engine.take(BoxOrder.of(id, BoxOrder.Verb.CLOSE_NOW, engine.replica, "test"));
+  }
+
   /** A head lets its replica go, as if ordered. */
   void leaveAtOnce(String id) {
+    closeAtOnce(id);
     Engine engine = engines.get(id);
-    engine.take(BoxOrder.of(id, BoxOrder.Verb.CLOSE_NOW, engine.replica, "test"));
     engine.take(BoxOrder.of(id, BoxOrder.Verb.LEAVE, engine.replica, "test"));
   }
 
@@ -163,16 +170,22 @@
     return sights;
   }
 
-  void give(BoxOrder order) {
+  /** Takes an order; returns true if the engine said that it carries it out. */
+  boolean give(BoxOrder order) {
     if (random.nextDouble() < lateShare) {
       // Lost for the keeper; half of these are carried out later, after newer ones.
       if (random.nextBoolean()) {
         long atNanos = nowNanos + (2 + random.nextInt(10)) * SECOND_NANOS;
         lateOrders.add(new LateOrder(atNanos, order));
       }
-      return;
+      return false;
     }
-    carryOut(order);
+    return carryOut(order);
+  }
+
+  /** Sets how long a head takes to open; each order to open begins it anew. */
+  void setFormNanos(long nanos) {
+    formNanos = nanos;
   }
 
   void step() {
@@ -183,11 +196,13 @@
     engines.values().forEach(Engine::step);
   }
 
-  private void carryOut(BoxOrder order) {
+  private boolean carryOut(BoxOrder order) {
     Engine engine = engines.get(order.boxId());
-    if (engine != null && engine.isAlive && !engine.isCut) {
+    boolean hears = engine != null && engine.isAlive && !engine.isCut;
+    if (hears) {
       engine.take(order);
     }
+    return hears;
   }
 
   private record LateOrder(long atNanos, BoxOrder order) {}
@@ -249,9 +264,9 @@
     private void change(BoxOrder.Verb verb) {
       switch (verb) {
         case OPEN -> {
-          if (state == MemberState.READY && changeTo == null) {
+          if (state == MemberState.READY) {
             changeTo = MemberState.OPEN;
-            changeNanos = nowNanos + FORM_NANOS;
+            changeNanos = nowNanos + formNanos;
           }
         }
         case CLOSE_AFTER_WORK, CLOSE_NOW -> {
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -265,12 +265,7 @@
       Set<String> suspected,
       Demand demand) {
     long nowNanos = clockNanos.getAsLong();
-    DomainKeeper keeper = keepers.get(key);
-    if (keeper == null) {
-      log.write("domain_taken", "domain", key, "boxes", boxes.size(), "fence", lease.fence());
-      keeper = new DomainKeeper(domain, KeeperTiming.DEFAULT, lease::nextEpoch);
-      keepers.put(key, keeper);
-    }
+    DomainKeeper keeper = keepers.computeIfAbsent(key, name -> takeDomain(key, domain, boxes));
     askInDoubt(boxes, suspected, nowNanos);
     if (keeper.needsWords()) {
       boxes.forEach(box -> ask(box, CONFIRMING_INTERVAL_NANOS, nowNanos));
@@ -290,7 +285,9 @@
         sights.add(see(newest, nowNanos));
       }
     }
-    keeper.decide(nowNanos, engine, sights, plan, headsSeen, demand).forEach(this::give);
+    keeper
+        .decide(nowNanos, engine, sights, plan, headsSeen, demand)
+        .forEach(order -> give(keeper, order));
     for (BoxSight sight : sights) {
       if (sight.isDead() && !sight.isListed()) {
         fleet.forget(sight.box().id());
@@ -298,6 +295,11 @@
     }
   }
 
+  private DomainKeeper takeDomain(String key, String domain, List<FleetBox> boxes) {
+    log.write("domain_taken", "domain", key, "boxes", boxes.size(), "fence", lease.fence());
+    return new DomainKeeper(domain, KeeperTiming.DEFAULT, lease::nextEpoch);
+  }
+
   private BoxSight see(FleetBox box, long nowNanos) {
     boolean isListed = fleet.isListed(box.id());
     Reach reached = reach.reach(box.id(), nowNanos);
@@ -365,7 +367,7 @@
         });
   }
 
-  private void give(BoxOrder order) {
+  private void give(DomainKeeper keeper, BoxOrder order) {
     FleetBox box = fleet.find(order.boxId());
     if (box == null) {
       return;
@@ -375,22 +377,32 @@
         box,
         order,
         fence,
-        outcome ->
-            log.write(
-                "box_order",
-                "box",
-                order.boxId(),
-                "verb",
-                order.verb(),
-                "replica",
-                String.valueOf(order.replica()),
-                "model",
-                String.valueOf(order.model()),
-                "reason",
-                order.reason(),
-                "fence",
-                fence,
-                "outcome",
-                outcome));
+        outcome -> {
+          if (outcome == Engines.OrderOutcome.TAKEN) {
+            keeper.noteTaken(order, clockNanos.getAsLong());
+          } else if (outcome == Engines.OrderOutcome.NOT_FITTING) {
+            keeper.noteUnfit(order, clockNanos.getAsLong());
+          }
+          logOrder(order, fence, outcome);
+        });
+  }
+
+  private void logOrder(BoxOrder order, long fence, Engines.OrderOutcome outcome) {
+    log.write(
+        "box_order",
+        "box",
+        order.boxId(),
+        "verb",
+        order.verb(),
+        "replica",
+        String.valueOf(order.replica()),
+        "model",
+        String.valueOf(order.model()),
+        "reason",
+        order.reason(),
+        "fence",
+        fence,
+        "outcome",
+        outcome);
   }
 }
