--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -29,9 +29,6 @@
    */
   private static final double PREPARING_PRESSURE = 0.5;
 
-  /** Spare boxes of a domain that take weights at a time; the others are at hand for a loss. */
-  private static final int MOST_WARMINGS = 1;
-
   private final String domain;
   private final KeeperTiming timing;
   private final LongSupplier epochs;
@@ -39,7 +36,7 @@
   private final Map<ReplicaId, Long> closingSinceNanos = new HashMap<>();
   private final Map<ReplicaId, Long> headlessSinceNanos = new HashMap<>();
   private final HostStagings stagings = new HostStagings();
-  private final Map<ReplicaId, Long> warmingsSinceNanos = new HashMap<>();
+  private final SpareWarmings warmings;
   private final OrderBook orderBook;
   private List<BoxOrder> orders = new ArrayList<>();
   private Map<String, BoxSight> sightsById = Map.of();
@@ -63,6 +60,7 @@
     this.domain = domain;
     this.timing = timing;
     this.epochs = epochs;
+    this.warmings = new SpareWarmings(domain, epochs);
     this.orderBook = new OrderBook(timing.orderRepeatNanos());
   }
 
@@ -109,10 +107,12 @@
     headlessSinceNanos.keySet().retainAll(observed.keySet());
 
     formations.values().removeIf(formation -> !advance(formation, nowNanos));
-    warmingsSinceNanos.values().removeIf(since -> nowNanos - since > timing.warmingNanos());
+    warmings.forgetOlder(nowNanos - timing.warmingNanos());
     for (ObservedReplica replica : observed.values()) {
-      if (!formations.containsKey(replica.replica()) && !isStillWarming(replica)) {
-        if (replica.head() == null) {
+      if (!formations.containsKey(replica.replica())) {
+        if (warmings.isUnderWay(replica)) {
+          replica.members().forEach(member -> boundIds.add(member.box().id()));
+        } else if (replica.head() == null) {
           keepHeadless(replica, headsSeen, nowNanos);
         } else {
           keep(replica, replica.head(), spec, nowNanos);
@@ -144,41 +144,10 @@
     }
   }
 
-  /** Returns true for a spare box that is just taking weights from its host, and keeps it so. */
-  private boolean isStillWarming(ObservedReplica replica) {
-    BoxSight head = replica.head();
-    boolean isWarming =
-        warmingsSinceNanos.containsKey(replica.replica())
-            && head != null
-            && head.isIn(replica.replica(), MemberState.JOINING);
-    if (isWarming) {
-      boundIds.add(head.box().id());
-    }
-    return isWarming;
-  }
-
-  /**
-   * Lets spare boxes that were in no replica yet hold a model once, alone and never opened: a box
-   * joins the model of its last replica at once. It is let go as soon as it has the weights.
-   */
+  /** Lets spare boxes that were in no replica yet take weights from their hosts. */
   private void warmSpares(List<ModelShape> models, long nowNanos) {
-    if (!formations.isEmpty() || isMending || needsWords) {
-      return;
-    }
-    for (BoxSight sight : freeBoxes()) {
-      ModelShape at = models.stream().filter(m -> !sight.isCold(m)).findFirst().orElse(null);
-      if (sight.lastModel() == null && sight.box().membership() == null && at != null) {
-        warm(sight.box().id(), at, nowNanos);
-      }
-    }
-  }
-
-  private void warm(String id, ModelShape model, long nowNanos) {
-    if (warmingsSinceNanos.size() < MOST_WARMINGS) {
-      long epoch = epochs.getAsLong();
-      ReplicaId alone = new ReplicaId(domain + "-spare-" + epoch, epoch);
-      warmingsSinceNanos.put(alone, nowNanos);
-      order(BoxOrder.join(id, alone, model.name(), List.of(id), "to be warm"), nowNanos);
+    if (formations.isEmpty() && !isMending && !needsWords) {
+      warmings.begin(freeBoxes(), models, nowNanos).forEach(order -> order(order, nowNanos));
     }
   }
 
