--- /dev/null
+++ b/core/src/test/java/org/shoreroad/fleet/SpareWarmingsTest.java
@@ -0,0 +1,48 @@
+package org.shoreroad.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+import org.shoreroad.fleet.BoxSight.Reach;
+
+class SpareWarmingsTest {
+  private static final List<ModelShape> MODELS = FakeDomain.spec().models();
+
+  private long epoch;
+  private final SpareWarmings warmings = new SpareWarmings("d", () -> ++epoch);
+
+  private static BoxSight spare(String id, @Nullable String staged, @Nullable String lastModel) {
+    List<String> onHost = staged == null ? List.of() : List.of(staged);
+    FleetBox box = new FleetBox(id, "llm", id + ":1", "z", 18, false, "d", null, onHost, null);
+    return new BoxSight(box, true, Reach.LIKELY, true, true, lastModel);
+  }
+
+  @Test
+  void aSpareJoinsAloneWhatLiesOnItsHost() {
+    List<BoxOrder> orders = warmings.begin(List.of(spare("a", "small", null)), MODELS, 0);
+    assertThat(orders.size(), is(1));
+    assertThat(orders.get(0).verb(), is(BoxOrder.Verb.JOIN));
+    assertThat(orders.get(0).model(), is("small"));
+    assertThat(orders.get(0).members(), contains("a"));
+  }
+
+  @Test
+  void whatHeldAModelOrHasNoneAtHandIsLeftAlone() {
+    List<BoxSight> free = List.of(spare("a", "small", "large"), spare("b", null, null));
+    assertThat(warmings.begin(free, MODELS, 0), is(empty()));
+  }
+
+  @Test
+  void theOthersStayAtHandForALoss() {
+    List<BoxSight> free = List.of(spare("a", "small", null), spare("b", "large", null));
+    assertThat(warmings.begin(free, MODELS, 0).size(), is(1));
+    assertThat(warmings.begin(free, MODELS, 1), is(empty()));
+    warmings.forgetOlder(5);
+    assertThat(warmings.begin(free, MODELS, 6).size(), is(1));
+  }
+}
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/peer/DigestTest.java
@@ -0,0 +1,54 @@
+package org.shoreroad.edge.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.shoreroad.edge.peer.Digest.Heard;
+import org.shoreroad.edge.peer.Heartbeat.Load;
+import org.shoreroad.edge.peer.Heartbeat.Scope;
+import org.shoreroad.edge.sync.ListNews;
+
+class DigestTest {
+  private static final long NOW_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+  private static Heard heard(Heartbeat heartbeat, int agoMs) {
+    return new Heard(heartbeat, NOW_NANOS - TimeUnit.MILLISECONDS.toNanos(agoMs));
+  }
+
+  private static Heartbeat merge(Heartbeat own, Scope scope, List<Heard> others) {
+    return Digest.merge(own, scope, others, others, List.of(), ListNews.NONE, NOW_NANOS);
+  }
+
+  @Test
+  void loadsAreAddedUpAndTheNewestProgressCounts() {
+    Heartbeat own = Heartbeats.of("hub").withLoads(List.of(new Load("i-1", 2, 100, 50)));
+    Heartbeat member = Heartbeats.of("m").withLoads(List.of(new Load("i-1", 3, 20, 10)));
+    Heartbeat merged = merge(own, Scope.HUB, List.of(heard(member, 30)));
+    assertThat(merged.loads(), contains(new Load("i-1", 5, 120, 40)));
+    assertThat(merged.processes(), is(2));
+    assertThat(merged.sender(), is("hub"));
+  }
+
+  @Test
+  void aBoxIsSilentOnlyIfItAnswersNoWitness() {
+    Heartbeat own = Heartbeats.of("hub").withDoubts(Map.of(), Set.of("i-1", "i-2"));
+    Heartbeat other = Heartbeats.of("hub-2").withDoubts(Map.of(), Set.of("i-2"));
+    Heartbeat merged = merge(own, Scope.REST, List.of(heard(other, 0)));
+    assertThat(merged.silentUpstreams(), is(Set.of("i-2")));
+  }
+
+  @Test
+  void questionsGoToHubsButNotToMembers() {
+    Heartbeat own = Heartbeats.of("hub").withDoubts(Map.of(), Set.of());
+    Heartbeat member = Heartbeats.of("m").withDoubts(Map.of("i-1", "h:1"), Set.of());
+    List<Heard> others = List.of(heard(member, 0));
+    assertThat(merge(own, Scope.HUB, others).askedUpstreams(), is(Map.of("i-1", "h:1")));
+    assertThat(merge(own, Scope.REST, others).askedUpstreams(), is(Map.of()));
+  }
+}
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/sync/RecentNewsTest.java
@@ -0,0 +1,40 @@
+package org.shoreroad.edge.sync;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+
+import org.junit.jupiter.api.Test;
+
+class RecentNewsTest {
+  private final RecentNews news = new RecentNews();
+
+  private void add(long from, long to) {
+    for (long offset = from; offset < to; offset++) {
+      news.add(new StoreRecord(offset, "k" + offset, null));
+    }
+  }
+
+  @Test
+  void nothingIsKnownBeforeTheFirstListing() {
+    assertThat(news.since(0), is(nullValue()));
+  }
+
+  @Test
+  void whatCameSinceAnOffsetIsTold() {
+    news.restart(10);
+    add(10, 15);
+    assertThat(news.since(9), is(nullValue()));
+    assertThat(news.since(10).size(), is(5));
+    assertThat(news.since(13).get(0).offset(), is(13L));
+    assertThat(news.since(15).isEmpty(), is(true));
+  }
+
+  @Test
+  void theOldestAreForgotten() {
+    news.restart(0);
+    add(0, 3_000);
+    assertThat(news.since(0), is(nullValue()));
+    assertThat(news.since(2_999).size(), is(1));
+  }
+}
