--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
@@ -0,0 +1,207 @@
+package org.shoreroad.edge.replica;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.peer.Doubts;
+import org.shoreroad.edge.peer.Heartbeats;
+import org.shoreroad.edge.sync.DomainLease;
+import org.shoreroad.edge.sync.Fleet;
+import org.shoreroad.edge.sync.PartitionGrant;
+import org.shoreroad.edge.sync.Store;
+import org.shoreroad.edge.sync.StoreCallback;
+import org.shoreroad.edge.sync.StorePage;
+import org.shoreroad.edge.sync.StoreRecord;
+import org.shoreroad.edge.sync.Topic;
+import org.shoreroad.fleet.BoxOrder;
+import org.shoreroad.fleet.Demand;
+import org.shoreroad.fleet.EngineSpec;
+import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.fleet.MemberState;
+import org.shoreroad.fleet.Membership;
+import org.shoreroad.fleet.ModelShape;
+import org.shoreroad.fleet.ReplicaId;
+import org.shoreroad.traffic.CallerLimits;
+import org.shoreroad.traffic.TrafficConfig;
+import org.shoreroad.traffic.UpstreamService;
+
+/** Asking engines and giving them orders, with a clock that the test turns. */
+class ReplicaServiceTest {
+  private static final long FENCE = 7;
+  private static final int STEP_MS = 50;
+  private static final EngineSpec ENGINE =
+      new EngineSpec(
+          4, 999, 6, 0, 0, 46_000, 64, 5, 4, 6, List.of(new ModelShape("m", 2, 1, 1, 9, 1)));
+  private static final TrafficConfig CONFIG =
+      TrafficConfig.of(
+          1, List.of(), List.of(new UpstreamService("llm", 9, ENGINE)), null, CallerLimits.DEFAULT);
+
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private long nowNanos = TimeUnit.HOURS.toNanos(1);
+  private final EventLog log = new EventLog("t", () -> nowNanos, OutputStream.nullOutputStream());
+  private final Fleet fleet = new Fleet(ReplicaServiceTest::decode, () -> nowNanos, log);
+  private final FakeEngines engines = new FakeEngines();
+  private final Doubts doubts = new Doubts(() -> nowNanos);
+  private final DomainLease lease =
+      new DomainLease(new GrantingStore(), channel.eventLoop(), () -> nowNanos, log, "me", 1);
+  private final ReplicaService service =
+      new ReplicaService(
+          channel.eventLoop(),
+          () -> nowNanos,
+          log,
+          fleet,
+          lease,
+          engines,
+          () -> CONFIG,
+          Set::of,
+          llm -> Demand.NONE,
+          doubts,
+          Set::of,
+          5_000);
+
+  private static FleetBox decode(String id, byte[] entry) {
+    return new FleetBox(id, "llm", id + ":1", "z", 4, false, "d", null, List.of(), null);
+  }
+
+  /** A store that gives the only partition to whoever asks. */
+  private static final class GrantingStore implements Store {
+    @Override
+    public void read(Topic topic, long from, int waitMs, StoreCallback<StorePage> callback) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void readNewest(Topic topic, String afterKey, StoreCallback<StorePage> callback) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void write(Topic topic, String key, byte[] value, StoreCallback<Long> callback) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void join(String member, int ttlMs, long gen, StoreCallback<PartitionGrant> callback) {
+      callback.onValue(new PartitionGrant(FENCE, Set.of(0)));
+    }
+
+    @Override
+    public void leave(String member, long generation) {
+      // Nobody else is there.
+    }
+  }
+
+  /** Engines that answer at once and take every order; a join is ready at once, too. */
+  private static final class FakeEngines implements Engines {
+    private final Map<String, Membership> memberships = new HashMap<>();
+    private final List<String> asked = new ArrayList<>();
+    private final List<BoxOrder> orders = new ArrayList<>();
+    private final List<Long> fences = new ArrayList<>();
+
+    @Override
+    public void ask(FleetBox box, AskCallback callback) {
+      asked.add(box.id());
+      Membership membership = memberships.get(box.id());
+      callback.onWord(
+          box.withEngineState(membership == null ? null : "m", List.of("m"), membership));
+    }
+
+    @Override
+    public void order(FleetBox box, BoxOrder order, long fence, OrderCallback callback) {
+      orders.add(order);
+      fences.add(fence);
+      ReplicaId replica = order.replica();
+      if (order.verb() == BoxOrder.Verb.JOIN && replica != null) {
+        int rank = order.members().indexOf(box.id());
+        memberships.put(box.id(), new Membership(replica, rank, MemberState.READY));
+      }
+      callback.onOutcome(OrderOutcome.TAKEN);
+    }
+
+    private long count(BoxOrder.Verb verb) {
+      return orders.stream().filter(order -> order.verb() == verb).count();
+    }
+  }
+
+  private void list(String id) {
+    fleet.onRecord(new StoreRecord(fleet.boxes().size(), id, "x".getBytes(StandardCharsets.UTF_8)));
+  }
+
+  private void run(int millis) {
+    for (int passed = 0; passed < millis; passed += STEP_MS) {
+      long nanos = TimeUnit.MILLISECONDS.toNanos(STEP_MS);
+      nowNanos += nanos;
+      channel.advanceTimeBy(nanos, TimeUnit.NANOSECONDS);
+      channel.runScheduledPendingTasks();
+    }
+  }
+
+  @Test
+  void withoutALeaseNothingIsAskedOrOrdered() {
+    list("a");
+    list("b");
+    service.start();
+    run(3_000);
+    assertThat(engines.asked, is(empty()));
+    assertThat(engines.orders, is(empty()));
+  }
+
+  @Test
+  void theHolderOfADomainFormsItsReplicaWithTheFenceOfTheLease() {
+    list("a");
+    list("b");
+    lease.start();
+    service.start();
+    run(3_000);
+    assertThat(engines.count(BoxOrder.Verb.JOIN), is(2L));
+    assertThat(engines.fences, everyItem(is(FENCE)));
+    assertThat(engines.asked, hasItem("b"));
+  }
+
+  @Test
+  void anOpeningThatWasTakenIsNotOrderedAgainAtOnce() {
+    list("a");
+    list("b");
+    lease.start();
+    service.start();
+    run(3_500);
+    assertThat(engines.count(BoxOrder.Verb.OPEN), is(1L));
+  }
+
+  @Test
+  void theWordOfAHeadIsUrgentNews() {
+    int[] urgent = {0};
+    service.setUrgentNewsListener(() -> urgent[0]++);
+    list("a");
+    list("b");
+    lease.start();
+    service.start();
+    run(3_000);
+    assertThat(urgent[0] > 0, is(true));
+    assertThat(service.takeNews().isEmpty(), is(false));
+    assertThat(service.takeNews(), is(empty()));
+  }
+
+  @Test
+  void aBoxThatPeersAskAboutIsAskedWithoutALease() {
+    doubts.learn(Heartbeats.of("p").withDoubts(Map.of("a", "a:1"), Set.of()));
+    service.start();
+    run(400);
+    assertThat(engines.asked, hasItem("a"));
+    assertThat(service.silentForPeers(), is(empty()));
+  }
+}
