A shorter constructor; heartbeat copies in one place

No behaviour changes here: the wiring of the parts is a method of its own, and withEcho and withScope share one.

--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -164,6 +164,11 @@
             this::limits,
             relay,
             reason -> metrics.count("shoreroad.bad_input", reason));
+    connect(calls);
+  }
+
+  /** Tells the parts of each other. */
+  private void connect(HttpCalls calls) {
     knowledge.setFollower(configFollower);
     configFollower.spareWhile(mesh::isMember);
     listFollower.spareWhile(mesh::isMember);
--- a/edge/src/main/java/org/shoreroad/edge/peer/Heartbeat.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Heartbeat.java
@@ -56,28 +56,19 @@
 
   /** Returns the heartbeat as it is sent to one receiver, with what that one last sent. */
   public Heartbeat withEcho(long newEchoNanos) {
-    return new Heartbeat(
-        sender,
-        sentNanos,
-        newEchoNanos,
-        scope,
-        processes,
-        configOffset,
-        configAgeNanos,
-        loads,
-        suspectedUpstreams,
-        askedUpstreams,
-        silentUpstreams,
-        words,
-        listNews);
+    return with(scope, newEchoNanos);
   }
 
   /** Returns the same words as spoken for others. */
   public Heartbeat withScope(Scope newScope) {
+    return with(newScope, echoNanos);
+  }
+
+  private Heartbeat with(Scope newScope, long newEchoNanos) {
     return new Heartbeat(
         sender,
         sentNanos,
-        echoNanos,
+        newEchoNanos,
         newScope,
         processes,
         configOffset,
