Who listens no more but leaves is not dead; a head whose entry is gone is closed while it answers

It was an open head; the keeper left its replica open, since entry and engine were looked at apart. At 27.9 s it listened no more (a leaving box ends its work for up to ten seconds), which was taken as death, and its members were joined elsewhere.

Change: a box whose entry is gone for good is kept as one that leaves, so its replica is closed at once; nobody listening means death only for a box that is listed and stays; for the others the members wait eleven seconds. Three tests of ReplicaService, two of them red before.

--- a/core/src/main/java/org/shoreroad/fleet/FleetBox.java
+++ b/core/src/main/java/org/shoreroad/fleet/FleetBox.java
@@ -46,6 +46,12 @@
     return membership != null && membership.isHead() && membership.state() == MemberState.OPEN;
   }
 
+  /** Returns this box as one that is about to end. */
+  public FleetBox withLeaving() {
+    return new FleetBox(
+        id, service, address, zone, slots, true, domain, model, stagedModels, membership);
+  }
+
   /** Returns this box with what a newer word of its engine says of model, host and replica. */
   public FleetBox withEngineState(
       @Nullable String newModel, List<String> newStaged, @Nullable Membership newMembership) {
--- a/edge/src/main/java/org/shoreroad/edge/replica/Engines.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/Engines.java
@@ -40,7 +40,9 @@
   enum Silence {
     /** Nothing came in time. */
     NO_ANSWER,
-    /** Nobody listens at the address, or another life does. */
+    /** Nobody listens at the address: the life has crashed, or leaves and ends what it has. */
+    REFUSED,
+    /** Another life answers at the address. */
     GONE
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReachBook.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReachBook.java
@@ -34,8 +34,9 @@
     entry.isGone = false;
   }
 
-  void recordSilence(String id, boolean isGone, long nowNanos) {
+  void recordSilence(String id, boolean isGone, boolean isRefusing, long nowNanos) {
     Entry entry = entries.computeIfAbsent(id, key -> new Entry());
+    entry.isRefusing = isRefusing;
     entry.isAsking = false;
     entry.isGone |= isGone;
     if (entry.silences == 0) {
@@ -83,6 +84,12 @@
     return entry == null || (!entry.isAsking && nowNanos - entry.askedNanos >= intervalNanos);
   }
 
+  /** Returns true if nobody listened at the box's address when it was last asked. */
+  boolean isRefusing(String id) {
+    Entry entry = entries.get(id);
+    return entry != null && entry.silences > 0 && entry.isRefusing;
+  }
+
   /** Returns true if the last answer was a silence. */
   boolean isSilent(String id) {
     Entry entry = entries.get(id);
@@ -101,5 +108,6 @@
     private int silences;
     private boolean isAsking;
     private boolean isGone;
+    private boolean isRefusing;
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -69,6 +69,11 @@
   /** Beyond the time in which an engine breaks a replica that lost a member. */
   private static final int STALL_MARGIN_MS = 1_000;
 
+  /**
+   * A leaving box listens no more but ends its work for ten seconds at most; and a second beyond.
+   */
+  private static final long LEAVING_NANOS = TimeUnit.SECONDS.toNanos(11);
+
   private final EventLoop loop;
   private final LongSupplier clockNanos;
   private final EventLog log;
@@ -306,7 +311,8 @@
     if (reached == Reach.LOST && !isListed) {
       doubts.raise(box.id(), box.address());
       // A head that only was cut off has been broken by its own engine by then.
-      boolean isLong = reach.silentNanos(box.id(), nowNanos) > certainNanos;
+      long limitNanos = reach.isRefusing(box.id()) ? LEAVING_NANOS : certainNanos;
+      boolean isLong = reach.silentNanos(box.id(), nowNanos) > limitNanos;
       if (isLong && doubts.isSilentForAll(box.id(), alivePeers.get())) {
         reached = Reach.GONE;
       }
@@ -314,7 +320,9 @@
     boolean isSteady = reach.isSteady(box.id(), certainNanos, nowNanos);
     boolean isConfirmed = reach.hasWord(box.id(), CONFIRMED_NANOS, nowNanos);
     String lastModel = fleet.lastModel(box.id());
-    return new BoxSight(box, isListed, reached, isSteady, isConfirmed, lastModel);
+    // A box whose entry is gone for good serves on for a while, as one that said that it leaves.
+    FleetBox seen = fleet.isOnList(box.id()) ? box : box.withLeaving();
+    return new BoxSight(seen, isListed, reached, isSteady, isConfirmed, lastModel);
   }
 
   /** Asks boxes that are silent or unlisted, and all members of suspected replicas. */
@@ -362,11 +370,20 @@
           @Override
           public void onSilence(Engines.Silence silence) {
             log.write("box_silent", "box", box.id(), "address", box.address(), "why", silence);
-            reach.recordSilence(box.id(), silence == Engines.Silence.GONE, clockNanos.getAsLong());
+            recordSilence(box.id(), silence);
           }
         });
   }
 
+  private void recordSilence(String id, Engines.Silence silence) {
+    boolean isRefused = silence == Engines.Silence.REFUSED;
+    FleetBox known = fleet.find(id);
+    // Who is to stay and does not listen has crashed; who leaves may still be at work.
+    boolean isToStay = known != null && !known.isLeaving() && fleet.isListed(id);
+    boolean isGone = silence == Engines.Silence.GONE || (isRefused && isToStay);
+    reach.recordSilence(id, isGone, isRefused, clockNanos.getAsLong());
+  }
+
   private void give(DomainKeeper keeper, BoxOrder order) {
     FleetBox box = fleet.find(order.boxId());
     if (box == null) {
--- a/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -55,6 +56,7 @@
   private final EventLog log = new EventLog("t", () -> nowNanos, OutputStream.nullOutputStream());
   private final Fleet fleet = new Fleet(ReplicaServiceTest::decode, () -> nowNanos, log);
   private final FakeEngines engines = new FakeEngines();
+  private final Set<String> suspected = new HashSet<>();
   private final Doubts doubts = new Doubts(() -> nowNanos);
   private final DomainLease lease =
       new DomainLease(new GrantingStore(), channel.eventLoop(), () -> nowNanos, log, "me", 1);
@@ -67,7 +69,7 @@
           lease,
           engines,
           () -> CONFIG,
-          Set::of,
+          () -> suspected,
           llm -> Demand.NONE,
           doubts,
           Set::of,
@@ -111,10 +113,15 @@
     private final List<String> asked = new ArrayList<>();
     private final List<BoxOrder> orders = new ArrayList<>();
     private final List<Long> fences = new ArrayList<>();
+    private final Set<String> refusing = new HashSet<>();
 
     @Override
     public void ask(FleetBox box, AskCallback callback) {
       asked.add(box.id());
+      if (refusing.contains(box.id())) {
+        callback.onSilence(Silence.REFUSED);
+        return;
+      }
       Membership membership = memberships.get(box.id());
       callback.onWord(
           box.withEngineState(membership == null ? null : "m", List.of("m"), membership));
@@ -125,9 +132,16 @@
       orders.add(order);
       fences.add(fence);
       ReplicaId replica = order.replica();
-      if (order.verb() == BoxOrder.Verb.JOIN && replica != null) {
-        int rank = order.members().indexOf(box.id());
-        memberships.put(box.id(), new Membership(replica, rank, MemberState.READY));
+      if (replica != null) {
+        switch (order.verb()) {
+          case JOIN -> {
+            int rank = order.members().indexOf(box.id());
+            memberships.put(box.id(), new Membership(replica, rank, MemberState.READY));
+          }
+          case OPEN -> memberships.put(box.id(), new Membership(replica, 0, MemberState.OPEN));
+          case LEAVE -> memberships.remove(box.id());
+          default -> memberships.put(box.id(), new Membership(replica, 0, MemberState.READY));
+        }
       }
       callback.onOutcome(OrderOutcome.TAKEN);
     }
@@ -182,6 +196,55 @@
     assertThat(engines.count(BoxOrder.Verb.OPEN), is(1L));
   }
 
+  private String formAndReturnHead() {
+    list("a");
+    list("b");
+    lease.start();
+    service.start();
+    run(3_500);
+    list("c");
+    return engines.orders.stream()
+        .filter(order -> order.verb() == BoxOrder.Verb.OPEN)
+        .findFirst()
+        .orElseThrow()
+        .boxId();
+  }
+
+  private void takeOffTheList(String id) {
+    fleet.onRecord(new StoreRecord(100, id, null));
+    fleet.dropRemoved(TimeUnit.MINUTES.toNanos(1));
+  }
+
+  @Test
+  void aHeadWhoseEntryIsGoneIsClosedWhileItStillAnswers() {
+    String head = formAndReturnHead();
+    takeOffTheList(head);
+    run(2_000);
+    assertThat(engines.count(BoxOrder.Verb.CLOSE_AFTER_WORK), is(1L));
+  }
+
+  @Test
+  void membersOfALeavingHeadThatListensNoMoreStayBoundUntilItMustHaveEnded() {
+    String head = formAndReturnHead();
+    engines.refusing.add(head);
+    takeOffTheList(head);
+    engines.orders.clear();
+    run(9_000);
+    assertThat(engines.count(BoxOrder.Verb.JOIN), is(0L));
+    run(6_000);
+    assertThat(engines.count(BoxOrder.Verb.JOIN), is(2L));
+  }
+
+  @Test
+  void aHeadThatIsToStayAndListensNoMoreHasCrashed() {
+    String head = formAndReturnHead();
+    engines.refusing.add(head);
+    engines.orders.clear();
+    suspected.add(head);
+    run(3_000);
+    assertThat(engines.count(BoxOrder.Verb.JOIN), is(2L));
+  }
+
   @Test
   void theWordOfAHeadIsUrgentNews() {
     int[] urgent = {0};
