Known keys are used on while the store is away, where operators allow it

Cause: whether a key that was taken away must stop at once (strict_revoke) was not read. Change: the setting requireKeyProof. Where it is false a known key is used on whatever the age of the proof. A key that is not known is still refused with 503, not 401, while the proof is old, and a process without a proof is still not ready, so that new callers go to others if there are any. Ruled out: readiness without a proof, since a process that reads the store knows more. Where strictness is asked for nothing changes.

--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -114,7 +114,13 @@
     this.log = log;
     SplittableRandom random = new SplittableRandom();
     this.life = settings.node() + "~" + Long.toHexString(random.nextLong());
-    this.knowledge = new Knowledge(ports.configDecoder(), clockNanos, log, settings.revokeMs());
+    this.knowledge =
+        new Knowledge(
+            ports.configDecoder(),
+            clockNanos,
+            log,
+            settings.revokeMs(),
+            settings.isKeyProofRequired());
     this.fleet = new Fleet(ports.upstreamDecoder(), clockNanos, log);
     int configWaitMs = Knowledge.readWaitMs(settings.revokeMs());
     this.configFollower = follower(Topic.CONFIGURATION, configWaitMs, 0, knowledge);
@@ -192,7 +198,9 @@
         "callers",
         settings.callerListen(),
         "revokeMs",
-        settings.revokeMs());
+        settings.revokeMs(),
+        "isKeyProofRequired",
+        settings.isKeyProofRequired());
     List.of(
             callers.start(settings.callerListen()),
             answerWith(settings.readyListen(), this::answerReady),
@@ -280,7 +288,7 @@
     return !isStopping
         && knowledge.config() != null
         && listFollower.isCurrent()
-        && knowledge.mayTrustKeys();
+        && knowledge.isProved();
   }
 
   /** Writes where the fleet stands, so that a lack of replicas can be seen afterwards. */
--- a/edge/src/main/java/org/shoreroad/edge/EdgeSettings.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeSettings.java
@@ -14,6 +14,9 @@
  * @param metricsListen where the metrics are read
  * @param workPartitions the partitions among which the fabric domains are dealt out
  * @param revokeMs a key that was taken away must not be used longer than this, in milliseconds
+ * @param isKeyProofRequired true if a known key may be used only while it is proved that no change
+ *     of the configuration was missed; false if a process that has lost the store goes on with the
+ *     keys that it knows
  * @param stallMs a head that lost a member counts as broken by its own engine after this time, in
  *     milliseconds
  * @param graceMs the time between the signal to stop and the end, in milliseconds
@@ -29,6 +32,7 @@
     InetSocketAddress metricsListen,
     int workPartitions,
     int revokeMs,
+    boolean isKeyProofRequired,
     int stallMs,
     int graceMs,
     RelayRules rules) {}
--- a/edge/src/main/java/org/shoreroad/edge/Knowledge.java
+++ b/edge/src/main/java/org/shoreroad/edge/Knowledge.java
@@ -30,15 +30,28 @@
   private final LongSupplier clockNanos;
   private final EventLog log;
   private final long keyTrustNanos;
+  private final boolean isKeyProofRequired;
   private @Nullable TrafficConfig config;
   private @Nullable TopicFollower follower;
   private int processCount = 1;
 
-  Knowledge(Decoder decoder, LongSupplier clockNanos, EventLog log, int revokeMs) {
+  /**
+   * Creates a holder that knows no configuration yet.
+   *
+   * @param revokeMs how long a key that was taken away may be used at most, in milliseconds
+   * @param isKeyProofRequired true if that bound must hold also while the store is out of reach
+   */
+  Knowledge(
+      Decoder decoder,
+      LongSupplier clockNanos,
+      EventLog log,
+      int revokeMs,
+      boolean isKeyProofRequired) {
     this.decoder = decoder;
     this.clockNanos = clockNanos;
     this.log = log;
     this.keyTrustNanos = TimeUnit.MILLISECONDS.toNanos(revokeMs - REVOKE_MARGIN_MS);
+    this.isKeyProofRequired = isKeyProofRequired;
   }
 
   /**
@@ -89,6 +102,11 @@
 
   @Override
   public boolean mayTrustKeys() {
+    return isKeyProofRequired ? isProved() : config != null;
+  }
+
+  @Override
+  public boolean isProved() {
     TopicFollower from = follower;
     return from != null
         && from.isCurrent()
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -125,7 +125,7 @@
     account = config.findAccount(reader.key()).orElse(null);
     boolean isUnknown = account == null && !found.allowsAnonymous();
     // What is not known here may be known elsewhere by now.
-    if (isUnknown ? !relay.freshness().mayTrustKeys() : !mayUseKey()) {
+    if (isUnknown ? !relay.freshness().isProved() : !mayUseKey()) {
       refuse(Refusal.KEYS_TOO_OLD, COME_BACK_LATER_MS);
       return false;
     }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Freshness.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Freshness.java
@@ -12,9 +12,15 @@
   /** Returns the configuration in force, or null if none is known yet. */
   @Nullable TrafficConfig config();
 
-  /** Returns true if keys that were taken away would be known here by now. */
+  /** Returns true if a key that the configuration holds may be used now. */
   boolean mayTrustKeys();
 
+  /**
+   * Returns true if the configuration was proved to be the newest a moment ago, so that what it
+   * does not hold is not known elsewhere either.
+   */
+  boolean isProved();
+
   /** Returns how long ago it was proved that no change was missed, in milliseconds. */
   long configAgeMs();
 
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -84,6 +84,7 @@
   static final class FixedFreshness implements Freshness {
     private @Nullable TrafficConfig config;
     boolean mayTrustKeys = true;
+    boolean isProved = true;
 
     private static TrafficConfig makeConfig() {
       List<ServiceShare> web = List.of(new ServiceShare("web", 1));
@@ -115,6 +116,11 @@
       return mayTrustKeys;
     }
 
+    @Override
+    public boolean isProved() {
+      return isProved;
+    }
+
     @Override
     public long configAgeMs() {
       return 0;
