Entries held back by a word are taken over later; one reserve replica makes room, not two

Boxes that had left their replica stood as its members (f1c7 in ulemiste-d1 from 12 s to 29 s, with a LEAVE every 3 s), and their domain formed no reserve. (2) A replica that was being closed for a wanted one still counted as standing until its engine's report showed the closing, some 200 ms later, so a second one was closed in the next tick (kopli-d0 and ulemiste-d0, each after one loss). Change: entries held back are taken over once the word is 1.5 s old and the store has answered for 2.3 s; a replica that is being closed does not count as standing. Tests, red before: FollowingTest.anEntryThatWasHeldBackCountsOnceTheWordAgainstItIsOld, anEntryOfAReplicaThatTheBoxHasLeftDoesNotUndoTheLeaving, DomainKeeperTest.oneReplicaIsClosedFor- OneThatLacksBoxes (FakeDomain now can tell states late, as engines do).

--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -29,11 +29,14 @@
    */
   private static final double PREPARING_PRESSURE = 0.5;
 
+  /** Why a replica beyond the plan is closed. */
+  private static final String MAKES_ROOM = "a wanted replica lacks boxes";
+
   private final String domain;
   private final KeeperTiming timing;
   private final LongSupplier epochs;
   private final Map<ReplicaId, Formation> formations = new LinkedHashMap<>();
-  private final Map<ReplicaId, Long> closingSinceNanos = new HashMap<>();
+  private final Map<ReplicaId, Closing> closings = new HashMap<>();
   private final Map<ReplicaId, Long> headlessSinceNanos = new HashMap<>();
   private final HostStagings stagings = new HostStagings();
   private final SpareWarmings warmings;
@@ -71,7 +74,7 @@
 
   /** Returns true if a formation or a closing is under way, so that the boxes are worth asking. */
   public boolean isBusy() {
-    return !formations.isEmpty() || !closingSinceNanos.isEmpty();
+    return !formations.isEmpty() || !closings.isEmpty();
   }
 
   /**
@@ -103,7 +106,7 @@
     sightsById = new HashMap<>();
     sights.forEach(sight -> sightsById.put(sight.box().id(), sight));
     Map<ReplicaId, ObservedReplica> observed = ObservedReplica.from(sights);
-    closingSinceNanos.keySet().retainAll(observed.keySet());
+    closings.keySet().retainAll(observed.keySet());
     headlessSinceNanos.keySet().retainAll(observed.keySet());
 
     formations.values().removeIf(formation -> !advance(formation, nowNanos));
@@ -140,7 +143,7 @@
    */
   public void noteUnfit(BoxOrder order, long nowNanos) {
     if (order.verb() == Verb.OPEN && order.replica() != null) {
-      closingSinceNanos.putIfAbsent(order.replica(), nowNanos);
+      closings.putIfAbsent(order.replica(), new Closing(nowNanos, true));
     }
   }
 
@@ -248,11 +251,11 @@
 
   private boolean keepWhole(
       ObservedReplica replica, BoxSight head, MemberState state, ModelShape model, long nowNanos) {
-    if (state == MemberState.OPEN) {
+    boolean isClosed = closings.containsKey(replica.replica());
+    if (state == MemberState.OPEN && !isClosed) {
       bind(replica.members(), model.name());
       return true;
     }
-    boolean isClosed = closingSinceNanos.containsKey(replica.replica());
     if (state == MemberState.READY && replica.isEveryMemberReady() && !isClosed) {
       // Left ready by an earlier keeper: it only needs to be opened.
       bind(replica.members(), model.name());
@@ -264,23 +267,22 @@
 
   private void close(
       ObservedReplica replica, BoxSight head, MemberState state, boolean isWhole, long nowNanos) {
-    long sinceNanos = closingSinceNanos.computeIfAbsent(replica.replica(), id -> nowNanos);
-    boolean isOverdue = nowNanos - sinceNanos > timing.drainLimitNanos();
-    if (isWhole && !isOverdue) {
-      if (state == MemberState.OPEN) {
-        order(
-            BoxOrder.of(
-                head.box().id(), Verb.CLOSE_AFTER_WORK, replica.replica(), "a member leaves"),
-            nowNanos);
-      }
-    } else {
+    Closing closing =
+        closings.computeIfAbsent(replica.replica(), id -> new Closing(nowNanos, false));
+    boolean isOverdue = nowNanos - closing.sinceNanos() > timing.drainLimitNanos();
+    if (!isWhole || closing.isUrgent() || isOverdue) {
+      String reason = isOverdue ? "its work lasts too long" : "a member is lost";
       order(
           BoxOrder.of(
               head.box().id(),
               Verb.CLOSE_NOW,
               replica.replica(),
-              isWhole ? "its work lasts too long" : "a member is lost"),
+              isWhole && closing.isUrgent() ? MAKES_ROOM : reason),
           nowNanos);
+    } else if (state == MemberState.OPEN) {
+      String reason = replica.hasLeavingMember() ? "a member leaves" : MAKES_ROOM;
+      order(
+          BoxOrder.of(head.box().id(), Verb.CLOSE_AFTER_WORK, replica.replica(), reason), nowNanos);
     }
   }
 
@@ -318,16 +320,13 @@
           head != null
               && model != null
               && head.box().isOpenHead()
-              && !closingSinceNanos.containsKey(replica.replica())
+              && !closings.containsKey(replica.replica())
               && surplus(model, plan) > 0
               && demand.pressure(model) <= demand.pressure(lacking.name());
       if (isReserve) {
-        closingSinceNanos.put(replica.replica(), nowNanos);
         // After a loss each second counts; else the work may end first, as the leaving one's does.
-        Verb verb = hasLoss ? Verb.CLOSE_NOW : Verb.CLOSE_AFTER_WORK;
-        order(
-            BoxOrder.of(head.box().id(), verb, replica.replica(), "a wanted replica lacks boxes"),
-            nowNanos);
+        closings.put(replica.replica(), new Closing(nowNanos, hasLoss));
+        close(replica, head, MemberState.OPEN, true, nowNanos);
         return;
       }
     }
@@ -345,7 +344,7 @@
   /** Lets the boxes that nobody wants serve too, for the most pressed model that they can hold. */
   private void formReserve(List<ModelShape> models, ReplicaPlan plan, long nowNanos) {
     boolean isComplete = models.stream().allMatch(model -> surplus(model.name(), plan) >= 0);
-    if (!isComplete || isMending || !closingSinceNanos.isEmpty()) {
+    if (!isComplete || isMending || !closings.isEmpty()) {
       return;
     }
     for (ModelShape model : models) {
@@ -472,6 +471,14 @@
     }
   }
 
+  /**
+   * A replica whose boxes are to serve elsewhere.
+   *
+   * @param sinceNanos when that was decided
+   * @param isUrgent true if its work is not waited for
+   */
+  private record Closing(long sinceNanos, boolean isUrgent) {}
+
   private static boolean isMemberOf(BoxSight sight, ReplicaId replica) {
     Membership membership = sight.box().membership();
     return membership != null && membership.replica().equals(replica);
--- a/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
@@ -190,6 +190,30 @@
     assertThat(domain.violations(), is(empty()));
   }
 
+  @Test
+  void oneReplicaIsClosedForOneThatLacksBoxes() {
+    for (int seed = 0; seed < 20; seed++) {
+      DomainKeeperTest play = new DomainKeeperTest();
+      play.domain.setReportLagNanos(200_000_000L);
+      play.addBoxes(BOXES);
+      play.run(SETTLE_SECONDS + seed);
+      play.domain.kill(play.memberOf("large"));
+      play.given.clear();
+      play.run(8);
+      List<String> closed =
+          play.given.stream()
+              .filter(
+                  order ->
+                      order.verb() == BoxOrder.Verb.CLOSE_NOW
+                          || order.verb() == BoxOrder.Verb.CLOSE_AFTER_WORK)
+              .map(order -> String.valueOf(order.replica()))
+              .filter(replica -> replica.contains("small"))
+              .distinct()
+              .toList();
+      assertThat("seed " + seed, closed.size(), is(1));
+    }
+  }
+
   @Test
   void boxesTakeUpWhatTheyHeldLastThoughAnotherModelLiesOnTheirHosts() {
     addBoxes(BOXES);
--- a/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
+++ b/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
@@ -34,6 +34,7 @@
   private final List<String> violations = new ArrayList<>();
   private double lateShare;
   private long formNanos = FORM_NANOS;
+  private long reportLagNanos;
   private boolean isConfirmed = true;
   private long nowNanos = SECOND_NANOS;
   private int born;
@@ -63,6 +64,11 @@
     isConfirmed = confirmed;
   }
 
+  /** Sets how old the state is that the boxes tell. */
+  void setReportLagNanos(long nanos) {
+    reportLagNanos = nanos;
+  }
+
   void setLateShare(double share) {
     lateShare = share;
   }
@@ -160,7 +166,7 @@
       boolean isSteady = nowNanos - engine.healedNanos > CERTAIN_NANOS;
       sights.add(
           new BoxSight(
-              engine.toBox(),
+              engine.toToldBox(),
               isListed,
               reach,
               isSteady && !isSilent,
@@ -205,12 +211,15 @@
     return hears;
   }
 
+  private record Told(long atNanos, FleetBox box) {}
+
   private record LateOrder(long atNanos, BoxOrder order) {}
 
   /** One engine. */
   private final class Engine {
     private final String id;
     private final Set<String> staged = new HashSet<>();
+    private final List<Told> told = new ArrayList<>();
     private boolean isAlive = true;
     private boolean isLeaving;
     private boolean isCut;
@@ -241,6 +250,14 @@
           id, "llm", id + ":1", "z", 18, isLeaving, "d", named, List.copyOf(staged), membership);
     }
 
+    /** Returns the box as it tells, some time late. */
+    FleetBox toToldBox() {
+      while (told.size() > 1 && told.get(1).atNanos <= nowNanos - reportLagNanos) {
+        told.remove(0);
+      }
+      return told.isEmpty() || reportLagNanos == 0 ? toBox() : told.get(0).box;
+    }
+
     @Nullable String lastModel() {
       return state == MemberState.JOINING ? null : model;
     }
@@ -338,6 +355,7 @@
       if (!isAlive) {
         return;
       }
+      told.add(new Told(nowNanos, toBox()));
       if (staging != null && nowNanos >= stagedNanos) {
         staged.clear();
         staged.add(staging);
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -300,7 +300,7 @@
   }
 
   private void upkeep() {
-    fleet.dropRemoved(listFollower.reachableForNanos());
+    fleet.settle(listFollower.reachableForNanos());
     int processes = mesh.sharingCount();
     knowledge.setProcessCount(processes);
     board.setProcessCount(processes);
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -40,6 +40,11 @@
   private static final long WORD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
   private final Map<String, Long> wordAtNanos = new HashMap<>();
+  private final Map<String, Long> wordEpochs = new HashMap<>();
+
+  /** Boxes whose newest entry was read while a newer word of the engine stood against it. */
+  private final Set<String> heldBackIds = new HashSet<>();
+
   private final Decoder decoder;
   private final LongSupplier clockNanos;
   private final EventLog log;
@@ -145,11 +150,35 @@
 
   /** Keeps the engine's own word of a moment ago against an entry that may be older. */
   private FleetBox withNewerState(FleetBox before, FleetBox listed) {
-    Long wordNanos = wordAtNanos.get(listed.id());
-    boolean isRecent = wordNanos != null && clockNanos.getAsLong() - wordNanos < WORD_NANOS;
-    return isRecent && epochOf(listed) <= epochOf(before)
-        ? listed.withEngineState(before.model(), before.stagedModels(), before.membership())
-        : listed;
+    heldBackIds.remove(listed.id());
+    long knownEpoch = wordEpochs.getOrDefault(listed.id(), 0L);
+    if (!hasRecentWord(listed.id()) || epochOf(listed) > knownEpoch) {
+      return listed;
+    }
+    heldBackIds.add(listed.id());
+    return listed.withEngineState(before.model(), before.stagedModels(), before.membership());
+  }
+
+  private boolean hasRecentWord(String id) {
+    Long wordNanos = wordAtNanos.get(id);
+    return wordNanos != null && clockNanos.getAsLong() - wordNanos < WORD_NANOS;
+  }
+
+  /**
+   * Takes over the entries that were held back, once the word that stood against them is old. An
+   * upstream writes no further entry while nothing changes, so that a word that is wrong by now
+   * would stand for good.
+   */
+  private void takeHeldBackEntries() {
+    for (String id : Set.copyOf(heldBackIds)) {
+      if (!hasRecentWord(id)) {
+        heldBackIds.remove(id);
+        FleetBox entry = entries.get(id);
+        if (entry != null && boxes.containsKey(id)) {
+          put(entry);
+        }
+      }
+    }
   }
 
   /**
@@ -185,6 +214,7 @@
       return false;
     }
     wordAtNanos.put(word.id(), clockNanos.getAsLong());
+    wordEpochs.merge(word.id(), epochOf(word), Math::max);
     FleetBox after = before.withEngineState(word.model(), word.stagedModels(), word.membership());
     if (after.equals(before)) {
       return false;
@@ -221,14 +251,16 @@
   }
 
   /**
-   * Takes the upstreams off whose entries are gone for good.
+   * Brings the upstreams in line with the list: takes those off whose entries are gone for good,
+   * and goes by entries again that an engine's word stood against.
    *
    * @param storeReachableNanos how long the store has answered without a fault
    */
-  public void dropRemoved(long storeReachableNanos) {
+  public void settle(long storeReachableNanos) {
     if (storeReachableNanos < RETURN_NANOS) {
       return;
     }
+    takeHeldBackEntries();
     long nowNanos = clockNanos.getAsLong();
     for (Map.Entry<String, Long> removed : new HashMap<>(removedAtNanos).entrySet()) {
       FleetBox box = boxes.get(removed.getKey());
@@ -248,6 +280,8 @@
     removedAtNanos.remove(id);
     offListIds.remove(id);
     wordAtNanos.remove(id);
+    wordEpochs.remove(id);
+    heldBackIds.remove(id);
     entryOffsets.remove(id);
     lastModels.remove(id);
     if (gone != null) {
--- a/edge/src/test/java/org/shoreroad/edge/relay/UpstreamBoardTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UpstreamBoardTest.java
@@ -111,7 +111,7 @@
   void whatIsOffTheListIsNotChosen() {
     list("a", "OPEN");
     list("a", null);
-    fleet.dropRemoved(TimeUnit.MINUTES.toNanos(1));
+    fleet.settle(TimeUnit.MINUTES.toNanos(1));
     assertThat(choose(Set.of()) == null, is(true));
   }
 
--- a/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
@@ -212,7 +212,7 @@
 
   private void takeOffTheList(String id) {
     fleet.onRecord(new StoreRecord(100, id, null));
-    fleet.dropRemoved(TimeUnit.MINUTES.toNanos(1));
+    fleet.settle(TimeUnit.MINUTES.toNanos(1));
   }
 
   @Test
--- a/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
@@ -45,7 +45,9 @@
     }
     String address = text.startsWith("at ") ? text.substring(3) : "h-" + id + ":1";
     boolean isLeaving = text.equals("leaving");
-    return new FleetBox(id, "s", address, "z", 1, isLeaving, "d", null, List.of(), null);
+    Membership membership =
+        text.equals("member") ? new Membership(new ReplicaId("r", 5), 1, MemberState.READY) : null;
+    return new FleetBox(id, "s", address, "z", 1, isLeaving, "d", null, List.of(), membership);
   }
 
   private final class Recorder implements TopicFollower.Listener {
@@ -209,10 +211,10 @@
   void anEntryThatLapsedWhileTheStoreWasAwayIsKept() {
     fleet.onRecord(new StoreRecord(0, "i-1", "ready".getBytes(StandardCharsets.UTF_8)));
     fleet.onRecord(new StoreRecord(1, "i-1", null));
-    fleet.dropRemoved(SECOND_NANOS);
+    fleet.settle(SECOND_NANOS);
     assertThat(fleet.isOnList("i-1"), is(true));
     fleet.onRecord(new StoreRecord(2, "i-1", "ready".getBytes(StandardCharsets.UTF_8)));
-    fleet.dropRemoved(60 * SECOND_NANOS);
+    fleet.settle(60 * SECOND_NANOS);
     assertThat(fleet.isOnList("i-1"), is(true));
   }
 
@@ -220,7 +222,7 @@
   void anEntryMissingInCalmTimesIsOffTheListAtOnceButTheBoxIsKnown() {
     fleet.onRecord(new StoreRecord(0, "i-1", "ready".getBytes(StandardCharsets.UTF_8)));
     fleet.onRecord(new StoreRecord(1, "i-1", null));
-    fleet.dropRemoved(60 * SECOND_NANOS);
+    fleet.settle(60 * SECOND_NANOS);
     assertThat(fleet.isOnList("i-1"), is(false));
     assertThat(fleet.find("i-1") != null, is(true));
     fleet.forget("i-1");
@@ -245,7 +247,7 @@
     fleet.onRecord(new StoreRecord(0, "i-1", "ready".getBytes(StandardCharsets.UTF_8)));
     fleet.onRecord(new StoreRecord(1, "i-2", "ready".getBytes(StandardCharsets.UTF_8)));
     fleet.onListed(Set.of("i-2"), 0);
-    fleet.dropRemoved(60 * SECOND_NANOS);
+    fleet.settle(60 * SECOND_NANOS);
     assertThat(fleet.isOnList("i-1"), is(false));
     assertThat(fleet.isOnList("i-2"), is(true));
   }
@@ -267,6 +269,31 @@
     assertThat(fleet.find("i-1").isOpenHead(), is(false));
   }
 
+  @Test
+  void anEntryThatWasHeldBackCountsOnceTheWordAgainstItIsOld() {
+    byte[] entry = "ready".getBytes(StandardCharsets.UTF_8);
+    fleet.onRecord(new StoreRecord(0, "i-1", entry));
+    fleet.update(member(fleet.find("i-1"), "m", MemberState.READY));
+    // The box leaves its replica, and its entry says so; it writes no further one.
+    fleet.onRecord(new StoreRecord(1, "i-1", entry));
+    fleet.settle(60 * SECOND_NANOS);
+    assertThat(fleet.find("i-1").membership() == null, is(false));
+    nowNanos += 2 * SECOND_NANOS;
+    fleet.settle(60 * SECOND_NANOS);
+    assertThat(fleet.find("i-1").membership() == null, is(true));
+  }
+
+  @Test
+  void anEntryOfAReplicaThatTheBoxHasLeftDoesNotUndoTheLeaving() {
+    byte[] entry = "member".getBytes(StandardCharsets.UTF_8);
+    fleet.onRecord(new StoreRecord(0, "i-1", entry));
+    FleetBox listed = fleet.find("i-1");
+    fleet.update(member(listed, "m", MemberState.READY));
+    fleet.update(listed.withEngineState(null, List.of(), null));
+    fleet.onRecord(new StoreRecord(1, "i-1", entry));
+    assertThat(fleet.find("i-1").membership() == null, is(true));
+  }
+
   private static FleetBox member(FleetBox box, String model, MemberState state) {
     Membership membership = new Membership(new ReplicaId("r", 5), 1, state);
     return box.withEngineState(model, List.of(), membership);
