--- a/core/src/main/java/org/shoreroad/fleet/BoxSight.java
+++ b/core/src/main/java/org/shoreroad/fleet/BoxSight.java
@@ -45,6 +45,12 @@
     return !shape.name().equals(lastModel) && !box.stagedModels().contains(shape.name());
   }
 
+  /** Returns true if its host holds nothing but, perhaps, the model that the box held last. */
+  public boolean hasRoomOnHost() {
+    return lastModel != null
+        && box.stagedModels().stream().allMatch(model -> model.equals(lastModel));
+  }
+
   /** Returns 0 for a box that held the model last, 1 if it lies on its host, 2 if it must load. */
   public int joinCost(ModelShape shape) {
     if (shape.name().equals(lastModel)) {
--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
@@ -32,6 +33,28 @@
   /** Why a replica beyond the plan is closed. */
   private static final String MAKES_ROOM = "a wanted replica lacks boxes";
 
+  /** A small model is loaded first if it is at least this part as pressed as the most pressed. */
+  private static final double LOADING_PRESSURE_PART = 0.5;
+
+  /** Where no boxes have come free, replicas are closed for a model that is pressed this much. */
+  private static final double CONVERTING_PRESSURE = 0.8;
+
+  /** And only if the worst pressure then falls by this much. */
+  private static final double CONVERTING_GAIN = 0.2;
+
+  /** The least that the worst pressure must fall when boxes have come free. */
+  private static final double LEAST_GAIN = 0.02;
+
+  /** Domains see the same pressure, so each acts on it only in a second of its own out of these. */
+  private static final int TURNS = 8;
+
+  private static final long TURN_NANOS = 1_000_000_000L;
+
+  /**
+   * Closing, joining and opening take two to three seconds, and the load needs as long to follow.
+   */
+  private static final long CONVERTING_INTERVAL_NANOS = 6_000_000_000L;
+
   private final String domain;
   private final KeeperTiming timing;
   private final LongSupplier epochs;
@@ -45,9 +68,14 @@
   private Map<String, BoxSight> sightsById = Map.of();
   private final Set<String> boundIds = new HashSet<>();
   private final Map<String, Integer> standing = new HashMap<>();
+  private Map<String, Integer> wanted = Map.of();
+  private final Set<String> stuckIds = new HashSet<>();
   private boolean isMending;
   private boolean needsWords;
-  private int comingFree;
+  private final List<BoxSight> comingFree = new ArrayList<>();
+  private DomainPacking packing = DomainPacking.of(List.of(), Demand.NONE, List.of());
+  private final Set<String> formerlyAvailableIds = new HashSet<>();
+  private long convertedNanos = Long.MIN_VALUE / 2;
   private boolean isFresh;
   private Demand demand = Demand.NONE;
   private boolean hasLoss;
@@ -67,6 +95,13 @@
     this.orderBook = new OrderBook(timing.orderRepeatNanos());
   }
 
+  /** Returns the boxes that are to become members of a replica: their states are waited for. */
+  public Set<String> formingIds() {
+    Set<String> ids = new HashSet<>();
+    formations.values().forEach(formation -> ids.addAll(formation.memberIds()));
+    return ids;
+  }
+
   /** Returns true if a formation waits until the engines themselves have said where they stand. */
   public boolean needsWords() {
     return needsWords;
@@ -98,10 +133,11 @@
     this.demand = demand;
     orders = new ArrayList<>();
     boundIds.clear();
+    stuckIds.clear();
     standing.clear();
     isMending = false;
     needsWords = false;
-    comingFree = 0;
+    comingFree.clear();
     hasLoss = false;
     sightsById = new HashMap<>();
     sights.forEach(sight -> sightsById.put(sight.box().id(), sight));
@@ -123,11 +159,17 @@
       }
     }
     isFresh = !demand.hasTraffic() && sights.stream().allMatch(BoxSight::isBlank);
-    List<ModelShape> models = byNeed(spec, plan);
-    formMissing(models, plan, nowNanos);
-    giveUpReserve(spec, plan, observed.values(), nowNanos);
-    formReserve(models, plan, nowNanos);
-    prepareHosts(spec, models, plan, nowNanos);
+    packing = DomainPacking.of(modelsOf(spec), demand, sights);
+    wanted = want(plan, modelsOf(spec));
+    List<ModelShape> models = byNeed(spec);
+    if (demand.hasTraffic()) {
+      convert(observed.values(), nowNanos);
+    } else {
+      giveUpReserve(spec, observed.values(), nowNanos);
+    }
+    formMissing(models, nowNanos);
+    formReserve(models, nowNanos);
+    prepareHosts(spec, models, nowNanos);
     warmSpares(models, nowNanos);
     return orders;
   }
@@ -147,10 +189,14 @@
     }
   }
 
-  /** Lets spare boxes that were in no replica yet take weights from their hosts. */
+  /** Lets spare boxes take the weights from their hosts that they would most likely need. */
   private void warmSpares(List<ModelShape> models, long nowNanos) {
     if (formations.isEmpty() && !isMending && !needsWords) {
-      warmings.begin(freeBoxes(), models, nowNanos).forEach(order -> order(order, nowNanos));
+      List<ModelShape> byBoxes = new ArrayList<>(models);
+      byBoxes.sort(
+          Comparator.comparingInt(
+              model -> -standing.getOrDefault(model.name(), 0) * model.boxes()));
+      warmings.begin(freeBoxes(), byBoxes, nowNanos).forEach(order -> order(order, nowNanos));
     }
   }
 
@@ -211,17 +257,20 @@
   private void keepHeadless(ObservedReplica replica, Set<ReplicaId> headsSeen, long nowNanos) {
     if (headsSeen.contains(replica.replica())) {
       // A member that was cut off together with its head did not make the head break.
-      replica.members().stream()
-          .filter(member -> !member.isSteady())
-          .forEach(member -> boundIds.add(member.box().id()));
+      replica.members().stream().filter(member -> !member.isSteady()).forEach(this::bindStuck);
       return;
     }
     long sinceNanos = headlessSinceNanos.computeIfAbsent(replica.replica(), id -> nowNanos);
     if (nowNanos - sinceNanos < timing.headlessNanos()) {
-      replica.members().forEach(member -> boundIds.add(member.box().id()));
+      replica.members().forEach(this::bindStuck);
     }
   }
 
+  private void bindStuck(BoxSight member) {
+    boundIds.add(member.box().id());
+    stuckIds.add(member.box().id());
+  }
+
   /** Decides on a replica that is not being formed by this keeper. */
   private void keep(ObservedReplica replica, BoxSight head, EngineSpec spec, long nowNanos) {
     String modelName = replica.model();
@@ -238,10 +287,12 @@
     replica.members().forEach(member -> boundIds.add(member.box().id()));
     isMending = true;
     hasLoss = hasLoss || !isWhole;
-    comingFree += (int) replica.members().stream().filter(BoxSight::isFit).count();
     if (head.isLost()) {
+      // Its members are free only once it is dead for certain.
+      replica.members().forEach(this::bindStuck);
       return;
     }
+    replica.members().stream().filter(BoxSight::isFit).forEach(comingFree::add);
     if (state.isServing()) {
       close(replica, head, state, isWhole, nowNanos);
     } else {
@@ -286,19 +337,47 @@
     }
   }
 
+  /**
+   * Returns how many replicas of each model the domain is to hold now: before the first request
+   * what the plan says, then what stands and what its free boxes do best.
+   */
+  private Map<String, Integer> want(ReplicaPlan plan, List<ModelShape> models) {
+    Map<String, Integer> counts = new HashMap<>();
+    if (demand.hasTraffic()) {
+      counts.putAll(standing);
+      packing
+          .fill(available(), standing)
+          .forEach((name, more) -> counts.merge(name, more, Integer::sum));
+    } else {
+      models.forEach(model -> counts.put(model.name(), plan.wanted(domain, model.name())));
+    }
+    return counts;
+  }
+
+  /** Returns the boxes that are free, or come free as their replicas are closed. */
+  private List<BoxSight> available() {
+    List<BoxSight> available = freeBoxes();
+    available.addAll(comingFree);
+    available.removeIf(BoxSight::isBlank);
+    return available;
+  }
+
+  private static List<ModelShape> modelsOf(EngineSpec spec) {
+    return spec.models().stream().filter(model -> model.share() > 0).toList();
+  }
+
   /** Returns the models, the most pressed first; of equal ones the one that lacks the most. */
-  private List<ModelShape> byNeed(EngineSpec spec, ReplicaPlan plan) {
-    List<ModelShape> models = new ArrayList<>(spec.models());
-    models.removeIf(model -> model.share() <= 0);
+  private List<ModelShape> byNeed(EngineSpec spec) {
+    List<ModelShape> models = new ArrayList<>(modelsOf(spec));
     models.sort(
         Comparator.comparingDouble((ModelShape model) -> -demand.pressure(model.name()))
-            .thenComparingDouble(model -> coverage(model, plan)));
+            .thenComparingDouble(model -> coverage(model)));
     return models;
   }
 
-  private void formMissing(List<ModelShape> models, ReplicaPlan plan, long nowNanos) {
+  private void formMissing(List<ModelShape> models, long nowNanos) {
     for (ModelShape model : models) {
-      while (surplus(model.name(), plan) < 0) {
+      while (surplus(model.name()) < 0) {
         if (!form(model, nowNanos)) {
           break;
         }
@@ -306,24 +385,83 @@
     }
   }
 
+  /**
+   * Closes one or two standing replicas if their boxes, together with what is free, relieve the
+   * most pressed model. That costs their callers a move and their boxes one to two seconds. So it
+   * is done when boxes have just come free, which must be put to use anyway, or else under high
+   * pressure, for a clear gain, and by one domain after the other.
+   */
+  private void convert(Collection<ObservedReplica> observed, long nowNanos) {
+    Set<String> availableIds = new HashSet<>();
+    available().forEach(sight -> availableIds.add(sight.box().id()));
+    boolean hasMore = !formerlyAvailableIds.containsAll(availableIds);
+    formerlyAvailableIds.clear();
+    formerlyAvailableIds.addAll(availableIds);
+    double before = packing.worstPressure(wanted, Map.of());
+    boolean isMyTurn = (nowNanos / TURN_NANOS + domain.hashCode()) % TURNS == 0;
+    boolean isPressed = before >= CONVERTING_PRESSURE && isMyTurn;
+    boolean isTooSoon = nowNanos - convertedNanos < CONVERTING_INTERVAL_NANOS;
+    if (isTooSoon || !(hasMore || isPressed)) {
+      return;
+    }
+    double gain = hasMore ? LEAST_GAIN : CONVERTING_GAIN;
+    List<ObservedReplica> givable = observed.stream().filter(this::isGivable).toList();
+    List<ObservedReplica> best = List.of();
+    double least = before - gain;
+    for (List<ObservedReplica> some : oneOrTwoOf(givable)) {
+      double after = pressureWithout(some);
+      if (after < least) {
+        best = some;
+        least = after;
+      }
+    }
+    for (ObservedReplica replica : best) {
+      convertedNanos = nowNanos;
+      closings.put(replica.replica(), new Closing(nowNanos, hasLoss));
+      close(replica, Objects.requireNonNull(replica.head()), MemberState.OPEN, true, nowNanos);
+    }
+  }
+
+  private static List<List<ObservedReplica>> oneOrTwoOf(List<ObservedReplica> replicas) {
+    List<List<ObservedReplica>> choices = new ArrayList<>();
+    replicas.forEach(replica -> choices.add(List.of(replica)));
+    for (int i = 0; i < replicas.size(); i++) {
+      for (int j = i + 1; j < replicas.size(); j++) {
+        choices.add(List.of(replicas.get(i), replicas.get(j)));
+      }
+    }
+    return choices;
+  }
+
+  private boolean isGivable(ObservedReplica replica) {
+    BoxSight head = replica.head();
+    return head != null
+        && replica.model() != null
+        && head.box().isOpenHead()
+        && !closings.containsKey(replica.replica());
+  }
+
+  /** Returns the worst pressure if the boxes of replicas, and what is free, form what is best. */
+  private double pressureWithout(List<ObservedReplica> replicas) {
+    Map<String, Integer> rest = new HashMap<>(standing);
+    List<BoxSight> boxes = available();
+    for (ObservedReplica replica : replicas) {
+      rest.merge(String.valueOf(replica.model()), -1, Integer::sum);
+      boxes.addAll(replica.members());
+    }
+    return packing.worstPressure(rest, packing.fill(boxes, rest));
+  }
+
   /** Closes a replica beyond the plan if a wanted one has no boxes otherwise. */
-  private void giveUpReserve(
-      EngineSpec spec, ReplicaPlan plan, Collection<ObservedReplica> observed, long nowNanos) {
-    ModelShape lacking = findLacking(spec, plan);
+  private void giveUpReserve(EngineSpec spec, Collection<ObservedReplica> observed, long nowNanos) {
+    ModelShape lacking = findLacking(spec);
     if (lacking == null) {
       return;
     }
     for (ObservedReplica replica : observed) {
       BoxSight head = replica.head();
       String model = replica.model();
-      boolean isReserve =
-          head != null
-              && model != null
-              && head.box().isOpenHead()
-              && !closings.containsKey(replica.replica())
-              && surplus(model, plan) > 0
-              && demand.pressure(model) <= demand.pressure(lacking.name());
-      if (isReserve) {
+      if (isGivable(replica) && head != null && model != null && surplus(model) > 0) {
         // After a loss each second counts; else the work may end first, as the leaving one's does.
         closings.put(replica.replica(), new Closing(nowNanos, hasLoss));
         close(replica, head, MemberState.OPEN, true, nowNanos);
@@ -333,17 +471,17 @@
   }
 
   /** Returns the most pressed model that lacks a replica and boxes for it, or null. */
-  private @Nullable ModelShape findLacking(EngineSpec spec, ReplicaPlan plan) {
-    int available = freeBoxes().size() + comingFree;
-    return byNeed(spec, plan).stream()
-        .filter(model -> surplus(model.name(), plan) < 0 && model.boxes() > available)
+  private @Nullable ModelShape findLacking(EngineSpec spec) {
+    int available = freeBoxes().size() + comingFree.size();
+    return byNeed(spec).stream()
+        .filter(model -> surplus(model.name()) < 0 && model.boxes() > available)
         .findFirst()
         .orElse(null);
   }
 
   /** Lets the boxes that nobody wants serve too, for the most pressed model that they can hold. */
-  private void formReserve(List<ModelShape> models, ReplicaPlan plan, long nowNanos) {
-    boolean isComplete = models.stream().allMatch(model -> surplus(model.name(), plan) >= 0);
+  private void formReserve(List<ModelShape> models, long nowNanos) {
+    boolean isComplete = models.stream().allMatch(model -> surplus(model.name()) >= 0);
     if (!isComplete || isMending || !closings.isEmpty()) {
       return;
     }
@@ -354,13 +492,13 @@
     }
   }
 
-  private int surplus(String model, ReplicaPlan plan) {
-    return standing.getOrDefault(model, 0) - plan.wanted(domain, model);
+  private int surplus(String model) {
+    return standing.getOrDefault(model, 0) - wanted.getOrDefault(model, 0);
   }
 
-  private double coverage(ModelShape model, ReplicaPlan plan) {
-    int wanted = plan.wanted(domain, model.name());
-    return wanted == 0 ? 1 : (double) standing.getOrDefault(model.name(), 0) / wanted;
+  private double coverage(ModelShape model) {
+    int count = wanted.getOrDefault(model.name(), 0);
+    return count == 0 ? 1 : (double) standing.getOrDefault(model.name(), 0) / count;
   }
 
   /** Returns the free boxes that can hold the model soonest, as many as it needs if there are. */
@@ -389,7 +527,7 @@
     }
     List<String> ids = members.stream().map(sight -> sight.box().id()).toList();
     long epoch = epochs.getAsLong();
-    ReplicaId replica = new ReplicaId(domain + "-" + model.name() + "-" + epoch, epoch);
+    ReplicaId replica = ReplicaId.of(domain, model.name(), epoch, members.get(0).box());
     double seconds = loads > 0 ? model.loadSeconds() * loads : model.warmSeconds();
     long limitNanos = (long) (seconds * 1e9) + timing.joinSlackNanos();
     Formation formation = new Formation(replica, model, ids, nowNanos, limitNanos);
@@ -402,21 +540,26 @@
   }
 
   /** Orders the loads to hosts: of what lacks first, then of what is free, then of the reserve. */
-  private void prepareHosts(
-      EngineSpec spec, List<ModelShape> models, ReplicaPlan plan, long nowNanos) {
+  private void prepareHosts(EngineSpec spec, List<ModelShape> models, long nowNanos) {
     if (needsWords) {
       return;
     }
-    boolean isUrgent = standing.isEmpty() || !demand.hasTraffic();
+    boolean isUrgent = standing.isEmpty() || !demand.hasTraffic() || hasUnservedModel(models);
     stagings.begin(spec, sightsById, isUrgent, nowNanos);
     for (ModelShape model : models) {
-      if (surplus(model.name(), plan) < 0) {
+      if (surplus(model.name()) < 0) {
         pickMembers(model).forEach(sight -> stage(sight, model, nowNanos));
       }
     }
     for (BoxSight sight : freeBoxes()) {
       if (sight.isBlank()) {
-        stage(sight, models.get(0), nowNanos);
+        stage(sight, firstToLoad(models), nowNanos);
+      } else if (sight.hasRoomOnHost() && !isUrgent) {
+        // A spare that held one model last and has another on its host fits either replica.
+        models.stream()
+            .filter(sight::isCold)
+            .findFirst()
+            .ifPresent(model -> stage(sight, model, nowNanos));
       }
     }
     if (formations.isEmpty() && !isMending) {
@@ -424,13 +567,34 @@
     }
   }
 
+  private boolean hasUnservedModel(List<ModelShape> models) {
+    return models.stream().anyMatch(model -> demand.replicaCount(model.name()) == 0);
+  }
+
+  /**
+   * Returns the model that boxes without weights load first: the one with the smallest replicas,
+   * which can serve soonest as boxes load one after the other, unless another is pressed far more.
+   */
+  private ModelShape firstToLoad(List<ModelShape> models) {
+    ModelShape pressed = models.get(0);
+    double least = LOADING_PRESSURE_PART * demand.pressure(pressed.name());
+    return models.stream()
+        .filter(model -> demand.pressure(model.name()) >= least)
+        .min(Comparator.comparingInt(ModelShape::boxes))
+        .orElse(pressed);
+  }
+
   /** Puts another model's weights on the host of a box that could be spared for it. */
   private void prepareForOther(
       BoxSight sight, EngineSpec spec, List<ModelShape> models, long nowNanos) {
     FleetBox box = sight.box();
     ModelShape other = models.stream().filter(sight::isCold).findFirst().orElse(null);
-    // In traffic only the reserve is prepared, and not while its own model is pressed.
-    boolean isSpare = isSmall(box, spec) && demand.pressure(box.model()) < PREPARING_PRESSURE;
+    // In traffic only small replicas are prepared, and not while their own model needs them more.
+    double pressure = demand.pressure(box.model());
+    boolean isSpare =
+        isSmall(box, spec)
+            && other != null
+            && (pressure < PREPARING_PRESSURE || pressure < demand.pressure(other.name()));
     if (sight.isFit() && other != null && (isSpare || !demand.hasTraffic())) {
       stage(sight, other, nowNanos);
     }
--- a/core/src/main/java/org/shoreroad/fleet/EngineSpec.java
+++ b/core/src/main/java/org/shoreroad/fleet/EngineSpec.java
@@ -18,6 +18,7 @@
  * @param stepsPerPass the steps between two looks at what waits
  * @param loadsPerSecond the loads from the weight store that may begin in a second, in all
  * @param loadsAtOnce the loads that may run at a time at full speed, in all
+ * @param reportLagMs how old the state is that an engine reports, in milliseconds
  * @param models the models, with what a replica of each needs
  * @since 0.2
  */
@@ -32,6 +33,7 @@
     int stepsPerPass,
     double loadsPerSecond,
     int loadsAtOnce,
+    int reportLagMs,
     List<ModelShape> models) {
   /** Copies the list. */
   public EngineSpec {
--- a/core/src/main/java/org/shoreroad/fleet/ReplicaPlan.java
+++ b/core/src/main/java/org/shoreroad/fleet/ReplicaPlan.java
@@ -69,8 +69,7 @@
     // The reserve serves the smallest model, so it counts for its share.
     ModelShape smallest = Collections.min(models, Comparator.comparingInt(ModelShape::boxes));
     boxesUsed.merge(smallest.name(), reserve, Integer::sum);
-    List<Map<String, Integer>> packings = new ArrayList<>();
-    pack(models, 0, boxes - reserve, Map.of(), packings);
+    List<Map<String, Integer>> packings = packings(models, boxes - reserve);
     Map<String, Integer> best =
         Collections.min(
             packings,
@@ -90,6 +89,13 @@
     return (int) packing.keySet().stream().filter(model -> !wantedOf.contains(model)).count();
   }
 
+  /** Returns each way to fill the boxes with replicas until nothing more fits. */
+  static List<Map<String, Integer>> packings(List<ModelShape> models, int boxes) {
+    List<Map<String, Integer>> packings = new ArrayList<>();
+    pack(models, 0, boxes, Map.of(), packings);
+    return packings;
+  }
+
   /** Adds each way to fill the boxes, with models from the given one on, until nothing fits. */
   private static void pack(
       List<ModelShape> models,
--- a/core/src/main/java/org/shoreroad/fleet/SpareWarmings.java
+++ b/core/src/main/java/org/shoreroad/fleet/SpareWarmings.java
@@ -43,14 +43,23 @@
   }
 
   /**
-   * Returns the orders to free boxes that were in no replica yet and have weights on their host.
+   * Returns the orders to free boxes that did not hold the model last that most boxes of the domain
+   * serve. A lost box most likely belongs to that model, and a spare that held it last joins in 0.2
+   * s, one that has it on its host only in 1.1 to 1.6 s.
+   *
+   * @param free the boxes that no replica has
+   * @param models the models, the one that most boxes of the domain serve first
+   * @param nowNanos the steady clock
    */
   List<BoxOrder> begin(List<BoxSight> free, List<ModelShape> models, long nowNanos) {
     List<BoxOrder> orders = new ArrayList<>();
     for (BoxSight sight : free) {
       ModelShape atHand = models.stream().filter(m -> !sight.isCold(m)).findFirst().orElse(null);
-      boolean isNew = sight.lastModel() == null && sight.box().membership() == null;
-      if (isNew && atHand != null && sinceNanos.size() < AT_ONCE) {
+      boolean isWanted =
+          atHand != null
+              && sight.box().membership() == null
+              && !atHand.name().equals(sight.lastModel());
+      if (isWanted && sinceNanos.size() < AT_ONCE) {
         long epoch = epochs.getAsLong();
         ReplicaId alone = new ReplicaId(domain + "-spare-" + epoch, epoch);
         sinceNanos.put(alone, nowNanos);
--- a/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.lessThan;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -54,7 +55,7 @@
       int fit = (int) sights.stream().filter(s -> s.isListed() && !s.box().isLeaving()).count();
       ReplicaPlan plan = ReplicaPlan.of(spec, Map.of("d", fit));
       for (BoxOrder order :
-          keeper.decide(domain.nowNanos(), spec, sights, plan, headsSeen, demand)) {
+          keeper.decide(domain.nowNanos(), spec, sights, plan, headsSeen, demandNow())) {
         given.add(order);
         if (domain.give(order)) {
           keeper.noteTaken(order, domain.nowNanos());
@@ -63,6 +64,20 @@
     }
   }
 
+  /** Returns the demand with the replicas that stand; a model without one is pressed beyond all. */
+  private Demand demandNow() {
+    Map<String, Double> pressures = new HashMap<>(demand.pressures());
+    Map<String, Integer> replicas = new HashMap<>();
+    for (ModelShape model : spec.models()) {
+      int open = (int) domain.countOpen(model.name());
+      replicas.put(model.name(), open);
+      if (open == 0) {
+        pressures.put(model.name(), 1_000.0);
+      }
+    }
+    return new Demand(pressures, replicas, demand.hasTraffic());
+  }
+
   private String headOf(String model) {
     return domain.sights().stream()
         .map(BoxSight::box)
@@ -218,7 +233,7 @@
   void boxesTakeUpWhatTheyHeldLastThoughAnotherModelLiesOnTheirHosts() {
     addBoxes(BOXES);
     run(SETTLE_SECONDS);
-    demand = new Demand(Map.of("large", 0.9, "small", 0.1), true);
+    demand = new Demand(Map.of("large", 0.9, "small", 0.1), Map.of(), true);
     List<String> members =
         domain.sights().stream()
             .map(BoxSight::box)
@@ -276,7 +291,7 @@
 
   @Test
   void loadsOfANewDomainInTrafficBeginFewAtATime() {
-    demand = new Demand(Map.of("large", 0.5, "small", 0.5), true);
+    demand = new Demand(Map.of("large", 0.5, "small", 0.5), Map.of(), true);
     addBoxes(BOXES);
     run(5);
     long loads =
--- /dev/null
+++ b/core/src/test/java/org/shoreroad/fleet/DomainPackingTest.java
@@ -0,0 +1,64 @@
+package org.shoreroad.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.shoreroad.fleet.BoxSight.Reach;
+
+class DomainPackingTest {
+  private static final ModelShape LARGE = new ModelShape("large", 4, 0.67, 1, 16, 1.6);
+  private static final ModelShape SMALL = new ModelShape("small", 2, 0.33, 0.6, 12, 1.1);
+
+  private static DomainPacking packing(double large, double small) {
+    Demand demand =
+        new Demand(Map.of("large", large, "small", small), Map.of("large", 4, "small", 8), true);
+    return DomainPacking.of(List.of(LARGE, SMALL), demand, List.of());
+  }
+
+  private static List<BoxSight> boxes(int count, String lastModel, String... staged) {
+    List<BoxSight> boxes = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      FleetBox box =
+          new FleetBox("b" + i, "llm", "b:" + i, "z", 4, false, "d", null, List.of(staged), null);
+      boxes.add(new BoxSight(box, true, Reach.LIKELY, true, true, lastModel));
+    }
+    return boxes;
+  }
+
+  @Test
+  void freeBoxesServeTheMostPressedModel() {
+    List<BoxSight> four = boxes(4, "large", "small");
+    assertThat(packing(0.9, 0.2).fill(four, Map.of()), is(Map.of("large", 1)));
+    assertThat(packing(0.2, 0.9).fill(four, Map.of()), is(Map.of("small", 2)));
+  }
+
+  @Test
+  void aReplicaWhoseBoxesWouldHaveToLoadIsNotFormed() {
+    List<BoxSight> four = boxes(4, "small");
+    assertThat(packing(0.9, 0.2).fill(four, Map.of()), is(Map.of("small", 2)));
+    assertThat(packing(0.9, 0.2).fill(boxes(4, null), Map.of()), is(Map.of()));
+  }
+
+  @Test
+  void thePressureFallsAsReplicasAreAdded() {
+    DomainPacking packing = packing(0.6, 0.1);
+    assertThat(packing.worstPressure(Map.of(), Map.of()), is(closeTo(0.6, 1e-9)));
+    assertThat(packing.worstPressure(Map.of("large", 1), Map.of()), is(closeTo(0.48, 1e-9)));
+    assertThat(
+        packing.worstPressure(Map.of("large", 1), Map.of("large", 1)), is(closeTo(0.4, 1e-9)));
+  }
+
+  @Test
+  void aModelWithoutReplicaIsPressedMoreThanAnyOther() {
+    Demand demand = new Demand(Map.of("small", 5.0), Map.of("small", 1), true);
+    DomainPacking packing = DomainPacking.of(List.of(LARGE, SMALL), demand, List.of());
+    assertThat(packing.worstPressure(Map.of(), Map.of()), is(greaterThan(100.0)));
+    assertThat(packing.fill(boxes(4, "large", "small"), Map.of()), is(Map.of("large", 1)));
+  }
+}
--- a/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
+++ b/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
@@ -51,7 +51,8 @@
   }
 
   static EngineSpec spec(ModelShape... models) {
-    return new EngineSpec(18, 969_230, 6.07, 0.348, 0.007, 46_000, 2_048, 5, 4, 6, List.of(models));
+    return new EngineSpec(
+        18, 969_230, 6.07, 0.348, 0.007, 46_000, 2_048, 5, 4, 6, 200, List.of(models));
   }
 
   String addBox() {
--- /dev/null
+++ b/core/src/test/java/org/shoreroad/fleet/ReplicaIdTest.java
@@ -0,0 +1,29 @@
+package org.shoreroad.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ReplicaIdTest {
+  private static final FleetBox HEAD =
+      new FleetBox("i-3", "llm", "10.0.0.3:81", "z", 4, false, "d|1", null, List.of(), null);
+
+  @Test
+  void theNameTellsTheHeadAndItsAddress() {
+    ReplicaId replica = ReplicaId.of("d|1", "m", 17, HEAD);
+    assertThat(replica.headId(), is("i-3"));
+    assertThat(replica.headAddress(), is("10.0.0.3:81"));
+    assertThat(replica.epoch(), is(17L));
+  }
+
+  @Test
+  void anotherNameTellsNoHead() {
+    for (String name : new String[] {"d-m-17", "d|m", ""}) {
+      assertThat(new ReplicaId(name, 17).headId(), is(nullValue()));
+      assertThat(new ReplicaId(name, 17).headAddress(), is(nullValue()));
+    }
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -180,6 +180,11 @@
     listFollower.spareWhile(mesh::isMember);
     lease.joinWhile(() -> !mesh.isMember());
     replicas.setUrgentNewsListener(mesh::hurry);
+    board.setSuspicionListener(
+        () -> {
+          mesh.hurry();
+          replicas.hurry();
+        });
     fleet.addRemovalListener(box -> calls.forget(box.address()));
   }
 
@@ -332,7 +337,9 @@
       listFollower.takeOver(told, heartbeat.echoNanos() - told.ageNanos());
     }
     heartbeat.words().forEach(fleet::updateByPeer);
-    heartbeat.suspectedUpstreams().forEach(board::suspectByPeer);
+    if (board.suspectByPeer(heartbeat.suspectedUpstreams())) {
+      replicas.hurry();
+    }
   }
 
   private ChannelFuture answerWith(InetSocketAddress address, CallerExchange.Factory factory) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -204,7 +204,11 @@
 
   private void end() {
     isOver = true;
-    target.load().remove(exchange, isPromptRead ? 0 : exchange.promptTokens());
+    if (isPromptRead) {
+      target.load().removeWriter(exchange);
+    } else {
+      target.load().removeWaiting(exchange, exchange.promptTokens());
+    }
     if (body != null) {
       body.release();
       body = null;
--- a/edge/src/main/java/org/shoreroad/edge/relay/EventRelay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/EventRelay.java
@@ -1,6 +1,7 @@
 package org.shoreroad.edge.relay;
 
 import io.netty.buffer.ByteBuf;
+import java.util.function.LongSupplier;
 import org.shoreroad.edge.caller.AnswerChannel;
 
 /**
@@ -12,11 +13,22 @@
  */
 final class EventRelay {
   private final AnswerChannel answers;
+  private final LongSupplier clockNanos;
+  private final EventTiming timing;
   private EventSplitter splitter = new EventSplitter();
   private long lastId;
 
-  EventRelay(AnswerChannel answers, long callersLastId) {
+  /**
+   * Creates a relay that has passed nothing on.
+   *
+   * @param arrivedNanos when the request arrived, on the steady clock
+   * @param callersLastId the id of the last event that the caller has, or -1
+   */
+  EventRelay(
+      AnswerChannel answers, LongSupplier clockNanos, long arrivedNanos, long callersLastId) {
     this.answers = answers;
+    this.clockNanos = clockNanos;
+    this.timing = new EventTiming(arrivedNanos);
     this.lastId = callersLastId;
   }
 
@@ -40,9 +52,15 @@
     if (id >= 0) {
       lastId = id;
     }
+    timing.recordEvent(clockNanos.getAsLong());
     answers.send(event);
   }
 
+  /** Returns when the events were passed on. */
+  EventTiming timing() {
+    return timing;
+  }
+
   /** Returns the id of the last event that was passed on, or -1. */
   long lastId() {
     return lastId;
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -234,7 +234,8 @@
   @Nullable EventRelay onStreamHead(HttpResponse head) {
     EventRelay begun = events;
     if (begun == null) {
-      begun = new EventRelay(answers, reader.lastEventId());
+      begun =
+          new EventRelay(answers, relay::nowNanos, request.arrivedNanos(), reader.lastEventId());
       events = begun;
       relay.counters().record("shoreroad.first_head", relay.nowNanos() - request.arrivedNanos());
       answers.begin(head.status(), HopHeaders.copyWithout(head.headers()));
@@ -253,10 +254,28 @@
   /** Ends a stream that came to its own end. */
   void onStreamEnd() {
     relay.counters().count("shoreroad.answers", "stream");
+    noteIfLate();
     finish();
     answers.end();
   }
 
+  /** Tells of a stream that came to its end but missed a target of its route. */
+  private void noteIfLate() {
+    EventTiming timing = events == null ? null : events.timing();
+    String reason = timing == null || route == null ? null : timing.lateReason(route);
+    if (reason != null) {
+      relay.counters().count("shoreroad.answers.late", reason);
+      writeLine(
+          "answer_late",
+          "reason",
+          reason,
+          "firstMs",
+          timing.firstMs(),
+          "pauseMs",
+          timing.longestPauseMs());
+    }
+  }
+
   /** Decides what follows when an attempt brought nothing that can be passed on. */
   void onAttemptFailed(Target target, AttemptEnd end) {
     noteFailure(target, end);
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -16,7 +16,6 @@
 import org.shoreroad.edge.http.HttpCalls;
 import org.shoreroad.routing.AttemptBudget;
 import org.shoreroad.traffic.TrafficConfig;
-import org.shoreroad.traffic.UpstreamService;
 
 /**
  * Begins the exchanges and holds what they share. Used on the event loop.
@@ -27,9 +26,12 @@
   /** How often waiting requests look for a place. */
   private static final int WAITING_TICK_MS = 20;
 
-  /** How often time limits and silent heads are looked after. */
+  /** How often time limits are looked after. */
   private static final int TICK_MS = 100;
 
+  /** How often silent heads are looked for: half of a usual pass, 50 ms. */
+  private static final int STALL_TICK_MS = 25;
+
   private final Clockwork clockwork;
   private final LongSupplier clockNanos;
   private final RandomGenerator random;
@@ -73,6 +75,8 @@
   /** Starts to look after waiting requests and silent heads. */
   public void start() {
     clockwork.every(TICK_MS, "relay", this::tick);
+    clockwork.every(
+        () -> open.isEmpty() ? TICK_MS : STALL_TICK_MS, "silent heads", this::findStalled);
   }
 
   @Override
@@ -97,12 +101,13 @@
     for (Exchange exchange : open.toArray(new Exchange[0])) {
       exchange.onTick();
     }
+    calls.sweep();
+  }
+
+  private void findStalled() {
     TrafficConfig config = freshness.config();
-    if (config != null) {
-      for (UpstreamService service : config.services()) {
-        board.findStalled(service);
-      }
-      calls.sweep();
+    if (config != null && !open.isEmpty()) {
+      config.services().forEach(board::findStalled);
     }
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
@@ -34,14 +34,8 @@
  * @since 0.2
  */
 public final class UpstreamBoard {
-  /** Passes with nothing for any request of any process before a head is suspected. */
-  private static final double SILENT_PASSES = 2;
-
-  /**
-   * The least such time: a heartbeat's interval, within which another process may have heard of it,
-   * and half as much again.
-   */
-  private static final long LEAST_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+  /** A head that gave this process something within this time is not suspected on a peer's word. */
+  private static final long RECENT_PROGRESS_NANOS = TimeUnit.MILLISECONDS.toNanos(120);
 
   /** How long a suspected head is left alone before one request may try it again. */
   private static final long SUSPICION_NANOS = TimeUnit.SECONDS.toNanos(4);
@@ -78,6 +72,7 @@
   private final Set<ReplicaId> servingReplicas = new HashSet<>();
   private long seenChanges = -1;
   private boolean hasTraffic;
+  private Runnable onSuspicion = () -> {};
   private int processCount = 1;
 
   /** Creates a board over the fleet. */
@@ -90,6 +85,11 @@
     this.zone = zone;
   }
 
+  /** Sets what is done when this process finds that a head stands still. */
+  public void setSuspicionListener(Runnable listener) {
+    onSuspicion = listener;
+  }
+
   /** Sets how many processes choose beside each other, this one among them. */
   public void setProcessCount(int count) {
     processCount = count;
@@ -236,16 +236,29 @@
     return suspected;
   }
 
-  /** Takes over a peer's suspicion, unless the head has moved for this process since. */
-  public void suspectByPeer(String boxId) {
+  /**
+   * Takes over a peer's suspicions, unless a head has moved for this process since.
+   *
+   * @return true if a head is newly suspected
+   */
+  public boolean suspectByPeer(Set<String> boxIds) {
+    boolean isNews = false;
+    for (String id : boxIds) {
+      isNews |= suspectByPeer(id, clockNanos.getAsLong());
+    }
+    return isNews;
+  }
+
+  private boolean suspectByPeer(String boxId, long nowNanos) {
     UpstreamLoad load = loadOf(boxId);
-    long nowNanos = clockNanos.getAsLong();
     boolean hasMoved =
-        load.ownOpenCount() > 0 && nowNanos - load.progressNanos() < LEAST_SILENCE_NANOS;
-    if (!hasMoved && !load.isSuspected()) {
-      load.suspect(nowNanos);
-      log.write("replica_suspected", "head", boxId, "by", "peer");
+        load.ownOpenCount() > 0 && nowNanos - load.progressNanos() < RECENT_PROGRESS_NANOS;
+    if (hasMoved || load.isSuspected()) {
+      return false;
     }
+    load.suspect(nowNanos);
+    log.write("replica_suspected", "head", boxId, "by", "peer");
+    return true;
   }
 
   /**
@@ -255,6 +268,7 @@
   public Demand demand(UpstreamService service) {
     refresh();
     Map<String, Double> pressures = new HashMap<>();
+    Map<String, Integer> replicas = new HashMap<>();
     EngineSpec engine = service.engine();
     if (engine == null) {
       return Demand.NONE;
@@ -264,9 +278,10 @@
       int open = heads.stream().mapToInt(head -> loadOf(head.id()).openCount()).sum();
       double places = (double) heads.size() * engine.slots();
       pressures.put(model.name(), places == 0 ? NO_REPLICA_PRESSURE : open / places);
+      replicas.put(model.name(), heads.size());
       hasTraffic |= open > 0;
     }
-    return new Demand(pressures, hasTraffic);
+    return new Demand(pressures, replicas, hasTraffic);
   }
 
   /** Writes a line on each model of the service: heads, those suspected, and what they have. */
@@ -341,9 +356,11 @@
     long nowNanos = clockNanos.getAsLong();
     for (UpstreamLoad load : new ArrayList<>(loads.values())) {
       for (Exchange exchange : new ArrayList<>(load.open())) {
-        long silentNanos = nowNanos - load.silentSinceNanos();
-        if (silentNanos > LEAST_SILENCE_NANOS
-            && silentNanos > silenceLimitNanos(engine, exchange, load)) {
+        ModelShape model = engine.findModel(exchange.model()).orElse(null);
+        boolean isStalled =
+            model != null
+                && nowNanos - load.silentSinceNanos() > SilenceLimit.nanos(engine, model, load);
+        if (isStalled) {
           stall(load, exchange, nowNanos);
         }
       }
@@ -365,20 +382,11 @@
           load.openCount(),
           "waitingTokens",
           load.waitingPromptTokens());
+      onSuspicion.run();
     }
     exchange.onStalled();
   }
 
-  /** Returns how long a head may be silent: some passes with what runs and waits there. */
-  private static long silenceLimitNanos(EngineSpec engine, Exchange exchange, UpstreamLoad load) {
-    ModelShape model = engine.findModel(exchange.model()).orElse(null);
-    if (model == null) {
-      return Long.MAX_VALUE;
-    }
-    double passMs = engine.passMs(model, load.openCount(), load.waitingPromptTokens());
-    return LEAST_SILENCE_NANOS / 2 + (long) (SILENT_PASSES * passMs * 1e6);
-  }
-
   /** Derives what stands from the fleet, if that has changed. */
   private void refresh() {
     if (fleet.changes() == seenChanges) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
@@ -14,6 +14,7 @@
 
   private final Set<Exchange> open = new LinkedHashSet<>();
   private long waitingPromptTokens;
+  private int ownWriters;
   private int openElsewhere;
   private long waitingTokensElsewhere;
   private long progressElsewhereNanos = Long.MIN_VALUE / 2;
@@ -44,14 +45,24 @@
     waitingPromptTokens += promptTokens;
   }
 
-  void remove(Exchange exchange, long promptTokensNotRead) {
+  /** Takes a request off from which nothing has come yet. */
+  void removeWaiting(Exchange exchange, long promptTokens) {
     if (open.remove(exchange)) {
-      waitingPromptTokens -= promptTokensNotRead;
+      waitingPromptTokens -= promptTokens;
     }
   }
 
+  /** Takes a request off whose prompt was read. */
+  void removeWriter(Exchange exchange) {
+    if (open.remove(exchange)) {
+      ownWriters--;
+    }
+  }
+
+  /** Notes that the first event of a request has come. */
   void promptRead(long promptTokens) {
     waitingPromptTokens -= promptTokens;
+    ownWriters++;
   }
 
   /** Notes that the upstream moved: an event, or an answer. */
@@ -79,10 +90,6 @@
     isSuspected = true;
   }
 
-  void trust() {
-    isSuspected = false;
-  }
-
   boolean isSuspected() {
     return isSuspected;
   }
@@ -118,6 +125,9 @@
     openElsewhere += openCount;
     waitingTokensElsewhere += waitingTokens;
     progressElsewhereNanos = Math.max(progressElsewhereNanos, lastProgressNanos);
+    if (lastProgressNanos > suspectedNanos) {
+      isSuspected = false;
+    }
   }
 
   /** Returns the tokens of prompts, over all processes, from which nothing has come yet. */
@@ -125,6 +135,11 @@
     return waitingPromptTokens + waitingTokensElsewhere;
   }
 
+  /** Returns true if a request of this process has had an event, and gets one with each pass. */
+  boolean hasOwnWriter() {
+    return ownWriters > 0;
+  }
+
   long ownWaitingPromptTokens() {
     return waitingPromptTokens;
   }
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/replica/EngineContact.java
@@ -0,0 +1,158 @@
+package org.shoreroad.edge.replica;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.sync.Fleet;
+import org.shoreroad.fleet.BoxOrder;
+import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.fleet.MemberState;
+import org.shoreroad.fleet.Membership;
+
+/**
+ * Asks engines where they stand, and keeps what they said and which of them are silent.
+ *
+ * <p>A report tells the state of some hundred milliseconds ago, while the answer to an order tells
+ * that it is done. So the effect of an order that was taken counts at once, and reports count again
+ * when they must show it. Used on the event loop.
+ */
+final class EngineContact {
+  /** Added to the age of a report: an order and a question may overtake each other. */
+  private static final long REPORT_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+  private final LongSupplier clockNanos;
+  private final EventLog log;
+  private final Fleet fleet;
+  private final Engines engines;
+  private final ReachBook reach = new ReachBook();
+  private final Map<String, FleetBox> news = new HashMap<>();
+  private final Map<String, Long> reportsCountFromNanos = new HashMap<>();
+  private Runnable onUrgentNews = () -> {};
+  private Runnable onChange = () -> {};
+
+  EngineContact(LongSupplier clockNanos, EventLog log, Fleet fleet, Engines engines) {
+    this.clockNanos = clockNanos;
+    this.log = log;
+    this.fleet = fleet;
+    this.engines = engines;
+  }
+
+  /** Sets what is done when the head of a replica has changed, which other processes wait for. */
+  void setUrgentNewsListener(Runnable listener) {
+    onUrgentNews = listener;
+  }
+
+  /** Sets what is done when a box has changed or has fallen silent. */
+  void setChangeListener(Runnable listener) {
+    onChange = listener;
+  }
+
+  /** Returns which boxes answer. */
+  ReachBook reach() {
+    return reach;
+  }
+
+  /** Returns what is newly known of boxes; the next call returns only later news. */
+  List<FleetBox> takeNews() {
+    List<FleetBox> taken = List.copyOf(news.values());
+    news.clear();
+    return taken;
+  }
+
+  /** Asks a box, unless it was asked within the interval or an answer is awaited. */
+  void ask(FleetBox box, long intervalNanos, long nowNanos) {
+    if (!reach.isDue(box.id(), intervalNanos, nowNanos)) {
+      return;
+    }
+    reach.recordAsked(box.id(), nowNanos);
+    engines.ask(
+        box,
+        new Engines.AskCallback() {
+          @Override
+          public void onWord(FleetBox newest) {
+            reach.recordWord(box.id(), nowNanos);
+            if (nowNanos >= reportsCountFromNanos.getOrDefault(box.id(), Long.MIN_VALUE)) {
+              take(newest);
+            }
+          }
+
+          @Override
+          public void onSilence(Engines.Silence silence) {
+            log.write("box_silent", "box", box.id(), "address", box.address(), "why", silence);
+            recordSilence(box.id(), silence);
+            onChange.run();
+          }
+        });
+  }
+
+  /** Takes over what an order does to a box that has said that it carries the order out. */
+  void noteTaken(BoxOrder order, int reportLagMs) {
+    FleetBox box = fleet.find(order.boxId());
+    if (box == null) {
+      return;
+    }
+    long lagNanos = TimeUnit.MILLISECONDS.toNanos(reportLagMs) + REPORT_MARGIN_NANOS;
+    reportsCountFromNanos.put(box.id(), clockNanos.getAsLong() + lagNanos);
+    take(withEffect(box, order));
+  }
+
+  private static FleetBox withEffect(FleetBox box, BoxOrder order) {
+    Membership membership = box.membership();
+    switch (order.verb()) {
+      case JOIN -> {
+        int rank = order.members().indexOf(box.id());
+        Membership joining = new Membership(order.replica(), rank, MemberState.JOINING);
+        return box.withEngineState(null, box.stagedModels(), joining);
+      }
+      case LEAVE -> {
+        return box.withEngineState(null, box.stagedModels(), null);
+      }
+      case CLOSE_AFTER_WORK -> {
+        boolean isOpen = membership != null && membership.state() == MemberState.OPEN;
+        return isOpen ? withState(box, membership, MemberState.CLOSING) : box;
+      }
+      case CLOSE_NOW -> {
+        boolean isServing = membership != null && membership.state().isServing();
+        return isServing ? withState(box, membership, MemberState.READY) : box;
+      }
+      default -> {
+        // An opening and a load take their time.
+        return box;
+      }
+    }
+  }
+
+  private static FleetBox withState(FleetBox box, Membership membership, MemberState state) {
+    Membership changed = new Membership(membership.replica(), membership.rank(), state);
+    return box.withEngineState(box.model(), box.stagedModels(), changed);
+  }
+
+  private void take(FleetBox newest) {
+    FleetBox before = fleet.find(newest.id());
+    if (!fleet.update(newest)) {
+      return;
+    }
+    fleet.logWord(newest);
+    news.put(newest.id(), newest);
+    if (isHead(newest) || (before != null && isHead(before))) {
+      onUrgentNews.run();
+    }
+    onChange.run();
+  }
+
+  private static boolean isHead(FleetBox box) {
+    return box.membership() != null && box.membership().isHead();
+  }
+
+  private void recordSilence(String id, Engines.Silence silence) {
+    boolean isRefused = silence == Engines.Silence.REFUSED;
+    FleetBox known = fleet.find(id);
+    // A box that is to stay and does not listen has crashed; one that leaves may still be at work.
+    boolean isToStay = known != null && !known.isLeaving() && fleet.isListed(id);
+    boolean isGone = silence == Engines.Silence.GONE || (isRefused && isToStay);
+    reach.recordSilence(id, isGone, isRefused, clockNanos.getAsLong());
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReachBook.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReachBook.java
@@ -46,7 +46,12 @@
     entry.lastSilenceNanos = nowNanos;
   }
 
-  Reach reach(String id, long nowNanos) {
+  /**
+   * Returns whether a box can be reached.
+   *
+   * @param isDoubtful true if its replica stands still, so that one silence is enough
+   */
+  Reach reach(String id, boolean isDoubtful, long nowNanos) {
     Entry entry = entries.get(id);
     if (entry == null) {
       return Reach.LIKELY;
@@ -55,7 +60,7 @@
       return Reach.GONE;
     }
     boolean isSilent =
-        entry.silences >= SILENCES
+        entry.silences >= (isDoubtful ? 1 : SILENCES)
             || (entry.silences > 0 && nowNanos - entry.silentSinceNanos > LEAST_SILENCE_NANOS);
     return isSilent ? Reach.LOST : Reach.LIKELY;
   }
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -26,6 +26,7 @@
 import org.shoreroad.fleet.EngineSpec;
 import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.fleet.KeeperTiming;
+import org.shoreroad.fleet.MemberState;
 import org.shoreroad.fleet.Membership;
 import org.shoreroad.fleet.ReplicaId;
 import org.shoreroad.fleet.ReplicaPlan;
@@ -46,9 +47,12 @@
   /** A process that keeps no domain only answers the questions of others, this often. */
   private static final int TICK_WITHOUT_DOMAIN_MS = 200;
 
-  /** Between two questions to a box of a replica that is being formed or closed, or in doubt. */
+  /** Between two questions to a box of a domain in which a replica is formed or closed. */
   private static final long BUSY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(140);
 
+  /** Between two questions to a box that joins, or whose replica stands still. */
+  private static final long FORMING_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
+
   /** A word of an engine confirms where it stands for this long after it was asked. */
   private static final long CONFIRMED_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
@@ -57,29 +61,44 @@
   /** While weights are loaded, which takes seconds. */
   private static final long LOADING_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
+  /** To a box that did not answer, for the first second. */
+  private static final long NEWLY_SILENT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(130);
+
   /** To a box that did not answer. */
   private static final long SILENT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
+  private static final long NEWLY_SILENT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** Between two questions to a box on behalf of a peer, which has its own answers besides. */
+  private static final long PEERS_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+
+  /** The members of a suspected head are asked for this long, about six times each. */
+  private static final long DOUBTFUL_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
   /** A formation is asked after quickly for this long; then it must be loading. */
   private static final long QUICK_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
   /** Boxes and replicas that are gone are forgotten this often. */
   private static final long FORGET_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-  /** Beyond the time in which an engine breaks a replica that lost a member. */
-  private static final int STALL_MARGIN_MS = 1_000;
+  /**
+   * Beyond the time in which an engine breaks a replica that lost a member. That time runs from the
+   * loss, and this process counts from the first silence, which is later.
+   */
+  private static final int STALL_MARGIN_MS = 400;
 
   /**
    * A leaving box listens no more but ends its work for ten seconds at most; and a second beyond.
    */
   private static final long LEAVING_NANOS = TimeUnit.SECONDS.toNanos(11);
 
-  private final EventLoop loop;
+  private final Clockwork clockwork;
   private final LongSupplier clockNanos;
   private final EventLog log;
   private final Fleet fleet;
   private final DomainLease lease;
   private final Engines engines;
+  private final EngineContact contact;
   private final Supplier<@Nullable TrafficConfig> config;
   private final Supplier<Set<String>> suspectedHeads;
   private final Function<UpstreamService, Demand> demands;
@@ -87,13 +106,12 @@
   private final Supplier<Set<String>> alivePeers;
   private final long certainNanos;
   private final Set<ReplicaId> headsSeen = new HashSet<>();
-  private final Map<String, FleetBox> news = new HashMap<>();
-  private final ReachBook reach = new ReachBook();
   private final Map<String, DomainKeeper> keepers = new HashMap<>();
   private final Map<String, Long> busySinceNanos = new HashMap<>();
+  private final Map<String, Long> suspectedSinceNanos = new HashMap<>();
   private final Map<String, ServiceDomains> domainsByService = new HashMap<>();
-  private Runnable onUrgentNews = () -> {};
   private long forgottenNanos;
+  private boolean isHurried;
 
   /** Creates a service; {@link #start} begins its clockwork. */
   public ReplicaService(
@@ -109,12 +127,14 @@
       Doubts doubts,
       Supplier<Set<String>> alivePeers,
       int stallMs) {
-    this.loop = loop;
+    this.clockwork = new Clockwork(loop, log);
     this.clockNanos = clockNanos;
     this.log = log;
     this.fleet = fleet;
     this.lease = lease;
     this.engines = engines;
+    this.contact = new EngineContact(clockNanos, log, fleet, engines);
+    contact.setChangeListener(this::hurry);
     this.config = config;
     this.suspectedHeads = suspectedHeads;
     this.demands = demands;
@@ -125,35 +145,52 @@
 
   /** Sets what is done when the head of a replica has said something that others wait for. */
   public void setUrgentNewsListener(Runnable listener) {
-    onUrgentNews = listener;
+    contact.setUrgentNewsListener(listener);
   }
 
   /** Starts to keep. */
   public void start() {
-    new Clockwork(loop, log)
-        .every(() -> lease.holdsAny() ? TICK_MS : TICK_WITHOUT_DOMAIN_MS, "replicas", this::tick);
+    clockwork.every(
+        () -> lease.holdsAny() ? TICK_MS : TICK_WITHOUT_DOMAIN_MS, "replicas", this::tick);
+  }
+
+  /** Decides anew right after what happens now, in place of at the next tick. */
+  public void hurry() {
+    if (!isHurried && lease.holdsAny()) {
+      isHurried = true;
+      clockwork.once(0, "replicas", this::keepHurried);
+    }
+  }
+
+  private void keepHurried() {
+    isHurried = false;
+    keepAll();
   }
 
   private void tick() {
+    keepAll();
+    answerPeers();
+    if (clockNanos.getAsLong() - forgottenNanos > FORGET_INTERVAL_NANOS) {
+      forgottenNanos = clockNanos.getAsLong();
+      forgetOthers();
+    }
+  }
+
+  private void keepAll() {
     TrafficConfig current = config.get();
     if (current == null) {
       return;
     }
-    if (lease.holdsAny()) {
-      for (UpstreamService service : current.services()) {
-        EngineSpec engine = service.engine();
-        if (engine != null) {
-          keepService(service, engine);
-        }
-      }
-    } else {
+    if (!lease.holdsAny()) {
       keepers.clear();
       busySinceNanos.clear();
+      return;
     }
-    answerPeers();
-    if (clockNanos.getAsLong() - forgottenNanos > FORGET_INTERVAL_NANOS) {
-      forgottenNanos = clockNanos.getAsLong();
-      forgetOthers();
+    for (UpstreamService service : current.services()) {
+      EngineSpec engine = service.engine();
+      if (engine != null) {
+        keepService(service, engine);
+      }
     }
   }
 
@@ -161,9 +198,7 @@
    * Returns what engines have newly said to this process; the next call returns only later news.
    */
   public List<FleetBox> takeNews() {
-    List<FleetBox> taken = List.copyOf(news.values());
-    news.clear();
-    return taken;
+    return contact.takeNews();
   }
 
   /** Returns the boxes that peers asked about and that do not answer this process either. */
@@ -171,7 +206,7 @@
     long nowNanos = clockNanos.getAsLong();
     Set<String> silent = new HashSet<>();
     for (String id : doubts.askedByPeers().keySet()) {
-      if (reach.reach(id, nowNanos) != Reach.LIKELY) {
+      if (contact.reach().reach(id, false, nowNanos) != Reach.LIKELY) {
         silent.add(id);
       }
     }
@@ -185,7 +220,8 @@
         .forEach(
             (id, address) -> {
               FleetBox known = fleet.find(id);
-              ask(known == null ? strangerAt(id, address) : known, SILENT_INTERVAL_NANOS, nowNanos);
+              contact.ask(
+                  known == null ? strangerAt(id, address) : known, PEERS_INTERVAL_NANOS, nowNanos);
             });
   }
 
@@ -206,7 +242,7 @@
         }
       }
     }
-    reach.retain(known);
+    contact.reach().retain(known);
     headsSeen.retainAll(replicas);
   }
 
@@ -217,7 +253,7 @@
       domainsByService.put(service.name(), known);
     }
     ReplicaPlan plan = known.plan();
-    Set<String> suspected = suspectedHeads.get();
+    Set<String> suspected = findNewlySuspected();
     Demand demand = demands.apply(service);
     known
         .boxes()
@@ -233,6 +269,16 @@
             });
   }
 
+  /** Returns the heads that are suspected since a moment ago; the others have answered by now. */
+  private Set<String> findNewlySuspected() {
+    long nowNanos = clockNanos.getAsLong();
+    Set<String> suspected = new HashSet<>(suspectedHeads.get());
+    suspectedSinceNanos.keySet().retainAll(suspected);
+    suspected.forEach(id -> suspectedSinceNanos.putIfAbsent(id, nowNanos));
+    suspected.removeIf(id -> nowNanos - suspectedSinceNanos.get(id) > DOUBTFUL_NANOS);
+    return suspected;
+  }
+
   private ServiceDomains deriveDomains(UpstreamService service, EngineSpec engine) {
     Map<String, List<FleetBox>> boxesByDomain = new TreeMap<>();
     for (FleetBox box : fleet.boxes()) {
@@ -271,28 +317,19 @@
       Demand demand) {
     long nowNanos = clockNanos.getAsLong();
     DomainKeeper keeper = keepers.computeIfAbsent(key, name -> takeDomain(key, domain, boxes));
-    askInDoubt(boxes, suspected, nowNanos);
-    if (keeper.needsWords()) {
-      boxes.forEach(box -> ask(box, CONFIRMING_INTERVAL_NANOS, nowNanos));
-    }
-    if (keeper.isBusy()) {
-      long sinceNanos = busySinceNanos.computeIfAbsent(key, name -> nowNanos);
-      boolean isQuick = nowNanos - sinceNanos < QUICK_NANOS;
-      long intervalNanos = isQuick ? BUSY_INTERVAL_NANOS : LOADING_INTERVAL_NANOS;
-      boxes.forEach(box -> ask(box, intervalNanos, nowNanos));
-    } else {
-      busySinceNanos.remove(key);
-    }
+    boxes.forEach(this::findUnlistedHead);
+    Set<String> doubtful = findDoubtful(boxes, suspected);
+    askBoxes(key, keeper, boxes, doubtful, nowNanos);
     List<BoxSight> sights = new ArrayList<>();
     for (FleetBox box : boxes) {
       FleetBox newest = fleet.find(box.id());
       if (newest != null) {
-        sights.add(see(newest, nowNanos));
+        sights.add(see(newest, doubtful.contains(box.id()), nowNanos));
       }
     }
     keeper
         .decide(nowNanos, engine, sights, plan, headsSeen, demand)
-        .forEach(order -> give(keeper, order));
+        .forEach(order -> give(keeper, engine, order));
     for (BoxSight sight : sights) {
       if (sight.isDead() && !sight.isListed()) {
         fleet.forget(sight.box().id());
@@ -305,11 +342,49 @@
     return new DomainKeeper(domain, KeeperTiming.DEFAULT, lease::nextEpoch);
   }
 
-  private BoxSight see(FleetBox box, long nowNanos) {
+  /**
+   * Makes the head of a box's replica known by what the replica's name tells, if the list does not
+   * hold it: it may serve on without the store.
+   */
+  private void findUnlistedHead(FleetBox box) {
+    Membership membership = box.membership();
+    if (membership == null || headsSeen.contains(membership.replica())) {
+      return;
+    }
+    ReplicaId replica = membership.replica();
+    String headId = replica.headId();
+    String address = replica.headAddress();
+    if (headId == null || address == null || fleet.find(headId) != null) {
+      return;
+    }
+    Membership assumed = new Membership(replica, 0, MemberState.OPEN);
+    boolean mayLive =
+        fleet.addUnlisted(
+            new FleetBox(
+                headId,
+                box.service(),
+                address,
+                box.zone(),
+                box.slots(),
+                true,
+                box.domain(),
+                null,
+                List.of(),
+                assumed));
+    if (!mayLive) {
+      headsSeen.add(replica);
+    }
+  }
+
+  private BoxSight see(FleetBox box, boolean isDoubtful, long nowNanos) {
+    ReachBook reach = contact.reach();
     boolean isListed = fleet.isListed(box.id());
-    Reach reached = reach.reach(box.id(), nowNanos);
-    if (reached == Reach.LOST && !isListed) {
+    Reach reached = reach.reach(box.id(), isDoubtful, nowNanos);
+    if (reached == Reach.LOST) {
+      // The others need time to ask the box, so they are told before the list tells.
       doubts.raise(box.id(), box.address());
+    }
+    if (reached == Reach.LOST && !isListed) {
       // A head that only was cut off has been broken by its own engine by then.
       long limitNanos = reach.isRefusing(box.id()) ? LEAVING_NANOS : certainNanos;
       boolean isLong = reach.silentNanos(box.id(), nowNanos) > limitNanos;
@@ -325,66 +400,51 @@
     return new BoxSight(seen, isListed, reached, isSteady, isConfirmed, lastModel);
   }
 
-  /** Asks boxes that are silent or unlisted, and all members of suspected replicas. */
-  private void askInDoubt(List<FleetBox> boxes, Set<String> suspected, long nowNanos) {
-    Set<String> doubtful = new HashSet<>();
+  /** Returns the members of all replicas whose heads are suspected. */
+  private static Set<String> findDoubtful(List<FleetBox> boxes, Set<String> suspected) {
+    Set<ReplicaId> replicas = new HashSet<>();
     for (FleetBox box : boxes) {
-      Membership membership = box.membership();
-      if (membership != null && suspected.contains(box.id())) {
-        doubtful.add(membership.replica().toString());
+      if (box.membership() != null && suspected.contains(box.id())) {
+        replicas.add(box.membership().replica());
       }
     }
+    Set<String> doubtful = new HashSet<>();
     for (FleetBox box : boxes) {
-      Membership membership = box.membership();
-      boolean isDoubtful = membership != null && doubtful.contains(membership.replica().toString());
-      if (reach.isSilent(box.id()) || !fleet.isListed(box.id())) {
-        ask(box, SILENT_INTERVAL_NANOS, nowNanos);
-      } else if (isDoubtful) {
-        ask(box, BUSY_INTERVAL_NANOS, nowNanos);
+      if (box.membership() != null && replicas.contains(box.membership().replica())) {
+        doubtful.add(box.id());
       }
     }
+    return doubtful;
   }
 
-  private void ask(FleetBox box, long intervalNanos, long nowNanos) {
-    if (!reach.isDue(box.id(), intervalNanos, nowNanos)) {
-      return;
+  /** Asks the boxes of a domain, each as often as what happens there needs. */
+  private void askBoxes(
+      String key, DomainKeeper keeper, List<FleetBox> boxes, Set<String> doubtful, long nowNanos) {
+    boolean isBusy = keeper.isBusy();
+    if (!isBusy) {
+      busySinceNanos.remove(key);
+    }
+    long sinceNanos = isBusy ? busySinceNanos.computeIfAbsent(key, name -> nowNanos) : nowNanos;
+    boolean isQuick = nowNanos - sinceNanos < QUICK_NANOS;
+    Set<String> forming = keeper.formingIds();
+    for (FleetBox box : boxes) {
+      String id = box.id();
+      if (contact.reach().isSilent(id) || !fleet.isListed(id)) {
+        boolean isNew = contact.reach().silentNanos(id, nowNanos) < NEWLY_SILENT_NANOS;
+        long intervalNanos = isNew ? NEWLY_SILENT_INTERVAL_NANOS : SILENT_INTERVAL_NANOS;
+        contact.ask(box, intervalNanos, nowNanos);
+      } else if (doubtful.contains(id) || (isQuick && forming.contains(id))) {
+        contact.ask(box, FORMING_INTERVAL_NANOS, nowNanos);
+      } else if (isBusy) {
+        contact.ask(box, isQuick ? BUSY_INTERVAL_NANOS : LOADING_INTERVAL_NANOS, nowNanos);
+      }
+      if (keeper.needsWords()) {
+        contact.ask(box, CONFIRMING_INTERVAL_NANOS, nowNanos);
+      }
     }
-    reach.recordAsked(box.id(), nowNanos);
-    long askedNanos = nowNanos;
-    engines.ask(
-        box,
-        new Engines.AskCallback() {
-          @Override
-          public void onWord(FleetBox newest) {
-            reach.recordWord(box.id(), askedNanos);
-            if (fleet.update(newest)) {
-              fleet.logWord(newest);
-              news.put(newest.id(), newest);
-              Membership membership = newest.membership();
-              if (membership != null && membership.isHead()) {
-                onUrgentNews.run();
-              }
-            }
-          }
-
-          @Override
-          public void onSilence(Engines.Silence silence) {
-            log.write("box_silent", "box", box.id(), "address", box.address(), "why", silence);
-            recordSilence(box.id(), silence);
-          }
-        });
-  }
-
-  private void recordSilence(String id, Engines.Silence silence) {
-    boolean isRefused = silence == Engines.Silence.REFUSED;
-    FleetBox known = fleet.find(id);
-    // Who is to stay and does not listen has crashed; who leaves may still be at work.
-    boolean isToStay = known != null && !known.isLeaving() && fleet.isListed(id);
-    boolean isGone = silence == Engines.Silence.GONE || (isRefused && isToStay);
-    reach.recordSilence(id, isGone, isRefused, clockNanos.getAsLong());
   }
 
-  private void give(DomainKeeper keeper, BoxOrder order) {
+  private void give(DomainKeeper keeper, EngineSpec engine, BoxOrder order) {
     FleetBox box = fleet.find(order.boxId());
     if (box == null) {
       return;
@@ -397,6 +457,7 @@
         outcome -> {
           if (outcome == Engines.OrderOutcome.TAKEN) {
             keeper.noteTaken(order, clockNanos.getAsLong());
+            contact.noteTaken(order, engine.reportLagMs());
           } else if (outcome == Engines.OrderOutcome.NOT_FITTING) {
             keeper.noteUnfit(order, clockNanos.getAsLong());
           }
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -274,6 +274,24 @@
     }
   }
 
+  /**
+   * Adds an upstream that the list does not hold, so that it can be asked; it gets no requests.
+   *
+   * @return false if the address belongs to another life by now, so that this one is over
+   */
+  public boolean addUnlisted(FleetBox box) {
+    if (idsByAddress.containsKey(box.address())) {
+      return boxes.containsKey(box.id());
+    }
+    idsByAddress.put(box.address(), box.id());
+    boxes.put(box.id(), box);
+    removedAtNanos.put(box.id(), clockNanos.getAsLong());
+    offListIds.add(box.id());
+    changes++;
+    log.write("upstream_unlisted_known", "upstream", box.id(), "address", box.address());
+    return true;
+  }
+
   /** Forgets an upstream that is dead for certain. */
   public void forget(String id) {
     FleetBox gone = boxes.remove(id);
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -60,7 +60,18 @@
   private static final int SLOTS = 4;
   private static final EngineSpec ENGINE =
       new EngineSpec(
-          SLOTS, 9_999, 1, 0, 0, 46_000, 64, 1, 4, 6, List.of(new ModelShape("m", 1, 1, 1, 9, 1)));
+          SLOTS,
+          9_999,
+          1,
+          0,
+          0,
+          46_000,
+          64,
+          1,
+          4,
+          6,
+          200,
+          List.of(new ModelShape("m", 1, 1, 1, 9, 1)));
 
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   final EventLoop loop = group.next();
--- a/edge/src/test/java/org/shoreroad/edge/relay/UpstreamBoardTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UpstreamBoardTest.java
@@ -46,6 +46,7 @@
           5,
           4,
           6,
+          200,
           List.of(new ModelShape("m", 2, 1, 1, 16, 1.6)));
   private static final UpstreamService LLM = new UpstreamService("llm", 100, ENGINE);
   private static final UpstreamService WEB = new UpstreamService("web", 100, null);
@@ -178,7 +179,7 @@
   void aPeersSuspicionCountsUntilTheHeadBelongsToAnotherReplica() {
     list("a", "OPEN");
     assertThat(choose(Set.of()), is("a"));
-    board.suspectByPeer("a");
+    board.suspectByPeer(Set.of("a"));
     assertThat(choose(Set.of()) == null, is(true));
     assertThat(board.suspectedIds(), is(Set.of("a")));
     nowNanos += TimeUnit.SECONDS.toNanos(5);
--- a/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
@@ -46,7 +46,7 @@
   private static final int STEP_MS = 50;
   private static final EngineSpec ENGINE =
       new EngineSpec(
-          4, 999, 6, 0, 0, 46_000, 64, 5, 4, 6, List.of(new ModelShape("m", 2, 1, 1, 9, 1)));
+          4, 999, 6, 0, 0, 46_000, 64, 5, 4, 6, 0, List.of(new ModelShape("m", 2, 1, 1, 9, 1)));
   private static final TrafficConfig CONFIG =
       TrafficConfig.of(
           1, List.of(), List.of(new UpstreamService("llm", 9, ENGINE)), null, CallerLimits.DEFAULT);
@@ -114,6 +114,7 @@
     private final List<BoxOrder> orders = new ArrayList<>();
     private final List<Long> fences = new ArrayList<>();
     private final Set<String> refusing = new HashSet<>();
+    private final Set<String> mute = new HashSet<>();
 
     @Override
     public void ask(FleetBox box, AskCallback callback) {
@@ -122,6 +123,10 @@
         callback.onSilence(Silence.REFUSED);
         return;
       }
+      if (mute.contains(box.id())) {
+        callback.onSilence(Silence.NO_ANSWER);
+        return;
+      }
       Membership membership = memberships.get(box.id());
       callback.onWord(
           box.withEngineState(membership == null ? null : "m", List.of("m"), membership));
@@ -245,6 +250,62 @@
     assertThat(engines.count(BoxOrder.Verb.JOIN), is(2L));
   }
 
+  @Test
+  void anOrderFollowsTheAnswerToTheOneBefore() {
+    String head = formAndReturnHead();
+    engines.refusing.add(head.equals("a") ? "b" : "a");
+    engines.orders.clear();
+    suspected.add(head);
+    run(STEP_MS);
+    long closedNanos = nowNanos;
+    run(STEP_MS);
+    assertThat(engines.count(BoxOrder.Verb.CLOSE_NOW), is(1L));
+    assertThat(engines.count(BoxOrder.Verb.LEAVE), is(1L));
+    assertThat(engines.count(BoxOrder.Verb.JOIN), is(2L));
+    assertThat(nowNanos - closedNanos, is(TimeUnit.MILLISECONDS.toNanos(STEP_MS)));
+  }
+
+  @Test
+  void anUnlistedHeadIsFoundByTheNameOfItsReplicaAndKeepsItsMembersBound() {
+    FleetBox head = decode("h", new byte[0]);
+    ReplicaId replica = ReplicaId.of("d", "m", 3, head);
+    engines.memberships.put("h", new Membership(replica, 0, MemberState.OPEN));
+    engines.memberships.put("a", new Membership(replica, 1, MemberState.READY));
+    list("a");
+    list("b");
+    fleet.update(fleet.find("a").withEngineState("m", List.of("m"), engines.memberships.get("a")));
+    lease.start();
+    service.start();
+    run(2_000);
+    assertThat(engines.asked, hasItem("h"));
+    assertThat(fleet.isOnList("h"), is(false));
+    // It answers, so its work is ended by order before its member serves elsewhere.
+    List<String> given =
+        engines.orders.stream()
+            .filter(order -> order.verb() != BoxOrder.Verb.STAGE)
+            .map(order -> order.boxId() + " " + order.verb())
+            .toList();
+    assertThat(given.subList(0, 2), is(List.of("h CLOSE_AFTER_WORK", "h LEAVE")));
+    assertThat(given, hasItem("a JOIN"));
+  }
+
+  @Test
+  void membersOfAnUnlistedHeadThatIsSilentStayBoundForTheStallTime() {
+    FleetBox head = decode("h", new byte[0]);
+    ReplicaId replica = ReplicaId.of("d", "m", 3, head);
+    engines.mute.add("h");
+    engines.memberships.put("a", new Membership(replica, 1, MemberState.READY));
+    list("a");
+    list("b");
+    fleet.update(fleet.find("a").withEngineState("m", List.of("m"), engines.memberships.get("a")));
+    lease.start();
+    service.start();
+    run(5_000);
+    assertThat(engines.count(BoxOrder.Verb.JOIN), is(0L));
+    run(3_000);
+    assertThat(engines.count(BoxOrder.Verb.JOIN), is(2L));
+  }
+
   @Test
   void theWordOfAHeadIsUrgentNews() {
     int[] urgent = {0};
--- a/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
@@ -294,6 +294,26 @@
     assertThat(fleet.find("i-1").membership() == null, is(true));
   }
 
+  private static FleetBox unlisted(String id, String address) {
+    return new FleetBox(id, "s", address, "z", 1, true, "d", null, List.of(), null);
+  }
+
+  @Test
+  void aBoxThatTheListDoesNotHoldCanBeKnownAndGetsNoRequests() {
+    assertThat(fleet.addUnlisted(unlisted("i-9", "h:9")), is(true));
+    assertThat(fleet.find("i-9") == null, is(false));
+    assertThat(fleet.isOnList("i-9"), is(false));
+    fleet.onRecord(new StoreRecord(1, "i-9", "at h:9".getBytes(StandardCharsets.UTF_8)));
+    assertThat(fleet.isOnList("i-9"), is(true));
+  }
+
+  @Test
+  void aBoxAtWhoseAddressAnotherLifeIsListedIsOver() {
+    fleet.onRecord(new StoreRecord(1, "new", "at h:9".getBytes(StandardCharsets.UTF_8)));
+    assertThat(fleet.addUnlisted(unlisted("i-9", "h:9")), is(false));
+    assertThat(fleet.find("i-9") == null, is(true));
+  }
+
   private static FleetBox member(FleetBox box, String model, MemberState state) {
     Membership membership = new Membership(new ReplicaId("r", 5), 1, state);
     return box.withEngineState(model, List.of(), membership);
