Slow engines are passed over; readiness where no proof is needed

Change: PaceMeter measures the time between a stream's events against the engine's figures; a slow head costs more in the choice, and its silence limit grows with it. Where keys need no proof, a process without one is ready unless a peer has one. A new keeper does not take boxes that were idle before it for boxes that have just come free.

--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -43,7 +43,7 @@
   private static final double CONVERTING_GAIN = 0.2;
 
   /** The least that the worst pressure must fall when boxes have come free. */
-  private static final double LEAST_GAIN = 0.02;
+  private static final double LEAST_GAIN = 0.05;
 
   /** Domains see the same pressure, so each acts on it only in a second of its own out of these. */
   private static final int TURNS = 8;
@@ -74,7 +74,7 @@
   private boolean needsWords;
   private final List<BoxSight> comingFree = new ArrayList<>();
   private DomainPacking packing = DomainPacking.of(List.of(), Demand.NONE, List.of());
-  private final Set<String> formerlyAvailableIds = new HashSet<>();
+  private @Nullable Set<String> formerlyAvailableIds;
   private long convertedNanos = Long.MIN_VALUE / 2;
   private boolean isFresh;
   private Demand demand = Demand.NONE;
@@ -394,9 +394,10 @@
   private void convert(Collection<ObservedReplica> observed, long nowNanos) {
     Set<String> availableIds = new HashSet<>();
     available().forEach(sight -> availableIds.add(sight.box().id()));
-    boolean hasMore = !formerlyAvailableIds.containsAll(availableIds);
-    formerlyAvailableIds.clear();
-    formerlyAvailableIds.addAll(availableIds);
+    // A new keeper finds idle boxes that came free long ago.
+    boolean hasMore =
+        formerlyAvailableIds != null && !formerlyAvailableIds.containsAll(availableIds);
+    formerlyAvailableIds = availableIds;
     double before = packing.worstPressure(wanted, Map.of());
     boolean isMyTurn = (nowNanos / TURN_NANOS + domain.hashCode()) % TURNS == 0;
     boolean isPressed = before >= CONVERTING_PRESSURE && isMyTurn;
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -293,7 +293,7 @@
     return !isStopping
         && knowledge.config() != null
         && listFollower.isCurrent()
-        && knowledge.isProved();
+        && knowledge.isServing();
   }
 
   /** Writes where the fleet stands, so that a lack of replicas can be seen afterwards. */
--- a/edge/src/main/java/org/shoreroad/edge/Knowledge.java
+++ b/edge/src/main/java/org/shoreroad/edge/Knowledge.java
@@ -23,6 +23,9 @@
   /** What the way of a read adds to its waiting. */
   private static final int READ_WAY_MS = 250;
 
+  /** Five heartbeats: a peer that told a proof within this time still has one. */
+  private static final long PEER_PROOF_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private static final int LONGEST_WAIT_MS = 2_000;
   private static final int SHORTEST_WAIT_MS = 100;
 
@@ -33,6 +36,7 @@
   private final boolean isKeyProofRequired;
   private @Nullable TrafficConfig config;
   private @Nullable TopicFollower follower;
+  private long peerProvedNanos = Long.MIN_VALUE / 2;
   private int processCount = 1;
 
   /**
@@ -113,6 +117,15 @@
         && clockNanos.getAsLong() - from.provenNanos() < keyTrustNanos;
   }
 
+  /**
+   * Returns true if callers are served here as well as elsewhere: with a proof, or without one
+   * where none is required and no peer has one either.
+   */
+  boolean isServing() {
+    boolean isPeerBetter = clockNanos.getAsLong() - peerProvedNanos < PEER_PROOF_NANOS;
+    return isProved() || (mayTrustKeys() && !isPeerBetter);
+  }
+
   @Override
   public long configAgeMs() {
     return TimeUnit.NANOSECONDS.toMillis(configAgeNanos());
@@ -130,6 +143,9 @@
    * so its proof is no older than that time less the age it tells.
    */
   void learn(Heartbeat heartbeat) {
+    if (heartbeat.configAgeNanos() < keyTrustNanos) {
+      peerProvedNanos = clockNanos.getAsLong();
+    }
     TopicFollower from = follower;
     if (from != null && heartbeat.echoNanos() != 0) {
       from.proveByPeer(
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -33,6 +33,7 @@
   private @Nullable CompositeByteBuf body;
   private @Nullable EventRelay events;
   private boolean isPromptRead;
+  private long lastEventNanos;
   private boolean isOver;
 
   Attempt(Exchange exchange, Relay relay, Target target, long startedNanos) {
@@ -119,8 +120,10 @@
 
   @Override
   public void onContent(ByteBuf content) {
-    target.load().recordProgress(relay.nowNanos());
+    long nowNanos = relay.nowNanos();
+    target.load().recordProgress(nowNanos);
     if (events != null) {
+      measurePace(nowNanos);
       if (!events.take(content)) {
         fail(AttemptEnd.BROKEN);
       }
@@ -129,6 +132,14 @@
     }
   }
 
+  private void measurePace(long nowNanos) {
+    if (lastEventNanos != 0) {
+      double passMs = exchange.passMs(target.load());
+      target.load().pace().record(nowNanos - lastEventNanos, passMs, nowNanos);
+    }
+    lastEventNanos = nowNanos;
+  }
+
   @Override
   public void onEnd() {
     HttpResponse answered = head;
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -18,6 +18,8 @@
 import org.shoreroad.edge.caller.AnswerChannel;
 import org.shoreroad.edge.caller.CallerExchange;
 import org.shoreroad.edge.caller.CallerRequest;
+import org.shoreroad.fleet.EngineSpec;
+import org.shoreroad.fleet.ModelShape;
 import org.shoreroad.traffic.ClientAccount;
 import org.shoreroad.traffic.RequestKind;
 import org.shoreroad.traffic.Route;
@@ -449,6 +451,15 @@
     return reader.attemptId();
   }
 
+  /** Returns how long a pass takes at an upstream by its engine's figures, 0 if it has none. */
+  double passMs(UpstreamLoad load) {
+    EngineSpec engine = service == null ? null : service.engine();
+    ModelShape shape = engine == null ? null : engine.findModel(model).orElse(null);
+    return engine == null || shape == null
+        ? 0
+        : engine.passMs(shape, load.openCount(), load.waitingPromptTokens());
+  }
+
   String targetId() {
     return attempt == null ? "" : attempt.target().box().id();
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/SilenceLimit.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/SilenceLimit.java
@@ -24,6 +24,9 @@
   /** Added where only heartbeats, which come every 200 ms, tell of progress. */
   private static final long HEARTBEAT_SLACK_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+  /** A head that is slower than this by its figures serves its requests worse than a move does. */
+  private static final double SLOWEST = 4;
+
   private SilenceLimit() {}
 
   /**
@@ -32,10 +35,12 @@
    * @param engine the engines of the service, not null
    * @param model the model that runs there, not null
    * @param load what the head has, not null
+   * @param nowNanos the steady clock
    * @return the time in nanoseconds
    */
-  static long nanos(EngineSpec engine, ModelShape model, UpstreamLoad load) {
-    double passMs = engine.passMs(model, load.openCount(), load.waitingPromptTokens());
+  static long nanos(EngineSpec engine, ModelShape model, UpstreamLoad load, long nowNanos) {
+    double usualMs = engine.passMs(model, load.openCount(), load.waitingPromptTokens());
+    double passMs = usualMs * Math.min(SLOWEST, load.pace().slowness(nowNanos));
     long slackNanos = load.hasOwnWriter() ? WRITER_SLACK_NANOS : HEARTBEAT_SLACK_NANOS;
     return slackNanos + (long) (PASSES * passMs * 1e6);
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
@@ -58,6 +58,13 @@
   private static final int PLAIN_QUEUE_FACTOR = 2;
 
   private static final double FAILURE_COST = 3;
+
+  /** An engine that is twice as slow as usual counts as one that is half full. */
+  private static final double SLOWNESS_COST = 0.5;
+
+  /** Passes are measured up to this long by chance: prompts of other processes are read in them. */
+  private static final double USUAL_SLOWNESS = 1.5;
+
   private static final double OTHER_ZONE_COST = 0.03;
   private static final double JITTER_COST = 0.04;
 
@@ -182,6 +189,8 @@
       cost += (double) load.waitingPromptTokens() / (engine.chunkTokens() * 8.0);
     }
     cost += FAILURE_COST * load.failureMean();
+    cost +=
+        SLOWNESS_COST * Math.max(0, load.pace().slowness(clockNanos.getAsLong()) - USUAL_SLOWNESS);
     cost += box.zone().equals(zone) ? 0 : OTHER_ZONE_COST;
     return cost + JITTER_COST * random.nextDouble();
   }
@@ -359,7 +368,8 @@
         ModelShape model = engine.findModel(exchange.model()).orElse(null);
         boolean isStalled =
             model != null
-                && nowNanos - load.silentSinceNanos() > SilenceLimit.nanos(engine, model, load);
+                && nowNanos - load.silentSinceNanos()
+                    > SilenceLimit.nanos(engine, model, load, nowNanos);
         if (isStalled) {
           stall(load, exchange, nowNanos);
         }
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
@@ -13,6 +13,7 @@
   private static final double FAILURE_WEIGHT = 0.12;
 
   private final Set<Exchange> open = new LinkedHashSet<>();
+  private final PaceMeter pace = new PaceMeter();
   private long waitingPromptTokens;
   private int ownWriters;
   private int openElsewhere;
@@ -65,6 +66,11 @@
     ownWriters++;
   }
 
+  /** Returns how slow its passes are against the engine's figures. */
+  PaceMeter pace() {
+    return pace;
+  }
+
   /** Notes that the upstream moved: an event, or an answer. */
   void recordProgress(long nowNanos) {
     progressNanos = nowNanos;
--- a/edge/src/test/java/org/shoreroad/edge/KnowledgeTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/KnowledgeTest.java
@@ -147,6 +147,30 @@
     assertThat(lenient.isProved(), is(false));
   }
 
+  @Test
+  void whoNeedsNoProofServesWithoutOneUnlessAPeerHasOne() {
+    Knowledge lenient = new Knowledge(new NumberDecoder(), () -> nowNanos, log, REVOKE_MS, false);
+    follow(lenient);
+    lenient.onRecord(new StoreRecord(0, "config", new byte[] {'7'}));
+    assertThat(lenient.isServing(), is(true));
+    nowNanos += 2 * REVOKE_MS * MILLI_NANOS;
+    assertThat(lenient.isServing(), is(true));
+    // The peer has read further, so its proof does not hold here.
+    lenient.learn(heartbeat(nowNanos, 4, 0));
+    assertThat(lenient.isServing(), is(false));
+    nowNanos += 1_100 * MILLI_NANOS;
+    assertThat(lenient.isServing(), is(true));
+  }
+
+  @Test
+  void whoNeedsAProofDoesNotServeWithoutOne() {
+    follow();
+    take("7");
+    assertThat(knowledge.isServing(), is(true));
+    nowNanos += 2 * REVOKE_MS * MILLI_NANOS;
+    assertThat(knowledge.isServing(), is(false));
+  }
+
   @Test
   void aProofLastsUntilTheNextReadHasCome() {
     for (int revokeMs : new int[] {1_500, 3_000, 5_000, 20_000}) {
--- a/edge/src/test/java/org/shoreroad/edge/relay/SilenceLimitTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/SilenceLimitTest.java
@@ -16,10 +16,12 @@
   private static final EngineSpec ENGINE =
       new EngineSpec(18, 969_230, 6, 0.25, 0, 46_000, 2_048, 5, 4, 6, 200, List.of(MODEL));
 
+  private static final long NOW_NANOS = TimeUnit.HOURS.toNanos(1);
+
   private final UpstreamLoad load = new UpstreamLoad();
 
   private long limitMs() {
-    return TimeUnit.NANOSECONDS.toMillis(SilenceLimit.nanos(ENGINE, MODEL, load));
+    return TimeUnit.NANOSECONDS.toMillis(SilenceLimit.nanos(ENGINE, MODEL, load, NOW_NANOS));
   }
 
   @Test
@@ -36,6 +38,17 @@
     assertThat(limitMs(), is(300L));
   }
 
+  @Test
+  void aHeadThatIsKnownToBeSlowIsWaitedForLonger() {
+    load.addElsewhere(8, 0, 0);
+    load.promptRead(0);
+    long usualMs = limitMs();
+    for (int i = 0; i < 30; i++) {
+      load.pace().record(TimeUnit.MILLISECONDS.toNanos(120), 40, NOW_NANOS);
+    }
+    assertThat(limitMs(), is(greaterThan(usualMs + 80)));
+  }
+
   @Test
   void promptsThatWaitMakeAPassLongerUpToWhatItReads() {
     load.promptRead(0);
--- a/edge/src/test/java/org/shoreroad/edge/relay/UpstreamBoardTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UpstreamBoardTest.java
@@ -175,6 +175,17 @@
     assertThat(counts.get("b"), is(50));
   }
 
+  @Test
+  void aSlowHeadIsPassedOver() {
+    list("a", "OPEN");
+    list("b", "OPEN");
+    tellElsewhere("b", 1, 0, 0);
+    for (int i = 0; i < 20; i++) {
+      board.loadOf("a").pace().record(TimeUnit.MILLISECONDS.toNanos(160), 40, nowNanos);
+    }
+    assertThat(choose(Set.of()), is("b"));
+  }
+
   @Test
   void aPeersSuspicionCountsUntilTheHeadBelongsToAnotherReplica() {
     list("a", "OPEN");
