--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -95,6 +95,18 @@
     this.orderBook = new OrderBook(timing.orderRepeatNanos());
   }
 
+  /** Returns the heads whose closing is waited for. */
+  public Set<String> closingHeadIds() {
+    Set<String> ids = new HashSet<>();
+    for (BoxSight sight : sightsById.values()) {
+      Membership membership = sight.box().membership();
+      if (membership != null && membership.isHead() && closings.containsKey(membership.replica())) {
+        ids.add(sight.box().id());
+      }
+    }
+    return ids;
+  }
+
   /** Returns the boxes that are to become members of a replica: their states are waited for. */
   public Set<String> formingIds() {
     Set<String> ids = new HashSet<>();
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -87,6 +87,7 @@
   private final PeerMesh mesh;
   private final ReplicaService replicas;
   private final CallerServer callers;
+  private final LoopLag lag;
   private List<FleetBox> news = List.of();
   private boolean isStopping;
 
@@ -140,6 +141,7 @@
             board,
             knowledge,
             settings.rules());
+    this.lag = new LoopLag(log, UPKEEP_MS);
     this.doubts = new Doubts(clockNanos);
     this.mesh =
         new PeerMesh(
@@ -239,6 +241,7 @@
     metrics.gauge("shoreroad.config.age_ms", knowledge::configAgeMs);
     metrics.gauge("shoreroad.processes.alive", mesh::aliveCount);
     metrics.gauge("shoreroad.log.dropped_lines", log::droppedLines);
+    metrics.gauge("shoreroad.loop.longest_lag_ms", lag::takeLongestMs);
   }
 
   /**
@@ -305,6 +308,7 @@
   }
 
   private void upkeep() {
+    lag.measure(clockNanos.getAsLong());
     fleet.settle(listFollower.reachableForNanos());
     int processes = mesh.sharingCount();
     knowledge.setProcessCount(processes);
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
@@ -65,7 +65,12 @@
   /** Passes are measured up to this long by chance: prompts of other processes are read in them. */
   private static final double USUAL_SLOWNESS = 1.5;
 
-  private static final double OTHER_ZONE_COST = 0.03;
+  /** A quarter of a second of prompts that wait counts as much as all places taken. */
+  private static final double READ_SECONDS_PER_COST = 0.25;
+
+  /** What an upstream in another zone counts: two to three places of eighteen. */
+  private static final double OTHER_ZONE_COST = 0.12;
+
   private static final double JITTER_COST = 0.04;
 
   private final Fleet fleet;
@@ -185,8 +190,8 @@
     int places = Math.max(1, engine == null ? box.slots() : engine.slots());
     double cost = (double) load.openCount() / places;
     if (engine != null) {
-      // Reading a prompt holds up all others: a chunk that waits counts as a part of the places.
-      cost += (double) load.waitingPromptTokens() / (engine.chunkTokens() * 8.0);
+      // The first event comes after what waits is read, and that holds up all others too.
+      cost += load.waitingPromptTokens() / engine.promptTokensPerSecond() / READ_SECONDS_PER_COST;
     }
     cost += FAILURE_COST * load.failureMean();
     cost +=
--- a/edge/src/main/java/org/shoreroad/edge/replica/EngineContact.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/EngineContact.java
@@ -8,6 +8,7 @@
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.fleet.BoxOrder;
+import org.shoreroad.fleet.BoxOrder.Verb;
 import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.fleet.MemberState;
 import org.shoreroad.fleet.Membership;
@@ -31,7 +32,7 @@
   private final Map<String, FleetBox> news = new HashMap<>();
   private final Map<String, Long> reportsCountFromNanos = new HashMap<>();
   private Runnable onUrgentNews = () -> {};
-  private Runnable onChange = () -> {};
+  private Runnable onAnswer = () -> {};
 
   EngineContact(LongSupplier clockNanos, EventLog log, Fleet fleet, Engines engines) {
     this.clockNanos = clockNanos;
@@ -45,9 +46,9 @@
     onUrgentNews = listener;
   }
 
-  /** Sets what is done when a box has changed or has fallen silent. */
-  void setChangeListener(Runnable listener) {
-    onChange = listener;
+  /** Sets what is done when a box has answered or has fallen silent. */
+  void setAnswerListener(Runnable listener) {
+    onAnswer = listener;
   }
 
   /** Returns which boxes answer. */
@@ -74,29 +75,37 @@
           @Override
           public void onWord(FleetBox newest) {
             reach.recordWord(box.id(), nowNanos);
-            if (nowNanos >= reportsCountFromNanos.getOrDefault(box.id(), Long.MIN_VALUE)) {
+            if (reportsCount(box.id(), nowNanos)) {
               take(newest);
             }
+            onAnswer.run();
           }
 
           @Override
           public void onSilence(Engines.Silence silence) {
             log.write("box_silent", "box", box.id(), "address", box.address(), "why", silence);
             recordSilence(box.id(), silence);
-            onChange.run();
+            onAnswer.run();
           }
         });
   }
 
+  /** Returns true if a report that is asked for now shows the effect of the last order. */
+  boolean reportsCount(String id, long nowNanos) {
+    return nowNanos >= reportsCountFromNanos.getOrDefault(id, Long.MIN_VALUE);
+  }
+
   /** Takes over what an order does to a box that has said that it carries the order out. */
   void noteTaken(BoxOrder order, int reportLagMs) {
     FleetBox box = fleet.find(order.boxId());
-    if (box == null) {
+    boolean takesTime = order.verb() == Verb.OPEN || order.verb() == Verb.STAGE;
+    if (box == null || takesTime) {
       return;
     }
     long lagNanos = TimeUnit.MILLISECONDS.toNanos(reportLagMs) + REPORT_MARGIN_NANOS;
     reportsCountFromNanos.put(box.id(), clockNanos.getAsLong() + lagNanos);
     take(withEffect(box, order));
+    onAnswer.run();
   }
 
   private static FleetBox withEffect(FleetBox box, BoxOrder order) {
@@ -119,7 +128,6 @@
         return isServing ? withState(box, membership, MemberState.READY) : box;
       }
       default -> {
-        // An opening and a load take their time.
         return box;
       }
     }
@@ -140,7 +148,6 @@
     if (isHead(newest) || (before != null && isHead(before))) {
       onUrgentNews.run();
     }
-    onChange.run();
   }
 
   private static boolean isHead(FleetBox box) {
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -47,7 +47,7 @@
   /** A process that keeps no domain only answers the questions of others, this often. */
   private static final int TICK_WITHOUT_DOMAIN_MS = 200;
 
-  /** Between two questions to a box of a domain in which a replica is formed or closed. */
+  /** Between two questions to a head that ends its work. */
   private static final long BUSY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(140);
 
   /** Between two questions to a box that joins, or whose replica stands still. */
@@ -134,7 +134,7 @@
     this.lease = lease;
     this.engines = engines;
     this.contact = new EngineContact(clockNanos, log, fleet, engines);
-    contact.setChangeListener(this::hurry);
+    contact.setAnswerListener(this::hurry);
     this.config = config;
     this.suspectedHeads = suspectedHeads;
     this.demands = demands;
@@ -327,9 +327,14 @@
         sights.add(see(newest, doubtful.contains(box.id()), nowNanos));
       }
     }
+    boolean neededWords = keeper.needsWords();
     keeper
         .decide(nowNanos, engine, sights, plan, headsSeen, demand)
         .forEach(order -> give(keeper, engine, order));
+    if (keeper.needsWords() && !neededWords) {
+      // The boxes are asked at once.
+      hurry();
+    }
     for (BoxSight sight : sights) {
       if (sight.isDead() && !sight.isListed()) {
         fleet.forget(sight.box().id());
@@ -427,16 +432,19 @@
     long sinceNanos = isBusy ? busySinceNanos.computeIfAbsent(key, name -> nowNanos) : nowNanos;
     boolean isQuick = nowNanos - sinceNanos < QUICK_NANOS;
     Set<String> forming = keeper.formingIds();
+    Set<String> closing = keeper.closingHeadIds();
     for (FleetBox box : boxes) {
       String id = box.id();
       if (contact.reach().isSilent(id) || !fleet.isListed(id)) {
         boolean isNew = contact.reach().silentNanos(id, nowNanos) < NEWLY_SILENT_NANOS;
         long intervalNanos = isNew ? NEWLY_SILENT_INTERVAL_NANOS : SILENT_INTERVAL_NANOS;
         contact.ask(box, intervalNanos, nowNanos);
-      } else if (doubtful.contains(id) || (isQuick && forming.contains(id))) {
+      } else if (doubtful.contains(id)) {
         contact.ask(box, FORMING_INTERVAL_NANOS, nowNanos);
-      } else if (isBusy) {
-        contact.ask(box, isQuick ? BUSY_INTERVAL_NANOS : LOADING_INTERVAL_NANOS, nowNanos);
+      } else if (forming.contains(id) && contact.reportsCount(id, nowNanos)) {
+        contact.ask(box, isQuick ? FORMING_INTERVAL_NANOS : LOADING_INTERVAL_NANOS, nowNanos);
+      } else if (closing.contains(id)) {
+        contact.ask(box, BUSY_INTERVAL_NANOS, nowNanos);
       }
       if (keeper.needsWords()) {
         contact.ask(box, CONFIRMING_INTERVAL_NANOS, nowNanos);
--- a/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
@@ -44,6 +44,7 @@
 class ReplicaServiceTest {
   private static final long FENCE = 7;
   private static final int STEP_MS = 50;
+  private static final int TASKS_AT_ONCE = 8;
   private static final EngineSpec ENGINE =
       new EngineSpec(
           4, 999, 6, 0, 0, 46_000, 64, 5, 4, 6, 0, List.of(new ModelShape("m", 2, 1, 1, 9, 1)));
@@ -76,7 +77,8 @@
           5_000);
 
   private static FleetBox decode(String id, byte[] entry) {
-    return new FleetBox(id, "llm", id + ":1", "z", 4, false, "d", null, List.of(), null);
+    List<String> staged = entry.length > 1 ? List.of("m") : List.of();
+    return new FleetBox(id, "llm", id + ":1", "z", 4, false, "d", null, staged, null);
   }
 
   /** A store that gives the only partition to whoever asks. */
@@ -165,7 +167,10 @@
       long nanos = TimeUnit.MILLISECONDS.toNanos(STEP_MS);
       nowNanos += nanos;
       channel.advanceTimeBy(nanos, TimeUnit.NANOSECONDS);
-      channel.runScheduledPendingTasks();
+      // What a task schedules for at once is due only at the next call.
+      for (int i = 0; i < TASKS_AT_ONCE; i++) {
+        channel.runScheduledPendingTasks();
+      }
     }
   }
 
@@ -253,6 +258,7 @@
   @Test
   void anOrderFollowsTheAnswerToTheOneBefore() {
     String head = formAndReturnHead();
+    fleet.onRecord(new StoreRecord(9, "c", "staged".getBytes(StandardCharsets.UTF_8)));
     engines.refusing.add(head.equals("a") ? "b" : "a");
     engines.orders.clear();
     suspected.add(head);
