--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -42,7 +42,11 @@
  * @since 0.2
  */
 public final class ReplicaService {
-  private static final int TICK_MS = 50;
+  /** Between two decisions while something is under way; answers of engines come in between. */
+  private static final int BUSY_TICK_MS = 50;
+
+  /** Between two decisions else: only the list can bring news that is not told at once. */
+  private static final int CALM_TICK_MS = 150;
 
   /** A process that keeps no domain only answers the questions of others, this often. */
   private static final int TICK_WITHOUT_DOMAIN_MS = 200;
@@ -150,8 +154,15 @@
 
   /** Starts to keep. */
   public void start() {
-    clockwork.every(
-        () -> lease.holdsAny() ? TICK_MS : TICK_WITHOUT_DOMAIN_MS, "replicas", this::tick);
+    clockwork.every(this::tickMs, "replicas", this::tick);
+  }
+
+  private int tickMs() {
+    if (!lease.holdsAny()) {
+      return TICK_WITHOUT_DOMAIN_MS;
+    }
+    boolean isCalm = suspectedSinceNanos.isEmpty() && busySinceNanos.isEmpty();
+    return isCalm ? CALM_TICK_MS : BUSY_TICK_MS;
   }
 
   /** Decides anew right after what happens now, in place of at the next tick. */
