--- /dev/null
+++ b/core/src/main/java/org/shoreroad/fleet/Closings.java
@@ -0,0 +1,90 @@
+package org.shoreroad.fleet;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.fleet.BoxOrder.Verb;
+
+/** The replicas of a domain whose boxes are to serve elsewhere; for one thread. */
+final class Closings {
+  /** Why a whole replica is closed. */
+  private static final String MAKES_ROOM = "a wanted replica lacks boxes";
+
+  private final long drainLimitNanos;
+  private final Map<ReplicaId, Closing> closings = new HashMap<>();
+
+  /**
+   * Creates closings of which none is under way.
+   *
+   * @param drainLimitNanos how long running requests may keep a closing replica
+   */
+  Closings(long drainLimitNanos) {
+    this.drainLimitNanos = drainLimitNanos;
+  }
+
+  /** Notes that a replica is to be closed, unless that is noted. */
+  void begin(ReplicaId replica, boolean isUrgent, long nowNanos) {
+    closings.putIfAbsent(replica, new Closing(nowNanos, isUrgent));
+  }
+
+  boolean contains(ReplicaId replica) {
+    return closings.containsKey(replica);
+  }
+
+  boolean isEmpty() {
+    return closings.isEmpty();
+  }
+
+  /** Forgets all other replicas: they are gone. */
+  void retain(Set<ReplicaId> replicas) {
+    closings.keySet().retainAll(replicas);
+  }
+
+  /** Returns the heads among the boxes whose closing is waited for. */
+  Set<String> headIds(Iterable<BoxSight> sights) {
+    Set<String> ids = new HashSet<>();
+    for (BoxSight sight : sights) {
+      Membership membership = sight.box().membership();
+      if (membership != null && membership.isHead() && contains(membership.replica())) {
+        ids.add(sight.box().id());
+      }
+    }
+    return ids;
+  }
+
+  /**
+   * Returns the order that closes a replica, which is noted if it was not, or null if its head only
+   * has to end its work.
+   *
+   * @param isWhole false if it has lost a member, so that its work can't end
+   */
+  @Nullable BoxOrder order(
+      ObservedReplica replica, BoxSight head, MemberState state, boolean isWhole, long nowNanos) {
+    begin(replica.replica(), false, nowNanos);
+    Closing closing = closings.get(replica.replica());
+    String headId = head.box().id();
+    if (!isWhole) {
+      return BoxOrder.of(headId, Verb.CLOSE_NOW, replica.replica(), "a member is lost");
+    }
+    if (closing.isUrgent()) {
+      return BoxOrder.of(headId, Verb.CLOSE_NOW, replica.replica(), MAKES_ROOM);
+    }
+    if (nowNanos - closing.sinceNanos() > drainLimitNanos) {
+      return BoxOrder.of(headId, Verb.CLOSE_NOW, replica.replica(), "its work lasts too long");
+    }
+    String reason = replica.hasLeavingMember() ? "a member leaves" : MAKES_ROOM;
+    return state == MemberState.OPEN
+        ? BoxOrder.of(headId, Verb.CLOSE_AFTER_WORK, replica.replica(), reason)
+        : null;
+  }
+
+  /**
+   * A closing.
+   *
+   * @param sinceNanos when it was decided
+   * @param isUrgent true if the replica's work is not waited for
+   */
+  private record Closing(long sinceNanos, boolean isUrgent) {}
+}
--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -11,7 +11,6 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.function.LongSupplier;
-import org.jspecify.annotations.Nullable;
 import org.shoreroad.fleet.BoxOrder.Verb;
 
 /**
@@ -25,60 +24,21 @@
  * @since 0.2
  */
 public final class DomainKeeper {
-  /**
-   * Hosts of a model's boxes are prepared for another one while this part of its places is free.
-   */
-  private static final double PREPARING_PRESSURE = 0.5;
-
-  /** Why a replica beyond the plan is closed. */
-  private static final String MAKES_ROOM = "a wanted replica lacks boxes";
-
-  /** A small model is loaded first if it is at least this part as pressed as the most pressed. */
-  private static final double LOADING_PRESSURE_PART = 0.5;
-
-  /** Where no boxes have come free, replicas are closed for a model that is pressed this much. */
-  private static final double CONVERTING_PRESSURE = 0.8;
-
-  /** And only if the worst pressure then falls by this much. */
-  private static final double CONVERTING_GAIN = 0.2;
-
-  /** The least that the worst pressure must fall when boxes have come free. */
-  private static final double LEAST_GAIN = 0.05;
-
-  /** Domains see the same pressure, so each acts on it only in a second of its own out of these. */
-  private static final int TURNS = 8;
-
-  private static final long TURN_NANOS = 1_000_000_000L;
-
-  /**
-   * Closing, joining and opening take two to three seconds, and the load needs as long to follow.
-   */
-  private static final long CONVERTING_INTERVAL_NANOS = 6_000_000_000L;
-
   private final String domain;
   private final KeeperTiming timing;
   private final LongSupplier epochs;
   private final Map<ReplicaId, Formation> formations = new LinkedHashMap<>();
-  private final Map<ReplicaId, Closing> closings = new HashMap<>();
+  private final Closings closings;
   private final Map<ReplicaId, Long> headlessSinceNanos = new HashMap<>();
-  private final HostStagings stagings = new HostStagings();
+  private final HostPreparation hosts = new HostPreparation();
   private final SpareWarmings warmings;
+  private final ReplicaConversion conversion;
   private final OrderBook orderBook;
   private List<BoxOrder> orders = new ArrayList<>();
-  private Map<String, BoxSight> sightsById = Map.of();
-  private final Set<String> boundIds = new HashSet<>();
-  private final Map<String, Integer> standing = new HashMap<>();
+  private DomainView view = new DomainView(List.of());
+  private Demand demand = Demand.NONE;
   private Map<String, Integer> wanted = Map.of();
-  private final Set<String> stuckIds = new HashSet<>();
-  private boolean isMending;
   private boolean needsWords;
-  private final List<BoxSight> comingFree = new ArrayList<>();
-  private DomainPacking packing = DomainPacking.of(List.of(), Demand.NONE, List.of());
-  private @Nullable Set<String> formerlyAvailableIds;
-  private long convertedNanos = Long.MIN_VALUE / 2;
-  private boolean isFresh;
-  private Demand demand = Demand.NONE;
-  private boolean hasLoss;
 
   /**
    * Creates a keeper that knows nothing yet.
@@ -91,20 +51,15 @@
     this.domain = domain;
     this.timing = timing;
     this.epochs = epochs;
+    this.closings = new Closings(timing.drainLimitNanos());
     this.warmings = new SpareWarmings(domain, epochs);
+    this.conversion = new ReplicaConversion(domain);
     this.orderBook = new OrderBook(timing.orderRepeatNanos());
   }
 
   /** Returns the heads whose closing is waited for. */
   public Set<String> closingHeadIds() {
-    Set<String> ids = new HashSet<>();
-    for (BoxSight sight : sightsById.values()) {
-      Membership membership = sight.box().membership();
-      if (membership != null && membership.isHead() && closings.containsKey(membership.replica())) {
-        ids.add(sight.box().id());
-      }
-    }
-    return ids;
+    return closings.headIds(view.sights());
   }
 
   /** Returns the boxes that are to become members of a replica: their states are waited for. */
@@ -144,48 +99,45 @@
       Demand demand) {
     this.demand = demand;
     orders = new ArrayList<>();
-    boundIds.clear();
-    stuckIds.clear();
-    standing.clear();
-    isMending = false;
+    view = new DomainView(sights);
     needsWords = false;
-    comingFree.clear();
-    hasLoss = false;
-    sightsById = new HashMap<>();
-    sights.forEach(sight -> sightsById.put(sight.box().id(), sight));
     Map<ReplicaId, ObservedReplica> observed = ObservedReplica.from(sights);
-    closings.keySet().retainAll(observed.keySet());
+    closings.retain(observed.keySet());
     headlessSinceNanos.keySet().retainAll(observed.keySet());
 
     formations.values().removeIf(formation -> !advance(formation, nowNanos));
     warmings.forgetOlder(nowNanos - timing.warmingNanos());
     for (ObservedReplica replica : observed.values()) {
       if (!formations.containsKey(replica.replica())) {
-        if (warmings.isUnderWay(replica)) {
-          replica.members().forEach(member -> boundIds.add(member.box().id()));
-        } else if (replica.head() == null) {
-          keepHeadless(replica, headsSeen, nowNanos);
-        } else {
-          keep(replica, replica.head(), spec, nowNanos);
-        }
+        keepAny(replica, spec, headsSeen, nowNanos);
       }
     }
-    isFresh = !demand.hasTraffic() && sights.stream().allMatch(BoxSight::isBlank);
-    packing = DomainPacking.of(modelsOf(spec), demand, sights);
-    wanted = want(plan, modelsOf(spec));
-    List<ModelShape> models = byNeed(spec);
-    if (demand.hasTraffic()) {
-      convert(observed.values(), nowNanos);
-    } else {
-      giveUpReserve(spec, observed.values(), nowNanos);
-    }
+    List<ModelShape> models = byNeed(spec, plan);
+    makeRoom(models, observed.values(), nowNanos);
     formMissing(models, nowNanos);
     formReserve(models, nowNanos);
-    prepareHosts(spec, models, nowNanos);
-    warmSpares(models, nowNanos);
+    if (!needsWords) {
+      boolean isChanging = !formations.isEmpty();
+      hosts
+          .prepare(view, spec, models, demand, this::surplus, isChanging, nowNanos)
+          .forEach(order -> order(order, nowNanos));
+      warmSpares(models, nowNanos);
+    }
     return orders;
   }
 
+  private void keepAny(
+      ObservedReplica replica, EngineSpec spec, Set<ReplicaId> headsSeen, long nowNanos) {
+    BoxSight head = replica.head();
+    if (warmings.isUnderWay(replica)) {
+      view.bind(replica.members());
+    } else if (head == null) {
+      keepHeadless(replica, headsSeen, nowNanos);
+    } else {
+      keep(replica, head, spec, nowNanos);
+    }
+  }
+
   /** Notes that an engine said that it carries an order out. */
   public void noteTaken(BoxOrder order, long nowNanos) {
     orderBook.noteTaken(order, nowNanos);
@@ -197,18 +149,17 @@
    */
   public void noteUnfit(BoxOrder order, long nowNanos) {
     if (order.verb() == Verb.OPEN && order.replica() != null) {
-      closings.putIfAbsent(order.replica(), new Closing(nowNanos, true));
+      closings.begin(order.replica(), true, nowNanos);
     }
   }
 
   /** Lets spare boxes take the weights from their hosts that they would most likely need. */
   private void warmSpares(List<ModelShape> models, long nowNanos) {
-    if (formations.isEmpty() && !isMending && !needsWords) {
+    if (formations.isEmpty() && !view.isMending()) {
       List<ModelShape> byBoxes = new ArrayList<>(models);
       byBoxes.sort(
-          Comparator.comparingInt(
-              model -> -standing.getOrDefault(model.name(), 0) * model.boxes()));
-      warmings.begin(freeBoxes(), byBoxes, nowNanos).forEach(order -> order(order, nowNanos));
+          Comparator.comparingInt(model -> -view.standingCount(model.name()) * model.boxes()));
+      warmings.begin(view.free(), byBoxes, nowNanos).forEach(order -> order(order, nowNanos));
     }
   }
 
@@ -217,7 +168,7 @@
     ReplicaId replica = formation.replica();
     List<BoxSight> members = new ArrayList<>();
     for (String id : formation.memberIds()) {
-      BoxSight sight = sightsById.get(id);
+      BoxSight sight = view.sightsById().get(id);
       if (sight == null || !sight.isFit()) {
         return giveUp(formation, "member " + id + " is not fit", nowNanos);
       }
@@ -231,7 +182,7 @@
     if (formation.isOverdue(nowNanos)) {
       return giveUp(formation, "not ready in time", nowNanos);
     }
-    bind(members, formation.model().name());
+    view.bindStanding(members, formation.model().name());
     if (members.stream().allMatch(member -> member.isIn(replica, MemberState.READY))) {
       order(BoxOrder.of(head.box().id(), Verb.OPEN, replica, "all members are ready"), nowNanos);
       return true;
@@ -252,9 +203,11 @@
   }
 
   private boolean giveUp(Formation formation, String why, long nowNanos) {
+    Map<String, BoxSight> sightsById = view.sightsById();
     BoxSight head = sightsById.get(formation.headId());
     if (head != null && isMemberOf(head, formation.replica()) && !head.isLost()) {
-      boundIds.addAll(formation.memberIds());
+      view.bind(
+          formation.memberIds().stream().map(sightsById::get).filter(Objects::nonNull).toList());
       order(
           BoxOrder.of(head.box().id(), Verb.LEAVE, formation.replica(), "given up: " + why),
           nowNanos);
@@ -269,20 +222,15 @@
   private void keepHeadless(ObservedReplica replica, Set<ReplicaId> headsSeen, long nowNanos) {
     if (headsSeen.contains(replica.replica())) {
       // A member that was cut off together with its head did not make the head break.
-      replica.members().stream().filter(member -> !member.isSteady()).forEach(this::bindStuck);
+      view.bind(replica.members().stream().filter(member -> !member.isSteady()).toList());
       return;
     }
     long sinceNanos = headlessSinceNanos.computeIfAbsent(replica.replica(), id -> nowNanos);
     if (nowNanos - sinceNanos < timing.headlessNanos()) {
-      replica.members().forEach(this::bindStuck);
+      view.bind(replica.members());
     }
   }
 
-  private void bindStuck(BoxSight member) {
-    boundIds.add(member.box().id());
-    stuckIds.add(member.box().id());
-  }
-
   /** Decides on a replica that is not being formed by this keeper. */
   private void keep(ObservedReplica replica, BoxSight head, EngineSpec spec, long nowNanos) {
     String modelName = replica.model();
@@ -296,15 +244,13 @@
       return;
     }
     // Until its head has let go, nobody of it may be joined elsewhere.
-    replica.members().forEach(member -> boundIds.add(member.box().id()));
-    isMending = true;
-    hasLoss = hasLoss || !isWhole;
+    view.bind(replica.members());
+    view.noteMending(!isWhole);
     if (head.isLost()) {
       // Its members are free only once it is dead for certain.
-      replica.members().forEach(this::bindStuck);
       return;
     }
-    replica.members().stream().filter(BoxSight::isFit).forEach(comingFree::add);
+    view.noteComingFree(replica.members());
     if (state.isServing()) {
       close(replica, head, state, isWhole, nowNanos);
     } else {
@@ -314,14 +260,14 @@
 
   private boolean keepWhole(
       ObservedReplica replica, BoxSight head, MemberState state, ModelShape model, long nowNanos) {
-    boolean isClosed = closings.containsKey(replica.replica());
+    boolean isClosed = closings.contains(replica.replica());
     if (state == MemberState.OPEN && !isClosed) {
-      bind(replica.members(), model.name());
+      view.bindStanding(replica.members(), model.name());
       return true;
     }
     if (state == MemberState.READY && replica.isEveryMemberReady() && !isClosed) {
       // Left ready by an earlier keeper: it only needs to be opened.
-      bind(replica.members(), model.name());
+      view.bindStanding(replica.members(), model.name());
       order(BoxOrder.of(head.box().id(), Verb.OPEN, replica.replica(), "found ready"), nowNanos);
       return true;
     }
@@ -330,66 +276,75 @@
 
   private void close(
       ObservedReplica replica, BoxSight head, MemberState state, boolean isWhole, long nowNanos) {
-    Closing closing =
-        closings.computeIfAbsent(replica.replica(), id -> new Closing(nowNanos, false));
-    boolean isOverdue = nowNanos - closing.sinceNanos() > timing.drainLimitNanos();
-    if (!isWhole || closing.isUrgent() || isOverdue) {
-      String reason = isOverdue ? "its work lasts too long" : "a member is lost";
-      order(
-          BoxOrder.of(
-              head.box().id(),
-              Verb.CLOSE_NOW,
-              replica.replica(),
-              isWhole && closing.isUrgent() ? MAKES_ROOM : reason),
-          nowNanos);
-    } else if (state == MemberState.OPEN) {
-      String reason = replica.hasLeavingMember() ? "a member leaves" : MAKES_ROOM;
-      order(
-          BoxOrder.of(head.box().id(), Verb.CLOSE_AFTER_WORK, replica.replica(), reason), nowNanos);
+    BoxOrder closing = closings.order(replica, head, state, isWhole, nowNanos);
+    if (closing != null) {
+      order(closing, nowNanos);
     }
   }
 
   /**
-   * Returns how many replicas of each model the domain is to hold now: before the first request
-   * what the plan says, then what stands and what its free boxes do best.
+   * Closes replicas whose boxes do more elsewhere, and settles how many replicas of each model the
+   * domain is to hold: before the first request what the plan says, then what stands and what its
+   * free boxes do best.
    */
-  private Map<String, Integer> want(ReplicaPlan plan, List<ModelShape> models) {
-    Map<String, Integer> counts = new HashMap<>();
+  private void makeRoom(
+      List<ModelShape> models, Collection<ObservedReplica> observed, long nowNanos) {
+    List<ObservedReplica> givable = observed.stream().filter(this::isGivable).toList();
+    List<ObservedReplica> closed;
     if (demand.hasTraffic()) {
-      counts.putAll(standing);
+      DomainPacking packing = DomainPacking.of(models, demand, view.sights());
+      Map<String, Integer> counts = new HashMap<>(view.standing());
       packing
-          .fill(available(), standing)
+          .fill(view.available(), view.standing())
           .forEach((name, more) -> counts.merge(name, more, Integer::sum));
+      wanted = counts;
+      closed = conversion.choose(view, packing, wanted, givable, nowNanos);
     } else {
-      models.forEach(model -> counts.put(model.name(), plan.wanted(domain, model.name())));
+      closed = reserveToGiveUp(models, givable);
+    }
+    for (ObservedReplica replica : closed) {
+      // After a loss each second counts; else the work may end first, as the leaving one's does.
+      closings.begin(replica.replica(), view.hasLoss(), nowNanos);
+      close(replica, Objects.requireNonNull(replica.head()), MemberState.OPEN, true, nowNanos);
     }
-    return counts;
   }
 
-  /** Returns the boxes that are free, or come free as their replicas are closed. */
-  private List<BoxSight> available() {
-    List<BoxSight> available = freeBoxes();
-    available.addAll(comingFree);
-    available.removeIf(BoxSight::isBlank);
-    return available;
+  private boolean isGivable(ObservedReplica replica) {
+    BoxSight head = replica.head();
+    return head != null
+        && replica.model() != null
+        && head.box().isOpenHead()
+        && !closings.contains(replica.replica());
   }
 
-  private static List<ModelShape> modelsOf(EngineSpec spec) {
-    return spec.models().stream().filter(model -> model.share() > 0).toList();
+  /** Returns a replica beyond the plan if a wanted one has no boxes otherwise. */
+  private List<ObservedReplica> reserveToGiveUp(
+      List<ModelShape> models, List<ObservedReplica> givable) {
+    int available = view.availableCount();
+    boolean isLacking =
+        models.stream().anyMatch(model -> surplus(model) < 0 && model.boxes() > available);
+    return givable.stream()
+        .filter(replica -> isLacking && surplus(String.valueOf(replica.model())) > 0)
+        .limit(1)
+        .toList();
   }
 
   /** Returns the models, the most pressed first; of equal ones the one that lacks the most. */
-  private List<ModelShape> byNeed(EngineSpec spec) {
-    List<ModelShape> models = new ArrayList<>(modelsOf(spec));
+  private List<ModelShape> byNeed(EngineSpec spec, ReplicaPlan plan) {
+    List<ModelShape> models = new ArrayList<>(spec.models());
+    models.removeIf(model -> model.share() <= 0);
+    Map<String, Integer> planned = new HashMap<>();
+    models.forEach(model -> planned.put(model.name(), plan.wanted(domain, model.name())));
+    wanted = planned;
     models.sort(
         Comparator.comparingDouble((ModelShape model) -> -demand.pressure(model.name()))
-            .thenComparingDouble(model -> coverage(model)));
+            .thenComparingDouble(this::coverage));
     return models;
   }
 
   private void formMissing(List<ModelShape> models, long nowNanos) {
     for (ModelShape model : models) {
-      while (surplus(model.name()) < 0) {
+      while (surplus(model) < 0) {
         if (!form(model, nowNanos)) {
           break;
         }
@@ -397,105 +352,10 @@
     }
   }
 
-  /**
-   * Closes one or two standing replicas if their boxes, together with what is free, relieve the
-   * most pressed model. That costs their callers a move and their boxes one to two seconds. So it
-   * is done when boxes have just come free, which must be put to use anyway, or else under high
-   * pressure, for a clear gain, and by one domain after the other.
-   */
-  private void convert(Collection<ObservedReplica> observed, long nowNanos) {
-    Set<String> availableIds = new HashSet<>();
-    available().forEach(sight -> availableIds.add(sight.box().id()));
-    // A new keeper finds idle boxes that came free long ago.
-    boolean hasMore =
-        formerlyAvailableIds != null && !formerlyAvailableIds.containsAll(availableIds);
-    formerlyAvailableIds = availableIds;
-    double before = packing.worstPressure(wanted, Map.of());
-    boolean isMyTurn = (nowNanos / TURN_NANOS + domain.hashCode()) % TURNS == 0;
-    boolean isPressed = before >= CONVERTING_PRESSURE && isMyTurn;
-    boolean isTooSoon = nowNanos - convertedNanos < CONVERTING_INTERVAL_NANOS;
-    if (isTooSoon || !(hasMore || isPressed)) {
-      return;
-    }
-    double gain = hasMore ? LEAST_GAIN : CONVERTING_GAIN;
-    List<ObservedReplica> givable = observed.stream().filter(this::isGivable).toList();
-    List<ObservedReplica> best = List.of();
-    double least = before - gain;
-    for (List<ObservedReplica> some : oneOrTwoOf(givable)) {
-      double after = pressureWithout(some);
-      if (after < least) {
-        best = some;
-        least = after;
-      }
-    }
-    for (ObservedReplica replica : best) {
-      convertedNanos = nowNanos;
-      closings.put(replica.replica(), new Closing(nowNanos, hasLoss));
-      close(replica, Objects.requireNonNull(replica.head()), MemberState.OPEN, true, nowNanos);
-    }
-  }
-
-  private static List<List<ObservedReplica>> oneOrTwoOf(List<ObservedReplica> replicas) {
-    List<List<ObservedReplica>> choices = new ArrayList<>();
-    replicas.forEach(replica -> choices.add(List.of(replica)));
-    for (int i = 0; i < replicas.size(); i++) {
-      for (int j = i + 1; j < replicas.size(); j++) {
-        choices.add(List.of(replicas.get(i), replicas.get(j)));
-      }
-    }
-    return choices;
-  }
-
-  private boolean isGivable(ObservedReplica replica) {
-    BoxSight head = replica.head();
-    return head != null
-        && replica.model() != null
-        && head.box().isOpenHead()
-        && !closings.containsKey(replica.replica());
-  }
-
-  /** Returns the worst pressure if the boxes of replicas, and what is free, form what is best. */
-  private double pressureWithout(List<ObservedReplica> replicas) {
-    Map<String, Integer> rest = new HashMap<>(standing);
-    List<BoxSight> boxes = available();
-    for (ObservedReplica replica : replicas) {
-      rest.merge(String.valueOf(replica.model()), -1, Integer::sum);
-      boxes.addAll(replica.members());
-    }
-    return packing.worstPressure(rest, packing.fill(boxes, rest));
-  }
-
-  /** Closes a replica beyond the plan if a wanted one has no boxes otherwise. */
-  private void giveUpReserve(EngineSpec spec, Collection<ObservedReplica> observed, long nowNanos) {
-    ModelShape lacking = findLacking(spec);
-    if (lacking == null) {
-      return;
-    }
-    for (ObservedReplica replica : observed) {
-      BoxSight head = replica.head();
-      String model = replica.model();
-      if (isGivable(replica) && head != null && model != null && surplus(model) > 0) {
-        // After a loss each second counts; else the work may end first, as the leaving one's does.
-        closings.put(replica.replica(), new Closing(nowNanos, hasLoss));
-        close(replica, head, MemberState.OPEN, true, nowNanos);
-        return;
-      }
-    }
-  }
-
-  /** Returns the most pressed model that lacks a replica and boxes for it, or null. */
-  private @Nullable ModelShape findLacking(EngineSpec spec) {
-    int available = freeBoxes().size() + comingFree.size();
-    return byNeed(spec).stream()
-        .filter(model -> surplus(model.name()) < 0 && model.boxes() > available)
-        .findFirst()
-        .orElse(null);
-  }
-
   /** Lets the boxes that nobody wants serve too, for the most pressed model that they can hold. */
   private void formReserve(List<ModelShape> models, long nowNanos) {
-    boolean isComplete = models.stream().allMatch(model -> surplus(model.name()) >= 0);
-    if (!isComplete || isMending || !closings.isEmpty()) {
+    boolean isComplete = models.stream().allMatch(model -> surplus(model) >= 0);
+    if (!isComplete || view.isMending() || !closings.isEmpty()) {
       return;
     }
     for (ModelShape model : models) {
@@ -505,36 +365,31 @@
     }
   }
 
+  private int surplus(ModelShape model) {
+    return surplus(model.name());
+  }
+
   private int surplus(String model) {
-    return standing.getOrDefault(model, 0) - wanted.getOrDefault(model, 0);
+    return view.standingCount(model) - wanted.getOrDefault(model, 0);
   }
 
   private double coverage(ModelShape model) {
     int count = wanted.getOrDefault(model.name(), 0);
-    return count == 0 ? 1 : (double) standing.getOrDefault(model.name(), 0) / count;
-  }
-
-  /** Returns the free boxes that can hold the model soonest, as many as it needs if there are. */
-  private List<BoxSight> pickMembers(ModelShape model) {
-    List<BoxSight> free = freeBoxes();
-    free.sort(
-        Comparator.comparingInt((BoxSight sight) -> sight.joinCost(model))
-            .thenComparing(sight -> sight.box().id()));
-    return free.subList(0, Math.min(free.size(), model.boxes()));
+    return count == 0 ? 1 : (double) view.standingCount(model.name()) / count;
   }
 
   private boolean form(ModelShape model, long nowNanos) {
-    List<BoxSight> members = pickMembers(model);
+    List<BoxSight> members = view.pickMembers(model);
     if (members.size() < model.boxes()) {
       return false;
     }
-    // The list may lag behind the engines: a head that it shows as free may be open again.
-    if (sightsById.values().stream().anyMatch(sight -> sight.isFit() && !sight.isConfirmed())) {
+    if (!view.isConfirmed()) {
       needsWords = true;
       return false;
     }
     int loads = (int) members.stream().filter(sight -> sight.isCold(model)).count();
     // A load keeps all members idle: the weights are put on the hosts first, but at the very start.
+    boolean isFresh = !demand.hasTraffic() && view.sights().stream().allMatch(BoxSight::isBlank);
     if (loads > 0 && !isFresh) {
       return false;
     }
@@ -545,117 +400,19 @@
     long limitNanos = (long) (seconds * 1e9) + timing.joinSlackNanos();
     Formation formation = new Formation(replica, model, ids, nowNanos, limitNanos);
     formations.put(replica, formation);
-    bind(members, model.name());
+    view.bindStanding(members, model.name());
     for (String id : ids) {
       order(BoxOrder.join(id, replica, model.name(), ids, "to hold " + model.name()), nowNanos);
     }
     return true;
   }
 
-  /** Orders the loads to hosts: of what lacks first, then of what is free, then of the reserve. */
-  private void prepareHosts(EngineSpec spec, List<ModelShape> models, long nowNanos) {
-    if (needsWords) {
-      return;
-    }
-    boolean isUrgent = standing.isEmpty() || !demand.hasTraffic() || hasUnservedModel(models);
-    stagings.begin(spec, sightsById, isUrgent, nowNanos);
-    for (ModelShape model : models) {
-      if (surplus(model.name()) < 0) {
-        pickMembers(model).forEach(sight -> stage(sight, model, nowNanos));
-      }
-    }
-    for (BoxSight sight : freeBoxes()) {
-      if (sight.isBlank()) {
-        stage(sight, firstToLoad(models), nowNanos);
-      } else if (sight.hasRoomOnHost() && !isUrgent) {
-        // A spare that held one model last and has another on its host fits either replica.
-        models.stream()
-            .filter(sight::isCold)
-            .findFirst()
-            .ifPresent(model -> stage(sight, model, nowNanos));
-      }
-    }
-    if (formations.isEmpty() && !isMending) {
-      sightsById.values().forEach(sight -> prepareForOther(sight, spec, models, nowNanos));
-    }
-  }
-
-  private boolean hasUnservedModel(List<ModelShape> models) {
-    return models.stream().anyMatch(model -> demand.replicaCount(model.name()) == 0);
-  }
-
-  /**
-   * Returns the model that boxes without weights load first: the one with the smallest replicas,
-   * which can serve soonest as boxes load one after the other, unless another is pressed far more.
-   */
-  private ModelShape firstToLoad(List<ModelShape> models) {
-    ModelShape pressed = models.get(0);
-    double least = LOADING_PRESSURE_PART * demand.pressure(pressed.name());
-    return models.stream()
-        .filter(model -> demand.pressure(model.name()) >= least)
-        .min(Comparator.comparingInt(ModelShape::boxes))
-        .orElse(pressed);
-  }
-
-  /** Puts another model's weights on the host of a box that could be spared for it. */
-  private void prepareForOther(
-      BoxSight sight, EngineSpec spec, List<ModelShape> models, long nowNanos) {
-    FleetBox box = sight.box();
-    ModelShape other = models.stream().filter(sight::isCold).findFirst().orElse(null);
-    // In traffic only small replicas are prepared, and not while their own model needs them more.
-    double pressure = demand.pressure(box.model());
-    boolean isSpare =
-        isSmall(box, spec)
-            && other != null
-            && (pressure < PREPARING_PRESSURE || pressure < demand.pressure(other.name()));
-    if (sight.isFit() && other != null && (isSpare || !demand.hasTraffic())) {
-      stage(sight, other, nowNanos);
-    }
-  }
-
-  private void stage(BoxSight sight, ModelShape model, long nowNanos) {
-    if (stagings.tryBegin(sight, model, nowNanos)) {
-      order(BoxOrder.stage(sight.box().id(), model.name(), "to be at hand for a loss"), nowNanos);
-    }
-  }
-
-  /** Returns true if the box serves in a replica of the smallest model. */
-  private static boolean isSmall(FleetBox box, EngineSpec spec) {
-    int smallest = spec.models().stream().mapToInt(ModelShape::boxes).min().orElse(0);
-    return spec.findModel(String.valueOf(box.model()))
-        .filter(model -> model.boxes() == smallest)
-        .isPresent();
-  }
-
-  private List<BoxSight> freeBoxes() {
-    List<BoxSight> free = new ArrayList<>();
-    for (BoxSight sight : sightsById.values()) {
-      if (sight.isFit() && !boundIds.contains(sight.box().id())) {
-        free.add(sight);
-      }
-    }
-    return free;
-  }
-
-  private void bind(Collection<BoxSight> members, String model) {
-    members.forEach(member -> boundIds.add(member.box().id()));
-    standing.merge(model, 1, Integer::sum);
-  }
-
   private void order(BoxOrder order, long nowNanos) {
     if (orderBook.isDue(order, nowNanos)) {
       orders.add(order);
     }
   }
 
-  /**
-   * A replica whose boxes are to serve elsewhere.
-   *
-   * @param sinceNanos when that was decided
-   * @param isUrgent true if its work is not waited for
-   */
-  private record Closing(long sinceNanos, boolean isUrgent) {}
-
   private static boolean isMemberOf(BoxSight sight, ReplicaId replica) {
     Membership membership = sight.box().membership();
     return membership != null && membership.replica().equals(replica);
--- /dev/null
+++ b/core/src/main/java/org/shoreroad/fleet/DomainView.java
@@ -0,0 +1,119 @@
+package org.shoreroad.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The boxes of a domain during one decision of its keeper: which of them a replica holds, which are
+ * free, and what stands. It is filled while the keeper looks at one replica after the other; for
+ * one thread.
+ */
+final class DomainView {
+  private final Map<String, BoxSight> sightsById = new HashMap<>();
+  private final Set<String> boundIds = new HashSet<>();
+  private final Map<String, Integer> standing = new HashMap<>();
+  private final List<BoxSight> comingFree = new ArrayList<>();
+  private boolean isMending;
+  private boolean hasLoss;
+
+  /** Creates a view in which every fit box is free. */
+  DomainView(Collection<BoxSight> sights) {
+    sights.forEach(sight -> sightsById.put(sight.box().id(), sight));
+  }
+
+  Collection<BoxSight> sights() {
+    return sightsById.values();
+  }
+
+  Map<String, BoxSight> sightsById() {
+    return sightsById;
+  }
+
+  /** Notes that the boxes belong to a replica, or must not join another one yet. */
+  void bind(Collection<BoxSight> members) {
+    members.forEach(member -> boundIds.add(member.box().id()));
+  }
+
+  /** Notes that the boxes hold, or are to hold, a replica of the model that stays. */
+  void bindStanding(Collection<BoxSight> members, String model) {
+    bind(members);
+    standing.merge(model, 1, Integer::sum);
+  }
+
+  /** Notes that the boxes are free once their replica is let go, in a moment. */
+  void noteComingFree(Collection<BoxSight> members) {
+    members.stream().filter(BoxSight::isFit).forEach(comingFree::add);
+  }
+
+  /** Notes that a replica is being closed or let go. */
+  void noteMending(boolean isLoss) {
+    isMending = true;
+    hasLoss = hasLoss || isLoss;
+  }
+
+  /** Returns true if a replica is being closed or let go. */
+  boolean isMending() {
+    return isMending;
+  }
+
+  /** Returns true if one of these has lost a member. */
+  boolean hasLoss() {
+    return hasLoss;
+  }
+
+  /** Returns the replicas of each model that stay, those that are formed among them. */
+  Map<String, Integer> standing() {
+    return standing;
+  }
+
+  int standingCount(String model) {
+    return standing.getOrDefault(model, 0);
+  }
+
+  /** Returns the fit boxes that no replica has. */
+  List<BoxSight> free() {
+    List<BoxSight> free = new ArrayList<>();
+    for (BoxSight sight : sightsById.values()) {
+      if (sight.isFit() && !boundIds.contains(sight.box().id())) {
+        free.add(sight);
+      }
+    }
+    return free;
+  }
+
+  /** Returns the boxes with weights that are free, or come free as their replicas are closed. */
+  List<BoxSight> available() {
+    List<BoxSight> available = free();
+    available.addAll(comingFree);
+    available.removeIf(BoxSight::isBlank);
+    return available;
+  }
+
+  /** Returns how many boxes are free or come free, with weights or without. */
+  int availableCount() {
+    return free().size() + comingFree.size();
+  }
+
+  /** Returns the free boxes that can hold the model soonest, as many as it needs if there are. */
+  List<BoxSight> pickMembers(ModelShape model) {
+    List<BoxSight> free = free();
+    free.sort(
+        Comparator.comparingInt((BoxSight sight) -> sight.joinCost(model))
+            .thenComparing(sight -> sight.box().id()));
+    return free.subList(0, Math.min(free.size(), model.boxes()));
+  }
+
+  /**
+   * Returns true if every fit box has said where it stands a moment ago. The list may lag behind
+   * the engines: a head that it shows as free may be open again.
+   */
+  boolean isConfirmed() {
+    return sightsById.values().stream().allMatch(sight -> !sight.isFit() || sight.isConfirmed());
+  }
+}
