shoreroadctl report and explain read logs

report adds up the logs of several processes: refusals, failed attempts, cut and late answers by reason and model, each loss with the time until the closing and the next opening, models and boxes over time. explain joins the lines on one request with what its upstreams did around it; without logs it asks a process, as before. Lines that can't be read are counted and passed over; lines that a process left out count. Tests: LogCommandsTest.

--- /dev/null
+++ b/cli/src/main/java/org/shoreroad/cli/LogReport.java
@@ -0,0 +1,148 @@
+package org.shoreroad.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+/**
+ * What the logs of all processes say of a stretch of time: what was refused, repeated and late, how
+ * long each replica was away after a loss, and what the models and boxes did.
+ */
+final class LogReport {
+  /** The processes tell the state of models and boxes this often, in seconds. */
+  private static final int STATE_SECONDS = 2;
+
+  /** Suspicions of one head within this time belong to one loss. */
+  private static final long SAME_LOSS_MS = 3_000;
+
+  private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
+
+  private final LogLines log;
+
+  private LogReport(LogLines log) {
+    this.log = log;
+  }
+
+  /** Returns the report, a table for each question. */
+  static ObjectNode of(LogLines log) {
+    LogReport report = new LogReport(log);
+    ObjectNode tables = NODES.objectNode();
+    tables.put("lines", log.all().size());
+    tables.put("unreadable", log.unreadable());
+    tables.put("omitted", log.omitted());
+    tables.set("refusals", report.count("request_refused", "reason"));
+    tables.set("attempts", report.count("attempt_failed", "end"));
+    tables.set("cut", report.count("answer_cut", "reason"));
+    tables.set("late", report.count("answer_late", "reason"));
+    tables.set("losses", report.losses());
+    tables.set("models", report.models());
+    tables.set("boxes", report.boxes());
+    return tables;
+  }
+
+  /** Counts the lines of an event by a field and the model; those left out count too. */
+  private ArrayNode count(String event, String field) {
+    Map<String, ObjectNode> rows = new TreeMap<>();
+    for (JsonNode line : log.of(event)) {
+      String value = line.path(field).asText();
+      String model = line.path("model").asText();
+      ObjectNode row =
+          rows.computeIfAbsent(
+              value + "/" + model,
+              key ->
+                  NODES
+                      .objectNode()
+                      .put(field, value)
+                      .put("model", model)
+                      .put("count", 0L)
+                      .put("fromSecond", round(log.secondsOf(line))));
+      row.put("count", row.path("count").asLong() + 1 + line.path("omittedBefore").asLong());
+      row.put("toSecond", round(log.secondsOf(line)));
+    }
+    return NODES.arrayNode().addAll(rows.values());
+  }
+
+  /**
+   * Returns a row for each head that stood still: until it was closed, and until it served again.
+   */
+  private ArrayNode losses() {
+    ArrayNode rows = NODES.arrayNode();
+    Map<String, Long> lastSuspectedMs = new HashMap<>();
+    for (JsonNode line : log.of("replica_suspected")) {
+      String head = line.path("head").asText();
+      long timeMs = LogLines.timeMs(line);
+      Long before = lastSuspectedMs.put(head, timeMs);
+      if (before == null || timeMs - before > SAME_LOSS_MS) {
+        rows.add(
+            NODES
+                .objectNode()
+                .put("second", round(log.secondsOf(line)))
+                .put("head", head)
+                .put("silentMs", line.path("silentMs").asLong(-1))
+                .put("closedAfterMs", firstAfter("box_order", timeMs, l -> isClosing(l, head)))
+                .put("openAfterMs", firstAfter("replica_open", timeMs, l -> isAt(l, head))));
+      }
+    }
+    return rows;
+  }
+
+  private static boolean isClosing(JsonNode line, String head) {
+    return line.path("box").asText().equals(head)
+        && line.path("verb").asText().startsWith("CLOSE")
+        && line.path("outcome").asText().equals("TAKEN");
+  }
+
+  private static boolean isAt(JsonNode line, String head) {
+    return line.path("head").asText().equals(head);
+  }
+
+  /** Returns how long after a time the first such line was written, or -1. */
+  private long firstAfter(String event, long timeMs, Function<JsonNode, Boolean> isMeant) {
+    return log.of(event).stream()
+        .filter(line -> LogLines.timeMs(line) >= timeMs && isMeant.apply(line))
+        .mapToLong(line -> LogLines.timeMs(line) - timeMs)
+        .findFirst()
+        .orElse(-1);
+  }
+
+  /** Returns the state of each model over time, by the last process that told it. */
+  private ArrayNode models() {
+    Map<String, ObjectNode> rows = new TreeMap<>();
+    for (JsonNode line : log.of("model_state")) {
+      int second = secondOfState(line);
+      String model = line.path("model").asText();
+      ObjectNode row = NODES.objectNode().put("second", second).put("model", model);
+      for (String field : List.of("heads", "suspected", "open", "places", "waitingTokens")) {
+        row.put(field, line.path(field).asLong());
+      }
+      rows.put(String.format("%08d %s", second, model), row);
+    }
+    return NODES.arrayNode().addAll(rows.values());
+  }
+
+  /** Returns what the boxes did over time, by the last process that told it. */
+  private ArrayNode boxes() {
+    Map<Integer, ObjectNode> rows = new TreeMap<>();
+    for (JsonNode line : log.of("fleet_state")) {
+      int second = secondOfState(line);
+      rows.put(
+          second,
+          NODES.objectNode().put("second", second).put("boxes", line.path("boxes").asText()));
+    }
+    return NODES.arrayNode().addAll(rows.values());
+  }
+
+  private int secondOfState(JsonNode line) {
+    return (int) (log.secondsOf(line) / STATE_SECONDS) * STATE_SECONDS;
+  }
+
+  private static double round(double seconds) {
+    return Math.round(seconds * 1e3) / 1e3;
+  }
+}
--- a/cli/src/main/java/org/shoreroad/cli/Main.java
+++ b/cli/src/main/java/org/shoreroad/cli/Main.java
@@ -37,7 +37,8 @@
                   QueryCommands.Replicas.class,
                   QueryCommands.Boxes.class,
                   QueryCommands.Accounts.class,
-                  QueryCommands.Explain.class,
+                  LogCommands.Explain.class,
+                  LogCommands.Report.class,
                   QueryCommands.Export.class))
           .build();
 
--- a/cli/src/main/java/org/shoreroad/cli/QueryCommands.java
+++ b/cli/src/main/java/org/shoreroad/cli/QueryCommands.java
@@ -1,9 +1,7 @@
 package org.shoreroad.cli;
 
-import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.help.Examples;
-import com.github.rvesse.airline.annotations.restrictions.Required;
 import java.io.PrintStream;
 import java.util.Map;
 
@@ -64,24 +62,6 @@
     }
   }
 
-  /** Shows what happened to a request. */
-  @Command(
-      name = "explain",
-      description = "Shows where a request went and why it was refused or retried.")
-  @Examples(
-      examples = "shoreroadctl explain req-4c1f...",
-      descriptions = "Ask the process that took the request.")
-  public static final class Explain extends Query {
-    @Required
-    @Arguments(title = "request-id", description = "The X-Request-Id of the answer.")
-    String requestId = "";
-
-    @Override
-    String call() {
-      return "explain/" + requestId;
-    }
-  }
-
   /** Prints the configuration in force as a file. */
   @Command(name = "export", description = "Prints the configuration as a file to change and apply.")
   @Examples(examples = "shoreroadctl export > site.yaml", descriptions = "Begins a change.")
--- /dev/null
+++ b/cli/src/test/java/org/shoreroad/cli/LogCommandsTest.java
@@ -0,0 +1,118 @@
+package org.shoreroad.cli;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class LogCommandsTest {
+  @TempDir Path folder;
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+  private String first = "";
+  private String second = "";
+
+  @BeforeEach
+  void writeLogs() throws IOException {
+    first =
+        write(
+            "a.log",
+            "{\"timeMs\":1000,\"node\":\"a\",\"event\":\"start\"}",
+            "12.5 a {\"timeMs\":3000,\"node\":\"a\",\"event\":\"replica_suspected\",\"head\":\"h1\","
+                + "\"by\":\"silence\",\"silentMs\":160}",
+            "{\"timeMs\":3010,\"node\":\"a\",\"event\":\"attempt_failed\",\"request\":\"r1\","
+                + "\"end\":\"STALLED\",\"upstream\":\"h1\",\"model\":\"m\"}",
+            "{\"timeMs\":3900,\"node\":\"a\",\"event\":\"answer_late\",\"request\":\"r1\","
+                + "\"reason\":\"pause\",\"model\":\"m\",\"omittedBefore\":4}",
+            "no JSON at all",
+            "{\"timeMs\":",
+            "{\"event\":\"x\"}",
+            "");
+    second =
+        write(
+            "b.log",
+            "{\"timeMs\":3200,\"node\":\"b\",\"event\":\"box_order\",\"box\":\"h1\","
+                + "\"verb\":\"CLOSE_NOW\",\"outcome\":\"TAKEN\"}",
+            "{\"timeMs\":5000,\"node\":\"b\",\"event\":\"replica_open\",\"head\":\"h1\"}",
+            "{\"timeMs\":3100,\"node\":\"b\",\"event\":\"model_state\",\"model\":\"m\",\"heads\":3,"
+                + "\"open\":9,\"places\":54}",
+            "{\"timeMs\":3100,\"node\":\"b\",\"event\":\"box_order\",\"box\":\"h2\","
+                + "\"verb\":\"LEAVE\",\"outcome\":\"TAKEN\"}");
+  }
+
+  private String write(String name, String... lines) throws IOException {
+    Path file = folder.resolve(name);
+    Files.write(file, List.of(lines));
+    return file.toString();
+  }
+
+  private ExitCode run(String... args) {
+    return Main.run(args, Map.of(), new PrintStream(out, true), new PrintStream(err, true));
+  }
+
+  private JsonNode report() throws IOException {
+    assertThat(run("report", "--output", "json", first, second), is(ExitCode.OK));
+    return new ObjectMapper().readTree(out.toByteArray());
+  }
+
+  @Test
+  void unreadableLinesAreCountedAndPassedOver() throws IOException {
+    JsonNode report = report();
+    assertThat(report.path("lines").asInt(), is(8));
+    assertThat(report.path("unreadable").asInt(), is(3));
+  }
+
+  @Test
+  void linesThatWereLeftOutCount() throws IOException {
+    JsonNode late = report().path("late").path(0);
+    assertThat(late.path("reason").asText(), is("pause"));
+    assertThat(late.path("count").asInt(), is(5));
+    assertThat(late.path("fromSecond").asDouble(), is(2.9));
+  }
+
+  @Test
+  void aLossIsFollowedOverTheLogsOfSeveralProcesses() throws IOException {
+    JsonNode loss = report().path("losses").path(0);
+    assertThat(loss.path("head").asText(), is("h1"));
+    assertThat(loss.path("silentMs").asInt(), is(160));
+    assertThat(loss.path("closedAfterMs").asInt(), is(200));
+    assertThat(loss.path("openAfterMs").asInt(), is(2_000));
+  }
+
+  @Test
+  void theStateOfModelsIsTold() throws IOException {
+    JsonNode model = report().path("models").path(0);
+    assertThat(model.path("second").asInt(), is(2));
+    assertThat(model.path("open").asInt(), is(9));
+  }
+
+  @Test
+  void aRequestIsExplainedWithWhatItsUpstreamDidMeanwhile() {
+    assertThat(run("explain", "r1", first, second), is(ExitCode.OK));
+    String text = out.toString(StandardCharsets.UTF_8);
+    assertThat(text, containsString("STALLED"));
+    assertThat(text, containsString("CLOSE_NOW"));
+    assertThat(text, not(containsString("LEAVE")));
+  }
+
+  @Test
+  void anUnknownRequestAndAMissingFileAreErrors() {
+    assertThat(run("explain", "r9", first), is(ExitCode.REFUSED));
+    assertThat(run("report", folder.resolve("none.log").toString()), is(ExitCode.USAGE));
+    assertThat(err.toString(StandardCharsets.UTF_8), containsString("none.log"));
+  }
+}
