--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -129,18 +129,7 @@
     this.lease =
         new DomainLease(ports.store(), loop, clockNanos, log, life, settings.workPartitions());
     this.board = new UpstreamBoard(fleet, clockNanos, random, log, settings.zone());
-    this.relay =
-        new Relay(
-            loop,
-            clockNanos,
-            random,
-            log,
-            metrics,
-            ports.headers(),
-            calls,
-            board,
-            knowledge,
-            settings.rules());
+    this.relay = makeRelay(loop, calls, random);
     this.lag = new LoopLag(log, UPKEEP_MS);
     this.doubts = new Doubts(clockNanos);
     this.mesh =
@@ -175,6 +164,20 @@
     connect(calls);
   }
 
+  private Relay makeRelay(EventLoop loop, HttpCalls calls, SplittableRandom random) {
+    return new Relay(
+        loop,
+        clockNanos,
+        random,
+        log,
+        metrics,
+        ports.headers(),
+        calls,
+        board,
+        knowledge,
+        settings.rules());
+  }
+
   /** Tells the parts of each other. */
   private void connect(HttpCalls calls) {
     knowledge.setFollower(configFollower);
