--- a/core/src/main/java/org/shoreroad/fleet/ReplicaConversion.java
+++ b/core/src/main/java/org/shoreroad/fleet/ReplicaConversion.java
@@ -14,9 +14,8 @@
  *
  * <p>That costs the callers of a closed replica a move, and its boxes serve nobody for two to three
  * seconds. So it is done only when boxes have just come free, most often after a loss, and must be
- * put to use anyway, or when a model has no replica left. Without it a replica that lost a box is
- * seldom whole again: on a day with nine losses the worth fell from 0.76 to 0.57 (two plays). For
- * one thread.
+ * put to use anyway, or when a model has no replica left. On a day with nine losses 0.90 of what
+ * was owed was earned with it and 0.75 without (one run each). For one thread.
  */
 final class ReplicaConversion {
   /** The least that the worst pressure must fall for a replica to be closed. */
--- a/edge/src/main/java/org/shoreroad/edge/replica/EngineContact.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/EngineContact.java
@@ -18,7 +18,9 @@
  *
  * <p>A report tells the state of some hundred milliseconds ago, while the answer to an order tells
  * that it is done. So the effect of an order that was taken counts at once, and reports count again
- * when they must show it. Used on the event loop.
+ * when they must show it. After a loss, closing, leaving and joining then follow each other within
+ * 40 ms in place of 0.7 s (from the orders in the logs of one loss, before and after). Used on the
+ * event loop.
  */
 final class EngineContact {
   /** Added to the age of a report: an order and a question may overtake each other. */
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -167,7 +167,7 @@
   /**
    * Takes over the entries that were held back, once the word that stood against them is old. An
    * upstream writes no further entry while nothing changes, so that a word that is wrong by now
-   * would stand for good.
+   * would stand for good: a box that had left its replica stood as its member for 17 s.
    */
   private void takeHeldBackEntries() {
     for (String id : Set.copyOf(heldBackIds)) {
--- a/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
@@ -271,17 +271,21 @@
     assertThat(nowNanos - closedNanos, is(TimeUnit.MILLISECONDS.toNanos(STEP_MS)));
   }
 
+  private void startWithMember(String id, ReplicaId replica) {
+    engines.memberships.put(id, new Membership(replica, 1, MemberState.READY));
+    list("a");
+    list("b");
+    fleet.update(fleet.find(id).withEngineState("m", List.of("m"), engines.memberships.get(id)));
+    lease.start();
+    service.start();
+  }
+
   @Test
   void anUnlistedHeadIsFoundByTheNameOfItsReplicaAndKeepsItsMembersBound() {
     FleetBox head = decode("h", new byte[0]);
     ReplicaId replica = ReplicaId.of("d", "m", 3, head);
     engines.memberships.put("h", new Membership(replica, 0, MemberState.OPEN));
-    engines.memberships.put("a", new Membership(replica, 1, MemberState.READY));
-    list("a");
-    list("b");
-    fleet.update(fleet.find("a").withEngineState("m", List.of("m"), engines.memberships.get("a")));
-    lease.start();
-    service.start();
+    startWithMember("a", replica);
     run(2_000);
     assertThat(engines.asked, hasItem("h"));
     assertThat(fleet.isOnList("h"), is(false));
@@ -300,12 +304,7 @@
     FleetBox head = decode("h", new byte[0]);
     ReplicaId replica = ReplicaId.of("d", "m", 3, head);
     engines.mute.add("h");
-    engines.memberships.put("a", new Membership(replica, 1, MemberState.READY));
-    list("a");
-    list("b");
-    fleet.update(fleet.find("a").withEngineState("m", List.of("m"), engines.memberships.get("a")));
-    lease.start();
-    service.start();
+    startWithMember("a", replica);
     run(5_000);
     assertThat(engines.count(BoxOrder.Verb.JOIN), is(0L));
     run(3_000);
