One pressure without replicas, one pass time; boxes that are gone are forgotten; a folder is no log

Read again as a newcomer: the pressure of a model without any replica stood twice (UpstreamBoard, DomainPacking), it is Demand's now; the silence limit worked out a pass as ModelEngine does, and takes one; EngineContact never forgot from when the reports of a box count, it does with the rest of what it knows of boxes; a folder in place of a log ended shoreroadctl with a stack trace (test added, red before), and the reader's decoder was what the charset's own does. Else behaviour stays.

--- a/cli/src/main/java/org/shoreroad/cli/LogLines.java
+++ b/cli/src/main/java/org/shoreroad/cli/LogLines.java
@@ -6,6 +6,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -36,16 +37,12 @@
   static LogLines read(List<String> files) {
     LogLines read = new LogLines();
     for (String file : files) {
-      // Bytes that are no text make a line unreadable; they must not end the reading.
+      // This reader replaces bytes that are no text, so that they don't end the reading.
       try (BufferedReader reader =
           new BufferedReader(
-              new InputStreamReader(
-                  Files.newInputStream(Path.of(file)),
-                  StandardCharsets.UTF_8
-                      .newDecoder()
-                      .onMalformedInput(java.nio.charset.CodingErrorAction.REPLACE)))) {
+              new InputStreamReader(Files.newInputStream(Path.of(file)), StandardCharsets.UTF_8))) {
         reader.lines().forEach(read::add);
-      } catch (IOException e) {
+      } catch (IOException | UncheckedIOException e) {
         throw new CommandException(ExitCode.USAGE, "log " + file + " can't be read");
       }
     }
--- a/cli/src/test/java/org/shoreroad/cli/LogCommandsTest.java
+++ b/cli/src/test/java/org/shoreroad/cli/LogCommandsTest.java
@@ -114,5 +114,6 @@
     assertThat(run("explain", "r9", first), is(ExitCode.REFUSED));
     assertThat(run("report", folder.resolve("none.log").toString()), is(ExitCode.USAGE));
     assertThat(err.toString(StandardCharsets.UTF_8), containsString("none.log"));
+    assertThat(run("report", folder.toString()), is(ExitCode.USAGE));
   }
 }
--- a/core/src/main/java/org/shoreroad/fleet/Demand.java
+++ b/core/src/main/java/org/shoreroad/fleet/Demand.java
@@ -15,6 +15,9 @@
  */
 public record Demand(
     Map<String, Double> pressures, Map<String, Integer> replicas, boolean hasTraffic) {
+  /** The pressure of a model without any replica: more than any that has one. */
+  public static final double NO_REPLICA_PRESSURE = 1_000;
+
   /** Nothing asked for yet. */
   public static final Demand NONE = new Demand(Map.of(), Map.of(), false);
 
--- a/core/src/main/java/org/shoreroad/fleet/DomainPacking.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainPacking.java
@@ -18,9 +18,6 @@
  * thread-safe.
  */
 final class DomainPacking {
-  /** The pressure of a model without any replica: more than any that has one. */
-  static final double NO_REPLICA_PRESSURE = 1_000;
-
   /** What is open, in replicas, of a model that had none: what was refused is not counted. */
   private static final double UNKNOWN_OPEN = 1;
 
@@ -86,7 +83,7 @@
     int here = standing.getOrDefault(name, 0) + formed.getOrDefault(name, 0);
     int replicas = elsewhere.getOrDefault(name, 0) + here;
     if (replicas == 0) {
-      return NO_REPLICA_PRESSURE;
+      return Demand.NO_REPLICA_PRESSURE;
     }
     int now = demand.replicaCount(name);
     double open = now == 0 ? UNKNOWN_OPEN : demand.pressure(name) * now;
--- a/core/src/main/java/org/shoreroad/fleet/ReplicaConversion.java
+++ b/core/src/main/java/org/shoreroad/fleet/ReplicaConversion.java
@@ -65,7 +65,7 @@
       long nowNanos) {
     boolean isTooSoon = nowNanos - convertedNanos < INTERVAL_NANOS;
     double before = packing.worstPressure(wanted, Map.of());
-    boolean isUnserved = before >= DomainPacking.NO_REPLICA_PRESSURE;
+    boolean isUnserved = before >= Demand.NO_REPLICA_PRESSURE;
     boolean hasMore = noteAvailable(view);
     boolean isMyTurn = (nowNanos / TURN_NANOS + domain.hashCode()) % TURNS == 0;
     boolean isPressed = before >= HIGH_PRESSURE && isMyTurn;
--- a/edge/src/main/java/org/shoreroad/edge/relay/SilenceLimit.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/SilenceLimit.java
@@ -1,8 +1,6 @@
 package org.shoreroad.edge.relay;
 
 import java.util.concurrent.TimeUnit;
-import org.shoreroad.fleet.EngineSpec;
-import org.shoreroad.fleet.ModelShape;
 
 /**
  * How long a head may give nothing before it is taken for one that stands still.
@@ -32,15 +30,13 @@
   /**
    * Returns the limit for a head.
    *
-   * @param engine the engines of the service, not null
-   * @param model the model that runs there, not null
+   * @param engine the engines as they run the model there, not null
    * @param load what the head has, not null
    * @param nowNanos the steady clock
    * @return the time in nanoseconds
    */
-  static long nanos(EngineSpec engine, ModelShape model, UpstreamLoad load, long nowNanos) {
-    double usualMs = engine.passMs(model, load.openCount(), load.waitingPromptTokens());
-    double passMs = usualMs * Math.min(SLOWEST, load.pace().slowness(nowNanos));
+  static long nanos(ModelEngine engine, UpstreamLoad load, long nowNanos) {
+    double passMs = engine.passMs(load) * Math.min(SLOWEST, load.pace().slowness(nowNanos));
     long slackNanos = load.hasOwnWriter() ? WRITER_SLACK_NANOS : HEARTBEAT_SLACK_NANOS;
     return slackNanos + (long) (PASSES * passMs * 1e6);
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
@@ -52,8 +52,6 @@
   /** The fewest upstreams to compare: already two, drawn by chance, keep the load even. */
   private static final int LEAST_SAMPLE = 2;
 
-  private static final double NO_REPLICA_PRESSURE = 1_000;
-
   /** A plain upstream queues as many again as it works on: its requests are short. */
   private static final int PLAIN_QUEUE_FACTOR = 2;
 
@@ -294,7 +292,7 @@
       List<FleetBox> heads = candidates(service, model.name());
       int open = heads.stream().mapToInt(head -> loadOf(head.id()).openCount()).sum();
       double places = (double) heads.size() * engine.slots();
-      pressures.put(model.name(), places == 0 ? NO_REPLICA_PRESSURE : open / places);
+      pressures.put(model.name(), places == 0 ? Demand.NO_REPLICA_PRESSURE : open / places);
       replicas.put(model.name(), heads.size());
       hasTraffic |= open > 0;
     }
@@ -366,19 +364,15 @@
   /** Looks for heads that stand still and takes their requests elsewhere. */
   public void findStalled(UpstreamService service) {
     refresh();
-    EngineSpec engine = service.engine();
-    if (engine == null) {
+    if (service.engine() == null) {
       return;
     }
     long nowNanos = clockNanos.getAsLong();
     for (UpstreamLoad load : new ArrayList<>(loads.values())) {
       for (Exchange exchange : new ArrayList<>(load.open())) {
-        ModelShape model = engine.findModel(exchange.model()).orElse(null);
-        boolean isStalled =
-            model != null
-                && nowNanos - load.silentSinceNanos()
-                    > SilenceLimit.nanos(engine, model, load, nowNanos);
-        if (isStalled) {
+        ModelEngine engine = ModelEngine.of(service, exchange.model());
+        long silentNanos = nowNanos - load.silentSinceNanos();
+        if (engine != null && silentNanos > SilenceLimit.nanos(engine, load, nowNanos)) {
           stall(load, exchange, nowNanos);
         }
       }
--- a/edge/src/main/java/org/shoreroad/edge/replica/DomainWatch.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/DomainWatch.java
@@ -245,7 +245,7 @@
         }
       }
     }
-    contact.reach().retain(known);
+    contact.retain(known);
     headsSeen.retainAll(replicas);
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/replica/EngineContact.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/EngineContact.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.shoreroad.edge.EventLog;
@@ -58,6 +59,12 @@
     return reach;
   }
 
+  /** Forgets all other boxes: they are gone. */
+  void retain(Set<String> ids) {
+    reach.retain(ids);
+    reportsCountFromNanos.keySet().retainAll(ids);
+  }
+
   /** Returns what is newly known of boxes; the next call returns only later news. */
   List<FleetBox> takeNews() {
     List<FleetBox> taken = List.copyOf(news.values());
--- a/edge/src/test/java/org/shoreroad/edge/relay/SilenceLimitTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/SilenceLimitTest.java
@@ -21,7 +21,8 @@
   private final UpstreamLoad load = new UpstreamLoad();
 
   private long limitMs() {
-    return TimeUnit.NANOSECONDS.toMillis(SilenceLimit.nanos(ENGINE, MODEL, load, NOW_NANOS));
+    return TimeUnit.NANOSECONDS.toMillis(
+        SilenceLimit.nanos(new ModelEngine(ENGINE, MODEL), load, NOW_NANOS));
   }
 
   @Test
