A fabric domain is a lease of its own, claimed only when nobody keeps it

Cause: all domains were partitions of one group of the store, which deals them anew with each process that joins or leaves. On the large deployment (95 processes, 25 domains of 37 boxes) hubs came and went, so the deal had changed 222 times until the first requests, each change cost 0.6 s without orders and a question to each box, and 200 of 925 boxes served when traffic began.

Change: each domain is a group of its own. DomainClaims decides who claims a domain that no process says it keeps (rendezvous rank, domains kept already), the store is asked before the claim, and any process may keep one, hub or not. A newcomer takes nothing; a process with over one more than its even share hands one on each 5 s. The setting workPartitions is needless and gone. LeaseStore is split from Store.

--- a/edge/src/main/java/org/shoreroad/edge/EdgePorts.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgePorts.java
@@ -3,13 +3,15 @@
 import org.shoreroad.edge.caller.HeaderNames;
 import org.shoreroad.edge.replica.Engines;
 import org.shoreroad.edge.sync.Fleet;
+import org.shoreroad.edge.sync.LeaseStore;
 import org.shoreroad.edge.sync.Store;
 
 /**
  * What the adapter of a platform gives to the process.
  *
  * @param headers the names of the headers
- * @param store the platform's store
+ * @param store the topics of the platform's store
+ * @param leaseStore the groups of that store
  * @param engines the engines of the boxes
  * @param configDecoder reads the configuration
  * @param upstreamDecoder reads entries of the list of upstreams
@@ -18,6 +20,7 @@
 public record EdgePorts(
     HeaderNames headers,
     Store store,
+    LeaseStore leaseStore,
     Engines engines,
     Knowledge.Decoder configDecoder,
     Fleet.Decoder upstreamDecoder) {}
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -25,7 +25,7 @@
 import org.shoreroad.edge.relay.Relay;
 import org.shoreroad.edge.relay.UpstreamBoard;
 import org.shoreroad.edge.replica.ReplicaService;
-import org.shoreroad.edge.sync.DomainLease;
+import org.shoreroad.edge.sync.DomainLeases;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.edge.sync.ListNews;
 import org.shoreroad.edge.sync.StoreRecord;
@@ -80,7 +80,7 @@
   private final Fleet fleet;
   private final TopicFollower configFollower;
   private final TopicFollower listFollower;
-  private final DomainLease lease;
+  private final DomainLeases leases;
   private final UpstreamBoard board;
   private final Relay relay;
   private final Doubts doubts;
@@ -126,8 +126,6 @@
     int configWaitMs = Knowledge.readWaitMs(settings.revokeMs());
     this.configFollower = follower(Topic.CONFIGURATION, configWaitMs, 0, knowledge);
     this.listFollower = follower(Topic.UPSTREAMS, LIST_WAIT_MS, LIST_INTERVAL_MS, fleet);
-    this.lease =
-        new DomainLease(ports.store(), loop, clockNanos, log, life, settings.workPartitions());
     this.board = new UpstreamBoard(fleet, clockNanos, random, log, settings.zone());
     this.relay = makeRelay(loop, calls, random);
     this.lag = new LoopLag(log, UPKEEP_MS);
@@ -140,13 +138,15 @@
             new HubPlan.Place(life, settings.zone()),
             new Teller(),
             this::learn);
+    this.leases =
+        new DomainLeases(ports.leaseStore(), loop, clockNanos, log, life, mesh, fleet::domains);
     this.replicas =
         new ReplicaService(
             loop,
             clockNanos,
             log,
             fleet,
-            lease,
+            leases,
             ports.engines(),
             knowledge::config,
             board::suspectedIds,
@@ -183,7 +183,7 @@
     knowledge.setFollower(configFollower);
     configFollower.spareWhile(mesh::isMember);
     listFollower.spareWhile(mesh::isMember);
-    lease.joinWhile(() -> !mesh.isMember());
+    leases.setChangeListener(mesh::hurry);
     replicas.setUrgentNewsListener(mesh::hurry);
     board.setSuspicionListener(
         () -> {
@@ -233,7 +233,7 @@
         new ProcessBook(ports.store(), loop, log, mesh, new HubPlan.Place(life, settings.zone()));
     follower(Topic.PROCESSES, PROCESS_WAIT_MS, PROCESS_INTERVAL_MS, processes).start();
     processes.announce(announcement);
-    lease.start();
+    leases.start();
     relay.start();
     replicas.start();
     Clockwork clockwork = new Clockwork(loop, log);
@@ -259,7 +259,7 @@
     }
     isStopping = true;
     log.write("stop", "open", relay.openCount(), "connections", callers.connectionCount());
-    lease.leave();
+    leases.leave();
     callers.stopKeeping();
     long takeMs = Math.min(TAKE_AFTER_SIGNAL_MS, settings.graceMs() / 2);
     loop.schedule(
@@ -332,6 +332,7 @@
         board.suspectedIds(),
         doubts.questions(),
         replicas.silentForPeers(),
+        leases.kept(),
         news,
         ListNews.readTo(listFollower.nextOffset()));
   }
--- a/edge/src/main/java/org/shoreroad/edge/EdgeSettings.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeSettings.java
@@ -12,7 +12,6 @@
  * @param readyListen where the balancer asks whether the process is ready
  * @param peerListen where the other processes connect
  * @param metricsListen where the metrics are read
- * @param workPartitions the partitions among which the fabric domains are dealt out
  * @param revokeMs a key that was taken away must not be used longer than this, in milliseconds
  * @param isKeyProofRequired true if a known key may be used only while it is proved that no change
  *     of the configuration was missed; false if a process that has lost the store goes on with the
@@ -30,7 +29,6 @@
     InetSocketAddress readyListen,
     InetSocketAddress peerListen,
     InetSocketAddress metricsListen,
-    int workPartitions,
     int revokeMs,
     boolean isKeyProofRequired,
     int stallMs,
--- a/edge/src/main/java/org/shoreroad/edge/peer/Digest.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Digest.java
@@ -46,12 +46,14 @@
     own.loads().forEach(load -> add(loads, load, 0));
     Set<String> suspected = new HashSet<>(own.suspectedUpstreams());
     Map<String, String> asked = new HashMap<>(own.askedUpstreams());
+    Set<String> kept = new HashSet<>(own.keptDomains());
     int processes = own.processes();
     for (Heard other : others) {
       long heldMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - other.heardNanos());
       other.heartbeat().loads().forEach(load -> add(loads, load, heldMs));
       suspected.addAll(other.heartbeat().suspectedUpstreams());
       asked.putAll(other.heartbeat().askedUpstreams());
+      kept.addAll(other.heartbeat().keptDomains());
       processes += other.heartbeat().processes();
     }
     Set<String> silent = new HashSet<>(own.silentUpstreams());
@@ -69,6 +71,7 @@
         // Members are not asked: the hubs of all zones are witnesses enough.
         scope == Scope.REST ? Map.of() : asked,
         silent,
+        kept,
         words,
         listNews);
   }
--- a/edge/src/main/java/org/shoreroad/edge/peer/Heartbeat.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Heartbeat.java
@@ -24,6 +24,7 @@
  * @param askedUpstreams boxes that do not answer one of them: do they answer the receiver? By id,
  *     with their addresses
  * @param silentUpstreams the boxes asked about that do not answer any of them either
+ * @param keptDomains the fabric domains that they keep
  * @param words what engines have newly told them of themselves
  * @param listNews how far the sender has read the list of upstreams, and what a member lacks of it
  * @since 0.2
@@ -40,6 +41,7 @@
     Set<String> suspectedUpstreams,
     Map<String, String> askedUpstreams,
     Set<String> silentUpstreams,
+    Set<String> keptDomains,
     List<FleetBox> words,
     ListNews listNews) {
   /** Copies the collections. */
@@ -50,6 +52,7 @@
     suspectedUpstreams = Set.copyOf(suspectedUpstreams);
     askedUpstreams = Map.copyOf(askedUpstreams);
     silentUpstreams = Set.copyOf(silentUpstreams);
+    keptDomains = Set.copyOf(keptDomains);
     words = List.copyOf(words);
     Objects.requireNonNull(listNews, "listNews");
   }
@@ -77,6 +80,7 @@
         suspectedUpstreams,
         askedUpstreams,
         silentUpstreams,
+        keptDomains,
         words,
         listNews);
   }
--- a/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatCodec.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatCodec.java
@@ -39,6 +39,7 @@
         out.packString(asked.getKey()).packString(asked.getValue());
       }
       packTexts(out, heartbeat.silentUpstreams());
+      packTexts(out, heartbeat.keptDomains());
       out.packArrayHeader(heartbeat.words().size());
       for (FleetBox word : heartbeat.words()) {
         packBox(out, word);
@@ -69,6 +70,7 @@
           new HashSet<>(unpackTexts(in)),
           unpackAsked(in),
           new HashSet<>(unpackTexts(in)),
+          new HashSet<>(unpackTexts(in)),
           unpackBoxes(in),
           unpackListNews(in));
     }
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -27,11 +27,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
 import org.msgpack.core.MessagePackException;
 import org.shoreroad.edge.Clockwork;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.peer.Digest.Heard;
 import org.shoreroad.edge.peer.Heartbeat.Scope;
+import org.shoreroad.edge.sync.DomainLeases;
 import org.shoreroad.edge.sync.ListNews;
 import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.member.HubPlan;
@@ -46,7 +48,7 @@
  *
  * @since 0.2
  */
-public final class PeerMesh {
+public final class PeerMesh implements DomainLeases.Peers {
   /** Between two heartbeats to one peer. */
   static final int INTERVAL_MS = 200;
 
@@ -166,7 +168,7 @@
     }
   }
 
-  /** Returns the number of processes alive, this one among them. */
+  @Override
   public int aliveCount() {
     return 1 + countProcesses(Peer.ALIVE_NANOS);
   }
@@ -193,6 +195,22 @@
     return newest;
   }
 
+  @Override
+  public @Nullable Set<String> keptDomains() {
+    List<Heard> speakers = speakers(Peer.ALIVE_NANOS);
+    if (speakers.isEmpty() && !peers.isEmpty()) {
+      return null;
+    }
+    Set<String> kept = new HashSet<>();
+    speakers.forEach(heard -> kept.addAll(heard.heartbeat().keptDomains()));
+    return kept;
+  }
+
+  @Override
+  public Set<String> names() {
+    return Set.copyOf(peers.keySet());
+  }
+
   /** Returns true if this process does not read the list itself while its hub tells it. */
   public boolean isMember() {
     return !plan.isFullMesh() && !isHub();
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -16,7 +16,7 @@
 import org.shoreroad.edge.Clockwork;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.peer.Doubts;
-import org.shoreroad.edge.sync.DomainLease;
+import org.shoreroad.edge.sync.DomainLeases;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.fleet.BoxOrder;
 import org.shoreroad.fleet.BoxSight;
@@ -61,7 +61,7 @@
   private final LongSupplier clockNanos;
   private final EventLog log;
   private final Fleet fleet;
-  private final DomainLease lease;
+  private final DomainLeases leases;
   private final Engines engines;
   private final EngineContact contact;
   private final Supplier<@Nullable TrafficConfig> config;
@@ -81,7 +81,7 @@
       LongSupplier clockNanos,
       EventLog log,
       Fleet fleet,
-      DomainLease lease,
+      DomainLeases leases,
       Engines engines,
       Supplier<@Nullable TrafficConfig> config,
       Supplier<Set<String>> suspectedHeads,
@@ -93,7 +93,7 @@
     this.clockNanos = clockNanos;
     this.log = log;
     this.fleet = fleet;
-    this.lease = lease;
+    this.leases = leases;
     this.engines = engines;
     this.contact = new EngineContact(clockNanos, log, fleet, engines);
     contact.setAnswerListener(this::hurry);
@@ -115,7 +115,7 @@
   }
 
   private int tickMs() {
-    if (!lease.holdsAny()) {
+    if (!leases.holdsAny()) {
       return TICK_WITHOUT_DOMAIN_MS;
     }
     boolean isCalm = suspectedSinceNanos.isEmpty() && !watch.isAnyBusy();
@@ -124,7 +124,7 @@
 
   /** Decides anew right after what happens now, in place of at the next tick. */
   public void hurry() {
-    if (!isHurried && lease.holdsAny()) {
+    if (!isHurried && leases.holdsAny()) {
       isHurried = true;
       clockwork.once(0, "replicas", this::keepHurried);
     }
@@ -149,7 +149,7 @@
     if (current == null) {
       return;
     }
-    if (!lease.holdsAny()) {
+    if (!leases.holdsAny()) {
       keepers.clear();
       watch.forgetDomains();
       return;
@@ -210,8 +210,8 @@
         .boxes()
         .forEach(
             (domain, boxes) -> {
-              String key = service.name() + "/" + domain;
-              if (lease.holds(key)) {
+              String key = Fleet.domainKey(service.name(), domain);
+              if (leases.holds(key)) {
                 keepDomain(key, domain, engine, boxes, plan, suspected, demand);
               } else {
                 keepers.remove(key);
@@ -272,7 +272,7 @@
     boolean neededWords = keeper.needsWords();
     keeper
         .decide(nowNanos, engine, sights, plan, watch.headsSeen(), demand)
-        .forEach(order -> give(keeper, engine, order));
+        .forEach(order -> give(key, keeper, engine, order));
     if (keeper.needsWords() && !neededWords) {
       // The boxes are asked at once.
       hurry();
@@ -285,16 +285,16 @@
   }
 
   private DomainKeeper takeDomain(String key, String domain, List<FleetBox> boxes) {
-    log.write("domain_taken", "domain", key, "boxes", boxes.size(), "fence", lease.fence());
-    return new DomainKeeper(domain, KeeperTiming.DEFAULT, lease::nextEpoch);
+    log.write("domain_taken", "domain", key, "boxes", boxes.size(), "fence", leases.fence(key));
+    return new DomainKeeper(domain, KeeperTiming.DEFAULT, () -> leases.nextEpoch(key));
   }
 
-  private void give(DomainKeeper keeper, EngineSpec engine, BoxOrder order) {
+  private void give(String key, DomainKeeper keeper, EngineSpec engine, BoxOrder order) {
     FleetBox box = fleet.find(order.boxId());
     if (box == null) {
       return;
     }
-    long fence = lease.fence();
+    long fence = leases.fence(key);
     engines.order(
         box,
         order,
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/sync/DomainLeases.java
@@ -0,0 +1,244 @@
+package org.shoreroad.edge.sync;
+
+import io.netty.channel.EventLoop;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.edge.Clockwork;
+import org.shoreroad.edge.EventLog;
+import org.shoreroad.member.DomainClaims;
+
+/**
+ * The fabric domains that this process keeps: it claims those that nobody keeps, and gives up those
+ * that another process holds.
+ *
+ * <p>Processes tell in heartbeats which domains they keep. Before a claim the store is asked who
+ * holds the domain, so a process that has only lost touch with the others disturbs no owner. Used
+ * on the event loop.
+ *
+ * @since 0.2
+ */
+public final class DomainLeases {
+  /** Between two looks at who keeps what: a claim can wait for half a heartbeat. */
+  private static final int TICK_MS = 100;
+
+  /** Processes that start together get this long to learn of each other before any claim. */
+  private static final long START_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+  /**
+   * A process that hears of nobody's domains waits this long, lest it takes a lost hub for the loss
+   * of all processes: a hub is replaced within 2.4 s.
+   */
+  private static final long UNTOLD_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+  /** A domain that another member holds in the store is looked at again after this time. */
+  private static final long HELD_ELSEWHERE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  /** A claim that the store has not granted by then is given up: twice the time to live. */
+  private static final long UNGRANTED_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+  private final LeaseStore store;
+  private final EventLoop loop;
+  private final LongSupplier clockNanos;
+  private final EventLog log;
+  private final String member;
+  private final Peers peers;
+  private final Supplier<Set<String>> domains;
+  private final DomainClaims claims;
+  private final Map<String, DomainLease> leases = new HashMap<>();
+  private final Set<String> beingChecked = new HashSet<>();
+  private Set<String> announced = Set.of();
+  private Runnable onChange = () -> {};
+  private long startedNanos;
+  private long toldNanos;
+  private boolean isLeaving;
+
+  /**
+   * Creates an instance that keeps nothing.
+   *
+   * @param member the name of this incarnation of the process, not null
+   * @param peers what is known of the other processes, not null
+   * @param domains gives the keys of all fabric domains, not null
+   */
+  public DomainLeases(
+      LeaseStore store,
+      EventLoop loop,
+      LongSupplier clockNanos,
+      EventLog log,
+      String member,
+      Peers peers,
+      Supplier<Set<String>> domains) {
+    this.store = store;
+    this.loop = loop;
+    this.clockNanos = clockNanos;
+    this.log = log;
+    this.member = member;
+    this.peers = peers;
+    this.domains = domains;
+    this.claims = new DomainClaims(member);
+  }
+
+  /** What is known of the other processes. */
+  public interface Peers {
+    /** Returns the domains that they say they keep, or null while nobody can be heard. */
+    @Nullable Set<String> keptDomains();
+
+    /** Returns the names of all that are known, alive or not. */
+    Collection<String> names();
+
+    /** Returns how many are alive, this process among them. */
+    int aliveCount();
+  }
+
+  /** Sets what is done when the domains kept by this process have changed. */
+  public void setChangeListener(Runnable listener) {
+    onChange = listener;
+  }
+
+  /** Begins to claim. */
+  public void start() {
+    startedNanos = clockNanos.getAsLong();
+    toldNanos = startedNanos;
+    new Clockwork(loop, log).every(TICK_MS, "domain leases", this::tick);
+  }
+
+  /** Gives all domains up, so that others take over at once, and claims no more. */
+  public void leave() {
+    isLeaving = true;
+    leases.values().forEach(DomainLease::leave);
+    leases.clear();
+    tellChanges();
+  }
+
+  /** Returns the domains that the store has given to this process. */
+  public Set<String> kept() {
+    Set<String> kept = new HashSet<>();
+    leases.forEach(
+        (domain, lease) -> {
+          if (lease.isGranted()) {
+            kept.add(domain);
+          }
+        });
+    return kept;
+  }
+
+  /** Returns true if this process keeps a domain, or is about to. */
+  public boolean holdsAny() {
+    return leases.values().stream().anyMatch(DomainLease::isGranted);
+  }
+
+  /** Returns true if this process may give orders for the domain now. */
+  public boolean holds(String domain) {
+    DomainLease lease = leases.get(domain);
+    return lease != null && lease.isHeld();
+  }
+
+  /** Returns the fencing number of orders given now in a domain that is held. */
+  public long fence(String domain) {
+    return leaseOf(domain).fence();
+  }
+
+  /** Returns a number higher than that of any earlier formation in a domain that is held. */
+  public long nextEpoch(String domain) {
+    return leaseOf(domain).nextEpoch();
+  }
+
+  private DomainLease leaseOf(String domain) {
+    return Objects.requireNonNull(leases.get(domain), domain);
+  }
+
+  private void tick() {
+    long nowNanos = clockNanos.getAsLong();
+    if (isLeaving || nowNanos - startedNanos < START_NANOS) {
+      return;
+    }
+    Set<String> told = peers.keptDomains();
+    toldNanos = told == null ? toldNanos : nowNanos;
+    Set<String> elsewhere = told == null ? Set.of() : told;
+    giveUp(elsewhere);
+    if (told != null || nowNanos - toldNanos > UNTOLD_NANOS) {
+      Set<String> all = domains.get();
+      claims
+          .due(nowNanos, all, elsewhere, leases.keySet(), peers.names())
+          .forEach(this::checkThenClaim);
+      claims.toHandOn(nowNanos, kept(), all.size(), peers.aliveCount()).ifPresent(this::handOn);
+    }
+    tellChanges();
+  }
+
+  /** Leaves the groups of domains that another process has. */
+  private void giveUp(Set<String> elsewhere) {
+    leases
+        .entrySet()
+        .removeIf(
+            entry -> {
+              DomainLease lease = entry.getValue();
+              boolean isUngranted =
+                  !lease.isGranted()
+                      && (elsewhere.contains(entry.getKey())
+                          || lease.claimedForNanos() > UNGRANTED_NANOS);
+              if (lease.isLost() || isUngranted) {
+                lease.leave();
+                return true;
+              }
+              return false;
+            });
+  }
+
+  private void handOn(String domain) {
+    log.write("domain_handed_on", "domain", domain);
+    leaseOf(domain).leave();
+    leases.remove(domain);
+  }
+
+  private void checkThenClaim(String domain) {
+    if (!beingChecked.add(domain)) {
+      return;
+    }
+    store.owner(
+        domain,
+        new StoreCallback<>() {
+          @Override
+          public void onValue(String owner) {
+            beingChecked.remove(domain);
+            if (owner.isEmpty() || owner.equals(member)) {
+              claim(domain);
+            } else {
+              claims.postpone(domain, clockNanos.getAsLong() + HELD_ELSEWHERE_NANOS);
+            }
+          }
+
+          @Override
+          public void onFault(StoreFault fault) {
+            beingChecked.remove(domain);
+            log.write("domain_owner_unknown", "domain", domain, "why", fault);
+            claims.postpone(domain, clockNanos.getAsLong() + HELD_ELSEWHERE_NANOS);
+          }
+        });
+  }
+
+  private void claim(String domain) {
+    if (isLeaving || leases.containsKey(domain)) {
+      return;
+    }
+    DomainLease lease = new DomainLease(store, loop, clockNanos, log, member, domain);
+    leases.put(domain, lease);
+    lease.claim();
+    tellChanges();
+  }
+
+  private void tellChanges() {
+    Set<String> kept = kept();
+    if (!kept.equals(announced)) {
+      announced = kept;
+      onChange.run();
+    }
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -58,6 +58,8 @@
   private final RecentNews news = new RecentNews();
   private final List<Consumer<FleetBox>> removalListeners = new ArrayList<>();
   private long changes;
+  private Set<String> domains = new HashSet<>();
+  private long domainsAtChange = -1;
 
   /** Creates an empty fleet. */
   public Fleet(Decoder decoder, LongSupplier clockNanos, EventLog log) {
@@ -71,6 +73,25 @@
     removalListeners.add(listener);
   }
 
+  /** Returns the keys of all fabric domains that have boxes: service and domain. */
+  public Set<String> domains() {
+    if (domainsAtChange != changes) {
+      domainsAtChange = changes;
+      domains = new HashSet<>();
+      for (FleetBox box : boxes.values()) {
+        if (box.domain() != null) {
+          domains.add(domainKey(box.service(), box.domain()));
+        }
+      }
+    }
+    return domains;
+  }
+
+  /** Returns the key of a fabric domain of a service. */
+  public static String domainKey(String service, String domain) {
+    return service + "/" + domain;
+  }
+
   @Override
   public void onRecord(StoreRecord record) {
     byte[] value = record.value();
--- a/edge/src/main/java/org/shoreroad/edge/sync/Store.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Store.java
@@ -1,7 +1,7 @@
 package org.shoreroad.edge.sync;
 
 /**
- * The platform's store, as far as this system uses it. Callbacks come on the event loop.
+ * The topics of the platform's store. Callbacks come on the event loop.
  *
  * @since 0.2
  */
@@ -14,16 +14,4 @@
 
   /** Writes the newest record of a key. */
   void write(Topic topic, String key, byte[] value, StoreCallback<Long> callback);
-
-  /**
-   * Joins the group among whose members the partitions of work are dealt out, or stays in it.
-   *
-   * @param member the name of this life of the process
-   * @param ttlMs the silence after which the store takes the partitions away
-   * @param generation the last one heard, 0 at first
-   */
-  void join(String member, int ttlMs, long generation, StoreCallback<PartitionGrant> callback);
-
-  /** Leaves the group, so that its partitions pass on at once. */
-  void leave(String member, long generation);
 }
--- a/edge/src/test/java/org/shoreroad/edge/peer/HeartbeatCodecTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/HeartbeatCodecTest.java
@@ -30,6 +30,7 @@
           Set.of("i-2"),
           Map.of("i-3", "10.0.0.1:80"),
           Set.of("i-4"),
+          Set.of("llm/d-1"),
           List.of(
               new FleetBox(
                   "i-5",
--- a/edge/src/test/java/org/shoreroad/edge/peer/Heartbeats.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/Heartbeats.java
@@ -25,6 +25,7 @@
             Set.of(),
             Map.of(),
             Set.of(),
+            Set.of(),
             List.of(),
             ListNews.NONE));
   }
@@ -76,6 +77,7 @@
         bare.suspectedUpstreams(),
         asked,
         silent,
+        bare.keptDomains(),
         words,
         news);
   }
--- a/edge/src/test/java/org/shoreroad/edge/peer/PeerMeshTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/PeerMeshTest.java
@@ -69,6 +69,7 @@
           Set.of(),
           bare.askedUpstreams(),
           Set.of(),
+          Set.of("llm/" + sender),
           words,
           ListNews.readTo(3));
     }
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FakeGroups.java
@@ -0,0 +1,104 @@
+package org.shoreroad.edge.sync;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * The groups of a store in memory, which answers at once: partitions are dealt evenly among the
+ * members of a group, and pass on when their holder joins again, leaves or falls silent. Used by
+ * one thread.
+ */
+final class FakeGroups implements LeaseStore {
+  private static final int PARTITIONS = 4;
+
+  private final LongSupplier clockNanos;
+  private final Map<String, Group> groups = new HashMap<>();
+  private final Set<String> cutMembers = new HashSet<>();
+  private int joinCount;
+
+  private static final class Group {
+    private final Map<String, Long> untilNanos = new TreeMap<>();
+    private final Map<Integer, String> holders = new HashMap<>();
+    private long generation;
+
+    private String dealtTo(int part) {
+      List<String> names = List.copyOf(untilNanos.keySet());
+      return names.get((part + (int) generation) % names.size());
+    }
+  }
+
+  FakeGroups(LongSupplier clockNanos) {
+    this.clockNanos = clockNanos;
+  }
+
+  /** Loses all calls of a member. */
+  void cut(String member) {
+    cutMembers.add(member);
+  }
+
+  /** Returns how many calls joined a group or stayed in it. */
+  int joinCount() {
+    return joinCount;
+  }
+
+  @Override
+  public void join(
+      String name,
+      String member,
+      int ttlMs,
+      long generation,
+      StoreCallback<PartitionGrant> callback) {
+    joinCount++;
+    if (cutMembers.contains(member)) {
+      callback.onFault(StoreFault.NO_ANSWER);
+      return;
+    }
+    Group group = group(name);
+    boolean isNew = !group.untilNanos.containsKey(member);
+    group.untilNanos.put(member, clockNanos.getAsLong() + TimeUnit.MILLISECONDS.toNanos(ttlMs));
+    group.generation += isNew ? 1 : 0;
+    Set<Integer> held = new HashSet<>();
+    for (int part = 0; part < PARTITIONS; part++) {
+      boolean isOthers = !group.dealtTo(part).equals(member);
+      if (isOthers && generation >= group.generation) {
+        group.holders.remove(part, member);
+      } else if (!isOthers) {
+        group.holders.putIfAbsent(part, member);
+      }
+      if (member.equals(group.holders.get(part))) {
+        held.add(part);
+      }
+    }
+    callback.onValue(new PartitionGrant(group.generation, held));
+  }
+
+  @Override
+  public void leave(String name, String member, long generation) {
+    Group group = group(name);
+    if (!cutMembers.contains(member) && group.untilNanos.remove(member) != null) {
+      group.holders.values().removeIf(member::equals);
+      group.generation++;
+    }
+  }
+
+  @Override
+  public void owner(String name, StoreCallback<String> callback) {
+    callback.onValue(group(name).holders.getOrDefault(0, ""));
+  }
+
+  private Group group(String name) {
+    Group group = groups.computeIfAbsent(name, key -> new Group());
+    long nowNanos = clockNanos.getAsLong();
+    if (group.untilNanos.values().removeIf(until -> until < nowNanos)) {
+      group.generation++;
+    }
+    group.holders.values().removeIf(holder -> !group.untilNanos.containsKey(holder));
+    return group;
+  }
+}
