Upstreams of the own zone are compared first; joining boxes are asked when due; calls counted

Each request drew its upstreams from all zones, so a process came back to one after the connection to it had closed; and boxes that join were asked every 60 ms for 2.5 s, though the figures of the engines tell how long a join takes. With N processes started one after the other each read the list of processes N times.

Change: Shortlist draws as many upstreams of the own zone as of all others. A formation knows when its members should be ready; until then they are asked every 0.7 s, later the more seldom the more they are overdue. A process with a hub reads the processes every 4 s at most. CountedStore counts the calls to the store by kind (metric and log line store_calls).

--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +23,12 @@
  * @since 0.2
  */
 public final class DomainKeeper {
+  /** How long a box takes to join the model that it held last (users' pages). */
+  private static final double KNOWN_JOIN_SECONDS = 0.2;
+
+  /** Loads before the first request take this part of their time (users' pages). */
+  private static final double EARLY_LOAD_PART = 0.1;
+
   private final String domain;
   private final KeeperTiming timing;
   private final LongSupplier epochs;
@@ -62,11 +67,16 @@
     return closings.headIds(view.sights());
   }
 
-  /** Returns the boxes that are to become members of a replica: their states are waited for. */
-  public Set<String> formingIds() {
-    Set<String> ids = new HashSet<>();
-    formations.values().forEach(formation -> ids.addAll(formation.memberIds()));
-    return ids;
+  /**
+   * Returns the boxes that are to become members of a replica, with the time on the steady clock at
+   * which each should be ready by the engines' figures: until then there is nothing to ask.
+   */
+  public Map<String, Long> formingDueNanos() {
+    Map<String, Long> dueNanos = new HashMap<>();
+    for (Formation formation : formations.values()) {
+      formation.memberIds().forEach(id -> dueNanos.put(id, formation.dueNanos()));
+    }
+    return dueNanos;
   }
 
   /** Returns true if a formation waits until the engines themselves have said where they stand. */
@@ -398,7 +408,8 @@
     ReplicaId replica = ReplicaId.of(domain, model.name(), epoch, members.get(0).box());
     double seconds = loads > 0 ? model.loadSeconds() * loads : model.warmSeconds();
     long limitNanos = (long) (seconds * 1e9) + timing.joinSlackNanos();
-    Formation formation = new Formation(replica, model, ids, nowNanos, limitNanos);
+    long dueNanos = nowNanos + joinNanos(members, model);
+    Formation formation = new Formation(replica, model, ids, nowNanos, dueNanos, limitNanos);
     formations.put(replica, formation);
     view.bindStanding(members, model.name());
     for (String id : ids) {
@@ -407,6 +418,18 @@
     return true;
   }
 
+  /** Returns how long the slowest of the boxes takes to join. */
+  private long joinNanos(List<BoxSight> members, ModelShape model) {
+    int cost = members.stream().mapToInt(sight -> sight.joinCost(model)).max().orElse(0);
+    double seconds =
+        switch (cost) {
+          case 0 -> KNOWN_JOIN_SECONDS;
+          case 1 -> model.warmSeconds();
+          default -> model.loadSeconds() * (demand.hasTraffic() ? 1 : EARLY_LOAD_PART);
+        };
+    return (long) (seconds * 1e9);
+  }
+
   private void order(BoxOrder order, long nowNanos) {
     if (orderBook.isDue(order, nowNanos)) {
       orders.add(order);
--- a/core/src/main/java/org/shoreroad/fleet/Formation.java
+++ b/core/src/main/java/org/shoreroad/fleet/Formation.java
@@ -11,6 +11,7 @@
  * @param model the model
  * @param memberIds the ids of its boxes, the head first
  * @param startedNanos when it was begun, on the steady clock
+ * @param dueNanos when its members should be ready by the engines' figures, on that clock
  * @param limitNanos how long it may take
  * @since 0.2
  */
@@ -19,6 +20,7 @@
     ModelShape model,
     List<String> memberIds,
     long startedNanos,
+    long dueNanos,
     long limitNanos) {
   Formation {
     memberIds = List.copyOf(memberIds);
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import org.shoreroad.edge.caller.AnswerChannel;
 import org.shoreroad.edge.caller.CallerExchange;
@@ -25,6 +26,7 @@
 import org.shoreroad.edge.relay.Relay;
 import org.shoreroad.edge.relay.UpstreamBoard;
 import org.shoreroad.edge.replica.ReplicaService;
+import org.shoreroad.edge.sync.CountedStore;
 import org.shoreroad.edge.sync.DomainLeases;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.edge.sync.ListNews;
@@ -57,6 +59,14 @@
   private static final int PROCESS_WAIT_MS = 15_000;
 
   private static final int PROCESS_INTERVAL_MS = 500;
+
+  /**
+   * A process with a hub needs to know the hubs only, and which of the others start matters to
+   * their own hubs. Where processes are replaced one after the other, each of N reads N times
+   * otherwise.
+   */
+  private static final int MEMBER_PROCESS_INTERVAL_MS = 4_000;
+
   private static final int UPKEEP_MS = 100;
   private static final int SUMMARY_MS = 2_000;
 
@@ -76,6 +86,7 @@
   private final EventLog log;
   private final EdgeMetrics metrics = new EdgeMetrics();
   private final String life;
+  private final CountedStore store;
   private final Knowledge knowledge;
   private final Fleet fleet;
   private final TopicFollower configFollower;
@@ -115,6 +126,11 @@
     this.log = log;
     SplittableRandom random = new SplittableRandom();
     this.life = settings.node() + "~" + Long.toHexString(random.nextLong());
+    this.store =
+        new CountedStore(
+            ports.store(),
+            ports.leaseStore(),
+            kind -> metrics.count("shoreroad.store.calls", kind));
     this.knowledge =
         new Knowledge(
             ports.configDecoder(),
@@ -124,8 +140,8 @@
             settings.isKeyProofRequired());
     this.fleet = new Fleet(ports.upstreamDecoder(), clockNanos, log);
     int configWaitMs = Knowledge.readWaitMs(settings.revokeMs());
-    this.configFollower = follower(Topic.CONFIGURATION, configWaitMs, 0, knowledge);
-    this.listFollower = follower(Topic.UPSTREAMS, LIST_WAIT_MS, LIST_INTERVAL_MS, fleet);
+    this.configFollower = follower(Topic.CONFIGURATION, configWaitMs, () -> 0, knowledge);
+    this.listFollower = follower(Topic.UPSTREAMS, LIST_WAIT_MS, () -> LIST_INTERVAL_MS, fleet);
     this.board = new UpstreamBoard(fleet, clockNanos, random, log, settings.zone());
     this.relay = makeRelay(loop, calls, random);
     this.lag = new LoopLag(log, UPKEEP_MS);
@@ -138,8 +154,7 @@
             new HubPlan.Place(life, settings.zone()),
             new Teller(),
             this::learn);
-    this.leases =
-        new DomainLeases(ports.leaseStore(), loop, clockNanos, log, life, mesh, fleet::domains);
+    this.leases = new DomainLeases(store, loop, clockNanos, log, life, mesh, fleet::domains);
     this.replicas =
         new ReplicaService(
             loop,
@@ -230,8 +245,8 @@
     Announcement announcement =
         new Announcement(host + ":" + settings.peerListen().getPort(), settings.zone());
     ProcessBook processes =
-        new ProcessBook(ports.store(), loop, log, mesh, new HubPlan.Place(life, settings.zone()));
-    follower(Topic.PROCESSES, PROCESS_WAIT_MS, PROCESS_INTERVAL_MS, processes).start();
+        new ProcessBook(store, loop, log, mesh, new HubPlan.Place(life, settings.zone()));
+    follower(Topic.PROCESSES, PROCESS_WAIT_MS, this::processIntervalMs, processes).start();
     processes.announce(announcement);
     leases.start();
     relay.start();
@@ -286,9 +301,12 @@
   }
 
   private TopicFollower follower(
-      Topic topic, int waitMs, int minIntervalMs, TopicFollower.Listener listener) {
-    return new TopicFollower(
-        topic, ports.store(), loop, clockNanos, log, waitMs, minIntervalMs, listener);
+      Topic topic, int waitMs, IntSupplier minIntervalMs, TopicFollower.Listener listener) {
+    return new TopicFollower(topic, store, loop, clockNanos, log, waitMs, minIntervalMs, listener);
+  }
+
+  private int processIntervalMs() {
+    return mesh.isMember() ? MEMBER_PROCESS_INTERVAL_MS : PROCESS_INTERVAL_MS;
   }
 
   private CallerLimits limits() {
@@ -307,6 +325,7 @@
     if (knowledge.config() != null) {
       knowledge.config().services().forEach(board::summarize);
       board.summarizeBoxes();
+      log.write("store_calls", "counts", store.takeCounts());
     }
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
@@ -43,15 +43,6 @@
   /** The part of the target latency that the prompts waiting at a replica may take to be read. */
   private static final double BACKLOG_PART = 0.6;
 
-  /**
-   * Up to this many processes each may choose among all upstreams: what one does shows to the
-   * others before many of them have chosen alike.
-   */
-  private static final int PROCESSES_THAT_COMPARE_ALL = 12;
-
-  /** The fewest upstreams to compare: already two, drawn by chance, keep the load even. */
-  private static final int LEAST_SAMPLE = 2;
-
   /** A plain upstream queues as many again as it works on: its requests are short. */
   private static final int PLAIN_QUEUE_FACTOR = 2;
 
@@ -132,10 +123,9 @@
         fit.add(box);
       }
     }
-    drawSample(fit);
     FleetBox best = null;
     double bestCost = Double.MAX_VALUE;
-    for (FleetBox box : fit) {
+    for (FleetBox box : Shortlist.draw(fit, zone, processCount, random)) {
       double cost = cost(loadOf(box.id()), box, engine);
       if (cost < bestCost) {
         best = box;
@@ -145,16 +135,6 @@
     return best == null ? Optional.empty() : Optional.of(new Target(best, loadOf(best.id())));
   }
 
-  /** Leaves as many upstreams as can be compared without all processes choosing the same one. */
-  private void drawSample(List<FleetBox> fit) {
-    int size = fit.size() * PROCESSES_THAT_COMPARE_ALL / processCount;
-    while (fit.size() > Math.max(LEAST_SAMPLE, size)) {
-      int drawn = random.nextInt(fit.size());
-      fit.set(drawn, fit.get(fit.size() - 1));
-      fit.remove(fit.size() - 1);
-    }
-  }
-
   /** Returns true if any upstream stands for the model or the service, free or not. */
   boolean hasAny(UpstreamService service, @Nullable String model) {
     refresh();
--- a/edge/src/main/java/org/shoreroad/edge/replica/DomainWatch.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/DomainWatch.java
@@ -1,7 +1,6 @@
 package org.shoreroad.edge.replica;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -35,9 +34,15 @@
 
   private static final long CONFIRMING_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
-  /** While weights are loaded, which takes seconds. */
+  /** While a box that joins can't be ready yet, or is long overdue. */
   private static final long LOADING_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
+  /**
+   * The longer a box is overdue, the less often it is asked: each question comes after a fifth more
+   * of that time. Loads that wait for each other take up to eight times as long.
+   */
+  private static final long OVERDUE_PARTS = 5;
+
   /** To a box that did not answer, for the first second. */
   private static final long NEWLY_SILENT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(130);
 
@@ -46,9 +51,6 @@
 
   private static final long NEWLY_SILENT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-  /** A formation is asked after quickly for this long; then it must be loading. */
-  private static final long QUICK_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
-
   /**
    * Beyond the time in which an engine breaks a replica that lost a member. That time runs from the
    * loss, and this process counts from the first silence, which is later.
@@ -67,7 +69,7 @@
   private final Supplier<Set<String>> alivePeers;
   private final long certainNanos;
   private final Set<ReplicaId> headsSeen = new HashSet<>();
-  private final Map<String, Long> busySinceNanos = new HashMap<>();
+  private final Set<String> busyDomains = new HashSet<>();
 
   DomainWatch(
       LongSupplier clockNanos,
@@ -115,15 +117,15 @@
 
   /** Returns true if a replica is formed or closed in any domain. */
   boolean isAnyBusy() {
-    return !busySinceNanos.isEmpty();
+    return !busyDomains.isEmpty();
   }
 
   void forgetDomain(String key) {
-    busySinceNanos.remove(key);
+    busyDomains.remove(key);
   }
 
   void forgetDomains() {
-    busySinceNanos.clear();
+    busyDomains.clear();
   }
 
   /**
@@ -204,13 +206,12 @@
   /** Asks the boxes of a domain, each as often as what happens there needs. */
   private void askBoxes(
       String key, DomainKeeper keeper, List<FleetBox> boxes, Set<String> doubtful, long nowNanos) {
-    boolean isBusy = keeper.isBusy();
-    if (!isBusy) {
-      busySinceNanos.remove(key);
+    if (keeper.isBusy()) {
+      busyDomains.add(key);
+    } else {
+      busyDomains.remove(key);
     }
-    long sinceNanos = isBusy ? busySinceNanos.computeIfAbsent(key, name -> nowNanos) : nowNanos;
-    boolean isQuick = nowNanos - sinceNanos < QUICK_NANOS;
-    Set<String> forming = keeper.formingIds();
+    Map<String, Long> formingDueNanos = keeper.formingDueNanos();
     Set<String> closing = keeper.closingHeadIds();
     for (FleetBox box : boxes) {
       String id = box.id();
@@ -220,8 +221,8 @@
         contact.ask(box, intervalNanos, nowNanos);
       } else if (doubtful.contains(id)) {
         contact.ask(box, FORMING_INTERVAL_NANOS, nowNanos);
-      } else if (forming.contains(id) && contact.reportsCount(id, nowNanos)) {
-        contact.ask(box, isQuick ? FORMING_INTERVAL_NANOS : LOADING_INTERVAL_NANOS, nowNanos);
+      } else if (formingDueNanos.containsKey(id) && contact.reportsCount(id, nowNanos)) {
+        contact.ask(box, formingIntervalNanos(nowNanos - formingDueNanos.get(id)), nowNanos);
       } else if (closing.contains(id)) {
         contact.ask(box, BUSY_INTERVAL_NANOS, nowNanos);
       }
@@ -231,6 +232,14 @@
     }
   }
 
+  private static long formingIntervalNanos(long overdueNanos) {
+    if (overdueNanos < 0) {
+      return LOADING_INTERVAL_NANOS;
+    }
+    long intervalNanos = Math.max(FORMING_INTERVAL_NANOS, overdueNanos / OVERDUE_PARTS);
+    return Math.min(LOADING_INTERVAL_NANOS, intervalNanos);
+  }
+
   /** Forgets boxes and replicas that are gone. */
   void forgetOthers() {
     Set<String> known = new HashSet<>(doubts.askedByPeers().keySet());
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/sync/CountedStore.java
@@ -0,0 +1,88 @@
+package org.shoreroad.edge.sync;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * The platform's store with each call counted by its kind, since each has its price and the store
+ * bounds how many all processes may make in a second. Used on the event loop.
+ *
+ * @since 0.2
+ */
+public final class CountedStore implements Store, LeaseStore {
+  private final Store store;
+  private final LeaseStore leaseStore;
+  private final Consumer<String> counter;
+  private final Map<String, Integer> counts = new TreeMap<>();
+
+  /**
+   * Creates a store that has made no call.
+   *
+   * @param store makes the calls to topics, not null
+   * @param leaseStore makes the calls to groups, not null
+   * @param counter hears of each call by its kind, such as {@code read_upstreams}, not null
+   */
+  public CountedStore(Store store, LeaseStore leaseStore, Consumer<String> counter) {
+    this.store = store;
+    this.leaseStore = leaseStore;
+    this.counter = counter;
+  }
+
+  /** Returns how many calls of each kind were made since the last time. */
+  public Map<String, Integer> takeCounts() {
+    Map<String, Integer> taken = Map.copyOf(counts);
+    counts.clear();
+    return new TreeMap<>(taken);
+  }
+
+  @Override
+  public void read(Topic topic, long fromOffset, int waitMs, StoreCallback<StorePage> callback) {
+    count("read_", topic);
+    store.read(topic, fromOffset, waitMs, callback);
+  }
+
+  @Override
+  public void readNewest(Topic topic, String afterKey, StoreCallback<StorePage> callback) {
+    count("newest_", topic);
+    store.readNewest(topic, afterKey, callback);
+  }
+
+  @Override
+  public void write(Topic topic, String key, byte[] value, StoreCallback<Long> callback) {
+    count("write_", topic);
+    store.write(topic, key, value, callback);
+  }
+
+  @Override
+  public void join(
+      String group,
+      String member,
+      int ttlMs,
+      long generation,
+      StoreCallback<PartitionGrant> callback) {
+    count("join");
+    leaseStore.join(group, member, ttlMs, generation, callback);
+  }
+
+  @Override
+  public void leave(String group, String member, long generation) {
+    count("leave");
+    leaseStore.leave(group, member, generation);
+  }
+
+  @Override
+  public void owner(String group, StoreCallback<String> callback) {
+    count("owner");
+    leaseStore.owner(group, callback);
+  }
+
+  private void count(String verb, Topic topic) {
+    count(verb + topic.name().toLowerCase(java.util.Locale.ROOT));
+  }
+
+  private void count(String kind) {
+    counts.merge(kind, 1, Integer::sum);
+    counter.accept(kind);
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import org.shoreroad.edge.EventLog;
 
@@ -38,7 +39,7 @@
   private final LongSupplier clockNanos;
   private final EventLog log;
   private final int waitMs;
-  private final int minIntervalMs;
+  private final IntSupplier minIntervalMs;
   private final Listener listener;
   private final Set<String> listedKeys = new HashSet<>();
   private long nextOffset = -1;
@@ -55,7 +56,7 @@
    * Creates a follower; {@link #start} begins.
    *
    * @param waitMs how long a read waits in the store, in milliseconds
-   * @param minIntervalMs the least time between the sending of two reads, in milliseconds
+   * @param minIntervalMs tells the least time between the sending of two reads, in milliseconds
    */
   public TopicFollower(
       Topic topic,
@@ -64,7 +65,7 @@
       LongSupplier clockNanos,
       EventLog log,
       int waitMs,
-      int minIntervalMs,
+      IntSupplier minIntervalMs,
       Listener listener) {
     this.topic = topic;
     this.store = store;
@@ -199,7 +200,7 @@
             takeRecords(page.records());
             provenNanos = Math.max(provenNanos, sentNanos);
             long spentMs = TimeUnit.NANOSECONDS.toMillis(clockNanos.getAsLong() - sentNanos);
-            long restMs = Math.max(0, minIntervalMs - spentMs);
+            long restMs = Math.max(0, minIntervalMs.getAsInt() - spentMs);
             loop.schedule(TopicFollower.this::readOn, restMs, TimeUnit.MILLISECONDS);
           }
 
--- a/edge/src/test/java/org/shoreroad/edge/KnowledgeTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/KnowledgeTest.java
@@ -80,7 +80,7 @@
             () -> nowNanos,
             log,
             1_000,
-            0,
+            () -> 0,
             by);
     by.setFollower(follower);
     follower.start();
--- a/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.OutputStream;
@@ -16,6 +17,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.peer.Doubts;
@@ -54,7 +56,7 @@
   private long nowNanos = TimeUnit.HOURS.toNanos(1);
   private final EventLog log = new EventLog("t", () -> nowNanos, OutputStream.nullOutputStream());
   private final Fleet fleet = new Fleet(ReplicaServiceTest::decode, () -> nowNanos, log);
-  private final FakeEngines engines = new FakeEngines();
+  private final FakeEngines engines = new FakeEngines(() -> nowNanos);
   private final Set<String> suspected = new HashSet<>();
   private final Doubts doubts = new Doubts(() -> nowNanos);
   private final DomainLeases leases =
@@ -131,6 +133,13 @@
     private final List<Long> fences = new ArrayList<>();
     private final Set<String> refusing = new HashSet<>();
     private final Set<String> mute = new HashSet<>();
+    private final Map<String, Long> readyAtNanos = new HashMap<>();
+    private final LongSupplier clockNanos;
+    private long joinNanos;
+
+    FakeEngines(LongSupplier clockNanos) {
+      this.clockNanos = clockNanos;
+    }
 
     @Override
     public void ask(FleetBox box, AskCallback callback) {
@@ -144,6 +153,9 @@
         return;
       }
       Membership membership = memberships.get(box.id());
+      if (membership != null && readyAtNanos.getOrDefault(box.id(), 0L) > clockNanos.getAsLong()) {
+        membership = new Membership(membership.replica(), membership.rank(), MemberState.JOINING);
+      }
       callback.onWord(
           box.withEngineState(membership == null ? null : "m", List.of("m"), membership));
     }
@@ -158,6 +170,7 @@
           case JOIN -> {
             int rank = order.members().indexOf(box.id());
             memberships.put(box.id(), new Membership(replica, rank, MemberState.READY));
+            readyAtNanos.put(box.id(), clockNanos.getAsLong() + joinNanos);
           }
           case OPEN -> memberships.put(box.id(), new Membership(replica, 0, MemberState.OPEN));
           case LEAVE -> memberships.remove(box.id());
@@ -216,6 +229,30 @@
     assertThat(engines.asked, hasItem("b"));
   }
 
+  @Test
+  void boxesThatJoinAreAskedSeldomUntilTheyShouldBeReady() {
+    list("a");
+    list("b");
+    engines.joinNanos = TimeUnit.MILLISECONDS.toNanos(1_000);
+    takeLeases();
+    service.start();
+    run(700);
+    long joinedNanos = nowNanos;
+    engines.asked.clear();
+    while (engines.count(BoxOrder.Verb.JOIN) < 2) {
+      run(STEP_MS);
+      joinedNanos = nowNanos;
+      engines.asked.clear();
+    }
+    while (nowNanos - joinedNanos < TimeUnit.MILLISECONDS.toNanos(850)) {
+      run(STEP_MS);
+    }
+    // Every 60 ms it would be 14 for each of the two; the loading of the weights takes a second.
+    assertThat(engines.asked.size(), lessThanOrEqualTo(4));
+    run(1_500);
+    assertThat(engines.count(BoxOrder.Verb.OPEN), is(1L));
+  }
+
   @Test
   void anOpeningThatWasTakenIsNotOrderedAgainAtOnce() {
     list("a");
--- a/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
@@ -35,7 +35,7 @@
 
   private TopicFollower follow(TopicFollower.Listener listener) {
     return new TopicFollower(
-        Topic.UPSTREAMS, store, channel.eventLoop(), () -> nowNanos, log, 1_000, 0, listener);
+        Topic.UPSTREAMS, store, channel.eventLoop(), () -> nowNanos, log, 1_000, () -> 0, listener);
   }
 
   private static FleetBox decode(String id, byte[] entry) {
