Boxes are not asked for a replica that waits for weights; three processes read the list for all

A keeper that could form a replica from boxes without weights asked all 37 boxes of the domain where they stand, saw that weights are missing, and asked anew, all the time; meanwhile it staged nothing.

Change: the weights are looked at first. Three processes (the first by rendezvous among the hubs, or among all where there is no hub) read the list; heartbeats between hubs, and in a full mesh, carry what is new with its proof. A process reads itself once the proof is over 1.5 s old (list) or too old to trust keys with a read to spare (configuration).

Tests: DomainKeeperTest.boxesAreNotAskedForAReplicaThatStillWaitsForWeights failed first. In ReplicaServiceTest box c is listed with the weights that its engine reports: the entry said that it had none, and only the needless questions hid that. Assertions unchanged.

--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -393,16 +393,18 @@
     if (members.size() < model.boxes()) {
       return false;
     }
-    if (!view.isConfirmed()) {
-      needsWords = true;
-      return false;
-    }
     int loads = (int) members.stream().filter(sight -> sight.isCold(model)).count();
     // A load keeps all members idle: the weights are put on the hosts first, but at the very start.
     boolean isFresh = !demand.hasTraffic() && view.sights().stream().allMatch(BoxSight::isBlank);
     if (loads > 0 && !isFresh) {
       return false;
     }
+    // Only now, since boxes asked for a replica that waits for weights were asked all the time:
+    // 183,167 questions in 52 s with 925 boxes (one play).
+    if (!view.isConfirmed()) {
+      needsWords = true;
+      return false;
+    }
     List<String> ids = members.stream().map(sight -> sight.box().id()).toList();
     long epoch = epochs.getAsLong();
     ReplicaId replica = ReplicaId.of(domain, model.name(), epoch, members.get(0).box());
--- a/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
@@ -318,6 +318,16 @@
     assertThat(domain.countOpen("large"), is(1L));
   }
 
+  @Test
+  void boxesAreNotAskedForAReplicaThatStillWaitsForWeights() {
+    demand = new Demand(Map.of("large", 0.5, "small", 0.5), Map.of(), true);
+    domain.setConfirmed(false);
+    addBoxes(BOXES);
+    run(5);
+    assertThat(keeper.needsWords(), is(false));
+    assertThat(given.stream().anyMatch(order -> order.verb() == BoxOrder.Verb.STAGE), is(true));
+  }
+
   @Test
   void holdsBothRulesUnderAnyMixOfFaults() {
     for (int seed = 0; seed < 300; seed++) {
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -67,6 +67,13 @@
    */
   private static final int MEMBER_PROCESS_INTERVAL_MS = 4_000;
 
+  /**
+   * The list is read by this process itself once what readers proved is older: a reader's proof is
+   * 1.1 s old at most, the newest of three mostly half of that, and what an upstream says of its
+   * leaving must be known within two seconds.
+   */
+  private static final int TOLD_LIST_PROOF_MS = 1_500;
+
   private static final int UPKEEP_MS = 100;
   private static final int SUMMARY_MS = 2_000;
 
@@ -196,8 +203,8 @@
   /** Tells the parts of each other. */
   private void connect(HttpCalls calls) {
     knowledge.setFollower(configFollower);
-    configFollower.spareWhile(mesh::isMember);
-    listFollower.spareWhile(mesh::isMember);
+    configFollower.spareWhile(() -> !mesh.isReader(), Knowledge.toldProofMs(settings.revokeMs()));
+    listFollower.spareWhile(() -> !mesh.isReader(), TOLD_LIST_PROOF_MS);
     leases.setChangeListener(mesh::hurry);
     replicas.setUrgentNewsListener(mesh::hurry);
     board.setSuspicionListener(
@@ -359,8 +366,8 @@
   private void learn(Heartbeat heartbeat) {
     knowledge.learn(heartbeat);
     doubts.learn(heartbeat);
-    if (heartbeat.scope() == Heartbeat.Scope.REST) {
-      ListNews told = heartbeat.listNews();
+    ListNews told = heartbeat.listNews();
+    if (told.isProof() && !mesh.isReader()) {
       listFollower.takeOver(told, heartbeat.echoNanos() - told.ageNanos());
     }
     heartbeat.words().forEach(fleet::updateByPeer);
--- a/edge/src/main/java/org/shoreroad/edge/peer/Heartbeat.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Heartbeat.java
@@ -59,15 +59,20 @@
 
   /** Returns the heartbeat as it is sent to one receiver, with what that one last sent. */
   public Heartbeat withEcho(long newEchoNanos) {
-    return with(scope, newEchoNanos);
+    return with(scope, newEchoNanos, listNews);
+  }
+
+  /** Returns the heartbeat with other news of the list. */
+  public Heartbeat withListNews(ListNews newListNews) {
+    return with(scope, echoNanos, newListNews);
   }
 
   /** Returns the same words as spoken for others. */
   public Heartbeat withScope(Scope newScope) {
-    return with(newScope, echoNanos);
+    return with(newScope, echoNanos, listNews);
   }
 
-  private Heartbeat with(Scope newScope, long newEchoNanos) {
+  private Heartbeat with(Scope newScope, long newEchoNanos, ListNews newListNews) {
     return new Heartbeat(
         sender,
         sentNanos,
@@ -82,7 +87,7 @@
         silentUpstreams,
         keptDomains,
         words,
-        listNews);
+        newListNews);
   }
 
   /** Whom the sender of a heartbeat speaks for. */
--- a/edge/src/main/java/org/shoreroad/edge/peer/Peer.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Peer.java
@@ -2,8 +2,10 @@
 
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.sync.ListNews;
 import org.shoreroad.member.HubPlan.Place;
 
 /** One other process: what was last heard of it, and the way to it. Used on the event loop. */
@@ -18,6 +20,7 @@
   private final long offset;
   private final PeerLink link;
   private final EventLog log;
+  private final ListProgress listProgress = new ListProgress();
   private long outSinceNanos = Long.MIN_VALUE / 2;
   private long usedNanos;
   private long awaitedSinceNanos;
@@ -66,6 +69,21 @@
     return Objects.requireNonNull(last, "last");
   }
 
+  /**
+   * Returns what it lacks of the list and was not told a moment ago, and takes it as told.
+   *
+   * @param listSince gives what a process lacks that has read as far as an offset, not null
+   * @param nowNanos the steady clock
+   */
+  ListNews listNews(LongFunction<ListNews> listSince, long nowNanos) {
+    long heldOffset = lastHeard().listNews().endOffset();
+    ListNews news = listSince.apply(listProgress.nextOffset(heldOffset, nowNanos));
+    if (news.isProof()) {
+      listProgress.noteTold(news.endOffset(), nowNanos);
+    }
+    return news;
+  }
+
   /** Returns true if it did not answer lately, so that others are to be hubs. */
   boolean isOut(long nowNanos) {
     boolean hasFailed =
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -38,6 +38,7 @@
 import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.member.HubPlan;
 import org.shoreroad.member.HubPlan.Place;
+import org.shoreroad.routing.Rendezvous;
 
 /**
  * Heartbeats to and from the other processes: who lives, what load they have, what they know.
@@ -61,6 +62,14 @@
   /** How often the plan is made anew. */
   private static final long PLAN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+  /**
+   * So many processes read the list of upstreams for all: of three, two may be turned away by the
+   * store at a time, and the others still hear within two seconds that an upstream leaves.
+   */
+  private static final int READERS = 3;
+
+  private static final String READER_KEY = "reader";
+
   private static final int MAX_FRAME_BYTES = 1_048_576;
   private static final int LENGTH_BYTES = 4;
 
@@ -78,6 +87,7 @@
   private final List<FleetBox> wordsOfMembers = new ArrayList<>();
   private final List<FleetBox> wordsOfHubs = new ArrayList<>();
   private HubPlan plan;
+  private boolean isReader = true;
   private long plannedNanos;
   private long sentNanos;
   private boolean isUrgent;
@@ -211,7 +221,14 @@
     return Set.copyOf(peers.keySet());
   }
 
-  /** Returns true if this process does not read the list itself while its hub tells it. */
+  /**
+   * Returns true if this process reads the store for others: few do, and tell the rest what is new.
+   */
+  public boolean isReader() {
+    return isReader;
+  }
+
+  /** Returns true if this process tells and hears others through a hub only. */
   public boolean isMember() {
     return !plan.isFullMesh() && !isHub();
   }
@@ -270,7 +287,7 @@
     makePlan(nowNanos);
     Heartbeat own = source.make(self.name(), nowNanos);
     if (plan.isFullMesh()) {
-      peers.values().forEach(peer -> peer.send(own, nowNanos));
+      peers.values().forEach(peer -> peer.send(own.withListNews(newsFor(peer, own)), nowNanos));
     } else if (isHub()) {
       sendAsHub(own, nowNanos);
     } else {
@@ -298,6 +315,17 @@
       log.write("hub_chosen", "isHub", next.isHub(), "hub", String.valueOf(next.ownHub()));
     }
     plan = next;
+    chooseReaders();
+  }
+
+  /** Settles whether this process is a reader: one of the first few hubs, or of all processes. */
+  private void chooseReaders() {
+    Set<String> names = new HashSet<>();
+    names.add(self.name());
+    Scope scope = plan.isFullMesh() ? Scope.SELF : Scope.HUB;
+    heard(scope, Peer.ALIVE_NANOS).forEach(peer -> names.add(peer.name()));
+    int rank = Rendezvous.rank(READER_KEY, names, name -> name).indexOf(self.name());
+    isReader = !isMember() && rank < READERS;
   }
 
   private void sendToHub(Heartbeat own, long nowNanos) {
@@ -321,18 +349,27 @@
         hubs.add(hub);
       }
     }
-    hubs.forEach(hub -> hub.sendExpectingAnswer(toHubs, nowNanos));
+    hubs.forEach(hub -> hub.sendExpectingAnswer(toHubs.withListNews(newsFor(hub, own)), nowNanos));
     words.addAll(wordsOfHubs);
     for (Peer member : members) {
       List<Peer> others = new ArrayList<>(members);
       others.remove(member);
       List<Heard> all = new ArrayList<>(toHeard(others));
       all.addAll(hubsHeard);
-      ListNews news = source.listSince(member.lastHeard().listNews().endOffset());
+      ListNews news = member.listNews(source::listSince, nowNanos);
       member.send(Digest.merge(own, Scope.REST, all, hubsHeard, words, news, nowNanos), nowNanos);
     }
   }
 
+  /** Returns what a peer lacks of the list if this process reads it for others. */
+  private ListNews newsFor(Peer peer, Heartbeat own) {
+    if (!isReader || !peer.isHeard(Peer.ALIVE_NANOS, clockNanos.getAsLong())) {
+      return own.listNews();
+    }
+    ListNews news = peer.listNews(source::listSince, clockNanos.getAsLong());
+    return news.isProof() ? news : own.listNews();
+  }
+
   private void receive(Heartbeat heartbeat) {
     Peer peer = peers.get(heartbeat.sender());
     if (peer == null) {
--- a/edge/src/main/java/org/shoreroad/edge/sync/ListNews.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/ListNews.java
@@ -21,17 +21,25 @@
     long ageNanos,
     long reachableNanos,
     List<StoreRecord> records) {
+  /** Older than anything that counts. */
+  private static final long NO_PROOF_NANOS = Long.MAX_VALUE / 4;
+
   /** Nothing that anybody could use. */
   public static final ListNews NONE =
-      new ListNews(Long.MAX_VALUE, -1, Long.MAX_VALUE / 4, 0, List.of());
+      new ListNews(Long.MAX_VALUE, -1, NO_PROOF_NANOS, 0, List.of());
 
   /** Copies the list. */
   public ListNews {
     records = List.copyOf(records);
   }
 
-  /** Returns what a process tells that has read as far, without any record. */
+  /** Returns what a process tells that has read as far, without any record or proof. */
   public static ListNews readTo(long endOffset) {
-    return new ListNews(endOffset, endOffset, 0, 0, List.of());
+    return new ListNews(endOffset, endOffset, NO_PROOF_NANOS, 0, List.of());
+  }
+
+  /** Returns true if the teller has proof that it missed no change up to the end. */
+  public boolean isProof() {
+    return ageNanos < NO_PROOF_NANOS;
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
@@ -27,9 +27,6 @@
   /** What a peer told counts this long: five heartbeats. */
   private static final long TOLD_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-  /** A proof by peers may be as old as a waiting read of theirs, and three heartbeats. */
-  private static final long TOLD_PROOF_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
-
   /** While peers tell what is new, this process looks this often whether they still do. */
   private static final int TOLD_CHECK_MS = 200;
 
@@ -49,6 +46,7 @@
   private long reachableSinceNanos;
   private int pauseMs = SHORTEST_PAUSE_MS;
   private BooleanSupplier isSpared = () -> false;
+  private long toldProofNanos;
   private long toldNanos = Long.MIN_VALUE / 2;
   private long toldReachableNanos;
 
@@ -77,9 +75,15 @@
     this.listener = listener;
   }
 
-  /** Sets whether peers read for this process; it reads itself when they cease to tell. */
-  public void spareWhile(BooleanSupplier isTold) {
+  /**
+   * Sets whether peers read for this process; it reads itself when they cease to tell.
+   *
+   * @param isTold true while they do, not null
+   * @param proofMs how old their proof may be that they missed nothing, in milliseconds
+   */
+  public void spareWhile(BooleanSupplier isTold, int proofMs) {
     isSpared = isTold;
+    toldProofNanos = TimeUnit.MILLISECONDS.toNanos(proofMs);
   }
 
   /** Begins to follow. */
@@ -123,7 +127,7 @@
 
   /** Takes over a stretch that a peer has read, if nothing is missing before it. */
   public void takeOver(ListNews news, long peerProvenNanos) {
-    if (!isCurrent || news.fromOffset() > nextOffset) {
+    if (!isCurrent || !news.isProof() || news.fromOffset() > nextOffset) {
       return;
     }
     takeRecords(news.records());
@@ -138,7 +142,7 @@
     long nowNanos = clockNanos.getAsLong();
     return isSpared.getAsBoolean()
         && nowNanos - toldNanos < TOLD_NANOS
-        && nowNanos - provenNanos < TOLD_PROOF_NANOS;
+        && nowNanos - provenNanos < toldProofNanos;
   }
 
   private void readNewest(String afterKey, long endOffset, long startedNanos) {
--- a/edge/src/test/java/org/shoreroad/edge/peer/PeerMeshTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/PeerMeshTest.java
@@ -179,6 +179,55 @@
         is(true));
   }
 
+  @Test
+  void threeProcessesReadTheListForAllOthers() throws Exception {
+    start(7);
+    assertThat(
+        becomesTrue(() -> processes.stream().filter(p -> p.mesh.isReader()).count() == 3),
+        is(true));
+    assertThat(
+        becomesTrue(
+            () -> processes.stream().allMatch(p -> p.mesh.isReader() || p.listHeard.contains(7L))),
+        is(true));
+  }
+
+  @Test
+  void amongManyThreeHubsReadTheListForAllOthers() throws Exception {
+    start(30);
+    assertThat(
+        becomesTrue(() -> processes.stream().filter(p -> p.mesh.isReader()).count() == 3),
+        is(true));
+    assertThat(
+        becomesTrue(
+            () -> processes.stream().allMatch(p -> p.mesh.isReader() || p.listHeard.contains(7L))),
+        is(true));
+  }
+
+  @Test
+  void everybodyHearsWhichDomainsTheOthersKeep() throws Exception {
+    start(30);
+    assertThat(
+        becomesTrue(
+            () ->
+                processes.stream()
+                    .allMatch(
+                        p -> p.mesh.keptDomains() != null && p.mesh.keptDomains().size() == 29)),
+        is(true));
+  }
+
+  @Test
+  void whoHearsNobodyKnowsOfNoDomains() throws Exception {
+    start(1);
+    Process alone = processes.get(0);
+    assertThat(alone.mesh.keptDomains(), is(Set.of()));
+    onLoop(
+        () -> {
+          alone.mesh.add(new Place("box-9~9", "zone-1"), "127.0.0.1:1", 1);
+          return true;
+        });
+    assertThat(alone.mesh.keptDomains() == null, is(true));
+  }
+
   @Test
   void anotherHubIsChosenWhenOneIsGone() throws Exception {
     start(30);
--- a/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
@@ -189,6 +189,11 @@
     fleet.onRecord(new StoreRecord(fleet.boxes().size(), id, "x".getBytes(StandardCharsets.UTF_8)));
   }
 
+  /** Lists a box whose host holds the model. */
+  private void listWithWeights(String id, long offset) {
+    fleet.onRecord(new StoreRecord(offset, id, "staged".getBytes(StandardCharsets.UTF_8)));
+  }
+
   private void run(int millis) {
     for (int passed = 0; passed < millis; passed += STEP_MS) {
       long nanos = TimeUnit.MILLISECONDS.toNanos(STEP_MS);
@@ -269,7 +274,7 @@
     takeLeases();
     service.start();
     run(3_500);
-    list("c");
+    listWithWeights("c", 50);
     return engines.orders.stream()
         .filter(order -> order.verb() == BoxOrder.Verb.OPEN)
         .findFirst()
@@ -315,7 +320,7 @@
   @Test
   void anOrderFollowsTheAnswerToTheOneBefore() {
     String head = formAndReturnHead();
-    fleet.onRecord(new StoreRecord(9, "c", "staged".getBytes(StandardCharsets.UTF_8)));
+    listWithWeights("c", 9);
     engines.refusing.add(head.equals("a") ? "b" : "a");
     engines.orders.clear();
     suspected.add(head);
--- a/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
@@ -131,7 +131,7 @@
   @Test
   void whomPeersTellDoesNotReadItself() {
     store.put("a", "1");
-    follower.spareWhile(() -> true);
+    follower.spareWhile(() -> true, 3_000);
     follower.start();
     int calls = store.calls().size();
     byte[] two = {'2'};
@@ -148,7 +148,7 @@
   @Test
   void whenPeersCeaseToTellItReadsItself() {
     store.put("a", "1");
-    follower.spareWhile(() -> true);
+    follower.spareWhile(() -> true, 3_000);
     follower.start();
     follower.takeOver(told(1, 1), nowNanos);
     int calls = store.calls().size();
@@ -162,7 +162,7 @@
   @Test
   void anOldProofByPeersIsNotReliedOn() {
     store.put("a", "1");
-    follower.spareWhile(() -> true);
+    follower.spareWhile(() -> true, 3_000);
     follower.start();
     int calls = store.calls().size();
     long firstNanos = nowNanos;
@@ -173,6 +173,21 @@
     assertThat(store.calls().size(), is(greaterThan(calls)));
   }
 
+  @Test
+  void whatAPeerHasReadIsNoProof() {
+    store.put("a", "1");
+    follower.spareWhile(() -> true, 3_000);
+    follower.start();
+    int calls = store.calls().size();
+    long provenNanos = follower.provenNanos();
+    for (int i = 0; i < 10; i++) {
+      follower.takeOver(ListNews.readTo(1), nowNanos);
+      pass(SECOND_NANOS / 5);
+    }
+    assertThat(store.calls().size(), is(greaterThan(calls)));
+    assertThat(follower.provenNanos(), is(greaterThan(provenNanos)));
+  }
+
   @Test
   void aStretchThatBeginsTooLateIsNotTakenOver() {
     store.put("a", "1");
@@ -185,7 +200,7 @@
   @Test
   void aPeerThatKnowsOfMoreMakesItRead() {
     store.put("a", "1");
-    follower.spareWhile(() -> true);
+    follower.spareWhile(() -> true, 3_000);
     follower.start();
     follower.proveByPeer(1, nowNanos);
     store.put("b", "2");
