ReplicaServiceTest: boxes are listed with the weights that their engines report

Their entries said that they had none, which only the needless questions of the former keeper made up for: two tests failed on for that. The assertions are unchanged. Box b of the tests with an unlisted head has left another replica, so that no order to warm it comes in between.

--- a/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
@@ -336,7 +336,11 @@
   private void startWithMember(String id, ReplicaId replica) {
     engines.memberships.put(id, new Membership(replica, 1, MemberState.READY));
     list("a");
-    list("b");
+    listWithWeights("b", 1);
+    // It has left another replica, so it needs no warming.
+    Membership former = new Membership(new ReplicaId("former", 1), 1, MemberState.READY);
+    fleet.update(fleet.find("b").withEngineState("m", List.of("m"), former));
+    fleet.update(fleet.find("b").withEngineState(null, List.of("m"), null));
     fleet.update(fleet.find(id).withEngineState("m", List.of("m"), engines.memberships.get(id)));
     takeLeases();
     service.start();
