The fleet is indexed by domain; what requests go by has a count of its own

Change: Fleet keeps the boxes of each domain together. listChanges counts what the plan goes by, targetChanges what requests go by: the list, plain upstreams and open heads.

--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
@@ -348,7 +348,7 @@
       return;
     }
     long nowNanos = clockNanos.getAsLong();
-    for (UpstreamLoad load : new ArrayList<>(loads.values())) {
+    for (UpstreamLoad load : loadsWithOwnRequests()) {
       for (Exchange exchange : new ArrayList<>(load.open())) {
         ModelEngine engine = ModelEngine.of(service, exchange.model());
         long silentNanos = nowNanos - load.silentSinceNanos();
@@ -359,6 +359,11 @@
     }
   }
 
+  /** Returns a copy, since taking requests elsewhere changes what is open. */
+  private List<UpstreamLoad> loadsWithOwnRequests() {
+    return loads.values().stream().filter(load -> load.ownOpenCount() > 0).toList();
+  }
+
   private void stall(UpstreamLoad load, Exchange exchange, long nowNanos) {
     if (!load.isSuspected()) {
       load.suspect(nowNanos);
@@ -381,10 +386,10 @@
 
   /** Derives what stands from the fleet, if that has changed. */
   private void refresh() {
-    if (fleet.changes() == seenChanges) {
+    if (fleet.targetChanges() == seenChanges) {
       return;
     }
-    seenChanges = fleet.changes();
+    seenChanges = fleet.targetChanges();
     openHeads.clear();
     plainUpstreams.clear();
     servingReplicas.clear();
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -1,7 +1,6 @@
 package org.shoreroad.edge.replica;
 
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -199,25 +198,21 @@
 
   private void keepService(UpstreamService service, EngineSpec engine) {
     ServiceDomains known = domainsByService.get(service.name());
-    if (known == null || known.changes() != fleet.changes() || known.engine() != engine) {
+    if (known == null || known.listChanges() != fleet.listChanges() || known.engine() != engine) {
       known = deriveDomains(service, engine);
       domainsByService.put(service.name(), known);
     }
-    ReplicaPlan plan = known.plan();
     Set<String> suspected = findNewlySuspected();
     Demand demand = demands.apply(service);
-    known
-        .boxes()
-        .forEach(
-            (domain, boxes) -> {
-              String key = Fleet.domainKey(service.name(), domain);
-              if (leases.holds(key)) {
-                keepDomain(key, domain, engine, boxes, plan, suspected, demand);
-              } else {
-                keepers.remove(key);
-                watch.forgetDomain(key);
-              }
-            });
+    for (String domain : known.names()) {
+      String key = Fleet.domainKey(service.name(), domain);
+      if (leases.holds(key)) {
+        keepDomain(key, domain, engine, fleet.boxesOf(key), known.plan(), suspected, demand);
+      } else {
+        keepers.remove(key);
+        watch.forgetDomain(key);
+      }
+    }
   }
 
   /** Returns the heads that are suspected since a moment ago; the others have answered by now. */
@@ -231,28 +226,27 @@
   }
 
   private ServiceDomains deriveDomains(UpstreamService service, EngineSpec engine) {
-    Map<String, List<FleetBox>> boxesByDomain = new TreeMap<>();
-    for (FleetBox box : fleet.boxes()) {
-      if (box.service().equals(service.name()) && box.domain() != null) {
-        boxesByDomain.computeIfAbsent(box.domain(), name -> new ArrayList<>()).add(box);
+    Map<String, Integer> sizes = new TreeMap<>();
+    String prefix = Fleet.domainKey(service.name(), "");
+    for (String key : fleet.domains()) {
+      if (key.startsWith(prefix)) {
+        sizes.put(key.substring(prefix.length()), countLasting(fleet.boxesOf(key)));
       }
     }
-    Map<String, Integer> sizes = new HashMap<>();
-    boxesByDomain.forEach((name, boxes) -> sizes.put(name, countLasting(boxes)));
     return new ServiceDomains(
-        fleet.changes(), engine, boxesByDomain, ReplicaPlan.of(engine, sizes));
+        fleet.listChanges(), engine, List.copyOf(sizes.keySet()), ReplicaPlan.of(engine, sizes));
   }
 
   /**
-   * The fabric domains of a service, as derived from the fleet.
+   * The fabric domains of a service, as derived from the list.
    *
-   * @param changes the fleet's number of changes that this was derived at
+   * @param listChanges the list's number of changes that this was derived at
    * @param engine the engines that the plan was made for
-   * @param boxes the boxes of each domain
+   * @param names the names of the domains
    * @param plan what each domain is to hold
    */
   private record ServiceDomains(
-      long changes, EngineSpec engine, Map<String, List<FleetBox>> boxes, ReplicaPlan plan) {}
+      long listChanges, EngineSpec engine, List<String> names, ReplicaPlan plan) {}
 
   private int countLasting(List<FleetBox> boxes) {
     return (int) boxes.stream().filter(box -> !box.isLeaving() && fleet.isListed(box.id())).count();
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -39,9 +41,6 @@
    */
   private static final long WORD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
-  /** Domains come and go seldom, while boxes change many times a second. */
-  private static final long DOMAINS_NANOS = TimeUnit.SECONDS.toNanos(1);
-
   private final Map<String, Long> wordAtNanos = new HashMap<>();
   private final Map<String, Long> wordEpochs = new HashMap<>();
 
@@ -60,9 +59,9 @@
   private final Map<String, String> idsByAddress = new HashMap<>();
   private final RecentNews news = new RecentNews();
   private final List<Consumer<FleetBox>> removalListeners = new ArrayList<>();
-  private long changes;
-  private Set<String> domains = new HashSet<>();
-  private long domainsDerivedNanos;
+  private final Map<String, Map<String, FleetBox>> boxesByDomain = new HashMap<>();
+  private long listChanges;
+  private long targetChanges;
 
   /** Creates an empty fleet. */
   public Fleet(Decoder decoder, LongSupplier clockNanos, EventLog log) {
@@ -76,19 +75,14 @@
     removalListeners.add(listener);
   }
 
-  /** Returns the keys of all fabric domains that have boxes, as of a second ago at most. */
+  /** Returns the keys of all fabric domains that have boxes. */
   public Set<String> domains() {
-    long nowNanos = clockNanos.getAsLong();
-    if (domains.isEmpty() || nowNanos - domainsDerivedNanos > DOMAINS_NANOS) {
-      domainsDerivedNanos = nowNanos;
-      domains = new HashSet<>();
-      for (FleetBox box : boxes.values()) {
-        if (box.domain() != null) {
-          domains.add(domainKey(box.service(), box.domain()));
-        }
-      }
-    }
-    return domains;
+    return Collections.unmodifiableSet(boxesByDomain.keySet());
+  }
+
+  /** Returns the boxes of a fabric domain, in no order; empty if none is known. */
+  public List<FleetBox> boxesOf(String domainKey) {
+    return List.copyOf(boxesByDomain.getOrDefault(domainKey, Map.of()).values());
   }
 
   /** Returns the key of a fabric domain of a service. */
@@ -104,7 +98,7 @@
       news.add(record);
       if (boxes.containsKey(record.key())) {
         removedAtNanos.putIfAbsent(record.key(), clockNanos.getAsLong());
-        changes++;
+        noteListChange();
       }
       return;
     }
@@ -129,7 +123,7 @@
     for (String id : new HashSet<>(boxes.keySet())) {
       if (!keys.contains(id)) {
         removedAtNanos.putIfAbsent(id, clockNanos.getAsLong());
-        changes++;
+        noteListChange();
       }
     }
   }
@@ -152,13 +146,14 @@
   private void put(FleetBox listed) {
     FleetBox before = boxes.get(listed.id());
     FleetBox box = before == null ? listed : withNewerState(before, listed);
-    boxes.put(box.id(), box);
+    keep(box);
     noteModel(box);
     boolean wasRemoved = removedAtNanos.remove(box.id()) != null;
     offListIds.remove(box.id());
-    if (!box.equals(before) || wasRemoved) {
-      changes++;
-      if (before == null || before.isLeaving() != box.isLeaving()) {
+    boolean isOtherwiseListed = before == null || before.isLeaving() != box.isLeaving();
+    if (wasRemoved || isOtherwiseListed) {
+      noteListChange();
+      if (isOtherwiseListed) {
         log.write(
             "upstream_listed",
             "upstream",
@@ -173,6 +168,41 @@
     }
   }
 
+  /** Takes over the newest state of an upstream. */
+  private void keep(FleetBox box) {
+    FleetBox before = boxes.put(box.id(), box);
+    if (box.equals(before)) {
+      return;
+    }
+    if (before != null && !Objects.equals(before.domain(), box.domain())) {
+      dropFromDomain(before);
+    }
+    if (box.domain() != null) {
+      String key = domainKey(box.service(), box.domain());
+      boxesByDomain.computeIfAbsent(key, name -> new HashMap<>()).put(box.id(), box);
+    }
+    boolean isTarget = box.domain() == null || box.isOpenHead();
+    if (before == null || isTarget || before.isOpenHead()) {
+      targetChanges++;
+    }
+  }
+
+  private void dropFromDomain(FleetBox box) {
+    if (box.domain() != null) {
+      boxesByDomain.computeIfPresent(
+          domainKey(box.service(), box.domain()),
+          (key, boxesThere) -> {
+            boxesThere.remove(box.id());
+            return boxesThere.isEmpty() ? null : boxesThere;
+          });
+    }
+  }
+
+  private void noteListChange() {
+    listChanges++;
+    targetChanges++;
+  }
+
   /** Keeps the engine's own word of a moment ago against an entry that may be older. */
   private FleetBox withNewerState(FleetBox before, FleetBox listed) {
     heldBackIds.remove(listed.id());
@@ -244,9 +274,8 @@
     if (after.equals(before)) {
       return false;
     }
-    boxes.put(after.id(), after);
+    keep(after);
     noteModel(after);
-    changes++;
     return true;
   }
 
@@ -284,7 +313,7 @@
     for (Map.Entry<String, Long> removed : new HashMap<>(removedAtNanos).entrySet()) {
       FleetBox box = boxes.get(removed.getKey());
       if (box != null && offListIds.add(box.id())) {
-        changes++;
+        noteListChange();
         log.write("upstream_off_list", "upstream", box.id(), "address", box.address());
       }
       if (box != null && (box.domain() == null || nowNanos - removed.getValue() > FORGET_NANOS)) {
@@ -303,10 +332,10 @@
       return boxes.containsKey(box.id());
     }
     idsByAddress.put(box.address(), box.id());
-    boxes.put(box.id(), box);
+    keep(box);
     removedAtNanos.put(box.id(), clockNanos.getAsLong());
     offListIds.add(box.id());
-    changes++;
+    noteListChange();
     log.write("upstream_unlisted_known", "upstream", box.id(), "address", box.address());
     return true;
   }
@@ -323,7 +352,8 @@
     lastModels.remove(id);
     if (gone != null) {
       idsByAddress.remove(gone.address(), id);
-      changes++;
+      dropFromDomain(gone);
+      noteListChange();
       log.write("upstream_gone", "upstream", id, "address", gone.address());
       removalListeners.forEach(listener -> listener.accept(gone));
     }
@@ -339,9 +369,17 @@
     return boxes.containsKey(id) && !offListIds.contains(id);
   }
 
-  /** Returns a number that rises with each change. */
-  public long changes() {
-    return changes;
+  /** Returns a number that rises when an upstream comes, goes, or says that it leaves. */
+  public long listChanges() {
+    return listChanges;
+  }
+
+  /**
+   * Returns a number that rises with each change that requests go by: of the list, and of heads
+   * that are open. Among 925 boxes something changes all the time; what requests go by does seldom.
+   */
+  public long targetChanges() {
+    return targetChanges;
   }
 
   /** Returns all upstreams that are known. */
--- a/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
@@ -209,6 +209,36 @@
     assertThat(seen.get("b"), is("2"));
   }
 
+  @Test
+  void whatMembersSayChangesNothingThatRequestsGoBy() {
+    fleet.onRecord(new StoreRecord(0, "i-1", "ready".getBytes(StandardCharsets.UTF_8)));
+    FleetBox box = fleet.find("i-1");
+    long before = fleet.targetChanges();
+    fleet.update(member(box, "m", MemberState.JOINING));
+    fleet.update(member(box, "m", MemberState.READY));
+    assertThat(fleet.targetChanges(), is(before));
+    fleet.update(head(box, MemberState.OPEN));
+    assertThat(fleet.targetChanges(), is(before + 1));
+    fleet.update(head(box, MemberState.CLOSING));
+    assertThat(fleet.targetChanges(), is(before + 2));
+  }
+
+  @Test
+  void boxesAreFoundByTheirDomainUntilTheyAreGone() {
+    fleet.onRecord(new StoreRecord(0, "i-1", "ready".getBytes(StandardCharsets.UTF_8)));
+    FleetBox box = fleet.find("i-1");
+    String key = Fleet.domainKey(box.service(), String.valueOf(box.domain()));
+    FleetBox joining = member(box, "m", MemberState.JOINING);
+    fleet.update(joining);
+    assertThat(fleet.boxesOf(key), contains(joining));
+    assertThat(fleet.domains(), is(Set.of(key)));
+    long before = fleet.listChanges();
+    fleet.forget("i-1");
+    assertThat(fleet.boxesOf(key).isEmpty(), is(true));
+    assertThat(fleet.domains().isEmpty(), is(true));
+    assertThat(fleet.listChanges(), is(before + 1));
+  }
+
   @Test
   void onlyWhatChangedSomethingIsToldOn() {
     byte[] entry = "ready".getBytes(StandardCharsets.UTF_8);
@@ -329,6 +359,10 @@
     assertThat(fleet.find("i-9") == null, is(true));
   }
 
+  private static FleetBox head(FleetBox box, MemberState state) {
+    return box.withEngineState("m", List.of(), new Membership(new ReplicaId("r", 5), 0, state));
+  }
+
   private static FleetBox member(FleetBox box, String model, MemberState state) {
     Membership membership = new Membership(new ReplicaId("r", 5), 1, state);
     return box.withEngineState(model, List.of(), membership);
