--- a/edge/src/main/java/org/shoreroad/edge/sync/DomainLeases.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/DomainLeases.java
@@ -41,6 +41,9 @@
   /** A domain that another member holds in the store is looked at again after this time. */
   private static final long HELD_ELSEWHERE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+  /** The same while nobody is heard: most likely this process is cut off, and all is held. */
+  private static final long HELD_WHILE_UNTOLD_NANOS = TimeUnit.SECONDS.toNanos(2);
+
   /** A claim that the store has not granted by then is given up: twice the time to live. */
   private static final long UNGRANTED_NANOS = TimeUnit.SECONDS.toNanos(4);
 
@@ -58,6 +61,7 @@
   private Runnable onChange = () -> {};
   private long startedNanos;
   private long toldNanos;
+  private boolean isTold;
   private boolean isLeaving;
 
   /**
@@ -160,10 +164,11 @@
       return;
     }
     Set<String> told = peers.keptDomains();
-    toldNanos = told == null ? toldNanos : nowNanos;
+    isTold = told != null;
+    toldNanos = isTold ? nowNanos : toldNanos;
     Set<String> elsewhere = told == null ? Set.of() : told;
     giveUp(elsewhere);
-    if (told != null || nowNanos - toldNanos > UNTOLD_NANOS) {
+    if (isTold || nowNanos - toldNanos > UNTOLD_NANOS) {
       Set<String> all = domains.get();
       claims
           .due(nowNanos, all, elsewhere, leases.keySet(), peers.names())
@@ -211,7 +216,7 @@
             if (owner.isEmpty() || owner.equals(member)) {
               claim(domain);
             } else {
-              claims.postpone(domain, clockNanos.getAsLong() + HELD_ELSEWHERE_NANOS);
+              postpone(domain);
             }
           }
 
@@ -219,11 +224,16 @@
           public void onFault(StoreFault fault) {
             beingChecked.remove(domain);
             log.write("domain_owner_unknown", "domain", domain, "why", fault);
-            claims.postpone(domain, clockNanos.getAsLong() + HELD_ELSEWHERE_NANOS);
+            postpone(domain);
           }
         });
   }
 
+  private void postpone(String domain) {
+    long forNanos = isTold ? HELD_ELSEWHERE_NANOS : HELD_WHILE_UNTOLD_NANOS;
+    claims.postpone(domain, clockNanos.getAsLong() + forNanos);
+  }
+
   private void claim(String domain) {
     if (isLeaving || leases.containsKey(domain)) {
       return;
--- a/edge/src/test/java/org/shoreroad/edge/sync/DomainLeasesTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/DomainLeasesTest.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.shoreroad.edge.EventLog;
 
@@ -31,6 +32,7 @@
   private final Set<String> domains = new TreeSet<>();
   private final Map<String, DomainLeases> processes = new HashMap<>();
   private final Set<String> dead = new HashSet<>();
+  private final Set<String> deaf = new HashSet<>();
   private final List<Map<String, Set<String>>> told = new ArrayList<>();
 
   private void createDomains(int count) {
@@ -62,7 +64,10 @@
     }
 
     @Override
-    public Set<String> keptDomains() {
+    public @Nullable Set<String> keptDomains() {
+      if (deaf.contains(self)) {
+        return null;
+      }
       Set<String> kept = new HashSet<>();
       if (told.size() > LAG_STEPS) {
         told.get(told.size() - LAG_STEPS)
@@ -196,6 +201,21 @@
     assertThat(owners().size(), is(6));
   }
 
+  @Test
+  void whoHearsNobodyTakesNothingAndAsksSeldom() {
+    createDomains(25);
+    startProcesses(10);
+    run(8_000);
+    Map<String, String> before = owners();
+    deaf.add("p3");
+    run(6_000);
+    int asked = store.ownerCount();
+    run(10_000);
+    assertThat(owners(), is(before));
+    // Each of at most 25 domains every two seconds.
+    assertThat(store.ownerCount() - asked, lessThanOrEqualTo(25 * 6));
+  }
+
   @Test
   void renewalsGrowWithTheDomainsAndNotWithTheProcesses() {
     createDomains(25);
--- a/edge/src/test/java/org/shoreroad/edge/sync/FakeGroups.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FakeGroups.java
@@ -21,6 +21,7 @@
   private final Map<String, Group> groups = new HashMap<>();
   private final Set<String> cutMembers = new HashSet<>();
   private int joinCount;
+  private int ownerCount;
 
   private static final class Group {
     private final Map<String, Long> untilNanos = new TreeMap<>();
@@ -47,6 +48,11 @@
     return joinCount;
   }
 
+  /** Returns how many calls asked who owns a group. */
+  int ownerCount() {
+    return ownerCount;
+  }
+
   @Override
   public void join(
       String name,
@@ -89,6 +95,7 @@
 
   @Override
   public void owner(String name, StoreCallback<String> callback) {
+    ownerCount++;
     callback.onValue(group(name).holders.getOrDefault(0, ""));
   }
 
