Whether the store is reached is taken from the newest proof that a reader tells

A reader that the store turns away told the others, five times a second, that it is not reached, beside two that reach it; upstreams off the list were then taken off late. Test first red: aReaderThatTheStoreTurnsAwayDoesNotHideThatOthersReachIt.

--- a/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
@@ -132,9 +132,12 @@
     }
     takeRecords(news.records());
     nextOffset = Math.max(nextOffset, news.endOffset());
-    provenNanos = Math.max(provenNanos, peerProvenNanos);
     toldNanos = clockNanos.getAsLong();
-    toldReachableNanos = news.reachableNanos();
+    // Of several readers one may be turned away by the store while the others are served.
+    if (peerProvenNanos >= provenNanos) {
+      provenNanos = peerProvenNanos;
+      toldReachableNanos = news.reachableNanos();
+    }
   }
 
   /** Returns true if peers read for this process, and have lately told it enough. */
--- a/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
@@ -173,6 +173,16 @@
     assertThat(store.calls().size(), is(greaterThan(calls)));
   }
 
+  @Test
+  void aReaderThatTheStoreTurnsAwayDoesNotHideThatOthersReachIt() {
+    store.put("a", "1");
+    follower.spareWhile(() -> true, 3_000);
+    follower.start();
+    follower.takeOver(told(1, 1), nowNanos);
+    follower.takeOver(new ListNews(1, 1, 0, 0, List.of()), nowNanos - SECOND_NANOS);
+    assertThat(follower.reachableForNanos(), is(60 * SECOND_NANOS));
+  }
+
   @Test
   void whatAPeerHasReadIsNoProof() {
     store.put("a", "1");
