One function for a place in a ranking and for a head; less work done twice

Read anew over the whole change, behaviour as it was: - Rendezvous.placeOf serves the choice of readers and the claims of domains, which each ranked for themselves; RendezvousTest holds it against rank. - FleetBox.isHead takes the place of two private copies (EngineContact, PeerMesh); Fleet.updateByPeer, which only called update any more, is gone. - A hub looks its live hubs up once a round, DomainPacking sorts the models once, and DomainKeeper looks whether the domain is fresh only when weights are missing; CountedStore copies once. - A condition of DomainLease that said the same twice; two tests of PeerMeshTest share their assertions. - Comments: a figure of Digest that was reckoned, not measured, is gone; others in plainer words.

--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -395,12 +395,11 @@
     }
     int loads = (int) members.stream().filter(sight -> sight.isCold(model)).count();
     // A load keeps all members idle: the weights are put on the hosts first, but at the very start.
-    boolean isFresh = !demand.hasTraffic() && view.sights().stream().allMatch(BoxSight::isBlank);
-    if (loads > 0 && !isFresh) {
+    if (loads > 0 && !isFresh()) {
       return false;
     }
-    // Only now, since boxes asked for a replica that waits for weights were asked all the time:
-    // 183,167 questions in 52 s with 925 boxes (one play).
+    // The weights are looked at first: for a replica that waits for them all boxes of the domain
+    // would be asked again and again, 183,167 questions in 52 s with 925 boxes (one run).
     if (!view.isConfirmed()) {
       needsWords = true;
       return false;
@@ -420,6 +419,11 @@
     return true;
   }
 
+  /** Returns true if no box of the domain has weights and no request was seen yet. */
+  private boolean isFresh() {
+    return !demand.hasTraffic() && view.sights().stream().allMatch(BoxSight::isBlank);
+  }
+
   /** Returns how long the slowest of the boxes takes to join. */
   private long joinNanos(List<BoxSight> members, ModelShape model) {
     int cost = members.stream().mapToInt(sight -> sight.joinCost(model)).max().orElse(0);
--- a/core/src/main/java/org/shoreroad/fleet/DomainPacking.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainPacking.java
@@ -1,6 +1,5 @@
 package org.shoreroad.fleet;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -22,11 +21,14 @@
   private static final double UNKNOWN_OPEN = 1;
 
   private final List<ModelShape> models;
+  private final List<ModelShape> largestFirst;
   private final Demand demand;
   private final Map<String, Integer> elsewhere;
 
   private DomainPacking(List<ModelShape> models, Demand demand, Map<String, Integer> elsewhere) {
     this.models = List.copyOf(models);
+    this.largestFirst =
+        models.stream().sorted(Comparator.comparingInt(model -> -model.boxes())).toList();
     this.demand = demand;
     this.elsewhere = Map.copyOf(elsewhere);
   }
@@ -94,8 +96,6 @@
   private Map<String, Integer> formable(Map<String, Integer> packing, Collection<BoxSight> boxes) {
     Map<String, Integer> formable = new HashMap<>();
     Set<BoxSight> left = new HashSet<>(boxes);
-    List<ModelShape> largestFirst = new ArrayList<>(models);
-    largestFirst.sort(Comparator.comparingInt(model -> -model.boxes()));
     for (ModelShape model : largestFirst) {
       for (int i = 0; i < packing.getOrDefault(model.name(), 0); i++) {
         List<BoxSight> members =
--- a/core/src/main/java/org/shoreroad/fleet/FleetBox.java
+++ b/core/src/main/java/org/shoreroad/fleet/FleetBox.java
@@ -41,6 +41,11 @@
     stagedModels = List.copyOf(stagedModels);
   }
 
+  /** Returns true if this box is the head of a replica, in whatever state. */
+  public boolean isHead() {
+    return membership != null && membership.isHead();
+  }
+
   /** Returns true if this box is the head of a replica that takes requests. */
   public boolean isOpenHead() {
     return membership != null && membership.isHead() && membership.state() == MemberState.OPEN;
--- a/core/src/main/java/org/shoreroad/member/DomainClaims.java
+++ b/core/src/main/java/org/shoreroad/member/DomainClaims.java
@@ -15,7 +15,7 @@
  * <p>Ownership is sticky: a domain that any process keeps is left to it, whoever comes or goes.
  * Each change of owner costs its domain most of a second without orders and a question to every
  * box, so dealing all domains out anew with each process that joins or leaves left 25 domains of 37
- * boxes with a fifth of their boxes serving at the start of traffic (95 processes, one play).
+ * boxes with a fifth of their boxes serving at the start of traffic (95 processes, one run).
  *
  * <p>Processes do not vote. Each waits the longer before a claim, the lower it ranks for the domain
  * by rendezvous hashing and the more domains it keeps, so that one mostly claims alone; where two
@@ -122,18 +122,12 @@
   }
 
   private long waitNanos(String domain, int ownCount) {
-    int rank = ranks.computeIfAbsent(domain, this::rankOf);
+    int rank = ranks.computeIfAbsent(domain, key -> Rendezvous.placeOf(self, key, rankedProcesses));
     return UNKEPT_NANOS
         + Math.min(MAX_RANK_NANOS, rank * RANK_NANOS)
         + Math.min(MAX_KEPT_NANOS, ownCount * KEPT_NANOS);
   }
 
-  private int rankOf(String domain) {
-    long ownScore = Rendezvous.score(domain, self);
-    return (int)
-        rankedProcesses.stream().filter(name -> Rendezvous.score(domain, name) > ownScore).count();
-  }
-
   private void rankAmong(Collection<String> processes) {
     Set<String> all = new HashSet<>(processes);
     all.add(self);
--- a/core/src/main/java/org/shoreroad/routing/Rendezvous.java
+++ b/core/src/main/java/org/shoreroad/routing/Rendezvous.java
@@ -54,6 +54,21 @@
         .toList();
   }
 
+  /**
+   * Returns the place of a name among all that compete for the key, 0 for the winner.
+   *
+   * @param name the name, not null
+   * @param key the key, not null
+   * @param names all names, not null; it does not matter whether the name is among them
+   */
+  public static int placeOf(String name, String key, Collection<String> names) {
+    Scored<String> own = new Scored<>(name, name, score(key, name));
+    return (int)
+        scoreAll(key, names, other -> other)
+            .filter(other -> Scored.ORDER.compare(other, own) > 0)
+            .count();
+  }
+
   /** Scores each candidate once; comparing would score it again and again. */
   private static <T> Stream<Scored<T>> scoreAll(
       String key, Collection<T> candidates, Function<T, String> name) {
--- /dev/null
+++ b/core/src/test/java/org/shoreroad/routing/RendezvousTest.java
@@ -0,0 +1,33 @@
+package org.shoreroad.routing;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Ranking names for keys. */
+class RendezvousTest {
+  @Test
+  void thePlaceOfANameIsItsPlaceInTheRanking() {
+    List<String> names = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      names.add("process-" + i);
+    }
+    for (String key : List.of("reader", "llm/d0", "llm/d1")) {
+      List<String> ranking = Rendezvous.rank(key, names, name -> name);
+      for (String name : names) {
+        assertThat(Rendezvous.placeOf(name, key, names), is(ranking.indexOf(name)));
+      }
+    }
+  }
+
+  @Test
+  void aNameThatIsNotAmongTheOthersHasThePlaceItWouldTake() {
+    List<String> others = List.of("a", "b", "c", "d");
+    List<String> all = List.of("a", "b", "c", "d", "me");
+    int place = Rendezvous.rank("key", all, name -> name).indexOf("me");
+    assertThat(Rendezvous.placeOf("me", "key", others), is(place));
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -206,10 +206,9 @@
   /** Tells the parts of each other. */
   private void connect(HttpCalls calls) {
     knowledge.setFollower(configFollower);
-    // Where there are no hubs each process reads the configuration itself, since a change must be
-    // in
-    // force within two seconds: with three readers for all, which the store may turn away, one came
-    // later on four of thirteen days of 7 and 9 processes.
+    // Without hubs each process reads the configuration itself. A change must be in force within
+    // two seconds; with three readers for all, which the store may turn away, one came later in
+    // four of thirteen runs with 7 and 9 processes.
     configFollower.spareWhile(mesh::isMember, TOLD_CONFIG_PROOF_MS);
     listFollower.spareWhile(() -> !mesh.isReader(), TOLD_LIST_PROOF_MS);
     leases.setChangeListener(mesh::hurry);
@@ -377,7 +376,7 @@
     if (told.isProof() && !mesh.isReader()) {
       listFollower.takeOver(told, heartbeat.echoNanos() - told.ageNanos());
     }
-    heartbeat.words().forEach(fleet::updateByPeer);
+    heartbeat.words().forEach(fleet::update);
     if (board.suspectByPeer(heartbeat.suspectedUpstreams())) {
       replicas.hurry();
     }
--- a/edge/src/main/java/org/shoreroad/edge/peer/Digest.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Digest.java
@@ -80,7 +80,7 @@
    * Returns what a hub tells one of its members: all but what the member itself has told.
    *
    * <p>Taking the member off the sum costs the loads of one process, while a sum for each member
-   * costs those of all: 9 members, 10 hubs and 80 heads make 14,400 additions a heartbeat or 1,600.
+   * would cost the loads of all processes, as often as the hub has members.
    *
    * @param total what the hub tells of all processes, the member among them, not null
    * @param member the member's newest heartbeat, a part of the total, not null
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -335,8 +335,7 @@
     names.add(self.name());
     Scope scope = plan.isFullMesh() ? Scope.SELF : Scope.HUB;
     heard(scope, Peer.ALIVE_NANOS).forEach(peer -> names.add(peer.name()));
-    int rank = Rendezvous.rank(READER_KEY, names, name -> name).indexOf(self.name());
-    isReader = !isMember() && rank < READERS;
+    isReader = !isMember() && Rendezvous.placeOf(self.name(), READER_KEY, names) < READERS;
   }
 
   private void sendToHub(Heartbeat own, long nowNanos) {
@@ -348,12 +347,13 @@
 
   private void sendAsHub(Heartbeat own, long nowNanos) {
     List<Peer> members = heard(Scope.MEMBER, Peer.ALIVE_NANOS);
-    List<Heard> hubsHeard = toHeard(heard(Scope.HUB, Peer.ALIVE_NANOS));
+    List<Peer> aliveHubs = heard(Scope.HUB, Peer.ALIVE_NANOS);
+    List<Heard> hubsHeard = toHeard(aliveHubs);
     List<FleetBox> words = new ArrayList<>(own.words());
     words.addAll(wordsOfMembers);
     Heartbeat toHubs =
         Digest.merge(own, Scope.HUB, toHeard(members), List.of(), words, ListNews.NONE, nowNanos);
-    Set<Peer> hubs = new HashSet<>(heard(Scope.HUB, Peer.ALIVE_NANOS));
+    Set<Peer> hubs = new HashSet<>(aliveHubs);
     for (String name : plan.hubs()) {
       Peer hub = peers.get(name);
       if (hub != null) {
@@ -391,17 +391,13 @@
     } else if (heartbeat.scope() == Scope.HUB) {
       wordsOfHubs.addAll(heartbeat.words());
     }
-    if (isHub() && heartbeat.words().stream().anyMatch(PeerMesh::isOfHead)) {
+    // Requests go by heads; what other members say only their keeper waits for.
+    if (isHub() && heartbeat.words().stream().anyMatch(FleetBox::isHead)) {
       hurry();
     }
     listener.accept(heartbeat);
   }
 
-  /** Returns true if requests go by it; what other members say only their keeper waits for. */
-  private static boolean isOfHead(FleetBox word) {
-    return word.membership() != null && word.membership().isHead();
-  }
-
   private final class Initializer extends ChannelInitializer<SocketChannel> {
     @Override
     protected void initChannel(SocketChannel channel) {
--- a/edge/src/main/java/org/shoreroad/edge/replica/EngineContact.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/EngineContact.java
@@ -154,15 +154,11 @@
     }
     fleet.logWord(newest);
     news.put(newest.id(), newest);
-    if (isHead(newest) || (before != null && isHead(before))) {
+    if (newest.isHead() || (before != null && before.isHead())) {
       onUrgentNews.run();
     }
   }
 
-  private static boolean isHead(FleetBox box) {
-    return box.membership() != null && box.membership().isHead();
-  }
-
   private void recordSilence(String id, Engines.Silence silence) {
     boolean isRefused = silence == Engines.Silence.REFUSED;
     FleetBox known = fleet.find(id);
--- a/edge/src/main/java/org/shoreroad/edge/sync/CountedStore.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/CountedStore.java
@@ -1,5 +1,6 @@
 package org.shoreroad.edge.sync;
 
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -31,9 +32,9 @@
 
   /** Returns how many calls of each kind were made since the last time. */
   public Map<String, Integer> takeCounts() {
-    Map<String, Integer> taken = Map.copyOf(counts);
+    Map<String, Integer> taken = new TreeMap<>(counts);
     counts.clear();
-    return new TreeMap<>(taken);
+    return taken;
   }
 
   @Override
@@ -78,7 +79,7 @@
   }
 
   private void count(String verb, Topic topic) {
-    count(verb + topic.name().toLowerCase(java.util.Locale.ROOT));
+    count(verb + topic.name().toLowerCase(Locale.ROOT));
   }
 
   private void count(String kind) {
--- a/edge/src/main/java/org/shoreroad/edge/sync/DomainLease.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/DomainLease.java
@@ -137,12 +137,11 @@
     if (isLeft) {
       return;
     }
-    boolean isNewOwner = ownsDomain(next) && !ownsDomain(grant);
-    if (isNewOwner) {
+    if (ownsDomain(next) && !ownsDomain(grant)) {
       grantedNanos = clockNanos.getAsLong();
       wasGranted = true;
     }
-    if (isNewOwner || ownsDomain(next) != ownsDomain(grant)) {
+    if (ownsDomain(next) != ownsDomain(grant)) {
       log.write(
           "domain_lease",
           "domain",
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -259,7 +259,8 @@
   }
 
   /**
-   * Takes over what an engine has just said itself of model, host and replica.
+   * Takes over what an engine has just said, to this process or to a peer, of model, host and
+   * replica.
    *
    * @return true if that was news
    */
@@ -279,11 +280,6 @@
     return true;
   }
 
-  /** Takes over what a peer heard from an engine; the process that asked writes the log line. */
-  public void updateByPeer(FleetBox word) {
-    update(word);
-  }
-
   /** Writes a line on what an engine said. */
   public void logWord(FleetBox word) {
     log.write(
--- a/edge/src/test/java/org/shoreroad/edge/peer/PeerMeshTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/PeerMeshTest.java
@@ -182,18 +182,16 @@
   @Test
   void threeProcessesReadTheListForAllOthers() throws Exception {
     start(7);
-    assertThat(
-        becomesTrue(() -> processes.stream().filter(p -> p.mesh.isReader()).count() == 3),
-        is(true));
-    assertThat(
-        becomesTrue(
-            () -> processes.stream().allMatch(p -> p.mesh.isReader() || p.listHeard.contains(7L))),
-        is(true));
+    assertThatThreeReadTheListForAllOthers();
   }
 
   @Test
   void amongManyThreeHubsReadTheListForAllOthers() throws Exception {
     start(30);
+    assertThatThreeReadTheListForAllOthers();
+  }
+
+  private void assertThatThreeReadTheListForAllOthers() throws Exception {
     assertThat(
         becomesTrue(() -> processes.stream().filter(p -> p.mesh.isReader()).count() == 3),
         is(true));
