UpstreamBoard: look for silent heads when one can be silent for too long

Cause: each serving process woke 40 times a second to compare the silence of its heads with their limits, and looked the model of each request up in a stream each time (EngineSpec.findModel: 16 of 573 samples of the event loop).

Change: findStalled tells how long it takes until the next head can pass its limit; Relay looks then, after 10 ms at the earliest and 90 ms at the latest, which no limit is below. A request keeps its ModelEngine. A request that could not be moved is tried again after 25 ms, as before.

--- a/core/src/main/java/org/shoreroad/fleet/EngineSpec.java
+++ b/core/src/main/java/org/shoreroad/fleet/EngineSpec.java
@@ -42,7 +42,12 @@
 
   /** Returns the shape of the model, or empty if it is not declared. */
   public Optional<ModelShape> findModel(String name) {
-    return models.stream().filter(model -> model.name().equals(name)).findFirst();
+    for (ModelShape model : models) {
+      if (model.name().equals(name)) {
+        return Optional.of(model);
+      }
+    }
+    return Optional.empty();
   }
 
   /**
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -61,6 +61,7 @@
   private final long promptTokens;
   private @Nullable Route route;
   private @Nullable UpstreamService service;
+  private @Nullable ModelEngine engine;
   private @Nullable ClientAccount account;
   private @Nullable Attempt attempt;
   private @Nullable EventRelay events;
@@ -106,6 +107,7 @@
       return;
     }
     service = config.findService(found.chooseService(relay.random().nextDouble())).orElse(null);
+    engine = ModelEngine.of(service, model);
     long holdMs = Math.min(reader.deadlineMs(), found.timeoutMs());
     endNanos = request.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(holdMs);
     waitUntilNanos = request.arrivedNanos() + waitNanos();
@@ -143,8 +145,8 @@
    * out between passes, so with every place taken one comes free within a pass or so.
    */
   private long waitNanos() {
-    ModelEngine engine = ModelEngine.of(service, model);
-    return (long) ((engine == null ? PLAIN_WAIT_MS : engine.fullPassMs()) * 1e6);
+    ModelEngine of = engine;
+    return (long) ((of == null ? PLAIN_WAIT_MS : of.fullPassMs()) * 1e6);
   }
 
   /** Sends the request to the best upstream, waits a little for one, or gives up. */
@@ -444,8 +446,9 @@
     return route != null && route.isRepeatable() && attemptsLeft > 0;
   }
 
-  String model() {
-    return model;
+  /** Returns the engines of its service as they run its model, or null if there are none. */
+  @Nullable ModelEngine engine() {
+    return engine;
   }
 
   long promptTokens() {
@@ -458,8 +461,8 @@
 
   /** Returns how long a pass takes at an upstream by its engine's figures, 0 if it has none. */
   double passMs(UpstreamLoad load) {
-    ModelEngine engine = ModelEngine.of(service, model);
-    return engine == null ? 0 : engine.passMs(load);
+    ModelEngine of = engine;
+    return of == null ? 0 : of.passMs(load);
   }
 
   String targetId() {
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.shoreroad.edge.Clockwork;
@@ -15,7 +16,6 @@
 import org.shoreroad.edge.caller.HeaderNames;
 import org.shoreroad.edge.http.HttpCalls;
 import org.shoreroad.routing.AttemptBudget;
-import org.shoreroad.traffic.TrafficConfig;
 
 /**
  * Begins the exchanges and holds what they share. Used on the event loop.
@@ -29,8 +29,15 @@
   /** How often time limits are looked after. */
   private static final int TICK_MS = 100;
 
-  /** How often silent heads are looked for: half of a usual pass, 50 ms. */
-  private static final int STALL_TICK_MS = 25;
+  /** Shortest time between two looks for silent heads: a fifth of a usual pass, 50 ms. */
+  private static final int SHORTEST_STALL_TICK_MS = 10;
+
+  /**
+   * Longest time between two looks for silent heads: a head at which the first request is opened
+   * right after a look has a limit of at least this. A fixed look each 25 ms woke a serving process
+   * 40 times a second and found a silent head up to 25 ms late.
+   */
+  private static final int LONGEST_STALL_TICK_MS = 90;
 
   private final Clockwork clockwork;
   private final LongSupplier clockNanos;
@@ -45,6 +52,7 @@
   private final Map<String, AttemptBudget> budgets = new HashMap<>();
   private final Set<Exchange> open = new HashSet<>();
   private final Set<Exchange> waiting = new HashSet<>();
+  private int stallTickMs = LONGEST_STALL_TICK_MS;
   private boolean isTicking;
   private boolean isRefusingNew;
 
@@ -75,8 +83,7 @@
   /** Starts to look after waiting requests and silent heads. */
   public void start() {
     clockwork.every(TICK_MS, "relay", this::tick);
-    clockwork.every(
-        () -> open.isEmpty() ? TICK_MS : STALL_TICK_MS, "silent heads", this::findStalled);
+    clockwork.every(() -> stallTickMs, "silent heads", this::findStalled);
   }
 
   @Override
@@ -105,10 +112,8 @@
   }
 
   private void findStalled() {
-    TrafficConfig config = freshness.config();
-    if (config != null && !open.isEmpty()) {
-      config.services().forEach(board::findStalled);
-    }
+    long nextMs = TimeUnit.NANOSECONDS.toMillis(board.findStalled()) + 1;
+    stallTickMs = (int) Math.max(SHORTEST_STALL_TICK_MS, Math.min(LONGEST_STALL_TICK_MS, nextMs));
   }
 
   /** Looks for a place again soon, for as long as the request waits. */
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
@@ -40,6 +40,9 @@
   /** How long a suspected head is left alone before one request may try it again. */
   private static final long SUSPICION_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+  /** A request that could not be moved from a silent head is tried again this soon. */
+  private static final long MOVE_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
+
   /** The part of the target latency that the prompts waiting at a replica may take to be read. */
   private static final double BACKLOG_PART = 0.6;
 
@@ -341,22 +344,31 @@
         : membership.state().name().toLowerCase(Locale.ROOT);
   }
 
-  /** Looks for heads that stand still and takes their requests elsewhere. */
-  public void findStalled(UpstreamService service) {
+  /**
+   * Looks for heads that stand still and takes their requests elsewhere.
+   *
+   * @return the time until the next head can have been silent for too long, in nanoseconds, or
+   *     {@link Long#MAX_VALUE} if this process has nothing open at any head
+   */
+  public long findStalled() {
     refresh();
-    if (service.engine() == null) {
-      return;
-    }
     long nowNanos = clockNanos.getAsLong();
+    long nextNanos = Long.MAX_VALUE;
     for (UpstreamLoad load : loadsWithOwnRequests()) {
       for (Exchange exchange : new ArrayList<>(load.open())) {
-        ModelEngine engine = ModelEngine.of(service, exchange.model());
-        long silentNanos = nowNanos - load.silentSinceNanos();
-        if (engine != null && silentNanos > SilenceLimit.nanos(engine, load, nowNanos)) {
+        ModelEngine engine = exchange.engine();
+        if (engine == null) {
+          continue;
+        }
+        long limitNanos = SilenceLimit.nanos(engine, load, nowNanos);
+        long leftNanos = limitNanos - (nowNanos - load.silentSinceNanos());
+        if (leftNanos < 0) {
           stall(load, exchange, nowNanos);
         }
+        nextNanos = Math.min(nextNanos, leftNanos < 0 ? MOVE_AGAIN_NANOS : leftNanos);
       }
     }
+    return nextNanos;
   }
 
   /** Returns a copy, since taking requests elsewhere changes what is open. */
--- a/edge/src/test/java/org/shoreroad/edge/relay/UpstreamBoardTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UpstreamBoardTest.java
@@ -218,4 +218,9 @@
     assertThat(board.demand(LLM).pressure("m"), is(greaterThan(100.0)));
     assertThat(board.demand(LLM).hasTraffic(), is(false));
   }
+
+  @Test
+  void withoutOpenRequestsThereIsNoNextLookForSilentHeads() {
+    assertThat(board.findStalled(), is(Long.MAX_VALUE));
+  }
 }
