CallerConnection: flush once in each pass of the event loop

Cause: the head and the first event of a stream, several events of one read, and the last event and the end of a stream were each written with a system call of its own (writes were 40 of 573 samples of the event loop as leaves alone).

Change: parts are written at once and flushed by one task behind the pass; abort flushes what was passed on before it closes.

--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
@@ -52,6 +52,7 @@
   private boolean isLastAnswer;
   private boolean isRefusingInput;
   private boolean isKeptAlive = true;
+  private boolean isFlushDue;
   private long quietSinceNanos;
   private long partialHeadSinceNanos;
 
@@ -190,6 +191,8 @@
   public void abort() {
     isRefusingInput = true;
     if (channel != null) {
+      // What was passed on before must still leave.
+      channel.flush();
       channel.close();
     }
   }
@@ -206,11 +209,27 @@
     }
   }
 
+  /**
+   * Writes a part of an answer; all that is written in one pass of the event loop leaves with one
+   * system call, such as the head with the first event, or the last event with the end.
+   */
   private void write(Object message) {
-    if (channel != null && channel.isActive()) {
-      channel.writeAndFlush(message);
-    } else {
+    Channel open = channel;
+    if (open == null || !open.isActive()) {
       ReferenceCountUtil.release(message);
+      return;
+    }
+    open.write(message);
+    if (!isFlushDue) {
+      isFlushDue = true;
+      open.eventLoop().execute(this::flush);
+    }
+  }
+
+  private void flush() {
+    isFlushDue = false;
+    if (channel != null) {
+      channel.flush();
     }
   }
 
