Read the process list only when needed; renew leases each 0.8 s

Change: a member whose hub answers does not read the process list; it reads on when the hub falls silent or a heartbeat of an unknown process arrives (5 s). Leases are renewed each 0.8 s, and 0.3 s after a rejected renewal, so that three attempts follow one that failed (two before).

DomainLeaseTest: the renewal that brings generation 8 comes after 0.8 s now, so the test waits 0.9 s and checks the generation besides.

--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -257,7 +257,12 @@
         new Announcement(host + ":" + settings.peerListen().getPort(), settings.zone());
     ProcessBook processes =
         new ProcessBook(store, loop, log, mesh, new HubPlan.Place(life, settings.zone()));
-    follower(Topic.PROCESSES, PROCESS_WAIT_MS, this::processIntervalMs, processes).start();
+    TopicFollower processFollower =
+        follower(Topic.PROCESSES, PROCESS_WAIT_MS, this::processIntervalMs, processes);
+    // Members need the list to find a hub. With 89 processes their reads were a quarter of all
+    // calls to the store on a calm day, and each restart of a process was read by all others.
+    processFollower.restWhile(mesh::isSettledMember);
+    processFollower.start();
     processes.announce(announcement);
     leases.start();
     relay.start();
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -62,6 +62,12 @@
   /** How long a peer that was alive still counts for shares of common budgets. */
   private static final long SHARE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
+  /**
+   * How long after a heartbeat of an unknown process the process list counts as incomplete: one
+   * read at the longest interval of reads, 4 s, and its way.
+   */
+  private static final long STRANGER_NANOS = TimeUnit.SECONDS.toNanos(5);
+
   /** How often the plan is made anew. */
   private static final long PLAN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -93,6 +99,7 @@
   private Set<Place> plannedPlaces = Set.of();
   private boolean isReader = true;
   private long plannedNanos;
+  private long strangerNanos = Long.MIN_VALUE / 2;
   private long sentNanos;
   private boolean isUrgent;
 
@@ -238,6 +245,16 @@
     return !plan.isFullMesh() && !isHub();
   }
 
+  /**
+   * Returns true while the process list can bring this process nothing that it needs: it is a
+   * member whose hub answers, and no unknown process has sent it heartbeats.
+   */
+  public boolean isSettledMember() {
+    return isMember()
+        && clockNanos.getAsLong() - strangerNanos > STRANGER_NANOS
+        && !heard(Scope.REST, Peer.ALIVE_NANOS).isEmpty();
+  }
+
   /** Tells all peers soon, since something can't wait. */
   public void hurry() {
     if (!isUrgent) {
@@ -384,6 +401,7 @@
   private void receive(Heartbeat heartbeat) {
     Peer peer = peers.get(heartbeat.sender());
     if (peer == null) {
+      strangerNanos = clockNanos.getAsLong();
       return;
     }
     peer.hear(heartbeat, clockNanos.getAsLong());
--- a/edge/src/main/java/org/shoreroad/edge/sync/DomainLease.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/DomainLease.java
@@ -20,8 +20,11 @@
   /** Time to live of the membership: twice the minimum that the store allows. Milliseconds. */
   private static final int TTL_MS = 2_000;
 
-  /** Four renewals fit into the time to live, so that two may be lost. */
-  private static final int RENEW_MS = 500;
+  /** Interval of renewals. Two fit into the time to live less the margin. */
+  private static final int RENEW_MS = 800;
+
+  /** Delay after a renewal that failed, so that three more attempts fit after a rejected one. */
+  private static final int RENEW_AGAIN_MS = 300;
 
   /** Safety margin: the lease ends this much earlier here than in the store. Milliseconds. */
   private static final int MARGIN_MS = 300;
@@ -86,7 +89,7 @@
 
           @Override
           public void onFault(StoreFault fault) {
-            loop.schedule(DomainLease.this::claim, RENEW_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(DomainLease.this::claim, RENEW_AGAIN_MS, TimeUnit.MILLISECONDS);
           }
         });
   }
--- a/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
@@ -27,7 +27,7 @@
   /** What a peer told counts this long: five heartbeats. */
   private static final long TOLD_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-  /** While peers tell what is new, this process looks this often whether they still do. */
+  /** While this process does not read the topic, it checks this often whether it has to again. */
   private static final int TOLD_CHECK_MS = 200;
 
   private final Topic topic;
@@ -46,6 +46,7 @@
   private long reachableSinceNanos;
   private int pauseMs = SHORTEST_PAUSE_MS;
   private BooleanSupplier isSpared = () -> false;
+  private BooleanSupplier isNeedless = () -> false;
   private long toldProofNanos;
   private long toldNanos = Long.MIN_VALUE / 2;
   private long toldReachableNanos;
@@ -87,6 +88,16 @@
     toldProofNanos = TimeUnit.MILLISECONDS.toNanos(proofMs);
   }
 
+  /**
+   * Sets the condition under which this process does without what is new in the topic. It reads on
+   * from where it stopped once the condition ends.
+   *
+   * @param condition true while nothing of the topic is needed, not null
+   */
+  public void restWhile(BooleanSupplier condition) {
+    isNeedless = condition;
+  }
+
   /** Begins to follow. */
   public void start() {
     readNewest("", -1, clockNanos.getAsLong());
@@ -192,7 +203,7 @@
   }
 
   private void readOn() {
-    if (isTold()) {
+    if (isTold() || isNeedless.getAsBoolean()) {
       loop.schedule(this::readOn, TOLD_CHECK_MS, TimeUnit.MILLISECONDS);
       return;
     }
--- a/edge/src/test/java/org/shoreroad/edge/peer/PeerMeshTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/PeerMeshTest.java
@@ -226,6 +226,40 @@
     assertThat(alone.mesh.keptDomains() == null, is(true));
   }
 
+  @Test
+  void amongManyOnlyMembersThatHearTheirHubNeedNoProcessList() throws Exception {
+    start(30);
+    becomesTrue(() -> processes.stream().allMatch(p -> p.mesh.aliveCount() == 30));
+    assertThat(
+        becomesTrue(
+            () -> processes.stream().allMatch(p -> p.mesh.isSettledMember() == p.mesh.isMember())),
+        is(true));
+    Process member = processes.stream().filter(p -> p.mesh.isMember()).findFirst().orElseThrow();
+    onLoop(
+        () -> {
+          processes.stream()
+              .filter(p -> !p.mesh.isMember())
+              .forEach(hub -> hub.mesh.remove(member.place.name()));
+          return true;
+        });
+    assertThat(becomesTrue(() -> !member.mesh.isSettledMember()), is(true));
+  }
+
+  @Test
+  void aHeartbeatOfAnUnknownProcessMakesTheListNeeded() throws Exception {
+    start(30);
+    becomesTrue(() -> processes.stream().allMatch(p -> p.mesh.aliveCount() == 30));
+    Process member = processes.stream().filter(p -> p.mesh.isMember()).findFirst().orElseThrow();
+    assertThat(onLoop(member.mesh::isSettledMember), is(true));
+    Process stranger = new Process(31);
+    onLoop(
+        () -> {
+          stranger.mesh.add(member.place, member.address, 1);
+          return stranger.mesh.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        });
+    assertThat(becomesTrue(() -> !member.mesh.isSettledMember()), is(true));
+  }
+
   @Test
   void anotherHubIsChosenWhenOneIsGone() throws Exception {
     start(30);
--- a/edge/src/test/java/org/shoreroad/edge/sync/DomainLeaseTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/DomainLeaseTest.java
@@ -67,11 +67,28 @@
     long first = lease.nextEpoch();
     long second = lease.nextEpoch();
     store.grant(new PartitionGrant(8, Set.of(0)));
-    pass(700_000_000L);
+    pass(900_000_000L);
+    assertThat(lease.fence(), is(8L));
     long third = lease.nextEpoch();
     assertThat(first < second && second < third, is(true));
   }
 
+  @Test
+  void staysHeldWhileTheStoreRejectsThreeRenewals() {
+    store.grant(new PartitionGrant(7, Set.of(0)));
+    lease.claim();
+    store.failWith(StoreFault.REFUSED);
+    pass(800_000_000L);
+    pass(300_000_000L);
+    pass(300_000_000L);
+    assertThat(lease.isHeld(), is(true));
+    store.failWith(null);
+    pass(290_000_000L);
+    pass(10_000_000L);
+    pass(700_000_000L);
+    assertThat(lease.isHeld(), is(true));
+  }
+
   @Test
   void holdsNothingMoreAfterLeaving() {
     store.grant(new PartitionGrant(7, Set.of(0)));
--- a/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
@@ -183,6 +183,27 @@
     assertThat(follower.reachableForNanos(), is(60 * SECOND_NANOS));
   }
 
+  @Test
+  void aFollowerThatNeedsNothingReadsOnFromWhereItStopped() {
+    boolean[] isNeedless = {false};
+    store.put("a", "1");
+    follower.restWhile(() -> isNeedless[0]);
+    follower.start();
+    isNeedless[0] = true;
+    pass(SECOND_NANOS);
+    int calls = store.calls().size();
+    store.put("b", "2");
+    store.put("a", "3");
+    for (int i = 0; i < 50; i++) {
+      pass(SECOND_NANOS / 5);
+    }
+    assertThat(store.calls().size(), is(calls));
+    isNeedless[0] = false;
+    pass(SECOND_NANOS / 5);
+    assertThat(seen.get("a"), is("3"));
+    assertThat(seen.get("b"), is("2"));
+  }
+
   @Test
   void whatAPeerHasReadIsNoProof() {
     store.put("a", "1");
