--- a/core/src/main/java/org/shoreroad/fleet/Closings.java
+++ b/core/src/main/java/org/shoreroad/fleet/Closings.java
@@ -43,12 +43,12 @@
   }
 
   /** Returns the heads among the boxes whose closing is waited for. */
-  Set<String> headIds(Iterable<BoxSight> sights) {
+  Set<String> headIds(Iterable<ObservedBox> observedBoxes) {
     Set<String> ids = new HashSet<>();
-    for (BoxSight sight : sights) {
-      Membership membership = sight.box().membership();
+    for (ObservedBox observed : observedBoxes) {
+      Membership membership = observed.box().membership();
       if (membership != null && membership.isHead() && contains(membership.replica())) {
-        ids.add(sight.box().id());
+        ids.add(observed.box().id());
       }
     }
     return ids;
@@ -61,7 +61,11 @@
    * @param isWhole false if it has lost a member, so that its work can't end
    */
   @Nullable BoxOrder order(
-      ObservedReplica replica, BoxSight head, MemberState state, boolean isWhole, long nowNanos) {
+      ObservedReplica replica,
+      ObservedBox head,
+      MemberState state,
+      boolean isWhole,
+      long nowNanos) {
     begin(replica.replica(), false, nowNanos);
     Closing closing = closings.get(replica.replica());
     String headId = head.box().id();
--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -36,7 +36,7 @@
   private final Closings closings;
   private final Map<ReplicaId, Long> headlessSinceNanos = new HashMap<>();
   private final HostPreparation hosts = new HostPreparation();
-  private final SpareWarmings warmings;
+  private final SpareWarmup warmings;
   private final ReplicaConversion conversion;
   private final OrderBook orderBook;
   private List<BoxOrder> orders = new ArrayList<>();
@@ -57,14 +57,14 @@
     this.timing = timing;
     this.epochs = epochs;
     this.closings = new Closings(timing.drainLimitNanos());
-    this.warmings = new SpareWarmings(domain, epochs);
+    this.warmings = new SpareWarmup(domain, epochs);
     this.conversion = new ReplicaConversion(domain);
     this.orderBook = new OrderBook(timing.orderRepeatNanos());
   }
 
   /** Returns the heads whose closing is waited for. */
   public Set<String> closingHeadIds() {
-    return closings.headIds(view.sights());
+    return closings.headIds(view.observedBoxes());
   }
 
   /**
@@ -94,7 +94,7 @@
    *
    * @param nowNanos the steady clock
    * @param spec the engines of the service, not null
-   * @param sights the boxes of the domain, not null
+   * @param observedBoxes the boxes of the domain, not null
    * @param plan what every domain is to hold, not null
    * @param headsSeen the replicas whose heads were seen by this process at any time
    * @param demand how pressed the models are, not null
@@ -103,15 +103,15 @@
   public List<BoxOrder> decide(
       long nowNanos,
       EngineSpec spec,
-      Collection<BoxSight> sights,
+      Collection<ObservedBox> observedBoxes,
       ReplicaPlan plan,
       Set<ReplicaId> headsSeen,
       Demand demand) {
     this.demand = demand;
     orders = new ArrayList<>();
-    view = new DomainView(sights);
+    view = new DomainView(observedBoxes);
     needsWords = false;
-    Map<ReplicaId, ObservedReplica> observed = ObservedReplica.from(sights);
+    Map<ReplicaId, ObservedReplica> observed = ObservedReplica.from(observedBoxes);
     closings.retain(observed.keySet());
     headlessSinceNanos.keySet().retainAll(observed.keySet());
 
@@ -138,7 +138,7 @@
 
   private void keepAny(
       ObservedReplica replica, EngineSpec spec, Set<ReplicaId> headsSeen, long nowNanos) {
-    BoxSight head = replica.head();
+    ObservedBox head = replica.head();
     if (warmings.isUnderWay(replica)) {
       view.bind(replica.members());
     } else if (head == null) {
@@ -176,15 +176,15 @@
   /** Takes a formation a step further; returns false if it is done or given up. */
   private boolean advance(Formation formation, long nowNanos) {
     ReplicaId replica = formation.replica();
-    List<BoxSight> members = new ArrayList<>();
+    List<ObservedBox> members = new ArrayList<>();
     for (String id : formation.memberIds()) {
-      BoxSight sight = view.sightsById().get(id);
-      if (sight == null || !sight.isFit()) {
+      ObservedBox observed = view.observedById().get(id);
+      if (observed == null || !observed.isFit()) {
         return giveUp(formation, "member " + id + " is not fit", nowNanos);
       }
-      members.add(sight);
+      members.add(observed);
     }
-    BoxSight head = members.get(0);
+    ObservedBox head = members.get(0);
     if (head.isIn(replica, MemberState.OPEN)) {
       // From now on it is kept as any standing replica.
       return false;
@@ -197,7 +197,7 @@
       order(BoxOrder.of(head.box().id(), Verb.OPEN, replica, "all members are ready"), nowNanos);
       return true;
     }
-    for (BoxSight member : members) {
+    for (ObservedBox member : members) {
       if (!isMemberOf(member, replica)) {
         order(
             BoxOrder.join(
@@ -213,11 +213,11 @@
   }
 
   private boolean giveUp(Formation formation, String why, long nowNanos) {
-    Map<String, BoxSight> sightsById = view.sightsById();
-    BoxSight head = sightsById.get(formation.headId());
+    Map<String, ObservedBox> observedById = view.observedById();
+    ObservedBox head = observedById.get(formation.headId());
     if (head != null && isMemberOf(head, formation.replica()) && !head.isLost()) {
       view.bind(
-          formation.memberIds().stream().map(sightsById::get).filter(Objects::nonNull).toList());
+          formation.memberIds().stream().map(observedById::get).filter(Objects::nonNull).toList());
       order(
           BoxOrder.of(head.box().id(), Verb.LEAVE, formation.replica(), "given up: " + why),
           nowNanos);
@@ -242,7 +242,7 @@
   }
 
   /** Decides on a replica that is not being formed by this keeper. */
-  private void keep(ObservedReplica replica, BoxSight head, EngineSpec spec, long nowNanos) {
+  private void keep(ObservedReplica replica, ObservedBox head, EngineSpec spec, long nowNanos) {
     String modelName = replica.model();
     ModelShape model = modelName == null ? null : spec.findModel(modelName).orElse(null);
     Membership membership = head.box().membership();
@@ -269,7 +269,11 @@
   }
 
   private boolean keepWhole(
-      ObservedReplica replica, BoxSight head, MemberState state, ModelShape model, long nowNanos) {
+      ObservedReplica replica,
+      ObservedBox head,
+      MemberState state,
+      ModelShape model,
+      long nowNanos) {
     boolean isClosed = closings.contains(replica.replica());
     if (state == MemberState.OPEN && !isClosed) {
       view.bindStanding(replica.members(), model.name());
@@ -285,7 +289,11 @@
   }
 
   private void close(
-      ObservedReplica replica, BoxSight head, MemberState state, boolean isWhole, long nowNanos) {
+      ObservedReplica replica,
+      ObservedBox head,
+      MemberState state,
+      boolean isWhole,
+      long nowNanos) {
     BoxOrder closing = closings.order(replica, head, state, isWhole, nowNanos);
     if (closing != null) {
       order(closing, nowNanos);
@@ -302,7 +310,7 @@
     List<ObservedReplica> givable = observed.stream().filter(this::isGivable).toList();
     List<ObservedReplica> closed;
     if (demand.hasTraffic()) {
-      DomainPacking packing = DomainPacking.of(models, demand, view.sights());
+      DomainPacking packing = DomainPacking.of(models, demand, view.observedBoxes());
       Map<String, Integer> counts = new HashMap<>(view.standing());
       packing
           .fill(view.available(), view.standing())
@@ -320,7 +328,7 @@
   }
 
   private boolean isGivable(ObservedReplica replica) {
-    BoxSight head = replica.head();
+    ObservedBox head = replica.head();
     return head != null
         && replica.model() != null
         && head.box().isOpenHead()
@@ -389,11 +397,11 @@
   }
 
   private boolean form(ModelShape model, long nowNanos) {
-    List<BoxSight> members = view.pickMembers(model);
+    List<ObservedBox> members = view.pickMembers(model);
     if (members.size() < model.boxes()) {
       return false;
     }
-    int loads = (int) members.stream().filter(sight -> sight.isCold(model)).count();
+    int loads = (int) members.stream().filter(observed -> observed.isCold(model)).count();
     // A load keeps all members idle: the weights are put on the hosts first, but at the very start.
     if (loads > 0 && !isFresh()) {
       return false;
@@ -404,7 +412,7 @@
       needsWords = true;
       return false;
     }
-    List<String> ids = members.stream().map(sight -> sight.box().id()).toList();
+    List<String> ids = members.stream().map(observed -> observed.box().id()).toList();
     long epoch = epochs.getAsLong();
     ReplicaId replica = ReplicaId.of(domain, model.name(), epoch, members.get(0).box());
     double seconds = loads > 0 ? model.loadSeconds() * loads : model.warmSeconds();
@@ -421,12 +429,12 @@
 
   /** Returns true if no box of the domain has weights and there was no request yet. */
   private boolean isFresh() {
-    return !demand.hasTraffic() && view.sights().stream().allMatch(BoxSight::isBlank);
+    return !demand.hasTraffic() && view.observedBoxes().stream().allMatch(ObservedBox::isBlank);
   }
 
   /** Returns the join time of the slowest box, in nanoseconds. */
-  private long joinNanos(List<BoxSight> members, ModelShape model) {
-    int cost = members.stream().mapToInt(sight -> sight.joinCost(model)).max().orElse(0);
+  private long joinNanos(List<ObservedBox> members, ModelShape model) {
+    int cost = members.stream().mapToInt(observed -> observed.joinCost(model)).max().orElse(0);
     double seconds =
         switch (cost) {
           case 0 -> KNOWN_JOIN_SECONDS;
@@ -442,8 +450,8 @@
     }
   }
 
-  private static boolean isMemberOf(BoxSight sight, ReplicaId replica) {
-    Membership membership = sight.box().membership();
+  private static boolean isMemberOf(ObservedBox observed, ReplicaId replica) {
+    Membership membership = observed.box().membership();
     return membership != null && membership.replica().equals(replica);
   }
 }
--- a/core/src/main/java/org/shoreroad/fleet/DomainPacking.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainPacking.java
@@ -38,14 +38,15 @@
    *
    * @param models the models that are wanted at all, not null
    * @param demand how pressed they are over all domains, not null
-   * @param sights the boxes of the domain, not null
+   * @param observedBoxes the boxes of the domain, not null
    */
-  static DomainPacking of(List<ModelShape> models, Demand demand, Collection<BoxSight> sights) {
+  static DomainPacking of(
+      List<ModelShape> models, Demand demand, Collection<ObservedBox> observedBoxes) {
     Map<String, Integer> elsewhere = new HashMap<>();
     for (ModelShape model : models) {
       long here =
-          sights.stream()
-              .map(BoxSight::box)
+          observedBoxes.stream()
+              .map(ObservedBox::box)
               .filter(box -> box.isOpenHead() && model.name().equals(box.model()))
               .count();
       int count = demand.replicaCount(model.name()) - (int) here;
@@ -60,7 +61,7 @@
    * @param boxes the boxes that are free or come free soon, not null
    * @param standing the replicas of each model that stay in the domain, not null
    */
-  Map<String, Integer> fill(Collection<BoxSight> boxes, Map<String, Integer> standing) {
+  Map<String, Integer> fill(Collection<ObservedBox> boxes, Map<String, Integer> standing) {
     return ReplicaPlan.packings(models, boxes.size()).stream()
         .map(packing -> formable(packing, boxes))
         .min(
@@ -93,12 +94,13 @@
   }
 
   /** Returns the part of the packing whose boxes need not load weights from the weight store. */
-  private Map<String, Integer> formable(Map<String, Integer> packing, Collection<BoxSight> boxes) {
+  private Map<String, Integer> formable(
+      Map<String, Integer> packing, Collection<ObservedBox> boxes) {
     Map<String, Integer> formable = new HashMap<>();
-    Set<BoxSight> left = new HashSet<>(boxes);
+    Set<ObservedBox> left = new HashSet<>(boxes);
     for (ModelShape model : largestFirst) {
       for (int i = 0; i < packing.getOrDefault(model.name(), 0); i++) {
-        List<BoxSight> members =
+        List<ObservedBox> members =
             left.stream()
                 .filter(box -> !box.isCold(model))
                 .sorted(Comparator.comparingInt(box -> box.joinCost(model)))
--- a/core/src/main/java/org/shoreroad/fleet/DomainView.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainView.java
@@ -15,40 +15,40 @@
  * one thread.
  */
 final class DomainView {
-  private final Map<String, BoxSight> sightsById = new HashMap<>();
+  private final Map<String, ObservedBox> observedById = new HashMap<>();
   private final Set<String> boundIds = new HashSet<>();
   private final Map<String, Integer> standing = new HashMap<>();
-  private final List<BoxSight> comingFree = new ArrayList<>();
+  private final List<ObservedBox> comingFree = new ArrayList<>();
   private boolean isMending;
   private boolean hasLoss;
 
   /** Creates a view in which every fit box is free. */
-  DomainView(Collection<BoxSight> sights) {
-    sights.forEach(sight -> sightsById.put(sight.box().id(), sight));
+  DomainView(Collection<ObservedBox> observedBoxes) {
+    observedBoxes.forEach(observed -> observedById.put(observed.box().id(), observed));
   }
 
-  Collection<BoxSight> sights() {
-    return sightsById.values();
+  Collection<ObservedBox> observedBoxes() {
+    return observedById.values();
   }
 
-  Map<String, BoxSight> sightsById() {
-    return sightsById;
+  Map<String, ObservedBox> observedById() {
+    return observedById;
   }
 
   /** Notes that the boxes belong to a replica, or must not join another one yet. */
-  void bind(Collection<BoxSight> members) {
+  void bind(Collection<ObservedBox> members) {
     members.forEach(member -> boundIds.add(member.box().id()));
   }
 
   /** Notes that the boxes hold, or are to hold, a replica of the model that stays. */
-  void bindStanding(Collection<BoxSight> members, String model) {
+  void bindStanding(Collection<ObservedBox> members, String model) {
     bind(members);
     standing.merge(model, 1, Integer::sum);
   }
 
   /** Notes that the boxes are free once their replica is let go, in a moment. */
-  void noteComingFree(Collection<BoxSight> members) {
-    members.stream().filter(BoxSight::isFit).forEach(comingFree::add);
+  void noteComingFree(Collection<ObservedBox> members) {
+    members.stream().filter(ObservedBox::isFit).forEach(comingFree::add);
   }
 
   /** Notes that a replica is being closed or let go. */
@@ -77,21 +77,21 @@
   }
 
   /** Returns the fit boxes that no replica has. */
-  List<BoxSight> free() {
-    List<BoxSight> free = new ArrayList<>();
-    for (BoxSight sight : sightsById.values()) {
-      if (sight.isFit() && !boundIds.contains(sight.box().id())) {
-        free.add(sight);
+  List<ObservedBox> free() {
+    List<ObservedBox> free = new ArrayList<>();
+    for (ObservedBox observed : observedById.values()) {
+      if (observed.isFit() && !boundIds.contains(observed.box().id())) {
+        free.add(observed);
       }
     }
     return free;
   }
 
   /** Returns the boxes with weights that are free, or come free as their replicas are closed. */
-  List<BoxSight> available() {
-    List<BoxSight> available = free();
+  List<ObservedBox> available() {
+    List<ObservedBox> available = free();
     available.addAll(comingFree);
-    available.removeIf(BoxSight::isBlank);
+    available.removeIf(ObservedBox::isBlank);
     return available;
   }
 
@@ -101,11 +101,11 @@
   }
 
   /** Returns the free boxes that can hold the model soonest, as many as it needs if there are. */
-  List<BoxSight> pickMembers(ModelShape model) {
-    List<BoxSight> free = free();
+  List<ObservedBox> pickMembers(ModelShape model) {
+    List<ObservedBox> free = free();
     free.sort(
-        Comparator.comparingInt((BoxSight sight) -> sight.joinCost(model))
-            .thenComparing(sight -> sight.box().id()));
+        Comparator.comparingInt((ObservedBox observed) -> observed.joinCost(model))
+            .thenComparing(observed -> observed.box().id()));
     return free.subList(0, Math.min(free.size(), model.boxes()));
   }
 
@@ -114,6 +114,7 @@
    * the engines: a head that it shows as free may be open again.
    */
   boolean isConfirmed() {
-    return sightsById.values().stream().allMatch(sight -> !sight.isFit() || sight.isConfirmed());
+    return observedById.values().stream()
+        .allMatch(observed -> !observed.isFit() || observed.isConfirmed());
   }
 }
--- a/core/src/main/java/org/shoreroad/fleet/HostPreparation.java
+++ b/core/src/main/java/org/shoreroad/fleet/HostPreparation.java
@@ -18,7 +18,7 @@
   /** A small model is loaded first if it is at least this part as pressed as the most pressed. */
   private static final double LOADING_PRESSURE_PART = 0.5;
 
-  private final HostStagings stagings = new HostStagings();
+  private final WeightPrefetch stagings = new WeightPrefetch();
 
   /**
    * Returns the loads to order: for what lacks first, then for what is free, then for small
@@ -48,24 +48,25 @@
         view.standing().isEmpty()
             || !demand.hasTraffic()
             || models.stream().anyMatch(model -> demand.replicaCount(model.name()) == 0);
-    stagings.begin(spec, view.sightsById(), isUrgent, nowNanos);
+    stagings.begin(spec, view.observedById(), isUrgent, nowNanos);
     for (ModelShape model : models) {
       if (surplus.applyAsInt(model) < 0) {
-        view.pickMembers(model).forEach(sight -> stage(sight, model, orders, nowNanos));
+        view.pickMembers(model).forEach(observed -> stage(observed, model, orders, nowNanos));
       }
     }
-    for (BoxSight sight : view.free()) {
-      if (sight.isBlank()) {
-        stage(sight, firstToLoad(models, demand), orders, nowNanos);
-      } else if (sight.hasRoomOnHost() && !isUrgent) {
+    for (ObservedBox observed : view.free()) {
+      if (observed.isBlank()) {
+        stage(observed, firstToLoad(models, demand), orders, nowNanos);
+      } else if (observed.hasRoomOnHost() && !isUrgent) {
         // A spare that held one model last and has another on its host fits either replica.
-        stageOther(sight, models, orders, nowNanos);
+        stageOther(observed, models, orders, nowNanos);
       }
     }
     if (!isChanging && !view.isMending()) {
-      for (BoxSight sight : view.sights()) {
-        if (sight.isFit() && (!demand.hasTraffic() || isSparable(sight, spec, models, demand))) {
-          stageOther(sight, models, orders, nowNanos);
+      for (ObservedBox observed : view.observedBoxes()) {
+        if (observed.isFit()
+            && (!demand.hasTraffic() || isSparable(observed, spec, models, demand))) {
+          stageOther(observed, models, orders, nowNanos);
         }
       }
     }
@@ -87,15 +88,15 @@
 
   /** Returns true if the box serves in a small replica whose model needs it less than another. */
   private static boolean isSparable(
-      BoxSight sight, EngineSpec spec, List<ModelShape> models, Demand demand) {
-    double pressure = demand.pressure(sight.box().model());
+      ObservedBox observed, EngineSpec spec, List<ModelShape> models, Demand demand) {
+    double pressure = demand.pressure(observed.box().model());
     boolean isPressedLess =
         models.stream()
-            .filter(sight::isCold)
+            .filter(observed::isCold)
             .findFirst()
             .filter(other -> pressure < demand.pressure(other.name()))
             .isPresent();
-    return isSmall(sight.box(), spec) && (pressure < PREPARING_PRESSURE || isPressedLess);
+    return isSmall(observed.box(), spec) && (pressure < PREPARING_PRESSURE || isPressedLess);
   }
 
   /** Returns true if the box serves in a replica of the smallest model. */
@@ -108,16 +109,16 @@
 
   /** Loads the most pressed model that the box does not have at hand. */
   private void stageOther(
-      BoxSight sight, List<ModelShape> models, List<BoxOrder> orders, long nowNanos) {
+      ObservedBox observed, List<ModelShape> models, List<BoxOrder> orders, long nowNanos) {
     models.stream()
-        .filter(sight::isCold)
+        .filter(observed::isCold)
         .findFirst()
-        .ifPresent(model -> stage(sight, model, orders, nowNanos));
+        .ifPresent(model -> stage(observed, model, orders, nowNanos));
   }
 
-  private void stage(BoxSight sight, ModelShape model, List<BoxOrder> orders, long nowNanos) {
-    if (stagings.tryBegin(sight, model, nowNanos)) {
-      orders.add(BoxOrder.stage(sight.box().id(), model.name(), "to be at hand for a loss"));
+  private void stage(ObservedBox observed, ModelShape model, List<BoxOrder> orders, long nowNanos) {
+    if (stagings.tryBegin(observed, model, nowNanos)) {
+      orders.add(BoxOrder.stage(observed.box().id(), model.name(), "to be at hand for a loss"));
     }
   }
 }
--- a/core/src/main/java/org/shoreroad/fleet/BoxSight.java
+++ b/core/src/main/java/org/shoreroad/fleet/ObservedBox.java
@@ -4,11 +4,12 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * What the keeper of a domain knows of one box: its own newest word, and whether it can be reached.
+ * Observation of one box by the keeper of its domain: the engine's newest status report, and
+ * whether the box can be reached.
  *
  * <p>This class is immutable and thread-safe.
  *
- * @param box the box with the newest word of its engine, not null
+ * @param box the box with the newest status report of its engine, not null
  * @param isListed true if the list of upstreams still names the box
  * @param reach whether it answers, not null
  * @param isSteady true if it has not been silent for as long as an engine takes to break a replica
@@ -17,7 +18,7 @@
  *     or null; an engine that left its replica no longer names it
  * @since 0.2
  */
-public record BoxSight(
+public record ObservedBox(
     FleetBox box,
     boolean isListed,
     Reach reach,
@@ -25,7 +26,7 @@
     boolean isConfirmed,
     @Nullable String lastModel) {
   /** Checks that the parts are there. */
-  public BoxSight {
+  public ObservedBox {
     Objects.requireNonNull(box, "box");
     Objects.requireNonNull(reach, "reach");
   }
--- a/core/src/main/java/org/shoreroad/fleet/ObservedReplica.java
+++ b/core/src/main/java/org/shoreroad/fleet/ObservedReplica.java
@@ -8,22 +8,22 @@
 /** The members of one replica as they are seen; used by one thread. */
 final class ObservedReplica {
   private final ReplicaId replica;
-  private final Map<Integer, BoxSight> membersByRank = new LinkedHashMap<>();
+  private final Map<Integer, ObservedBox> membersByRank = new LinkedHashMap<>();
 
   private ObservedReplica(ReplicaId replica) {
     this.replica = replica;
   }
 
   /** Returns the replicas that the boxes say they belong to. */
-  static Map<ReplicaId, ObservedReplica> from(Collection<BoxSight> sights) {
+  static Map<ReplicaId, ObservedReplica> from(Collection<ObservedBox> observedBoxes) {
     Map<ReplicaId, ObservedReplica> found = new LinkedHashMap<>();
-    for (BoxSight sight : sights) {
-      Membership membership = sight.box().membership();
-      if (membership != null && !sight.isDead()) {
+    for (ObservedBox observed : observedBoxes) {
+      Membership membership = observed.box().membership();
+      if (membership != null && !observed.isDead()) {
         found
             .computeIfAbsent(membership.replica(), ObservedReplica::new)
             .membersByRank
-            .put(membership.rank(), sight);
+            .put(membership.rank(), observed);
       }
     }
     return found;
@@ -33,17 +33,17 @@
     return replica;
   }
 
-  @Nullable BoxSight head() {
+  @Nullable ObservedBox head() {
     return membersByRank.get(0);
   }
 
-  Collection<BoxSight> members() {
+  Collection<ObservedBox> members() {
     return membersByRank.values();
   }
 
   /** Returns the model that its members hold, or null if none says. */
   @Nullable String model() {
-    for (BoxSight member : members()) {
+    for (ObservedBox member : members()) {
       if (member.box().model() != null) {
         return member.box().model();
       }
@@ -52,11 +52,11 @@
   }
 
   boolean hasLostMember(int size) {
-    return membersByRank.size() < size || members().stream().anyMatch(BoxSight::isLost);
+    return membersByRank.size() < size || members().stream().anyMatch(ObservedBox::isLost);
   }
 
   boolean hasLeavingMember() {
-    return members().stream().anyMatch(sight -> sight.box().isLeaving());
+    return members().stream().anyMatch(observed -> observed.box().isLeaving());
   }
 
   boolean isEveryMemberReady() {
--- a/core/src/main/java/org/shoreroad/fleet/ReplicaConversion.java
+++ b/core/src/main/java/org/shoreroad/fleet/ReplicaConversion.java
@@ -90,7 +90,7 @@
   /** Returns true if boxes have come free since the last call. */
   private boolean noteAvailable(DomainView view) {
     Set<String> availableIds = new HashSet<>();
-    view.available().forEach(sight -> availableIds.add(sight.box().id()));
+    view.available().forEach(observed -> availableIds.add(observed.box().id()));
     // A new keeper finds idle boxes that came free long ago.
     boolean hasMore =
         formerlyAvailableIds != null && !formerlyAvailableIds.containsAll(availableIds);
@@ -113,7 +113,7 @@
   private static double pressureWithout(
       List<ObservedReplica> closed, DomainView view, DomainPacking packing) {
     Map<String, Integer> rest = new HashMap<>(view.standing());
-    List<BoxSight> boxes = view.available();
+    List<ObservedBox> boxes = view.available();
     for (ObservedReplica replica : closed) {
       rest.merge(String.valueOf(replica.model()), -1, Integer::sum);
       boxes.addAll(replica.members());
--- a/core/src/main/java/org/shoreroad/fleet/SpareWarmings.java
+++ b/core/src/main/java/org/shoreroad/fleet/SpareWarmup.java
@@ -7,10 +7,12 @@
 import java.util.function.LongSupplier;
 
 /**
- * Spare boxes that hold a model once, alone and never opened: a box joins the model of its last
- * replica almost at once, in place of taking the weights from its host first. For one thread.
+ * Warm-up of spare boxes: each joins a replica of its own once, which is never opened.
+ *
+ * <p>A box joins a replica of the model that it held last almost at once. Without the warm-up it
+ * would first take the weights from its host. Used by one thread.
  */
-final class SpareWarmings {
+final class SpareWarmup {
   /** Spare boxes of a domain that take weights at a time; the others are at hand for a loss. */
   private static final int AT_ONCE = 1;
 
@@ -19,12 +21,12 @@
   private final Map<ReplicaId, Long> sinceNanos = new HashMap<>();
 
   /**
-   * Creates warmings of which none is under way.
+   * Creates a tracker with no warm-up in progress.
    *
    * @param domain the domain's name
    * @param epochs gives a number higher than any given before
    */
-  SpareWarmings(String domain, LongSupplier epochs) {
+  SpareWarmup(String domain, LongSupplier epochs) {
     this.domain = domain;
     this.epochs = epochs;
   }
@@ -36,7 +38,7 @@
 
   /** Returns true if this is a spare box that is taking weights; then it is left alone. */
   boolean isUnderWay(ObservedReplica replica) {
-    BoxSight head = replica.head();
+    ObservedBox head = replica.head();
     return sinceNanos.containsKey(replica.replica())
         && head != null
         && head.isIn(replica.replica(), MemberState.JOINING);
@@ -51,19 +53,19 @@
    * @param models the models, the one that most boxes of the domain serve first
    * @param nowNanos the steady clock
    */
-  List<BoxOrder> begin(List<BoxSight> free, List<ModelShape> models, long nowNanos) {
+  List<BoxOrder> begin(List<ObservedBox> free, List<ModelShape> models, long nowNanos) {
     List<BoxOrder> orders = new ArrayList<>();
-    for (BoxSight sight : free) {
-      ModelShape atHand = models.stream().filter(m -> !sight.isCold(m)).findFirst().orElse(null);
+    for (ObservedBox observed : free) {
+      ModelShape atHand = models.stream().filter(m -> !observed.isCold(m)).findFirst().orElse(null);
       boolean isWanted =
           atHand != null
-              && sight.box().membership() == null
-              && !atHand.name().equals(sight.lastModel());
+              && observed.box().membership() == null
+              && !atHand.name().equals(observed.lastModel());
       if (isWanted && sinceNanos.size() < AT_ONCE) {
         long epoch = epochs.getAsLong();
         ReplicaId alone = new ReplicaId(domain + "-spare-" + epoch, epoch);
         sinceNanos.put(alone, nowNanos);
-        String id = sight.box().id();
+        String id = observed.box().id();
         orders.add(BoxOrder.join(id, alone, atHand.name(), List.of(id), "to be warm"));
       }
     }
--- a/core/src/main/java/org/shoreroad/fleet/HostStagings.java
+++ b/core/src/main/java/org/shoreroad/fleet/WeightPrefetch.java
@@ -4,10 +4,10 @@
 import java.util.Map;
 
 /**
- * The loads to hosts that a keeper has ordered, few at a time, since loads slow each other down;
- * for one thread.
+ * Prefetch of weights to the hosts of a domain. Few loads run at a time, because concurrent loads
+ * slow each other down. Used by one thread.
  */
-final class HostStagings {
+final class WeightPrefetch {
   /** Of the loads that run at full speed at a time, a domain takes this part. */
   private static final int USUAL_DIVISOR = 4;
 
@@ -21,21 +21,24 @@
   private int atOnce;
 
   /** Forgets what has ended and sets how many may run. */
-  void begin(EngineSpec spec, Map<String, BoxSight> sightsById, boolean isUrgent, long nowNanos) {
+  void begin(
+      EngineSpec spec, Map<String, ObservedBox> observedById, boolean isUrgent, long nowNanos) {
     atOnce = Math.max(1, spec.loadsAtOnce() / (isUrgent ? URGENT_DIVISOR : USUAL_DIVISOR));
     running
         .entrySet()
         .removeIf(
             entry -> {
-              BoxSight sight = sightsById.get(entry.getKey());
-              return sight == null || !sight.isFit() || entry.getValue().isOver(sight, nowNanos);
+              ObservedBox observed = observedById.get(entry.getKey());
+              return observed == null
+                  || !observed.isFit()
+                  || entry.getValue().isOver(observed, nowNanos);
             });
   }
 
   /** Returns true if the load may begin now, and counts it. */
-  boolean tryBegin(BoxSight sight, ModelShape model, long nowNanos) {
-    String id = sight.box().id();
-    if (running.size() >= atOnce || running.containsKey(id) || !sight.isCold(model)) {
+  boolean tryBegin(ObservedBox observed, ModelShape model, long nowNanos) {
+    String id = observed.box().id();
+    if (running.size() >= atOnce || running.containsKey(id) || !observed.isCold(model)) {
       return false;
     }
     running.put(id, new Staging(model, nowNanos));
@@ -45,9 +48,9 @@
   /** A load to a host. */
   private record Staging(ModelShape model, long sinceNanos) {
     /** Returns true if it has shown, or has taken so long that it must be lost. */
-    boolean isOver(BoxSight sight, long nowNanos) {
+    boolean isOver(ObservedBox observed, long nowNanos) {
       double limitNanos = LOST_AFTER_LENGTHS * model.loadSeconds() * 1e9;
-      return !sight.isCold(model) || nowNanos - sinceNanos > limitNanos;
+      return !observed.isCold(model) || nowNanos - sinceNanos > limitNanos;
     }
   }
 }
--- a/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
@@ -44,18 +44,19 @@
     long endNanos = domain.nowNanos() + (long) (seconds * FakeDomain.SECOND_NANOS);
     while (domain.nowNanos() < endNanos) {
       domain.step();
-      List<BoxSight> sights = domain.sights();
-      for (BoxSight sight : sights) {
-        Membership membership = sight.box().membership();
+      List<ObservedBox> observedBoxes = domain.observedBoxes();
+      for (ObservedBox observed : observedBoxes) {
+        Membership membership = observed.box().membership();
         if (membership != null && membership.isHead()) {
           headsSeen.add(membership.replica());
         }
       }
-      sights.removeIf(BoxSight::isDead);
-      int fit = (int) sights.stream().filter(s -> s.isListed() && !s.box().isLeaving()).count();
+      observedBoxes.removeIf(ObservedBox::isDead);
+      int fit =
+          (int) observedBoxes.stream().filter(s -> s.isListed() && !s.box().isLeaving()).count();
       ReplicaPlan plan = ReplicaPlan.of(spec, Map.of("d", fit));
       for (BoxOrder order :
-          keeper.decide(domain.nowNanos(), spec, sights, plan, headsSeen, demandNow())) {
+          keeper.decide(domain.nowNanos(), spec, observedBoxes, plan, headsSeen, demandNow())) {
         given.add(order);
         if (domain.give(order)) {
           keeper.noteTaken(order, domain.nowNanos());
@@ -79,8 +80,8 @@
   }
 
   private String headOf(String model) {
-    return domain.sights().stream()
-        .map(BoxSight::box)
+    return domain.observedBoxes().stream()
+        .map(ObservedBox::box)
         .filter(box -> box.isOpenHead() && model.equals(box.model()))
         .findFirst()
         .orElseThrow()
@@ -88,8 +89,8 @@
   }
 
   private String memberOf(String model) {
-    return domain.sights().stream()
-        .map(BoxSight::box)
+    return domain.observedBoxes().stream()
+        .map(ObservedBox::box)
         .filter(box -> model.equals(box.model()) && box.membership() != null)
         .filter(box -> !box.membership().isHead())
         .findFirst()
@@ -135,10 +136,10 @@
     given.clear();
     run(4);
     Set<String> members = new HashSet<>();
-    for (BoxSight sight : domain.sights()) {
-      Membership membership = sight.box().membership();
+    for (ObservedBox observed : domain.observedBoxes()) {
+      Membership membership = observed.box().membership();
       if (membership != null && membership.replica().equals(replica)) {
-        members.add(sight.box().id());
+        members.add(observed.box().id());
       }
     }
     given.removeIf(order -> !members.contains(order.boxId()));
@@ -235,8 +236,8 @@
     run(SETTLE_SECONDS);
     demand = new Demand(Map.of("large", 0.9, "small", 0.1), Map.of(), true);
     List<String> members =
-        domain.sights().stream()
-            .map(BoxSight::box)
+        domain.observedBoxes().stream()
+            .map(ObservedBox::box)
             .filter(box -> "large".equals(box.model()))
             .map(FleetBox::id)
             .toList();
@@ -279,8 +280,8 @@
   void aSpareBoxHoldsAModelOnceSoThatItTakesItUpAtOnce() {
     addBoxes(BOXES + 1);
     run(SETTLE_SECONDS + 20);
-    List<BoxSight> spares =
-        domain.sights().stream().filter(s -> s.box().membership() == null).toList();
+    List<ObservedBox> spares =
+        domain.observedBoxes().stream().filter(s -> s.box().membership() == null).toList();
     assertThat(spares.size(), is(1));
     assertThat(spares.get(0).lastModel() != null, is(true));
     given.clear();
--- a/core/src/test/java/org/shoreroad/fleet/DomainPackingTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainPackingTest.java
@@ -9,7 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import org.shoreroad.fleet.BoxSight.Reach;
+import org.shoreroad.fleet.ObservedBox.Reach;
 
 class DomainPackingTest {
   private static final ModelShape LARGE = new ModelShape("large", 4, 0.67, 1, 16, 1.6);
@@ -21,26 +21,26 @@
     return DomainPacking.of(List.of(LARGE, SMALL), demand, List.of());
   }
 
-  private static List<BoxSight> boxes(int count, String lastModel, String... staged) {
-    List<BoxSight> boxes = new ArrayList<>();
+  private static List<ObservedBox> boxes(int count, String lastModel, String... staged) {
+    List<ObservedBox> boxes = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       FleetBox box =
           new FleetBox("b" + i, "llm", "b:" + i, "z", 4, false, "d", null, List.of(staged), null);
-      boxes.add(new BoxSight(box, true, Reach.LIKELY, true, true, lastModel));
+      boxes.add(new ObservedBox(box, true, Reach.LIKELY, true, true, lastModel));
     }
     return boxes;
   }
 
   @Test
   void freeBoxesServeTheMostPressedModel() {
-    List<BoxSight> four = boxes(4, "large", "small");
+    List<ObservedBox> four = boxes(4, "large", "small");
     assertThat(packing(0.9, 0.2).fill(four, Map.of()), is(Map.of("large", 1)));
     assertThat(packing(0.2, 0.9).fill(four, Map.of()), is(Map.of("small", 2)));
   }
 
   @Test
   void aReplicaWhoseBoxesWouldHaveToLoadIsNotFormed() {
-    List<BoxSight> four = boxes(4, "small");
+    List<ObservedBox> four = boxes(4, "small");
     assertThat(packing(0.9, 0.2).fill(four, Map.of()), is(Map.of("small", 2)));
     assertThat(packing(0.9, 0.2).fill(boxes(4, null), Map.of()), is(Map.of()));
   }
--- a/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
+++ b/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
@@ -9,7 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
-import org.shoreroad.fleet.BoxSight.Reach;
+import org.shoreroad.fleet.ObservedBox.Reach;
 
 /**
  * A fabric domain whose engines are played here, with the two rules that must hold at all times.
@@ -154,8 +154,8 @@
         .count();
   }
 
-  List<BoxSight> sights() {
-    List<BoxSight> sights = new ArrayList<>();
+  List<ObservedBox> observedBoxes() {
+    List<ObservedBox> observedBoxes = new ArrayList<>();
     for (Engine engine : engines.values()) {
       boolean isSilent = !engine.isAlive || engine.isCut;
       long silentNanos = isSilent ? nowNanos - engine.endedNanos : 0;
@@ -165,8 +165,8 @@
         reach = Reach.GONE;
       }
       boolean isSteady = nowNanos - engine.healedNanos > CERTAIN_NANOS;
-      sights.add(
-          new BoxSight(
+      observedBoxes.add(
+          new ObservedBox(
               engine.toToldBox(),
               isListed,
               reach,
@@ -174,7 +174,7 @@
               isConfirmed,
               engine.lastModel()));
     }
-    return sights;
+    return observedBoxes;
   }
 
   /** Takes an order; returns true if the engine said that it carries it out. */
--- a/core/src/test/java/org/shoreroad/fleet/ReplicaConversionTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/ReplicaConversionTest.java
@@ -9,7 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import org.shoreroad.fleet.BoxSight.Reach;
+import org.shoreroad.fleet.ObservedBox.Reach;
 
 class ReplicaConversionTest {
   private static final List<ModelShape> MODELS =
@@ -19,7 +19,7 @@
   private static final long SECOND_NANOS = 1_000_000_000L;
 
   private final ReplicaConversion conversion = new ReplicaConversion("d");
-  private final List<BoxSight> sights = new ArrayList<>();
+  private final List<ObservedBox> observedBoxes = new ArrayList<>();
 
   /** A second in which it is not the turn of this domain. */
   private long nowNanos = (8 * 125 + 1 - "d".hashCode() % 8) * SECOND_NANOS;
@@ -43,14 +43,14 @@
     FleetBox box =
         new FleetBox(
             id, "llm", id, "z", 4, false, "d", model, List.of("large", "small"), membership);
-    sights.add(new BoxSight(box, true, Reach.LIKELY, true, true, lastModel));
+    observedBoxes.add(new ObservedBox(box, true, Reach.LIKELY, true, true, lastModel));
   }
 
   private List<String> choose() {
-    DomainView view = new DomainView(sights);
-    List<ObservedReplica> standing = List.copyOf(ObservedReplica.from(sights).values());
+    DomainView view = new DomainView(observedBoxes);
+    List<ObservedReplica> standing = List.copyOf(ObservedReplica.from(observedBoxes).values());
     standing.forEach(replica -> view.bindStanding(replica.members(), "small"));
-    DomainPacking packing = DomainPacking.of(MODELS, demand, sights);
+    DomainPacking packing = DomainPacking.of(MODELS, demand, observedBoxes);
     Map<String, Integer> wanted = new HashMap<>(view.standing());
     packing
         .fill(view.available(), view.standing())
--- a/core/src/test/java/org/shoreroad/fleet/SpareWarmingsTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/SpareWarmupTest.java
@@ -8,18 +8,18 @@
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
-import org.shoreroad.fleet.BoxSight.Reach;
+import org.shoreroad.fleet.ObservedBox.Reach;
 
-class SpareWarmingsTest {
+class SpareWarmupTest {
   private static final List<ModelShape> MODELS = FakeDomain.spec().models();
 
   private long epoch;
-  private final SpareWarmings warmings = new SpareWarmings("d", () -> ++epoch);
+  private final SpareWarmup warmings = new SpareWarmup("d", () -> ++epoch);
 
-  private static BoxSight spare(String id, @Nullable String staged, @Nullable String lastModel) {
+  private static ObservedBox spare(String id, @Nullable String staged, @Nullable String lastModel) {
     List<String> onHost = staged == null ? List.of() : List.of(staged);
     FleetBox box = new FleetBox(id, "llm", id + ":1", "z", 18, false, "d", null, onHost, null);
-    return new BoxSight(box, true, Reach.LIKELY, true, true, lastModel);
+    return new ObservedBox(box, true, Reach.LIKELY, true, true, lastModel);
   }
 
   @Test
@@ -33,13 +33,13 @@
 
   @Test
   void whatHeldAModelOrHasNoneAtHandIsLeftAlone() {
-    List<BoxSight> free = List.of(spare("a", "small", "large"), spare("b", null, null));
+    List<ObservedBox> free = List.of(spare("a", "small", "large"), spare("b", null, null));
     assertThat(warmings.begin(free, MODELS, 0), is(empty()));
   }
 
   @Test
   void theOthersStayAtHandForALoss() {
-    List<BoxSight> free = List.of(spare("a", "small", null), spare("b", "large", null));
+    List<ObservedBox> free = List.of(spare("a", "small", null), spare("b", "large", null));
     assertThat(warmings.begin(free, MODELS, 0).size(), is(1));
     assertThat(warmings.begin(free, MODELS, 1), is(empty()));
     warmings.forgetOlder(5);
--- a/edge/src/main/java/org/shoreroad/edge/Knowledge.java
+++ b/edge/src/main/java/org/shoreroad/edge/ConfigurationView.java
@@ -10,13 +10,13 @@
 import org.shoreroad.traffic.TrafficConfig;
 
 /**
- * The configuration in force here, and how old the proof is that it is the newest.
+ * View of the configuration that is in force here, with the age of the proof that it is the newest.
  *
  * <p>Versions only rise within the life of a process. Used on the event loop.
  *
  * @since 0.2
  */
-public final class Knowledge implements Freshness, TopicFollower.Listener {
+public final class ConfigurationView implements Freshness, TopicFollower.Listener {
   /** Kept back from the time to take a key away: the way of a request, and a late timer. */
   private static final int REVOKE_MARGIN_MS = 500;
 
@@ -45,7 +45,7 @@
    * @param revokeMs how long a key that was taken away may be used at most, in milliseconds
    * @param isKeyProofRequired true if that bound must hold also while the store is out of reach
    */
-  Knowledge(
+  ConfigurationView(
       Decoder decoder,
       LongSupplier clockNanos,
       EventLog log,
--- a/edge/src/main/java/org/shoreroad/edge/EdgePorts.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgePorts.java
@@ -22,5 +22,5 @@
     Store store,
     LeaseStore leaseStore,
     Engines engines,
-    Knowledge.Decoder configDecoder,
+    ConfigurationView.Decoder configDecoder,
     Fleet.Decoder upstreamDecoder) {}
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -19,10 +19,10 @@
 import org.shoreroad.edge.caller.CallerServer;
 import org.shoreroad.edge.http.HttpCalls;
 import org.shoreroad.edge.peer.Announcement;
-import org.shoreroad.edge.peer.Doubts;
+import org.shoreroad.edge.peer.FailureDetector;
 import org.shoreroad.edge.peer.Heartbeat;
 import org.shoreroad.edge.peer.PeerMesh;
-import org.shoreroad.edge.peer.ProcessBook;
+import org.shoreroad.edge.peer.ProcessRegistry;
 import org.shoreroad.edge.relay.Relay;
 import org.shoreroad.edge.relay.UpstreamBoard;
 import org.shoreroad.edge.replica.ReplicaService;
@@ -95,14 +95,14 @@
   private final EdgeMetrics metrics = new EdgeMetrics();
   private final String life;
   private final CountedStore store;
-  private final Knowledge knowledge;
+  private final ConfigurationView configuration;
   private final Fleet fleet;
   private final TopicFollower configFollower;
   private final TopicFollower listFollower;
   private final DomainLeases leases;
   private final UpstreamBoard board;
   private final Relay relay;
-  private final Doubts doubts;
+  private final FailureDetector failureDetector;
   private final PeerMesh mesh;
   private final ReplicaService replicas;
   private final CallerServer callers;
@@ -139,21 +139,21 @@
             ports.store(),
             ports.leaseStore(),
             kind -> metrics.count("shoreroad.store.calls", kind));
-    this.knowledge =
-        new Knowledge(
+    this.configuration =
+        new ConfigurationView(
             ports.configDecoder(),
             clockNanos,
             log,
             settings.revokeMs(),
             settings.isKeyProofRequired());
     this.fleet = new Fleet(ports.upstreamDecoder(), clockNanos, log);
-    int configWaitMs = Knowledge.readWaitMs(settings.revokeMs());
-    this.configFollower = follower(Topic.CONFIGURATION, configWaitMs, () -> 0, knowledge);
+    int configWaitMs = ConfigurationView.readWaitMs(settings.revokeMs());
+    this.configFollower = follower(Topic.CONFIGURATION, configWaitMs, () -> 0, configuration);
     this.listFollower = follower(Topic.UPSTREAMS, LIST_WAIT_MS, () -> LIST_INTERVAL_MS, fleet);
     this.board = new UpstreamBoard(fleet, clockNanos, random, log, settings.zone());
     this.relay = makeRelay(loop, calls, random);
     this.lag = new LoopLag(log, UPKEEP_MS);
-    this.doubts = new Doubts(clockNanos);
+    this.failureDetector = new FailureDetector(clockNanos);
     this.mesh =
         new PeerMesh(
             loop,
@@ -171,10 +171,10 @@
             fleet,
             leases,
             ports.engines(),
-            knowledge::config,
+            configuration::config,
             board::suspectedIds,
             board::demand,
-            doubts,
+            failureDetector,
             mesh::witnessNames,
             settings.stallMs());
     this.callers =
@@ -197,13 +197,13 @@
         ports.headers(),
         calls,
         board,
-        knowledge,
+        configuration,
         settings.rules());
   }
 
   /** Tells the parts of each other. */
   private void connect(HttpCalls calls) {
-    knowledge.setFollower(configFollower);
+    configuration.setFollower(configFollower);
     // Without hubs each process reads the configuration itself. A change must be in force within
     // two seconds; with three readers for all, which the store may turn away, one came later in
     // four of thirteen runs with 7 and 9 processes.
@@ -255,8 +255,8 @@
     String host = settings.peerListen().getAddress().getHostAddress();
     Announcement announcement =
         new Announcement(host + ":" + settings.peerListen().getPort(), settings.zone());
-    ProcessBook processes =
-        new ProcessBook(store, loop, log, mesh, new HubPlan.Place(life, settings.zone()));
+    ProcessRegistry processes =
+        new ProcessRegistry(store, loop, log, mesh, new HubPlan.Place(life, settings.zone()));
     TopicFollower processFollower =
         follower(Topic.PROCESSES, PROCESS_WAIT_MS, this::processIntervalMs, processes);
     // Members need the list to find a hub. With 89 processes their reads were a quarter of all
@@ -267,12 +267,12 @@
     leases.start();
     relay.start();
     replicas.start();
-    Clockwork clockwork = new Clockwork(loop, log);
-    clockwork.every(UPKEEP_MS, "upkeep", this::upkeep);
-    clockwork.every(SUMMARY_MS, "summary", this::summarize);
+    RepeatingTimer timer = new RepeatingTimer(loop, log);
+    timer.every(UPKEEP_MS, "upkeep", this::upkeep);
+    timer.every(SUMMARY_MS, "summary", this::summarize);
     metrics.gauge("shoreroad.requests.open", relay::openCount);
     metrics.gauge("shoreroad.callers.connections", callers::connectionCount);
-    metrics.gauge("shoreroad.config.age_ms", knowledge::configAgeMs);
+    metrics.gauge("shoreroad.config.age_ms", configuration::configAgeMs);
     metrics.gauge("shoreroad.processes.alive", mesh::aliveCount);
     metrics.gauge("shoreroad.log.dropped_lines", log::droppedLines);
     metrics.gauge("shoreroad.loop.longest_lag_ms", lag::takeLongestMs);
@@ -302,7 +302,7 @@
         TimeUnit.MILLISECONDS);
     long endNanos =
         clockNanos.getAsLong() + TimeUnit.MILLISECONDS.toNanos(settings.graceMs() - END_MARGIN_MS);
-    new Clockwork(loop, log)
+    new RepeatingTimer(loop, log)
         .every(
             UPKEEP_MS,
             "stopping",
@@ -326,20 +326,20 @@
   }
 
   private CallerLimits limits() {
-    return knowledge.config() == null ? CallerLimits.DEFAULT : knowledge.config().limits();
+    return configuration.config() == null ? CallerLimits.DEFAULT : configuration.config().limits();
   }
 
   private boolean isReady() {
     return !isStopping
-        && knowledge.config() != null
+        && configuration.config() != null
         && listFollower.isCurrent()
-        && knowledge.isServing();
+        && configuration.isServing();
   }
 
   /** Writes where the fleet stands, so that a lack of replicas can be seen afterwards. */
   private void summarize() {
-    if (knowledge.config() != null) {
-      knowledge.config().services().forEach(board::summarize);
+    if (configuration.config() != null) {
+      configuration.config().services().forEach(board::summarize);
       board.summarizeBoxes();
       log.write("store_calls", "counts", store.takeCounts());
     }
@@ -349,7 +349,7 @@
     lag.measure(clockNanos.getAsLong());
     fleet.settle(listFollower.reachableForNanos());
     int processes = mesh.sharingCount();
-    knowledge.setProcessCount(processes);
+    configuration.setProcessCount(processes);
     board.setProcessCount(processes);
     board.setElsewhere(mesh.newest());
   }
@@ -361,11 +361,11 @@
         0,
         Heartbeat.Scope.SELF,
         1,
-        knowledge.configOffset(),
-        knowledge.configAgeNanos(),
+        configuration.configOffset(),
+        configuration.configAgeNanos(),
         board.ownLoads(),
         board.suspectedIds(),
-        doubts.questions(),
+        failureDetector.questions(),
         replicas.silentForPeers(),
         leases.kept(),
         news,
@@ -373,8 +373,8 @@
   }
 
   private void learn(Heartbeat heartbeat) {
-    knowledge.learn(heartbeat);
-    doubts.learn(heartbeat);
+    configuration.learn(heartbeat);
+    failureDetector.learn(heartbeat);
     ListNews told = heartbeat.listNews();
     if (told.isProof() && !mesh.isReader()) {
       listFollower.takeOver(told, heartbeat.echoNanos() - told.ageNanos());
--- a/edge/src/main/java/org/shoreroad/edge/Clockwork.java
+++ b/edge/src/main/java/org/shoreroad/edge/RepeatingTimer.java
@@ -5,24 +5,25 @@
 import java.util.function.IntSupplier;
 
 /**
- * Does things again and again on the event loop, also after one of them failed.
+ * Runs tasks periodically on the event loop, also after one of them has failed.
  *
- * <p>The loop itself drops a repeated task at its first exception without a word. Thread-safe.
+ * <p>The event loop itself cancels a periodic task at its first exception and logs nothing.
+ * Thread-safe.
  *
  * @since 0.2
  */
-public final class Clockwork {
+public final class RepeatingTimer {
   private final EventLoop loop;
   private final EventLog log;
 
-  /** Creates a clockwork. */
-  public Clockwork(EventLoop loop, EventLog log) {
+  /** Creates a timer. */
+  public RepeatingTimer(EventLoop loop, EventLog log) {
     this.loop = loop;
     this.log = log;
   }
 
   /**
-   * Does a task again and again; a failure is logged and the task done again next time.
+   * Runs a task periodically; a failure is logged and does not end the repetition.
    *
    * @param intervalMs the pause after each time, in milliseconds
    * @param name names the task in the log, not null
@@ -33,7 +34,7 @@
   }
 
   /**
-   * Does a task again and again, as {@link #every(int, String, Runnable)}, with pauses that change.
+   * Runs a task periodically, as {@link #every(int, String, Runnable)}, with a variable interval.
    *
    * @param intervalMs tells the next pause, in milliseconds
    */
@@ -47,7 +48,7 @@
         TimeUnit.MILLISECONDS);
   }
 
-  /** Does a task once, after a time; a failure is logged. */
+  /** Runs a task once, after a delay; a failure is logged. */
   public void once(long delayMs, String name, Runnable task) {
     loop.schedule(() -> run(name, task), delayMs, TimeUnit.MILLISECONDS);
   }
--- a/edge/src/main/java/org/shoreroad/edge/peer/Doubts.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/FailureDetector.java
@@ -8,14 +8,15 @@
 import java.util.function.LongSupplier;
 
 /**
- * Boxes that do not answer this process, and what the other processes found when they asked.
+ * Failure detector for boxes: collects which processes get no answer from a box.
  *
- * <p>One process alone can't tell a dead box from a cut between the two; a box that answers nobody
- * is dead. Used on the event loop.
+ * <p>One process cannot distinguish a dead box from a partition between the two, so it asks the
+ * other processes in its heartbeats to try the box too. A box that answers none of them is dead.
+ * Used on the event loop.
  *
  * @since 0.2
  */
-public final class Doubts {
+public final class FailureDetector {
   /** A question is kept up this long after it was last raised. */
   private static final long KEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
@@ -23,32 +24,32 @@
   private static final long ANSWER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_600);
 
   private final LongSupplier clockNanos;
-  private final Map<String, Doubt> own = new HashMap<>();
+  private final Map<String, Question> own = new HashMap<>();
   private final Map<String, String> askedByPeers = new HashMap<>();
   private final Map<String, Long> askedByPeersNanos = new HashMap<>();
 
-  /** Creates an empty set of doubts. */
-  public Doubts(LongSupplier clockNanos) {
+  /** Creates a failure detector without open questions. */
+  public FailureDetector(LongSupplier clockNanos) {
     this.clockNanos = clockNanos;
   }
 
-  /** Asks the others about a box; to be repeated while the doubt lasts. */
+  /** Asks the other processes about a box; to be repeated while the box is silent. */
   public void raise(String id, String address) {
     long nowNanos = clockNanos.getAsLong();
-    Doubt doubt = own.get(id);
-    if (doubt == null || nowNanos - doubt.raisedNanos > KEEP_NANOS) {
-      doubt = new Doubt(address, nowNanos);
-      own.put(id, doubt);
+    Question question = own.get(id);
+    if (question == null || nowNanos - question.raisedNanos > KEEP_NANOS) {
+      question = new Question(address, nowNanos);
+      own.put(id, question);
     }
-    doubt.raisedNanos = nowNanos;
+    question.raisedNanos = nowNanos;
   }
 
   /** Returns what to ask the others. */
   public Map<String, String> questions() {
     long nowNanos = clockNanos.getAsLong();
-    own.values().removeIf(doubt -> nowNanos - doubt.raisedNanos > KEEP_NANOS);
+    own.values().removeIf(question -> nowNanos - question.raisedNanos > KEEP_NANOS);
     Map<String, String> questions = new HashMap<>();
-    own.forEach((id, doubt) -> questions.put(id, doubt.address));
+    own.forEach((id, question) -> questions.put(id, question.address));
     return questions;
   }
 
@@ -63,11 +64,11 @@
               askedByPeersNanos.put(id, nowNanos);
             });
     own.forEach(
-        (id, doubt) -> {
+        (id, question) -> {
           if (heartbeat.silentUpstreams().contains(id)) {
-            doubt.silentFor.add(heartbeat.sender());
+            question.silentFor.add(heartbeat.sender());
           } else {
-            doubt.silentFor.remove(heartbeat.sender());
+            question.silentFor.remove(heartbeat.sender());
           }
         });
   }
@@ -87,19 +88,19 @@
    * @param alivePeers the other processes alive
    */
   public boolean isSilentForAll(String id, Set<String> alivePeers) {
-    Doubt doubt = own.get(id);
-    return doubt != null
-        && clockNanos.getAsLong() - doubt.sinceNanos > ANSWER_NANOS
-        && doubt.silentFor.containsAll(alivePeers);
+    Question question = own.get(id);
+    return question != null
+        && clockNanos.getAsLong() - question.sinceNanos > ANSWER_NANOS
+        && question.silentFor.containsAll(alivePeers);
   }
 
-  private static final class Doubt {
+  private static final class Question {
     private final String address;
     private final long sinceNanos;
     private final Set<String> silentFor = new HashSet<>();
     private long raisedNanos;
 
-    Doubt(String address, long sinceNanos) {
+    Question(String address, long sinceNanos) {
       this.address = address;
       this.sinceNanos = sinceNanos;
     }
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -29,8 +29,8 @@
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.msgpack.core.MessagePackException;
-import org.shoreroad.edge.Clockwork;
 import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.RepeatingTimer;
 import org.shoreroad.edge.peer.Digest.Heard;
 import org.shoreroad.edge.peer.Heartbeat.Scope;
 import org.shoreroad.edge.sync.DomainLeases;
@@ -88,7 +88,7 @@
   private final EventLoop loop;
   private final LongSupplier clockNanos;
   private final EventLog log;
-  private final Clockwork clockwork;
+  private final RepeatingTimer timer;
   private final Place self;
   private final HeartbeatSource source;
   private final Consumer<Heartbeat> listener;
@@ -114,7 +114,7 @@
     this.loop = loop;
     this.clockNanos = clockNanos;
     this.log = log;
-    this.clockwork = new Clockwork(loop, log);
+    this.timer = new RepeatingTimer(loop, log);
     this.self = self;
     this.source = source;
     this.listener = listener;
@@ -139,7 +139,7 @@
    * @return tells when the port is open, or why it can't be
    */
   public ChannelFuture start(InetSocketAddress address) {
-    clockwork.every(INTERVAL_MS, "heartbeats", this::sendAll);
+    timer.every(INTERVAL_MS, "heartbeats", this::sendAll);
     return new ServerBootstrap()
         .group(loop)
         .channel(NioServerSocketChannel.class)
@@ -261,7 +261,7 @@
       isUrgent = true;
       long sinceMs = TimeUnit.NANOSECONDS.toMillis(clockNanos.getAsLong() - sentNanos);
       long gapMs = plan.isFullMesh() ? URGENT_GAP_MS : URGENT_GAP_OF_HUBS_MS;
-      clockwork.once(Math.max(0, gapMs - sinceMs), "urgent heartbeats", this::sendAll);
+      timer.once(Math.max(0, gapMs - sinceMs), "urgent heartbeats", this::sendAll);
     }
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/peer/ProcessBook.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/ProcessRegistry.java
@@ -12,13 +12,13 @@
 import org.shoreroad.member.HubPlan.Place;
 
 /**
- * The processes that have announced themselves in the store, this one among them.
+ * Registry of the processes that have announced themselves in the store, including this one.
  *
  * <p>Used on the event loop.
  *
  * @since 0.2
  */
-public final class ProcessBook implements TopicFollower.Listener {
+public final class ProcessRegistry implements TopicFollower.Listener {
   /** An announcement that was not taken is written again after this time. */
   private static final int WRITE_AGAIN_MS = 500;
 
@@ -28,8 +28,8 @@
   private final PeerMesh mesh;
   private final Place self;
 
-  /** Creates a book; {@link #announce} adds this process. */
-  public ProcessBook(Store store, EventLoop loop, EventLog log, PeerMesh mesh, Place self) {
+  /** Creates a registry; {@link #announce} adds this process. */
+  public ProcessRegistry(Store store, EventLoop loop, EventLog log, PeerMesh mesh, Place self) {
     this.store = store;
     this.loop = loop;
     this.log = log;
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -8,8 +8,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
-import org.shoreroad.edge.Clockwork;
 import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.RepeatingTimer;
 import org.shoreroad.edge.caller.AnswerChannel;
 import org.shoreroad.edge.caller.CallerExchange;
 import org.shoreroad.edge.caller.CallerRequest;
@@ -39,7 +39,7 @@
    */
   private static final int LONGEST_STALL_TICK_MS = 90;
 
-  private final Clockwork clockwork;
+  private final RepeatingTimer timer;
   private final LongSupplier clockNanos;
   private final RandomGenerator random;
   private final EventLog log;
@@ -56,7 +56,7 @@
   private boolean isTicking;
   private boolean isRefusingNew;
 
-  /** Creates a relay; {@link #start} begins its clockwork. */
+  /** Creates a relay; {@link #start} begins its timer. */
   public Relay(
       EventLoop loop,
       LongSupplier clockNanos,
@@ -68,7 +68,7 @@
       UpstreamBoard board,
       Freshness freshness,
       RelayRules rules) {
-    this.clockwork = new Clockwork(loop, log);
+    this.timer = new RepeatingTimer(loop, log);
     this.clockNanos = clockNanos;
     this.random = random;
     this.log = log;
@@ -82,8 +82,8 @@
 
   /** Starts to look after waiting requests and silent heads. */
   public void start() {
-    clockwork.every(TICK_MS, "relay", this::tick);
-    clockwork.every(() -> stallTickMs, "silent heads", this::findStalled);
+    timer.every(TICK_MS, "relay", this::tick);
+    timer.every(() -> stallTickMs, "silent heads", this::findStalled);
   }
 
   @Override
@@ -121,7 +121,7 @@
     waiting.add(exchange);
     if (!isTicking) {
       isTicking = true;
-      clockwork.once(WAITING_TICK_MS, "waiting", this::tickWaiting);
+      timer.once(WAITING_TICK_MS, "waiting", this::tickWaiting);
     }
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/replica/DomainWatch.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/DomainWatch.java
@@ -8,14 +8,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
-import org.shoreroad.edge.peer.Doubts;
+import org.shoreroad.edge.peer.FailureDetector;
 import org.shoreroad.edge.sync.Fleet;
-import org.shoreroad.fleet.BoxSight;
-import org.shoreroad.fleet.BoxSight.Reach;
 import org.shoreroad.fleet.DomainKeeper;
 import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.fleet.MemberState;
 import org.shoreroad.fleet.Membership;
+import org.shoreroad.fleet.ObservedBox;
+import org.shoreroad.fleet.ObservedBox.Reach;
 import org.shoreroad.fleet.ReplicaId;
 
 /**
@@ -65,7 +65,7 @@
   private final LongSupplier clockNanos;
   private final Fleet fleet;
   private final EngineContact contact;
-  private final Doubts doubts;
+  private final FailureDetector failureDetector;
   private final Supplier<Set<String>> alivePeers;
   private final long certainNanos;
   private final Set<ReplicaId> headsSeen = new HashSet<>();
@@ -75,13 +75,13 @@
       LongSupplier clockNanos,
       Fleet fleet,
       EngineContact contact,
-      Doubts doubts,
+      FailureDetector failureDetector,
       Supplier<Set<String>> alivePeers,
       int stallMs) {
     this.clockNanos = clockNanos;
     this.fleet = fleet;
     this.contact = contact;
-    this.doubts = doubts;
+    this.failureDetector = failureDetector;
     this.alivePeers = alivePeers;
     this.certainNanos = TimeUnit.MILLISECONDS.toNanos(stallMs + STALL_MARGIN_MS);
   }
@@ -94,20 +94,20 @@
    * @param boxes the boxes of the domain
    * @param suspected the heads that stand still
    */
-  List<BoxSight> look(
+  List<ObservedBox> look(
       String key, DomainKeeper keeper, List<FleetBox> boxes, Set<String> suspected) {
     long nowNanos = clockNanos.getAsLong();
     boxes.forEach(this::findUnlistedHead);
     Set<String> doubtful = findDoubtful(boxes, suspected);
     askBoxes(key, keeper, boxes, doubtful, nowNanos);
-    List<BoxSight> sights = new ArrayList<>();
+    List<ObservedBox> observedBoxes = new ArrayList<>();
     for (FleetBox box : boxes) {
       FleetBox newest = fleet.find(box.id());
       if (newest != null) {
-        sights.add(see(newest, doubtful.contains(box.id()), nowNanos));
+        observedBoxes.add(see(newest, doubtful.contains(box.id()), nowNanos));
       }
     }
-    return sights;
+    return observedBoxes;
   }
 
   /** Returns the replicas whose heads were seen by this process at any time. */
@@ -162,19 +162,19 @@
     }
   }
 
-  private BoxSight see(FleetBox box, boolean isDoubtful, long nowNanos) {
-    ReachBook reach = contact.reach();
+  private ObservedBox see(FleetBox box, boolean isDoubtful, long nowNanos) {
+    ReachabilityTable reach = contact.reach();
     boolean isListed = fleet.isListed(box.id());
     Reach reached = reach.reach(box.id(), isDoubtful, nowNanos);
     if (reached == Reach.LOST) {
       // The others need time to ask the box, so they are told before the list tells.
-      doubts.raise(box.id(), box.address());
+      failureDetector.raise(box.id(), box.address());
     }
     if (reached == Reach.LOST && !isListed) {
       // A head that only was cut off has been broken by its own engine by then.
       long limitNanos = reach.isRefusing(box.id()) ? LEAVING_NANOS : certainNanos;
       boolean isLong = reach.silentNanos(box.id(), nowNanos) > limitNanos;
-      if (isLong && doubts.isSilentForAll(box.id(), alivePeers.get())) {
+      if (isLong && failureDetector.isSilentForAll(box.id(), alivePeers.get())) {
         reached = Reach.GONE;
       }
     }
@@ -183,7 +183,7 @@
     String lastModel = fleet.lastModel(box.id());
     // A box whose entry is gone for good serves on for a while, as one that said that it leaves.
     FleetBox seen = fleet.isOnList(box.id()) ? box : box.withLeaving();
-    return new BoxSight(seen, isListed, reached, isSteady, isConfirmed, lastModel);
+    return new ObservedBox(seen, isListed, reached, isSteady, isConfirmed, lastModel);
   }
 
   /** Returns the members of all replicas whose heads are suspected. */
@@ -242,7 +242,7 @@
 
   /** Forgets boxes and replicas that are gone. */
   void forgetOthers() {
-    Set<String> known = new HashSet<>(doubts.askedByPeers().keySet());
+    Set<String> known = new HashSet<>(failureDetector.askedByPeers().keySet());
     Set<ReplicaId> replicas = new HashSet<>();
     for (FleetBox box : fleet.boxes()) {
       known.add(box.id());
--- a/edge/src/main/java/org/shoreroad/edge/replica/EngineContact.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/EngineContact.java
@@ -31,7 +31,7 @@
   private final EventLog log;
   private final Fleet fleet;
   private final Engines engines;
-  private final ReachBook reach = new ReachBook();
+  private final ReachabilityTable reach = new ReachabilityTable();
   private final Map<String, FleetBox> news = new HashMap<>();
   private final Map<String, Long> reportsCountFromNanos = new HashMap<>();
   private Runnable onUrgentNews = () -> {};
@@ -55,7 +55,7 @@
   }
 
   /** Returns which boxes answer. */
-  ReachBook reach() {
+  ReachabilityTable reach() {
     return reach;
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReachBook.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReachabilityTable.java
@@ -4,14 +4,14 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.shoreroad.fleet.BoxSight.Reach;
+import org.shoreroad.fleet.ObservedBox.Reach;
 
 /**
- * Which boxes answered when they were asked; used on the event loop.
+ * Table of the boxes that answered when they were last asked. Used on the event loop.
  *
  * @since 0.2
  */
-final class ReachBook {
+final class ReachabilityTable {
   /** Silent answers in a row after which a box counts as lost. */
   private static final int SILENCES = 2;
 
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -12,19 +12,19 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
-import org.shoreroad.edge.Clockwork;
 import org.shoreroad.edge.EventLog;
-import org.shoreroad.edge.peer.Doubts;
+import org.shoreroad.edge.RepeatingTimer;
+import org.shoreroad.edge.peer.FailureDetector;
 import org.shoreroad.edge.sync.DomainLeases;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.fleet.BoxOrder;
-import org.shoreroad.fleet.BoxSight;
-import org.shoreroad.fleet.BoxSight.Reach;
 import org.shoreroad.fleet.Demand;
 import org.shoreroad.fleet.DomainKeeper;
 import org.shoreroad.fleet.EngineSpec;
 import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.fleet.KeeperTiming;
+import org.shoreroad.fleet.ObservedBox;
+import org.shoreroad.fleet.ObservedBox.Reach;
 import org.shoreroad.fleet.ReplicaPlan;
 import org.shoreroad.traffic.TrafficConfig;
 import org.shoreroad.traffic.UpstreamService;
@@ -56,7 +56,7 @@
   /** Boxes and replicas that are gone are forgotten this often. */
   private static final long FORGET_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-  private final Clockwork clockwork;
+  private final RepeatingTimer timer;
   private final LongSupplier clockNanos;
   private final EventLog log;
   private final Fleet fleet;
@@ -66,7 +66,7 @@
   private final Supplier<@Nullable TrafficConfig> config;
   private final Supplier<Set<String>> suspectedHeads;
   private final Function<UpstreamService, Demand> demands;
-  private final Doubts doubts;
+  private final FailureDetector failureDetector;
   private final DomainWatch watch;
   private final Map<String, DomainKeeper> keepers = new HashMap<>();
   private final Map<String, Long> suspectedSinceNanos = new HashMap<>();
@@ -74,7 +74,7 @@
   private long forgottenNanos;
   private boolean isHurried;
 
-  /** Creates a service; {@link #start} begins its clockwork. */
+  /** Creates a service; {@link #start} begins its timer. */
   public ReplicaService(
       EventLoop loop,
       LongSupplier clockNanos,
@@ -85,10 +85,10 @@
       Supplier<@Nullable TrafficConfig> config,
       Supplier<Set<String>> suspectedHeads,
       Function<UpstreamService, Demand> demands,
-      Doubts doubts,
+      FailureDetector failureDetector,
       Supplier<Set<String>> alivePeers,
       int stallMs) {
-    this.clockwork = new Clockwork(loop, log);
+    this.timer = new RepeatingTimer(loop, log);
     this.clockNanos = clockNanos;
     this.log = log;
     this.fleet = fleet;
@@ -99,8 +99,8 @@
     this.config = config;
     this.suspectedHeads = suspectedHeads;
     this.demands = demands;
-    this.doubts = doubts;
-    this.watch = new DomainWatch(clockNanos, fleet, contact, doubts, alivePeers, stallMs);
+    this.failureDetector = failureDetector;
+    this.watch = new DomainWatch(clockNanos, fleet, contact, failureDetector, alivePeers, stallMs);
   }
 
   /** Sets what is done when the head of a replica has said something that others wait for. */
@@ -110,7 +110,7 @@
 
   /** Starts to keep. */
   public void start() {
-    clockwork.every(this::tickMs, "replicas", this::tick);
+    timer.every(this::tickMs, "replicas", this::tick);
   }
 
   private int tickMs() {
@@ -125,7 +125,7 @@
   public void hurry() {
     if (!isHurried && leases.holdsAny()) {
       isHurried = true;
-      clockwork.once(0, "replicas", this::keepHurried);
+      timer.once(0, "replicas", this::keepHurried);
     }
   }
 
@@ -172,7 +172,7 @@
   public Set<String> silentForPeers() {
     long nowNanos = clockNanos.getAsLong();
     Set<String> silent = new HashSet<>();
-    for (String id : doubts.askedByPeers().keySet()) {
+    for (String id : failureDetector.askedByPeers().keySet()) {
       if (contact.reach().reach(id, false, nowNanos) != Reach.LIKELY) {
         silent.add(id);
       }
@@ -182,7 +182,7 @@
 
   private void answerPeers() {
     long nowNanos = clockNanos.getAsLong();
-    doubts
+    failureDetector
         .askedByPeers()
         .forEach(
             (id, address) -> {
@@ -262,18 +262,18 @@
       Demand demand) {
     long nowNanos = clockNanos.getAsLong();
     DomainKeeper keeper = keepers.computeIfAbsent(key, name -> takeDomain(key, domain, boxes));
-    List<BoxSight> sights = watch.look(key, keeper, boxes, suspected);
+    List<ObservedBox> observedBoxes = watch.look(key, keeper, boxes, suspected);
     boolean neededWords = keeper.needsWords();
     keeper
-        .decide(nowNanos, engine, sights, plan, watch.headsSeen(), demand)
+        .decide(nowNanos, engine, observedBoxes, plan, watch.headsSeen(), demand)
         .forEach(order -> give(key, keeper, engine, order));
     if (keeper.needsWords() && !neededWords) {
       // The boxes are asked at once.
       hurry();
     }
-    for (BoxSight sight : sights) {
-      if (sight.isDead() && !sight.isListed()) {
-        fleet.forget(sight.box().id());
+    for (ObservedBox observed : observedBoxes) {
+      if (observed.isDead() && !observed.isListed()) {
+        fleet.forget(observed.box().id());
       }
     }
   }
--- a/edge/src/main/java/org/shoreroad/edge/sync/DomainLeases.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/DomainLeases.java
@@ -11,8 +11,8 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
-import org.shoreroad.edge.Clockwork;
 import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.RepeatingTimer;
 import org.shoreroad.member.DomainClaims;
 
 /**
@@ -110,7 +110,7 @@
   public void start() {
     startedNanos = clockNanos.getAsLong();
     toldNanos = startedNanos;
-    new Clockwork(loop, log).every(TICK_MS, "domain leases", this::tick);
+    new RepeatingTimer(loop, log).every(TICK_MS, "domain leases", this::tick);
   }
 
   /** Gives up all domains for other processes to claim, and stops claiming. */
--- a/edge/src/test/java/org/shoreroad/edge/KnowledgeTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/ConfigurationViewTest.java
@@ -22,17 +22,17 @@
 import org.shoreroad.traffic.CallerLimits;
 import org.shoreroad.traffic.TrafficConfig;
 
-class KnowledgeTest {
+class ConfigurationViewTest {
   private static final int REVOKE_MS = 5_000;
   private static final long MILLI_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
   private long nowNanos = 1_000_000 * MILLI_NANOS;
   private final EventLog log = new EventLog("t", () -> nowNanos, OutputStream.nullOutputStream());
-  private final Knowledge knowledge =
-      new Knowledge(new NumberDecoder(), () -> nowNanos, log, REVOKE_MS, true);
+  private final ConfigurationView configuration =
+      new ConfigurationView(new NumberDecoder(), () -> nowNanos, log, REVOKE_MS, true);
 
   /** Takes the text of a number for a configuration of that version. */
-  private static final class NumberDecoder implements Knowledge.Decoder {
+  private static final class NumberDecoder implements ConfigurationView.Decoder {
     @Override
     public boolean isConfiguration(String key) {
       return key.equals("config");
@@ -64,14 +64,14 @@
   }
 
   private void take(String text) {
-    knowledge.onRecord(new StoreRecord(0, "config", text.getBytes(StandardCharsets.UTF_8)));
+    configuration.onRecord(new StoreRecord(0, "config", text.getBytes(StandardCharsets.UTF_8)));
   }
 
   private void follow() {
-    follow(knowledge);
+    follow(configuration);
   }
 
-  private void follow(Knowledge by) {
+  private void follow(ConfigurationView by) {
     TopicFollower follower =
         new TopicFollower(
             Topic.CONFIGURATION,
@@ -92,41 +92,42 @@
 
   @Test
   void versionsOnlyRise() {
-    assertThat(knowledge.config(), is(nullValue()));
+    assertThat(configuration.config(), is(nullValue()));
     take("7");
     take("5");
-    assertThat(knowledge.config().version(), is(7L));
+    assertThat(configuration.config().version(), is(7L));
     take("8");
-    assertThat(knowledge.config().version(), is(8L));
+    assertThat(configuration.config().version(), is(8L));
   }
 
   @Test
   void anUnreadableVersionLeavesTheLastGoodOne() {
     take("7");
     take("nonsense");
-    assertThat(knowledge.config().version(), is(7L));
+    assertThat(configuration.config().version(), is(7L));
   }
 
   @Test
   void otherKeysAreNoConfiguration() {
-    knowledge.onRecord(new StoreRecord(0, "other", new byte[] {'9'}));
-    assertThat(knowledge.config(), is(nullValue()));
+    configuration.onRecord(new StoreRecord(0, "other", new byte[] {'9'}));
+    assertThat(configuration.config(), is(nullValue()));
   }
 
   @Test
   void keysAreTrustedForLessThanTheTimeToTakeThemAway() {
-    assertThat(knowledge.mayTrustKeys(), is(false));
+    assertThat(configuration.mayTrustKeys(), is(false));
     follow();
-    assertThat(knowledge.mayTrustKeys(), is(true));
+    assertThat(configuration.mayTrustKeys(), is(true));
     nowNanos += (REVOKE_MS - 501) * MILLI_NANOS;
-    assertThat(knowledge.mayTrustKeys(), is(true));
+    assertThat(configuration.mayTrustKeys(), is(true));
     nowNanos += 2 * MILLI_NANOS;
-    assertThat(knowledge.mayTrustKeys(), is(false));
+    assertThat(configuration.mayTrustKeys(), is(false));
   }
 
   @Test
   void withoutTheNeedOfAProofKnownKeysAreUsedOnWhileTheStoreIsAway() {
-    Knowledge lenient = new Knowledge(new NumberDecoder(), () -> nowNanos, log, REVOKE_MS, false);
+    ConfigurationView lenient =
+        new ConfigurationView(new NumberDecoder(), () -> nowNanos, log, REVOKE_MS, false);
     assertThat(lenient.mayTrustKeys(), is(false));
     follow(lenient);
     lenient.onRecord(new StoreRecord(0, "config", new byte[] {'7'}));
@@ -138,7 +139,8 @@
 
   @Test
   void whoNeedsNoProofServesWithoutOneUnlessAPeerHasOne() {
-    Knowledge lenient = new Knowledge(new NumberDecoder(), () -> nowNanos, log, REVOKE_MS, false);
+    ConfigurationView lenient =
+        new ConfigurationView(new NumberDecoder(), () -> nowNanos, log, REVOKE_MS, false);
     follow(lenient);
     lenient.onRecord(new StoreRecord(0, "config", new byte[] {'7'}));
     assertThat(lenient.isServing(), is(true));
@@ -155,15 +157,15 @@
   void whoNeedsAProofDoesNotServeWithoutOne() {
     follow();
     take("7");
-    assertThat(knowledge.isServing(), is(true));
+    assertThat(configuration.isServing(), is(true));
     nowNanos += 2 * REVOKE_MS * MILLI_NANOS;
-    assertThat(knowledge.isServing(), is(false));
+    assertThat(configuration.isServing(), is(false));
   }
 
   @Test
   void aProofLastsUntilTheNextReadHasCome() {
     for (int revokeMs : new int[] {1_500, 3_000, 5_000, 20_000}) {
-      int waitMs = Knowledge.readWaitMs(revokeMs);
+      int waitMs = ConfigurationView.readWaitMs(revokeMs);
       // Two reads in a row are the oldest that a proof becomes in calm times.
       assertThat(2 * (waitMs + 100), is(lessThan(revokeMs - 500)));
     }
@@ -174,17 +176,17 @@
     follow();
     nowNanos += 4_000 * MILLI_NANOS;
     long echoNanos = nowNanos - 200 * MILLI_NANOS;
-    knowledge.learn(heartbeat(echoNanos, 3, 300 * MILLI_NANOS));
-    assertThat(knowledge.configAgeMs(), is(500L));
+    configuration.learn(heartbeat(echoNanos, 3, 300 * MILLI_NANOS));
+    assertThat(configuration.configAgeMs(), is(500L));
   }
 
   @Test
   void aPeerThatKnowsMoreOrEchoesNothingProvesNothing() {
     follow();
     nowNanos += 4_000 * MILLI_NANOS;
-    knowledge.learn(heartbeat(nowNanos, 4, 0));
-    assertThat(knowledge.configAgeMs(), is(4_000L));
-    knowledge.learn(heartbeat(0, 3, 0));
-    assertThat(knowledge.configAgeMs(), is(4_000L));
+    configuration.learn(heartbeat(nowNanos, 4, 0));
+    assertThat(configuration.configAgeMs(), is(4_000L));
+    configuration.learn(heartbeat(0, 3, 0));
+    assertThat(configuration.configAgeMs(), is(4_000L));
   }
 }
--- a/edge/src/test/java/org/shoreroad/edge/ClockworkTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/RepeatingTimerTest.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
-class ClockworkTest {
+class RepeatingTimerTest {
   private final EmbeddedChannel channel = new EmbeddedChannel();
   private final ByteArrayOutputStream out = new ByteArrayOutputStream();
   private final EventLog log = new EventLog("n", () -> 0, out);
@@ -18,7 +18,7 @@
   @Test
   void aTaskThatFailsIsDoneAgainAndTheFailureIsLogged() {
     AtomicInteger runs = new AtomicInteger();
-    new Clockwork(channel.eventLoop(), log)
+    new RepeatingTimer(channel.eventLoop(), log)
         .every(
             10,
             "counting",
@@ -41,9 +41,9 @@
     AtomicInteger pauseMs = new AtomicInteger(10);
     AtomicInteger runs = new AtomicInteger();
     AtomicInteger single = new AtomicInteger();
-    Clockwork clockwork = new Clockwork(channel.eventLoop(), log);
-    clockwork.every(pauseMs::get, "changing", runs::incrementAndGet);
-    clockwork.once(10, "single", single::incrementAndGet);
+    RepeatingTimer timer = new RepeatingTimer(channel.eventLoop(), log);
+    timer.every(pauseMs::get, "changing", runs::incrementAndGet);
+    timer.once(10, "single", single::incrementAndGet);
     passMs(10);
     assertThat(runs.get(), is(1));
     pauseMs.set(100);
--- a/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
@@ -20,7 +20,7 @@
 import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
 import org.shoreroad.edge.EventLog;
-import org.shoreroad.edge.peer.Doubts;
+import org.shoreroad.edge.peer.FailureDetector;
 import org.shoreroad.edge.peer.Heartbeats;
 import org.shoreroad.edge.sync.DomainLeases;
 import org.shoreroad.edge.sync.Fleet;
@@ -58,7 +58,7 @@
   private final Fleet fleet = new Fleet(ReplicaServiceTest::decode, () -> nowNanos, log);
   private final FakeEngines engines = new FakeEngines(() -> nowNanos);
   private final Set<String> suspected = new HashSet<>();
-  private final Doubts doubts = new Doubts(() -> nowNanos);
+  private final FailureDetector failureDetector = new FailureDetector(() -> nowNanos);
   private final DomainLeases leases =
       new DomainLeases(
           new GrantingStore(),
@@ -79,7 +79,7 @@
           () -> CONFIG,
           () -> suspected,
           llm -> Demand.NONE,
-          doubts,
+          failureDetector,
           Set::of,
           5_000);
 
@@ -393,7 +393,7 @@
 
   @Test
   void aBoxThatPeersAskAboutIsAskedWithoutALease() {
-    doubts.learn(Heartbeats.of("p").withDoubts(Map.of("a", "a:1"), Set.of()));
+    failureDetector.learn(Heartbeats.of("p").withDoubts(Map.of("a", "a:1"), Set.of()));
     service.start();
     run(400);
     assertThat(engines.asked, hasItem("a"));
