--- a/edge/src/main/java/org/shoreroad/edge/RepeatingTimer.java
+++ b/edge/src/main/java/org/shoreroad/edge/RepeatingTimer.java
@@ -56,7 +56,8 @@
   private void run(String name, Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | LinkageError e) {
+      // A class that is missing must not end the task for good without a line in the log either.
       String place = e.getStackTrace().length == 0 ? "" : e.getStackTrace()[0].toString();
       log.write("task_failed", "task", name, "why", String.valueOf(e), "place", place);
     }
--- a/edge/src/test/java/org/shoreroad/edge/RepeatingTimerTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/RepeatingTimerTest.java
@@ -36,6 +36,24 @@
     assertThat(out.toString(), containsString("once"));
   }
 
+  @Test
+  void aTaskThatLacksAClassIsDoneAgainAndTheFailureIsLogged() {
+    AtomicInteger runs = new AtomicInteger();
+    new RepeatingTimer(channel.eventLoop(), log)
+        .every(
+            10,
+            "linking",
+            () -> {
+              runs.incrementAndGet();
+              throw new NoClassDefFoundError("x/Missing");
+            });
+    passMs(10);
+    passMs(10);
+    log.flush();
+    assertThat(runs.get(), is(2));
+    assertThat(out.toString(), containsString("x/Missing"));
+  }
+
   @Test
   void pausesMayChangeAndATaskDoneOnceIsNotRepeated() {
     AtomicInteger pauseMs = new AtomicInteger(10);
