PeerMesh: send suspicions at once and pass them on at hubs

Cause: a suspicion went with the next urgent heartbeat (a gap of 0.1 s at hubs) and was then passed on by each hub with its next regular one (0.2 s): a member's hub, the other hubs, their members. With hubs it arrived some 0.2 to 0.4 s after the silence was seen, when a request for a target of 0.3 to 0.4 s that waits there is late in any case.

Change: SuspicionNotice, a frame of its own, sent at once to all or to the hub and passed on once by hubs to which it is new; heartbeats carry the suspicion as before, for whom a notice does not reach. PeerChannels takes the framing out of PeerMesh.

PeerMeshTest: each of 29 others gets it exactly once through the hubs.

--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -212,10 +213,11 @@
     leases.setChangeListener(mesh::hurry);
     replicas.setUrgentNewsListener(mesh::hurry);
     board.setSuspicionListener(
-        () -> {
-          mesh.hurry();
+        head -> {
+          mesh.suspect(Set.of(head));
           replicas.hurry();
         });
+    mesh.setSuspicionListener(this::learnSuspicions);
     fleet.addRemovalListener(box -> calls.forget(box.address()));
   }
 
@@ -380,9 +382,16 @@
       listFollower.takeOver(told, heartbeat.echoNanos() - told.ageNanos());
     }
     heartbeat.words().forEach(fleet::update);
-    if (board.suspectByPeer(heartbeat.suspectedUpstreams())) {
+    learnSuspicions(heartbeat.suspectedUpstreams());
+  }
+
+  /** Takes over suspicions of a peer; returns true if one of them is new. */
+  private boolean learnSuspicions(Set<String> heads) {
+    boolean isNews = board.suspectByPeer(heads);
+    if (isNews) {
       replicas.hurry();
     }
+    return isNews;
   }
 
   private ChannelFuture answerWith(InetSocketAddress address, CallerExchange.Factory factory) {
--- a/edge/src/main/java/org/shoreroad/edge/peer/Peer.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Peer.java
@@ -110,6 +110,11 @@
     link.send(heartbeat, last == null ? 0 : last.sentNanos(), nowNanos);
   }
 
+  /** Sends a notice if the connection stands; heartbeats carry the same a moment later. */
+  void send(SuspicionNotice notice) {
+    link.send(notice.toBytes());
+  }
+
   void closeIfUnused(long nowNanos) {
     link.closeIfUnused(nowNanos);
   }
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerChannels.java
@@ -0,0 +1,79 @@
+package org.shoreroad.edge.peer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelHandler.Sharable;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.io.IOException;
+import java.util.function.Consumer;
+import org.msgpack.core.MessagePackException;
+import org.shoreroad.edge.EventLog;
+
+/**
+ * Sets up the connections between processes: frames with a length in front, each a heartbeat or a
+ * notice. Used on the event loop.
+ */
+@Sharable
+final class PeerChannels extends ChannelInitializer<SocketChannel> {
+  private static final int MAX_FRAME_BYTES = 1_048_576;
+  private static final int LENGTH_BYTES = 4;
+
+  private final EventLog log;
+  private final Consumer<Heartbeat> heartbeats;
+  private final Consumer<SuspicionNotice> notices;
+
+  /**
+   * Creates an initializer.
+   *
+   * @param heartbeats takes each heartbeat, not null
+   * @param notices takes each notice, not null
+   */
+  PeerChannels(EventLog log, Consumer<Heartbeat> heartbeats, Consumer<SuspicionNotice> notices) {
+    this.log = log;
+    this.heartbeats = heartbeats;
+    this.notices = notices;
+  }
+
+  @Override
+  protected void initChannel(SocketChannel channel) {
+    channel
+        .pipeline()
+        .addLast(
+            new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+            new LengthFieldPrepender(LENGTH_BYTES),
+            new Receiver());
+  }
+
+  private final class Receiver extends SimpleChannelInboundHandler<ByteBuf> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+      byte[] bytes = ByteBufUtil.getBytes(frame);
+      try {
+        if (SuspicionNotice.isNotice(bytes)) {
+          notices.accept(SuspicionNotice.parse(bytes));
+        } else {
+          heartbeats.accept(HeartbeatCodec.parse(bytes));
+        }
+      } catch (IOException | MessagePackException | IllegalArgumentException e) {
+        log.write(
+            "peer_message_unreadable",
+            "from",
+            context.channel().remoteAddress(),
+            "why",
+            e.getMessage());
+        context.close();
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      // Told by the loss of the connection.
+      context.close();
+    }
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerLink.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerLink.java
@@ -58,14 +58,21 @@
     Channel open = channel;
     if (open != null && open.isActive()) {
       if (open.isWritable()) {
-        byte[] bytes = HeartbeatCodec.toBytes(heartbeat.withEcho(echoNanos));
-        open.writeAndFlush(Unpooled.wrappedBuffer(bytes));
+        send(HeartbeatCodec.toBytes(heartbeat.withEcho(echoNanos)));
       }
     } else if (!isConnecting && nowNanos - lostNanos > RECONNECT_NANOS) {
       connect();
     }
   }
 
+  /** Sends a frame if the connection stands and takes it. */
+  void send(byte[] frame) {
+    Channel open = channel;
+    if (open != null && open.isActive() && open.isWritable()) {
+      open.writeAndFlush(Unpooled.wrappedBuffer(frame));
+    }
+  }
+
   /** Returns when the connection could last not be opened. */
   long refusedNanos() {
     return refusedNanos;
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -1,18 +1,10 @@
 package org.shoreroad.edge.peer;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import io.netty.handler.codec.LengthFieldPrepender;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -27,8 +19,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
-import org.msgpack.core.MessagePackException;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.RepeatingTimer;
 import org.shoreroad.edge.peer.Digest.Heard;
@@ -79,9 +71,6 @@
 
   private static final String READER_KEY = "reader";
 
-  private static final int MAX_FRAME_BYTES = 1_048_576;
-  private static final int LENGTH_BYTES = 4;
-
   /** Stands between the name of a node and the number of its life. */
   private static final char LIFE_MARK = '~';
 
@@ -92,6 +81,7 @@
   private final Place self;
   private final HeartbeatSource source;
   private final Consumer<Heartbeat> listener;
+  private final PeerChannels channels;
   private final Map<String, Peer> peers = new HashMap<>();
   private final List<FleetBox> wordsOfMembers = new ArrayList<>();
   private final List<FleetBox> wordsOfHubs = new ArrayList<>();
@@ -102,6 +92,7 @@
   private long strangerNanos = Long.MIN_VALUE / 2;
   private long sentNanos;
   private boolean isUrgent;
+  private Predicate<Set<String>> suspicionListener = heads -> false;
 
   /** Creates a mesh without peers. */
   public PeerMesh(
@@ -118,6 +109,7 @@
     this.self = self;
     this.source = source;
     this.listener = listener;
+    this.channels = new PeerChannels(log, this::receive, this::receive);
     this.plan = HubPlan.of(self, List.of());
   }
 
@@ -144,7 +136,7 @@
         .group(loop)
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_REUSEADDR, true)
-        .childHandler(new Initializer())
+        .childHandler(channels)
         .bind(address);
   }
 
@@ -171,7 +163,7 @@
         remove(other.name());
       }
     }
-    PeerLink link = new PeerLink(loop, clockNanos, log, place.name(), address, new Initializer());
+    PeerLink link = new PeerLink(loop, clockNanos, log, place.name(), address, channels);
     peers.put(place.name(), new Peer(place, offset, link, log));
     log.write("peer_known", "peer", place.name(), "address", address);
   }
@@ -255,6 +247,48 @@
         && !heard(Scope.REST, Peer.ALIVE_NANOS).isEmpty();
   }
 
+  /**
+   * Sets the listener for suspicions of the other processes.
+   *
+   * @param listener takes the ids of silent heads and returns true if one of them is newly
+   *     suspected here, so that a hub passes the notice on, not null
+   */
+  public void setSuspicionListener(Predicate<Set<String>> listener) {
+    suspicionListener = listener;
+  }
+
+  /** Sends a notice of silent heads at once, to all processes or to the hub, which passes it on. */
+  public void suspect(Set<String> heads) {
+    if (plan.isFullMesh()) {
+      sendNotice(Scope.SELF, heads, peers.values());
+    } else if (isHub()) {
+      sendNotice(Scope.HUB, heads, reachableHubs());
+      sendNotice(Scope.REST, heads, heard(Scope.MEMBER, Peer.ALIVE_NANOS));
+    } else if (plan.ownHub() != null && peers.containsKey(plan.ownHub())) {
+      sendNotice(Scope.MEMBER, heads, List.of(peers.get(plan.ownHub())));
+    }
+  }
+
+  private void sendNotice(Scope scope, Set<String> heads, Collection<Peer> receivers) {
+    SuspicionNotice notice = new SuspicionNotice(self.name(), scope, heads);
+    receivers.forEach(peer -> peer.send(notice));
+  }
+
+  /** Takes a notice; a hub passes on what is new to it, so that no notice goes round. */
+  private void receive(SuspicionNotice notice) {
+    if (!suspicionListener.test(notice.heads()) || !isHub()) {
+      return;
+    }
+    if (notice.scope() == Scope.MEMBER) {
+      sendNotice(Scope.HUB, notice.heads(), reachableHubs());
+    }
+    if (notice.scope() == Scope.MEMBER || notice.scope() == Scope.HUB) {
+      List<Peer> members = new ArrayList<>(heard(Scope.MEMBER, Peer.ALIVE_NANOS));
+      members.removeIf(member -> member.name().equals(notice.sender()));
+      sendNotice(Scope.REST, notice.heads(), members);
+    }
+  }
+
   /** Tells all peers soon, since something can't wait. */
   public void hurry() {
     if (!isUrgent) {
@@ -371,14 +405,8 @@
     words.addAll(wordsOfMembers);
     Heartbeat toHubs =
         Digest.merge(own, Scope.HUB, toHeard(members), List.of(), words, ListNews.NONE, nowNanos);
-    Set<Peer> hubs = new HashSet<>(aliveHubs);
-    for (String name : plan.hubs()) {
-      Peer hub = peers.get(name);
-      if (hub != null) {
-        hubs.add(hub);
-      }
-    }
-    hubs.forEach(hub -> hub.sendExpectingAnswer(toHubs.withListNews(newsFor(hub, own)), nowNanos));
+    reachableHubs()
+        .forEach(hub -> hub.sendExpectingAnswer(toHubs.withListNews(newsFor(hub, own)), nowNanos));
     words.addAll(wordsOfHubs);
     List<Heard> all = new ArrayList<>(toHeard(members));
     all.addAll(hubsHeard);
@@ -389,6 +417,18 @@
     }
   }
 
+  /** Returns the hubs of the plan and those that are heard. */
+  private Set<Peer> reachableHubs() {
+    Set<Peer> hubs = new HashSet<>(heard(Scope.HUB, Peer.ALIVE_NANOS));
+    for (String name : plan.hubs()) {
+      Peer hub = peers.get(name);
+      if (hub != null) {
+        hubs.add(hub);
+      }
+    }
+    return hubs;
+  }
+
   /** Returns the changes of the list for a peer if this process is a reader. */
   private ListNews newsFor(Peer peer, Heartbeat own) {
     if (!isReader || !peer.isHeard(Peer.ALIVE_NANOS, clockNanos.getAsLong())) {
@@ -416,41 +456,4 @@
     }
     listener.accept(heartbeat);
   }
-
-  private final class Initializer extends ChannelInitializer<SocketChannel> {
-    @Override
-    protected void initChannel(SocketChannel channel) {
-      channel
-          .pipeline()
-          .addLast(
-              new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
-              new LengthFieldPrepender(LENGTH_BYTES),
-              new Receiver());
-    }
-  }
-
-  private final class Receiver extends SimpleChannelInboundHandler<ByteBuf> {
-    @Override
-    protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
-      byte[] bytes = new byte[frame.readableBytes()];
-      frame.readBytes(bytes);
-      try {
-        receive(HeartbeatCodec.parse(bytes));
-      } catch (IOException | MessagePackException | IllegalArgumentException e) {
-        log.write(
-            "peer_message_unreadable",
-            "from",
-            context.channel().remoteAddress(),
-            "why",
-            e.getMessage());
-        context.close();
-      }
-    }
-
-    @Override
-    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      // Told by the loss of the connection.
-      context.close();
-    }
-  }
 }
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/peer/SuspicionNotice.java
@@ -0,0 +1,70 @@
+package org.shoreroad.edge.peer;
+
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Set;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Notice that a head has fallen silent, sent at once and passed on by hubs.
+ *
+ * <p>Heartbeats carry the same, but each hop of theirs waits for an interval of 0.1 to 0.2 s: with
+ * three hops a suspicion would arrive after the request that waits there has missed its target.
+ * This class is immutable and thread-safe.
+ *
+ * @param sender the name of the process that sends or passes on the notice, not null
+ * @param scope whom the sender speaks for to the receiver, not null
+ * @param heads the ids of the silent heads, not null
+ * @since 0.2
+ */
+public record SuspicionNotice(String sender, Heartbeat.Scope scope, Set<String> heads) {
+  /** The first byte of a notice; a heartbeat begins with a text, whose first byte is larger. */
+  private static final byte MARK = 1;
+
+  /** Copies the set. */
+  public SuspicionNotice {
+    Objects.requireNonNull(sender, "sender");
+    Objects.requireNonNull(scope, "scope");
+    heads = Set.copyOf(heads);
+  }
+
+  /** Returns true if the bytes are a notice and not a heartbeat. */
+  static boolean isNotice(byte[] bytes) {
+    return bytes.length > 0 && bytes[0] == MARK;
+  }
+
+  /** Returns the MessagePack form: the mark, then the fields in order. */
+  byte[] toBytes() {
+    try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+      out.packInt(MARK).packString(sender).packString(scope.name());
+      out.packArrayHeader(heads.size());
+      for (String head : heads) {
+        out.packString(head);
+      }
+      return out.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("a buffer can't fail to be written", e);
+    }
+  }
+
+  /**
+   * Reads a notice.
+   *
+   * @throws IOException or an unchecked exception of the library if the bytes are none
+   */
+  static SuspicionNotice parse(byte[] bytes) throws IOException {
+    try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+      in.unpackInt();
+      String sender = in.unpackString();
+      Heartbeat.Scope scope = Heartbeat.Scope.valueOf(in.unpackString());
+      Set<String> heads = new HashSet<>();
+      for (int count = in.unpackArrayHeader(); count > 0; count--) {
+        heads.add(in.unpackString());
+      }
+      return new SuspicionNotice(sender, scope, heads);
+    }
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamBoard.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
@@ -79,7 +80,7 @@
   private final Set<ReplicaId> servingReplicas = new HashSet<>();
   private long seenChanges = -1;
   private boolean hasTraffic;
-  private Runnable onSuspicion = () -> {};
+  private Consumer<String> onSuspicion = head -> {};
   private int processCount = 1;
 
   /** Creates a board over the fleet. */
@@ -92,8 +93,8 @@
     this.zone = zone;
   }
 
-  /** Sets what is done when this process finds that a head stands still. */
-  public void setSuspicionListener(Runnable listener) {
+  /** Sets what takes the id of a head that this process finds to stand still. */
+  public void setSuspicionListener(Consumer<String> listener) {
     onSuspicion = listener;
   }
 
@@ -397,7 +398,7 @@
           load.openCount(),
           "waitingTokens",
           load.waitingPromptTokens());
-      onSuspicion.run();
+      onSuspicion.accept(exchange.targetId());
     }
     exchange.onStalled();
   }
--- a/edge/src/test/java/org/shoreroad/edge/peer/PeerMeshTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/PeerMeshTest.java
@@ -41,12 +41,20 @@
     private final PeerMesh mesh;
     private final Set<String> wordsHeard = new HashSet<>();
     private final Set<Long> listHeard = new HashSet<>();
+    private final Set<String> suspected = new HashSet<>();
+    private int notices;
     private List<FleetBox> words = List.of();
     private String address = "";
 
     Process(int number) {
       place = new Place("box-" + number + "~" + number, "zone-" + number % ZONES);
       mesh = new PeerMesh(loop, System::nanoTime, log, place, this, this::hear);
+      mesh.setSuspicionListener(this::learn);
+    }
+
+    private boolean learn(Set<String> heads) {
+      notices++;
+      return suspected.addAll(heads);
     }
 
     private void hear(Heartbeat heartbeat) {
@@ -170,6 +178,38 @@
         is(true));
   }
 
+  @Test
+  void aNoticeReachesEverybodyThroughTheHubsOnce() throws Exception {
+    start(30);
+    becomesTrue(() -> processes.stream().allMatch(p -> p.mesh.aliveCount() == 30));
+    Process teller = processes.stream().filter(p -> p.mesh.isMember()).findFirst().orElseThrow();
+    onLoop(
+        () -> {
+          teller.suspected.add("i-1");
+          teller.mesh.suspect(Set.of("i-1"));
+          return true;
+        });
+    assertThat(
+        becomesTrue(() -> processes.stream().allMatch(p -> p.suspected.contains("i-1"))), is(true));
+    // The teller's hub and the hubs beyond pass it on once each.
+    int notices = onLoop(() -> processes.stream().mapToInt(p -> p.notices).sum());
+    assertThat(notices, is(29));
+  }
+
+  @Test
+  void aFewProcessesAreSentNoticesDirectly() throws Exception {
+    start(4);
+    becomesTrue(() -> processes.stream().allMatch(p -> p.openElsewhere() == 3));
+    onLoop(
+        () -> {
+          processes.get(0).suspected.add("i-1");
+          processes.get(0).mesh.suspect(Set.of("i-1"));
+          return true;
+        });
+    assertThat(
+        becomesTrue(() -> processes.stream().allMatch(p -> p.suspected.contains("i-1"))), is(true));
+  }
+
   @Test
   void aMemberIsToldTheListFromWhereItStands() throws Exception {
     start(30);
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/peer/SuspicionNoticeTest.java
@@ -0,0 +1,35 @@
+package org.shoreroad.edge.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessagePackException;
+import org.shoreroad.edge.sync.ListNews;
+
+class SuspicionNoticeTest {
+  private final SuspicionNotice notice =
+      new SuspicionNotice("node-1~a", Heartbeat.Scope.HUB, Set.of("i-1", "i-2"));
+
+  @Test
+  void whatIsWrittenIsRead() throws Exception {
+    assertThat(SuspicionNotice.isNotice(notice.toBytes()), is(true));
+    assertThat(SuspicionNotice.parse(notice.toBytes()), is(notice));
+  }
+
+  @Test
+  void aHeartbeatIsNoNotice() {
+    byte[] bytes = HeartbeatCodec.toBytes(Heartbeats.of("node-1~a").withListNews(ListNews.NONE));
+    assertThat(SuspicionNotice.isNotice(bytes), is(false));
+    assertThat(SuspicionNotice.isNotice(new byte[0]), is(false));
+  }
+
+  @Test
+  void aNoticeThatIsCutIsUnreadable() {
+    byte[] bytes = notice.toBytes();
+    byte[] cut = java.util.Arrays.copyOf(bytes, bytes.length - 1);
+    assertThrows(MessagePackException.class, () -> SuspicionNotice.parse(cut));
+  }
+}
