--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -24,8 +24,12 @@
 import org.shoreroad.edge.peer.Heartbeat;
 import org.shoreroad.edge.peer.PeerMesh;
 import org.shoreroad.edge.peer.ProcessRegistry;
+import org.shoreroad.edge.relay.DemandMeter;
+import org.shoreroad.edge.relay.FleetSummary;
 import org.shoreroad.edge.relay.Relay;
-import org.shoreroad.edge.relay.UpstreamBoard;
+import org.shoreroad.edge.relay.StallDetector;
+import org.shoreroad.edge.relay.UpstreamSelector;
+import org.shoreroad.edge.relay.UpstreamTable;
 import org.shoreroad.edge.replica.ReplicaService;
 import org.shoreroad.edge.sync.CountedStore;
 import org.shoreroad.edge.sync.DomainLeases;
@@ -101,7 +105,10 @@
   private final TopicFollower configFollower;
   private final TopicFollower listFollower;
   private final DomainLeases leases;
-  private final UpstreamBoard board;
+  private final UpstreamTable upstreams;
+  private final UpstreamSelector selector;
+  private final StallDetector stalls;
+  private final FleetSummary summary;
   private final Relay relay;
   private final FailureDetector failureDetector;
   private final PeerMesh mesh;
@@ -151,7 +158,10 @@
     int configWaitMs = ConfigurationView.readWaitMs(settings.revokeMs());
     this.configFollower = follower(Topic.CONFIGURATION, configWaitMs, () -> 0, configuration);
     this.listFollower = follower(Topic.UPSTREAMS, LIST_WAIT_MS, () -> LIST_INTERVAL_MS, fleet);
-    this.board = new UpstreamBoard(fleet, clockNanos, random, log, settings.zone());
+    this.upstreams = new UpstreamTable(fleet, clockNanos, log);
+    this.selector = new UpstreamSelector(upstreams, clockNanos, random, settings.zone());
+    this.stalls = new StallDetector(upstreams, clockNanos, log);
+    this.summary = new FleetSummary(fleet, upstreams, log);
     this.relay = makeRelay(loop, calls, random);
     this.lag = new LoopLag(log, UPKEEP_MS);
     this.failureDetector = new FailureDetector(clockNanos);
@@ -173,8 +183,8 @@
             leases,
             ports.engines(),
             configuration::config,
-            board::suspectedIds,
-            board::demand,
+            stalls::suspectedIds,
+            new DemandMeter(upstreams)::demand,
             failureDetector,
             mesh::witnessNames,
             settings.stallMs());
@@ -197,7 +207,8 @@
         metrics,
         ports.headers(),
         calls,
-        board,
+        selector,
+        stalls,
         configuration,
         settings.rules());
   }
@@ -212,7 +223,7 @@
     listFollower.spareWhile(() -> !mesh.isReader(), TOLD_LIST_PROOF_MS);
     leases.setChangeListener(mesh::hurry);
     replicas.setUrgentNewsListener(mesh::hurry);
-    board.setSuspicionListener(
+    stalls.setSuspicionListener(
         head -> {
           mesh.suspect(Set.of(head));
           replicas.hurry();
@@ -341,8 +352,8 @@
   /** Writes where the fleet stands, so that a lack of replicas can be seen afterwards. */
   private void summarize() {
     if (configuration.config() != null) {
-      configuration.config().services().forEach(board::summarize);
-      board.summarizeBoxes();
+      configuration.config().services().forEach(summary::summarize);
+      summary.summarizeBoxes();
       log.write("store_calls", "counts", store.takeCounts());
     }
   }
@@ -352,8 +363,8 @@
     fleet.settle(listFollower.reachableForNanos());
     int processes = mesh.sharingCount();
     configuration.setProcessCount(processes);
-    board.setProcessCount(processes);
-    board.setElsewhere(mesh.newest());
+    selector.setProcessCount(processes);
+    upstreams.setElsewhere(mesh.newest());
   }
 
   private Heartbeat makeHeartbeat(String sender, long sentNanos) {
@@ -365,8 +376,8 @@
         1,
         configuration.configOffset(),
         configuration.configAgeNanos(),
-        board.ownLoads(),
-        board.suspectedIds(),
+        upstreams.ownLoads(),
+        stalls.suspectedIds(),
         failureDetector.questions(),
         replicas.silentForPeers(),
         leases.kept(),
@@ -387,7 +398,7 @@
 
   /** Takes over suspicions of a peer; returns true if one of them is new. */
   private boolean learnSuspicions(Set<String> heads) {
-    boolean isNews = board.suspectByPeer(heads);
+    boolean isNews = stalls.suspectByPeer(heads);
     if (isNews) {
       replicas.hurry();
     }
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/DemandMeter.java
@@ -0,0 +1,47 @@
+package org.shoreroad.edge.relay;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.shoreroad.fleet.Demand;
+import org.shoreroad.fleet.EngineSpec;
+import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.fleet.ModelShape;
+import org.shoreroad.traffic.UpstreamService;
+
+/**
+ * Measures the demand for each model of a service over all processes. Used on the event loop.
+ *
+ * @since 0.2
+ */
+public final class DemandMeter {
+  private final UpstreamTable table;
+  private boolean hasTraffic;
+
+  /** Creates a meter that has seen no traffic. */
+  public DemandMeter(UpstreamTable table) {
+    this.table = table;
+  }
+
+  /**
+   * Returns how pressed each model of the service is: the requests open at its replicas, over all
+   * processes, for each of their places. A model without any replica is pressed beyond measure.
+   */
+  public Demand demand(UpstreamService service) {
+    Map<String, Double> pressures = new HashMap<>();
+    Map<String, Integer> replicas = new HashMap<>();
+    EngineSpec engine = service.engine();
+    if (engine == null) {
+      return Demand.NONE;
+    }
+    for (ModelShape model : engine.models()) {
+      List<FleetBox> heads = table.candidates(service, model.name());
+      int open = heads.stream().mapToInt(head -> table.loadOf(head.id()).openCount()).sum();
+      double places = (double) heads.size() * engine.slots();
+      pressures.put(model.name(), places == 0 ? Demand.NO_REPLICA_PRESSURE : open / places);
+      replicas.put(model.name(), heads.size());
+      hasTraffic |= open > 0;
+    }
+    return new Demand(pressures, replicas, hasTraffic);
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -167,7 +167,7 @@
 
   private Optional<Target> choose(UpstreamService to) {
     int targetMs = route == null ? 0 : route.targetLatencyMs();
-    return relay.board().choose(to, to.engine() == null ? null : model, triedIds, targetMs);
+    return relay.selector().choose(to, to.engine() == null ? null : model, triedIds, targetMs);
   }
 
   private void waitOrRefuse() {
@@ -179,7 +179,8 @@
       return;
     }
     boolean isStanding =
-        service != null && relay.board().hasAny(service, service.engine() == null ? null : model);
+        service != null
+            && relay.selector().hasAny(service, service.engine() == null ? null : model);
     refuseOrFail(
         isStanding ? Refusal.NO_PLACE : Refusal.NO_REPLICA,
         isStanding ? COME_BACK_MS : COME_BACK_LATER_MS);
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/FleetSummary.java
@@ -0,0 +1,92 @@
+package org.shoreroad.edge.relay;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.sync.Fleet;
+import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.fleet.Membership;
+import org.shoreroad.fleet.ModelShape;
+import org.shoreroad.traffic.UpstreamService;
+
+/**
+ * Writes log lines on the state of models and boxes, so that a lack of replicas can be seen
+ * afterwards. Used on the event loop.
+ *
+ * @since 0.2
+ */
+public final class FleetSummary {
+  private final Fleet fleet;
+  private final UpstreamTable table;
+  private final EventLog log;
+
+  /** Creates a summary. */
+  public FleetSummary(Fleet fleet, UpstreamTable table, EventLog log) {
+    this.fleet = fleet;
+    this.table = table;
+    this.log = log;
+  }
+
+  /** Writes a line on each model of the service: heads, those suspected, and what they have. */
+  public void summarize(UpstreamService service) {
+    if (service.engine() == null) {
+      return;
+    }
+    for (ModelShape model : service.engine().models()) {
+      List<FleetBox> heads = table.candidates(service, model.name());
+      int open = 0;
+      long waitingTokens = 0;
+      int suspected = 0;
+      for (FleetBox head : heads) {
+        UpstreamLoad load = table.loadOf(head.id());
+        open += load.openCount();
+        waitingTokens += load.waitingPromptTokens();
+        suspected += load.isSuspected() ? 1 : 0;
+      }
+      log.write(
+          "model_state",
+          "model",
+          model.name(),
+          "heads",
+          heads.size(),
+          "suspected",
+          suspected,
+          "open",
+          open,
+          "places",
+          heads.size() * service.engine().slots(),
+          "waitingTokens",
+          waitingTokens);
+    }
+  }
+
+  /** Writes a line on how many boxes serve, and what the others are doing. */
+  public void summarizeBoxes() {
+    Map<String, Integer> counts = new TreeMap<>();
+    for (FleetBox box : fleet.boxes()) {
+      if (box.domain() != null) {
+        counts.merge(describe(box), 1, Integer::sum);
+      }
+    }
+    log.write("fleet_state", "boxes", counts);
+  }
+
+  private String describe(FleetBox box) {
+    Membership membership = box.membership();
+    if (!fleet.isOnList(box.id())) {
+      return "off_list";
+    }
+    if (box.isLeaving()) {
+      return "leaving";
+    }
+    if (membership == null) {
+      boolean isBlank = box.model() == null && box.stagedModels().isEmpty();
+      return isBlank ? "blank" : "idle";
+    }
+    return table.isServing(membership.replica())
+        ? "serving"
+        : membership.state().name().toLowerCase(Locale.ROOT);
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -46,7 +46,8 @@
   private final RelayCounters counters;
   private final HeaderNames headers;
   private final HttpCalls calls;
-  private final UpstreamBoard board;
+  private final UpstreamSelector selector;
+  private final StallDetector stalls;
   private final Freshness freshness;
   private final RelayRules rules;
   private final Map<String, AttemptBudget> budgets = new HashMap<>();
@@ -65,7 +66,8 @@
       RelayCounters counters,
       HeaderNames headers,
       HttpCalls calls,
-      UpstreamBoard board,
+      UpstreamSelector selector,
+      StallDetector stalls,
       Freshness freshness,
       RelayRules rules) {
     this.timer = new RepeatingTimer(loop, log);
@@ -75,7 +77,8 @@
     this.counters = counters;
     this.headers = headers;
     this.calls = calls;
-    this.board = board;
+    this.selector = selector;
+    this.stalls = stalls;
     this.freshness = freshness;
     this.rules = rules;
   }
@@ -112,7 +115,7 @@
   }
 
   private void findStalled() {
-    long nextMs = TimeUnit.NANOSECONDS.toMillis(board.findStalled()) + 1;
+    long nextMs = TimeUnit.NANOSECONDS.toMillis(stalls.findStalled()) + 1;
     stallTickMs = (int) Math.max(SHORTEST_STALL_TICK_MS, Math.min(LONGEST_STALL_TICK_MS, nextMs));
   }
 
@@ -175,8 +178,8 @@
     return calls;
   }
 
-  UpstreamBoard board() {
-    return board;
+  UpstreamSelector selector() {
+    return selector;
   }
 
   Freshness freshness() {
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
@@ -0,0 +1,136 @@
+package org.shoreroad.edge.relay;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.shoreroad.edge.EventLog;
+
+/**
+ * Detects replicas that stand still and moves their requests to other heads.
+ *
+ * <p>A replica whose engine lost a member takes requests on, and none of them moves. So a head from
+ * which no request of this process got anything for longer than its passes can take is suspected:
+ * it gets nothing new, and what it has is taken elsewhere. Used on the event loop.
+ *
+ * @since 0.2
+ */
+public final class StallDetector {
+  /** A head that gave this process something within this time is not suspected on a peer's word. */
+  private static final long RECENT_PROGRESS_NANOS = TimeUnit.MILLISECONDS.toNanos(120);
+
+  /** A request that could not be moved from a silent head is tried again this soon. */
+  private static final long MOVE_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
+
+  private final UpstreamTable table;
+  private final LongSupplier clockNanos;
+  private final EventLog log;
+  private Consumer<String> onSuspicion = head -> {};
+
+  /** Creates a detector that suspects no head. */
+  public StallDetector(UpstreamTable table, LongSupplier clockNanos, EventLog log) {
+    this.table = table;
+    this.clockNanos = clockNanos;
+    this.log = log;
+  }
+
+  /** Sets what takes the id of a head that this process finds to stand still. */
+  public void setSuspicionListener(Consumer<String> listener) {
+    onSuspicion = listener;
+  }
+
+  /** Returns the heads that this process suspects now. */
+  public Set<String> suspectedIds() {
+    Set<String> suspected = new HashSet<>();
+    long nowNanos = clockNanos.getAsLong();
+    table
+        .loads()
+        .forEach(
+            (id, load) -> {
+              if (load.isSuspectedAt(nowNanos)) {
+                suspected.add(id);
+              }
+            });
+    return suspected;
+  }
+
+  /**
+   * Takes over a peer's suspicions, unless a head has moved for this process since, and moves the
+   * requests of this process to other heads at once.
+   *
+   * <p>The peer has seen the head silent for more than a pass. A request that waits here for its
+   * first event would find that out only after {@link SilenceLimit}, 0.25 s more, and would miss a
+   * target of 0.3 to 0.4 s.
+   *
+   * @return true if a head is newly suspected
+   */
+  public boolean suspectByPeer(Set<String> boxIds) {
+    boolean isNews = false;
+    for (String id : boxIds) {
+      isNews |= suspectByPeer(id, clockNanos.getAsLong());
+    }
+    return isNews;
+  }
+
+  private boolean suspectByPeer(String boxId, long nowNanos) {
+    UpstreamLoad load = table.loadOf(boxId);
+    boolean hasMoved =
+        load.ownOpenCount() > 0 && nowNanos - load.progressNanos() < RECENT_PROGRESS_NANOS;
+    if (hasMoved || load.isSuspected()) {
+      return false;
+    }
+    load.suspect(nowNanos);
+    log.write("replica_suspected", "head", boxId, "by", "peer", "ownOpen", load.ownOpenCount());
+    List.copyOf(load.open()).forEach(Exchange::onStalled);
+    return true;
+  }
+
+  /**
+   * Looks for heads that stand still and takes their requests elsewhere.
+   *
+   * @return the time until the next head can have been silent for too long, in nanoseconds, or
+   *     {@link Long#MAX_VALUE} if this process has nothing open at any head
+   */
+  public long findStalled() {
+    long nowNanos = clockNanos.getAsLong();
+    long nextNanos = Long.MAX_VALUE;
+    for (UpstreamLoad load : table.loadsWithOwnRequests()) {
+      for (Exchange exchange : new ArrayList<>(load.open())) {
+        ModelEngine engine = exchange.engine();
+        if (engine == null) {
+          continue;
+        }
+        long limitNanos = SilenceLimit.nanos(engine, load, nowNanos);
+        long leftNanos = limitNanos - (nowNanos - load.silentSinceNanos());
+        if (leftNanos < 0) {
+          stall(load, exchange, nowNanos);
+        }
+        nextNanos = Math.min(nextNanos, leftNanos < 0 ? MOVE_AGAIN_NANOS : leftNanos);
+      }
+    }
+    return nextNanos;
+  }
+
+  private void stall(UpstreamLoad load, Exchange exchange, long nowNanos) {
+    if (!load.isSuspected()) {
+      load.suspect(nowNanos);
+      log.write(
+          "replica_suspected",
+          "head",
+          exchange.targetId(),
+          "by",
+          "silence",
+          "silentMs",
+          TimeUnit.NANOSECONDS.toMillis(nowNanos - load.silentSinceNanos()),
+          "open",
+          load.openCount(),
+          "waitingTokens",
+          load.waitingPromptTokens());
+      onSuspicion.accept(exchange.targetId());
+    }
+    exchange.onStalled();
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.fleet.ReplicaId;
 
@@ -14,6 +15,9 @@
   /** The weight of the newest outcome in the mean of failures: about the last eight count. */
   private static final double FAILURE_WEIGHT = 0.12;
 
+  /** How long a suspected head is left alone before one request may try it again. */
+  private static final long SUSPICION_NANOS = TimeUnit.SECONDS.toNanos(4);
+
   private final Set<Exchange> open = new LinkedHashSet<>();
   private final PaceMeter pace = new PaceMeter();
   private long waitingPromptTokens;
@@ -102,8 +106,9 @@
     return isSuspected;
   }
 
-  long suspectedNanos() {
-    return suspectedNanos;
+  /** Returns true if it is suspected since a short time, so that it gets no request. */
+  boolean isSuspectedAt(long nowNanos) {
+    return isSuspected && nowNanos - suspectedNanos < SUSPICION_NANOS;
   }
 
   long progressNanos() {
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
@@ -0,0 +1,154 @@
+package org.shoreroad.edge.relay;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.peer.Heartbeat;
+import org.shoreroad.edge.sync.Fleet;
+import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.fleet.Membership;
+import org.shoreroad.fleet.ReplicaId;
+import org.shoreroad.traffic.UpstreamService;
+
+/**
+ * Table of the upstreams that can take requests, with their loads over all processes.
+ *
+ * <p>Derived from the fleet again when that has changed. Used on the event loop.
+ *
+ * @since 0.2
+ */
+public final class UpstreamTable {
+  private final Fleet fleet;
+  private final LongSupplier clockNanos;
+  private final EventLog log;
+  private final Map<String, UpstreamLoad> loads = new HashMap<>();
+  private final Map<String, List<FleetBox>> openHeads = new HashMap<>();
+  private final Map<String, List<FleetBox>> plainUpstreams = new HashMap<>();
+  private final Set<ReplicaId> servingReplicas = new HashSet<>();
+  private long seenChanges = -1;
+
+  /** Creates a table over the fleet. */
+  public UpstreamTable(Fleet fleet, LongSupplier clockNanos, EventLog log) {
+    this.fleet = fleet;
+    this.clockNanos = clockNanos;
+    this.log = log;
+  }
+
+  /** Returns the load of an upstream life. */
+  UpstreamLoad loadOf(String boxId) {
+    return loads.computeIfAbsent(boxId, id -> new UpstreamLoad());
+  }
+
+  /** Returns what this process has open at each upstream that has any. */
+  public List<Heartbeat.Load> ownLoads() {
+    long nowNanos = clockNanos.getAsLong();
+    List<Heartbeat.Load> own = new ArrayList<>();
+    loads.forEach(
+        (id, load) -> {
+          if (load.ownOpenCount() > 0) {
+            long ageMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - load.progressNanos());
+            own.add(
+                new Heartbeat.Load(
+                    id,
+                    load.ownOpenCount(),
+                    load.ownWaitingPromptTokens(),
+                    (int) Math.min(Integer.MAX_VALUE, ageMs)));
+          }
+        });
+    return own;
+  }
+
+  /** Takes over what all other processes have open, with when each told it. */
+  public void setElsewhere(Map<Heartbeat, Long> newest) {
+    loads.values().forEach(UpstreamLoad::clearElsewhere);
+    newest.forEach(
+        (heartbeat, heardNanos) -> {
+          for (Heartbeat.Load load : heartbeat.loads()) {
+            long progressNanos = heardNanos - TimeUnit.MILLISECONDS.toNanos(load.progressAgeMs());
+            loadOf(load.upstream())
+                .addElsewhere(load.open(), load.waitingPromptTokens(), progressNanos);
+          }
+        });
+  }
+
+  /** Returns the upstreams that stand for the model, or for a plain service, in no order. */
+  List<FleetBox> candidates(UpstreamService service, @Nullable String model) {
+    refresh();
+    return service.engine() == null
+        ? plainUpstreams.getOrDefault(service.name(), List.of())
+        : openHeads.getOrDefault(service.name() + "/" + model, List.of());
+  }
+
+  /** Returns a copy, since taking requests elsewhere changes what is open. */
+  List<UpstreamLoad> loadsWithOwnRequests() {
+    return loads.values().stream().filter(load -> load.ownOpenCount() > 0).toList();
+  }
+
+  /** Derives what stands from the fleet, if that has changed. */
+  private void refresh() {
+    if (fleet.targetChanges() == seenChanges) {
+      return;
+    }
+    seenChanges = fleet.targetChanges();
+    openHeads.clear();
+    plainUpstreams.clear();
+    servingReplicas.clear();
+    for (FleetBox box : fleet.boxes()) {
+      if (box.isLeaving() || !fleet.isOnList(box.id())) {
+        continue;
+      }
+      if (box.domain() == null) {
+        plainUpstreams.computeIfAbsent(box.service(), name -> new ArrayList<>()).add(box);
+      } else if (box.isOpenHead() && box.model() != null) {
+        openHeads
+            .computeIfAbsent(box.service() + "/" + box.model(), name -> new ArrayList<>())
+            .add(box);
+        noteFormation(box);
+        servingReplicas.add(box.membership().replica());
+      }
+    }
+    loads.keySet().removeIf(id -> fleet.find(id) == null && loads.get(id).open().isEmpty());
+  }
+
+  private long countSoundMembers(ReplicaId replica) {
+    return fleet.boxes().stream()
+        .filter(box -> box.membership() != null && box.membership().replica().equals(replica))
+        .filter(box -> fleet.isListed(box.id()))
+        .count();
+  }
+
+  private void noteFormation(FleetBox head) {
+    Membership membership = head.membership();
+    UpstreamLoad load = loadOf(head.id());
+    // A new formation at the same head starts without the old one's suspicion.
+    if (membership != null && load.takeFormation(membership.replica())) {
+      log.write(
+          "replica_open",
+          "replica",
+          membership.replica(),
+          "head",
+          head.id(),
+          "members",
+          countSoundMembers(membership.replica()));
+    }
+  }
+
+  /** Returns the loads of all upstream lives by id, an unmodifiable view. */
+  Map<String, UpstreamLoad> loads() {
+    return Collections.unmodifiableMap(loads);
+  }
+
+  /** Returns true if the head of the replica is open. */
+  boolean isServing(ReplicaId replica) {
+    refresh();
+    return servingReplicas.contains(replica);
+  }
+}
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/relay/DemandMeterTest.java
@@ -0,0 +1,27 @@
+package org.shoreroad.edge.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+
+class DemandMeterTest extends UpstreamFixture {
+  private final DemandMeter demand = new DemandMeter(table);
+
+  @Test
+  void pressureIsWhatIsOpenForEachPlace() {
+    list("a", "OPEN");
+    list("b", "OPEN");
+    tellElsewhere("a", 2, 0, 0);
+    assertThat(demand.demand(LLM).pressure("m"), is(closeTo(0.25, 1e-9)));
+    assertThat(demand.demand(LLM).hasTraffic(), is(true));
+  }
+
+  @Test
+  void aModelWithoutReplicaIsPressedBeyondMeasure() {
+    assertThat(demand.demand(LLM).pressure("m"), is(greaterThan(100.0)));
+    assertThat(demand.demand(LLM).hasTraffic(), is(false));
+  }
+}
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -64,6 +64,8 @@
       new EventLog("test", System::nanoTime, OutputStream.nullOutputStream());
   private final Fleet fleet = new Fleet(LoopbackRelay::decode, System::nanoTime, log);
   private final List<FakeUpstream> upstreams = new ArrayList<>();
+  private final UpstreamTable table = new UpstreamTable(fleet, System::nanoTime, log);
+  private final StallDetector stalls = new StallDetector(table, System::nanoTime, log);
   final FixedFreshness freshness = new FixedFreshness(engine(stepMs()));
   Relay relay;
   private InetSocketAddress address;
@@ -160,7 +162,8 @@
             new EdgeMetrics(),
             NAMES,
             new HttpCalls(loop, System::nanoTime, 500),
-            new UpstreamBoard(fleet, System::nanoTime, new SplittableRandom(2), log, "z"),
+            new UpstreamSelector(table, System::nanoTime, new SplittableRandom(2), "z"),
+            stalls,
             freshness,
             rules());
     CallerServer server =
@@ -196,6 +199,10 @@
     return new RelayRules(0.2, 100, 10);
   }
 
+  final StallDetector stalls() {
+    return stalls;
+  }
+
   /** Returns how long a pass of an engine takes, in milliseconds. */
   int stepMs() {
     return 1;
--- a/edge/src/test/java/org/shoreroad/edge/relay/SuspectedHeadTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/SuspectedHeadTest.java
@@ -44,7 +44,7 @@
     CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> callUnchecked("/llm/"));
     arrived.await();
     String silent = HEAD_PREFIX + (one.heads().isEmpty() ? "2" : "1");
-    loop.submit(() -> relay.board().suspectByPeer(Set.of(silent))).sync();
+    loop.submit(() -> stalls().suspectByPeer(Set.of(silent))).sync();
     assertThat(answer.get(), containsString("data: yes"));
     assertThat(one.heads().size() + two.heads().size(), is(2));
   }
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UpstreamFixture.java
@@ -0,0 +1,92 @@
+package org.shoreroad.edge.relay;
+
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.peer.Heartbeat;
+import org.shoreroad.edge.peer.Heartbeats;
+import org.shoreroad.edge.sync.Fleet;
+import org.shoreroad.edge.sync.StoreRecord;
+import org.shoreroad.fleet.EngineSpec;
+import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.fleet.MemberState;
+import org.shoreroad.fleet.Membership;
+import org.shoreroad.fleet.ModelShape;
+import org.shoreroad.fleet.ReplicaId;
+import org.shoreroad.traffic.UpstreamService;
+
+/** A fleet that tests fill, with the table, the selector and the detector over it. */
+abstract class UpstreamFixture {
+  static final int SLOTS = 4;
+  static final int TARGET_MS = 500;
+  private static final EngineSpec ENGINE =
+      new EngineSpec(
+          SLOTS,
+          1_000,
+          6,
+          0.3,
+          0,
+          46_000,
+          2_048,
+          5,
+          4,
+          6,
+          200,
+          List.of(new ModelShape("m", 2, 1, 1, 16, 1.6)));
+  static final UpstreamService LLM = new UpstreamService("llm", 100, ENGINE);
+  static final UpstreamService WEB = new UpstreamService("web", 100, null);
+
+  long nowNanos = TimeUnit.HOURS.toNanos(1);
+  private long offset;
+  private final EventLog log = new EventLog("t", () -> nowNanos, OutputStream.nullOutputStream());
+  final Fleet fleet = new Fleet(UpstreamFixture::decode, () -> nowNanos, log);
+  final UpstreamTable table = new UpstreamTable(fleet, () -> nowNanos, log);
+  final UpstreamSelector selector =
+      new UpstreamSelector(table, () -> nowNanos, new SplittableRandom(3), "z");
+  final StallDetector stalls = new StallDetector(table, () -> nowNanos, log);
+
+  /** Reads "web", "leaving" or the state of a head. */
+  private static FleetBox decode(String id, byte[] entry) {
+    String text = new String(entry, StandardCharsets.UTF_8);
+    boolean isLeaving = text.equals("leaving");
+    if (text.equals("web")) {
+      return new FleetBox(id, "web", "h-" + id + ":1", "z", 6, false, null, null, List.of(), null);
+    }
+    MemberState state = isLeaving ? MemberState.OPEN : MemberState.valueOf(text);
+    return new FleetBox(
+        id,
+        "llm",
+        "h-" + id + ":1",
+        "z",
+        SLOTS,
+        isLeaving,
+        "d",
+        "m",
+        List.of(),
+        new Membership(new ReplicaId("r-" + id, 1), 0, state));
+  }
+
+  final void list(String id, @Nullable String entry) {
+    byte[] bytes = entry == null ? null : entry.getBytes(StandardCharsets.UTF_8);
+    fleet.onRecord(new StoreRecord(offset++, id, bytes));
+  }
+
+  final @Nullable String choose(Set<String> tried) {
+    return selector.choose(LLM, "m", tried, TARGET_MS).map(t -> t.box().id()).orElse(null);
+  }
+
+  final void tellElsewhere(String id, int open, long waitingTokens, int ageMs) {
+    Heartbeat.Load load = new Heartbeat.Load(id, open, waitingTokens, ageMs);
+    table.setElsewhere(Map.of(heartbeatWith(List.of(load)), nowNanos));
+  }
+
+  static Heartbeat heartbeatWith(List<Heartbeat.Load> loads) {
+    return Heartbeats.of("p").withLoads(loads);
+  }
+}
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UpstreamSelectorTest.java
@@ -0,0 +1,114 @@
+package org.shoreroad.edge.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.both;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.shoreroad.edge.peer.Heartbeat;
+
+class UpstreamSelectorTest extends UpstreamFixture {
+  @Test
+  void onlyOpenHeadsThatStayAreChosen() {
+    list("ready", "READY");
+    list("closing", "CLOSING");
+    list("leaving", "leaving");
+    assertThat(choose(Set.of()) == null, is(true));
+    list("open", "OPEN");
+    assertThat(choose(Set.of()), is("open"));
+    assertThat(choose(Set.of("open")) == null, is(true));
+  }
+
+  @Test
+  void whatIsOffTheListIsNotChosen() {
+    list("a", "OPEN");
+    list("a", null);
+    fleet.settle(TimeUnit.MINUTES.toNanos(1));
+    assertThat(choose(Set.of()) == null, is(true));
+  }
+
+  @Test
+  void theLoadOfOtherProcessesCounts() {
+    list("a", "OPEN");
+    list("b", "OPEN");
+    tellElsewhere("a", 3, 0, 0);
+    for (int i = 0; i < 20; i++) {
+      assertThat(choose(Set.of()), is("b"));
+    }
+  }
+
+  @Test
+  void manyProcessesThatChooseOnOldWordsDoNotAllChooseTheSameHead() {
+    int heads = 20;
+    List<Heartbeat.Load> told = new ArrayList<>();
+    for (int i = 0; i < heads; i++) {
+      list("h" + i, "OPEN");
+      told.add(new Heartbeat.Load("h" + i, i == 0 ? 0 : 1, 0, 0));
+    }
+    table.setElsewhere(Map.of(heartbeatWith(told), nowNanos));
+    selector.setProcessCount(80);
+    int choices = 400;
+    int idle = 0;
+    for (int i = 0; i < choices; i++) {
+      idle += "h0".equals(choose(Set.of())) ? 1 : 0;
+    }
+    // By chance each head would get a twentieth; the idle one is preferred, but not by all.
+    assertThat(idle, is(both(greaterThan(choices / heads)).and(lessThan(choices / 4))));
+  }
+
+  @Test
+  void aFullHeadGetsNothing() {
+    list("a", "OPEN");
+    tellElsewhere("a", SLOTS, 0, 0);
+    assertThat(choose(Set.of()) == null, is(true));
+    tellElsewhere("a", SLOTS - 1, 0, 0);
+    assertThat(choose(Set.of()), is("a"));
+  }
+
+  @Test
+  void aHeadWhosePromptsTakeTooLongToReadGetsNothing() {
+    list("a", "OPEN");
+    tellElsewhere("a", 1, 14_000, 0);
+    assertThat(choose(Set.of()) == null, is(true));
+  }
+
+  @Test
+  void aFailingHeadIsPassedOver() {
+    list("a", "OPEN");
+    list("b", "OPEN");
+    for (int i = 0; i < 5; i++) {
+      table.loadOf("a").recordOutcome(true);
+    }
+    Map<String, Integer> counts = new HashMap<>();
+    for (int i = 0; i < 50; i++) {
+      counts.merge(String.valueOf(choose(Set.of())), 1, Integer::sum);
+    }
+    assertThat(counts.get("b"), is(50));
+  }
+
+  @Test
+  void aSlowHeadIsPassedOver() {
+    list("a", "OPEN");
+    list("b", "OPEN");
+    tellElsewhere("b", 1, 0, 0);
+    for (int i = 0; i < 20; i++) {
+      table.loadOf("a").pace().record(TimeUnit.MILLISECONDS.toNanos(160), 40, nowNanos);
+    }
+    assertThat(choose(Set.of()), is("b"));
+  }
+
+  @Test
+  void plainUpstreamsAreChosenByService() {
+    list("w", "web");
+    assertThat(selector.choose(WEB, null, Set.of(), TARGET_MS).isPresent(), is(true));
+    assertThat(selector.hasAny(LLM, "m"), is(false));
+  }
+}
