--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -11,6 +11,7 @@
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -89,24 +90,21 @@
       refuse(Refusal.STOPPING, COME_BACK_AT_ONCE_MS);
       return;
     }
-    TrafficConfig config = relay.freshness().config();
-    if (config == null) {
-      refuse(Refusal.NO_CONFIGURATION, COME_BACK_LATER_MS);
-      return;
-    }
-    Route found =
-        config
-            .findRoute(request.header(HttpHeaderNames.HOST.toString()), request.uri())
-            .orElse(null);
-    if (found == null) {
-      refuse(Refusal.NO_ROUTE, 0);
-      return;
-    }
-    route = found;
-    if (!admitKey(config, found)) {
+    Admission admission =
+        Admission.of(
+            relay.freshness(),
+            request.header(HttpHeaderNames.HOST.toString()),
+            request.uri(),
+            reader.key(),
+            relay.random().nextDouble());
+    route = admission.route();
+    account = admission.account();
+    service = admission.service();
+    Route found = route;
+    if (admission.refusal() != null || found == null) {
+      refuse(Objects.requireNonNull(admission.refusal()), COME_BACK_LATER_MS);
       return;
     }
-    service = config.findService(found.chooseService(relay.random().nextDouble())).orElse(null);
     engine = ModelEngine.of(service, model);
     long holdMs = Math.min(reader.deadlineMs(), found.timeoutMs());
     endNanos = request.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(holdMs);
@@ -118,23 +116,6 @@
     send();
   }
 
-  private boolean admitKey(TrafficConfig config, Route found) {
-    if (!config.hasAccounts()) {
-      return true;
-    }
-    account = config.findAccount(reader.key()).orElse(null);
-    boolean isUnknown = account == null && !found.allowsAnonymous();
-    // What is not known here may be known elsewhere by now.
-    if (isUnknown ? !relay.freshness().isProved() : !mayUseKey()) {
-      refuse(Refusal.KEYS_TOO_OLD, COME_BACK_LATER_MS);
-      return false;
-    }
-    if (isUnknown) {
-      refuse(Refusal.UNKNOWN_KEY, 0);
-    }
-    return !isUnknown;
-  }
-
   /** Returns true if the key, if there is one, would be known as taken away by now. */
   private boolean mayUseKey() {
     return account == null || relay.freshness().mayTrustKeys();
