--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -37,19 +37,9 @@
   /** A plain upstream ends a request about this often: three with six places, 20 ms a request. */
   private static final int PLAIN_WAIT_MS = 20;
 
-  /** The time to come back after a refusal for want of a place: a place frees in about this. */
-  private static final int COME_BACK_MS = 400;
-
-  /** The time to come back while no replica stands: a mending takes about this. */
-  private static final int COME_BACK_LATER_MS = 700;
-
-  /** The time to come back when another process can take the request now. */
-  private static final int COME_BACK_AT_ONCE_MS = 10;
-
   /** Attempts that never left this process, such as refused connections, are bounded by this. */
   private static final int MAX_UNSENT_TRIES = 6;
 
-  private static final double COME_BACK_SPREAD = 0.5;
   private static final int SMALLEST_DEADLINE_MS = 20;
   private static final int LOWEST_RANK = 9;
 
@@ -87,7 +77,7 @@
   /** Admits the request and sends it, or answers it at once. */
   void start() {
     if (relay.isRefusingNew()) {
-      refuse(Refusal.STOPPING, COME_BACK_AT_ONCE_MS);
+      refuse(Refusal.STOPPING, RetryAfter.AT_ONCE);
       return;
     }
     Admission admission =
@@ -102,7 +92,7 @@
     service = admission.service();
     Route found = route;
     if (admission.refusal() != null || found == null) {
-      refuse(Objects.requireNonNull(admission.refusal()), COME_BACK_LATER_MS);
+      refuse(Objects.requireNonNull(admission.refusal()), RetryAfter.REPLICA);
       return;
     }
     engine = ModelEngine.of(service, model);
@@ -164,7 +154,7 @@
             && relay.selector().hasAny(service, service.engine() == null ? null : model);
     refuseOrFail(
         isStanding ? Refusal.NO_PLACE : Refusal.NO_REPLICA,
-        isStanding ? COME_BACK_MS : COME_BACK_LATER_MS);
+        isStanding ? RetryAfter.PLACE : RetryAfter.REPLICA);
   }
 
   /** Looks after time limits and waiting. */
@@ -186,7 +176,7 @@
     } else {
       boolean hasLeft = mayHaveRun || (attempt != null && attempt.hasLeft());
       cancelAttempt();
-      refuse(hasLeft ? Refusal.NOT_ANSWERED_IN_TIME : Refusal.NOT_SENT_IN_TIME, COME_BACK_MS);
+      refuse(hasLeft ? Refusal.NOT_ANSWERED_IN_TIME : Refusal.NOT_SENT_IN_TIME, RetryAfter.PLACE);
     }
   }
 
@@ -291,16 +281,16 @@
     } else {
       refuseOrFail(
           end == AttemptEnd.REFUSED ? Refusal.UPSTREAM_REFUSED : Refusal.UPSTREAM_FAILED,
-          COME_BACK_MS);
+          RetryAfter.PLACE);
     }
   }
 
   private void retryUnsent() {
     unsentTries++;
     if (!mayUseKey()) {
-      refuseOrFail(Refusal.KEYS_TOO_OLD, COME_BACK_LATER_MS);
+      refuseOrFail(Refusal.KEYS_TOO_OLD, RetryAfter.REPLICA);
     } else if (unsentTries >= MAX_UNSENT_TRIES) {
-      refuseOrFail(Refusal.NO_PLACE, COME_BACK_MS);
+      refuseOrFail(Refusal.NO_PLACE, RetryAfter.PLACE);
     } else {
       send();
     }
@@ -348,24 +338,22 @@
     }
   }
 
-  private void refuseOrFail(Refusal refusal, int comeBackMs) {
+  private void refuseOrFail(Refusal refusal, RetryAfter retryAfter) {
     if (hasBegun()) {
       abort(refusal.code());
       return;
     }
     boolean isFalse = refusal.isPromise() && mayHaveRun;
-    refuse(isFalse ? Refusal.UPSTREAM_FAILED : refusal, comeBackMs);
+    refuse(isFalse ? Refusal.UPSTREAM_FAILED : refusal, retryAfter);
   }
 
-  private void refuse(Refusal refusal, int comeBackMs) {
+  private void refuse(Refusal refusal, RetryAfter retryAfter) {
     relay.counters().count("shoreroad.refusals", refusal.code());
     writeLine("request_refused", "reason", refusal.code());
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set("X-Shoreroad-Reason", refusal.code());
-    if (refusal.isPromise() && comeBackMs > 0) {
-      // Spread, so that those refused together do not come back together.
-      double spreadMs = comeBackMs * (1 + COME_BACK_SPREAD * relay.random().nextDouble());
-      headers.set(HttpHeaderNames.RETRY_AFTER, Double.toString(Math.round(spreadMs) / 1e3));
+    if (refusal.isPromise()) {
+      headers.set(HttpHeaderNames.RETRY_AFTER, retryAfter.headerValue(relay.random()));
     }
     finish();
     answers.answer(refusal.status(), headers, Unpooled.EMPTY_BUFFER);
