--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -1,12 +1,6 @@
 package org.shoreroad.edge;
 
-import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -14,9 +8,6 @@
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
-import org.shoreroad.edge.caller.AnswerChannel;
-import org.shoreroad.edge.caller.CallerExchange;
-import org.shoreroad.edge.caller.CallerRequest;
 import org.shoreroad.edge.caller.CallerServer;
 import org.shoreroad.edge.http.HttpCalls;
 import org.shoreroad.edge.peer.Announcement;
@@ -250,10 +241,11 @@
         settings.revokeMs(),
         "isKeyProofRequired",
         settings.isKeyProofRequired());
+    StatusEndpoints status = new StatusEndpoints(loop, clockNanos, this::limits);
     List.of(
             callers.start(settings.callerListen()),
-            answerWith(settings.readyListen(), this::answerReady),
-            answerWith(settings.metricsListen(), this::answerMetrics),
+            status.startReadiness(settings.readyListen(), this::isReady),
+            status.startMetrics(settings.metricsListen(), metrics),
             mesh.start(settings.peerListen()))
         .forEach(
             opening ->
@@ -405,28 +397,6 @@
     return isNews;
   }
 
-  private ChannelFuture answerWith(InetSocketAddress address, CallerExchange.Factory factory) {
-    return new CallerServer(loop, clockNanos, this::limits, factory, reason -> {}).start(address);
-  }
-
-  private CallerExchange answerReady(CallerRequest request, AnswerChannel answers) {
-    request.body().release();
-    answers.answer(
-        isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
-        new DefaultHttpHeaders(),
-        Unpooled.EMPTY_BUFFER);
-    return Answered.INSTANCE;
-  }
-
-  private CallerExchange answerMetrics(CallerRequest request, AnswerChannel answers) {
-    request.body().release();
-    answers.answer(
-        HttpResponseStatus.OK,
-        new DefaultHttpHeaders().set("Content-Type", "text/plain; version=0.0.4"),
-        Unpooled.copiedBuffer(metrics.toPrometheusText(), StandardCharsets.UTF_8));
-    return Answered.INSTANCE;
-  }
-
   /** Makes the heartbeats of one round; all peers get the same news. */
   private final class Teller implements PeerMesh.HeartbeatSource {
     @Override
@@ -453,19 +423,4 @@
       news = replicas.takeNews();
     }
   }
-
-  /** An exchange that was answered at once. */
-  private enum Answered implements CallerExchange {
-    INSTANCE;
-
-    @Override
-    public void onCallerGone() {
-      // Nothing runs for it.
-    }
-
-    @Override
-    public void onWritabilityChanged(boolean isWritable) {
-      // Nothing more is written.
-    }
-  }
 }
