StallDetector: ignore reports on a head for a second after it was formed anew

Cause: a process that sees a new formation first drops its suspicion of the head, and takes it anew from a peer that has not seen the formation yet; the replica then gets nothing from this process for 4 s unless an event comes from it.

Change: reports on a head whose replica has changed count after 1 s, five heartbeats. A head that is seen for the first time is no exception. The new test holds now; as it was, a report right after a formation was taken (read, not run).

--- a/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
@@ -94,7 +94,8 @@
     UpstreamLoad load = table.loadOf(boxId);
     boolean hasMoved =
         load.ownOpenCount() > 0 && nowNanos - load.progressNanos() < RECENT_PROGRESS_NANOS;
-    if (hasMoved || load.isSuspected()) {
+    // A peer that has not seen the new formation reports the silence of the former one.
+    if (hasMoved || load.isSuspected() || load.isNewlyFormedAt(nowNanos)) {
       return false;
     }
     load.suspect(false, nowNanos);
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
@@ -18,6 +18,9 @@
   /** How long a suspected head is left alone before one request may try it again. */
   private static final long SUSPICION_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+  /** Five heartbeats: all peers have seen a formation by then. */
+  private static final long NEWLY_FORMED_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private final Set<Exchange> open = new LinkedHashSet<>();
   private final PaceMeter pace = new PaceMeter();
   private long waitingPromptTokens;
@@ -31,14 +34,18 @@
   private long suspectedNanos;
   private boolean isSuspected;
   private boolean isSuspectedHere;
+  private long reformedNanos = Long.MIN_VALUE / 2;
   private long avoidedUntilNanos = Long.MIN_VALUE;
   private @Nullable ReplicaId formation;
 
   /** Takes over the replica that this head belongs to; returns true if it is another one. */
-  boolean takeFormation(ReplicaId replica) {
+  boolean takeFormation(ReplicaId replica, long nowNanos) {
     if (replica.equals(formation)) {
       return false;
     }
+    if (formation != null) {
+      reformedNanos = nowNanos;
+    }
     formation = replica;
     clearSuspicion();
     avoidedUntilNanos = Long.MIN_VALUE;
@@ -114,6 +121,11 @@
     isSuspectedHere = false;
   }
 
+  /** Returns true if peers may not have seen yet that it heads another replica by now. */
+  boolean isNewlyFormedAt(long nowNanos) {
+    return nowNanos - reformedNanos < NEWLY_FORMED_NANOS;
+  }
+
   /** Returns true if this process itself found the silence for which it is suspected now. */
   boolean isSuspectedHereAt(long nowNanos) {
     return isSuspectedHere && isSuspectedAt(nowNanos);
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
@@ -129,7 +129,7 @@
     Membership membership = head.membership();
     UpstreamLoad load = loadOf(head.id());
     // A new formation at the same head starts without the old one's suspicion.
-    if (membership != null && load.takeFormation(membership.replica())) {
+    if (membership != null && load.takeFormation(membership.replica(), clockNanos.getAsLong())) {
       log.write(
           "replica_open",
           "replica",
--- a/edge/src/test/java/org/shoreroad/edge/relay/StallDetectorTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/StallDetectorTest.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.shoreroad.fleet.ReplicaId;
 
 class StallDetectorTest extends UpstreamFixture {
   @Test
@@ -24,6 +25,16 @@
     assertThat(stalls.findStalled(), is(Long.MAX_VALUE));
   }
 
+  @Test
+  void aReportOnTheFormerReplicaDoesNotHoldForANewlyFormedOne() {
+    UpstreamLoad load = table.loadOf("a");
+    load.takeFormation(new ReplicaId("r", 1), nowNanos);
+    load.takeFormation(new ReplicaId("r", 2), nowNanos);
+    assertThat(stalls.suspectByPeer(Set.of("a")), is(false));
+    nowNanos += TimeUnit.MILLISECONDS.toNanos(1_001);
+    assertThat(stalls.suspectByPeer(Set.of("a")), is(true));
+  }
+
   @Test
   void aPeersSuspicionIsNotReportedAsItsOwn() {
     list("a", "OPEN");
