--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -56,6 +56,13 @@
 
   private static final int PROCESS_INTERVAL_MS = 500;
 
+  /**
+   * Longest time for which a member of a hub does without the process list. Members with lists of
+   * different ages choose different hubs, so that a rolling restart would leave more hubs than
+   * needed, each with a heartbeat to each other one.
+   */
+  private static final int PROCESS_REST_MS = 30_000;
+
   /**
    * Minimum interval between reads of the process list for a member of a hub, which needs the hubs
    * only. Reading at every change would cost N reads per process in a rolling restart of N.
@@ -266,7 +273,7 @@
         follower(Topic.PROCESSES, PROCESS_WAIT_MS, this::processIntervalMs, processes);
     // Members need the list to find a hub. With 89 processes their reads were a quarter of all
     // calls to the store on a calm day, and each restart of a process was read by all others.
-    processFollower.restWhile(mesh::isSettledMember);
+    processFollower.restWhile(mesh::isSettledMember, PROCESS_REST_MS);
     processFollower.start();
     processes.announce(announcement);
     leases.start();
--- a/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
@@ -47,6 +47,7 @@
   private int pauseMs = SHORTEST_PAUSE_MS;
   private BooleanSupplier isSpared = () -> false;
   private BooleanSupplier isNeedless = () -> false;
+  private long longestRestNanos;
   private long toldProofNanos;
   private long toldNanos = Long.MIN_VALUE / 2;
   private long toldReachableNanos;
@@ -93,9 +94,11 @@
    * from where it stopped once the condition ends.
    *
    * @param condition true while nothing of the topic is needed, not null
+   * @param longestMs the longest time without a read all the same, in milliseconds
    */
-  public void restWhile(BooleanSupplier condition) {
+  public void restWhile(BooleanSupplier condition, int longestMs) {
     isNeedless = condition;
+    longestRestNanos = TimeUnit.MILLISECONDS.toNanos(longestMs);
   }
 
   /** Begins to follow. */
@@ -160,6 +163,10 @@
         && nowNanos - provenNanos < toldProofNanos;
   }
 
+  private boolean mayRest() {
+    return isNeedless.getAsBoolean() && clockNanos.getAsLong() - provenNanos < longestRestNanos;
+  }
+
   private void readNewest(String afterKey, long endOffset, long startedNanos) {
     if (afterKey.isEmpty()) {
       listedKeys.clear();
@@ -203,7 +210,7 @@
   }
 
   private void readOn() {
-    if (isTold() || isNeedless.getAsBoolean()) {
+    if (isTold() || mayRest()) {
       loop.schedule(this::readOn, TOLD_CHECK_MS, TimeUnit.MILLISECONDS);
       return;
     }
--- a/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
@@ -187,7 +187,7 @@
   void aFollowerThatNeedsNothingReadsOnFromWhereItStopped() {
     boolean[] isNeedless = {false};
     store.put("a", "1");
-    follower.restWhile(() -> isNeedless[0]);
+    follower.restWhile(() -> isNeedless[0], 30_000);
     follower.start();
     isNeedless[0] = true;
     pass(SECOND_NANOS);
@@ -204,6 +204,19 @@
     assertThat(seen.get("b"), is("2"));
   }
 
+  @Test
+  void aFollowerThatNeedsNothingReadsOnceInAWhileAllTheSame() {
+    store.put("a", "1");
+    follower.restWhile(() -> true, 3_000);
+    follower.start();
+    int calls = store.calls().size();
+    store.put("b", "2");
+    pass(2 * SECOND_NANOS);
+    assertThat(store.calls().size(), is(calls));
+    pass(2 * SECOND_NANOS);
+    assertThat(seen.get("b"), is("2"));
+  }
+
   @Test
   void whatAPeerHasReadIsNoProof() {
     store.put("a", "1");
