StallDetector: suspect a head again that is silent after its suspicion is over

Cause: a suspicion ends after 4 s so that one request may try the head, but its mark stayed, and a head that was silent again was not suspected again: from then on every process sent to it, and each request lost 0.25 to 0.35 s there until the list dropped the head (found by reading).

Change: a suspicion that is over by time begins anew with the next silence and is reported.

--- a/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
@@ -19,7 +19,9 @@
  * @since 0.2
  */
 public final class StallDetector {
-  /** A head that gave this process something within this time is not suspected on a peer's word. */
+  /**
+   * A head that gave this process something within this time is not suspected on a peer's report.
+   */
   private static final long RECENT_PROGRESS_NANOS = TimeUnit.MILLISECONDS.toNanos(120);
 
   /** A request that could not be moved from a silent head is tried again this soon. */
@@ -130,8 +132,9 @@
   }
 
   private void stall(UpstreamLoad load, Exchange exchange, long nowNanos) {
-    if (!load.isSuspected()) {
-      load.suspect(true, nowNanos);
+    boolean isNews = !load.isSuspectedAt(nowNanos);
+    load.suspect(true, nowNanos);
+    if (isNews) {
       log.write(
           "replica_suspected",
           "head",
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
@@ -104,12 +104,12 @@
   }
 
   /**
-   * Notes a suspicion.
+   * Notes a suspicion; one that is over by time begins anew.
    *
    * @param isOwn true if this process found the silence itself
    */
   void suspect(boolean isOwn, long nowNanos) {
-    if (!isSuspected) {
+    if (!isSuspectedAt(nowNanos)) {
       suspectedNanos = nowNanos;
     }
     isSuspected = true;
