--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -271,8 +271,9 @@
         new ProcessRegistry(store, loop, log, mesh, new HubPlan.Place(life, settings.zone()));
     TopicFollower processFollower =
         follower(Topic.PROCESSES, PROCESS_WAIT_MS, this::processIntervalMs, processes);
-    // Members need the list to find a hub. With 89 processes their reads were a quarter of all
-    // calls to the store on a calm day, and each restart of a process was read by all others.
+    // Members need the list to find a hub. Reading it on, 89 processes make about 800 of 3,100
+    // calls to the store on a calm day of 72 s (by the intervals), and read each restart of
+    // another.
     processFollower.restWhile(mesh::isSettledMember, PROCESS_REST_MS);
     processFollower.start();
     processes.announce(announcement);
--- a/edge/src/main/java/org/shoreroad/edge/peer/SuspicionNotice.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/SuspicionNotice.java
@@ -12,8 +12,9 @@
  * Notice that a head has fallen silent, sent at once and passed on by hubs.
  *
  * <p>Heartbeats carry the same, but each hop of theirs waits for an interval of 0.1 to 0.2 s: with
- * three hops a suspicion would arrive after the request that waits there has missed its target.
- * This class is immutable and thread-safe.
+ * three hops a suspicion would arrive after the request that waits there has missed its target. The
+ * large model's classes earned 0.77 and 0.82 of their payoff with heartbeats alone and 0.91 with
+ * notices (one day at 18 processes, one run each). This class is immutable and thread-safe.
  *
  * @param sender the name of the process that sends or passes on the notice, not null
  * @param scope whom the sender speaks for to the receiver, not null
--- a/edge/src/main/java/org/shoreroad/edge/relay/Decimals.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Decimals.java
@@ -4,8 +4,8 @@
  * Reads whole decimal numbers from header and event fields.
  *
  * <p>A regular expression in its place is compiled at each call. The id of each event is read here,
- * and with two expressions an event took 5 % of the event loop's time. All methods are pure and
- * thread-safe.
+ * and with two expressions that took 4 % of the event loop's time (samples of one process). All
+ * methods are pure and thread-safe.
  */
 final class Decimals {
   /** Every number of this many digits fits into a long. */
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
@@ -14,7 +14,8 @@
 /**
  * Selects the upstream of a request by what is open and what waits to be read there.
  *
- * <p>Used on the event loop.
+ * <p>It answers loads of short and long prompts on replicas that are unevenly full, and many
+ * processes that choose on reports of each other up to 0.4 s old. Used on the event loop.
  *
  * @since 0.2
  */
@@ -121,9 +122,9 @@
       return box.slots() > 0 && load.openCount() >= box.slots() * PLAIN_QUEUE_FACTOR;
     }
     double readMs = load.waitingPromptTokens() / engine.promptTokensPerSecond() * 1e3;
-    // What waits at an engine is late, and makes all after it late; a caller that is refused at
-    // once
-    // comes back to a free place.
+    // A request that waits at an engine is late and delays all after it. A caller that is refused
+    // at
+    // once returns to a free place.
     return load.openCount() >= engine.slots()
         || (load.openCount() > 0 && readMs > BACKLOG_PART * targetLatencyMs);
   }
