--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -172,20 +172,7 @@
             new Teller(),
             this::learn);
     this.leases = new DomainLeases(store, loop, clockNanos, log, life, mesh, fleet::domains);
-    this.replicas =
-        new ReplicaService(
-            loop,
-            clockNanos,
-            log,
-            fleet,
-            leases,
-            ports.engines(),
-            configuration::config,
-            stalls::suspectedIds,
-            new DemandMeter(upstreams)::demand,
-            failureDetector,
-            mesh::witnessNames,
-            settings.stallMs());
+    this.replicas = makeReplicas(loop);
     this.callers =
         new CallerServer(
             loop,
@@ -196,6 +183,22 @@
     connect(calls);
   }
 
+  private ReplicaService makeReplicas(EventLoop loop) {
+    return new ReplicaService(
+        loop,
+        clockNanos,
+        log,
+        fleet,
+        leases,
+        ports.engines(),
+        configuration::config,
+        stalls::suspectedIds,
+        new DemandMeter(upstreams)::demand,
+        failureDetector,
+        mesh::witnessNames,
+        settings.stallMs());
+  }
+
   private Relay makeRelay(EventLoop loop, HttpCalls calls, SplittableRandom random) {
     return new Relay(
         loop,
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -109,7 +109,7 @@
     this.self = self;
     this.source = source;
     this.listener = listener;
-    this.channels = new PeerChannels(log, this::receive, this::receive);
+    this.channels = new PeerChannels(log, this::receive, this::receiveNotice);
     this.plan = HubPlan.of(self, List.of());
   }
 
@@ -275,7 +275,7 @@
   }
 
   /** Takes a notice; a hub passes on what is new to it, so that no notice goes round. */
-  private void receive(SuspicionNotice notice) {
+  private void receiveNotice(SuspicionNotice notice) {
     if (!suspicionListener.test(notice.heads()) || !isHub()) {
       return;
     }
