--- a/edge/src/main/java/org/shoreroad/edge/StatusEndpoints.java
+++ b/edge/src/main/java/org/shoreroad/edge/StatusEndpoints.java
@@ -14,6 +14,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.shoreroad.edge.caller.AnswerChannel;
+import org.shoreroad.edge.caller.AnsweredExchange;
 import org.shoreroad.edge.caller.CallerExchange;
 import org.shoreroad.edge.caller.CallerRequest;
 import org.shoreroad.edge.caller.CallerServer;
@@ -78,21 +79,6 @@
       CallerRequest request, AnswerChannel answers, Responder responder) {
     request.body().release();
     responder.answer(answers);
-    return Answered.INSTANCE;
-  }
-
-  /** An exchange that was answered at once. */
-  private enum Answered implements CallerExchange {
-    INSTANCE;
-
-    @Override
-    public void onCallerGone() {
-      // Nothing runs for it.
-    }
-
-    @Override
-    public void onWritabilityChanged(boolean isWritable) {
-      // Nothing more is written.
-    }
+    return AnsweredExchange.INSTANCE;
   }
 }
