PeerMesh: encode a notice once, look for alive hubs once

A notice was encoded for each receiver, up to 88 times at 89 processes, and a hub went through its peers twice in each round to find the alive hubs. Sending to hubs and to members stood in two places each. No behaviour changes; by reading, not measured.

--- a/edge/src/main/java/org/shoreroad/edge/peer/Peer.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Peer.java
@@ -110,9 +110,9 @@
     link.send(heartbeat, last == null ? 0 : last.sentNanos(), nowNanos);
   }
 
-  /** Sends a notice if the connection stands; heartbeats carry the same a moment later. */
-  void send(SuspicionNotice notice) {
-    link.send(notice.toBytes());
+  /** Sends an encoded notice if the connection stands; heartbeats carry the same a moment later. */
+  void sendNotice(byte[] frame) {
+    link.send(frame);
   }
 
   void closeIfUnused(long nowNanos) {
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -262,16 +262,26 @@
     if (plan.isFullMesh()) {
       sendNotice(Scope.SELF, heads, peers.values());
     } else if (isHub()) {
-      sendNotice(Scope.HUB, heads, reachableHubs());
-      sendNotice(Scope.REST, heads, heard(Scope.MEMBER, Peer.ALIVE_NANOS));
+      sendNoticeToHubs(heads);
+      sendNoticeToMembers(heads, self.name());
     } else if (plan.ownHub() != null && peers.containsKey(plan.ownHub())) {
       sendNotice(Scope.MEMBER, heads, List.of(peers.get(plan.ownHub())));
     }
   }
 
   private void sendNotice(Scope scope, Set<String> heads, Collection<Peer> receivers) {
-    SuspicionNotice notice = new SuspicionNotice(self.name(), scope, heads);
-    receivers.forEach(peer -> peer.send(notice));
+    byte[] frame = new SuspicionNotice(self.name(), scope, heads).toBytes();
+    receivers.forEach(peer -> peer.sendNotice(frame));
+  }
+
+  private void sendNoticeToHubs(Set<String> heads) {
+    sendNotice(Scope.HUB, heads, reachableHubs(heard(Scope.HUB, Peer.ALIVE_NANOS)));
+  }
+
+  private void sendNoticeToMembers(Set<String> heads, String except) {
+    List<Peer> members = new ArrayList<>(heard(Scope.MEMBER, Peer.ALIVE_NANOS));
+    members.removeIf(member -> member.name().equals(except));
+    sendNotice(Scope.REST, heads, members);
   }
 
   /** Takes a notice; a hub passes on what is new to it, so that no notice goes round. */
@@ -280,12 +290,10 @@
       return;
     }
     if (notice.scope() == Scope.MEMBER) {
-      sendNotice(Scope.HUB, notice.heads(), reachableHubs());
+      sendNoticeToHubs(notice.heads());
     }
     if (notice.scope() == Scope.MEMBER || notice.scope() == Scope.HUB) {
-      List<Peer> members = new ArrayList<>(heard(Scope.MEMBER, Peer.ALIVE_NANOS));
-      members.removeIf(member -> member.name().equals(notice.sender()));
-      sendNotice(Scope.REST, notice.heads(), members);
+      sendNoticeToMembers(notice.heads(), notice.sender());
     }
   }
 
@@ -405,7 +413,7 @@
     words.addAll(wordsOfMembers);
     Heartbeat toHubs =
         Digest.merge(own, Scope.HUB, toHeard(members), List.of(), words, ListNews.NONE, nowNanos);
-    reachableHubs()
+    reachableHubs(aliveHubs)
         .forEach(hub -> hub.sendExpectingAnswer(toHubs.withListNews(newsFor(hub, own)), nowNanos));
     words.addAll(wordsOfHubs);
     List<Heard> all = new ArrayList<>(toHeard(members));
@@ -418,8 +426,8 @@
   }
 
   /** Returns the hubs of the plan and those that are heard. */
-  private Set<Peer> reachableHubs() {
-    Set<Peer> hubs = new HashSet<>(heard(Scope.HUB, Peer.ALIVE_NANOS));
+  private Set<Peer> reachableHubs(Collection<Peer> aliveHubs) {
+    Set<Peer> hubs = new HashSet<>(aliveHubs);
     for (String name : plan.hubs()) {
       Peer hub = peers.get(name);
       if (hub != null) {
