--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -115,6 +115,10 @@
   }
 
   private void findStalled() {
+    if (open.isEmpty()) {
+      stallTickMs = LONGEST_STALL_TICK_MS;
+      return;
+    }
     long nextMs = TimeUnit.NANOSECONDS.toMillis(stalls.findStalled()) + 1;
     stallTickMs = (int) Math.max(SHORTEST_STALL_TICK_MS, Math.min(LONGEST_STALL_TICK_MS, nextMs));
   }
