Tests: one fake of the configuration's proof; leave out what a removed test had needed

AdmissionTest and LoopbackRelay each had the same fake; LoopbackRelay kept the step time and the detector of a test that went with its trial. withDoubts is withQuestions, as the class it feeds. DomainPacking says why it removes members by id. Assertions are unchanged.

--- a/core/src/main/java/org/shoreroad/fleet/DomainPacking.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainPacking.java
@@ -108,6 +108,7 @@
                 .limit(model.boxes())
                 .toList();
         if (members.size() == model.boxes()) {
+          // By id: equality of two observed boxes compares all their parts by method handles.
           Set<String> usedIds = new HashSet<>();
           members.forEach(member -> usedIds.add(member.box().id()));
           left.removeIf(box -> usedIds.contains(box.box().id()));
--- a/edge/src/test/java/org/shoreroad/edge/peer/DigestTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/DigestTest.java
@@ -56,16 +56,16 @@
 
   @Test
   void aBoxIsSilentOnlyIfItAnswersNoWitness() {
-    Heartbeat own = Heartbeats.of("hub").withDoubts(Map.of(), Set.of("i-1", "i-2"));
-    Heartbeat other = Heartbeats.of("hub-2").withDoubts(Map.of(), Set.of("i-2"));
+    Heartbeat own = Heartbeats.of("hub").withQuestions(Map.of(), Set.of("i-1", "i-2"));
+    Heartbeat other = Heartbeats.of("hub-2").withQuestions(Map.of(), Set.of("i-2"));
     Heartbeat merged = merge(own, Scope.REST, List.of(heard(other, 0)));
     assertThat(merged.silentUpstreams(), is(Set.of("i-2")));
   }
 
   @Test
   void questionsGoToHubsButNotToMembers() {
-    Heartbeat own = Heartbeats.of("hub").withDoubts(Map.of(), Set.of());
-    Heartbeat member = Heartbeats.of("m").withDoubts(Map.of("i-1", "h:1"), Set.of());
+    Heartbeat own = Heartbeats.of("hub").withQuestions(Map.of(), Set.of());
+    Heartbeat member = Heartbeats.of("m").withQuestions(Map.of("i-1", "h:1"), Set.of());
     List<Heard> others = List.of(heard(member, 0));
     assertThat(merge(own, Scope.HUB, others).askedUpstreams(), is(Map.of("i-1", "h:1")));
     assertThat(merge(own, Scope.REST, others).askedUpstreams(), is(Map.of()));
--- a/edge/src/test/java/org/shoreroad/edge/peer/FailureDetectorTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/FailureDetectorTest.java
@@ -15,7 +15,7 @@
   private final FailureDetector failureDetector = new FailureDetector(() -> nowNanos);
 
   private static Heartbeat from(String peer, Map<String, String> asked, Set<String> silent) {
-    return Heartbeats.of(peer).withDoubts(asked, silent);
+    return Heartbeats.of(peer).withQuestions(asked, silent);
   }
 
   private void raiseFor(int millis) {
--- a/edge/src/test/java/org/shoreroad/edge/peer/Heartbeats.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/Heartbeats.java
@@ -36,7 +36,7 @@
   }
 
   /** Returns the heartbeat with questions and what was found silent. */
-  public Heartbeat withDoubts(Map<String, String> asked, Set<String> silent) {
+  public Heartbeat withQuestions(Map<String, String> asked, Set<String> silent) {
     return make(0, 0, 0, List.of(), asked, silent, List.of(), ListNews.NONE);
   }
 
--- a/edge/src/test/java/org/shoreroad/edge/relay/AdmissionTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/AdmissionTest.java
@@ -22,42 +22,7 @@
       new ClientAccount("office", Set.of("secret"), ClientAccount.NO_PRIORITY);
   private static final UpstreamService WEB = new UpstreamService("web", 100, null);
 
-  private boolean mayTrustKeys = true;
-  private boolean isProved = true;
-
-  /** A configuration whose proof the test sets. */
-  private final class Fresh implements Freshness {
-    private final @Nullable TrafficConfig config;
-
-    Fresh(@Nullable TrafficConfig config) {
-      this.config = config;
-    }
-
-    @Override
-    public @Nullable TrafficConfig config() {
-      return config;
-    }
-
-    @Override
-    public boolean mayTrustKeys() {
-      return mayTrustKeys;
-    }
-
-    @Override
-    public boolean isProved() {
-      return isProved;
-    }
-
-    @Override
-    public long configAgeMs() {
-      return 0;
-    }
-
-    @Override
-    public int processCount() {
-      return 1;
-    }
-  }
+  private final FakeFreshness freshness = new FakeFreshness(config(List.of(OFFICE)));
 
   private static Route route(String prefix, boolean allowsAnonymous) {
     return new Route(
@@ -85,7 +50,7 @@
   }
 
   private Admission admit(String uri, String key) {
-    return Admission.of(new Fresh(config(List.of(OFFICE))), "h.example:80", uri, key, 0.5);
+    return Admission.of(freshness, "h.example:80", uri, key, 0.5);
   }
 
   @Test
@@ -99,7 +64,7 @@
   @Test
   void withoutAConfigurationOrARouteItIsRefused() {
     assertThat(
-        Admission.of(new Fresh(null), "h.example", "/known/x", "secret", 0.5).refusal(),
+        Admission.of(new FakeFreshness(null), "h.example", "/known/x", "secret", 0.5).refusal(),
         is(Refusal.NO_CONFIGURATION));
     assertThat(admit("/nowhere", "secret").refusal(), is(Refusal.NO_ROUTE));
   }
@@ -107,26 +72,26 @@
   @Test
   void anUnknownKeyIsRefusedForGoodOnlyOnAProvedConfiguration() {
     assertThat(admit("/known/x", "other").refusal(), is(Refusal.UNKNOWN_KEY));
-    isProved = false;
+    freshness.isProved = false;
     assertThat(admit("/known/x", "other").refusal(), is(Refusal.KEYS_TOO_OLD));
   }
 
   @Test
   void aKnownKeyIsRefusedForAMomentWhileItsProofIsTooOld() {
-    mayTrustKeys = false;
+    freshness.mayTrustKeys = false;
     assertThat(admit("/known/x", "secret").refusal(), is(Refusal.KEYS_TOO_OLD));
     assertThat(admit("/open/x", "secret").refusal(), is(Refusal.KEYS_TOO_OLD));
   }
 
   @Test
   void anonymousCallersNeedNoProof() {
-    mayTrustKeys = false;
-    isProved = false;
+    freshness.mayTrustKeys = false;
+    freshness.isProved = false;
     Admission admission = admit("/open/x", "");
     assertThat(admission.refusal(), is(nullValue()));
     assertThat(admission.account(), is(nullValue()));
     assertThat(
-        Admission.of(new Fresh(config(null)), "h.example", "/known/x", "", 0.5).refusal(),
+        Admission.of(new FakeFreshness(config(null)), "h.example", "/known/x", "", 0.5).refusal(),
         is(nullValue()));
   }
 
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/relay/FakeFreshness.java
@@ -0,0 +1,40 @@
+package org.shoreroad.edge.relay;
+
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.traffic.TrafficConfig;
+
+/** A fixed configuration whose proof the test sets. */
+final class FakeFreshness implements Freshness {
+  private final @Nullable TrafficConfig config;
+  boolean mayTrustKeys = true;
+  boolean isProved = true;
+
+  FakeFreshness(@Nullable TrafficConfig config) {
+    this.config = config;
+  }
+
+  @Override
+  public @Nullable TrafficConfig config() {
+    return config;
+  }
+
+  @Override
+  public boolean mayTrustKeys() {
+    return mayTrustKeys;
+  }
+
+  @Override
+  public boolean isProved() {
+    return isProved;
+  }
+
+  @Override
+  public long configAgeMs() {
+    return 0;
+  }
+
+  @Override
+  public int processCount() {
+    return 1;
+  }
+}
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -14,7 +14,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
-import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.shoreroad.edge.EdgeMetrics;
@@ -66,7 +65,7 @@
   private final List<FakeUpstream> upstreams = new ArrayList<>();
   private final UpstreamTable table = new UpstreamTable(fleet, System::nanoTime, log);
   private final StallDetector stalls = new StallDetector(table, System::nanoTime, log);
-  final FixedFreshness freshness = new FixedFreshness(engine(stepMs()));
+  final FakeFreshness freshness = new FakeFreshness(config(engine()));
   Relay relay;
   private InetSocketAddress address;
 
@@ -79,11 +78,11 @@
     return new FleetBox(id, "web", address, "z", 6, false, null, null, List.of(), null);
   }
 
-  private static EngineSpec engine(int stepMs) {
+  private static EngineSpec engine() {
     return new EngineSpec(
         SLOTS,
         9_999,
-        stepMs,
+        1,
         0,
         0,
         46_000,
@@ -95,60 +94,24 @@
         List.of(new ModelShape("m", 1, 1, 1, 9, 1)));
   }
 
-  static final class FixedFreshness implements Freshness {
-    private final EngineSpec engine;
-    private @Nullable TrafficConfig config;
-    boolean mayTrustKeys = true;
-    boolean isProved = true;
-
-    FixedFreshness(EngineSpec engine) {
-      this.engine = engine;
-    }
-
-    private TrafficConfig makeConfig() {
-      List<ServiceShare> web = List.of(new ServiceShare("web", 1));
-      return TrafficConfig.of(
-          1,
-          List.of(
-              route("/once/", RequestKind.ONCE, web, 1),
-              route("/again/", RequestKind.REPEATABLE, web, 2),
-              route("/stream/", RequestKind.STREAM, web, 2),
-              route("/llm/", RequestKind.STREAM, List.of(new ServiceShare("llm", 1)), 2)),
-          List.of(new UpstreamService("web", 100, null), new UpstreamService("llm", 100, engine)),
-          List.of(new ClientAccount("office", Set.of("secret"), ClientAccount.NO_PRIORITY)),
-          CallerLimits.DEFAULT);
-    }
-
-    private static Route route(
-        String prefix, RequestKind kind, List<ServiceShare> shares, int attempts) {
-      return new Route(
-          prefix, "h.example", prefix, kind, 2_000, 200, 100, 1, shares, attempts, false, true);
-    }
-
-    @Override
-    public @Nullable TrafficConfig config() {
-      return config == null ? config = makeConfig() : config;
-    }
-
-    @Override
-    public boolean mayTrustKeys() {
-      return mayTrustKeys;
-    }
-
-    @Override
-    public boolean isProved() {
-      return isProved;
-    }
-
-    @Override
-    public long configAgeMs() {
-      return 0;
-    }
+  private static TrafficConfig config(EngineSpec engine) {
+    List<ServiceShare> web = List.of(new ServiceShare("web", 1));
+    return TrafficConfig.of(
+        1,
+        List.of(
+            route("/once/", RequestKind.ONCE, web, 1),
+            route("/again/", RequestKind.REPEATABLE, web, 2),
+            route("/stream/", RequestKind.STREAM, web, 2),
+            route("/llm/", RequestKind.STREAM, List.of(new ServiceShare("llm", 1)), 2)),
+        List.of(new UpstreamService("web", 100, null), new UpstreamService("llm", 100, engine)),
+        List.of(new ClientAccount("office", Set.of("secret"), ClientAccount.NO_PRIORITY)),
+        CallerLimits.DEFAULT);
+  }
 
-    @Override
-    public int processCount() {
-      return 1;
-    }
+  private static Route route(
+      String prefix, RequestKind kind, List<ServiceShare> shares, int attempts) {
+    return new Route(
+        prefix, "h.example", prefix, kind, 2_000, 200, 100, 1, shares, attempts, false, true);
   }
 
   @BeforeEach
@@ -199,15 +162,6 @@
     return new RelayRules(0.2, 100, 10);
   }
 
-  final StallDetector stalls() {
-    return stalls;
-  }
-
-  /** Returns how long a pass of an engine takes, in milliseconds. */
-  int stepMs() {
-    return 1;
-  }
-
   static void write(OutputStream out, String text) throws IOException {
     out.write(text.getBytes(StandardCharsets.UTF_8));
     out.flush();
--- a/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
@@ -393,7 +393,7 @@
 
   @Test
   void aBoxThatPeersAskAboutIsAskedWithoutALease() {
-    failureDetector.learn(Heartbeats.of("p").withDoubts(Map.of("a", "a:1"), Set.of()));
+    failureDetector.learn(Heartbeats.of("p").withQuestions(Map.of("a", "a:1"), Set.of()));
     service.start();
     run(400);
     assertThat(engines.asked, hasItem("a"));
