Log what identifies a request over its caller's returns

An attempt_failed line named the attempt, which is new with each return of the caller, and BROKEN stood for two things: the connection ended, or the answer was out of form. So the output could not tell a request that ends its upstreams from bystanders. DISCONNECTED now stands for the former; such a line carries the request's fingerprint (method, host, path, caller, body) and whether the answer had begun. The digest is only computed for these. No decision changes.

--- /dev/null
+++ b/core/src/main/java/org/shoreroad/quarantine/RequestFingerprint.java
@@ -0,0 +1,64 @@
+package org.shoreroad.quarantine;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Objects;
+
+/**
+ * Identity of a request that stays the same when its caller sends it again, at any process.
+ *
+ * <p>Two requests are the same if method, host, path with query, caller and body are. It is the
+ * first half of a SHA-256 digest: callers choose the bodies, and with a weaker digest one could
+ * make up a request that is taken for another's. This class is immutable and thread-safe.
+ *
+ * @param high the first 64 bits
+ * @param low the next 64 bits
+ * @since 0.2
+ */
+public record RequestFingerprint(long high, long low) {
+  private static final String DIGEST = "SHA-256";
+
+  /**
+   * Computes the fingerprint of a request.
+   *
+   * @param method the HTTP method, not null
+   * @param host the host that the caller named, not null
+   * @param uri the path and the query, not null
+   * @param caller the name of the client account, or an empty text, not null
+   * @param body the whole body; its position is left as it is, not null
+   */
+  public static RequestFingerprint of(
+      String method, String host, String uri, String caller, ByteBuffer body) {
+    MessageDigest digest = newDigest();
+    update(digest, method);
+    update(digest, host);
+    update(digest, uri);
+    update(digest, caller);
+    digest.update(body.duplicate());
+    ByteBuffer bits = ByteBuffer.wrap(digest.digest());
+    return new RequestFingerprint(bits.getLong(), bits.getLong());
+  }
+
+  /** Adds a text with its length, so that no two lists of texts have the same bytes. */
+  private static void update(MessageDigest digest, String text) {
+    byte[] bytes = Objects.requireNonNull(text, "text").getBytes(StandardCharsets.UTF_8);
+    digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).flip());
+    digest.update(bytes);
+  }
+
+  private static MessageDigest newDigest() {
+    try {
+      return MessageDigest.getInstance(DIGEST);
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has " + DIGEST, e);
+    }
+  }
+
+  /** Returns the 32 hexadecimal digits by which logs name the request. */
+  @Override
+  public String toString() {
+    return String.format("%016x%016x", high, low);
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -59,6 +59,11 @@
     return call != null && call.hasLeft();
   }
 
+  /** Returns true once the upstream has begun to answer, so that it runs the request. */
+  boolean hasHead() {
+    return head != null;
+  }
+
   void cancel() {
     if (!isOver) {
       end();
@@ -197,7 +202,8 @@
     }
     target.load().recordOutcome(true);
     end();
-    exchange.onAttemptFailed(target, AttemptEnd.BROKEN);
+    boolean isLost = failure.reason() == CallFailure.Reason.BROKEN;
+    exchange.onAttemptFailed(target, isLost ? AttemptEnd.DISCONNECTED : AttemptEnd.BROKEN);
   }
 
   private void fail(AttemptEnd why) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/AttemptEnd.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/AttemptEnd.java
@@ -10,11 +10,13 @@
 enum AttemptEnd {
   /** Nothing of the request left this process. */
   NOT_SENT,
-  /** The upstream said that it did not run the request. */
+  /** The upstream answered that it did not run the request. */
   REFUSED,
-  /** The upstream failed the request by its own word. */
+  /** The upstream answered that the request failed. */
   FAILED,
-  /** The connection broke, or what came was out of form. */
+  /** The connection ended before the answer was whole, as it does when an upstream crashes. */
+  DISCONNECTED,
+  /** The answer was out of form. */
   BROKEN,
   /** Nothing came for too long. */
   STALLED;
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -19,6 +19,7 @@
 import org.shoreroad.edge.caller.AnswerChannel;
 import org.shoreroad.edge.caller.CallerExchange;
 import org.shoreroad.edge.caller.CallerRequest;
+import org.shoreroad.quarantine.RequestFingerprint;
 import org.shoreroad.traffic.ClientAccount;
 import org.shoreroad.traffic.RequestKind;
 import org.shoreroad.traffic.Route;
@@ -56,6 +57,7 @@
   private @Nullable ClientAccount account;
   private @Nullable Attempt attempt;
   private @Nullable EventRelay events;
+  private @Nullable RequestFingerprint fingerprint;
   private long endNanos;
   private long waitUntilNanos;
   private int attemptsLeft;
@@ -368,10 +370,41 @@
   }
 
   private void noteFailure(Target target, AttemptEnd end) {
+    boolean hadHead = attempt != null && attempt.hasHead();
     attempt = null;
     relay.counters().count("shoreroad.attempts.failed", end.code());
     String replica = String.valueOf(target.replicaName());
-    writeLine("attempt_failed", "end", end, "upstream", target.box().id(), "replica", replica);
+    writeLine(
+        "attempt_failed",
+        "end",
+        end,
+        "upstream",
+        target.box().id(),
+        "replica",
+        replica,
+        "hadHead",
+        hadHead,
+        "fingerprint",
+        end == AttemptEnd.DISCONNECTED ? fingerprint() : "");
+  }
+
+  /**
+   * Returns what identifies the request over its caller's returns. Computed when it is first asked
+   * for: most requests end well and never need it.
+   */
+  private RequestFingerprint fingerprint() {
+    RequestFingerprint known = fingerprint;
+    if (known == null) {
+      known =
+          RequestFingerprint.of(
+              request.method().name(),
+              request.header(HttpHeaderNames.HOST.toString()),
+              request.uri(),
+              account == null ? "" : account.name(),
+              request.body().nioBuffer());
+      fingerprint = known;
+    }
+    return known;
   }
 
   /** Writes a line on this request: what happened, and all that the decision went by. */
