FleetBox: read the start time of an upstream

An upstream may start again under the id that it had. Its id and start time together, an Incarnation, name one run of it. The quarantine of requests counts upstreams that ended, so it has to tell such runs apart; nothing else goes by the start time yet.

--- a/core/src/main/java/org/shoreroad/fleet/FleetBox.java
+++ b/core/src/main/java/org/shoreroad/fleet/FleetBox.java
@@ -5,11 +5,13 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * One life of an upstream process as the list of upstreams shows it.
+ * One incarnation of an upstream process as the list of upstreams shows it.
  *
  * <p>This class is immutable and thread-safe.
  *
- * @param id names this life; a restart has another, not null
+ * @param id the id under which it is listed; a restart may have the same, not null
+ * @param bornMs its start by its own clock, in milliseconds since 1970, or {@link
+ *     Incarnation#UNKNOWN_START}
  * @param service the service it belongs to, not null
  * @param address its address as {@code host:port}, not null
  * @param zone its availability zone, not null
@@ -23,6 +25,7 @@
  */
 public record FleetBox(
     String id,
+    long bornMs,
     String service,
     String address,
     String zone,
@@ -41,6 +44,37 @@
     stagedModels = List.copyOf(stagedModels);
   }
 
+  /** Creates a box that does not report its start time. */
+  public FleetBox(
+      String id,
+      String service,
+      String address,
+      String zone,
+      int slots,
+      boolean isLeaving,
+      @Nullable String domain,
+      @Nullable String model,
+      List<String> stagedModels,
+      @Nullable Membership membership) {
+    this(
+        id,
+        Incarnation.UNKNOWN_START,
+        service,
+        address,
+        zone,
+        slots,
+        isLeaving,
+        domain,
+        model,
+        stagedModels,
+        membership);
+  }
+
+  /** Returns the identity of this run of the upstream. */
+  public Incarnation incarnation() {
+    return new Incarnation(id, bornMs);
+  }
+
   /** Returns true if this box is the head of a replica, in whatever state. */
   public boolean isHead() {
     return membership != null && membership.isHead();
@@ -51,17 +85,43 @@
     return membership != null && membership.isHead() && membership.state() == MemberState.OPEN;
   }
 
+  /** Returns this box with another start time; see {@link Incarnation#bornMs()}. */
+  public FleetBox withStart(long newBornMs) {
+    return new FleetBox(
+        id,
+        newBornMs,
+        service,
+        address,
+        zone,
+        slots,
+        isLeaving,
+        domain,
+        model,
+        stagedModels,
+        membership);
+  }
+
   /** Returns this box as one that is about to end. */
   public FleetBox withLeaving() {
     return new FleetBox(
-        id, service, address, zone, slots, true, domain, model, stagedModels, membership);
+        id, bornMs, service, address, zone, slots, true, domain, model, stagedModels, membership);
   }
 
   /** Returns this box with what a newer word of its engine says of model, host and replica. */
   public FleetBox withEngineState(
       @Nullable String newModel, List<String> newStaged, @Nullable Membership newMembership) {
     return new FleetBox(
-        id, service, address, zone, slots, isLeaving, domain, newModel, newStaged, newMembership);
+        id,
+        bornMs,
+        service,
+        address,
+        zone,
+        slots,
+        isLeaving,
+        domain,
+        newModel,
+        newStaged,
+        newMembership);
   }
 
   // Written out: the generated methods are method handles, which cost 20 to 40 ms of processor time
@@ -71,6 +131,7 @@
   public boolean equals(@Nullable Object other) {
     return this == other
         || (other instanceof FleetBox box
+            && bornMs == box.bornMs
             && slots == box.slots
             && isLeaving == box.isLeaving
             && id.equals(box.id)
