Keep quarantined requests in the store; leave the port out of fingerprints

Cause 1: after an end of all processes nobody knew the quarantine. The process that begins one now writes it to a topic of the store, once; each process reads the topic at its start, once. Running processes go by heartbeats as before.

Cause 2, found in the processes' logs of the failing test: each process had a fingerprint of its own for the same request, because the Host header carries the port that the caller had come to. The route's host name takes its place.

--- a/core/src/main/java/org/shoreroad/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/shoreroad/quarantine/CrashQuarantine.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -194,6 +195,11 @@
     return told.stream().map(history -> toReport(history, nowNanos)).toList();
   }
 
+  /** Returns what to tell of one request, or empty if no crash under it is known. */
+  public Optional<CrashReport> report(RequestFingerprint request, long nowNanos) {
+    return Optional.ofNullable(histories.get(request)).map(history -> toReport(history, nowNanos));
+  }
+
   private static CrashReport toReport(CrashHistory history, long nowNanos) {
     return history.toReport(TimeUnit.NANOSECONDS.toMillis(history.idleNanos(nowNanos)));
   }
--- a/core/src/main/java/org/shoreroad/quarantine/RequestFingerprint.java
+++ b/core/src/main/java/org/shoreroad/quarantine/RequestFingerprint.java
@@ -24,7 +24,7 @@
    * Computes the fingerprint of a request.
    *
    * @param method the HTTP method, not null
-   * @param host the host that the caller named, not null
+   * @param host the host name without a port, not null
    * @param uri the path and the query, not null
    * @param caller the name of the client account, or an empty text, not null
    * @param body the whole body; its position is left as it is, not null
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -15,6 +15,7 @@
 import org.shoreroad.edge.peer.Heartbeat;
 import org.shoreroad.edge.peer.PeerMesh;
 import org.shoreroad.edge.peer.ProcessRegistry;
+import org.shoreroad.edge.peer.QuarantineRegistry;
 import org.shoreroad.edge.relay.DemandMeter;
 import org.shoreroad.edge.relay.FleetSummary;
 import org.shoreroad.edge.relay.Relay;
@@ -109,6 +110,7 @@
   private final StallDetector stalls;
   private final FleetSummary summary;
   private final RequestQuarantine quarantine;
+  private final QuarantineRegistry quarantineRegistry;
   private final Relay relay;
   private final FailureDetector failureDetector;
   private final PeerMesh mesh;
@@ -163,6 +165,8 @@
     this.stalls = new StallDetector(upstreams, clockNanos, log);
     this.summary = new FleetSummary(fleet, upstreams, log);
     this.quarantine = new RequestQuarantine(clockNanos, log, metrics);
+    this.quarantineRegistry =
+        new QuarantineRegistry(store, loop, System::currentTimeMillis, log, quarantine::learn);
     this.relay = makeRelay(loop, calls, random);
     this.lag = new LoopLag(log, UPKEEP_MS);
     this.failureDetector = new FailureDetector(clockNanos);
@@ -234,6 +238,7 @@
           replicas.hurry();
         });
     mesh.setSuspicionListener(this::learnSuspicions);
+    quarantine.setRecorder(quarantineRegistry::write);
     fleet.addRemovalListener(box -> calls.forget(box.address()));
   }
 
@@ -271,6 +276,7 @@
                     }));
     configFollower.start();
     listFollower.start();
+    quarantineRegistry.load();
     String host = settings.peerListen().getAddress().getHostAddress();
     Announcement announcement =
         new Announcement(host + ":" + settings.peerListen().getPort(), settings.zone());
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -404,7 +404,7 @@
   }
 
   private RequestFingerprint fingerprint() {
-    return reader.fingerprint(account);
+    return reader.fingerprint(route == null ? "" : route.host(), account);
   }
 
   private void cancelAttempt() {
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestQuarantine.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestQuarantine.java
@@ -28,6 +28,7 @@
   private final EventLog log;
   private final RelayCounters counters;
   private Consumer<Set<RequestFingerprint>> listener = requests -> {};
+  private Consumer<CrashReport> recorder = report -> {};
 
   /** Creates a quarantine without requests. */
   public RequestQuarantine(LongSupplier clockNanos, EventLog log, RelayCounters counters) {
@@ -45,6 +46,16 @@
     this.listener = listener;
   }
 
+  /**
+   * Sets what takes requests that this process has quarantined, so that they stay so when all
+   * processes end.
+   *
+   * @param recorder keeps the report, not null
+   */
+  public void setRecorder(Consumer<CrashReport> recorder) {
+    this.recorder = recorder;
+  }
+
   /** Returns what to tell the other processes now. */
   public List<CrashReport> reports() {
     return quarantine.reports(clockNanos.getAsLong());
@@ -82,6 +93,7 @@
     counters.count("shoreroad.requests.crashed", crash.hadBegun() ? "running" : "waiting");
     if (quarantine.recordCrash(request, crash, clockNanos.getAsLong())) {
       logQuarantined(request, "crash");
+      quarantine.report(request, clockNanos.getAsLong()).ifPresent(recorder);
       listener.accept(Set.of(request));
     }
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
@@ -60,15 +60,17 @@
    * Returns what identifies the request over its caller's returns. It is computed when it is first
    * asked for, since most requests end well and never need it.
    *
+   * @param host the host name of the route, not null. The header may carry the port of the process
+   *     that a caller has come to, which differs at its next return
    * @param account the client account of the caller, or null; the same in each invocation
    */
-  RequestFingerprint fingerprint(@Nullable ClientAccount account) {
+  RequestFingerprint fingerprint(String host, @Nullable ClientAccount account) {
     RequestFingerprint known = fingerprint;
     if (known == null) {
       known =
           RequestFingerprint.of(
               request.method().name(),
-              request.header(HttpHeaderNames.HOST.toString()),
+              host,
               request.uri(),
               account == null ? "" : account.name(),
               request.body().nioBuffer());
--- a/edge/src/main/java/org/shoreroad/edge/sync/Topic.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Topic.java
@@ -11,5 +11,7 @@
   /** The upstreams, as they list themselves. */
   UPSTREAMS,
   /** The processes of this system, by the name of their life. */
-  PROCESSES
+  PROCESSES,
+  /** The quarantined requests, by their fingerprints. */
+  QUARANTINE
 }
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/peer/QuarantineRegistryTest.java
@@ -0,0 +1,144 @@
+package org.shoreroad.edge.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.sync.Store;
+import org.shoreroad.edge.sync.StoreCallback;
+import org.shoreroad.edge.sync.StoreFault;
+import org.shoreroad.edge.sync.StorePage;
+import org.shoreroad.edge.sync.StoreRecord;
+import org.shoreroad.edge.sync.Topic;
+import org.shoreroad.fleet.Incarnation;
+import org.shoreroad.quarantine.Crash;
+import org.shoreroad.quarantine.CrashReport;
+import org.shoreroad.quarantine.RequestFingerprint;
+
+class QuarantineRegistryTest {
+  private static final int PAGE_RECORDS = 2;
+
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private final FakeTopic store = new FakeTopic();
+  private final List<CrashReport> learned = new ArrayList<>();
+  private long nowMs = 1_773_212_146_318L;
+  private final QuarantineRegistry registry =
+      new QuarantineRegistry(
+          store,
+          channel.eventLoop(),
+          () -> nowMs,
+          new EventLog("test", System::nanoTime, OutputStream.nullOutputStream()),
+          learned::addAll);
+
+  /** One keyed topic in memory that fails as often as it is told. */
+  private static final class FakeTopic implements Store {
+    private final Map<String, byte[]> values = new TreeMap<>();
+    private int faults;
+    private int calls;
+
+    private boolean fails(StoreCallback<?> callback) {
+      calls++;
+      if (faults == 0) {
+        return false;
+      }
+      faults--;
+      callback.onFault(StoreFault.REFUSED);
+      return true;
+    }
+
+    @Override
+    public void read(Topic topic, long from, int waitMs, StoreCallback<StorePage> callback) {
+      throw new UnsupportedOperationException("the registry does not follow its topic");
+    }
+
+    @Override
+    public void readNewest(Topic topic, String afterKey, StoreCallback<StorePage> callback) {
+      if (fails(callback)) {
+        return;
+      }
+      List<StoreRecord> after =
+          values.entrySet().stream()
+              .filter(entry -> entry.getKey().compareTo(afterKey) > 0)
+              .map(entry -> new StoreRecord(0, entry.getKey(), entry.getValue()))
+              .toList();
+      int count = Math.min(PAGE_RECORDS, after.size());
+      callback.onValue(new StorePage(after.subList(0, count), 0, after.size() > count));
+    }
+
+    @Override
+    public void write(Topic topic, String key, byte[] value, StoreCallback<Long> callback) {
+      if (!fails(callback)) {
+        values.put(key, value);
+        callback.onValue(0L);
+      }
+    }
+  }
+
+  private static CrashReport report(int number) {
+    Crash crash = new Crash(new Incarnation("i-1", 5), true);
+    return new CrashReport(new RequestFingerprint(number, 0), List.of(crash), Set.of(), 0);
+  }
+
+  private void pass(int millis) {
+    channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+    channel.runScheduledPendingTasks();
+  }
+
+  @Test
+  void whatIsWrittenIsReadOverAllPagesWithItsAge() {
+    for (int i = 0; i < 5; i++) {
+      registry.write(report(i));
+    }
+    nowMs += 7_000;
+    registry.load();
+    assertThat(learned.size(), is(5));
+    assertThat(learned.get(0).idleMs(), is(7_000L));
+    assertThat(learned.get(0).crashes(), is(report(0).crashes()));
+  }
+
+  @Test
+  void aTimeOfDayThatWasSetBackMakesNoRecordYoungerThanNew() {
+    registry.write(report(1));
+    nowMs -= 60_000;
+    registry.load();
+    assertThat(learned.get(0).idleMs(), is(0L));
+  }
+
+  @Test
+  void aStoreThatRefusesIsAskedAgainLessAndLessOften() {
+    store.faults = 4;
+    registry.write(report(1));
+    pass(500);
+    pass(1_000);
+    pass(1_999);
+    assertThat(store.calls, is(3));
+    pass(1);
+    pass(4_000);
+    assertThat(store.values.size(), is(1));
+    store.faults = 1;
+    registry.load();
+    assertThat(learned, empty());
+    pass(500);
+    assertThat(learned.size(), is(1));
+  }
+
+  @Test
+  void aRecordOfAnotherWriterCostsOnlyItself() {
+    registry.write(report(1));
+    store.values.put("0", new byte[] {1, 2, 3});
+    store.values.put("1", new byte[0]);
+    store.values.put("2", new byte[] {(byte) 0xdd, 0x7f, 0x7f, 0x7f, 0x7f});
+    registry.load();
+    assertThat(learned.size(), is(1));
+  }
+}
