Count suspended time in the ages of leases and of the proof of keys

Cause: all ages went by the steady clock, which stands still while a box is suspended. After a wake-up a key that was taken away meanwhile would have been used for as long as the proof had left, up to 4.5 s, and orders given on a lease that the store had assigned elsewhere.

Change: ElapsedClock adds what the time of day has gone ahead of the steady clock to the ages of all that is older. A time of day that is set ahead looks the same and makes things expire early; one that is set back changes nothing. After a lead the configuration is read at once without waiting. Silence of others goes by the steady clock still, so that the own absence counts against nobody.

Tests: the proof and the lease end with a suspension of 6 and 3 s. On the code before there was no second clock to hand to a test.

--- a/edge/src/main/java/org/shoreroad/edge/ConfigurationView.java
+++ b/edge/src/main/java/org/shoreroad/edge/ConfigurationView.java
@@ -31,6 +31,7 @@
 
   private final Decoder decoder;
   private final LongSupplier clockNanos;
+  private final ElapsedClock elapsed;
   private final EventLog log;
   private final long keyTrustNanos;
   private final boolean isKeyProofRequired;
@@ -42,17 +43,22 @@
   /**
    * Creates a holder that knows no configuration yet.
    *
+   * @param clockNanos the steady clock, not null
+   * @param elapsed the ages of proofs: a box that was suspended must not use a key that was taken
+   *     away meanwhile, not null
    * @param revokeMs how long a key that was taken away may be used at most, in milliseconds
    * @param isKeyProofRequired true if that bound must hold also while the store is out of reach
    */
   ConfigurationView(
       Decoder decoder,
       LongSupplier clockNanos,
+      ElapsedClock elapsed,
       EventLog log,
       int revokeMs,
       boolean isKeyProofRequired) {
     this.decoder = decoder;
     this.clockNanos = clockNanos;
+    this.elapsed = elapsed;
     this.log = log;
     this.keyTrustNanos = TimeUnit.MILLISECONDS.toNanos(revokeMs - REVOKE_MARGIN_MS);
     this.isKeyProofRequired = isKeyProofRequired;
@@ -112,9 +118,7 @@
   @Override
   public boolean isProved() {
     TopicFollower from = follower;
-    return from != null
-        && from.isCurrent()
-        && clockNanos.getAsLong() - from.provenNanos() < keyTrustNanos;
+    return from != null && from.isCurrent() && elapsed.ageNanos(from.provenNanos()) < keyTrustNanos;
   }
 
   /**
@@ -160,7 +164,7 @@
   long configAgeNanos() {
     return follower == null || !follower.isCurrent()
         ? Long.MAX_VALUE / 4
-        : clockNanos.getAsLong() - follower.provenNanos();
+        : elapsed.ageNanos(follower.provenNanos());
   }
 
   /** Reads records of the topic of the configuration. */
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -96,6 +96,7 @@
   private final EdgePorts ports;
   private final EventLoop loop;
   private final LongSupplier clockNanos;
+  private final ElapsedClock elapsed;
   private final EventLog log;
   private final EdgeMetrics metrics = new EdgeMetrics();
   private final String life;
@@ -118,6 +119,7 @@
   private final CallerServer callers;
   private final LoopLag lag;
   private List<FleetBox> news = List.of();
+  private long addedNanos;
   private boolean isStopping;
 
   /**
@@ -128,6 +130,7 @@
    * @param loop the event loop, not null
    * @param calls the connections to upstreams, not null
    * @param clockNanos the steady clock, not null
+   * @param timeOfDayMs the time of day, in milliseconds since 1970, not null
    * @param log the log, not null
    */
   public EdgeProcess(
@@ -136,11 +139,13 @@
       EventLoop loop,
       HttpCalls calls,
       LongSupplier clockNanos,
+      LongSupplier timeOfDayMs,
       EventLog log) {
     this.settings = settings;
     this.ports = ports;
     this.loop = loop;
     this.clockNanos = clockNanos;
+    this.elapsed = new ElapsedClock(clockNanos, timeOfDayMs);
     this.log = log;
     SplittableRandom random = new SplittableRandom();
     this.life = settings.node() + "~" + Long.toHexString(random.nextLong());
@@ -153,6 +158,7 @@
         new ConfigurationView(
             ports.configDecoder(),
             clockNanos,
+            elapsed,
             log,
             settings.revokeMs(),
             settings.isKeyProofRequired());
@@ -166,7 +172,7 @@
     this.summary = new FleetSummary(fleet, upstreams, log);
     this.quarantine = new RequestQuarantine(clockNanos, log, metrics);
     this.quarantineRegistry =
-        new QuarantineRegistry(store, loop, System::currentTimeMillis, log, quarantine::learn);
+        new QuarantineRegistry(store, loop, timeOfDayMs, log, quarantine::learn);
     this.relay = makeRelay(loop, calls, random);
     this.lag = new LoopLag(log, UPKEEP_MS);
     this.failureDetector = new FailureDetector(clockNanos);
@@ -178,7 +184,7 @@
             new HubPlan.Place(life, settings.zone()),
             new Teller(),
             this::learn);
-    this.leases = new DomainLeases(store, loop, clockNanos, log, life, mesh, fleet::domains);
+    this.leases = new DomainLeases(store, loop, elapsed::nowNanos, log, life, mesh, fleet::domains);
     this.replicas = makeReplicas(loop);
     this.callers =
         new CallerServer(
@@ -374,6 +380,7 @@
 
   private void upkeep() {
     lag.measure(clockNanos.getAsLong());
+    noteSuspension();
     fleet.settle(listFollower.reachableForNanos());
     int processes = mesh.sharingCount();
     configuration.setProcessCount(processes);
@@ -381,6 +388,18 @@
     upstreams.setElsewhere(mesh.newest());
   }
 
+  /** Renews the proof of the configuration at once if the box may have been suspended. */
+  private void noteSuspension() {
+    long nowAddedNanos = elapsed.addedNanos();
+    if (nowAddedNanos != addedNanos) {
+      long lengthMs = TimeUnit.NANOSECONDS.toMillis(nowAddedNanos - addedNanos);
+      addedNanos = nowAddedNanos;
+      log.write("suspended_or_clock_set", "lengthMs", lengthMs);
+      metrics.count("shoreroad.clock.leads", "ahead");
+      configFollower.proveSoon();
+    }
+  }
+
   private Heartbeat makeHeartbeat(String sender, long sentNanos) {
     return new Heartbeat(
         sender,
--- a/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
@@ -242,6 +242,36 @@
         });
   }
 
+  /**
+   * Reads once without waiting, beside the read that waits in the store: what that one proves may
+   * be as old as its wait, and this process has just lost all proof.
+   */
+  public void proveSoon() {
+    if (!isCurrent) {
+      return;
+    }
+    long sentNanos = clockNanos.getAsLong();
+    store.read(
+        topic,
+        nextOffset,
+        0,
+        new StoreCallback<>() {
+          @Override
+          public void onValue(StorePage page) {
+            takeRecords(page.records());
+            if (page.endOffset() <= nextOffset) {
+              provenNanos = Math.max(provenNanos, sentNanos);
+            }
+          }
+
+          @Override
+          public void onFault(StoreFault fault) {
+            // The read that waits brings the proof, and the pause after faults is its own.
+            log.write("proof_not_renewed", "topic", topic, "fault", fault);
+          }
+        });
+  }
+
   private void takeRecords(List<StoreRecord> records) {
     for (StoreRecord record : records) {
       if (record.offset() >= nextOffset) {
--- a/edge/src/test/java/org/shoreroad/edge/ConfigurationViewTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/ConfigurationViewTest.java
@@ -28,8 +28,11 @@
 
   private long nowNanos = 1_000_000 * MILLI_NANOS;
   private final EventLog log = new EventLog("t", () -> nowNanos, OutputStream.nullOutputStream());
+  private long suspendedNanos;
+  private final ElapsedClock elapsed =
+      new ElapsedClock(() -> nowNanos, () -> (nowNanos + suspendedNanos) / MILLI_NANOS);
   private final ConfigurationView configuration =
-      new ConfigurationView(new NumberDecoder(), () -> nowNanos, log, REVOKE_MS, true);
+      new ConfigurationView(new NumberDecoder(), () -> nowNanos, elapsed, log, REVOKE_MS, true);
 
   /** Takes the text of a number for a configuration of that version. */
   private static final class NumberDecoder implements ConfigurationView.Decoder {
@@ -124,10 +127,28 @@
     assertThat(configuration.mayTrustKeys(), is(false));
   }
 
+  /**
+   * A box was suspended for six seconds, and a key was taken away meanwhile. The steady clock had
+   * not counted that time: by it the proof was as fresh as before, and the key would have been used
+   * for five seconds more.
+   */
+  @Test
+  void aProofFromBeforeASuspensionIsAsOldAsTheTimeThatHasPassed() {
+    follow();
+    nowNanos += 100 * MILLI_NANOS;
+    assertThat(configuration.mayTrustKeys(), is(true));
+    suspendedNanos += 6_000 * MILLI_NANOS;
+    assertThat(configuration.mayTrustKeys(), is(false));
+    assertThat(configuration.configAgeMs(), is(6_100L));
+    nowNanos += 50 * MILLI_NANOS;
+    configuration.learn(Heartbeats.of("peer").withConfig(nowNanos, 3, 0));
+    assertThat(configuration.mayTrustKeys(), is(true));
+  }
+
   @Test
   void withoutTheNeedOfAProofKnownKeysAreUsedOnWhileTheStoreIsAway() {
     ConfigurationView lenient =
-        new ConfigurationView(new NumberDecoder(), () -> nowNanos, log, REVOKE_MS, false);
+        new ConfigurationView(new NumberDecoder(), () -> nowNanos, elapsed, log, REVOKE_MS, false);
     assertThat(lenient.mayTrustKeys(), is(false));
     follow(lenient);
     lenient.onRecord(new StoreRecord(0, "config", new byte[] {'7'}));
@@ -140,7 +161,7 @@
   @Test
   void whoNeedsNoProofServesWithoutOneUnlessAPeerHasOne() {
     ConfigurationView lenient =
-        new ConfigurationView(new NumberDecoder(), () -> nowNanos, log, REVOKE_MS, false);
+        new ConfigurationView(new NumberDecoder(), () -> nowNanos, elapsed, log, REVOKE_MS, false);
     follow(lenient);
     lenient.onRecord(new StoreRecord(0, "config", new byte[] {'7'}));
     assertThat(lenient.isServing(), is(true));
--- a/edge/src/test/java/org/shoreroad/edge/sync/DomainLeaseTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/DomainLeaseTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.shoreroad.edge.ElapsedClock;
 import org.shoreroad.edge.EventLog;
 
 /** The lease of one domain, with a clock that the test turns. */
@@ -39,6 +40,26 @@
     assertThat(lease.isHeld(), is(false));
   }
 
+  /**
+   * The store counts on while the box is suspended, and may assign the domain to another process.
+   */
+  @Test
+  void aLeaseEndsWhileTheBoxIsSuspended() {
+    long[] suspendedNanos = {0};
+    ElapsedClock elapsed =
+        new ElapsedClock(
+            () -> nowNanos, () -> TimeUnit.NANOSECONDS.toMillis(nowNanos + suspendedNanos[0]));
+    DomainLease held =
+        new DomainLease(store, channel.eventLoop(), elapsed::nowNanos, log, "me", "s/d");
+    store.grant(new PartitionGrant(7, Set.of(0)));
+    held.claim();
+    pass(700_000_000L);
+    assertThat(held.isHeld(), is(true));
+    suspendedNanos[0] = TimeUnit.SECONDS.toNanos(3);
+    assertThat(held.isHeld(), is(false));
+    assertThat(held.isGranted(), is(false));
+  }
+
   @Test
   void aDomainThatPassedToAnotherMemberIsLost() {
     store.grant(new PartitionGrant(7, Set.of(0)));
--- a/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
@@ -89,6 +89,21 @@
     assertThat(follower.provenNanos(), is(nowNanos - 2 * SECOND_NANOS));
   }
 
+  @Test
+  void aProofCanBeRenewedBesideTheReadThatWaits() {
+    follower.start();
+    store.put("a", "1");
+    nowNanos += 2 * SECOND_NANOS;
+    follower.proveSoon();
+    assertThat(follower.provenNanos(), is(nowNanos));
+    assertThat(seen.get("a"), is("1"));
+    assertThat(follower.nextOffset(), is(1L));
+    store.failWith(StoreFault.NO_ANSWER);
+    nowNanos += SECOND_NANOS;
+    follower.proveSoon();
+    assertThat(follower.provenNanos(), is(nowNanos - SECOND_NANOS));
+  }
+
   @Test
   void aTrimmedHistoryIsReadAnewFromTheNewest() {
     store.put("a", "1");
