--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -43,7 +43,7 @@
   private DomainView view = new DomainView(List.of());
   private Demand demand = Demand.NONE;
   private Map<String, Integer> wanted = Map.of();
-  private boolean needsWords;
+  private boolean needsReports;
 
   /**
    * Creates a keeper that knows nothing yet.
@@ -80,8 +80,8 @@
   }
 
   /** Returns true if a formation waits until the engines themselves have said where they stand. */
-  public boolean needsWords() {
-    return needsWords;
+  public boolean needsReports() {
+    return needsReports;
   }
 
   /** Returns true if a formation or a closing is under way, so that the boxes are worth asking. */
@@ -110,7 +110,7 @@
     this.demand = demand;
     orders = new ArrayList<>();
     view = new DomainView(observedBoxes);
-    needsWords = false;
+    needsReports = false;
     Map<ReplicaId, ObservedReplica> observed = ObservedReplica.from(observedBoxes);
     closings.retain(observed.keySet());
     headlessSinceNanos.keySet().retainAll(observed.keySet());
@@ -126,7 +126,7 @@
     makeRoom(models, observed.values(), nowNanos);
     formMissing(models, nowNanos);
     formReserve(models, nowNanos);
-    if (!needsWords) {
+    if (!needsReports) {
       boolean isChanging = !formations.isEmpty();
       hosts
           .prepare(view, spec, models, demand, this::surplus, isChanging, nowNanos)
@@ -409,7 +409,7 @@
     // This check follows the one for weights. The other order requested reports from all boxes of a
     // domain for as long as weights were missing: 183,167 requests in 52 s, 925 boxes, one run.
     if (!view.isConfirmed()) {
-      needsWords = true;
+      needsReports = true;
       return false;
     }
     List<String> ids = members.stream().map(observed -> observed.box().id()).toList();
--- a/core/src/main/java/org/shoreroad/fleet/FleetBox.java
+++ b/core/src/main/java/org/shoreroad/fleet/FleetBox.java
@@ -107,7 +107,7 @@
         id, bornMs, service, address, zone, slots, true, domain, model, stagedModels, membership);
   }
 
-  /** Returns this box with what a newer word of its engine says of model, host and replica. */
+  /** Returns this box with the model, the host and the replica of a newer status report. */
   public FleetBox withEngineState(
       @Nullable String newModel, List<String> newStaged, @Nullable Membership newMembership) {
     return new FleetBox(
--- a/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
@@ -313,7 +313,7 @@
     addBoxes(BOXES);
     run(5);
     assertThat(given, is(empty()));
-    assertThat(keeper.needsWords(), is(true));
+    assertThat(keeper.needsReports(), is(true));
     domain.setConfirmed(true);
     run(SETTLE_SECONDS);
     assertThat(domain.countOpen("large"), is(1L));
@@ -325,7 +325,7 @@
     domain.setConfirmed(false);
     addBoxes(BOXES);
     run(5);
-    assertThat(keeper.needsWords(), is(false));
+    assertThat(keeper.needsReports(), is(false));
     assertThat(given.stream().anyMatch(order -> order.verb() == BoxOrder.Verb.STAGE), is(true));
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -27,7 +27,7 @@
 import org.shoreroad.edge.sync.CountedStore;
 import org.shoreroad.edge.sync.DomainLeases;
 import org.shoreroad.edge.sync.Fleet;
-import org.shoreroad.edge.sync.ListNews;
+import org.shoreroad.edge.sync.ListUpdate;
 import org.shoreroad.edge.sync.StoreRecord;
 import org.shoreroad.edge.sync.Topic;
 import org.shoreroad.edge.sync.TopicFollower;
@@ -253,7 +253,7 @@
     configFollower.spareWhile(mesh::isMember, TOLD_CONFIG_PROOF_MS);
     listFollower.spareWhile(() -> !mesh.isReader(), TOLD_LIST_PROOF_MS);
     leases.setChangeListener(mesh::hurry);
-    replicas.setUrgentNewsListener(mesh::hurry);
+    replicas.setUrgentChangeListener(mesh::hurry);
     stalls.setSuspicionListener(
         head -> {
           mesh.suspect(Set.of(head));
@@ -412,29 +412,29 @@
         replicas.silentForPeers(),
         leases.kept(),
         news,
-        ListNews.readTo(listFollower.nextOffset()),
+        ListUpdate.readTo(listFollower.nextOffset()),
         quarantine.reports());
   }
 
   private void learn(Heartbeat heartbeat) {
     configuration.learn(heartbeat);
     failureDetector.learn(heartbeat);
-    ListNews told = heartbeat.listNews();
+    ListUpdate told = heartbeat.listUpdate();
     if (told.isProof() && !mesh.isReader()) {
       listFollower.takeOver(told, heartbeat.echoNanos() - told.ageNanos());
     }
-    heartbeat.words().forEach(fleet::update);
+    heartbeat.reports().forEach(fleet::update);
     quarantine.learn(heartbeat.crashReports());
     learnSuspicions(heartbeat.suspectedUpstreams());
   }
 
   /** Takes over suspicions of a peer; returns true if one of them is new. */
   private boolean learnSuspicions(Set<String> heads) {
-    boolean isNews = stalls.suspectByPeer(heads);
-    if (isNews) {
+    boolean isNew = stalls.suspectByPeer(heads);
+    if (isNew) {
       replicas.hurry();
     }
-    return isNews;
+    return isNew;
   }
 
   /** Makes the heartbeats of one round; all peers get the same news. */
@@ -445,12 +445,12 @@
     }
 
     @Override
-    public ListNews listSince(long offset) {
+    public ListUpdate listSince(long offset) {
       List<StoreRecord> records = fleet.news().since(offset);
       if (records == null || !listFollower.isCurrent()) {
-        return ListNews.NONE;
+        return ListUpdate.NONE;
       }
-      return new ListNews(
+      return new ListUpdate(
           offset,
           listFollower.nextOffset(),
           clockNanos.getAsLong() - listFollower.provenNanos(),
@@ -460,7 +460,7 @@
 
     @Override
     public void onSent() {
-      news = replicas.takeNews();
+      news = replicas.takeReports();
     }
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/peer/Digest.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Digest.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.shoreroad.edge.peer.Heartbeat.Load;
 import org.shoreroad.edge.peer.Heartbeat.Scope;
-import org.shoreroad.edge.sync.ListNews;
+import org.shoreroad.edge.sync.ListUpdate;
 import org.shoreroad.fleet.FleetBox;
 
 /**
@@ -24,13 +24,13 @@
   /**
    * Returns what a hub tells in the name of itself and others.
    *
-   * @param own the hub's own words, not null
+   * @param own the hub's own reports, not null
    * @param scope for whom it then speaks, not null
    * @param others what the others told, not null
    * @param witnesses the other hubs that were asked about silent boxes, not null; a box that
    *     answers any of them is not silent
-   * @param words what engines said, not null
-   * @param listNews what the receiver lacks of the list, not null
+   * @param reports the newest status reports of engines, not null
+   * @param listUpdate what the receiver lacks of the list, not null
    * @param nowNanos the steady clock
    * @return the heartbeat, without an echo
    */
@@ -39,8 +39,8 @@
       Scope scope,
       Collection<Heard> others,
       Collection<Heard> witnesses,
-      List<FleetBox> words,
-      ListNews listNews,
+      List<FleetBox> reports,
+      ListUpdate listUpdate,
       long nowNanos) {
     Map<String, Load> loads = new HashMap<>();
     own.loads().forEach(load -> add(loads, load, 0));
@@ -72,8 +72,8 @@
         scope == Scope.REST ? Map.of() : asked,
         silent,
         kept,
-        words,
-        listNews,
+        reports,
+        listUpdate,
         own.crashReports());
   }
 
@@ -85,9 +85,9 @@
    *
    * @param total the digest of all processes including the member, not null
    * @param member the member's latest heartbeat, which is part of the total, not null
-   * @param listNews the changes of the list for the member, not null
+   * @param listUpdate the changes of the list for the member, not null
    */
-  static Heartbeat without(Heartbeat total, Heartbeat member, ListNews listNews) {
+  static Heartbeat without(Heartbeat total, Heartbeat member, ListUpdate listUpdate) {
     Map<String, Load> ownLoads = new HashMap<>();
     member.loads().forEach(load -> ownLoads.put(load.upstream(), load));
     List<Load> loads = new ArrayList<>(total.loads().size());
@@ -113,8 +113,8 @@
         total.askedUpstreams(),
         total.silentUpstreams(),
         kept,
-        total.words(),
-        listNews,
+        total.reports(),
+        listUpdate,
         total.crashReports());
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/peer/Heartbeat.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Heartbeat.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import org.shoreroad.edge.sync.ListNews;
+import org.shoreroad.edge.sync.ListUpdate;
 import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.quarantine.CrashReport;
 
@@ -26,8 +26,9 @@
  *     with their addresses
  * @param silentUpstreams the boxes asked about that do not answer any of them either
  * @param keptDomains the fabric domains that they keep
- * @param words what engines have newly told them of themselves
- * @param listNews how far the sender has read the list of upstreams, and what a member lacks of it
+ * @param reports the newest status reports of engines, as boxes
+ * @param listUpdate how far the sender has read the list of upstreams, and what a member lacks of
+ *     it
  * @param crashReports the crashes under requests that the receiver may not know of yet
  * @since 0.2
  */
@@ -44,8 +45,8 @@
     Map<String, String> askedUpstreams,
     Set<String> silentUpstreams,
     Set<String> keptDomains,
-    List<FleetBox> words,
-    ListNews listNews,
+    List<FleetBox> reports,
+    ListUpdate listUpdate,
     List<CrashReport> crashReports) {
   /** Copies the collections. */
   public Heartbeat {
@@ -56,27 +57,27 @@
     askedUpstreams = Map.copyOf(askedUpstreams);
     silentUpstreams = Set.copyOf(silentUpstreams);
     keptDomains = Set.copyOf(keptDomains);
-    words = List.copyOf(words);
-    Objects.requireNonNull(listNews, "listNews");
+    reports = List.copyOf(reports);
+    Objects.requireNonNull(listUpdate, "listUpdate");
     crashReports = List.copyOf(crashReports);
   }
 
   /** Returns the heartbeat as it is sent to one receiver, with what that one last sent. */
   public Heartbeat withEcho(long newEchoNanos) {
-    return with(scope, newEchoNanos, listNews);
+    return with(scope, newEchoNanos, listUpdate);
   }
 
   /** Returns the heartbeat with other news of the list. */
-  public Heartbeat withListNews(ListNews newListNews) {
-    return with(scope, echoNanos, newListNews);
+  public Heartbeat withListUpdate(ListUpdate newListUpdate) {
+    return with(scope, echoNanos, newListUpdate);
   }
 
-  /** Returns the same words as spoken for others. */
+  /** Returns the same heartbeat, sent on behalf of others. */
   public Heartbeat withScope(Scope newScope) {
-    return with(newScope, echoNanos, listNews);
+    return with(newScope, echoNanos, listUpdate);
   }
 
-  private Heartbeat with(Scope newScope, long newEchoNanos, ListNews newListNews) {
+  private Heartbeat with(Scope newScope, long newEchoNanos, ListUpdate newListUpdate) {
     return new Heartbeat(
         sender,
         sentNanos,
@@ -90,8 +91,8 @@
         askedUpstreams,
         silentUpstreams,
         keptDomains,
-        words,
-        newListNews,
+        reports,
+        newListUpdate,
         crashReports);
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatCodec.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatCodec.java
@@ -12,7 +12,7 @@
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
-import org.shoreroad.edge.sync.ListNews;
+import org.shoreroad.edge.sync.ListUpdate;
 import org.shoreroad.edge.sync.StoreRecord;
 import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.fleet.MemberState;
@@ -47,12 +47,12 @@
       }
       packTexts(out, heartbeat.silentUpstreams());
       packTexts(out, heartbeat.keptDomains());
-      out.packArrayHeader(heartbeat.words().size());
-      for (FleetBox word : heartbeat.words()) {
-        packBox(out, word);
+      out.packArrayHeader(heartbeat.reports().size());
+      for (FleetBox report : heartbeat.reports()) {
+        packBox(out, report);
       }
-      packListNews(out, heartbeat.listNews());
-      packStartTimes(out, heartbeat.words());
+      packListUpdate(out, heartbeat.listUpdate());
+      packStartTimes(out, heartbeat.reports());
       CrashReportCodec.pack(out, heartbeat.crashReports());
       return out.toByteArray();
     } catch (IOException e) {
@@ -79,8 +79,8 @@
       Map<String, String> asked = unpackAsked(in);
       Set<String> silent = new HashSet<>(unpackTexts(in));
       Set<String> kept = new HashSet<>(unpackTexts(in));
-      List<FleetBox> words = unpackBoxes(in);
-      ListNews listNews = unpackListNews(in);
+      List<FleetBox> reports = unpackBoxes(in);
+      ListUpdate listUpdate = unpackListUpdate(in);
       boolean isComplete = in.hasNext();
       return new Heartbeat(
           sender,
@@ -95,8 +95,8 @@
           asked,
           silent,
           kept,
-          isComplete ? unpackStartTimes(in, words) : words,
-          listNews,
+          isComplete ? unpackStartTimes(in, reports) : reports,
+          listUpdate,
           isComplete ? CrashReportCodec.unpack(in) : List.of());
     }
   }
@@ -119,7 +119,7 @@
     return complete;
   }
 
-  private static void packListNews(MessageBufferPacker out, ListNews news) throws IOException {
+  private static void packListUpdate(MessageBufferPacker out, ListUpdate news) throws IOException {
     out.packLong(news.fromOffset()).packLong(news.endOffset());
     out.packLong(news.ageNanos()).packLong(news.reachableNanos());
     out.packArrayHeader(news.records().size());
@@ -132,8 +132,8 @@
     }
   }
 
-  private static ListNews unpackListNews(MessageUnpacker in) throws IOException {
-    return new ListNews(
+  private static ListUpdate unpackListUpdate(MessageUnpacker in) throws IOException {
+    return new ListUpdate(
         in.unpackLong(), in.unpackLong(), in.unpackLong(), in.unpackLong(), unpackRecords(in));
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/peer/Peer.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Peer.java
@@ -5,7 +5,7 @@
 import java.util.function.LongFunction;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.EventLog;
-import org.shoreroad.edge.sync.ListNews;
+import org.shoreroad.edge.sync.ListUpdate;
 import org.shoreroad.member.HubPlan.Place;
 
 /** One other process: what was last heard of it, and the way to it. Used on the event loop. */
@@ -76,9 +76,9 @@
    * @param listSince returns the changes from an offset on, not null
    * @param nowNanos the steady clock
    */
-  ListNews listNews(LongFunction<ListNews> listSince, long nowNanos) {
-    long heldOffset = lastHeard().listNews().endOffset();
-    ListNews news = listSince.apply(listProgress.nextOffset(heldOffset, nowNanos));
+  ListUpdate listUpdate(LongFunction<ListUpdate> listSince, long nowNanos) {
+    long heldOffset = lastHeard().listUpdate().endOffset();
+    ListUpdate news = listSince.apply(listProgress.nextOffset(heldOffset, nowNanos));
     if (news.isProof()) {
       listProgress.noteTold(news.endOffset(), nowNanos);
     }
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -26,14 +26,14 @@
 import org.shoreroad.edge.peer.Digest.Heard;
 import org.shoreroad.edge.peer.Heartbeat.Scope;
 import org.shoreroad.edge.sync.DomainLeases;
-import org.shoreroad.edge.sync.ListNews;
+import org.shoreroad.edge.sync.ListUpdate;
 import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.member.HubPlan;
 import org.shoreroad.member.HubPlan.Place;
 import org.shoreroad.routing.Rendezvous;
 
 /**
- * Heartbeats to and from the other processes: who lives, what load they have, what they know.
+ * Exchanges heartbeats with the other processes: liveness, load, configuration version, reports.
  *
  * <p>Each process opens a connection to each one that it tells anything, and only sends on it. In a
  * small system each tells all others; in a large one members tell their hub, as {@link HubPlan}
@@ -83,8 +83,8 @@
   private final Consumer<Heartbeat> listener;
   private final PeerChannels channels;
   private final Map<String, Peer> peers = new HashMap<>();
-  private final List<FleetBox> wordsOfMembers = new ArrayList<>();
-  private final List<FleetBox> wordsOfHubs = new ArrayList<>();
+  private final List<FleetBox> reportsOfMembers = new ArrayList<>();
+  private final List<FleetBox> reportsOfHubs = new ArrayList<>();
   private HubPlan plan;
   private Set<Place> plannedPlaces = Set.of();
   private boolean isReader = true;
@@ -113,13 +113,13 @@
     this.plan = HubPlan.of(self, List.of());
   }
 
-  /** Makes the words of this process. */
+  /** Makes the heartbeats of this process. */
   public interface HeartbeatSource {
     /** Returns what to tell now, for this process alone. */
     Heartbeat make(String sender, long sentNanos);
 
     /** Returns what a process lacks of the list that has read as far as the offset. */
-    ListNews listSince(long offset);
+    ListUpdate listSince(long offset);
 
     /** Tells that all peers were told. */
     void onSent();
@@ -321,7 +321,7 @@
       speakers.addAll(heard(Scope.MEMBER, windowNanos));
       return toHeard(speakers);
     }
-    // A former hub's words are covered by those of the present one.
+    // The heartbeats of the present hub cover those of a former one.
     return heard(Scope.REST, windowNanos).stream()
         .max(Comparator.comparingLong(peer -> peer.heardNanos()))
         .map(peer -> toHeard(List.of(peer)))
@@ -352,14 +352,14 @@
     makePlan(nowNanos);
     Heartbeat own = source.make(self.name(), nowNanos);
     if (plan.isFullMesh()) {
-      peers.values().forEach(peer -> peer.send(own.withListNews(newsFor(peer, own)), nowNanos));
+      peers.values().forEach(peer -> peer.send(own.withListUpdate(updateFor(peer, own)), nowNanos));
     } else if (isHub()) {
       sendAsHub(own, nowNanos);
     } else {
       sendToHub(own.withScope(Scope.MEMBER), nowNanos);
     }
-    wordsOfMembers.clear();
-    wordsOfHubs.clear();
+    reportsOfMembers.clear();
+    reportsOfHubs.clear();
     peers.values().forEach(peer -> peer.closeIfUnused(nowNanos));
     source.onSent();
   }
@@ -409,18 +409,21 @@
     List<Peer> members = heard(Scope.MEMBER, Peer.ALIVE_NANOS);
     List<Peer> aliveHubs = heard(Scope.HUB, Peer.ALIVE_NANOS);
     List<Heard> hubsHeard = toHeard(aliveHubs);
-    List<FleetBox> words = new ArrayList<>(own.words());
-    words.addAll(wordsOfMembers);
+    List<FleetBox> reports = new ArrayList<>(own.reports());
+    reports.addAll(reportsOfMembers);
     Heartbeat toHubs =
-        Digest.merge(own, Scope.HUB, toHeard(members), List.of(), words, ListNews.NONE, nowNanos);
+        Digest.merge(
+            own, Scope.HUB, toHeard(members), List.of(), reports, ListUpdate.NONE, nowNanos);
     reachableHubs(aliveHubs)
-        .forEach(hub -> hub.sendExpectingAnswer(toHubs.withListNews(newsFor(hub, own)), nowNanos));
-    words.addAll(wordsOfHubs);
+        .forEach(
+            hub -> hub.sendExpectingAnswer(toHubs.withListUpdate(updateFor(hub, own)), nowNanos));
+    reports.addAll(reportsOfHubs);
     List<Heard> all = new ArrayList<>(toHeard(members));
     all.addAll(hubsHeard);
-    Heartbeat total = Digest.merge(own, Scope.REST, all, hubsHeard, words, ListNews.NONE, nowNanos);
+    Heartbeat total =
+        Digest.merge(own, Scope.REST, all, hubsHeard, reports, ListUpdate.NONE, nowNanos);
     for (Peer member : members) {
-      ListNews news = member.listNews(source::listSince, nowNanos);
+      ListUpdate news = member.listUpdate(source::listSince, nowNanos);
       member.send(Digest.without(total, member.lastHeard(), news), nowNanos);
     }
   }
@@ -438,12 +441,12 @@
   }
 
   /** Returns the changes of the list for a peer if this process is a reader. */
-  private ListNews newsFor(Peer peer, Heartbeat own) {
+  private ListUpdate updateFor(Peer peer, Heartbeat own) {
     if (!isReader || !peer.isHeard(Peer.ALIVE_NANOS, clockNanos.getAsLong())) {
-      return own.listNews();
+      return own.listUpdate();
     }
-    ListNews news = peer.listNews(source::listSince, clockNanos.getAsLong());
-    return news.isProof() ? news : own.listNews();
+    ListUpdate news = peer.listUpdate(source::listSince, clockNanos.getAsLong());
+    return news.isProof() ? news : own.listUpdate();
   }
 
   private void receive(Heartbeat heartbeat) {
@@ -454,12 +457,12 @@
     }
     peer.hear(heartbeat, clockNanos.getAsLong());
     if (heartbeat.scope() == Scope.MEMBER) {
-      wordsOfMembers.addAll(heartbeat.words());
+      reportsOfMembers.addAll(heartbeat.reports());
     } else if (heartbeat.scope() == Scope.HUB) {
-      wordsOfHubs.addAll(heartbeat.words());
+      reportsOfHubs.addAll(heartbeat.reports());
     }
     // Routing depends on heads only; reports of other members are not urgent.
-    if (isHub() && heartbeat.words().stream().anyMatch(FleetBox::isHead)) {
+    if (isHub() && heartbeat.reports().stream().anyMatch(FleetBox::isHead)) {
       hurry();
     }
     listener.accept(heartbeat);
--- a/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
@@ -85,11 +85,11 @@
    * @return true if a head is newly suspected
    */
   public boolean suspectByPeer(Set<String> boxIds) {
-    boolean isNews = false;
+    boolean isNew = false;
     for (String id : boxIds) {
-      isNews |= suspectByPeer(id, clockNanos.getAsLong());
+      isNew |= suspectByPeer(id, clockNanos.getAsLong());
     }
-    return isNews;
+    return isNew;
   }
 
   private boolean suspectByPeer(String boxId, long nowNanos) {
@@ -132,9 +132,9 @@
   }
 
   private void stall(UpstreamLoad load, Exchange exchange, long nowNanos) {
-    boolean isNews = !load.isSuspectedAt(nowNanos);
+    boolean isNew = !load.isSuspectedAt(nowNanos);
     load.suspect(true, nowNanos);
-    if (isNews) {
+    if (isNew) {
       log.write(
           "replica_suspected",
           "head",
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
@@ -156,7 +156,7 @@
     return open.size();
   }
 
-  /** Forgets what the other processes told, before their newest words are added. */
+  /** Forgets what the other processes told, before their newest reports are added. */
   void clearElsewhere() {
     openElsewhere = 0;
     waitingTokensElsewhere = 0;
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
@@ -71,7 +71,8 @@
 
   /**
    * Returns an upstream with little to do that is fit for a request: the one with the least, or,
-   * where many processes choose on old words of each other, the one with the least of a few drawn.
+   * where many processes choose on old reports of each other, the one with the least of a few
+   * drawn.
    *
    * @param service the service, not null
    * @param model the model asked for, or null for a plain service
--- a/edge/src/main/java/org/shoreroad/edge/replica/DomainWatch.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/DomainWatch.java
@@ -29,7 +29,7 @@
   /** Between two questions to a box that joins, or whose replica stands still. */
   private static final long FORMING_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
 
-  /** A word of an engine confirms where it stands for this long after it was asked. */
+  /** A report of an engine confirms where it stands for this long after it was asked. */
   private static final long CONFIRMED_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
   private static final long CONFIRMING_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
@@ -179,7 +179,7 @@
       }
     }
     boolean isSteady = reach.isSteady(box.id(), certainNanos, nowNanos);
-    boolean isConfirmed = reach.hasWord(box.id(), CONFIRMED_NANOS, nowNanos);
+    boolean isConfirmed = reach.hasReport(box.id(), CONFIRMED_NANOS, nowNanos);
     String lastModel = fleet.lastModel(box.id());
     // A box whose entry is gone for good serves on for a while, as one that said that it leaves.
     FleetBox seen = fleet.isOnList(box.id()) ? box : box.withLeaving();
@@ -226,7 +226,7 @@
       } else if (closing.contains(id)) {
         contact.ask(box, BUSY_INTERVAL_NANOS, nowNanos);
       }
-      if (keeper.needsWords()) {
+      if (keeper.needsReports()) {
         contact.ask(box, CONFIRMING_INTERVAL_NANOS, nowNanos);
       }
     }
--- a/edge/src/main/java/org/shoreroad/edge/replica/EngineContact.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/EngineContact.java
@@ -34,7 +34,7 @@
   private final ReachabilityTable reach = new ReachabilityTable();
   private final Map<String, FleetBox> news = new HashMap<>();
   private final Map<String, Long> reportsCountFromNanos = new HashMap<>();
-  private Runnable onUrgentNews = () -> {};
+  private Runnable onUrgentChange = () -> {};
   private Runnable onAnswer = () -> {};
 
   EngineContact(LongSupplier clockNanos, EventLog log, Fleet fleet, Engines engines) {
@@ -45,8 +45,8 @@
   }
 
   /** Sets what is done when the head of a replica has changed, which other processes wait for. */
-  void setUrgentNewsListener(Runnable listener) {
-    onUrgentNews = listener;
+  void setUrgentChangeListener(Runnable listener) {
+    onUrgentChange = listener;
   }
 
   /** Sets what is done when a box has answered or has fallen silent. */
@@ -66,7 +66,7 @@
   }
 
   /** Returns what is newly known of boxes; the next call returns only later news. */
-  List<FleetBox> takeNews() {
+  List<FleetBox> takeReports() {
     List<FleetBox> taken = List.copyOf(news.values());
     news.clear();
     return taken;
@@ -82,8 +82,8 @@
         box,
         new Engines.AskCallback() {
           @Override
-          public void onWord(FleetBox newest) {
-            reach.recordWord(box.id(), nowNanos);
+          public void onReport(FleetBox newest) {
+            reach.recordReport(box.id(), nowNanos);
             if (reportsCount(box.id(), nowNanos)) {
               take(newest);
             }
@@ -152,10 +152,10 @@
     if (!fleet.update(newest)) {
       return;
     }
-    fleet.logWord(newest);
+    fleet.logReport(newest);
     news.put(newest.id(), newest);
     if (newest.isHead() || (before != null && before.isHead())) {
-      onUrgentNews.run();
+      onUrgentChange.run();
     }
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/replica/Engines.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/Engines.java
@@ -22,8 +22,8 @@
 
   /** Hears what an engine says of itself. */
   interface AskCallback {
-    /** Tells the box with its engine's newest word. */
-    void onWord(FleetBox newest);
+    /** Tells the box with its engine's newest report. */
+    void onReport(FleetBox newest);
 
     /** Tells that it did not answer. */
     void onSilence(Silence silence);
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReachabilityTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReachabilityTable.java
@@ -26,9 +26,9 @@
     entry.isAsking = true;
   }
 
-  void recordWord(String id, long nowNanos) {
+  void recordReport(String id, long nowNanos) {
     Entry entry = entries.computeIfAbsent(id, key -> new Entry());
-    entry.wordNanos = nowNanos;
+    entry.reportNanos = nowNanos;
     entry.isAsking = false;
     entry.silences = 0;
     entry.isGone = false;
@@ -66,9 +66,9 @@
   }
 
   /** Returns true if the box answered a question that was asked within the time. */
-  boolean hasWord(String id, long withinNanos, long nowNanos) {
+  boolean hasReport(String id, long withinNanos, long nowNanos) {
     Entry entry = entries.get(id);
-    return entry != null && nowNanos - entry.wordNanos < withinNanos;
+    return entry != null && nowNanos - entry.reportNanos < withinNanos;
   }
 
   /** Returns true if the box has not been silent within the time. */
@@ -107,7 +107,7 @@
 
   private static final class Entry {
     private long askedNanos = Long.MIN_VALUE / 2;
-    private long wordNanos = Long.MIN_VALUE / 2;
+    private long reportNanos = Long.MIN_VALUE / 2;
     private long silentSinceNanos;
     private long lastSilenceNanos = Long.MIN_VALUE / 2;
     private int silences;
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -104,8 +104,8 @@
   }
 
   /** Sets what is done when the head of a replica has said something that others wait for. */
-  public void setUrgentNewsListener(Runnable listener) {
-    contact.setUrgentNewsListener(listener);
+  public void setUrgentChangeListener(Runnable listener) {
+    contact.setUrgentChangeListener(listener);
   }
 
   /** Starts to keep. */
@@ -164,8 +164,8 @@
   /**
    * Returns what engines have newly said to this process; the next call returns only later news.
    */
-  public List<FleetBox> takeNews() {
-    return contact.takeNews();
+  public List<FleetBox> takeReports() {
+    return contact.takeReports();
   }
 
   /** Returns the boxes that peers asked about and that do not answer this process either. */
@@ -263,11 +263,11 @@
     long nowNanos = clockNanos.getAsLong();
     DomainKeeper keeper = keepers.computeIfAbsent(key, name -> takeDomain(key, domain, boxes));
     List<ObservedBox> observedBoxes = watch.look(key, keeper, boxes, suspected);
-    boolean neededWords = keeper.needsWords();
+    boolean neededReports = keeper.needsReports();
     keeper
         .decide(nowNanos, engine, observedBoxes, plan, watch.headsSeen(), demand)
         .forEach(order -> give(key, keeper, engine, order));
-    if (keeper.needsWords() && !neededWords) {
+    if (keeper.needsReports() && !neededReports) {
       // The boxes are asked at once.
       hurry();
     }
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -20,7 +20,8 @@
 import org.shoreroad.fleet.Membership;
 
 /**
- * The upstreams by the list of the store, and by newer words of their own.
+ * View of the upstreams, merged from the list of the store and from newer reports that the
+ * upstreams returned directly.
  *
  * <p>An entry that is taken away may come back: while the store was out of reach entries lapse, and
  * they are back within two seconds of its return if the upstream lives. An upstream that is off the
@@ -38,14 +39,15 @@
   private static final long FORGET_NANOS = TimeUnit.MINUTES.toNanos(2);
 
   /**
-   * An engine's word goes before entries read within this time: an entry and a read take as long.
+   * A report overrides entries read within this time after it, because an entry may have been
+   * written, and its read sent, up to this much earlier.
    */
-  private static final long WORD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+  private static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
-  private final Map<String, Long> wordAtNanos = new HashMap<>();
-  private final Map<String, Long> wordEpochs = new HashMap<>();
+  private final Map<String, Long> reportedAtNanos = new HashMap<>();
+  private final Map<String, Long> reportedEpochs = new HashMap<>();
 
-  /** Boxes whose newest entry was read while a newer word of the engine stood against it. */
+  /** Boxes whose newest entry was read while a newer report of the engine stood against it. */
   private final Set<String> heldBackIds = new HashSet<>();
 
   private final EntryIntake intake;
@@ -58,7 +60,7 @@
   private final Map<String, String> lastModels = new HashMap<>();
   private final Map<String, Long> entryOffsets = new HashMap<>();
   private final Map<String, String> idsByAddress = new HashMap<>();
-  private final RecentNews news = new RecentNews();
+  private final RecentChanges news = new RecentChanges();
   private final List<Consumer<FleetBox>> removalListeners = new ArrayList<>();
   private final Map<String, Map<String, FleetBox>> boxesByDomain = new HashMap<>();
   private long listChanges;
@@ -227,30 +229,30 @@
     targetChanges++;
   }
 
-  /** Keeps the engine's own word of a moment ago against an entry that may be older. */
+  /** Returns the entry with the state of a recent report, if the entry may be older than that. */
   private FleetBox withNewerState(FleetBox before, FleetBox listed) {
     heldBackIds.remove(listed.id());
-    long knownEpoch = wordEpochs.getOrDefault(listed.id(), 0L);
-    if (!hasRecentWord(listed.id()) || epochOf(listed) > knownEpoch) {
+    long knownEpoch = reportedEpochs.getOrDefault(listed.id(), 0L);
+    if (!hasRecentReport(listed.id()) || epochOf(listed) > knownEpoch) {
       return listed;
     }
     heldBackIds.add(listed.id());
     return listed.withEngineState(before.model(), before.stagedModels(), before.membership());
   }
 
-  private boolean hasRecentWord(String id) {
-    Long wordNanos = wordAtNanos.get(id);
-    return wordNanos != null && clockNanos.getAsLong() - wordNanos < WORD_NANOS;
+  private boolean hasRecentReport(String id) {
+    Long reportNanos = reportedAtNanos.get(id);
+    return reportNanos != null && clockNanos.getAsLong() - reportNanos < REPORT_NANOS;
   }
 
   /**
-   * Takes over the entries that were held back, once the word that stood against them is old. An
-   * upstream writes no further entry while nothing changes, so that a word that is wrong by now
+   * Takes over the entries that were held back, once the report that stood against them is old. An
+   * upstream writes no further entry while nothing changes, so that a report that is wrong by now
    * would stand for good: a box that had left its replica stood as its member for 17 s.
    */
   private void takeHeldBackEntries() {
     for (String id : Set.copyOf(heldBackIds)) {
-      if (!hasRecentWord(id)) {
+      if (!hasRecentReport(id)) {
         heldBackIds.remove(id);
         FleetBox entry = entries.get(id);
         if (entry != null && boxes.containsKey(id)) {
@@ -288,14 +290,15 @@
    *
    * @return true if that was news
    */
-  public boolean update(FleetBox word) {
-    FleetBox before = boxes.get(word.id());
+  public boolean update(FleetBox report) {
+    FleetBox before = boxes.get(report.id());
     if (before == null) {
       return false;
     }
-    wordAtNanos.put(word.id(), clockNanos.getAsLong());
-    wordEpochs.merge(word.id(), epochOf(word), Math::max);
-    FleetBox after = before.withEngineState(word.model(), word.stagedModels(), word.membership());
+    reportedAtNanos.put(report.id(), clockNanos.getAsLong());
+    reportedEpochs.merge(report.id(), epochOf(report), Math::max);
+    FleetBox after =
+        before.withEngineState(report.model(), report.stagedModels(), report.membership());
     if (after.equals(before)) {
       return false;
     }
@@ -305,22 +308,22 @@
   }
 
   /** Writes a line on what an engine said. */
-  public void logWord(FleetBox word) {
+  public void logReport(FleetBox report) {
     log.write(
         "box_word",
         "box",
-        word.id(),
+        report.id(),
         "model",
-        word.model(),
+        report.model(),
         "staged",
-        word.stagedModels(),
+        report.stagedModels(),
         "membership",
-        String.valueOf(word.membership()));
+        String.valueOf(report.membership()));
   }
 
   /**
    * Brings the upstreams in line with the list: takes those off whose entries are gone for good,
-   * and goes by entries again that an engine's word stood against.
+   * and goes by entries again that an engine's report stood against.
    *
    * @param storeReachableNanos how long the store has answered without a fault
    */
@@ -365,8 +368,8 @@
     FleetBox gone = boxes.remove(id);
     removedAtNanos.remove(id);
     offListIds.remove(id);
-    wordAtNanos.remove(id);
-    wordEpochs.remove(id);
+    reportedAtNanos.remove(id);
+    reportedEpochs.remove(id);
     heldBackIds.remove(id);
     entryOffsets.remove(id);
     lastModels.remove(id);
@@ -380,7 +383,7 @@
   }
 
   /** Returns the newest records that changed something. */
-  public RecentNews news() {
+  public RecentChanges news() {
     return news;
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/sync/ListNews.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/ListUpdate.java
@@ -15,7 +15,7 @@
  * @param records what changed in between, in the order of the offsets
  * @since 0.2
  */
-public record ListNews(
+public record ListUpdate(
     long fromOffset,
     long endOffset,
     long ageNanos,
@@ -25,17 +25,17 @@
   private static final long NO_PROOF_NANOS = Long.MAX_VALUE / 4;
 
   /** Nothing that anybody could use. */
-  public static final ListNews NONE =
-      new ListNews(Long.MAX_VALUE, -1, NO_PROOF_NANOS, 0, List.of());
+  public static final ListUpdate NONE =
+      new ListUpdate(Long.MAX_VALUE, -1, NO_PROOF_NANOS, 0, List.of());
 
   /** Copies the list. */
-  public ListNews {
+  public ListUpdate {
     records = List.copyOf(records);
   }
 
   /** Returns an acknowledgement of the offset, without records and without a proof. */
-  public static ListNews readTo(long endOffset) {
-    return new ListNews(endOffset, endOffset, NO_PROOF_NANOS, 0, List.of());
+  public static ListUpdate readTo(long endOffset) {
+    return new ListUpdate(endOffset, endOffset, NO_PROOF_NANOS, 0, List.of());
   }
 
   /** Returns true if the sender has proof that it missed no change up to the end. */
--- a/edge/src/main/java/org/shoreroad/edge/sync/PartitionGrant.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/PartitionGrant.java
@@ -3,7 +3,7 @@
 import java.util.Set;
 
 /**
- * The partitions of work that this process holds by the store's word.
+ * The partitions that the store has assigned to this process.
  *
  * @param generation a number that rises with every change among the members
  * @param partitions the partitions held
--- a/edge/src/main/java/org/shoreroad/edge/sync/RecentNews.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/RecentChanges.java
@@ -11,7 +11,7 @@
  *
  * @since 0.2
  */
-public final class RecentNews {
+public final class RecentChanges {
   /** What many boxes change within some seconds; who lacks more reads the store itself. */
   private static final int CAPACITY = 2_048;
 
--- a/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
@@ -141,7 +141,7 @@
   }
 
   /** Takes over a stretch that a peer has read, if nothing is missing before it. */
-  public void takeOver(ListNews news, long peerProvenNanos) {
+  public void takeOver(ListUpdate news, long peerProvenNanos) {
     if (!isCurrent || !news.isProof() || news.fromOffset() > nextOffset) {
       return;
     }
--- a/edge/src/test/java/org/shoreroad/edge/peer/HeartbeatCodecTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/HeartbeatCodecTest.java
@@ -16,7 +16,7 @@
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
-import org.shoreroad.edge.sync.ListNews;
+import org.shoreroad.edge.sync.ListUpdate;
 import org.shoreroad.edge.sync.StoreRecord;
 import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.fleet.Incarnation;
@@ -56,7 +56,7 @@
                       new Membership(new ReplicaId("r", 5), 1, MemberState.READY))
                   .withStart(1_773_212_140_000L),
               new FleetBox("i-6", "s", "h:1", "z", 6, false, null, null, List.of(), null)),
-          new ListNews(4, 9, 1_000, 2_000, List.of(new StoreRecord(5, "i-7", null))),
+          new ListUpdate(4, 9, 1_000, 2_000, List.of(new StoreRecord(5, "i-7", null))),
           List.of(
               new CrashReport(
                   new RequestFingerprint(-1, 7),
@@ -74,17 +74,18 @@
   @Test
   void theValuesOfRecordsAreRead() throws IOException {
     byte[] value = {1, 2, 3};
-    ListNews news = new ListNews(4, 9, 0, 0, List.of(new StoreRecord(5, "i-7", value)));
+    ListUpdate news = new ListUpdate(4, 9, 0, 0, List.of(new StoreRecord(5, "i-7", value)));
     Heartbeat read =
-        HeartbeatCodec.parse(HeartbeatCodec.toBytes(Heartbeats.of("p").withListNews(news)));
-    assertThat(read.listNews().records().get(0).value(), is(value));
+        HeartbeatCodec.parse(HeartbeatCodec.toBytes(Heartbeats.of("p").withListUpdate(news)));
+    assertThat(read.listUpdate().records().get(0).value(), is(value));
   }
 
   /** A length that the frame can't hold must be refused before memory is taken for it. */
   @Test
   void aLengthBeyondTheFrameTakesNoMemory() {
-    ListNews news = new ListNews(4, 9, 0, 0, List.of(new StoreRecord(5, "i-7", new byte[] {7})));
-    byte[] bytes = HeartbeatCodec.toBytes(Heartbeats.of("p").withListNews(news));
+    ListUpdate news =
+        new ListUpdate(4, 9, 0, 0, List.of(new StoreRecord(5, "i-7", new byte[] {7})));
+    byte[] bytes = HeartbeatCodec.toBytes(Heartbeats.of("p").withListUpdate(news));
     ByteBuffer hostile = ByteBuffer.allocate(bytes.length + 3);
     int header = indexOfBinary(bytes);
     hostile.put(bytes, 0, header).put((byte) 0xc6).putInt(Integer.MAX_VALUE);
@@ -134,8 +135,8 @@
     assertThat(read.size(), is(1));
     Heartbeat earlier = read.get(0);
     assertThat(earlier.crashReports(), is(List.of()));
-    assertThat(earlier.words().get(0).bornMs(), is(Incarnation.UNKNOWN_START));
-    assertThat(earlier.listNews(), is(heartbeat.listNews()));
+    assertThat(earlier.reports().get(0).bornMs(), is(Incarnation.UNKNOWN_START));
+    assertThat(earlier.listUpdate(), is(heartbeat.listUpdate()));
     assertThat(earlier.loads(), is(heartbeat.loads()));
   }
 }
--- a/edge/src/test/java/org/shoreroad/edge/peer/Heartbeats.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/Heartbeats.java
@@ -5,7 +5,7 @@
 import java.util.Set;
 import org.shoreroad.edge.peer.Heartbeat.Load;
 import org.shoreroad.edge.peer.Heartbeat.Scope;
-import org.shoreroad.edge.sync.ListNews;
+import org.shoreroad.edge.sync.ListUpdate;
 import org.shoreroad.fleet.FleetBox;
 
 /** Makes heartbeats that say little; for tests. */
@@ -27,34 +27,34 @@
             Set.of(),
             Set.of(),
             List.of(),
-            ListNews.NONE,
+            ListUpdate.NONE,
             List.of()));
   }
 
   /** Returns the heartbeat with loads. */
   public Heartbeat withLoads(List<Load> loads) {
-    return make(0, 0, 0, loads, Map.of(), Set.of(), List.of(), ListNews.NONE);
+    return make(0, 0, 0, loads, Map.of(), Set.of(), List.of(), ListUpdate.NONE);
   }
 
   /** Returns the heartbeat with questions and what was found silent. */
   public Heartbeat withQuestions(Map<String, String> asked, Set<String> silent) {
-    return make(0, 0, 0, List.of(), asked, silent, List.of(), ListNews.NONE);
+    return make(0, 0, 0, List.of(), asked, silent, List.of(), ListUpdate.NONE);
   }
 
   /** Returns the heartbeat with a proof of the configuration. */
   public Heartbeat withConfig(long echoNanos, long offset, long ageNanos) {
     return make(
-        echoNanos, offset, ageNanos, List.of(), Map.of(), Set.of(), List.of(), ListNews.NONE);
+        echoNanos, offset, ageNanos, List.of(), Map.of(), Set.of(), List.of(), ListUpdate.NONE);
   }
 
   /** Returns the heartbeat with news of the list. */
-  public Heartbeat withListNews(ListNews news) {
+  public Heartbeat withListUpdate(ListUpdate news) {
     return make(0, 0, 0, List.of(), Map.of(), Set.of(), List.of(), news);
   }
 
-  /** Returns the heartbeat with words of engines. */
-  public Heartbeat withWords(List<FleetBox> words) {
-    return make(0, 0, 0, List.of(), Map.of(), Set.of(), words, ListNews.NONE);
+  /** Returns the heartbeat with reports of engines. */
+  public Heartbeat withReports(List<FleetBox> reports) {
+    return make(0, 0, 0, List.of(), Map.of(), Set.of(), reports, ListUpdate.NONE);
   }
 
   private Heartbeat make(
@@ -64,8 +64,8 @@
       List<Load> loads,
       Map<String, String> asked,
       Set<String> silent,
-      List<FleetBox> words,
-      ListNews news) {
+      List<FleetBox> reports,
+      ListUpdate news) {
     return new Heartbeat(
         bare.sender(),
         0,
@@ -79,7 +79,7 @@
         asked,
         silent,
         bare.keptDomains(),
-        words,
+        reports,
         news,
         List.of());
   }
--- a/edge/src/test/java/org/shoreroad/edge/peer/PeerCodecFuzzTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/PeerCodecFuzzTest.java
@@ -10,7 +10,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import org.msgpack.core.MessagePackException;
-import org.shoreroad.edge.sync.ListNews;
+import org.shoreroad.edge.sync.ListUpdate;
 import org.shoreroad.edge.sync.StoreRecord;
 import org.shoreroad.fleet.Incarnation;
 import org.shoreroad.quarantine.Crash;
@@ -32,8 +32,8 @@
           List.of(new Crash(new Incarnation("i-1", 3), true)),
           Set.of(),
           4);
-  private static final ListNews NEWS =
-      new ListNews(4, 9, 0, 0, List.of(new StoreRecord(5, "i-7", new byte[] {1, 2, 3})));
+  private static final ListUpdate NEWS =
+      new ListUpdate(4, 9, 0, 0, List.of(new StoreRecord(5, "i-7", new byte[] {1, 2, 3})));
 
   private static Arbitrary<byte[]> changed(byte[] message) {
     Arbitrary<Integer> at = Arbitraries.integers().between(0, message.length - 1);
@@ -53,7 +53,7 @@
 
   @Provide
   Arbitrary<byte[]> heartbeats() {
-    Heartbeat heartbeat = Heartbeats.of("p").withListNews(NEWS);
+    Heartbeat heartbeat = Heartbeats.of("p").withListUpdate(NEWS);
     return Arbitraries.oneOf(changed(HeartbeatCodec.toBytes(heartbeat)), random());
   }
 
--- a/edge/src/test/java/org/shoreroad/edge/peer/PeerMeshTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/PeerMeshTest.java
@@ -18,7 +18,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.shoreroad.edge.EventLog;
-import org.shoreroad.edge.sync.ListNews;
+import org.shoreroad.edge.sync.ListUpdate;
 import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.member.HubPlan.Place;
 
@@ -39,11 +39,11 @@
   private final class Process implements PeerMesh.HeartbeatSource {
     private final Place place;
     private final PeerMesh mesh;
-    private final Set<String> wordsHeard = new HashSet<>();
+    private final Set<String> reportsHeard = new HashSet<>();
     private final Set<Long> listHeard = new HashSet<>();
     private final Set<String> suspected = new HashSet<>();
     private int notices;
-    private List<FleetBox> words = List.of();
+    private List<FleetBox> reports = List.of();
     private String address = "";
 
     Process(int number) {
@@ -58,8 +58,8 @@
     }
 
     private void hear(Heartbeat heartbeat) {
-      heartbeat.words().forEach(word -> wordsHeard.add(word.id()));
-      listHeard.add(heartbeat.listNews().endOffset());
+      heartbeat.reports().forEach(report -> reportsHeard.add(report.id()));
+      listHeard.add(heartbeat.listUpdate().endOffset());
     }
 
     @Override
@@ -78,19 +78,19 @@
           bare.askedUpstreams(),
           Set.of(),
           Set.of("llm/" + sender),
-          words,
-          ListNews.readTo(3),
+          reports,
+          ListUpdate.readTo(3),
           List.of());
     }
 
     @Override
-    public ListNews listSince(long offset) {
-      return new ListNews(offset, offset + 4, 0, 0, List.of());
+    public ListUpdate listSince(long offset) {
+      return new ListUpdate(offset, offset + 4, 0, 0, List.of());
     }
 
     @Override
     public void onSent() {
-      words = List.of();
+      reports = List.of();
     }
 
     int openElsewhere() {
@@ -162,20 +162,20 @@
   }
 
   @Test
-  void theWordOfAnEngineReachesEverybodyThroughTheHubs() throws Exception {
+  void theReportOfAnEngineReachesAllProcessesThroughTheHubs() throws Exception {
     start(30);
     becomesTrue(() -> processes.stream().allMatch(p -> p.mesh.aliveCount() == 30));
     Process teller = processes.stream().filter(p -> p.mesh.isMember()).findFirst().orElseThrow();
     onLoop(
         () -> {
-          teller.words =
+          teller.reports =
               List.of(new FleetBox("i-1", "s", "h:1", "z", 1, false, "d", null, List.of(), null));
           teller.mesh.hurry();
           return true;
         });
     assertThat(
         becomesTrue(
-            () -> processes.stream().allMatch(p -> p == teller || p.wordsHeard.contains("i-1"))),
+            () -> processes.stream().allMatch(p -> p == teller || p.reportsHeard.contains("i-1"))),
         is(true));
   }
 
--- a/edge/src/test/java/org/shoreroad/edge/peer/SuspicionNoticeTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/SuspicionNoticeTest.java
@@ -7,7 +7,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.msgpack.core.MessagePackException;
-import org.shoreroad.edge.sync.ListNews;
+import org.shoreroad.edge.sync.ListUpdate;
 
 class SuspicionNoticeTest {
   private final SuspicionNotice notice =
@@ -21,7 +21,8 @@
 
   @Test
   void aHeartbeatIsNoNotice() {
-    byte[] bytes = HeartbeatCodec.toBytes(Heartbeats.of("node-1~a").withListNews(ListNews.NONE));
+    byte[] bytes =
+        HeartbeatCodec.toBytes(Heartbeats.of("node-1~a").withListUpdate(ListUpdate.NONE));
     assertThat(SuspicionNotice.isNotice(bytes), is(false));
     assertThat(SuspicionNotice.isNotice(new byte[0]), is(false));
   }
--- a/edge/src/test/java/org/shoreroad/edge/relay/UpstreamSelectorTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UpstreamSelectorTest.java
@@ -46,7 +46,7 @@
   }
 
   @Test
-  void manyProcessesThatChooseOnOldWordsDoNotAllChooseTheSameHead() {
+  void manyProcessesThatChooseOnOldReportsDoNotAllChooseTheSameHead() {
     int heads = 20;
     List<Heartbeat.Load> told = new ArrayList<>();
     for (int i = 0; i < heads; i++) {
--- a/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
@@ -156,7 +156,7 @@
       if (membership != null && readyAtNanos.getOrDefault(box.id(), 0L) > clockNanos.getAsLong()) {
         membership = new Membership(membership.replica(), membership.rank(), MemberState.JOINING);
       }
-      callback.onWord(
+      callback.onReport(
           box.withEngineState(membership == null ? null : "m", List.of("m"), membership));
     }
 
@@ -378,17 +378,17 @@
   }
 
   @Test
-  void theWordOfAHeadIsUrgentNews() {
+  void theReportOfAHeadIsUrgent() {
     int[] urgent = {0};
-    service.setUrgentNewsListener(() -> urgent[0]++);
+    service.setUrgentChangeListener(() -> urgent[0]++);
     list("a");
     list("b");
     takeLeases();
     service.start();
     run(3_000);
     assertThat(urgent[0] > 0, is(true));
-    assertThat(service.takeNews().isEmpty(), is(false));
-    assertThat(service.takeNews(), is(empty()));
+    assertThat(service.takeReports().isEmpty(), is(false));
+    assertThat(service.takeReports(), is(empty()));
   }
 
   @Test
--- a/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
@@ -142,8 +142,8 @@
     assertThat(follower.provenNanos(), is(proven + 50));
   }
 
-  private ListNews told(long from, long end, StoreRecord... records) {
-    return new ListNews(from, end, 0, 60 * SECOND_NANOS, List.of(records));
+  private ListUpdate told(long from, long end, StoreRecord... records) {
+    return new ListUpdate(from, end, 0, 60 * SECOND_NANOS, List.of(records));
   }
 
   @Test
@@ -197,7 +197,7 @@
     follower.spareWhile(() -> true, 3_000);
     follower.start();
     follower.takeOver(told(1, 1), nowNanos);
-    follower.takeOver(new ListNews(1, 1, 0, 0, List.of()), nowNanos - SECOND_NANOS);
+    follower.takeOver(new ListUpdate(1, 1, 0, 0, List.of()), nowNanos - SECOND_NANOS);
     assertThat(follower.reachableForNanos(), is(60 * SECOND_NANOS));
   }
 
@@ -243,7 +243,7 @@
     int calls = store.calls().size();
     long provenNanos = follower.provenNanos();
     for (int i = 0; i < 10; i++) {
-      follower.takeOver(ListNews.readTo(1), nowNanos);
+      follower.takeOver(ListUpdate.readTo(1), nowNanos);
       pass(SECOND_NANOS / 5);
     }
     assertThat(store.calls().size(), is(greaterThan(calls)));
@@ -360,15 +360,15 @@
   }
 
   @Test
-  void anEntryThatLagsBehindTheEnginesWordDoesNotUndoIt() {
+  void anEntryThatLagsBehindTheEnginesReportDoesNotUndoIt() {
     byte[] entry = "ready".getBytes(StandardCharsets.UTF_8);
     fleet.onRecord(new StoreRecord(0, "i-1", entry));
-    FleetBox word =
+    FleetBox report =
         fleet
             .find("i-1")
             .withEngineState(
                 "m", List.of(), new Membership(new ReplicaId("r", 5), 0, MemberState.OPEN));
-    fleet.update(word);
+    fleet.update(report);
     fleet.onRecord(new StoreRecord(1, "i-1", entry));
     assertThat(fleet.find("i-1").isOpenHead(), is(true));
     nowNanos += 2 * SECOND_NANOS;
@@ -377,7 +377,7 @@
   }
 
   @Test
-  void anEntryThatWasHeldBackCountsOnceTheWordAgainstItIsOld() {
+  void anEntryThatWasHeldBackCountsOnceTheReportAgainstItIsOld() {
     byte[] entry = "ready".getBytes(StandardCharsets.UTF_8);
     fleet.onRecord(new StoreRecord(0, "i-1", entry));
     fleet.update(member(fleet.find("i-1"), "m", MemberState.READY));
--- a/edge/src/test/java/org/shoreroad/edge/sync/RecentNewsTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/RecentChangesTest.java
@@ -6,8 +6,8 @@
 
 import org.junit.jupiter.api.Test;
 
-class RecentNewsTest {
-  private final RecentNews news = new RecentNews();
+class RecentChangesTest {
+  private final RecentChanges news = new RecentChanges();
 
   private void add(long from, long to) {
     for (long offset = from; offset < to; offset++) {
