Exchange: record that a request may have run before its crash is counted

Cause: the crash that begins a quarantine ends the open copies of the request, and the one that has just crashed its upstream is among them. It was answered 503, which promises that it has not run, because that it may have run was recorded only afterwards. The new test failed first (503 for 502).

--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -253,6 +253,10 @@
 
   /** Decides what follows when an attempt brought nothing that can be passed on. */
   void onAttemptFailed(Target target, AttemptEnd end) {
+    if (end != AttemptEnd.NOT_SENT && end != AttemptEnd.REFUSED) {
+      // Before the failure is noted: that may quarantine this request and answer it.
+      sends.recordMayHaveRun();
+    }
     noteFailure(target, end);
     if (isOver) {
       return;
@@ -262,9 +266,6 @@
       retryUnsent();
       return;
     }
-    if (end != AttemptEnd.REFUSED) {
-      sends.recordMayHaveRun();
-    }
     Route of = route;
     boolean isAllowed = of != null && (end == AttemptEnd.REFUSED || of.isRepeatable());
     if (isAllowed && sends.hasLeft() && !isQuarantined() && takeRepeat()) {
--- a/edge/src/test/java/org/shoreroad/edge/relay/CrashingRequestTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/CrashingRequestTest.java
@@ -91,6 +91,22 @@
     assertThat(countArrivals("/once/crash"), is((long) CRASHES_ALLOWED));
   }
 
+  /**
+   * The crash that begins the quarantine ends the copies that wait. The request that has just
+   * crashed its upstream is one of the open ones, and it has run: 503 would be a false promise.
+   */
+  @Test
+  void aTryThatRanIsNotPromisedNotToHaveRun() throws Exception {
+    startUpstreams("i-");
+    for (int i = 0; i < CRASHES_ALLOWED; i++) {
+      assertThat(call("/once/crash"), startsWith("HTTP/1.1 502"));
+    }
+    assertThat(call("/once/crash"), startsWith("HTTP/1.1 503"));
+    assertThat(call("/again/crash"), startsWith("HTTP/1.1 502"));
+    assertThat(call("/again/crash"), startsWith("HTTP/1.1 502"));
+    assertThat(call("/again/crash"), startsWith("HTTP/1.1 503"));
+  }
+
   @Test
   void aStreamOfAModelIsCountedTheSameWay() throws Exception {
     startUpstreams(HEAD_PREFIX);
