Exchange: name the upstream of a failed attempt by its id again

attempt_failed lines had the id and the start time in one field since the quarantine. shoreroadctl explain joins that field with the ids of box and head lines, so it no longer showed what had happened to the upstream. The start time is a field of its own, bornMs. The new test failed first. Found by reading the change.

--- a/edge/src/test/java/org/shoreroad/edge/relay/CrashingRequestTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/CrashingRequestTest.java
@@ -114,6 +114,14 @@
     assertThat(countArrivals("/llm/crash"), is((long) CRASHES_ALLOWED));
   }
 
+  /** The lines on boxes and heads name the id alone, and reports on a request join them by it. */
+  @Test
+  void theLineOnAnAttemptNamesTheUpstreamByItsId() throws Exception {
+    upstream("i-7", CRASHING);
+    call("/once/crash");
+    assertThat(logged(), containsString("\"upstream\":\"i-7\",\"bornMs\":0,"));
+  }
+
   @Test
   void anotherPathIsSentToUpstreamsAsBefore() throws Exception {
     startUpstreams("i-");
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -59,8 +60,8 @@
   private static final int SLOTS = 4;
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   final EventLoop loop = group.next();
-  private final EventLog log =
-      new EventLog("test", System::nanoTime, OutputStream.nullOutputStream());
+  private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+  private final EventLog log = new EventLog("test", System::nanoTime, logged);
   private final Fleet fleet = new Fleet(LoopbackRelay::decode, System::nanoTime, log);
   private final List<FakeUpstream> upstreams = new ArrayList<>();
   private final UpstreamTable table = new UpstreamTable(fleet, System::nanoTime, log);
@@ -160,6 +161,12 @@
     return upstream;
   }
 
+  /** Returns all log lines so far. */
+  final String logged() {
+    log.flush();
+    return logged.toString(StandardCharsets.UTF_8);
+  }
+
   /** Returns the rules on repeats. */
   RelayRules rules() {
     return new RelayRules(0.2, 100, 10);
