--- a/edge/src/main/java/org/shoreroad/edge/http/WholeCall.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/WholeCall.java
@@ -2,7 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.ByteArrayOutputStream;
@@ -21,6 +23,7 @@
   private @Nullable HttpCall call;
   private @Nullable ScheduledFuture<?> limit;
   private int status;
+  private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
 
   private WholeCall(Taker taker) {
     this.taker = taker;
@@ -29,7 +32,7 @@
   /** Takes the outcome of a call. */
   public interface Taker {
     /** Takes an answer. */
-    void onAnswer(int status, byte[] body);
+    void onAnswer(int status, HttpHeaders headers, byte[] body);
 
     /** Hears that there is none. */
     void onFailure(CallFailure failure);
@@ -65,6 +68,7 @@
   @Override
   public boolean onHead(HttpResponse head) {
     status = head.status().code();
+    headers = head.headers();
     return true;
   }
 
@@ -80,7 +84,7 @@
   @Override
   public void onEnd() {
     finish();
-    taker.onAnswer(status, body.toByteArray());
+    taker.onAnswer(status, headers, body.toByteArray());
   }
 
   @Override
--- a/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
@@ -43,6 +43,7 @@
   private long provenNanos;
   private boolean isCurrent;
   private boolean isReachable;
+  private boolean readsItself = true;
   private long reachableSinceNanos;
   private int pauseMs = SHORTEST_PAUSE_MS;
   private BooleanSupplier isSpared = () -> false;
@@ -145,6 +146,18 @@
     if (!isCurrent || !news.isProof() || news.fromOffset() > nextOffset) {
       return;
     }
+    if (!isTold()) {
+      log.write(
+          "list_told_by_peer",
+          "topic",
+          topic,
+          "offset",
+          nextOffset,
+          "from",
+          news.fromOffset(),
+          "end",
+          news.endOffset());
+    }
     takeRecords(news.records());
     nextOffset = Math.max(nextOffset, news.endOffset());
     toldNanos = clockNanos.getAsLong();
@@ -211,10 +224,15 @@
 
   private void readOn() {
     if (isTold() || mayRest()) {
+      readsItself = false;
       loop.schedule(this::readOn, TOLD_CHECK_MS, TimeUnit.MILLISECONDS);
       return;
     }
     long sentNanos = clockNanos.getAsLong();
+    if (!readsItself) {
+      readsItself = true;
+      log.write("topic_read_here", "topic", topic, "offset", nextOffset);
+    }
     store.read(
         topic,
         nextOffset,
