Leases: fencing and formation numbers rise over eras of the store

Cause: the generation of a domain's group was the fencing number, and a store that comes back from an older copy has lower generations. Engines would reject every order of the owner until the generation had grown past the former one, and formations would bear numbers of earlier ones. Change: the number is the era and the generation. After a new era a lease that is valid without a gap goes on; any other one is held after 2 s, when those of the former era have ended.

--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -397,6 +397,7 @@
     metrics.count("shoreroad.store.eras", "new");
     configFollower.noteEra(ports.storeEra().current());
     listFollower.noteEra(ports.storeEra().current());
+    leases.noteEra();
   }
 
   private void learn(Heartbeat heartbeat) {
--- a/edge/src/main/java/org/shoreroad/edge/sync/DomainLease.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/DomainLease.java
@@ -12,9 +12,14 @@
  * <p>Each domain has a group of its own in the store; the member to which the store assigns
  * partition 0 owns the domain. A membership change in one group does not affect other domains. The
  * time to live counts from the sending of the last renewal, so a process that was paused or
- * partitioned stops before the store assigns the domain to another one. The group's generation is
- * the fencing number of all orders in the domain and the upper part of each formation's number.
- * Used on the event loop.
+ * partitioned stops before the store assigns the domain to another one. The store's era and the
+ * group's generation make the fencing number of all orders in the domain, and the upper part of
+ * each formation's number.
+ *
+ * <p>A store that comes back from an older copy may assign the domain to a former owner while the
+ * last one still goes by its lease. So after a new era only a lease that is valid without a gap is
+ * held at once; any other one after a time to live, when those of the former era have ended. Used
+ * on the event loop.
  */
 final class DomainLease {
   /** Time to live of the membership: twice the minimum that the store allows. Milliseconds. */
@@ -45,21 +50,27 @@
   private final String member;
   private final String domain;
   private final long claimedNanos;
+  private long formerLeasesEndNanos;
   private PartitionGrant grant = new PartitionGrant(StoreEra.NONE, 0, Set.of());
   private long validUntilNanos = Long.MIN_VALUE;
-  private long grantedNanos;
+  private long heldFromNanos;
   private long sequence;
   private boolean wasGranted;
   private boolean isLeft;
 
-  /** Creates a lease that is not held; {@link #claim} joins the domain's group. */
+  /**
+   * Creates a lease that is not held; {@link #claim} joins the domain's group.
+   *
+   * @param formerLeasesEndNanos when the last lease of the store's former era ends
+   */
   DomainLease(
       LeaseStore store,
       EventLoop loop,
       LongSupplier clockNanos,
       EventLog log,
       String member,
-      String domain) {
+      String domain,
+      long formerLeasesEndNanos) {
     this.store = store;
     this.loop = loop;
     this.clockNanos = clockNanos;
@@ -67,6 +78,7 @@
     this.member = member;
     this.domain = domain;
     this.claimedNanos = clockNanos.getAsLong();
+    this.formerLeasesEndNanos = formerLeasesEndNanos;
   }
 
   /** Joins the domain's group and stays in it until {@link #leave}. */
@@ -94,6 +106,16 @@
         });
   }
 
+  /** Returns when leases end that were renewed last at the given time. */
+  static long endOfLeases(long renewedNanos) {
+    return renewedNanos + TimeUnit.MILLISECONDS.toNanos(TTL_MS);
+  }
+
+  /** Takes note that the store came back from an older copy; leases of the former era still run. */
+  void noteEra(long endNanos) {
+    formerLeasesEndNanos = endNanos;
+  }
+
   /** Leaves the group, so that another process can claim the domain without waiting. */
   void leave() {
     isLeft = true;
@@ -108,7 +130,7 @@
 
   /** Returns true if this process may give orders for the domain now. */
   boolean isHeld() {
-    return isGranted() && clockNanos.getAsLong() - grantedNanos >= SETTLE_NANOS;
+    return isGranted() && clockNanos.getAsLong() - heldFromNanos >= 0;
   }
 
   /** Returns true if the store assigned the domain to this process earlier and no longer does. */
@@ -123,13 +145,13 @@
 
   /** Returns the fencing number of orders given now. */
   long fence() {
-    return grant.generation();
+    return grant.fencingNumber();
   }
 
   /** Returns a number higher than that of any earlier formation in the domain. */
   long nextEpoch() {
     sequence++;
-    return (grant.generation() << SEQUENCE_BITS) + sequence;
+    return (grant.fencingNumber() << SEQUENCE_BITS) + sequence;
   }
 
   private static boolean ownsDomain(PartitionGrant grant) {
@@ -140,8 +162,10 @@
     if (isLeft) {
       return;
     }
-    if (ownsDomain(next) && !ownsDomain(grant)) {
-      grantedNanos = clockNanos.getAsLong();
+    boolean isNewEra = next.era() != grant.era();
+    if (ownsDomain(next) && (!ownsDomain(grant) || (isNewEra && !isGranted()))) {
+      long settledNanos = clockNanos.getAsLong() + SETTLE_NANOS;
+      heldFromNanos = Math.max(settledNanos, formerLeasesEndNanos);
       wasGranted = true;
     }
     if (ownsDomain(next) != ownsDomain(grant)) {
@@ -151,10 +175,12 @@
           domain,
           "isGranted",
           ownsDomain(next),
+          "era",
+          next.era(),
           "generation",
           next.generation());
     }
-    sequence = next.generation() == grant.generation() ? sequence : 0;
+    sequence = next.fencingNumber() == grant.fencingNumber() ? sequence : 0;
     grant = next;
     validUntilNanos = sentNanos + TimeUnit.MILLISECONDS.toNanos(TTL_MS - MARGIN_MS);
   }
--- a/edge/src/main/java/org/shoreroad/edge/sync/DomainLeases.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/DomainLeases.java
@@ -61,6 +61,7 @@
   private Runnable onChange = () -> {};
   private long startedNanos;
   private long toldNanos;
+  private long formerLeasesEndNanos = Long.MIN_VALUE / 2;
   private boolean isTold;
   private boolean isLeaving;
 
@@ -113,6 +114,12 @@
     new RepeatingTimer(loop, log).every(TICK_MS, "domain leases", this::tick);
   }
 
+  /** Takes note that the store came back from an older copy. */
+  public void noteEra() {
+    formerLeasesEndNanos = DomainLease.endOfLeases(clockNanos.getAsLong());
+    leases.values().forEach(lease -> lease.noteEra(formerLeasesEndNanos));
+  }
+
   /** Gives up all domains for other processes to claim, and stops claiming. */
   public void leave() {
     isLeaving = true;
@@ -238,7 +245,8 @@
     if (isLeaving || leases.containsKey(domain)) {
       return;
     }
-    DomainLease lease = new DomainLease(store, loop, clockNanos, log, member, domain);
+    DomainLease lease =
+        new DomainLease(store, loop, clockNanos, log, member, domain, formerLeasesEndNanos);
     leases.put(domain, lease);
     lease.claim();
     tellChanges();
--- a/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
@@ -27,6 +27,7 @@
 import org.shoreroad.edge.sync.LeaseStore;
 import org.shoreroad.edge.sync.PartitionGrant;
 import org.shoreroad.edge.sync.StoreCallback;
+import org.shoreroad.edge.sync.StoreEra;
 import org.shoreroad.edge.sync.StorePosition;
 import org.shoreroad.edge.sync.StoreRecord;
 import org.shoreroad.fleet.BoxOrder;
@@ -94,7 +95,7 @@
     @Override
     public void join(
         String group, String member, int ttlMs, long gen, StoreCallback<PartitionGrant> callback) {
-      callback.onValue(new PartitionGrant(1, FENCE, Set.of(0)));
+      callback.onValue(new PartitionGrant(StoreEra.NONE, FENCE, Set.of(0)));
     }
 
     @Override
--- a/edge/src/test/java/org/shoreroad/edge/sync/DomainLeaseTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/DomainLeaseTest.java
@@ -18,7 +18,8 @@
   private final EventLog log = new EventLog("t", () -> nowNanos, OutputStream.nullOutputStream());
   private final FakeStore store = new FakeStore();
   private final DomainLease lease =
-      new DomainLease(store, channel.eventLoop(), () -> nowNanos, log, "me", "s/d");
+      new DomainLease(
+          store, channel.eventLoop(), () -> nowNanos, log, "me", "s/d", Long.MIN_VALUE / 2);
 
   private void pass(long nanos) {
     nowNanos += nanos;
@@ -28,7 +29,7 @@
 
   @Test
   void holdsAfterItSettledAndUntilItsOwnEnd() {
-    store.grant(new PartitionGrant(1, 7, Set.of(0)));
+    store.grant(new PartitionGrant(StoreEra.NONE, 7, Set.of(0)));
     lease.claim();
     assertThat(lease.isHeld(), is(false));
     pass(700_000_000L);
@@ -50,8 +51,9 @@
         new ElapsedClock(
             () -> nowNanos, () -> TimeUnit.NANOSECONDS.toMillis(nowNanos + suspendedNanos[0]));
     DomainLease held =
-        new DomainLease(store, channel.eventLoop(), elapsed::nowNanos, log, "me", "s/d");
-    store.grant(new PartitionGrant(1, 7, Set.of(0)));
+        new DomainLease(
+            store, channel.eventLoop(), elapsed::nowNanos, log, "me", "s/d", Long.MIN_VALUE / 2);
+    store.grant(new PartitionGrant(StoreEra.NONE, 7, Set.of(0)));
     held.claim();
     pass(700_000_000L);
     assertThat(held.isHeld(), is(true));
@@ -62,11 +64,11 @@
 
   @Test
   void aDomainThatPassedToAnotherMemberIsLost() {
-    store.grant(new PartitionGrant(1, 7, Set.of(0)));
+    store.grant(new PartitionGrant(StoreEra.NONE, 7, Set.of(0)));
     lease.claim();
     pass(700_000_000L);
     assertThat(lease.isLost(), is(false));
-    store.grant(new PartitionGrant(1, 8, Set.of(1)));
+    store.grant(new PartitionGrant(StoreEra.NONE, 8, Set.of(1)));
     pass(500_000_000L);
     assertThat(lease.isHeld(), is(false));
     assertThat(lease.isLost(), is(true));
@@ -74,7 +76,7 @@
 
   @Test
   void aClaimThatAnotherMemberIsBeforeIsNotLostButNotHeld() {
-    store.grant(new PartitionGrant(1, 7, Set.of(2, 3)));
+    store.grant(new PartitionGrant(StoreEra.NONE, 7, Set.of(2, 3)));
     lease.claim();
     pass(1_000_000_000L);
     assertThat(lease.isGranted(), is(false));
@@ -83,11 +85,11 @@
 
   @Test
   void numbersOfFormationsRiseOverGenerations() {
-    store.grant(new PartitionGrant(1, 7, Set.of(0)));
+    store.grant(new PartitionGrant(StoreEra.NONE, 7, Set.of(0)));
     lease.claim();
     long first = lease.nextEpoch();
     long second = lease.nextEpoch();
-    store.grant(new PartitionGrant(1, 8, Set.of(0)));
+    store.grant(new PartitionGrant(StoreEra.NONE, 8, Set.of(0)));
     pass(900_000_000L);
     assertThat(lease.fence(), is(8L));
     long third = lease.nextEpoch();
@@ -96,7 +98,7 @@
 
   @Test
   void staysHeldWhileTheStoreRejectsThreeRenewals() {
-    store.grant(new PartitionGrant(1, 7, Set.of(0)));
+    store.grant(new PartitionGrant(StoreEra.NONE, 7, Set.of(0)));
     lease.claim();
     store.failWith(StoreFault.REFUSED);
     pass(800_000_000L);
@@ -112,7 +114,7 @@
 
   @Test
   void holdsNothingMoreAfterLeaving() {
-    store.grant(new PartitionGrant(1, 7, Set.of(0)));
+    store.grant(new PartitionGrant(StoreEra.NONE, 7, Set.of(0)));
     lease.claim();
     pass(700_000_000L);
     lease.leave();
--- a/edge/src/test/java/org/shoreroad/edge/sync/FakeGroups.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FakeGroups.java
@@ -1,5 +1,7 @@
 package org.shoreroad.edge.sync;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -19,6 +21,9 @@
 
   private final LongSupplier clockNanos;
   private final Map<String, Group> groups = new HashMap<>();
+  private final Deque<Copy> copies = new ArrayDeque<>();
+  private long era = 1;
+  private boolean isAway;
   private final Set<String> cutMembers = new HashSet<>();
   private int joinCount;
   private int ownerCount;
@@ -28,12 +33,23 @@
     private final Map<Integer, String> holders = new HashMap<>();
     private long generation;
 
+    private Group copy(long laterNanos) {
+      Group copy = new Group();
+      untilNanos.forEach((name, until) -> copy.untilNanos.put(name, until + laterNanos));
+      copy.holders.putAll(holders);
+      copy.generation = generation;
+      return copy;
+    }
+
     private String dealtTo(int part) {
       List<String> names = List.copyOf(untilNanos.keySet());
       return names.get((part + (int) generation) % names.size());
     }
   }
 
+  /** All groups at one time. */
+  private record Copy(long takenNanos, Map<String, Group> groups) {}
+
   FakeGroups(LongSupplier clockNanos) {
     this.clockNanos = clockNanos;
   }
@@ -43,6 +59,56 @@
     cutMembers.add(member);
   }
 
+  /** Takes calls of a member again. */
+  void heal(String member) {
+    cutMembers.remove(member);
+  }
+
+  /** Keeps a copy, from which the store may come back. */
+  void keepCopy() {
+    copies.addLast(new Copy(clockNanos.getAsLong(), copyOf(groups, 0)));
+  }
+
+  /** Answers nobody, or answers again. */
+  void setAway(boolean away) {
+    isAway = away;
+  }
+
+  /**
+   * Comes back from the newest copy of at least this age, in a new era.
+   *
+   * @param doTimesWait true if members have as much time left as they had in the copy
+   */
+  void goBack(long ageNanos, boolean doTimesWait) {
+    long nowNanos = clockNanos.getAsLong();
+    while (copies.size() > 1 && copies.getLast().takenNanos() > nowNanos - ageNanos) {
+      copies.removeLast();
+    }
+    Copy copy = copies.getLast();
+    groups.clear();
+    groups.putAll(copyOf(copy.groups(), doTimesWait ? nowNanos - copy.takenNanos() : 0));
+    era++;
+  }
+
+  private static Map<String, Group> copyOf(Map<String, Group> groups, long laterNanos) {
+    Map<String, Group> copies = new HashMap<>();
+    groups.forEach((name, group) -> copies.put(name, group.copy(laterNanos)));
+    return copies;
+  }
+
+  long era() {
+    return era;
+  }
+
+  /** Returns true if all calls of a member are lost. */
+  boolean isCut(String member) {
+    return cutMembers.contains(member);
+  }
+
+  private boolean isLost(String member) {
+    return isAway || cutMembers.contains(member);
+  }
+
   /** Returns how many calls joined a group or stayed in it. */
   int joinCount() {
     return joinCount;
@@ -61,7 +127,7 @@
       long generation,
       StoreCallback<PartitionGrant> callback) {
     joinCount++;
-    if (cutMembers.contains(member)) {
+    if (isLost(member)) {
       callback.onFault(StoreFault.NO_ANSWER);
       return;
     }
@@ -81,13 +147,13 @@
         held.add(part);
       }
     }
-    callback.onValue(new PartitionGrant(1, group.generation, held));
+    callback.onValue(new PartitionGrant(era, group.generation, held));
   }
 
   @Override
   public void leave(String name, String member, long generation) {
     Group group = group(name);
-    if (!cutMembers.contains(member) && group.untilNanos.remove(member) != null) {
+    if (!isLost(member) && group.untilNanos.remove(member) != null) {
       group.holders.values().removeIf(member::equals);
       group.generation++;
     }
@@ -96,6 +162,10 @@
   @Override
   public void owner(String name, StoreCallback<String> callback) {
     ownerCount++;
+    if (isAway) {
+      callback.onFault(StoreFault.NO_ANSWER);
+      return;
+    }
     callback.onValue(group(name).holders.getOrDefault(0, ""));
   }
 
