Announcements and quarantine records: write again what the store has lost

Cause: both were written once, and a store that comes back from an older copy lacks them: a process that started in the lost seconds stayed unknown to all that start later, and a quarantined request was sent again after an end of all processes. An announcement of an earlier era could also take the place of a running process. Change: each process lists the announcements anew in a new era, spread over 3 s, and writes its own again if the copy lacks it; the process that quarantined a request writes it again, with its first time, up to ten minutes long. The peers and their incarnations are a class of their own, PeerTable.

--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -87,6 +87,9 @@
    */
   private static final int LISTING_SPREAD_MS = 600;
 
+  /** The same for the announcements of processes, which nobody waits for. */
+  private static final int PROCESS_LISTING_SPREAD_MS = 3_000;
+
   private static final int UPKEEP_MS = 100;
   private static final int SUMMARY_MS = 2_000;
 
@@ -104,6 +107,8 @@
   private final Fleet fleet;
   private final TopicFollower configFollower;
   private final TopicFollower listFollower;
+  private final ProcessRegistry processes;
+  private final TopicFollower processFollower;
   private final DomainLeases leases;
   private final UpstreamTable upstreams;
   private final UpstreamSelector selector;
@@ -175,14 +180,8 @@
     this.relay = makeRelay(loop, calls);
     this.lag = new LoopLag(log, UPKEEP_MS);
     this.failureDetector = new FailureDetector(clockNanos);
-    this.mesh =
-        new PeerMesh(
-            loop,
-            clockNanos,
-            log,
-            new HubPlan.Place(life, settings.zone()),
-            new Teller(),
-            this::learn);
+    HubPlan.Place place = new HubPlan.Place(life, settings.zone());
+    this.mesh = new PeerMesh(loop, clockNanos, log, place, new Teller(), this::learn);
     this.leases = new DomainLeases(store, loop, elapsed::nowNanos, log, life, mesh, fleet::domains);
     this.replicas = makeReplicas(loop);
     this.callers =
@@ -192,6 +191,9 @@
             this::limits,
             relay,
             reason -> metrics.count("shoreroad.bad_input", reason));
+    this.processes = new ProcessRegistry(store, loop, log, mesh, place);
+    this.processFollower =
+        follower(Topic.PROCESSES, PROCESS_WAIT_MS, this::processIntervalMs, processes);
     this.upkeep = makeUpkeep();
     this.plannedStop =
         new PlannedStop(loop, clockNanos, log, settings.graceMs(), leases, callers, relay);
@@ -254,6 +256,7 @@
     configFollower.spareWhile(mesh::isMember, TOLD_CONFIG_PROOF_MS);
     configFollower.spreadListings(() -> random.nextInt(LISTING_SPREAD_MS));
     listFollower.spreadListings(() -> random.nextInt(LISTING_SPREAD_MS));
+    processFollower.spreadListings(() -> random.nextInt(PROCESS_LISTING_SPREAD_MS));
     ports.storeEra().addListener(this::noteEra);
     listFollower.spareWhile(() -> !mesh.isReader(), TOLD_LIST_PROOF_MS);
     leases.setChangeListener(mesh::hurry);
@@ -309,10 +312,6 @@
     String host = settings.peerListen().getAddress().getHostAddress();
     Announcement announcement =
         new Announcement(host + ":" + settings.peerListen().getPort(), settings.zone());
-    ProcessRegistry processes =
-        new ProcessRegistry(store, loop, log, mesh, new HubPlan.Place(life, settings.zone()));
-    TopicFollower processFollower =
-        follower(Topic.PROCESSES, PROCESS_WAIT_MS, this::processIntervalMs, processes);
     // Members need the list to find a hub. Reading it on, 89 processes make about 800 of 3,100
     // calls to the store on a calm day of 72 s (by the intervals), and read each restart of
     // another.
@@ -398,6 +397,8 @@
     configFollower.noteEra(ports.storeEra().current());
     listFollower.noteEra(ports.storeEra().current());
     leases.noteEra();
+    quarantineRegistry.writeAgain(ports.storeEra().current());
+    processFollower.noteEra(ports.storeEra().current());
   }
 
   private void learn(Heartbeat heartbeat) {
--- a/edge/src/main/java/org/shoreroad/edge/peer/Peer.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Peer.java
@@ -18,7 +18,7 @@
   private static final long OUT_NANOS = TimeUnit.SECONDS.toNanos(10);
 
   private final Place place;
-  private final StorePosition position;
+  private StorePosition position;
   private final PeerLink link;
   private final EventLog log;
   private final ListProgress listProgress = new ListProgress();
@@ -48,6 +48,11 @@
     return place;
   }
 
+  /** Takes note that the process announced itself again. */
+  void noteAnnounced(StorePosition newPosition) {
+    position = newPosition;
+  }
+
   StorePosition position() {
     return position;
   }
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -9,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
@@ -72,9 +71,6 @@
 
   private static final String READER_KEY = "reader";
 
-  /** Stands between the name of a node and the number of its life. */
-  private static final char LIFE_MARK = '~';
-
   private final EventLoop loop;
   private final LongSupplier clockNanos;
   private final EventLog log;
@@ -83,7 +79,7 @@
   private final HeartbeatSource source;
   private final Consumer<Heartbeat> listener;
   private final PeerChannels channels;
-  private final Map<String, Peer> peers = new HashMap<>();
+  private final PeerTable peers;
   private final List<FleetBox> reportsOfMembers = new ArrayList<>();
   private final List<FleetBox> reportsOfHubs = new ArrayList<>();
   private HubPlan plan;
@@ -110,7 +106,9 @@
     this.self = self;
     this.source = source;
     this.listener = listener;
-    this.channels = new PeerChannels(log, this::receive, this::receiveNotice);
+    PeerChannels opened = new PeerChannels(log, this::receive, this::receiveNotice);
+    this.channels = opened;
+    this.peers = new PeerTable(loop, clockNanos, log, self, opened);
     this.plan = HubPlan.of(self, List.of());
   }
 
@@ -152,37 +150,17 @@
    * @param position the place of its announcement among all: a later one counts, not null
    */
   public void add(Place place, String address, StorePosition position) {
-    if (place.name().equals(self.name()) || peers.containsKey(place.name())) {
-      return;
-    }
-    String node = nodeOf(place.name());
-    if (node.equals(nodeOf(self.name()))) {
-      return;
-    }
-    for (Peer other : List.copyOf(peers.values())) {
-      if (nodeOf(other.name()).equals(node)) {
-        if (!position.isCertainlyAfter(other.position())) {
-          return;
-        }
-        remove(other.name());
-      }
-    }
-    PeerLink link = new PeerLink(loop, clockNanos, log, place.name(), address, channels);
-    peers.put(place.name(), new Peer(place, position, link, log));
-    log.write("peer_known", "peer", place.name(), "address", address);
+    peers.add(place, address, position);
   }
 
-  private static String nodeOf(String life) {
-    int mark = life.lastIndexOf(LIFE_MARK);
-    return mark < 0 ? life : life.substring(0, mark);
+  /** Takes note that the announcements of all processes were read anew. */
+  public void noteListed() {
+    peers.noteListed();
   }
 
   /** Forgets a process. */
   public void remove(String name) {
-    Peer peer = peers.remove(name);
-    if (peer != null) {
-      peer.close();
-    }
+    peers.remove(name);
   }
 
   @Override
@@ -215,7 +193,7 @@
   @Override
   public @Nullable Set<String> keptDomains() {
     List<Heard> speakers = speakers(Peer.ALIVE_NANOS);
-    if (speakers.isEmpty() && !peers.isEmpty()) {
+    if (speakers.isEmpty() && !peers.all().isEmpty()) {
       return null;
     }
     Set<String> kept = new HashSet<>();
@@ -225,7 +203,7 @@
 
   @Override
   public Set<String> names() {
-    return Set.copyOf(peers.keySet());
+    return peers.names();
   }
 
   /**
@@ -264,12 +242,12 @@
   /** Sends a notice of silent heads at once, to all processes or to the hub, which passes it on. */
   public void suspect(Set<String> heads) {
     if (plan.isFullMesh()) {
-      sendNotice(Scope.SELF, heads, peers.values());
+      sendNotice(Scope.SELF, heads, peers.all());
     } else if (isHub()) {
       sendNoticeToHubs(heads);
       sendNoticeToMembers(heads, self.name());
-    } else if (plan.ownHub() != null && peers.containsKey(plan.ownHub())) {
-      sendNotice(Scope.MEMBER, heads, List.of(peers.get(plan.ownHub())));
+    } else if (ownHub() != null) {
+      sendNotice(Scope.MEMBER, heads, List.of(ownHub()));
     }
   }
 
@@ -339,7 +317,7 @@
   /** Returns the peers whose newest heartbeat came within the time and has the scope. */
   private List<Peer> heard(Scope scope, long windowNanos) {
     long nowNanos = clockNanos.getAsLong();
-    return peers.values().stream()
+    return peers.all().stream()
         .filter(peer -> peer.isHeard(windowNanos, nowNanos) && peer.lastHeard().scope() == scope)
         .toList();
   }
@@ -356,7 +334,7 @@
     makePlan(nowNanos);
     Heartbeat own = source.make(self.name(), nowNanos);
     if (plan.isFullMesh()) {
-      peers.values().forEach(peer -> peer.send(own.withListUpdate(updateFor(peer, own)), nowNanos));
+      peers.all().forEach(peer -> peer.send(own.withListUpdate(updateFor(peer, own)), nowNanos));
     } else if (isHub()) {
       sendAsHub(own, nowNanos);
     } else {
@@ -364,7 +342,7 @@
     }
     reportsOfMembers.clear();
     reportsOfHubs.clear();
-    peers.values().forEach(peer -> peer.closeIfUnused(nowNanos));
+    peers.all().forEach(peer -> peer.closeIfUnused(nowNanos));
     source.onSent();
   }
 
@@ -374,7 +352,7 @@
     }
     plannedNanos = nowNanos;
     Set<Place> usable = new HashSet<>();
-    for (Peer peer : peers.values()) {
+    for (Peer peer : peers.all()) {
       if (!peer.isOut(nowNanos)) {
         usable.add(peer.place());
       }
@@ -402,8 +380,12 @@
     isReader = !isMember() && Rendezvous.placeOf(self.name(), READER_KEY, names) < READERS;
   }
 
+  private @Nullable Peer ownHub() {
+    return plan.ownHub() == null ? null : peers.find(plan.ownHub());
+  }
+
   private void sendToHub(Heartbeat own, long nowNanos) {
-    Peer hub = plan.ownHub() == null ? null : peers.get(plan.ownHub());
+    Peer hub = ownHub();
     if (hub != null) {
       hub.sendExpectingAnswer(own, nowNanos);
     }
@@ -436,7 +418,7 @@
   private Set<Peer> reachableHubs(Collection<Peer> aliveHubs) {
     Set<Peer> hubs = new HashSet<>(aliveHubs);
     for (String name : plan.hubs()) {
-      Peer hub = peers.get(name);
+      Peer hub = peers.find(name);
       if (hub != null) {
         hubs.add(hub);
       }
@@ -454,7 +436,7 @@
   }
 
   private void receive(Heartbeat heartbeat) {
-    Peer peer = peers.get(heartbeat.sender());
+    Peer peer = peers.findSender(heartbeat.sender());
     if (peer == null) {
       strangerNanos = clockNanos.getAsLong();
       return;
--- a/edge/src/main/java/org/shoreroad/edge/peer/ProcessRegistry.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/ProcessRegistry.java
@@ -1,7 +1,9 @@
 package org.shoreroad.edge.peer;
 
 import io.netty.channel.EventLoop;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.sync.Store;
 import org.shoreroad.edge.sync.StoreCallback;
@@ -28,6 +30,8 @@
   private final EventLog log;
   private final PeerMesh mesh;
   private final Place self;
+  private @Nullable Announcement announcement;
+  private StorePosition announced = StorePosition.NOWHERE;
 
   /** Creates a registry; {@link #announce} adds this process. */
   public ProcessRegistry(Store store, EventLoop loop, EventLog log, PeerMesh mesh, Place self) {
@@ -39,21 +43,27 @@
   }
 
   /** Announces this process, again and again until the store has taken it. */
-  public void announce(Announcement announcement) {
+  public void announce(Announcement newAnnouncement) {
+    announcement = newAnnouncement;
+    write(newAnnouncement);
+  }
+
+  private void write(Announcement written) {
     store.write(
         Topic.PROCESSES,
         self.name(),
-        announcement.toBytes(),
+        written.toBytes(),
         new StoreCallback<>() {
           @Override
           public void onValue(StorePosition position) {
+            announced = position;
             log.write("announced", "era", position.era(), "offset", position.offset());
           }
 
           @Override
           public void onFault(StoreFault fault) {
             log.write("not_announced", "fault", fault);
-            loop.schedule(() -> announce(announcement), WRITE_AGAIN_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> write(written), WRITE_AGAIN_MS, TimeUnit.MILLISECONDS);
           }
         });
   }
@@ -68,6 +78,26 @@
     }
   }
 
+  /**
+   * Announces this process again if the store took that and came back from a copy without it.
+   * Others keep on with the known processes meanwhile, also with those that the copy lacks: a
+   * process is found silent by its heartbeats.
+   */
+  @Override
+  public void onListed(Set<String> keys, StorePosition end) {
+    mesh.noteListed();
+    Announcement lost = announcement;
+    if (lost != null && announced.offset() >= 0 && announced.era() < end.era()) {
+      if (keys.contains(self.name())) {
+        announced = end;
+      } else {
+        log.write("announcement_lost", "era", announced.era(), "offset", announced.offset());
+        announced = StorePosition.NOWHERE;
+        write(lost);
+      }
+    }
+  }
+
   private void add(StoreRecord record, byte[] value) {
     try {
       Announcement announcement = Announcement.parse(value);
--- a/edge/src/main/java/org/shoreroad/edge/peer/QuarantineRegistry.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/QuarantineRegistry.java
@@ -3,7 +3,9 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -33,11 +35,18 @@
 
   private static final int LONGEST_PAUSE_MS = 8_000;
 
+  /** A quarantine ends after ten minutes without the request. */
+  private static final long LASTING_MS = TimeUnit.MINUTES.toMillis(10);
+
   private final Store store;
   private final EventLoop loop;
   private final LongSupplier timeOfDayMs;
   private final EventLog log;
   private final Consumer<Collection<CrashReport>> listener;
+  private final Map<String, Written> written = new LinkedHashMap<>();
+
+  /** A record that the store has taken. */
+  private record Written(QuarantineRecord record, StorePosition position) {}
 
   /**
    * Creates a registry; {@link #load} reads what the store holds.
@@ -107,28 +116,47 @@
   /** Writes a quarantined request, again and again until the store has taken it. */
   public void write(CrashReport report) {
     QuarantineRecord record = new QuarantineRecord(timeOfDayMs.getAsLong(), report);
-    write(report.fingerprint().toString(), record.toBytes(), SHORTEST_PAUSE_MS);
+    write(report.fingerprint().toString(), record, SHORTEST_PAUSE_MS);
   }
 
-  private void write(String key, byte[] value, int pauseMs) {
+  private void write(String key, QuarantineRecord record, int pauseMs) {
     store.write(
         Topic.QUARANTINE,
         key,
-        value,
+        record.toBytes(),
         new StoreCallback<>() {
           @Override
           public void onValue(StorePosition position) {
+            written.put(key, new Written(record, position));
             log.write("quarantine_written", "fingerprint", key);
           }
 
           @Override
           public void onFault(StoreFault fault) {
             log.write("quarantine_not_written", "fingerprint", key, "fault", fault);
-            again(() -> write(key, value, longer(pauseMs)), pauseMs);
+            again(() -> write(key, record, longer(pauseMs)), pauseMs);
           }
         });
   }
 
+  /**
+   * Writes the records again that this process wrote in an earlier era: the store came back from an
+   * older copy, which may lack them. Quarantines are few, so they are not looked for in the copy.
+   *
+   * @param era the new era of the store
+   */
+  public void writeAgain(long era) {
+    long oldestMs = timeOfDayMs.getAsLong() - LASTING_MS;
+    written.values().removeIf(taken -> taken.record().writtenMs() < oldestMs);
+    Map.copyOf(written)
+        .forEach(
+            (key, taken) -> {
+              if (taken.position().era() < era) {
+                write(key, taken.record(), SHORTEST_PAUSE_MS);
+              }
+            });
+  }
+
   private void again(Runnable task, int pauseMs) {
     loop.schedule(task, pauseMs, TimeUnit.MILLISECONDS);
   }
--- a/edge/src/test/java/org/shoreroad/edge/peer/QuarantineRegistryTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/QuarantineRegistryTest.java
@@ -43,6 +43,7 @@
 
   /** One keyed topic in memory that fails as often as it is told. */
   private static final class FakeTopic implements Store {
+    private long era = 1;
     private final Map<String, byte[]> values = new TreeMap<>();
     private int faults;
     private int calls;
@@ -84,7 +85,7 @@
         Topic topic, String key, byte[] value, StoreCallback<StorePosition> callback) {
       if (!fails(callback)) {
         values.put(key, value);
-        callback.onValue(StorePosition.of(1, 0));
+        callback.onValue(StorePosition.of(era, 0));
       }
     }
   }
@@ -137,6 +138,25 @@
     assertThat(learned.size(), is(1));
   }
 
+  /** The store took the records and came back from a copy without them. */
+  @Test
+  void whatThisProcessWroteIsWrittenAgainOnceInANewEra() {
+    registry.write(report(1));
+    nowMs += 5 * 60_000;
+    registry.write(report(2));
+    store.values.clear();
+    store.era = 2;
+    int calls = store.calls;
+    registry.writeAgain(2);
+    registry.writeAgain(2);
+    assertThat(store.values.size(), is(2));
+    assertThat(store.calls, is(calls + 2));
+    nowMs += 6 * 60_000;
+    store.values.clear();
+    registry.writeAgain(3);
+    assertThat(store.values.size(), is(1));
+  }
+
   @Test
   void aRecordOfAnotherWriterCostsOnlyItself() {
     registry.write(report(1));
