--- a/cli/src/main/java/org/shoreroad/cli/LogCommands.java
+++ b/cli/src/main/java/org/shoreroad/cli/LogCommands.java
@@ -52,6 +52,9 @@
     private static final List<String> UPSTREAM_EVENTS =
         List.of("replica_suspected", "box_silent", "box_order", "replica_open");
 
+    private static final List<String> STORE_EVENTS =
+        List.of("store_era", "topic_listed_in_new_era", "store_lost", "store_reached");
+
     @Required
     @Arguments(
         title = {"request-id", "log"},
@@ -87,7 +90,8 @@
       }
       ArrayNode rows = JsonNodeFactory.instance.arrayNode();
       for (JsonNode line : log.all()) {
-        if (own.contains(line) || (isOnAny(line, upstreams) && isNearAny(line, own))) {
+        boolean isRelated = isOnAny(line, upstreams) || isOnStore(line, own);
+        if (own.contains(line) || (isRelated && isNearAny(line, own))) {
           rows.add(toRow(line, log));
         }
       }
@@ -101,6 +105,12 @@
           && upstreams.contains(box);
     }
 
+    /** Returns true if a process that had the request noticed that the store went back. */
+    private static boolean isOnStore(JsonNode line, Set<JsonNode> own) {
+      return STORE_EVENTS.contains(line.path("event").asText())
+          && own.stream().anyMatch(other -> other.path("node").equals(line.path("node")));
+    }
+
     private static boolean isNearAny(JsonNode line, Set<JsonNode> others) {
       return others.stream()
           .anyMatch(other -> Math.abs(LogLines.timeMs(other) - LogLines.timeMs(line)) <= NEAR_MS);
--- a/cli/src/main/java/org/shoreroad/cli/LogReport.java
+++ b/cli/src/main/java/org/shoreroad/cli/LogReport.java
@@ -12,7 +12,8 @@
 
 /**
  * What the logs of all processes say of a stretch of time: what was refused, repeated and late, how
- * long each replica was away after a loss, and what the models and boxes did.
+ * long each replica was away after a loss, what the models and boxes did, and when the store came
+ * back from an older copy.
  */
 final class LogReport {
   /** The processes tell the state of models and boxes this often, in seconds. */
@@ -43,6 +44,7 @@
     tables.set("losses", report.losses());
     tables.set("models", report.models());
     tables.set("boxes", report.boxes());
+    tables.set("storeEras", report.storeEras());
     return tables;
   }
 
@@ -138,6 +140,35 @@
     return NODES.arrayNode().addAll(rows.values());
   }
 
+  /**
+   * Returns a row for each time that the store came back from an older copy: when the processes
+   * noticed it, and when the last one had listed each topic anew.
+   */
+  private ArrayNode storeEras() {
+    Map<Long, ObjectNode> rows = new TreeMap<>();
+    for (JsonNode line : log.of("store_era")) {
+      long era = line.path("new").asLong();
+      ObjectNode row =
+          rows.computeIfAbsent(
+              era,
+              key ->
+                  NODES
+                      .objectNode()
+                      .put("era", era)
+                      .put("fromSecond", round(log.secondsOf(line)))
+                      .put("processes", 0));
+      row.put("toSecond", round(log.secondsOf(line)));
+      row.put("processes", row.path("processes").asInt() + 1);
+    }
+    for (JsonNode line : log.of("topic_listed_in_new_era")) {
+      ObjectNode row = rows.get(line.path("era").asLong());
+      if (row != null) {
+        row.put(line.path("topic").asText() + "ListedBySecond", round(log.secondsOf(line)));
+      }
+    }
+    return NODES.arrayNode().addAll(rows.values());
+  }
+
   private int secondOfState(JsonNode line) {
     return (int) (log.secondsOf(line) / STATE_SECONDS) * STATE_SECONDS;
   }
--- a/cli/src/test/java/org/shoreroad/cli/LogCommandsTest.java
+++ b/cli/src/test/java/org/shoreroad/cli/LogCommandsTest.java
@@ -25,6 +25,7 @@
   private final ByteArrayOutputStream err = new ByteArrayOutputStream();
   private String first = "";
   private String second = "";
+  private String drill = "";
 
   @BeforeEach
   void writeLogs() throws IOException {
@@ -52,6 +53,14 @@
                 + "\"open\":9,\"places\":54}",
             "{\"timeMs\":3100,\"node\":\"b\",\"event\":\"box_order\",\"box\":\"h2\","
                 + "\"verb\":\"LEAVE\",\"outcome\":\"TAKEN\"}");
+    drill =
+        write(
+            "c.log",
+            "{\"timeMs\":3000,\"node\":\"c\",\"event\":\"start\"}",
+            "{\"timeMs\":3100,\"node\":\"c\",\"event\":\"store_era\",\"old\":1,\"new\":2}",
+            "{\"timeMs\":3300,\"node\":\"a\",\"event\":\"store_era\",\"old\":1,\"new\":2}",
+            "{\"timeMs\":3600,\"node\":\"c\",\"event\":\"topic_listed_in_new_era\","
+                + "\"topic\":\"UPSTREAMS\",\"era\":2,\"keys\":7}");
   }
 
   private String write(String name, String... lines) throws IOException {
@@ -109,6 +118,25 @@
     assertThat(text, not(containsString("LEAVE")));
   }
 
+  @Test
+  void aStoreThatCameBackOlderIsReported() throws IOException {
+    assertThat(run("report", "--output", "json", drill), is(ExitCode.OK));
+    JsonNode era = new ObjectMapper().readTree(out.toByteArray()).path("storeEras").path(0);
+    assertThat(era.path("era").asLong(), is(2L));
+    assertThat(era.path("processes").asInt(), is(2));
+    assertThat(era.path("fromSecond").asDouble(), is(0.1));
+    assertThat(era.path("toSecond").asDouble(), is(0.3));
+    assertThat(era.path("UPSTREAMSListedBySecond").asDouble(), is(0.6));
+  }
+
+  @Test
+  void aRequestIsExplainedWithTheStoreAsItsProcessSawIt() {
+    assertThat(run("explain", "r1", first, second, drill), is(ExitCode.OK));
+    String text = out.toString(StandardCharsets.UTF_8);
+    assertThat(text, containsString("store_era"));
+    assertThat(text, not(containsString("topic_listed_in_new_era")));
+  }
+
   @Test
   void anUnknownRequestAndAMissingFileAreErrors() {
     assertThat(run("explain", "r9", first), is(ExitCode.REFUSED));
--- a/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
@@ -283,6 +283,10 @@
   }
 
   private void finishListing(StorePosition end, long startedNanos) {
+    if (isCurrent && !end.isSameEra(next)) {
+      log.write(
+          "topic_listed_in_new_era", "topic", topic, "era", end.era(), "keys", listedKeys.size());
+    }
     listener.onListed(Set.copyOf(listedKeys), end);
     listedKeys.clear();
     next = end;
