End what is known of an upstream at once when it starts again under its id

Cause: all state hung on the id. After a restart a report on the former run stood against the new entry for up to 1.5 s, so that the box counted as a member of its former replica; the weights it had held, its suspicions, failures and the orders given to it stood on too. Change: an entry, or its own report, with another start time ends the former incarnation in one place (Fleet.endFormerOf, one line upstream_restarted); the removal listeners forget loads, suspicions, orders, prefetches and questions. What comes later of the former one is dropped: entries and reports are counted, order answers logged. Start times tell incarnations apart, not which is later, since clocks may be set back: the later one is that of the later entry, or the one that answered for itself. Left: suspicions, loads and silences in heartbeats still go by id; a peer's suspicion of the former run is passed over for 1 s after the restart.

--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -148,6 +148,12 @@
     }
   }
 
+  /** Forgets what was ordered of a box that is gone or has started again. */
+  public void forget(String boxId) {
+    orderBook.forget(boxId);
+    hosts.forget(boxId);
+  }
+
   /** Notes that an engine said that it carries an order out. */
   public void noteTaken(BoxOrder order, long nowNanos) {
     orderBook.noteTaken(order, nowNanos);
--- a/core/src/main/java/org/shoreroad/fleet/FleetBox.java
+++ b/core/src/main/java/org/shoreroad/fleet/FleetBox.java
@@ -75,6 +75,17 @@
     return new Incarnation(id, bornMs);
   }
 
+  /**
+   * Returns true if both tell their start, and are different incarnations under one id. Which of
+   * them is later their start times do not tell: they come from clocks that may be set back.
+   */
+  public boolean isOtherIncarnationOf(FleetBox other) {
+    return id.equals(other.id)
+        && bornMs != Incarnation.UNKNOWN_START
+        && other.bornMs != Incarnation.UNKNOWN_START
+        && bornMs != other.bornMs;
+  }
+
   /** Returns true if this box is the head of a replica, in whatever state. */
   public boolean isHead() {
     return membership != null && membership.isHead();
--- a/core/src/main/java/org/shoreroad/fleet/HostPreparation.java
+++ b/core/src/main/java/org/shoreroad/fleet/HostPreparation.java
@@ -121,4 +121,9 @@
       orders.add(BoxOrder.stage(observed.box().id(), model.name(), "to be at hand for a loss"));
     }
   }
+
+  /** Forgets the load to a host that has started again. */
+  void forget(String boxId) {
+    stagings.forget(boxId);
+  }
 }
--- a/core/src/main/java/org/shoreroad/fleet/OrderBook.java
+++ b/core/src/main/java/org/shoreroad/fleet/OrderBook.java
@@ -48,6 +48,12 @@
     takenNanos.put(keyOf(order), nowNanos);
   }
 
+  /** Forgets the orders to a box. */
+  void forget(String boxId) {
+    givenNanos.keySet().removeIf(key -> key.startsWith(boxId + " "));
+    takenNanos.keySet().removeIf(key -> key.startsWith(boxId + " "));
+  }
+
   private static String keyOf(BoxOrder order) {
     return order.boxId() + " " + order.verb() + " " + order.replica();
   }
--- a/core/src/main/java/org/shoreroad/fleet/WeightPrefetch.java
+++ b/core/src/main/java/org/shoreroad/fleet/WeightPrefetch.java
@@ -45,6 +45,11 @@
     return true;
   }
 
+  /** Forgets the load to a host that has started again. */
+  void forget(String boxId) {
+    running.remove(boxId);
+  }
+
   /** A load to a host. */
   private record Staging(ModelShape model, long sinceNanos) {
     /** Returns true if it has shown, or has taken so long that it must be lost. */
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -271,7 +271,14 @@
     fleet.setServiceCheck(configuration::isDeclared);
     fleet.setFaultListener(
         fault -> metrics.count("shoreroad.upstreams.unusable_entries", fault.code()));
-    fleet.addRemovalListener(box -> calls.forget(box.address()));
+    fleet.setFormerListener(what -> metrics.count("shoreroad.upstreams.former_incarnation", what));
+    fleet.addRemovalListener(
+        box -> {
+          calls.forget(box.address());
+          upstreams.forget(box.id());
+          replicas.forget(box.id());
+          failureDetector.forget(box.id());
+        });
   }
 
   /**
--- a/edge/src/main/java/org/shoreroad/edge/peer/FailureDetector.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/FailureDetector.java
@@ -53,6 +53,13 @@
     return questions;
   }
 
+  /** Forgets a box: it is gone, or has started again. */
+  public void forget(String id) {
+    own.remove(id);
+    askedByPeers.remove(id);
+    askedByPeersNanos.remove(id);
+  }
+
   /** Takes what a peer asks and what it found. */
   public void learn(Heartbeat heartbeat) {
     long nowNanos = clockNanos.getAsLong();
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
@@ -22,7 +22,7 @@
   private static final long NEWLY_FORMED_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final Set<Exchange> open = new LinkedHashSet<>();
-  private final PaceMeter pace = new PaceMeter();
+  private PaceMeter pace = new PaceMeter();
   private long waitingPromptTokens;
   private int ownWriters;
   private int openElsewhere;
@@ -52,6 +52,17 @@
     return true;
   }
 
+  /** Forgets how the former incarnation served; requests that are open there end by themselves. */
+  void restart(long nowNanos) {
+    pace = new PaceMeter();
+    failureMean = 0;
+    formation = null;
+    // Peers may still suspect the former incarnation.
+    reformedNanos = nowNanos;
+    avoidedUntilNanos = Long.MIN_VALUE;
+    clearSuspicion();
+  }
+
   void add(Exchange exchange, long promptTokens, long nowNanos) {
     if (open.isEmpty()) {
       openSinceNanos = nowNanos;
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
@@ -47,6 +47,16 @@
     return loads.computeIfAbsent(boxId, id -> new UpstreamLoad());
   }
 
+  /** Forgets how an upstream served: it is gone, or has started again. */
+  public void forget(String id) {
+    UpstreamLoad load = loads.get(id);
+    if (load != null && load.open().isEmpty()) {
+      loads.remove(id);
+    } else if (load != null) {
+      load.restart(clockNanos.getAsLong());
+    }
+  }
+
   /** Returns what this process has open at each upstream that has any. */
   public List<Heartbeat.Load> ownLoads() {
     long nowNanos = clockNanos.getAsLong();
--- a/edge/src/main/java/org/shoreroad/edge/replica/EngineContact.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/EngineContact.java
@@ -59,6 +59,13 @@
     return reach;
   }
 
+  /** Forgets a box: it is gone, or has started again. */
+  void forget(String id) {
+    reach.forget(id);
+    reportsCountFromNanos.remove(id);
+    news.remove(id);
+  }
+
   /** Forgets all other boxes: they are gone. */
   void retain(Set<String> ids) {
     reach.retain(ids);
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReachabilityTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReachabilityTable.java
@@ -101,6 +101,10 @@
     return entry != null && entry.silences > 0;
   }
 
+  void forget(String id) {
+    entries.remove(id);
+  }
+
   void retain(Set<String> ids) {
     entries.keySet().retainAll(ids);
   }
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -168,6 +168,12 @@
     return contact.takeReports();
   }
 
+  /** Forgets a box: it is gone, or has started again, and holds nothing of what it was given. */
+  public void forget(String id) {
+    contact.forget(id);
+    keepers.values().forEach(keeper -> keeper.forget(id));
+  }
+
   /** Returns the boxes that peers asked about and that do not answer this process either. */
   public Set<String> silentForPeers() {
     long nowNanos = clockNanos.getAsLong();
@@ -294,6 +300,11 @@
         order,
         fence,
         outcome -> {
+          FleetBox now = fleet.find(order.boxId());
+          if (now == null || now.isOtherIncarnationOf(box)) {
+            log.write("order_of_former_incarnation", "box", order.boxId(), "outcome", outcome);
+            return;
+          }
           if (outcome == Engines.OrderOutcome.TAKEN) {
             keeper.noteTaken(order, clockNanos.getAsLong());
             contact.noteTaken(order, engine.reportLagMs());
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/sync/DomainIndex.java
@@ -0,0 +1,53 @@
+package org.shoreroad.edge.sync;
+
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.fleet.FleetBox;
+
+/** The boxes of each fabric domain, by the key of the domain. Used on the event loop. */
+final class DomainIndex {
+  private final Map<String, Map<String, FleetBox>> boxesByDomain = new HashMap<>();
+
+  /** Returns the key of a fabric domain of a service. */
+  static String keyOf(String service, String domain) {
+    return service + "/" + domain;
+  }
+
+  /** Returns the keys of all domains that have boxes, an unmodifiable view. */
+  Set<String> keys() {
+    return Collections.unmodifiableSet(boxesByDomain.keySet());
+  }
+
+  /** Returns the boxes of a domain, in no order; empty if none is known. */
+  List<FleetBox> boxesOf(String key) {
+    return List.copyOf(boxesByDomain.getOrDefault(key, Map.of()).values());
+  }
+
+  /** Replaces a box by its latest state; before is null if it is new. */
+  void replace(@Nullable FleetBox before, FleetBox box) {
+    if (before != null && !Objects.equals(before.domain(), box.domain())) {
+      remove(before);
+    }
+    if (box.domain() != null) {
+      String key = keyOf(box.service(), box.domain());
+      boxesByDomain.computeIfAbsent(key, name -> new HashMap<>()).put(box.id(), box);
+    }
+  }
+
+  /** Removes a box. */
+  void remove(FleetBox box) {
+    if (box.domain() != null) {
+      boxesByDomain.computeIfPresent(
+          keyOf(box.service(), box.domain()),
+          (key, boxesThere) -> {
+            boxesThere.remove(box.id());
+            return boxesThere.isEmpty() ? null : boxesThere;
+          });
+    }
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/sync/EntryHistory.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/EntryHistory.java
@@ -1,6 +1,9 @@
 package org.shoreroad.edge.sync;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -28,6 +31,7 @@
 
   private final Map<String, ListedEntry> leavings = bounded();
   private final Map<String, ListedEntry> removals = bounded();
+  private final Map<String, Long> heldUntilNanos = new HashMap<>();
 
   private static <T> Map<String, T> bounded() {
     return new LinkedHashMap<>() {
@@ -65,9 +69,32 @@
         : entry.box();
   }
 
-  /** Returns true if the entry was taken away, and comes back from a copy that may be older. */
-  boolean mayPredateRemoval(ListedEntry entry) {
-    return mayPredate(entry, removals.get(entry.box().id()));
+  /**
+   * Returns true if the entry is not to count for now: it was taken away, and comes back from a
+   * copy that may be older.
+   */
+  boolean holdsBack(ListedEntry entry, long nowNanos) {
+    String id = entry.box().id();
+    if (mayPredate(entry, removals.get(id))) {
+      heldUntilNanos.putIfAbsent(id, nowNanos + HOLD_NANOS);
+      return true;
+    }
+    heldUntilNanos.remove(id);
+    return false;
+  }
+
+  /** Returns the upstreams whose entries have been held back long enough, each once. */
+  List<String> takeNoLongerHeld(long nowNanos) {
+    List<String> taken = new ArrayList<>();
+    heldUntilNanos.forEach(
+        (id, untilNanos) -> {
+          if (nowNanos - untilNanos >= 0) {
+            taken.add(id);
+          }
+        });
+    heldUntilNanos.keySet().removeAll(taken);
+    removals.keySet().removeAll(taken);
+    return taken;
   }
 
   /**
@@ -85,11 +112,6 @@
         : known;
   }
 
-  /** Lets entries that are held back count again. */
-  void forgetRemoval(String id) {
-    removals.remove(id);
-  }
-
   private static boolean mayPredate(ListedEntry entry, @Nullable ListedEntry known) {
     return known != null
         && known.box().bornMs() == entry.box().bornMs()
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -2,12 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -46,16 +44,14 @@
   private final Map<String, Long> removedAtNanos = new HashMap<>();
   private final Set<String> offListIds = new HashSet<>();
   private final Map<String, ListedEntry> entries = new HashMap<>();
-
-  /** Entries that a copy of the store brought back, and when they are to count again. */
-  private final Map<String, Long> heldUntilNanos = new HashMap<>();
-
   private final EntryHistory history = new EntryHistory();
+  private final FormerIncarnations formerIncarnations = new FormerIncarnations();
+  private Consumer<String> formerListener = what -> {};
   private final AddressTable addresses = new AddressTable();
   private final Map<String, String> lastModels = new HashMap<>();
   private final RecentChanges news = new RecentChanges();
   private final List<Consumer<FleetBox>> removalListeners = new ArrayList<>();
-  private final Map<String, Map<String, FleetBox>> boxesByDomain = new HashMap<>();
+  private final DomainIndex domainIndex = new DomainIndex();
   private long listChanges;
   private long targetChanges;
 
@@ -86,6 +82,11 @@
     intake.setFaultListener(listener);
   }
 
+  /** Sets what counts the entries and reports of former incarnations, by which of both it is. */
+  public void setFormerListener(Consumer<String> listener) {
+    formerListener = listener;
+  }
+
   /** Forgets the upstreams of services that are not declared, once the declared ones are known. */
   public void dropUndeclared() {
     for (FleetBox box : List.copyOf(boxes.values())) {
@@ -98,17 +99,17 @@
 
   /** Returns the keys of all fabric domains that have boxes. */
   public Set<String> domains() {
-    return Collections.unmodifiableSet(boxesByDomain.keySet());
+    return domainIndex.keys();
   }
 
   /** Returns the boxes of a fabric domain, in no order; empty if none is known. */
   public List<FleetBox> boxesOf(String domainKey) {
-    return List.copyOf(boxesByDomain.getOrDefault(domainKey, Map.of()).values());
+    return domainIndex.boxesOf(domainKey);
   }
 
   /** Returns the key of a fabric domain of a service. */
   public static String domainKey(String service, String domain) {
-    return service + "/" + domain;
+    return DomainIndex.keyOf(service, domain);
   }
 
   @Override
@@ -120,6 +121,7 @@
     }
     intake
         .read(record.key(), value)
+        .filter(entry -> !isOver(entry, "entry"))
         .map(entry -> new ListedEntry(entry, record.position()))
         .map(entry -> new ListedEntry(history.withKnownLeaving(entry), entry.position()))
         .ifPresent(entry -> takeEntry(entry, record));
@@ -127,7 +129,6 @@
 
   private void remove(StoreRecord record) {
     ListedEntry removed = entries.remove(record.key());
-    heldUntilNanos.remove(record.key());
     news.add(record);
     if (removed != null) {
       history.noteRemoved(removed.box(), record.position());
@@ -144,17 +145,40 @@
     if (before == null || !entry.box().equals(before.box())) {
       news.add(record);
     }
-    if (history.mayPredateRemoval(entry)) {
-      heldUntilNanos.putIfAbsent(
-          entry.box().id(), clockNanos.getAsLong() + EntryHistory.HOLD_NANOS);
-    } else {
-      heldUntilNanos.remove(entry.box().id());
+    if (!history.holdsBack(entry, clockNanos.getAsLong())) {
       admit(entry);
     }
   }
 
+  /** Returns true if an entry or a report is of an incarnation that is over, and counts it. */
+  private boolean isOver(FleetBox box, String what) {
+    boolean isOver = formerIncarnations.contains(box);
+    if (isOver) {
+      formerListener.accept(what);
+    }
+    return isOver;
+  }
+
+  /** Ends all that is known of an upstream if the box is another incarnation of it. */
+  private void endFormerOf(FleetBox box) {
+    FleetBox known = boxes.get(box.id());
+    if (known != null && box.isOtherIncarnationOf(known)) {
+      formerIncarnations.add(known);
+      log.write(
+          "upstream_restarted",
+          "upstream",
+          box.id(),
+          "bornMs",
+          box.bornMs(),
+          "formerBornMs",
+          known.bornMs());
+      forget(box.id());
+    }
+  }
+
   /** Puts an entry in force, unless another upstream holds its address. */
   private void admit(ListedEntry entry) {
+    endFormerOf(entry.box());
     if (takeAddress(entry)) {
       history.noteEntry(entry);
       put(entry.box());
@@ -165,7 +189,6 @@
   public void onListed(Set<String> keys, StorePosition end) {
     news.restart(end);
     entries.keySet().retainAll(keys);
-    heldUntilNanos.keySet().retainAll(keys);
     history.noteListed(end);
     for (FleetBox box : List.copyOf(boxes.values())) {
       if (!keys.contains(box.id())) {
@@ -230,30 +253,13 @@
     if (box.equals(before)) {
       return;
     }
-    if (before != null && !Objects.equals(before.domain(), box.domain())) {
-      dropFromDomain(before);
-    }
-    if (box.domain() != null) {
-      String key = domainKey(box.service(), box.domain());
-      boxesByDomain.computeIfAbsent(key, name -> new HashMap<>()).put(box.id(), box);
-    }
+    domainIndex.replace(before, box);
     boolean isTarget = box.domain() == null || box.isOpenHead();
     if (before == null || isTarget || before.isOpenHead()) {
       targetChanges++;
     }
   }
 
-  private void dropFromDomain(FleetBox box) {
-    if (box.domain() != null) {
-      boxesByDomain.computeIfPresent(
-          domainKey(box.service(), box.domain()),
-          (key, boxesThere) -> {
-            boxesThere.remove(box.id());
-            return boxesThere.isEmpty() ? null : boxesThere;
-          });
-    }
-  }
-
   private void noteListChange() {
     listChanges++;
     targetChanges++;
@@ -263,7 +269,7 @@
   private void takeHeldBackEntries() {
     for (String id : reports.takeOutdated()) {
       ListedEntry entry = entries.get(id);
-      if (entry != null && boxes.containsKey(id)) {
+      if (entry != null && boxes.containsKey(id) && !formerIncarnations.contains(entry.box())) {
         put(entry.box());
       }
     }
@@ -271,14 +277,9 @@
 
   /** Lets entries count that a copy of the store brought back, once nothing contradicted them. */
   private void takeBroughtBackEntries() {
-    long nowNanos = clockNanos.getAsLong();
-    for (Map.Entry<String, Long> held : Map.copyOf(heldUntilNanos).entrySet()) {
-      ListedEntry entry = entries.get(held.getKey());
-      if (entry == null) {
-        heldUntilNanos.remove(held.getKey());
-      } else if (nowNanos - held.getValue() >= 0) {
-        heldUntilNanos.remove(held.getKey());
-        history.forgetRemoval(held.getKey());
+    for (String id : history.takeNoLongerHeld(clockNanos.getAsLong())) {
+      ListedEntry entry = entries.get(id);
+      if (entry != null) {
         admit(entry);
       }
     }
@@ -310,9 +311,13 @@
    */
   public boolean update(FleetBox report) {
     FleetBox before = boxes.get(report.id());
-    if (before == null) {
+    if (before == null || isOver(report, "report")) {
       return false;
     }
+    if (report.isOtherIncarnationOf(before)) {
+      restart(before, report);
+      return true;
+    }
     reports.note(report);
     FleetBox after =
         before.withEngineState(report.model(), report.stagedModels(), report.membership());
@@ -324,6 +329,20 @@
     return true;
   }
 
+  /** Goes by the report of a later incarnation, whose entry has not been read yet. */
+  private void restart(FleetBox before, FleetBox report) {
+    endFormerOf(report);
+    FleetBox after =
+        before
+            .withStart(report.bornMs())
+            .withEngineState(report.model(), report.stagedModels(), report.membership());
+    addresses.assign(after);
+    reports.note(report);
+    keep(after);
+    noteModel(after);
+    noteListChange();
+  }
+
   /** Writes a line on what an engine said. */
   public void logReport(FleetBox report) {
     log.write(
@@ -396,7 +415,7 @@
     reports.forget(id);
     lastModels.remove(id);
     if (gone != null) {
-      dropFromDomain(gone);
+      domainIndex.remove(gone);
       noteListChange();
       log.write("upstream_gone", "upstream", id, "address", gone.address());
       removalListeners.forEach(listener -> listener.accept(gone));
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/sync/RestartedUpstreamTest.java
@@ -0,0 +1,114 @@
+package org.shoreroad.edge.sync;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.shoreroad.edge.EventLog;
+import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.fleet.MemberState;
+import org.shoreroad.fleet.Membership;
+import org.shoreroad.fleet.ReplicaId;
+
+/**
+ * An upstream that starts again under the id that it had, told apart by its start time.
+ *
+ * <p>It holds nothing of what it held before. What was known of the former run stood until the next
+ * report: for up to 1.5 s the restarted box was a member of its former replica, and it was expected
+ * to hold the weights that it had held.
+ */
+class RestartedUpstreamTest {
+  private static final long MILLI_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+  private static final ReplicaId REPLICA = new ReplicaId("r", 5);
+
+  private long nowNanos = TimeUnit.HOURS.toNanos(1);
+  private long offset;
+  private final EventLog log = new EventLog("t", () -> nowNanos, OutputStream.nullOutputStream());
+  private final Fleet fleet = new Fleet(RestartedUpstreamTest::decode, () -> nowNanos, log);
+  private final List<Long> endedMs = new ArrayList<>();
+
+  @BeforeEach
+  void listen() {
+    fleet.addRemovalListener(box -> endedMs.add(box.bornMs()));
+  }
+
+  /** Reads entries like {@code "7 ready"}: the start time and the state. */
+  private static FleetBox decode(String id, byte[] entry) {
+    String[] words = new String(entry, StandardCharsets.UTF_8).split(" ");
+    boolean isLeaving = words[1].equals("leaving");
+    return new FleetBox(id, "s", "h:1", "z", 1, isLeaving, "d", null, List.of(), null)
+        .withStart(Long.parseLong(words[0]));
+  }
+
+  private void entry(String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    fleet.onRecord(new StoreRecord(StorePosition.of(1, offset++), "a", bytes));
+  }
+
+  private FleetBox report(long bornMs) {
+    Membership membership = new Membership(REPLICA, 1, MemberState.READY);
+    return decode("a", (bornMs + " ready").getBytes(StandardCharsets.UTF_8))
+        .withEngineState("m", List.of("m"), membership);
+  }
+
+  @Test
+  void nothingOfTheFormerRunCountsOnceItsRestartIsListed() {
+    entry("7 ready");
+    fleet.update(report(7));
+    nowNanos += 100 * MILLI_NANOS;
+    entry("9 ready");
+    assertThat(fleet.find("a").membership(), is(nullValue()));
+    assertThat(fleet.lastModel("a"), is(nullValue()));
+    assertThat(fleet.isOnList("a"), is(true));
+    assertThat(endedMs, contains(7L));
+  }
+
+  @Test
+  void aClockThatWasSetBackMakesNoDifference() {
+    entry("9 ready");
+    entry("7 ready");
+    assertThat(fleet.find("a").bornMs(), is(7L));
+    assertThat(endedMs, contains(9L));
+  }
+
+  @Test
+  void aLateReportOfTheFormerRunIsDropped() {
+    entry("7 ready");
+    entry("9 ready");
+    assertThat(fleet.update(report(7)), is(false));
+    assertThat(fleet.find("a").bornMs(), is(9L));
+    assertThat(fleet.find("a").membership(), is(nullValue()));
+  }
+
+  @Test
+  void aReportOfALaterRunEndsTheFormerOneBeforeItsEntryIsRead() {
+    entry("7 leaving");
+    fleet.update(report(7));
+    assertThat(fleet.update(report(9)), is(true));
+    assertThat(endedMs, contains(7L));
+    assertThat(fleet.find("a").bornMs(), is(9L));
+    assertThat(fleet.isOnList("a"), is(true));
+    // A listing may still hold the former run's entry.
+    entry("7 leaving");
+    assertThat(fleet.find("a").bornMs(), is(9L));
+    entry("9 ready");
+    assertThat(fleet.find("a").isLeaving(), is(false));
+    assertThat(endedMs, contains(7L));
+  }
+
+  @Test
+  void anUpstreamThatDoesNotTellItsStartIsNotTakenForAnotherRun() {
+    entry("7 ready");
+    assertThat(fleet.update(report(0)), is(true));
+    entry("0 ready");
+    assertThat(endedMs.isEmpty(), is(true));
+  }
+}
