Incarnations: an older copy or a peer's late report does not end one that runs

Found by reading the change before: a copy of the store may list an incarnation from before a restart, and a peer's report may be on its way while the restart is listed. Either would have ended the running incarnation here, and its own entries would have been dropped from then on. An entry ends an incarnation only if it was written later for certain; a peer's report ends none; and an entry written after the one that ended its incarnation brings it back. RestartedUpstreamTest: three more cases.

--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -417,7 +417,7 @@
     if (told.isProof() && !mesh.isReader()) {
       listFollower.takeOver(told, heartbeat.echoNanos() - told.ageNanos());
     }
-    heartbeat.reports().forEach(fleet::update);
+    heartbeat.reports().forEach(fleet::updateByPeer);
     quarantine.learn(heartbeat.crashReports());
     learnSuspicions(heartbeat.suspectedUpstreams());
   }
--- a/edge/src/main/java/org/shoreroad/edge/replica/EngineContact.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/EngineContact.java
@@ -92,7 +92,7 @@
           public void onReport(FleetBox newest) {
             reach.recordReport(box.id(), nowNanos);
             if (reportsCount(box.id(), nowNanos)) {
-              take(newest);
+              takeAnswer(box, newest);
             }
             onAnswer.run();
           }
@@ -154,18 +154,43 @@
     return box.withEngineState(box.model(), box.stagedModels(), changed);
   }
 
+  /**
+   * Takes a report. If another incarnation than the asked one is known by now, the report may be
+   * older than that, and does not count if it is of a third one.
+   */
+  private void takeAnswer(FleetBox asked, FleetBox newest) {
+    FleetBox known = fleet.find(asked.id());
+    boolean isAskedOne = known != null && known.bornMs() == asked.bornMs();
+    if (isAskedOne || known == null || !newest.isOtherIncarnationOf(known)) {
+      take(newest);
+    }
+  }
+
   private void take(FleetBox newest) {
     FleetBox before = fleet.find(newest.id());
     if (!fleet.update(newest)) {
       return;
     }
-    fleet.logReport(newest);
+    logReport(newest);
     news.put(newest.id(), newest);
     if (newest.isHead() || (before != null && before.isHead())) {
       onUrgentChange.run();
     }
   }
 
+  private void logReport(FleetBox report) {
+    log.write(
+        "box_word",
+        "box",
+        report.id(),
+        "model",
+        report.model(),
+        "staged",
+        report.stagedModels(),
+        "membership",
+        String.valueOf(report.membership()));
+  }
+
   private void recordSilence(String id, Engines.Silence silence) {
     boolean isRefused = silence == Engines.Silence.REFUSED;
     FleetBox known = fleet.find(id);
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -46,7 +46,6 @@
   private final Map<String, ListedEntry> entries = new HashMap<>();
   private final EntryHistory history = new EntryHistory();
   private final FormerIncarnations formerIncarnations = new FormerIncarnations();
-  private Consumer<String> formerListener = what -> {};
   private final AddressTable addresses = new AddressTable();
   private final Map<String, String> lastModels = new HashMap<>();
   private final RecentChanges news = new RecentChanges();
@@ -84,7 +83,7 @@
 
   /** Sets what counts the entries and reports of former incarnations, by which of both it is. */
   public void setFormerListener(Consumer<String> listener) {
-    formerListener = listener;
+    formerIncarnations.setListener(listener);
   }
 
   /** Forgets the upstreams of services that are not declared, once the declared ones are known. */
@@ -121,8 +120,8 @@
     }
     intake
         .read(record.key(), value)
-        .filter(entry -> !isOver(entry, "entry"))
         .map(entry -> new ListedEntry(entry, record.position()))
+        .filter(entry -> !formerIncarnations.dropsEntry(entry))
         .map(entry -> new ListedEntry(history.withKnownLeaving(entry), entry.position()))
         .ifPresent(entry -> takeEntry(entry, record));
   }
@@ -150,20 +149,11 @@
     }
   }
 
-  /** Returns true if an entry or a report is of an incarnation that is over, and counts it. */
-  private boolean isOver(FleetBox box, String what) {
-    boolean isOver = formerIncarnations.contains(box);
-    if (isOver) {
-      formerListener.accept(what);
-    }
-    return isOver;
-  }
-
   /** Ends all that is known of an upstream if the box is another incarnation of it. */
-  private void endFormerOf(FleetBox box) {
+  private void endFormerOf(FleetBox box, StorePosition endedBy) {
     FleetBox known = boxes.get(box.id());
     if (known != null && box.isOtherIncarnationOf(known)) {
-      formerIncarnations.add(known);
+      formerIncarnations.add(known, endedBy);
       log.write(
           "upstream_restarted",
           "upstream",
@@ -178,7 +168,14 @@
 
   /** Puts an entry in force, unless another upstream holds its address. */
   private void admit(ListedEntry entry) {
-    endFormerOf(entry.box());
+    FleetBox known = boxes.get(entry.box().id());
+    if (known != null
+        && entry.box().isOtherIncarnationOf(known)
+        && !addresses.isAfter(entry, known.id())) {
+      // A copy of the store may hold the entry of an incarnation that was over before.
+      return;
+    }
+    endFormerOf(entry.box(), entry.position());
     if (takeAddress(entry)) {
       history.noteEntry(entry);
       put(entry.box());
@@ -304,20 +301,37 @@
   }
 
   /**
-   * Takes over what an engine has just said, to this process or to a peer, of model, host and
-   * replica.
+   * Takes over what an engine has just said to this process of model, host and replica.
    *
    * @return true if that was news
    */
   public boolean update(FleetBox report) {
     FleetBox before = boxes.get(report.id());
-    if (before == null || isOver(report, "report")) {
+    if (before == null || formerIncarnations.dropsReport(report)) {
       return false;
     }
     if (report.isOtherIncarnationOf(before)) {
       restart(before, report);
       return true;
     }
+    return applyReport(before, report);
+  }
+
+  /**
+   * Takes over what an engine has said to a peer. It does not tell of a later incarnation: a peer's
+   * report may be late, and the entry of a later one follows within a heartbeat.
+   *
+   * @return true if that was news
+   */
+  public boolean updateByPeer(FleetBox report) {
+    FleetBox before = boxes.get(report.id());
+    if (before == null || formerIncarnations.dropsPeersReport(before, report)) {
+      return false;
+    }
+    return applyReport(before, report);
+  }
+
+  private boolean applyReport(FleetBox before, FleetBox report) {
     reports.note(report);
     FleetBox after =
         before.withEngineState(report.model(), report.stagedModels(), report.membership());
@@ -331,7 +345,7 @@
 
   /** Goes by the report of a later incarnation, whose entry has not been read yet. */
   private void restart(FleetBox before, FleetBox report) {
-    endFormerOf(report);
+    endFormerOf(report, StorePosition.NOWHERE);
     FleetBox after =
         before
             .withStart(report.bornMs())
@@ -343,20 +357,6 @@
     noteListChange();
   }
 
-  /** Writes a line on what an engine said. */
-  public void logReport(FleetBox report) {
-    log.write(
-        "box_word",
-        "box",
-        report.id(),
-        "model",
-        report.model(),
-        "staged",
-        report.stagedModels(),
-        "membership",
-        String.valueOf(report.membership()));
-  }
-
   /**
    * Brings the upstreams in line with the list: takes those off whose entries are gone for good,
    * and goes by entries again that an engine's report stood against.
--- a/edge/src/test/java/org/shoreroad/edge/sync/RestartedUpstreamTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/RestartedUpstreamTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -111,4 +112,38 @@
     entry("0 ready");
     assertThat(endedMs.isEmpty(), is(true));
   }
+
+  /** A peer's report may be on its way while the restart is listed. */
+  @Test
+  void aPeersReportOfAnotherRunIsDropped() {
+    entry("9 ready");
+    assertThat(fleet.updateByPeer(report(7)), is(false));
+    assertThat(fleet.find("a").bornMs(), is(9L));
+    assertThat(fleet.updateByPeer(report(9)), is(true));
+  }
+
+  /** The store comes back from a copy that is older than the restart. */
+  @Test
+  void aCopyDoesNotBringTheFormerRunBack() {
+    offset = 50;
+    entry("9 ready");
+    byte[] former = "7 ready".getBytes(StandardCharsets.UTF_8);
+    fleet.onRecord(new StoreRecord(StorePosition.of(2, 40), "a", former));
+    fleet.onListed(Set.of("a"), StorePosition.of(2, 45));
+    assertThat(fleet.find("a").bornMs(), is(9L));
+    byte[] again = "9 ready".getBytes(StandardCharsets.UTF_8);
+    fleet.onRecord(new StoreRecord(StorePosition.of(2, 45), "a", again));
+    assertThat(fleet.find("a").bornMs(), is(9L));
+    assertThat(fleet.isOnList("a"), is(true));
+    assertThat(endedMs.isEmpty(), is(true));
+  }
+
+  /** Whatever ended a run here by mistake, its own later entry brings it back. */
+  @Test
+  void aRunThatWritesAfterTheEntryThatEndedItRuns() {
+    entry("7 ready");
+    entry("9 ready");
+    entry("7 ready");
+    assertThat(fleet.find("a").bornMs(), is(7L));
+  }
 }
