--- a/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
@@ -49,6 +49,8 @@
   /** Counts listings; an answer to a call of an earlier one is passed over. */
   private int round;
 
+  private boolean isListing;
+
   private long dueEra = StorePosition.UNTOLD;
   private IntSupplier listingDelayMs = () -> 0;
   private long provenNanos;
@@ -139,7 +141,7 @@
   }
 
   private void listIfDue() {
-    if (next.era() < dueEra) {
+    if (next.era() < dueEra && !isListing) {
       listAnew();
     }
   }
@@ -234,6 +236,7 @@
 
   private void list() {
     round++;
+    isListing = true;
     listedKeys.clear();
     readNewest("", null, clockNanos.getAsLong(), round);
   }
@@ -289,6 +292,7 @@
     }
     listener.onListed(Set.copyOf(listedKeys), end);
     listedKeys.clear();
+    isListing = false;
     next = end;
     provenNanos = Math.max(provenNanos, startedNanos);
     isCurrent = true;
