--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/sync/EntryHistoryTest.java
@@ -0,0 +1,47 @@
+package org.shoreroad.edge.sync;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.shoreroad.fleet.FleetBox;
+
+class EntryHistoryTest {
+  private final EntryHistory history = new EntryHistory();
+
+  private static ListedEntry entry(boolean isLeaving, long bornMs, long era, long offset) {
+    FleetBox box =
+        new FleetBox("a", "s", "h:1", "z", 1, isLeaving, null, null, List.of(), null)
+            .withStart(bornMs);
+    return new ListedEntry(box, StorePosition.of(era, offset));
+  }
+
+  @Test
+  void aLeavingStandsAgainstACopyOnlyForTheSameRun() {
+    history.noteEntry(entry(true, 7, 1, 9));
+    assertThat(history.withKnownLeaving(entry(false, 7, 2, 4)).isLeaving(), is(true));
+    assertThat(history.withKnownLeaving(entry(false, 8, 2, 4)).isLeaving(), is(false));
+    assertThat(history.withKnownLeaving(entry(false, 7, 2, 10)).isLeaving(), is(false));
+    assertThat(history.withKnownLeaving(entry(false, 7, 1, 12)).isLeaving(), is(false));
+  }
+
+  @Test
+  void whatIsReadAfterAListingWasWrittenLater() {
+    history.noteEntry(entry(true, 7, 1, 9));
+    history.noteListed(StorePosition.of(2, 5));
+    assertThat(history.withKnownLeaving(entry(false, 7, 2, 5)).isLeaving(), is(false));
+  }
+
+  @Test
+  void aRemovedEntryOfACopyIsHeldBackForATime() {
+    history.noteRemoved(entry(false, 7, 1, 3).box(), StorePosition.of(1, 9));
+    assertThat(history.holdsBack(entry(false, 7, 1, 12), 0), is(false));
+    assertThat(history.holdsBack(entry(false, 7, 2, 4), 0), is(true));
+    assertThat(history.takeNoLongerHeld(EntryHistory.HOLD_NANOS - 1), empty());
+    assertThat(history.takeNoLongerHeld(EntryHistory.HOLD_NANOS), contains("a"));
+    assertThat(history.holdsBack(entry(false, 7, 2, 4), EntryHistory.HOLD_NANOS), is(false));
+  }
+}
