--- a/core/src/main/java/org/shoreroad/fleet/ObservedBox.java
+++ b/core/src/main/java/org/shoreroad/fleet/ObservedBox.java
@@ -14,8 +14,8 @@
  * @param reach whether it answers, not null
  * @param isSteady true if it has not been silent for as long as an engine takes to break a replica
  * @param isConfirmed true if its engine itself said a moment ago where it stands; the list may lag
- * @param lastModel the model of its last replica in this life, which it joins again almost at once,
- *     or null; an engine that left its replica no longer names it
+ * @param lastModel the model of its last replica in this incarnation, which it joins again almost
+ *     at once, or null; an engine that left its replica no longer names it
  * @since 0.2
  */
 public record ObservedBox(
@@ -60,7 +60,7 @@
     return isCold(shape) ? 2 : 1;
   }
 
-  /** Returns true if this life of the box is over, so that nothing runs on it any more. */
+  /** Returns true if this incarnation of the box is over, so that nothing runs on it any more. */
   public boolean isDead() {
     return reach == Reach.GONE;
   }
@@ -84,7 +84,10 @@
     LIKELY,
     /** It was asked lately and did not answer. */
     LOST,
-    /** Dead for certain: another life answers there, or it is off the list and answers nobody. */
+    /**
+     * Dead for certain: another incarnation answers there, or it is off the list and answers
+     * nobody.
+     */
     GONE
   }
 }
--- a/core/src/main/java/org/shoreroad/member/HubPlan.java
+++ b/core/src/main/java/org/shoreroad/member/HubPlan.java
@@ -112,7 +112,7 @@
   /**
    * Where a process stands.
    *
-   * @param name the name of its life, not null
+   * @param name the name of its incarnation, not null
    * @param zone its availability zone, not null
    */
   public record Place(String name, String zone) {
--- a/edge/src/main/java/org/shoreroad/edge/ConfigurationView.java
+++ b/edge/src/main/java/org/shoreroad/edge/ConfigurationView.java
@@ -13,7 +13,7 @@
 /**
  * View of the configuration that is in force here, with the age of the proof that it is the newest.
  *
- * <p>Versions only rise within the life of a process. Used on the event loop.
+ * <p>Versions only rise while a process runs. Used on the event loop.
  *
  * @since 0.2
  */
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -101,7 +101,7 @@
   private final EventLog log;
   private final EdgeMetrics metrics = new EdgeMetrics();
   private final SplittableRandom random;
-  private final String life;
+  private final String name;
   private final CountedStore store;
   private final ConfigurationView configuration;
   private final Fleet fleet;
@@ -124,7 +124,7 @@
   private final LoopLag lag;
   private final Upkeep upkeep;
   private final PlannedStop plannedStop;
-  private List<FleetBox> news = List.of();
+  private List<FleetBox> reports = List.of();
 
   /**
    * Puts a process together.
@@ -152,7 +152,7 @@
     this.elapsed = new ElapsedClock(clockNanos, timeOfDayMs);
     this.log = log;
     this.random = new SplittableRandom();
-    this.life = settings.node() + "~" + Long.toHexString(random.nextLong());
+    this.name = settings.node() + "~" + Long.toHexString(random.nextLong());
     this.store =
         new CountedStore(
             ports.store(),
@@ -180,9 +180,9 @@
     this.relay = makeRelay(loop, calls);
     this.lag = new LoopLag(log, UPKEEP_MS);
     this.failureDetector = new FailureDetector(clockNanos);
-    HubPlan.Place place = new HubPlan.Place(life, settings.zone());
+    HubPlan.Place place = new HubPlan.Place(name, settings.zone());
     this.mesh = new PeerMesh(loop, clockNanos, log, place, new Teller(), this::learn);
-    this.leases = new DomainLeases(store, loop, elapsed::nowNanos, log, life, mesh, fleet::domains);
+    this.leases = new DomainLeases(store, loop, elapsed::nowNanos, log, name, mesh, fleet::domains);
     this.replicas = makeReplicas(loop);
     this.callers =
         new CallerServer(
@@ -289,8 +289,8 @@
   public void start(Consumer<Throwable> onFatal) {
     log.write(
         "start",
-        "life",
-        life,
+        "process",
+        name,
         "zone",
         settings.zone(),
         "callers",
@@ -394,7 +394,7 @@
         failureDetector.questions(),
         replicas.silentForPeers(),
         leases.kept(),
-        news,
+        reports,
         ListUpdate.readTo(listFollower.next()),
         quarantine.reports());
   }
@@ -431,7 +431,7 @@
     return isNew;
   }
 
-  /** Makes the heartbeats of one round; all peers get the same news. */
+  /** Makes the heartbeats of one round; all peers get the same reports. */
   private final class Teller implements PeerMesh.HeartbeatSource {
     @Override
     public Heartbeat make(String sender, long sentNanos) {
@@ -440,7 +440,7 @@
 
     @Override
     public ListUpdate listSince(StorePosition position) {
-      List<StoreRecord> records = fleet.news().since(position);
+      List<StoreRecord> records = fleet.recentChanges().since(position);
       if (records == null || !listFollower.isCurrent()) {
         // The position tells the receiver of a new era.
         return ListUpdate.readTo(listFollower.next());
@@ -455,7 +455,7 @@
 
     @Override
     public void onSent() {
-      news = replicas.takeReports();
+      reports = replicas.takeReports();
     }
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/caller/HeaderNames.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/HeaderNames.java
@@ -10,7 +10,7 @@
  * @param model the model that is asked for
  * @param tokenCount the tokens of the prompt and the most tokens of the answer, with a comma
  * @param lastEventId the last event of a stream that was received
- * @param expectedUpstream the only upstream life that may run the request
+ * @param expectedUpstream the only upstream that may run the request
  * @param account the name of the client account, for the upstream
  * @param rank how urgent the request is to the engine
  * @param seal the upstream's own mark on its answer
--- a/edge/src/main/java/org/shoreroad/edge/peer/Heartbeat.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Heartbeat.java
@@ -14,7 +14,7 @@
  *
  * <p>This class is immutable and thread-safe.
  *
- * @param sender the name of the sender's life, not null
+ * @param sender the name of the sender's incarnation, not null
  * @param sentNanos the sender's steady clock at the sending
  * @param echoNanos the receiver's own clock in the last heartbeat that the sender got from it, or 0
  * @param scope whom the sender speaks for, not null
@@ -75,7 +75,7 @@
     return with(scope, newEchoNanos, listUpdate);
   }
 
-  /** Returns the heartbeat with other news of the list. */
+  /** Returns the heartbeat with other changes of the list. */
   public Heartbeat withListUpdate(ListUpdate newListUpdate) {
     return with(scope, echoNanos, newListUpdate);
   }
@@ -120,7 +120,7 @@
   /**
    * What processes have open at one upstream.
    *
-   * @param upstream the id of the upstream's life
+   * @param upstream the id of the upstream
    * @param open the requests that are open
    * @param waitingPromptTokens the tokens of prompts from which nothing has come yet
    * @param progressAgeMs how long ago anything came from it, in milliseconds
--- a/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatCodec.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatCodec.java
@@ -133,11 +133,12 @@
     return complete;
   }
 
-  private static void packListUpdate(MessageBufferPacker out, ListUpdate news) throws IOException {
-    out.packLong(news.from().offset()).packLong(news.end().offset());
-    out.packLong(news.ageNanos()).packLong(news.reachableNanos());
-    out.packArrayHeader(news.records().size());
-    for (StoreRecord record : news.records()) {
+  private static void packListUpdate(MessageBufferPacker out, ListUpdate update)
+      throws IOException {
+    out.packLong(update.from().offset()).packLong(update.end().offset());
+    out.packLong(update.ageNanos()).packLong(update.reachableNanos());
+    out.packArrayHeader(update.records().size());
+    for (StoreRecord record : update.records()) {
       byte[] value = record.value();
       out.packLong(record.offset()).packString(record.key()).packBoolean(value != null);
       if (value != null) {
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -143,9 +143,9 @@
   }
 
   /**
-   * Adds a process; an earlier life of the same node is over.
+   * Adds a process; an earlier incarnation of the same node is over.
    *
-   * @param place the name of its life and its zone
+   * @param place the name of the incarnation and its zone
    * @param address where it takes heartbeats
    * @param position the place of its announcement among all: a later one counts, not null
    */
@@ -409,8 +409,8 @@
     Heartbeat total =
         Digest.merge(own, Scope.REST, all, hubsHeard, reports, ListUpdate.NONE, nowNanos);
     for (Peer member : members) {
-      ListUpdate news = member.listUpdate(source::listSince, nowNanos);
-      member.send(Digest.without(total, member.lastHeard(), news), nowNanos);
+      ListUpdate update = member.listUpdate(source::listSince, nowNanos);
+      member.send(Digest.without(total, member.lastHeard(), update), nowNanos);
     }
   }
 
@@ -431,8 +431,8 @@
     if (!isReader || !peer.isHeard(Peer.ALIVE_NANOS, clockNanos.getAsLong())) {
       return own.listUpdate();
     }
-    ListUpdate news = peer.listUpdate(source::listSince, clockNanos.getAsLong());
-    return news.isProof() ? news : own.listUpdate();
+    ListUpdate update = peer.listUpdate(source::listSince, clockNanos.getAsLong());
+    return update.isProof() ? update : own.listUpdate();
   }
 
   private void receive(Heartbeat heartbeat) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
@@ -83,7 +83,7 @@
    * Returns the request for an upstream: unaltered but for the headers of one connection, the key,
    * and those that this system sets.
    *
-   * @param upstreamId the only life of an upstream that may run it
+   * @param upstreamId the only upstream that may run it
    * @param deadlineMs the time that is left, in milliseconds
    * @param account the client account, or null
    * @param rank how urgent it is, or {@link #NO_RANK}
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
@@ -42,7 +42,7 @@
     this.log = log;
   }
 
-  /** Returns the load of an upstream life. */
+  /** Returns the load of an upstream. */
   UpstreamLoad loadOf(String boxId) {
     return loads.computeIfAbsent(boxId, id -> new UpstreamLoad());
   }
@@ -151,7 +151,7 @@
     }
   }
 
-  /** Returns the loads of all upstream lives by id, an unmodifiable view. */
+  /** Returns the loads of all upstreams by id, an unmodifiable view. */
   Map<String, UpstreamLoad> loads() {
     return Collections.unmodifiableMap(loads);
   }
--- a/edge/src/main/java/org/shoreroad/edge/replica/EngineContact.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/EngineContact.java
@@ -32,7 +32,7 @@
   private final Fleet fleet;
   private final Engines engines;
   private final ReachabilityTable reach = new ReachabilityTable();
-  private final Map<String, FleetBox> news = new HashMap<>();
+  private final Map<String, FleetBox> reports = new HashMap<>();
   private final Map<String, Long> reportsCountFromNanos = new HashMap<>();
   private Runnable onUrgentChange = () -> {};
   private Runnable onAnswer = () -> {};
@@ -63,7 +63,7 @@
   void forget(String id) {
     reach.forget(id);
     reportsCountFromNanos.remove(id);
-    news.remove(id);
+    reports.remove(id);
   }
 
   /** Forgets all other boxes: they are gone. */
@@ -72,10 +72,10 @@
     reportsCountFromNanos.keySet().retainAll(ids);
   }
 
-  /** Returns what is newly known of boxes; the next call returns only later news. */
+  /** Returns what is newly known of boxes; the next call returns only later reports. */
   List<FleetBox> takeReports() {
-    List<FleetBox> taken = List.copyOf(news.values());
-    news.clear();
+    List<FleetBox> taken = List.copyOf(reports.values());
+    reports.clear();
     return taken;
   }
 
@@ -172,7 +172,7 @@
       return;
     }
     logReport(newest);
-    news.put(newest.id(), newest);
+    reports.put(newest.id(), newest);
     if (newest.isHead() || (before != null && before.isHead())) {
       onUrgentChange.run();
     }
--- a/edge/src/main/java/org/shoreroad/edge/replica/Engines.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/Engines.java
@@ -40,9 +40,9 @@
   enum Silence {
     /** Nothing came in time. */
     NO_ANSWER,
-    /** Nobody listens at the address: the life has crashed, or leaves and ends what it has. */
+    /** Nobody listens at the address: the upstream has crashed, or leaves and ends what it has. */
     REFUSED,
-    /** Another life answers at the address. */
+    /** Another upstream, or another incarnation, answers at the address. */
     GONE
   }
 
@@ -54,7 +54,7 @@
     NOT_FITTING,
     /** A higher fencing number, or a later formation, was seen there. */
     OUTDATED,
-    /** Another life answers at the address. */
+    /** Another upstream, or another incarnation, answers at the address. */
     ELSEWHERE,
     /** No answer: it may be carried out, also much later. */
     UNANSWERED
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -41,7 +41,7 @@
   /** Between two decisions while something is under way; answers of engines come in between. */
   private static final int BUSY_TICK_MS = 50;
 
-  /** Between two decisions else: only the list can bring news that is not told at once. */
+  /** Between two decisions else: only the list can bring changes that are not told at once. */
   private static final int CALM_TICK_MS = 150;
 
   /** A process that keeps no domain only answers the questions of others, this often. */
@@ -162,7 +162,7 @@
   }
 
   /**
-   * Returns what engines have newly said to this process; the next call returns only later news.
+   * Returns what engines have newly said to this process; the next call returns only later reports.
    */
   public List<FleetBox> takeReports() {
     return contact.takeReports();
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -22,10 +22,10 @@
  * upstreams returned directly.
  *
  * <p>An entry that is taken away may come back: while the store was out of reach entries lapse, and
- * they are back within two seconds of its return if the upstream lives. An upstream that is off the
+ * they are back within two seconds of its return if the upstream runs. An upstream that is off the
  * list gets no more requests; but a box of a replica stays known until it is dead for certain,
- * since it may run on without the store. Where another life is listed at the same address later,
- * the former one is over. Used on the event loop.
+ * since it may run on without the store. Where another upstream is listed at the same address
+ * later, the former one is over. Used on the event loop.
  *
  * @since 0.2
  */
@@ -48,7 +48,7 @@
   private final FormerIncarnations formerIncarnations = new FormerIncarnations();
   private final AddressTable addresses = new AddressTable();
   private final Map<String, String> lastModels = new HashMap<>();
-  private final RecentChanges news = new RecentChanges();
+  private final RecentChanges recentChanges = new RecentChanges();
   private final List<Consumer<FleetBox>> removalListeners = new ArrayList<>();
   private final DomainIndex domainIndex = new DomainIndex();
   private long listChanges;
@@ -128,7 +128,7 @@
 
   private void remove(StoreRecord record) {
     ListedEntry removed = entries.remove(record.key());
-    news.add(record);
+    recentChanges.add(record);
     if (removed != null) {
       history.noteRemoved(removed.box(), record.position());
     }
@@ -142,7 +142,7 @@
     // Most records are heartbeats of upstreams in which nothing has changed.
     ListedEntry before = entries.put(entry.box().id(), entry);
     if (before == null || !entry.box().equals(before.box())) {
-      news.add(record);
+      recentChanges.add(record);
     }
     if (!history.holdsBack(entry, clockNanos.getAsLong())) {
       admit(entry);
@@ -184,7 +184,7 @@
 
   @Override
   public void onListed(Set<String> keys, StorePosition end) {
-    news.restart(end);
+    recentChanges.restart(end);
     entries.keySet().retainAll(keys);
     history.noteListed(end);
     for (FleetBox box : List.copyOf(boxes.values())) {
@@ -295,7 +295,7 @@
     }
   }
 
-  /** Returns the model that the box held last in this life, or null if it is not known. */
+  /** Returns the model that the box held last in this incarnation, or null if it is not known. */
   public @Nullable String lastModel(String id) {
     return lastModels.get(id);
   }
@@ -303,7 +303,7 @@
   /**
    * Takes over what an engine has just said to this process of model, host and replica.
    *
-   * @return true if that was news
+   * @return true if that changed something
    */
   public boolean update(FleetBox report) {
     FleetBox before = boxes.get(report.id());
@@ -321,7 +321,7 @@
    * Takes over what an engine has said to a peer. It does not tell of a later incarnation: a peer's
    * report may be late, and the entry of a later one follows within a heartbeat.
    *
-   * @return true if that was news
+   * @return true if that changed something
    */
   public boolean updateByPeer(FleetBox report) {
     FleetBox before = boxes.get(report.id());
@@ -392,7 +392,7 @@
   /**
    * Adds an upstream that the list does not hold, so that it can be asked; it gets no requests.
    *
-   * @return false if the address belongs to another life by now, so that this one is over
+   * @return false if the address belongs to another upstream by now, so that this one is over
    */
   public boolean addUnlisted(FleetBox box) {
     if (addresses.find(box.address()) != null) {
@@ -427,8 +427,8 @@
   }
 
   /** Returns the newest records that changed something. */
-  public RecentChanges news() {
-    return news;
+  public RecentChanges recentChanges() {
+    return recentChanges;
   }
 
   /** Returns true if the upstream may be given requests, as far as the list goes. */
--- a/edge/src/main/java/org/shoreroad/edge/sync/Topic.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Topic.java
@@ -10,7 +10,7 @@
   CONFIGURATION,
   /** The upstreams, as they list themselves. */
   UPSTREAMS,
-  /** The processes of this system, by the name of their life. */
+  /** The processes of this system, by the name of their incarnation. */
   PROCESSES,
   /** The quarantined requests, by their fingerprints. */
   QUARANTINE
--- a/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FollowingTest.java
@@ -319,11 +319,13 @@
     fleet.onRecord(new StoreRecord(StorePosition.of(1, 1), "i-1", entry));
     fleet.onRecord(new StoreRecord(StorePosition.of(1, 2), "i-1", null));
     assertThat(
-        fleet.news().since(StorePosition.of(1, 0)).stream().map(StoreRecord::offset).toList(),
+        fleet.recentChanges().since(StorePosition.of(1, 0)).stream()
+            .map(StoreRecord::offset)
+            .toList(),
         contains(0L, 2L));
     fleet.onListed(Set.of(), StorePosition.of(1, 7));
-    assertThat(fleet.news().since(StorePosition.of(1, 6)) == null, is(true));
-    assertThat(fleet.news().since(StorePosition.of(1, 7)).isEmpty(), is(true));
+    assertThat(fleet.recentChanges().since(StorePosition.of(1, 6)) == null, is(true));
+    assertThat(fleet.recentChanges().since(StorePosition.of(1, 7)).isEmpty(), is(true));
   }
 
   @Test
--- a/edge/src/test/java/org/shoreroad/edge/sync/StoreEraFollowingTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/StoreEraFollowingTest.java
@@ -266,9 +266,9 @@
     entry(1, 3, "a", "h:1 ready");
     fleet.onListed(Set.of("a"), at(2, 4));
     entry(2, 4, "a", "h:1 leaving");
-    assertThat(fleet.news().since(at(1, 4)) == null, is(true));
-    assertThat(fleet.news().since(at(2, 4)).size(), is(1));
-    assertThat(fleet.news().since(at(2, 4)).get(0).position(), is(not(at(1, 4))));
+    assertThat(fleet.recentChanges().since(at(1, 4)) == null, is(true));
+    assertThat(fleet.recentChanges().since(at(2, 4)).size(), is(1));
+    assertThat(fleet.recentChanges().since(at(2, 4)).get(0).position(), is(not(at(1, 4))));
   }
 
   @Test
