EntryHistory: a second listing of the copy does not take a leaving back

Found by reading the change: a leaving stood against the first listing in a new era only; a second one, after a trimmed history, would have brought the upstream back into service until it had written its leaving again. What may predate is told by the position alone now, of whatever era; a removal found by a listing counts from right before its end, so that the first record after it is later. Two tests, red before.

--- a/edge/src/main/java/org/shoreroad/edge/sync/AddressTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/AddressTable.java
@@ -75,7 +75,7 @@
 
   /** Records that a full listing lacked an upstream: entries from its end on were written later. */
   void noteUnlisted(String id, StorePosition end) {
-    positions.put(id, end.withOffset(end.offset() - 1));
+    positions.put(id, end.previous());
   }
 
   /** Releases the address of an upstream that is gone; returns the entry that waited for it. */
--- a/edge/src/main/java/org/shoreroad/edge/sync/EntryHistory.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/EntryHistory.java
@@ -108,14 +108,14 @@
 
   private static ListedEntry rebased(ListedEntry known, StorePosition end) {
     return known.position().era() < end.era()
-        ? new ListedEntry(known.box(), end.withOffset(end.offset() - 1))
+        ? new ListedEntry(known.box(), end.previous())
         : known;
   }
 
+  /** Returns true if an entry of the same run may have been written before what is known. */
   private static boolean mayPredate(ListedEntry entry, @Nullable ListedEntry known) {
     return known != null
         && known.box().bornMs() == entry.box().bornMs()
-        && entry.position().era() > known.position().era()
         && !entry.position().isCertainlyAfter(known.position());
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -190,7 +190,7 @@
     for (FleetBox box : List.copyOf(boxes.values())) {
       if (!keys.contains(box.id())) {
         addresses.noteUnlisted(box.id(), end);
-        history.noteRemoved(box, end);
+        history.noteRemoved(box, end.previous());
         removedAtNanos.putIfAbsent(box.id(), clockNanos.getAsLong());
         noteListChange();
       }
--- a/edge/src/main/java/org/shoreroad/edge/sync/StorePosition.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/StorePosition.java
@@ -30,6 +30,11 @@
     return new StorePosition(era, newOffset);
   }
 
+  /** Returns the position right before this one. */
+  public StorePosition previous() {
+    return withOffset(offset - 1);
+  }
+
   /** Returns true if both are of one era, so that their offsets can be compared. */
   public boolean isSameEra(StorePosition other) {
     return era == other.era;
--- a/edge/src/test/java/org/shoreroad/edge/sync/EntryHistoryTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/EntryHistoryTest.java
@@ -28,6 +28,17 @@
     assertThat(history.withKnownLeaving(entry(false, 7, 1, 12)).isLeaving(), is(false));
   }
 
+  /** The copy is listed a second time before the upstream has written its leaving again. */
+  @Test
+  void aSecondListingOfTheCopyDoesNotTakeALeavingBack() {
+    history.noteEntry(entry(true, 7, 1, 9));
+    FleetBox listed = history.withKnownLeaving(entry(false, 7, 2, 4));
+    history.noteEntry(new ListedEntry(listed, StorePosition.of(2, 4)));
+    history.noteListed(StorePosition.of(2, 5));
+    assertThat(history.withKnownLeaving(entry(false, 7, 2, 4)).isLeaving(), is(true));
+    assertThat(history.withKnownLeaving(entry(false, 7, 2, 6)).isLeaving(), is(false));
+  }
+
   @Test
   void whatIsReadAfterAListingWasWrittenLater() {
     history.noteEntry(entry(true, 7, 1, 9));
--- a/edge/src/test/java/org/shoreroad/edge/sync/StoreEraFollowingTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/StoreEraFollowingTest.java
@@ -261,6 +261,17 @@
     assertThat(fleet.isOnList("a"), is(true));
   }
 
+  /** The first record after a listing stands at the listing's end. */
+  @Test
+  void anEntryThatAListingLackedCountsAtOnceWhenItIsWritten() {
+    entry(1, 3, "a", "h:1 ready");
+    fleet.onListed(Set.of(), at(1, 9));
+    fleet.settle(60 * SECOND_NANOS);
+    assertThat(fleet.isOnList("a"), is(false));
+    entry(1, 9, "a", "h:1 ready");
+    assertThat(fleet.isOnList("a"), is(true));
+  }
+
   @Test
   void changesAreNotToldOnOverEras() {
     entry(1, 3, "a", "h:1 ready");
