Read again: one bounded map, one check for an incarnation, fewer copies

Fleet asked twice whether a box is another incarnation, and made two copies of each entry that was read. Positions and records move to another era by one method each. Quarantine records that have ended are forgotten at each write, not in a new era alone.

--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -337,6 +337,7 @@
     metrics.gauge("shoreroad.config.age_ms", configuration::configAgeMs);
     metrics.gauge("shoreroad.processes.alive", mesh::aliveCount);
     metrics.gauge("shoreroad.log.dropped_lines", log::droppedLines);
+    metrics.gauge("shoreroad.store.former_era_answers", ports.storeEra()::formerAnswers);
     metrics.gauge("shoreroad.loop.longest_lag_ms", lag::takeLongestMs);
   }
 
@@ -402,11 +403,12 @@
   /** Has everything that is kept by the store read anew: it came back from an older copy. */
   private void noteEra() {
     metrics.count("shoreroad.store.eras", "new");
-    configFollower.noteEra(ports.storeEra().current());
-    listFollower.noteEra(ports.storeEra().current());
+    long era = ports.storeEra().current();
+    configFollower.noteEra(era);
+    listFollower.noteEra(era);
+    processFollower.noteEra(era);
     leases.noteEra();
-    quarantineRegistry.writeAgain(ports.storeEra().current());
-    processFollower.noteEra(ports.storeEra().current());
+    quarantineRegistry.writeAgain(era);
   }
 
   private void learn(Heartbeat heartbeat) {
--- a/edge/src/main/java/org/shoreroad/edge/peer/QuarantineRegistry.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/QuarantineRegistry.java
@@ -127,6 +127,7 @@
         new StoreCallback<>() {
           @Override
           public void onValue(StorePosition position) {
+            forgetEnded();
             written.put(key, new Written(record, position));
             log.write("quarantine_written", "fingerprint", key);
           }
@@ -146,8 +147,7 @@
    * @param era the new era of the store
    */
   public void writeAgain(long era) {
-    long oldestMs = timeOfDayMs.getAsLong() - LASTING_MS;
-    written.values().removeIf(taken -> taken.record().writtenMs() < oldestMs);
+    forgetEnded();
     Map.copyOf(written)
         .forEach(
             (key, taken) -> {
@@ -157,6 +157,11 @@
             });
   }
 
+  private void forgetEnded() {
+    long oldestMs = timeOfDayMs.getAsLong() - LASTING_MS;
+    written.values().removeIf(taken -> taken.record().writtenMs() < oldestMs);
+  }
+
   private void again(Runnable task, int pauseMs) {
     loop.schedule(task, pauseMs, TimeUnit.MILLISECONDS);
   }
--- a/edge/src/main/java/org/shoreroad/edge/sync/EntryHistory.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/EntryHistory.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -29,21 +28,10 @@
 
   private static final int MAX_KNOWN = 2_000;
 
-  private final Map<String, ListedEntry> leavings = bounded();
-  private final Map<String, ListedEntry> removals = bounded();
+  private final Map<String, ListedEntry> leavings = new BoundedMap<>(MAX_KNOWN);
+  private final Map<String, ListedEntry> removals = new BoundedMap<>(MAX_KNOWN);
   private final Map<String, Long> heldUntilNanos = new HashMap<>();
 
-  private static <T> Map<String, T> bounded() {
-    return new LinkedHashMap<>() {
-      private static final long serialVersionUID = 1;
-
-      @Override
-      protected boolean removeEldestEntry(Map.Entry<String, T> eldest) {
-        return size() > MAX_KNOWN;
-      }
-    };
-  }
-
   /** Takes note of an entry that is in force. */
   void noteEntry(ListedEntry entry) {
     removals.remove(entry.box().id());
@@ -63,10 +51,10 @@
    * Returns the entry as one of an upstream that is about to end, if that is known of the same run
    * and the entry comes from a copy that may be older.
    */
-  FleetBox withKnownLeaving(ListedEntry entry) {
+  ListedEntry withKnownLeaving(ListedEntry entry) {
     return mayPredate(entry, leavings.get(entry.box().id()))
-        ? entry.box().withLeaving()
-        : entry.box();
+        ? new ListedEntry(entry.box().withLeaving(), entry.position())
+        : entry;
   }
 
   /**
--- a/edge/src/main/java/org/shoreroad/edge/sync/EntryIntake.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/EntryIntake.java
@@ -1,6 +1,5 @@
 package org.shoreroad.edge.sync;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -23,15 +22,7 @@
 
   private final Fleet.Decoder decoder;
   private final EventLog log;
-  private final Map<String, String> faultsById =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
-          return size() > MAX_FAULTY;
-        }
-      };
+  private final Map<String, String> faultsById = new BoundedMap<>(MAX_FAULTY);
   private Predicate<String> isKnownService = name -> true;
   private Consumer<EntryFault> faultListener = fault -> {};
 
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -122,7 +122,7 @@
         .read(record.key(), value)
         .map(entry -> new ListedEntry(entry, record.position()))
         .filter(entry -> !formerIncarnations.dropsEntry(entry))
-        .map(entry -> new ListedEntry(history.withKnownLeaving(entry), entry.position()))
+        .map(history::withKnownLeaving)
         .ifPresent(entry -> takeEntry(entry, record));
   }
 
@@ -149,33 +149,30 @@
     }
   }
 
-  /** Ends all that is known of an upstream if the box is another incarnation of it. */
-  private void endFormerOf(FleetBox box, StorePosition endedBy) {
-    FleetBox known = boxes.get(box.id());
-    if (known != null && box.isOtherIncarnationOf(known)) {
-      formerIncarnations.add(known, endedBy);
-      log.write(
-          "upstream_restarted",
-          "upstream",
-          box.id(),
-          "bornMs",
-          box.bornMs(),
-          "formerBornMs",
-          known.bornMs());
-      forget(box.id());
-    }
+  /** Ends all that is known of an incarnation that another one has followed. */
+  private void endFormer(FleetBox former, FleetBox next, StorePosition endedBy) {
+    formerIncarnations.add(former, endedBy);
+    log.write(
+        "upstream_restarted",
+        "upstream",
+        next.id(),
+        "bornMs",
+        next.bornMs(),
+        "formerBornMs",
+        former.bornMs());
+    forget(former.id());
   }
 
   /** Puts an entry in force, unless another upstream holds its address. */
   private void admit(ListedEntry entry) {
     FleetBox known = boxes.get(entry.box().id());
-    if (known != null
-        && entry.box().isOtherIncarnationOf(known)
-        && !addresses.isAfter(entry, known.id())) {
-      // A copy of the store may hold the entry of an incarnation that was over before.
-      return;
+    if (known != null && entry.box().isOtherIncarnationOf(known)) {
+      if (!addresses.isAfter(entry, known.id())) {
+        // A copy of the store may hold the entry of an incarnation that was over before.
+        return;
+      }
+      endFormer(known, entry.box(), entry.position());
     }
-    endFormerOf(entry.box(), entry.position());
     if (takeAddress(entry)) {
       history.noteEntry(entry);
       put(entry.box());
@@ -345,7 +342,7 @@
 
   /** Goes by the report of a later incarnation, whose entry has not been read yet. */
   private void restart(FleetBox before, FleetBox report) {
-    endFormerOf(report, StorePosition.NOWHERE);
+    endFormer(before, report, StorePosition.NOWHERE);
     FleetBox after =
         before
             .withStart(report.bornMs())
--- a/edge/src/main/java/org/shoreroad/edge/sync/FormerIncarnations.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/FormerIncarnations.java
@@ -1,6 +1,5 @@
 package org.shoreroad.edge.sync;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.shoreroad.fleet.FleetBox;
@@ -25,15 +24,7 @@
   private Consumer<String> listener = what -> {};
 
   /** The position of the entry that ended each, or nowhere if a report did. */
-  private final Map<Incarnation, StorePosition> over =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Incarnation, StorePosition> eldest) {
-          return size() > MAX_KNOWN;
-        }
-      };
+  private final Map<Incarnation, StorePosition> over = new BoundedMap<>(MAX_KNOWN);
 
   /** Sets what counts the entries and reports that are dropped, by which of both it is. */
   void setListener(Consumer<String> newListener) {
--- a/edge/src/main/java/org/shoreroad/edge/sync/ListUpdate.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/ListUpdate.java
@@ -43,17 +43,8 @@
 
   /** Returns the same stretch in another era. */
   public ListUpdate withEra(long era) {
-    return new ListUpdate(
-        StorePosition.of(era, from.offset()),
-        StorePosition.of(era, end.offset()),
-        ageNanos,
-        reachableNanos,
-        records.stream()
-            .map(
-                record ->
-                    new StoreRecord(
-                        StorePosition.of(era, record.offset()), record.key(), record.value()))
-            .toList());
+    List<StoreRecord> moved = records.stream().map(record -> record.withEra(era)).toList();
+    return new ListUpdate(from.withEra(era), end.withEra(era), ageNanos, reachableNanos, moved);
   }
 
   /** Returns true if the sender has proof that it missed no change up to the end. */
--- a/edge/src/main/java/org/shoreroad/edge/sync/StorePosition.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/StorePosition.java
@@ -30,6 +30,11 @@
     return new StorePosition(era, newOffset);
   }
 
+  /** Returns the position at the same offset of another era. */
+  public StorePosition withEra(long newEra) {
+    return new StorePosition(newEra, offset);
+  }
+
   /** Returns the position right before this one. */
   public StorePosition previous() {
     return withOffset(offset - 1);
--- a/edge/src/main/java/org/shoreroad/edge/sync/StoreRecord.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/StoreRecord.java
@@ -18,6 +18,11 @@
     Objects.requireNonNull(key, "key");
   }
 
+  /** Returns the same record at the same offset of another era. */
+  StoreRecord withEra(long era) {
+    return new StoreRecord(position.withEra(era), key, value);
+  }
+
   /** Returns its offset within the era of its position. */
   public long offset() {
     return position.offset();
--- a/edge/src/test/java/org/shoreroad/edge/sync/EntryHistoryTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/EntryHistoryTest.java
@@ -22,28 +22,27 @@
   @Test
   void aLeavingStandsAgainstACopyOnlyForTheSameRun() {
     history.noteEntry(entry(true, 7, 1, 9));
-    assertThat(history.withKnownLeaving(entry(false, 7, 2, 4)).isLeaving(), is(true));
-    assertThat(history.withKnownLeaving(entry(false, 8, 2, 4)).isLeaving(), is(false));
-    assertThat(history.withKnownLeaving(entry(false, 7, 2, 10)).isLeaving(), is(false));
-    assertThat(history.withKnownLeaving(entry(false, 7, 1, 12)).isLeaving(), is(false));
+    assertThat(history.withKnownLeaving(entry(false, 7, 2, 4)).box().isLeaving(), is(true));
+    assertThat(history.withKnownLeaving(entry(false, 8, 2, 4)).box().isLeaving(), is(false));
+    assertThat(history.withKnownLeaving(entry(false, 7, 2, 10)).box().isLeaving(), is(false));
+    assertThat(history.withKnownLeaving(entry(false, 7, 1, 12)).box().isLeaving(), is(false));
   }
 
   /** The copy is listed a second time before the upstream has written its leaving again. */
   @Test
   void aSecondListingOfTheCopyDoesNotTakeALeavingBack() {
     history.noteEntry(entry(true, 7, 1, 9));
-    FleetBox listed = history.withKnownLeaving(entry(false, 7, 2, 4));
-    history.noteEntry(new ListedEntry(listed, StorePosition.of(2, 4)));
+    history.noteEntry(history.withKnownLeaving(entry(false, 7, 2, 4)));
     history.noteListed(StorePosition.of(2, 5));
-    assertThat(history.withKnownLeaving(entry(false, 7, 2, 4)).isLeaving(), is(true));
-    assertThat(history.withKnownLeaving(entry(false, 7, 2, 6)).isLeaving(), is(false));
+    assertThat(history.withKnownLeaving(entry(false, 7, 2, 4)).box().isLeaving(), is(true));
+    assertThat(history.withKnownLeaving(entry(false, 7, 2, 6)).box().isLeaving(), is(false));
   }
 
   @Test
   void whatIsReadAfterAListingWasWrittenLater() {
     history.noteEntry(entry(true, 7, 1, 9));
     history.noteListed(StorePosition.of(2, 5));
-    assertThat(history.withKnownLeaving(entry(false, 7, 2, 5)).isLeaving(), is(false));
+    assertThat(history.withKnownLeaving(entry(false, 7, 2, 5)).box().isLeaving(), is(false));
   }
 
   @Test
