Fleet: a report of a later incarnation does not put an upstream back on the list

Found by reading again: the report of a later incarnation, read before its entry, ended the former one and with it that its entry had been taken away, so that the upstream got requests without standing in the list. What the list said of it stands now until its entry is read. One test, red before. AddressTable decides by itself whether an entry may take its address.

--- a/edge/src/main/java/org/shoreroad/edge/sync/AddressTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/AddressTable.java
@@ -32,6 +32,21 @@
     return entry.id().equals(id) ? null : id;
   }
 
+  /**
+   * Returns true if an entry may take its address: no other upstream holds it, or by an earlier
+   * entry. Where the order of the two entries is unknown, this one waits.
+   */
+  boolean mayTake(ListedEntry entry) {
+    String other = otherAt(entry.box());
+    if (other == null || isAfter(entry, other)) {
+      return true;
+    }
+    if (!isBefore(entry, other)) {
+      await(entry);
+    }
+    return false;
+  }
+
   /** Returns true if the entry was written after that of an upstream, for certain. */
   boolean isAfter(ListedEntry entry, String id) {
     return entry.position().isCertainlyAfter(positions.getOrDefault(id, StorePosition.NOWHERE));
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -201,11 +201,7 @@
   /** Returns true unless another upstream, whose entry may be later, holds the address. */
   private boolean takeAddress(ListedEntry entry) {
     String other = addresses.otherAt(entry.box());
-    if (other != null && addresses.isBefore(entry, other)) {
-      return false;
-    }
-    if (other != null && !addresses.isAfter(entry, other)) {
-      addresses.await(entry);
+    if (!addresses.mayTake(entry)) {
       return false;
     }
     addresses.assign(entry);
@@ -342,6 +338,8 @@
 
   /** Goes by the report of a later incarnation, whose entry has not been read yet. */
   private void restart(FleetBox before, FleetBox report) {
+    Long removedNanos = removedAtNanos.get(before.id());
+    boolean isOffList = offListIds.contains(before.id());
     endFormer(before, report, StorePosition.NOWHERE);
     FleetBox after =
         before
@@ -351,6 +349,13 @@
     reports.note(report);
     keep(after);
     noteModel(after);
+    // An answer does not put an upstream on the list: it may be about to end.
+    if (removedNanos != null) {
+      removedAtNanos.put(after.id(), removedNanos);
+    }
+    if (isOffList) {
+      offListIds.add(after.id());
+    }
     noteListChange();
   }
 
--- a/edge/src/test/java/org/shoreroad/edge/sync/RestartedUpstreamTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/RestartedUpstreamTest.java
@@ -113,6 +113,21 @@
     assertThat(endedMs.isEmpty(), is(true));
   }
 
+  /** It answers, but its entry was taken away: only the list puts an upstream into service. */
+  @Test
+  void aReportDoesNotPutAnUpstreamOnTheListThatWasTakenOff() {
+    entry("7 ready");
+    fleet.onRecord(new StoreRecord(StorePosition.of(1, offset++), "a", null));
+    fleet.settle(TimeUnit.MINUTES.toNanos(1));
+    assertThat(fleet.isOnList("a"), is(false));
+    fleet.update(report(9));
+    assertThat(fleet.find("a").bornMs(), is(9L));
+    assertThat(fleet.isListed("a"), is(false));
+    assertThat(fleet.isOnList("a"), is(false));
+    entry("9 ready");
+    assertThat(fleet.isOnList("a"), is(true));
+  }
+
   /** A peer's report may be on its way while the restart is listed. */
   @Test
   void aPeersReportOfAnotherRunIsDropped() {
