--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -18,6 +18,7 @@
 import org.shoreroad.edge.relay.DemandMeter;
 import org.shoreroad.edge.relay.FleetSummary;
 import org.shoreroad.edge.relay.Relay;
+import org.shoreroad.edge.relay.RequestLimits;
 import org.shoreroad.edge.relay.RequestQuarantine;
 import org.shoreroad.edge.relay.StallDetector;
 import org.shoreroad.edge.relay.UpstreamSelector;
@@ -116,6 +117,7 @@
   private final FleetSummary summary;
   private final RequestQuarantine quarantine;
   private final QuarantineRegistry quarantineRegistry;
+  private final RequestLimits requestLimits;
   private final Relay relay;
   private final FailureDetector failureDetector;
   private final PeerMesh mesh;
@@ -177,6 +179,7 @@
     this.quarantine = new RequestQuarantine(clockNanos, log, metrics);
     this.quarantineRegistry =
         new QuarantineRegistry(store, loop, timeOfDayMs, log, quarantine::learn);
+    this.requestLimits = new RequestLimits(log, metrics);
     this.relay = makeRelay(loop, calls);
     this.lag = new LoopLag(log, UPKEEP_MS);
     this.failureDetector = new FailureDetector(clockNanos);
@@ -244,7 +247,8 @@
         stalls,
         configuration,
         settings.rules(),
-        quarantine);
+        quarantine,
+        requestLimits);
   }
 
   /** Tells the parts of each other. */
--- a/edge/src/main/java/org/shoreroad/edge/caller/HeaderNames.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/HeaderNames.java
@@ -15,6 +15,8 @@
  * @param rank how urgent the request is to the engine
  * @param seal the upstream's own mark on its answer
  * @param notRun present if the upstream says that it did not run the request
+ * @param limit how many requests a second the upstream takes from all processes together, present
+ *     in its answers for as long as that holds
  * @since 0.2
  */
 public record HeaderNames(
@@ -27,4 +29,5 @@
     String account,
     String rank,
     String seal,
-    String notRun) {}
+    String notRun,
+    String limit) {}
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -85,6 +85,7 @@
       return false;
     }
     exchange.onSent(target);
+    relay.limits().recordSent(target.box().incarnation());
     return true;
   }
 
@@ -97,6 +98,9 @@
       return false;
     }
     head = response;
+    relay
+        .limits()
+        .recordAnswer(target.box().incarnation(), response.headers().get(relay.headers().limit()));
     target.load().recordProgress(relay.nowNanos());
     if (isRefusal(response)) {
       return true;
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -52,6 +52,7 @@
   private final Freshness freshness;
   private final RelayRules rules;
   private final RequestQuarantine quarantine;
+  private final RequestLimits limits;
   private final Map<String, AttemptBudget> budgets = new HashMap<>();
   private final Set<Exchange> open = new HashSet<>();
   private final Set<Exchange> waiting = new HashSet<>();
@@ -72,7 +73,8 @@
       StallDetector stalls,
       Freshness freshness,
       RelayRules rules,
-      RequestQuarantine quarantine) {
+      RequestQuarantine quarantine,
+      RequestLimits limits) {
     this.timer = new RepeatingTimer(loop, log);
     this.clockNanos = clockNanos;
     this.random = random;
@@ -85,6 +87,7 @@
     this.freshness = freshness;
     this.rules = rules;
     this.quarantine = quarantine;
+    this.limits = limits;
     quarantine.setListener(this::endQuarantined);
   }
 
@@ -201,6 +204,10 @@
     return quarantine;
   }
 
+  RequestLimits limits() {
+    return limits;
+  }
+
   Freshness freshness() {
     return freshness;
   }
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -52,7 +52,8 @@
           "X-Account",
           "X-Rank",
           "X-Seal",
-          "X-Not-Run");
+          "X-Not-Run",
+          "X-Limit");
   static final int READ_TIMEOUT_MS = 10_000;
 
   /** Ids that begin so are heads of replicas of model {@code m}. */
@@ -70,6 +71,7 @@
   final FakeFreshness freshness = new FakeFreshness(config(engine()));
   private final EdgeMetrics metrics = new EdgeMetrics();
   final RequestQuarantine quarantine = new RequestQuarantine(System::nanoTime, log, metrics);
+  private final RequestLimits limits = new RequestLimits(log, metrics);
   Relay relay;
   private InetSocketAddress address;
 
@@ -133,7 +135,8 @@
             stalls,
             freshness,
             rules(),
-            quarantine);
+            quarantine,
+            limits);
     CallerServer server =
         new CallerServer(loop, System::nanoTime, () -> CallerLimits.DEFAULT, relay, reason -> {});
     address =
