Keep the limits that upstreams name, by all processes together

What callers saw: nothing; upstreams in need that named 1 to 1.4 requests a second got 12 to 16 in 4 s where 11 to 13 are allowed.

Class: a statement of an upstream that the system passes over; and a bound on the sum over processes, where each process sends less than the bound alone.

Change: each answer's limit is read (RequestLimit) and told to all processes in heartbeats, at once when it begins. As many processes as the limit allows requests a second hold an equal part, by rendezvous hashing over the processes heard in the last 1.2 s (with hubs: the hubs), and pace their requests (generic cell rate, half an interval early); the others pass the upstream over. A part that moves begins with half an interval's pause. An answer without a limit ends it only if its request was sent after the limit was last told. Where all upstreams of a request are at their limit, it is refused at once (at_limit). A request that waits for a connection when a limit is named needs a turn too.

Why it holds: k holders with the part L/k send at most 4 L + 1.5 k in 4 s, k = round(L); allowed are 6 L + 5. Two processes that both take themselves for a holder add at most 4 L / k + 1.5.

Tried and given up: a part for each process. With hubs the members send nothing to limited upstreams: service is lost there if many upstreams name limits.

--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -173,13 +173,14 @@
     this.configFollower = follower(Topic.CONFIGURATION, configWaitMs, () -> 0, configuration);
     this.listFollower = follower(Topic.UPSTREAMS, LIST_WAIT_MS, () -> LIST_INTERVAL_MS, fleet);
     this.upstreams = new UpstreamTable(fleet, clockNanos, log);
-    this.selector = new UpstreamSelector(upstreams, clockNanos, random, settings.zone());
+    this.requestLimits = new RequestLimits(name, clockNanos, log, metrics);
+    this.selector =
+        new UpstreamSelector(upstreams, requestLimits, clockNanos, random, settings.zone());
     this.stalls = new StallDetector(upstreams, clockNanos, log);
     this.summary = new FleetSummary(fleet, upstreams, log);
     this.quarantine = new RequestQuarantine(clockNanos, log, metrics);
     this.quarantineRegistry =
         new QuarantineRegistry(store, loop, timeOfDayMs, log, quarantine::learn);
-    this.requestLimits = new RequestLimits(log, metrics);
     this.relay = makeRelay(loop, calls);
     this.lag = new LoopLag(log, UPKEEP_MS);
     this.failureDetector = new FailureDetector(clockNanos);
@@ -215,7 +216,8 @@
         listFollower,
         mesh,
         selector,
-        upstreams);
+        upstreams,
+        requestLimits);
   }
 
   private ReplicaService makeReplicas(EventLoop loop) {
@@ -271,6 +273,7 @@
           replicas.hurry();
         });
     mesh.setSuspicionListener(this::learnSuspicions);
+    requestLimits.setListener(mesh::hurry);
     quarantine.setRecorder(quarantineRegistry::write);
     fleet.setServiceCheck(configuration::isDeclared);
     fleet.setFaultListener(
@@ -337,6 +340,7 @@
     timer.every(SUMMARY_MS, "summary", this::summarize);
     metrics.gauge("shoreroad.requests.open", relay::openCount);
     metrics.gauge("shoreroad.requests.in_quarantine", quarantine::quarantinedCount);
+    metrics.gauge("shoreroad.upstreams.limited", requestLimits::limitedCount);
     metrics.gauge("shoreroad.callers.connections", callers::connectionCount);
     metrics.gauge("shoreroad.config.age_ms", configuration::configAgeMs);
     metrics.gauge("shoreroad.processes.alive", mesh::aliveCount);
@@ -401,7 +405,8 @@
         leases.kept(),
         reports,
         ListUpdate.readTo(listFollower.next()),
-        quarantine.reports());
+        quarantine.reports(),
+        requestLimits.reports());
   }
 
   /** Has everything that is kept by the store read anew: it came back from an older copy. */
@@ -425,6 +430,9 @@
     }
     heartbeat.reports().forEach(fleet::updateByPeer);
     quarantine.learn(heartbeat.crashReports());
+    if (requestLimits.learn(heartbeat.limitReports())) {
+      mesh.hurryAsHub();
+    }
     learnSuspicions(heartbeat.suspectedUpstreams());
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/Upkeep.java
+++ b/edge/src/main/java/org/shoreroad/edge/Upkeep.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import org.shoreroad.edge.peer.PeerMesh;
+import org.shoreroad.edge.relay.RequestLimits;
 import org.shoreroad.edge.relay.UpstreamSelector;
 import org.shoreroad.edge.relay.UpstreamTable;
 import org.shoreroad.edge.sync.Fleet;
@@ -9,7 +10,8 @@
 
 /**
  * What is brought up to date each tenth of a second: the fleet, the number of processes, the loads
- * of the others, and what a suspension of the box has made old. Used on the event loop.
+ * of the others, who shares the limits of upstreams, and what a suspension of the box has made old.
+ * Used on the event loop.
  */
 final class Upkeep {
   private final EventLog log;
@@ -23,6 +25,7 @@
   private final PeerMesh mesh;
   private final UpstreamSelector selector;
   private final UpstreamTable upstreams;
+  private final RequestLimits requestLimits;
   private long addedNanos;
   private boolean hasDroppedUndeclared;
 
@@ -37,7 +40,8 @@
       TopicFollower listFollower,
       PeerMesh mesh,
       UpstreamSelector selector,
-      UpstreamTable upstreams) {
+      UpstreamTable upstreams,
+      RequestLimits requestLimits) {
     this.log = log;
     this.metrics = metrics;
     this.lagMeasurement = lagMeasurement;
@@ -49,6 +53,7 @@
     this.mesh = mesh;
     this.selector = selector;
     this.upstreams = upstreams;
+    this.requestLimits = requestLimits;
   }
 
   /** Brings all of it up to date. */
@@ -61,6 +66,7 @@
     configuration.setProcessCount(processes);
     selector.setProcessCount(processes);
     upstreams.setElsewhere(mesh.newest());
+    requestLimits.setSharers(mesh.sharers());
   }
 
   /** Renews the proof of the configuration at once if the box may have been suspended. */
--- a/edge/src/main/java/org/shoreroad/edge/peer/Digest.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Digest.java
@@ -75,7 +75,8 @@
         kept,
         reports,
         listUpdate,
-        own.crashReports());
+        own.crashReports(),
+        own.limitReports());
   }
 
   /**
@@ -117,7 +118,8 @@
         kept,
         total.reports(),
         listUpdate,
-        total.crashReports());
+        total.crashReports(),
+        total.limitReports());
   }
 
   private static Load subtract(Load load, Load own) {
--- a/edge/src/main/java/org/shoreroad/edge/peer/Heartbeat.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Heartbeat.java
@@ -7,6 +7,7 @@
 import org.shoreroad.edge.sync.ListUpdate;
 import org.shoreroad.edge.sync.StorePosition;
 import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.limit.LimitReport;
 import org.shoreroad.quarantine.CrashReport;
 
 /**
@@ -33,6 +34,7 @@
  * @param listUpdate how far the sender has read the list of upstreams, and what a member lacks of
  *     it
  * @param crashReports the crashes under requests that the receiver may not know of yet
+ * @param limitReports the limits of upstreams that the receiver may not know of yet
  * @since 0.2
  */
 public record Heartbeat(
@@ -51,7 +53,8 @@
     Set<String> keptDomains,
     List<FleetBox> reports,
     ListUpdate listUpdate,
-    List<CrashReport> crashReports) {
+    List<CrashReport> crashReports,
+    List<LimitReport> limitReports) {
   /** The version that stands for no configuration. */
   public static final long NO_CONFIG = -1;
 
@@ -68,6 +71,7 @@
     reports = List.copyOf(reports);
     Objects.requireNonNull(listUpdate, "listUpdate");
     crashReports = List.copyOf(crashReports);
+    limitReports = List.copyOf(limitReports);
   }
 
   /** Returns the heartbeat as it is sent to one receiver, with what that one last sent. */
@@ -102,7 +106,8 @@
         keptDomains,
         reports,
         newListUpdate,
-        crashReports);
+        crashReports,
+        limitReports);
   }
 
   /** Whom the sender of a heartbeat speaks for. */
--- a/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatCodec.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatCodec.java
@@ -19,15 +19,16 @@
 import org.shoreroad.fleet.MemberState;
 import org.shoreroad.fleet.Membership;
 import org.shoreroad.fleet.ReplicaId;
+import org.shoreroad.limit.LimitReport;
 import org.shoreroad.quarantine.CrashReport;
 
 /**
  * The MessagePack form of heartbeats: the fields in order. All methods are thread-safe.
  *
  * <p>What earlier releases do not write stands at the end: the start times of upstreams and the
- * crash reports, then the eras of the positions in the store. So in a rolling upgrade a process of
- * that release reads what it knows and passes over the rest, and one of this release takes the
- * missing part as empty.
+ * crash reports, then the eras of the positions in the store, then the limits of upstreams. So in a
+ * rolling upgrade a process of that release reads what it knows and passes over the rest, and one
+ * of this release takes the missing part as empty.
  */
 final class HeartbeatCodec {
   private HeartbeatCodec() {}
@@ -59,6 +60,7 @@
       CrashReportCodec.pack(out, heartbeat.crashReports());
       out.packLong(heartbeat.configNext().era()).packLong(heartbeat.listUpdate().end().era());
       out.packLong(heartbeat.configVersion());
+      LimitReportCodec.pack(out, heartbeat.limitReports());
       return out.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("a buffer can't fail to be written", e);
@@ -66,8 +68,8 @@
   }
 
   /**
-   * Reads a heartbeat, also one of a release without start times and crash reports, or without
-   * eras.
+   * Reads a heartbeat, also one of a release without start times and crash reports, without eras,
+   * or without limits.
    *
    * @throws IOException or an unchecked exception of the library if the bytes are none
    */
@@ -95,6 +97,7 @@
       long configEra = hasEras ? in.unpackLong() : StorePosition.UNTOLD;
       long listEra = hasEras ? in.unpackLong() : StorePosition.UNTOLD;
       long configVersion = hasEras ? in.unpackLong() : Heartbeat.NO_CONFIG;
+      List<LimitReport> limitReports = in.hasNext() ? LimitReportCodec.unpack(in) : List.of();
       return new Heartbeat(
           sender,
           sentNanos,
@@ -111,7 +114,8 @@
           kept,
           startedReports,
           listUpdate.withEra(listEra),
-          crashReports);
+          crashReports,
+          limitReports);
     }
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -181,6 +181,20 @@
     return names;
   }
 
+  /**
+   * Returns the names of the processes that share what upstreams take from all processes together,
+   * this one among them: all, or in a large system the hubs. Empty for a member of a hub, which
+   * does not know who is there.
+   */
+  public Set<String> sharers() {
+    if (isMember()) {
+      return Set.of();
+    }
+    Set<String> names = witnessNames();
+    names.add(self.name());
+    return names;
+  }
+
   /** Returns the newest heartbeats that together speak for all others, with when each was heard. */
   public Map<Heartbeat, Long> newest() {
     Map<Heartbeat, Long> newest = new IdentityHashMap<>();
@@ -289,6 +303,13 @@
     }
   }
 
+  /** Tells all peers soon if this process is a hub, so that what it heard just now goes on. */
+  public void hurryAsHub() {
+    if (isHub()) {
+      hurry();
+    }
+  }
+
   private int countProcesses(long windowNanos) {
     return speakers(windowNanos).stream().mapToInt(heard -> heard.heartbeat().processes()).sum();
   }
@@ -448,8 +469,8 @@
       reportsOfHubs.addAll(heartbeat.reports());
     }
     // Routing depends on heads only; reports of other members are not urgent.
-    if (isHub() && heartbeat.reports().stream().anyMatch(FleetBox::isHead)) {
-      hurry();
+    if (heartbeat.reports().stream().anyMatch(FleetBox::isHead)) {
+      hurryAsHub();
     }
     listener.accept(heartbeat);
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -32,6 +32,7 @@
   private @Nullable HttpResponse head;
   private @Nullable CompositeByteBuf body;
   private @Nullable EventRelay events;
+  private boolean hasTurn;
   private boolean isPromptRead;
   private long lastEventNanos;
   private boolean isOver;
@@ -44,6 +45,7 @@
   }
 
   void start(int maxConnections) {
+    hasTurn = relay.limits().isLimited(target.box().incarnation()) && takeTurn();
     target.load().add(exchange, exchange.promptTokens(), startedNanos);
     call =
         relay
@@ -51,6 +53,10 @@
             .send(target.box().address(), exchange.toUpstreamRequest(target), maxConnections, this);
   }
 
+  private boolean takeTurn() {
+    return relay.limits().takeTurn(target.box().incarnation());
+  }
+
   Target target() {
     return target;
   }
@@ -81,11 +87,11 @@
 
   @Override
   public boolean onSending() {
-    if (!exchange.maySendNow()) {
+    // The upstream may have named a limit while the connection came up.
+    if (!exchange.maySendNow() || !(hasTurn || takeTurn())) {
       return false;
     }
     exchange.onSent(target);
-    relay.limits().recordSent(target.box().incarnation());
     return true;
   }
 
@@ -100,7 +106,10 @@
     head = response;
     relay
         .limits()
-        .recordAnswer(target.box().incarnation(), response.headers().get(relay.headers().limit()));
+        .recordAnswer(
+            target.box().incarnation(),
+            response.headers().get(relay.headers().limit()),
+            startedNanos);
     target.load().recordProgress(relay.nowNanos());
     if (isRefusal(response)) {
       return true;
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -145,27 +145,35 @@
 
   private Optional<Target> choose(UpstreamService to) {
     int targetMs = route == null ? 0 : route.targetLatencyMs();
-    return relay
-        .selector()
-        .choose(to, to.engine() == null ? null : model, sends.triedIds(), targetMs);
+    return relay.selector().choose(to, modelOf(to), sends.triedIds(), targetMs);
   }
 
   private void waitOrRefuse() {
-    long nowNanos = relay.nowNanos();
+    boolean isAtLimit =
+        service != null && relay.selector().isHeldByLimits(service, modelOf(service));
+    // A turn at a limited upstream is seldom as near as the next free place.
+    boolean mayWait = !isAtLimit && sends.sent() == 0 && relay.nowNanos() < waitUntilNanos;
     // A stream that was begun waits for another replica as long as there is time.
-    if (hasBegun() || (sends.sent() == 0 && nowNanos < waitUntilNanos)) {
+    if (hasBegun() || mayWait) {
       isWaiting = true;
       relay.await(this);
       return;
     }
-    boolean isStanding =
-        service != null
-            && relay.selector().hasAny(service, service.engine() == null ? null : model);
+    if (isAtLimit) {
+      refuseOrFail(Refusal.AT_LIMIT, RetryAfter.PLACE);
+      return;
+    }
+    boolean isStanding = service != null && relay.selector().hasAny(service, modelOf(service));
     refuseOrFail(
         isStanding ? Refusal.NO_PLACE : Refusal.NO_REPLICA,
         isStanding ? RetryAfter.PLACE : RetryAfter.REPLICA);
   }
 
+  /** Returns the model that is asked for, or null for a plain service. */
+  private @Nullable String modelOf(UpstreamService of) {
+    return of.engine() == null ? null : model;
+  }
+
   /** Looks after time limits and waiting. */
   void onTick() {
     if (isOver) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestLimits.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestLimits.java
@@ -1,67 +1,138 @@
 package org.shoreroad.edge.relay;
 
-import java.util.HashMap;
-import java.util.Map;
+import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.EventLog;
+import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.fleet.Incarnation;
+import org.shoreroad.limit.FleetLimits;
+import org.shoreroad.limit.LimitChange;
+import org.shoreroad.limit.LimitReport;
 import org.shoreroad.limit.RequestLimit;
 
 /**
- * The limits that upstreams name in their answers, as this process has read them: written to the
- * log when one is first named, changes or ends, and to the counters with each request that is sent
- * to a limited upstream.
+ * The limits that upstreams name, at this process: fed by the answers and by the reports of other
+ * processes, asked before a request is sent.
  *
  * <p>Used on the event loop.
  *
  * @since 0.2
  */
 public final class RequestLimits {
-  private final Map<Incarnation, RequestLimit> limits = new HashMap<>();
+  private final FleetLimits limits;
+  private final LongSupplier clockNanos;
   private final EventLog log;
   private final RelayCounters counters;
+  private Runnable listener = () -> {};
 
-  /** Creates a table without limits. */
-  public RequestLimits(EventLog log, RelayCounters counters) {
+  /**
+   * Creates a table without limits.
+   *
+   * @param self the name of this process, not null
+   */
+  public RequestLimits(String self, LongSupplier clockNanos, EventLog log, RelayCounters counters) {
+    this.limits = new FleetLimits(self);
+    this.clockNanos = clockNanos;
     this.log = log;
     this.counters = counters;
   }
 
+  /**
+   * Sets what is run when an answer has told this process of a limit that it did not know, so that
+   * the others hear of it soon.
+   */
+  public void setListener(Runnable listener) {
+    this.listener = listener;
+  }
+
+  /** Sets the processes among which limits are dealt, this one among them; none if empty. */
+  public void setSharers(Set<String> names) {
+    limits.setSharers(names, clockNanos.getAsLong());
+  }
+
+  /** Returns what to tell the other processes now. */
+  public List<LimitReport> reports() {
+    return limits.reports(clockNanos.getAsLong());
+  }
+
+  /** Joins the reports of another process; returns true if an upstream is newly limited. */
+  public boolean learn(Collection<LimitReport> reports) {
+    boolean hasBegun = false;
+    for (LimitReport report : reports) {
+      LimitChange change = limits.learn(report, clockNanos.getAsLong());
+      writeChange(change, report.upstream(), report.limit(), "peer");
+      hasBegun |= change == LimitChange.BEGUN;
+    }
+    return hasBegun;
+  }
+
+  /** Returns how many upstreams are limited. */
+  public int limitedCount() {
+    return limits.limitedCount();
+  }
+
   /**
    * Takes what an upstream's answer says of its limit.
    *
    * @param upstream who answered, not null
    * @param text the limit as the answer names it, or null if it names none
+   * @param sentNanos when the request was sent
    */
-  void recordAnswer(Incarnation upstream, @Nullable String text) {
-    if (text == null) {
-      if (limits.remove(upstream) != null) {
-        log.write("upstream_limit_ended", "upstream", upstream.id(), "bornMs", upstream.bornMs());
+  void recordAnswer(Incarnation upstream, @Nullable String text, long sentNanos) {
+    RequestLimit limit = null;
+    if (text != null) {
+      Optional<RequestLimit> read = RequestLimit.parse(text);
+      if (read.isEmpty()) {
+        // Neither sets nor ends a limit.
+        counters.count("shoreroad.upstreams.unreadable_requests", "limit");
+        return;
       }
-      return;
+      limit = read.get();
     }
-    Optional<RequestLimit> limit = RequestLimit.parse(text);
-    if (limit.isEmpty()) {
-      counters.count("shoreroad.upstreams.unreadable_requests", "limit");
-      return;
+    LimitChange change = limits.recordAnswer(upstream, limit, sentNanos, clockNanos.getAsLong());
+    writeChange(change, upstream, limit, "answer");
+    if (change == LimitChange.BEGUN) {
+      listener.run();
     }
-    if (!limit.get().equals(limits.put(upstream, limit.get()))) {
-      log.write(
-          "upstream_limit",
-          "upstream",
-          upstream.id(),
-          "bornMs",
-          upstream.bornMs(),
-          "perSecond",
-          limit.get().perSecond());
+  }
+
+  /** Returns true if the upstream has named a limit that still holds. */
+  boolean isLimited(Incarnation upstream) {
+    return limits.isLimited(upstream);
+  }
+
+  /** Returns true if this process may send the upstream a request now. */
+  boolean hasTurn(FleetBox upstream) {
+    return limits.isEmpty() || limits.hasTurn(upstream.incarnation(), clockNanos.getAsLong());
+  }
+
+  /** Takes the turn for one request; returns false if there is a limit and no turn. */
+  boolean takeTurn(Incarnation upstream) {
+    boolean hasTurn = limits.takeTurn(upstream, clockNanos.getAsLong());
+    if (limits.isLimited(upstream)) {
+      counters.count("shoreroad.attempts.to_limited", hasTurn ? "sent" : "withdrawn");
     }
+    return hasTurn;
   }
 
-  /** Counts a request that leaves for an upstream. */
-  void recordSent(Incarnation upstream) {
-    if (limits.containsKey(upstream)) {
-      counters.count("shoreroad.attempts.to_limited", "sent");
+  private void writeChange(
+      LimitChange change, Incarnation upstream, @Nullable RequestLimit limit, String by) {
+    if (change == LimitChange.NONE) {
+      return;
     }
+    log.write(
+        limit == null ? "upstream_limit_ended" : "upstream_limit",
+        "upstream",
+        upstream.id(),
+        "bornMs",
+        upstream.bornMs(),
+        "perSecond",
+        limit == null ? "" : limit.perSecond(),
+        "by",
+        by);
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
@@ -46,6 +46,7 @@
   private static final double JITTER_COST = 0.04;
 
   private final UpstreamTable table;
+  private final RequestLimits limits;
   private final LongSupplier clockNanos;
   private final RandomGenerator random;
   private final String zone;
@@ -57,8 +58,13 @@
    * @param zone the availability zone of this process, not null
    */
   public UpstreamSelector(
-      UpstreamTable table, LongSupplier clockNanos, RandomGenerator random, String zone) {
+      UpstreamTable table,
+      RequestLimits limits,
+      LongSupplier clockNanos,
+      RandomGenerator random,
+      String zone) {
     this.table = table;
+    this.limits = limits;
     this.clockNanos = clockNanos;
     this.random = random;
     this.zone = zone;
@@ -89,6 +95,7 @@
       UpstreamLoad load = table.loadOf(box.id());
       if (!tried.contains(box.id())
           && !isShunned(load, nowNanos)
+          && limits.hasTurn(box)
           && !isFull(load, box, engine, targetLatencyMs)) {
         fit.add(box);
       }
@@ -110,6 +117,12 @@
     return !table.candidates(service, model).isEmpty();
   }
 
+  /** Returns true if upstreams stand, and each has a limit and no turn for this process now. */
+  boolean isHeldByLimits(UpstreamService service, @Nullable String model) {
+    List<FleetBox> standing = table.candidates(service, model);
+    return !standing.isEmpty() && standing.stream().noneMatch(limits::hasTurn);
+  }
+
   private boolean isShunned(UpstreamLoad load, long nowNanos) {
     if (load.isAvoided(nowNanos)) {
       return true;
--- a/edge/src/test/java/org/shoreroad/edge/peer/HeartbeatCodecTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/HeartbeatCodecTest.java
@@ -24,6 +24,8 @@
 import org.shoreroad.fleet.MemberState;
 import org.shoreroad.fleet.Membership;
 import org.shoreroad.fleet.ReplicaId;
+import org.shoreroad.limit.LimitReport;
+import org.shoreroad.limit.RequestLimit;
 import org.shoreroad.quarantine.Crash;
 import org.shoreroad.quarantine.CrashReport;
 import org.shoreroad.quarantine.RequestFingerprint;
@@ -71,7 +73,10 @@
                       new Crash(new Incarnation("i-8", 1_773_212_146_318L), true),
                       new Crash(new Incarnation("i-9", 0), false)),
                   Set.of(new Incarnation("i-9", 0)),
-                  1_500)));
+                  1_500)),
+          List.of(
+              new LimitReport(new Incarnation("i-10", 5), new RequestLimit(1.2), 40),
+              new LimitReport(new Incarnation("i-11", 0), null, 2_000)));
 
   @Test
   void whatIsWrittenIsRead() throws IOException {
@@ -135,8 +140,8 @@
   }
 
   /**
-   * Each cut is refused but two: where an earlier release ends, the bytes are a whole heartbeat of
-   * that release. Frames carry their length, so that a cut heartbeat does not arrive as one.
+   * Each cut is refused but three: where an earlier release ends, the bytes are a whole heartbeat
+   * of that release. Frames carry their length, so that a cut heartbeat does not arrive as one.
    */
   @Test
   void bytesThatAreCutAreRefusedOrAreAnEarlierForm() throws IOException {
@@ -150,14 +155,18 @@
         assertThat(cut.length < whole.length, is(true));
       }
     }
-    assertThat(read.size(), is(2));
+    assertThat(read.size(), is(3));
     Heartbeat withoutStarts = read.get(0);
     assertThat(withoutStarts.crashReports(), is(List.of()));
     assertThat(withoutStarts.reports().get(0).bornMs(), is(Incarnation.UNKNOWN_START));
     Heartbeat withoutEras = read.get(1);
     assertThat(withoutEras.crashReports(), is(heartbeat.crashReports()));
     assertThat(withoutEras.reports(), is(heartbeat.reports()));
-    for (Heartbeat earlier : read) {
+    Heartbeat withoutLimits = read.get(2);
+    assertThat(withoutLimits.configNext(), is(heartbeat.configNext()));
+    assertThat(withoutLimits.configVersion(), is(heartbeat.configVersion()));
+    assertThat(withoutLimits.limitReports(), is(List.of()));
+    for (Heartbeat earlier : List.of(withoutStarts, withoutEras)) {
       assertThat(earlier.configNext(), is(StorePosition.of(StorePosition.UNTOLD, 9)));
       assertThat(earlier.configVersion(), is(Heartbeat.NO_CONFIG));
       assertThat(earlier.listUpdate(), is(heartbeat.listUpdate().withEra(StorePosition.UNTOLD)));
--- a/edge/src/test/java/org/shoreroad/edge/peer/Heartbeats.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/Heartbeats.java
@@ -8,6 +8,7 @@
 import org.shoreroad.edge.sync.ListUpdate;
 import org.shoreroad.edge.sync.StorePosition;
 import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.limit.LimitReport;
 
 /** Makes heartbeats that say little; for tests. */
 public record Heartbeats(Heartbeat bare) {
@@ -30,6 +31,7 @@
             Set.of(),
             List.of(),
             ListUpdate.NONE,
+            List.of(),
             List.of()));
   }
 
@@ -67,7 +69,30 @@
         bare.keptDomains(),
         bare.reports(),
         bare.listUpdate(),
-        bare.crashReports());
+        bare.crashReports(),
+        bare.limitReports());
+  }
+
+  /** Returns the heartbeat with limits of upstreams. */
+  public Heartbeat withLimits(List<LimitReport> limits) {
+    return new Heartbeat(
+        bare.sender(),
+        0,
+        0,
+        bare.scope(),
+        bare.processes(),
+        bare.configNext(),
+        bare.configVersion(),
+        bare.configAgeNanos(),
+        bare.loads(),
+        bare.suspectedUpstreams(),
+        bare.askedUpstreams(),
+        bare.silentUpstreams(),
+        bare.keptDomains(),
+        bare.reports(),
+        bare.listUpdate(),
+        bare.crashReports(),
+        limits);
   }
 
   /** Returns the heartbeat with news of the list. */
@@ -105,6 +130,7 @@
         bare.keptDomains(),
         reports,
         news,
+        List.of(),
         List.of());
   }
 }
--- a/edge/src/test/java/org/shoreroad/edge/peer/PeerCodecFuzzTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/PeerCodecFuzzTest.java
@@ -14,6 +14,8 @@
 import org.shoreroad.edge.sync.StorePosition;
 import org.shoreroad.edge.sync.StoreRecord;
 import org.shoreroad.fleet.Incarnation;
+import org.shoreroad.limit.LimitReport;
+import org.shoreroad.limit.RequestLimit;
 import org.shoreroad.quarantine.Crash;
 import org.shoreroad.quarantine.CrashReport;
 import org.shoreroad.quarantine.RequestFingerprint;
@@ -33,6 +35,8 @@
           List.of(new Crash(new Incarnation("i-1", 3), true)),
           Set.of(),
           4);
+  private static final LimitReport LIMIT =
+      new LimitReport(new Incarnation("i-1", 3), new RequestLimit(1.2), 40);
   private static final ListUpdate NEWS =
       new ListUpdate(
           StorePosition.of(1, 4),
@@ -60,7 +64,11 @@
   @Provide
   Arbitrary<byte[]> heartbeats() {
     Heartbeat heartbeat = Heartbeats.of("p").withListUpdate(NEWS);
-    return Arbitraries.oneOf(changed(HeartbeatCodec.toBytes(heartbeat)), random());
+    Heartbeat limits = Heartbeats.of("p").withLimits(List.of(LIMIT));
+    return Arbitraries.oneOf(
+        changed(HeartbeatCodec.toBytes(heartbeat)),
+        changed(HeartbeatCodec.toBytes(limits)),
+        random());
   }
 
   @Provide
--- a/edge/src/test/java/org/shoreroad/edge/peer/PeerMeshTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/PeerMeshTest.java
@@ -21,6 +21,9 @@
 import org.shoreroad.edge.sync.ListUpdate;
 import org.shoreroad.edge.sync.StorePosition;
 import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.fleet.Incarnation;
+import org.shoreroad.limit.FleetLimits;
+import org.shoreroad.limit.RequestLimit;
 import org.shoreroad.member.HubPlan.Place;
 
 /** Several meshes on one event loop, over real connections on loopback. */
@@ -43,12 +46,14 @@
     private final Set<String> reportsHeard = new HashSet<>();
     private final Set<Long> listHeard = new HashSet<>();
     private final Set<String> suspected = new HashSet<>();
+    private final FleetLimits limits;
     private int notices;
     private List<FleetBox> reports = List.of();
     private String address = "";
 
     Process(int number) {
       place = new Place("box-" + number + "~" + number, "zone-" + number % ZONES);
+      limits = new FleetLimits(place.name());
       mesh = new PeerMesh(loop, System::nanoTime, log, place, this, this::hear);
       mesh.setSuspicionListener(this::learn);
     }
@@ -61,6 +66,7 @@
     private void hear(Heartbeat heartbeat) {
       heartbeat.reports().forEach(report -> reportsHeard.add(report.id()));
       listHeard.add(heartbeat.listUpdate().end().offset());
+      heartbeat.limitReports().forEach(report -> limits.learn(report, System.nanoTime()));
     }
 
     @Override
@@ -82,7 +88,8 @@
           Set.of("llm/" + sender),
           reports,
           ListUpdate.readTo(StorePosition.of(1, 3)),
-          List.of());
+          List.of(),
+          limits.reports(System.nanoTime()));
     }
 
     @Override
@@ -183,6 +190,45 @@
         is(true));
   }
 
+  @Test
+  void aLimitReachesAllProcessesThroughTheHubs() throws Exception {
+    start(30);
+    becomesTrue(() -> processes.stream().allMatch(p -> p.mesh.aliveCount() == 30));
+    Process teller = processes.stream().filter(p -> p.mesh.isMember()).findFirst().orElseThrow();
+    Incarnation upstream = new Incarnation("i-1", 7);
+    onLoop(() -> teller.limits.recordAnswer(upstream, new RequestLimit(1), 0, System.nanoTime()));
+    assertThat(
+        becomesTrue(() -> processes.stream().allMatch(p -> p.limits.isLimited(upstream))),
+        is(true));
+  }
+
+  @Test
+  void allOfAFewProcessesShareLimits() throws Exception {
+    start(4);
+    Set<String> names = Set.copyOf(processes.stream().map(p -> p.place.name()).toList());
+    assertThat(
+        becomesTrue(() -> processes.stream().allMatch(p -> p.mesh.sharers().equals(names))),
+        is(true));
+  }
+
+  /** Members don't know who is there, so that each might think a part is its own. */
+  @Test
+  void amongManyTheHubsShareLimits() throws Exception {
+    start(30);
+    assertThat(
+        becomesTrue(
+            () -> {
+              Set<String> hubs = new HashSet<>();
+              processes.stream()
+                  .filter(p -> !p.mesh.isMember())
+                  .forEach(p -> hubs.add(p.place.name()));
+              return hubs.size() == 6
+                  && processes.stream()
+                      .allMatch(p -> p.mesh.sharers().equals(p.mesh.isMember() ? Set.of() : hubs));
+            }),
+        is(true));
+  }
+
   @Test
   void aNoticeReachesEverybodyThroughTheHubsOnce() throws Exception {
     start(30);
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LimitedUpstreamTest.java
@@ -0,0 +1,106 @@
+package org.shoreroad.edge.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.shoreroad.fleet.Incarnation;
+import org.shoreroad.limit.LimitReport;
+import org.shoreroad.limit.RequestLimit;
+
+/** What one process does about upstreams that name a limit in their answers. */
+class LimitedUpstreamTest extends LoopbackRelay {
+  /** One request in ten thousand seconds: no second turn comes while a test runs. */
+  private static final String HARDLY_ANY = "0.0001";
+
+  private static FakeUpstream.Script naming(String limit) {
+    return (head, out, socket) -> {
+      write(out, whole(head, "served").replace("X-Seal", "X-Limit: " + limit + "\r\nX-Seal"));
+      return true;
+    };
+  }
+
+  private void share(String... names) throws Exception {
+    loop.submit(() -> limits.setSharers(Set.of(names))).sync();
+  }
+
+  @Test
+  void anUpstreamAtItsLimitIsPassedOver() throws Exception {
+    share(SELF);
+    FakeUpstream limited = upstream("i-1", naming(HARDLY_ANY));
+    assertThat(call("/again/x"), containsString("served"));
+    FakeUpstream other = upstream("i-2", naming("1000"));
+    assertThat(call("/again/x"), containsString("served"));
+    assertThat(limited.heads().size(), is(1));
+    assertThat(other.heads().size(), is(1));
+    assertThat(
+        logged(),
+        containsString(
+            "\"event\":\"upstream_limit\",\"upstream\":\"i-1\",\"bornMs\":0,"
+                + "\"perSecond\":\"1.0E-4\",\"by\":\"answer\""));
+  }
+
+  @Test
+  void whereAllAreAtTheirLimitsARequestIsRefusedAndMayReturn() throws Exception {
+    share(SELF);
+    FakeUpstream limited = upstream("i-1", naming(HARDLY_ANY));
+    call("/again/x");
+    String answer = call("/again/x");
+    assertThat(answer, startsWith("HTTP/1.1 503"));
+    assertThat(answer.toLowerCase(), containsString("x-shoreroad-reason: at_limit"));
+    assertThat(answer.toLowerCase(), containsString("retry-after: "));
+    assertThat(limited.heads().size(), is(1));
+  }
+
+  @Test
+  void aHeadAtItsLimitIsPassedOverToo() throws Exception {
+    share(SELF);
+    FakeUpstream limited = upstream(HEAD_PREFIX + "1", naming(HARDLY_ANY));
+    call("/llm/x");
+    assertThat(call("/llm/x"), startsWith("HTTP/1.1 503"));
+    assertThat(limited.heads().size(), is(1));
+  }
+
+  @Test
+  void aReportOfAnotherProcessIsEnough() throws Exception {
+    share(SELF);
+    FakeUpstream limited = upstream("i-1", naming("1000"));
+    LimitReport report = new LimitReport(new Incarnation("i-1", 0), new RequestLimit(0), 0);
+    loop.submit(() -> limits.learn(List.of(report))).sync();
+    assertThat(call("/again/x"), startsWith("HTTP/1.1 503"));
+    assertThat(limited.heads().size(), is(0));
+  }
+
+  @Test
+  void aRefusalNamesALimitAsAnyAnswer() throws Exception {
+    share(SELF);
+    upstream(
+        "i-1",
+        (head, out, socket) -> {
+          write(
+              out,
+              "HTTP/1.1 503 No\r\nX-Attempt: a1\r\nX-Not-Run: 1\r\nX-Limit: "
+                  + HARDLY_ANY
+                  + "\r\nContent-Length: 0\r\n\r\n");
+          return true;
+        });
+    call("/once/x");
+    assertThat(call("/once/x").toLowerCase(), containsString("at_limit"));
+  }
+
+  @Test
+  void aLimitThatIsNoNumberNeitherBindsNorEnds() throws Exception {
+    share(SELF);
+    FakeUpstream upstream = upstream("i-1", naming("soon"));
+    for (int i = 0; i < 3; i++) {
+      assertThat(call("/again/x"), containsString("served"));
+    }
+    assertThat(upstream.heads().size(), is(3));
+    assertThat(logged(), not(containsString("upstream_limit")));
+  }
+}
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -59,6 +59,7 @@
   /** Ids that begin so are heads of replicas of model {@code m}. */
   static final String HEAD_PREFIX = "head-";
 
+  static final String SELF = "front-1~a";
   private static final int SLOTS = 4;
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   final EventLoop loop = group.next();
@@ -71,7 +72,7 @@
   final FakeFreshness freshness = new FakeFreshness(config(engine()));
   private final EdgeMetrics metrics = new EdgeMetrics();
   final RequestQuarantine quarantine = new RequestQuarantine(System::nanoTime, log, metrics);
-  private final RequestLimits limits = new RequestLimits(log, metrics);
+  final RequestLimits limits = new RequestLimits(SELF, System::nanoTime, log, metrics);
   Relay relay;
   private InetSocketAddress address;
 
@@ -131,7 +132,7 @@
             metrics,
             NAMES,
             new HttpCalls(loop, System::nanoTime, 500),
-            new UpstreamSelector(table, System::nanoTime, new SplittableRandom(2), "z"),
+            new UpstreamSelector(table, limits, System::nanoTime, new SplittableRandom(2), "z"),
             stalls,
             freshness,
             rules(),
--- a/edge/src/test/java/org/shoreroad/edge/relay/UpstreamFixture.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UpstreamFixture.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.shoreroad.edge.EdgeMetrics;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.peer.Heartbeat;
 import org.shoreroad.edge.peer.Heartbeats;
@@ -48,8 +49,9 @@
   final EventLog log = new EventLog("t", () -> nowNanos, OutputStream.nullOutputStream());
   final Fleet fleet = new Fleet(UpstreamFixture::decode, () -> nowNanos, log);
   final UpstreamTable table = new UpstreamTable(fleet, () -> nowNanos, log);
+  final RequestLimits limits = new RequestLimits("p", () -> nowNanos, log, new EdgeMetrics());
   final UpstreamSelector selector =
-      new UpstreamSelector(table, () -> nowNanos, new SplittableRandom(3), "z");
+      new UpstreamSelector(table, limits, () -> nowNanos, new SplittableRandom(3), "z");
   final StallDetector stalls = new StallDetector(table, () -> nowNanos, log);
 
   /** Reads "web", "leaving" or the state of a head. */
