Log and count the rests that upstreams ask for

The incident's hypotheses (rest not read; lost with a formation or a list change; passed by on some ways) are told apart by gaps between refusals alone; no line said how long a rest was asked for, or whether each refusal named one. upstream_rest lines, shoreroad_upstreams_rests_total. RequestLimits becomes Backpressure, which reads all that an answer asks for. No decision depends on a rest yet.

--- a/core/src/main/java/org/shoreroad/limit/RequestLimit.java
+++ b/core/src/main/java/org/shoreroad/limit/RequestLimit.java
@@ -11,9 +11,6 @@
  * @since 0.2
  */
 public record RequestLimit(double perSecond) {
-  /** Longest text that is read; a text of this length holds any useful limit. */
-  private static final int MAX_TEXT_LENGTH = 24;
-
   /** Checks the range. */
   public RequestLimit {
     if (!Double.isFinite(perSecond) || perSecond < 0) {
@@ -29,30 +26,7 @@
    *     one point among them
    */
   public static Optional<RequestLimit> parse(String text) {
-    String trimmed = text.trim();
-    return isDecimal(trimmed)
-        ? Optional.of(new RequestLimit(Double.parseDouble(trimmed)))
-        : Optional.empty();
-  }
-
-  /** Returns true for digits with at most one point: the library takes {@code NaN} and more. */
-  private static boolean isDecimal(String text) {
-    if (text.length() > MAX_TEXT_LENGTH) {
-      return false;
-    }
-    int digits = 0;
-    int points = 0;
-    for (int i = 0; i < text.length(); i++) {
-      char next = text.charAt(i);
-      if (next == '.') {
-        points++;
-      } else if (next >= '0' && next <= '9') {
-        digits++;
-      } else {
-        return false;
-      }
-    }
-    return digits > 0 && points <= 1;
+    return DecimalText.parse(text).map(RequestLimit::new);
   }
 
   /** Returns the text form, such as {@code 1.2/s}. */
--- /dev/null
+++ b/core/src/main/java/org/shoreroad/limit/RestTime.java
@@ -0,0 +1,47 @@
+package org.shoreroad.limit;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * For how long an upstream that turns a request away wants nothing more from the process that sent
+ * it.
+ *
+ * <p>This class is immutable and thread-safe.
+ *
+ * @param nanos the time, in nanoseconds, 0 or more
+ * @since 0.2
+ */
+public record RestTime(long nanos) {
+  /** Longest time that is kept: an upstream that wants more has to leave the list. */
+  static final RestTime LONGEST = new RestTime(TimeUnit.HOURS.toNanos(1));
+
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  /** Checks the range. */
+  public RestTime {
+    if (nanos < 0) {
+      throw new IllegalArgumentException("a time below 0: " + nanos);
+    }
+  }
+
+  /**
+   * Reads a time that an upstream has named.
+   *
+   * @param text the seconds, not null
+   * @return the time, an hour at most, or empty if the text is no decimal number: a date, for one
+   */
+  public static Optional<RestTime> parse(String text) {
+    return DecimalText.parse(text).map(RestTime::ofSeconds);
+  }
+
+  private static RestTime ofSeconds(double seconds) {
+    double nanos = seconds * NANOS_PER_SECOND;
+    return nanos >= LONGEST.nanos ? LONGEST : new RestTime((long) nanos);
+  }
+
+  /** Returns the time in seconds. */
+  public double seconds() {
+    return nanos / NANOS_PER_SECOND;
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -15,10 +15,10 @@
 import org.shoreroad.edge.peer.PeerMesh;
 import org.shoreroad.edge.peer.ProcessRegistry;
 import org.shoreroad.edge.peer.QuarantineRegistry;
+import org.shoreroad.edge.relay.Backpressure;
 import org.shoreroad.edge.relay.DemandMeter;
 import org.shoreroad.edge.relay.FleetSummary;
 import org.shoreroad.edge.relay.Relay;
-import org.shoreroad.edge.relay.RequestLimits;
 import org.shoreroad.edge.relay.RequestQuarantine;
 import org.shoreroad.edge.relay.StallDetector;
 import org.shoreroad.edge.relay.UpstreamSelector;
@@ -117,7 +117,7 @@
   private final FleetSummary summary;
   private final RequestQuarantine quarantine;
   private final QuarantineRegistry quarantineRegistry;
-  private final RequestLimits requestLimits;
+  private final Backpressure backpressure;
   private final Relay relay;
   private final FailureDetector failureDetector;
   private final PeerMesh mesh;
@@ -173,9 +173,9 @@
     this.configFollower = follower(Topic.CONFIGURATION, configWaitMs, () -> 0, configuration);
     this.listFollower = follower(Topic.UPSTREAMS, LIST_WAIT_MS, () -> LIST_INTERVAL_MS, fleet);
     this.upstreams = new UpstreamTable(fleet, clockNanos, log);
-    this.requestLimits = new RequestLimits(name, clockNanos, log, metrics);
+    this.backpressure = new Backpressure(name, ports.headers(), clockNanos, log, metrics);
     this.selector =
-        new UpstreamSelector(upstreams, requestLimits, clockNanos, random, settings.zone());
+        new UpstreamSelector(upstreams, backpressure, clockNanos, random, settings.zone());
     this.stalls = new StallDetector(upstreams, clockNanos, log);
     this.summary = new FleetSummary(fleet, upstreams, log);
     this.quarantine = new RequestQuarantine(clockNanos, log, metrics);
@@ -217,7 +217,7 @@
         mesh,
         selector,
         upstreams,
-        requestLimits);
+        backpressure);
   }
 
   private ReplicaService makeReplicas(EventLoop loop) {
@@ -250,7 +250,7 @@
         configuration,
         settings.rules(),
         quarantine,
-        requestLimits);
+        backpressure);
   }
 
   /** Tells the parts of each other. */
@@ -273,7 +273,7 @@
           replicas.hurry();
         });
     mesh.setSuspicionListener(this::learnSuspicions);
-    requestLimits.setListener(mesh::hurry);
+    backpressure.setListener(mesh::hurry);
     quarantine.setRecorder(quarantineRegistry::write);
     fleet.setServiceCheck(configuration::isDeclared);
     fleet.setFaultListener(
@@ -340,7 +340,7 @@
     timer.every(SUMMARY_MS, "summary", this::summarize);
     metrics.gauge("shoreroad.requests.open", relay::openCount);
     metrics.gauge("shoreroad.requests.in_quarantine", quarantine::quarantinedCount);
-    metrics.gauge("shoreroad.upstreams.limited", requestLimits::limitedCount);
+    metrics.gauge("shoreroad.upstreams.limited", backpressure::limitedCount);
     metrics.gauge("shoreroad.callers.connections", callers::connectionCount);
     metrics.gauge("shoreroad.config.age_ms", configuration::configAgeMs);
     metrics.gauge("shoreroad.processes.alive", mesh::aliveCount);
@@ -406,7 +406,7 @@
         reports,
         ListUpdate.readTo(listFollower.next()),
         quarantine.reports(),
-        requestLimits.reports());
+        backpressure.reports());
   }
 
   /** Has everything that is kept by the store read anew: it came back from an older copy. */
@@ -430,7 +430,7 @@
     }
     heartbeat.reports().forEach(fleet::updateByPeer);
     quarantine.learn(heartbeat.crashReports());
-    if (requestLimits.learn(heartbeat.limitReports())) {
+    if (backpressure.learn(heartbeat.limitReports())) {
       mesh.hurryAsHub();
     }
     learnSuspicions(heartbeat.suspectedUpstreams());
--- a/edge/src/main/java/org/shoreroad/edge/Upkeep.java
+++ b/edge/src/main/java/org/shoreroad/edge/Upkeep.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import org.shoreroad.edge.peer.PeerMesh;
-import org.shoreroad.edge.relay.RequestLimits;
+import org.shoreroad.edge.relay.Backpressure;
 import org.shoreroad.edge.relay.UpstreamSelector;
 import org.shoreroad.edge.relay.UpstreamTable;
 import org.shoreroad.edge.sync.Fleet;
@@ -25,7 +25,7 @@
   private final PeerMesh mesh;
   private final UpstreamSelector selector;
   private final UpstreamTable upstreams;
-  private final RequestLimits requestLimits;
+  private final Backpressure backpressure;
   private long addedNanos;
   private boolean hasDroppedUndeclared;
 
@@ -41,7 +41,7 @@
       PeerMesh mesh,
       UpstreamSelector selector,
       UpstreamTable upstreams,
-      RequestLimits requestLimits) {
+      Backpressure backpressure) {
     this.log = log;
     this.metrics = metrics;
     this.lagMeasurement = lagMeasurement;
@@ -53,7 +53,7 @@
     this.mesh = mesh;
     this.selector = selector;
     this.upstreams = upstreams;
-    this.requestLimits = requestLimits;
+    this.backpressure = backpressure;
   }
 
   /** Brings all of it up to date. */
@@ -66,7 +66,7 @@
     configuration.setProcessCount(processes);
     selector.setProcessCount(processes);
     upstreams.setElsewhere(mesh.newest());
-    requestLimits.setSharers(mesh.sharers());
+    backpressure.setSharers(mesh.sharers());
   }
 
   /** Renews the proof of the configuration at once if the box may have been suspended. */
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -45,7 +45,7 @@
   }
 
   void start(int maxConnections) {
-    hasTurn = relay.limits().isLimited(target.box().incarnation()) && takeTurn();
+    hasTurn = relay.backpressure().isLimited(target.box().incarnation()) && takeTurn();
     target.load().add(exchange, exchange.promptTokens(), startedNanos);
     call =
         relay
@@ -54,7 +54,7 @@
   }
 
   private boolean takeTurn() {
-    return relay.limits().takeTurn(target.box().incarnation());
+    return relay.backpressure().takeTurn(target.box().incarnation());
   }
 
   Target target() {
@@ -104,12 +104,7 @@
       return false;
     }
     head = response;
-    relay
-        .limits()
-        .recordAnswer(
-            target.box().incarnation(),
-            response.headers().get(relay.headers().limit()),
-            startedNanos);
+    relay.backpressure().recordAnswer(target.box().incarnation(), response, startedNanos);
     target.load().recordProgress(relay.nowNanos());
     if (isRefusal(response)) {
       return true;
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestLimits.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Backpressure.java
@@ -1,41 +1,54 @@
 package org.shoreroad.edge.relay;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Collection;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.caller.HeaderNames;
 import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.fleet.Incarnation;
 import org.shoreroad.limit.FleetLimits;
 import org.shoreroad.limit.LimitChange;
 import org.shoreroad.limit.LimitReport;
 import org.shoreroad.limit.RequestLimit;
+import org.shoreroad.limit.RestTime;
 
 /**
- * The limits that upstreams name, at this process: fed by the answers and by the reports of other
- * processes, asked before a request is sent.
+ * What upstreams in need ask for in their answers, at this process: limits, fed by the answers and
+ * by the reports of other processes and asked for before a request is sent; rests, which are only
+ * logged.
  *
  * <p>Used on the event loop.
  *
  * @since 0.2
  */
-public final class RequestLimits {
+public final class Backpressure {
   private final FleetLimits limits;
+  private final HeaderNames headers;
   private final LongSupplier clockNanos;
   private final EventLog log;
   private final RelayCounters counters;
   private Runnable listener = () -> {};
 
   /**
-   * Creates a table without limits.
+   * Creates an object that knows of nothing yet.
    *
    * @param self the name of this process, not null
+   * @param headers the names of the headers in which upstreams ask, not null
    */
-  public RequestLimits(String self, LongSupplier clockNanos, EventLog log, RelayCounters counters) {
+  public Backpressure(
+      String self,
+      HeaderNames headers,
+      LongSupplier clockNanos,
+      EventLog log,
+      RelayCounters counters) {
     this.limits = new FleetLimits(self);
+    this.headers = headers;
     this.clockNanos = clockNanos;
     this.log = log;
     this.counters = counters;
@@ -76,22 +89,30 @@
   }
 
   /**
-   * Takes what an upstream's answer says of its limit.
+   * Takes what an upstream's answer asks for.
    *
    * @param upstream who answered, not null
-   * @param text the limit as the answer names it, or null if it names none
+   * @param head the head of the answer, not null
    * @param sentNanos when the request was sent
    */
-  void recordAnswer(Incarnation upstream, @Nullable String text, long sentNanos) {
+  void recordAnswer(Incarnation upstream, HttpResponse head, long sentNanos) {
+    String limit = head.headers().get(headers.limit());
+    recordLimit(upstream, limit, sentNanos);
+    String rest = head.headers().get(HttpHeaderNames.RETRY_AFTER);
+    if (rest != null && head.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+      recordRest(upstream, rest);
+    }
+  }
+
+  private void recordLimit(Incarnation upstream, @Nullable String text, long sentNanos) {
     RequestLimit limit = null;
     if (text != null) {
-      Optional<RequestLimit> read = RequestLimit.parse(text);
-      if (read.isEmpty()) {
+      limit = RequestLimit.parse(text).orElse(null);
+      if (limit == null) {
         // Neither sets nor ends a limit.
         counters.count("shoreroad.upstreams.unreadable_requests", "limit");
         return;
       }
-      limit = read.get();
     }
     LimitChange change = limits.recordAnswer(upstream, limit, sentNanos, clockNanos.getAsLong());
     writeChange(change, upstream, limit, "answer");
@@ -100,6 +121,23 @@
     }
   }
 
+  private void recordRest(Incarnation upstream, String text) {
+    RestTime rest = RestTime.parse(text).orElse(null);
+    if (rest == null) {
+      counters.count("shoreroad.upstreams.unreadable_requests", "rest");
+      return;
+    }
+    counters.count("shoreroad.upstreams.rests", "asked");
+    log.write(
+        "upstream_rest",
+        "upstream",
+        upstream.id(),
+        "bornMs",
+        upstream.bornMs(),
+        "seconds",
+        rest.seconds());
+  }
+
   /** Returns true if the upstream has named a limit that still holds. */
   boolean isLimited(Incarnation upstream) {
     return limits.isLimited(upstream);
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -52,7 +52,7 @@
   private final Freshness freshness;
   private final RelayRules rules;
   private final RequestQuarantine quarantine;
-  private final RequestLimits limits;
+  private final Backpressure backpressure;
   private final Map<String, AttemptBudget> budgets = new HashMap<>();
   private final Set<Exchange> open = new HashSet<>();
   private final Set<Exchange> waiting = new HashSet<>();
@@ -74,7 +74,7 @@
       Freshness freshness,
       RelayRules rules,
       RequestQuarantine quarantine,
-      RequestLimits limits) {
+      Backpressure backpressure) {
     this.timer = new RepeatingTimer(loop, log);
     this.clockNanos = clockNanos;
     this.random = random;
@@ -87,7 +87,7 @@
     this.freshness = freshness;
     this.rules = rules;
     this.quarantine = quarantine;
-    this.limits = limits;
+    this.backpressure = backpressure;
     quarantine.setListener(this::endQuarantined);
   }
 
@@ -204,8 +204,8 @@
     return quarantine;
   }
 
-  RequestLimits limits() {
-    return limits;
+  Backpressure backpressure() {
+    return backpressure;
   }
 
   Freshness freshness() {
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
@@ -46,7 +46,7 @@
   private static final double JITTER_COST = 0.04;
 
   private final UpstreamTable table;
-  private final RequestLimits limits;
+  private final Backpressure backpressure;
   private final LongSupplier clockNanos;
   private final RandomGenerator random;
   private final String zone;
@@ -59,12 +59,12 @@
    */
   public UpstreamSelector(
       UpstreamTable table,
-      RequestLimits limits,
+      Backpressure backpressure,
       LongSupplier clockNanos,
       RandomGenerator random,
       String zone) {
     this.table = table;
-    this.limits = limits;
+    this.backpressure = backpressure;
     this.clockNanos = clockNanos;
     this.random = random;
     this.zone = zone;
@@ -95,7 +95,7 @@
       UpstreamLoad load = table.loadOf(box.id());
       if (!tried.contains(box.id())
           && !isShunned(load, nowNanos)
-          && limits.hasTurn(box)
+          && backpressure.hasTurn(box)
           && !isFull(load, box, engine, targetLatencyMs)) {
         fit.add(box);
       }
@@ -120,7 +120,7 @@
   /** Returns true if upstreams stand, and each has a limit and no turn for this process now. */
   boolean isHeldByLimits(UpstreamService service, @Nullable String model) {
     List<FleetBox> standing = table.candidates(service, model);
-    return !standing.isEmpty() && standing.stream().noneMatch(limits::hasTurn);
+    return !standing.isEmpty() && standing.stream().noneMatch(backpressure::hasTurn);
   }
 
   private boolean isShunned(UpstreamLoad load, long nowNanos) {
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -41,7 +41,7 @@
 
 /** A relay between real sockets on loopback: callers on one side, scripted upstreams beyond. */
 abstract class LoopbackRelay {
-  private static final HeaderNames NAMES =
+  static final HeaderNames NAMES =
       new HeaderNames(
           "X-Attempt",
           "X-Deadline",
@@ -72,7 +72,7 @@
   final FakeFreshness freshness = new FakeFreshness(config(engine()));
   private final EdgeMetrics metrics = new EdgeMetrics();
   final RequestQuarantine quarantine = new RequestQuarantine(System::nanoTime, log, metrics);
-  final RequestLimits limits = new RequestLimits(SELF, System::nanoTime, log, metrics);
+  final Backpressure backpressure = new Backpressure(SELF, NAMES, System::nanoTime, log, metrics);
   Relay relay;
   private InetSocketAddress address;
 
@@ -132,12 +132,13 @@
             metrics,
             NAMES,
             new HttpCalls(loop, System::nanoTime, 500),
-            new UpstreamSelector(table, limits, System::nanoTime, new SplittableRandom(2), "z"),
+            new UpstreamSelector(
+                table, backpressure, System::nanoTime, new SplittableRandom(2), "z"),
             stalls,
             freshness,
             rules(),
             quarantine,
-            limits);
+            backpressure);
     CallerServer server =
         new CallerServer(loop, System::nanoTime, () -> CallerLimits.DEFAULT, relay, reason -> {});
     address =
--- a/edge/src/test/java/org/shoreroad/edge/relay/UpstreamFixture.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UpstreamFixture.java
@@ -49,9 +49,10 @@
   final EventLog log = new EventLog("t", () -> nowNanos, OutputStream.nullOutputStream());
   final Fleet fleet = new Fleet(UpstreamFixture::decode, () -> nowNanos, log);
   final UpstreamTable table = new UpstreamTable(fleet, () -> nowNanos, log);
-  final RequestLimits limits = new RequestLimits("p", () -> nowNanos, log, new EdgeMetrics());
+  final Backpressure backpressure =
+      new Backpressure("p", LoopbackRelay.NAMES, () -> nowNanos, log, new EdgeMetrics());
   final UpstreamSelector selector =
-      new UpstreamSelector(table, limits, () -> nowNanos, new SplittableRandom(3), "z");
+      new UpstreamSelector(table, backpressure, () -> nowNanos, new SplittableRandom(3), "z");
   final StallDetector stalls = new StallDetector(table, () -> nowNanos, log);
 
   /** Reads "web", "leaving" or the state of a head. */
