--- a/edge/src/main/java/org/shoreroad/edge/caller/HeaderNames.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/HeaderNames.java
@@ -17,6 +17,7 @@
  * @param notRun present if the upstream says that it did not run the request
  * @param limit how many requests a second the upstream takes from all processes together, present
  *     in its answers for as long as that holds
+ * @param leaving is 1 in all answers of an upstream that is about to end
  * @since 0.2
  */
 public record HeaderNames(
@@ -30,4 +31,5 @@
     String rank,
     String seal,
     String notRun,
-    String limit) {}
+    String limit,
+    String leaving) {}
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -57,7 +57,8 @@
           "X-Rank",
           "X-Seal",
           "X-Not-Run",
-          "X-Limit");
+          "X-Limit",
+          "X-Leaving");
   static final int READ_TIMEOUT_MS = 10_000;
 
   /** Ids that begin so are heads of replicas of model {@code m}. */
