Fleet: the upstreams missing from the list in a class of their own

No behaviour changed, but for one case: where forgetting one upstream lets another take its address in the same pass, the latter is no longer taken off the list.

--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -33,16 +32,12 @@
   /** Entries that lapsed in an outage are back within about two seconds (users' letter 2). */
   private static final long RETURN_NANOS = TimeUnit.MILLISECONDS.toNanos(2_300);
 
-  /** A box off the list that nobody could make sure of is forgotten after this time. */
-  private static final long FORGET_NANOS = TimeUnit.MINUTES.toNanos(2);
-
   private final EntryIntake intake;
   private final StatusReports reports;
   private final LongSupplier clockNanos;
   private final EventLog log;
   private final Map<String, FleetBox> boxes = new HashMap<>();
-  private final Map<String, Long> removedAtNanos = new HashMap<>();
-  private final Set<String> offListIds = new HashSet<>();
+  private final UnlistedUpstreams unlisted = new UnlistedUpstreams();
   private final Map<String, ListedEntry> entries = new HashMap<>();
   private final EntryHistory history = new EntryHistory();
   private final FormerIncarnations formerIncarnations = new FormerIncarnations();
@@ -133,7 +128,7 @@
       history.noteRemoved(removed.box(), record.position());
     }
     if (boxes.containsKey(record.key())) {
-      removedAtNanos.putIfAbsent(record.key(), clockNanos.getAsLong());
+      unlisted.add(record.key(), clockNanos.getAsLong());
       noteListChange();
     }
   }
@@ -188,7 +183,7 @@
       if (!keys.contains(box.id())) {
         addresses.noteUnlisted(box.id(), end);
         history.noteRemoved(box, end.previous());
-        removedAtNanos.putIfAbsent(box.id(), clockNanos.getAsLong());
+        unlisted.add(box.id(), clockNanos.getAsLong());
         noteListChange();
       }
     }
@@ -217,8 +212,7 @@
     FleetBox box = before == null ? listed : reports.withNewerState(before, listed);
     keep(box);
     noteModel(box);
-    boolean wasRemoved = removedAtNanos.remove(box.id()) != null;
-    offListIds.remove(box.id());
+    boolean wasRemoved = unlisted.remove(box.id());
     boolean isOtherwiseListed = before == null || before.isLeaving() != box.isLeaving();
     if (wasRemoved || isOtherwiseListed) {
       noteListChange();
@@ -338,8 +332,7 @@
 
   /** Goes by the report of a later incarnation, whose entry has not been read yet. */
   private void restart(FleetBox before, FleetBox report) {
-    Long removedNanos = removedAtNanos.get(before.id());
-    boolean isOffList = offListIds.contains(before.id());
+    UnlistedUpstreams.Absence absence = unlisted.find(before.id());
     endFormer(before, report, StorePosition.NOWHERE);
     FleetBox after =
         before
@@ -350,12 +343,7 @@
     keep(after);
     noteModel(after);
     // An answer does not put an upstream on the list: it may be about to end.
-    if (removedNanos != null) {
-      removedAtNanos.put(after.id(), removedNanos);
-    }
-    if (isOffList) {
-      offListIds.add(after.id());
-    }
+    unlisted.put(after.id(), absence);
     noteListChange();
   }
 
@@ -372,18 +360,25 @@
     takeHeldBackEntries();
     takeBroughtBackEntries();
     long nowNanos = clockNanos.getAsLong();
-    for (Map.Entry<String, Long> removed : new HashMap<>(removedAtNanos).entrySet()) {
-      FleetBox box = boxes.get(removed.getKey());
-      if (box != null && offListIds.add(box.id())) {
-        noteListChange();
-        log.write("upstream_off_list", "upstream", box.id(), "address", box.address());
-      }
-      if (box != null && (mayForget(box) || nowNanos - removed.getValue() > FORGET_NANOS)) {
-        forget(box.id());
+    for (String id : unlisted.ids()) {
+      FleetBox box = boxes.get(id);
+      // Forgetting one upstream may let another one take its place on the list.
+      if (box != null && unlisted.contains(id)) {
+        settle(box, nowNanos);
       }
     }
   }
 
+  private void settle(FleetBox box, long nowNanos) {
+    if (unlisted.makeFinal(box.id())) {
+      noteListChange();
+      log.write("upstream_off_list", "upstream", box.id(), "address", box.address());
+    }
+    if (mayForget(box) || unlisted.isOutdated(box.id(), nowNanos)) {
+      forget(box.id());
+    }
+  }
+
   /**
    * Returns true if nothing depends on an upstream off the list, or a later one is listed there.
    */
@@ -402,8 +397,7 @@
     }
     addresses.assign(box);
     keep(box);
-    removedAtNanos.put(box.id(), clockNanos.getAsLong());
-    offListIds.add(box.id());
+    unlisted.addFinal(box.id(), clockNanos.getAsLong());
     noteListChange();
     log.write("upstream_unlisted_known", "upstream", box.id(), "address", box.address());
     return true;
@@ -412,8 +406,7 @@
   /** Forgets an upstream that is dead for certain. */
   public void forget(String id) {
     FleetBox gone = boxes.remove(id);
-    removedAtNanos.remove(id);
-    offListIds.remove(id);
+    unlisted.remove(id);
     reports.forget(id);
     lastModels.remove(id);
     if (gone != null) {
@@ -435,7 +428,7 @@
 
   /** Returns true if the upstream may be given requests, as far as the list goes. */
   public boolean isOnList(String id) {
-    return boxes.containsKey(id) && !offListIds.contains(id);
+    return boxes.containsKey(id) && !unlisted.isFinal(id);
   }
 
   /** Returns a counter of the upstreams that were added, removed, or started to leave. */
@@ -463,7 +456,7 @@
 
   /** Returns true if the list still holds the upstream. */
   public boolean isListed(String id) {
-    return boxes.containsKey(id) && !removedAtNanos.containsKey(id);
+    return boxes.containsKey(id) && !unlisted.contains(id);
   }
 
   /** Reads an entry of the list. */
