--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -13,8 +13,6 @@
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.fleet.FleetBox;
-import org.shoreroad.fleet.MemberState;
-import org.shoreroad.fleet.Membership;
 
 /**
  * View of the upstreams, merged from the list of the store and from newer reports that the
@@ -42,7 +40,7 @@
   private final EntryHistory history = new EntryHistory();
   private final FormerIncarnations formerIncarnations = new FormerIncarnations();
   private final AddressTable addresses = new AddressTable();
-  private final Map<String, String> lastModels = new HashMap<>();
+  private final LastModels lastModels = new LastModels();
   private final RecentChanges recentChanges = new RecentChanges();
   private final List<Consumer<FleetBox>> removalListeners = new ArrayList<>();
   private final DomainIndex domainIndex = new DomainIndex();
@@ -211,7 +209,7 @@
     FleetBox before = boxes.get(listed.id());
     FleetBox box = before == null ? listed : reports.withNewerState(before, listed);
     keep(box);
-    noteModel(box);
+    lastModels.note(box);
     boolean wasRemoved = unlisted.remove(box.id());
     boolean isOtherwiseListed = before == null || before.isLeaving() != box.isLeaving();
     if (wasRemoved || isOtherwiseListed) {
@@ -269,22 +267,9 @@
     }
   }
 
-  /**
-   * An engine names its model only while it is a member; what it held last, it takes up at once.
-   */
-  private void noteModel(FleetBox box) {
-    Membership membership = box.membership();
-    if (box.model() != null) {
-      lastModels.put(box.id(), box.model());
-    } else if (membership != null && membership.state() == MemberState.JOINING) {
-      // Another model may be on its way; it is not held before it is named.
-      lastModels.remove(box.id());
-    }
-  }
-
   /** Returns the model that the box held last in this incarnation, or null if it is not known. */
   public @Nullable String lastModel(String id) {
-    return lastModels.get(id);
+    return lastModels.find(id);
   }
 
   /**
@@ -326,7 +311,7 @@
       return false;
     }
     keep(after);
-    noteModel(after);
+    lastModels.note(after);
     return true;
   }
 
@@ -341,7 +326,7 @@
     addresses.assign(after);
     reports.note(report);
     keep(after);
-    noteModel(after);
+    lastModels.note(after);
     // An answer does not put an upstream on the list: it may be about to end.
     unlisted.put(after.id(), absence);
     noteListChange();
@@ -408,7 +393,7 @@
     FleetBox gone = boxes.remove(id);
     unlisted.remove(id);
     reports.forget(id);
-    lastModels.remove(id);
+    lastModels.forget(id);
     if (gone != null) {
       domainIndex.remove(gone);
       noteListChange();
