Backpressure: an answer of another upstream, or one without an echo, ends no limit

Found by reading: where another service has the address, its 421 ended the limit of the upstream meant (shown red by taking the check out). Names and comments after a reading of the change.

--- a/core/src/main/java/org/shoreroad/limit/FleetLimits.java
+++ b/core/src/main/java/org/shoreroad/limit/FleetLimits.java
@@ -19,15 +19,15 @@
  * dealt among a few of them, who pace their requests; the others pass the upstream over.
  *
  * <p>Two processes that disagree for a moment on who is there may both hold a part; a part that
- * passes to another process begins with a pause. Each upstream's newest telling counts. An answer
- * without a limit ends it only if its request was sent after the limit was last told: an older one
+ * passes to another process begins with a pause. What an upstream said last counts. An answer
+ * without a limit ends it only if its request was sent after an answer last named it: an older one
  * may have been on its way. It reads no clock: times are passed in, in nanoseconds of the steady
  * clock. Used by one thread.
  *
  * @since 0.2
  */
 public final class FleetLimits {
-  /** A limit that nobody was told for this long is dropped; the next answer tells it again. */
+  /** A limit that no answer has named for this long is dropped; the next answer names it again. */
   static final long KEEP_MS = TimeUnit.MINUTES.toMillis(10);
 
   /** Five heartbeats: a change is told so often, so that a lost one does not matter. */
@@ -80,7 +80,7 @@
     if (limit == null && (known == null || sentNanos <= known.toldNanos())) {
       return LimitChange.NONE;
     }
-    // The upstream may have said so as soon as the request had come.
+    // The upstream may have written the head of the answer as soon as the request had come.
     long toldNanos = limit == null ? sentNanos : nowNanos;
     return tell(upstream, limit, toldNanos, nowNanos);
   }
--- a/core/src/main/java/org/shoreroad/limit/LimitedUpstream.java
+++ b/core/src/main/java/org/shoreroad/limit/LimitedUpstream.java
@@ -42,7 +42,7 @@
     return toldNanos;
   }
 
-  /** Takes what was told later than all before. */
+  /** Takes what the upstream said later than all that is known. */
   LimitChange tell(@Nullable RequestLimit newLimit, long newToldNanos, long nowNanos) {
     RequestLimit former = limit;
     toldNanos = newToldNanos;
--- a/core/src/main/java/org/shoreroad/limit/TurnPacer.java
+++ b/core/src/main/java/org/shoreroad/limit/TurnPacer.java
@@ -8,7 +8,8 @@
  * than the rate gives. Used by one thread.
  */
 final class TurnPacer {
-  private static final int EARLY_PART = 2;
+  /** A turn may come an interval divided by this early. */
+  private static final int EARLY_DIVISOR = 2;
 
   private long intervalNanos;
   private long dueNanos;
@@ -37,7 +38,7 @@
 
   /** Returns true if a request may leave now. */
   boolean hasTurn(long nowNanos) {
-    return nowNanos >= dueNanos - intervalNanos / EARLY_PART;
+    return nowNanos >= dueNanos - intervalNanos / EARLY_DIVISOR;
   }
 
   /** Takes the turn that there is. */
--- a/core/src/main/java/org/shoreroad/limit/package-info.java
+++ b/core/src/main/java/org/shoreroad/limit/package-info.java
@@ -1,4 +1,4 @@
-/** The requests a second that upstreams in need take, and the share of one process in them. */
+/** What upstreams in need ask for: limits that all processes share, and times of rest. */
 @NullMarked
 package org.shoreroad.limit;
 
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -112,7 +112,9 @@
       return false;
     }
     head = response;
-    relay.backpressure().recordAnswer(target.box().incarnation(), response, startedNanos);
+    if (!isMisdirected(response)) {
+      relay.backpressure().recordAnswer(target.box().incarnation(), response, startedNanos);
+    }
     target.load().recordProgress(relay.nowNanos());
     if (isRefusal(response)) {
       return true;
@@ -135,8 +137,12 @@
   }
 
   private boolean isRefusal(HttpResponse response) {
-    return response.headers().contains(relay.headers().notRun())
-        || response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
+    return response.headers().contains(relay.headers().notRun()) || isMisdirected(response);
+  }
+
+  /** Returns true if another upstream than the one meant has answered. */
+  private static boolean isMisdirected(HttpResponse response) {
+    return response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
   }
 
   @Override
@@ -168,8 +174,8 @@
       return;
     }
     if (isRefusal(answered)) {
-      boolean isElsewhere = answered.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
-      target.load().avoidUntil(relay.nowNanos() + (isElsewhere ? AVOID_NANOS : FULL_NANOS));
+      long avoidNanos = isMisdirected(answered) ? AVOID_NANOS : FULL_NANOS;
+      target.load().avoidUntil(relay.nowNanos() + avoidNanos);
       end();
       exchange.onAttemptFailed(target, AttemptEnd.REFUSED);
     } else if (events != null) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/Backpressure.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Backpressure.java
@@ -107,7 +107,11 @@
    * @param sentNanos when the request was sent
    */
   void recordAnswer(Incarnation upstream, HttpResponse head, long sentNanos) {
-    recordLimit(upstream, head.headers().get(headers.limit()), sentNanos);
+    String limit = head.headers().get(headers.limit());
+    // Bytes that lack the upstream's echo of the request do not end what it asked for.
+    if (limit != null || head.headers().contains(headers.attemptId())) {
+      recordLimit(upstream, limit, sentNanos);
+    }
     if (LEAVING.equals(head.headers().get(headers.leaving()))) {
       leavingListener.accept(upstream);
     }
--- a/edge/src/test/java/org/shoreroad/edge/relay/LimitedUpstreamTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LimitedUpstreamTest.java
@@ -103,4 +103,25 @@
     assertThat(upstream.heads().size(), is(3));
     assertThat(logged(), not(containsString("upstream_limit")));
   }
+
+  /** Another upstream may have the address by now; what it says binds and frees nobody. */
+  @Test
+  void anAnswerOfAnotherUpstreamEndsNoLimit() throws Exception {
+    share(SELF);
+    FakeUpstream limited =
+        upstream(
+            "i-1",
+            (head, out, socket) -> {
+              if (head.contains("/again/named")) {
+                return naming("1000").answer(head, out, socket);
+              }
+              write(out, "HTTP/1.1 421 Elsewhere\r\nX-Attempt: a1\r\nContent-Length: 0\r\n\r\n");
+              return true;
+            });
+    call("/again/named");
+    passTime(1_000);
+    call("/again/x");
+    assertThat(limited.heads().size(), is(2));
+    assertThat(logged(), not(containsString("upstream_limit_ended")));
+  }
 }
