--- a/cli/src/main/java/org/shoreroad/cli/LogReport.java
+++ b/cli/src/main/java/org/shoreroad/cli/LogReport.java
@@ -12,8 +12,8 @@
 
 /**
  * What the logs of all processes say of a stretch of time: what was refused, repeated and late, how
- * long each replica was away after a loss, what the models and boxes did, and when the store came
- * back from an older copy.
+ * long each replica was away after a loss, what the models and boxes did, when the store came back
+ * from an older copy, and what upstreams asked for in their answers.
  */
 final class LogReport {
   /** The processes tell the state of models and boxes this often, in seconds. */
@@ -45,6 +45,7 @@
     tables.set("models", report.models());
     tables.set("boxes", report.boxes());
     tables.set("storeEras", report.storeEras());
+    tables.set("asked", AskedTable.of(log));
     return tables;
   }
 
--- a/cli/src/test/java/org/shoreroad/cli/LogCommandsTest.java
+++ b/cli/src/test/java/org/shoreroad/cli/LogCommandsTest.java
@@ -129,6 +129,29 @@
     assertThat(era.path("UPSTREAMSListedBySecond").asDouble(), is(0.6));
   }
 
+  @Test
+  void whatUpstreamsAskedForIsReported() throws IOException {
+    String asking =
+        write(
+            "d.log",
+            "{\"timeMs\":1000,\"node\":\"a\",\"event\":\"upstream_limit\",\"upstream\":\"i-1\","
+                + "\"perSecond\":\"1.2\"}",
+            "{\"timeMs\":1500,\"node\":\"b\",\"event\":\"upstream_limit\",\"upstream\":\"i-1\","
+                + "\"perSecond\":\"0.8\"}",
+            "{\"timeMs\":1700,\"node\":\"b\",\"event\":\"upstream_rest\",\"upstream\":\"i-1\","
+                + "\"seconds\":\"3.0\"}");
+    assertThat(run("report", "--output", "json", asking), is(ExitCode.OK));
+    JsonNode rows = new ObjectMapper().readTree(out.toByteArray()).path("asked");
+    assertThat(rows.size(), is(2));
+    JsonNode limit = rows.path(0);
+    assertThat(limit.path("asked").asText(), is("limit"));
+    assertThat(limit.path("count").asLong(), is(2L));
+    assertThat(limit.path("processes").asInt(), is(2));
+    assertThat(limit.path("toSecond").asDouble(), is(0.5));
+    assertThat(limit.path("lastFigure").asText(), is("0.8"));
+    assertThat(rows.path(1).path("asked").asText(), is("rest"));
+  }
+
   @Test
   void aRequestIsExplainedWithTheStoreAsItsProcessSawIt() {
     assertThat(run("explain", "r1", first, second, drill), is(ExitCode.OK));
