--- a/edge/src/test/java/org/shoreroad/edge/peer/HeartbeatCodecTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/HeartbeatCodecTest.java
@@ -139,6 +139,16 @@
     assertThat(out.toByteArray().length, lessThanOrEqualTo(95));
   }
 
+  /** At most 64 limits go into a heartbeat. */
+  @Test
+  void aReportOfALimitIsSmall() throws IOException {
+    Incarnation upstream = new Incarnation("i-872fd2b5b0", 1_773_212_146_318L);
+    LimitReport report = new LimitReport(upstream, new RequestLimit(1.2), 2_000);
+    MessageBufferPacker out = MessagePack.newDefaultBufferPacker();
+    LimitReportCodec.pack(out, List.of(report));
+    assertThat(out.toByteArray().length, lessThanOrEqualTo(36));
+  }
+
   /**
    * Each cut is refused but three: where an earlier release ends, the bytes are a whole heartbeat
    * of that release. Frames carry their length, so that a cut heartbeat does not arrive as one.
