--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/sync/OlderCopyTest.java
@@ -0,0 +1,127 @@
+package org.shoreroad.edge.sync;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+import org.shoreroad.edge.EventLog;
+import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.fleet.MemberState;
+import org.shoreroad.fleet.Membership;
+import org.shoreroad.fleet.ReplicaId;
+
+/**
+ * The replica of a box, where the store came back from a copy older than the replica.
+ *
+ * <p>What was seen: in the fault soak (seed 7026) a member of a replica was joined to another one
+ * while its head was open. The order of events: a replica was formed; its head was cut off from the
+ * processes; 2.3 s later the store came back from a copy in which no replica stood; the keeper
+ * listed it, and 66 ms later joined the member elsewhere.
+ */
+class OlderCopyTest {
+  private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+  private static final String HEAD = "a";
+  private static final String NO_GROUP = "none";
+
+  private long nowNanos = TimeUnit.HOURS.toNanos(1);
+  private final EventLog log = new EventLog("t", () -> nowNanos, OutputStream.nullOutputStream());
+  private final Fleet fleet = new Fleet(OlderCopyTest::decode, () -> nowNanos, log);
+
+  /** Reads entries like {@code "OPEN 5"}: the state in the replica and its epoch. */
+  private static FleetBox decode(String id, byte[] entry) {
+    String[] words = new String(entry, StandardCharsets.UTF_8).split(" ");
+    FleetBox box = new FleetBox(id, "s", "h:1", "z", 1, false, "d", null, List.of(), null);
+    return words[0].equals(NO_GROUP)
+        ? box
+        : box.withEngineState("m", List.of("m"), in(words[0], Long.parseLong(words[1])));
+  }
+
+  private static Membership in(String state, long epoch) {
+    return new Membership(new ReplicaId("r", epoch), 0, MemberState.valueOf(state));
+  }
+
+  private void entry(long era, long offset, String state) {
+    byte[] bytes = state.getBytes(StandardCharsets.UTF_8);
+    fleet.onRecord(new StoreRecord(StorePosition.of(era, offset), HEAD, bytes));
+  }
+
+  private void report(MemberState state) {
+    fleet.update(fleet.find(HEAD).withEngineState("m", List.of("m"), in(state.name(), 5)));
+  }
+
+  private @Nullable Membership known() {
+    return fleet.find(HEAD).membership();
+  }
+
+  private void pass(long seconds) {
+    nowNanos += seconds * SECOND;
+    fleet.settle(seconds * SECOND);
+  }
+
+  @Test
+  void aCopyFromBeforeAReplicaDoesNotEndIt() {
+    entry(1, 0, NO_GROUP);
+    report(MemberState.OPEN);
+    pass(3);
+    entry(2, 0, NO_GROUP);
+    fleet.onListed(Set.of(HEAD), StorePosition.of(2, 1));
+    assertThat(known(), is(in("OPEN", 5)));
+    pass(2);
+    assertThat(known(), is(in("OPEN", 5)));
+  }
+
+  @Test
+  void whatTheListSaidBeforeIsKeptTheSameWay() {
+    entry(1, 0, NO_GROUP);
+    entry(1, 1, "OPEN 5");
+    pass(3);
+    entry(2, 0, NO_GROUP);
+    fleet.onListed(Set.of(HEAD), StorePosition.of(2, 1));
+    assertThat(known(), is(in("OPEN", 5)));
+  }
+
+  /** What upstreams wrote since the copy is written again within seconds; then the list counts. */
+  @Test
+  void theEntryCountsOnceItMustHaveBeenWrittenAgain() {
+    entry(1, 0, NO_GROUP);
+    report(MemberState.OPEN);
+    pass(3);
+    entry(2, 0, NO_GROUP);
+    fleet.onListed(Set.of(HEAD), StorePosition.of(2, 1));
+    pass(6);
+    assertThat(known(), nullValue());
+  }
+
+  @Test
+  void theBoxsOwnReportCountsAtOnce() {
+    entry(1, 0, NO_GROUP);
+    report(MemberState.OPEN);
+    pass(3);
+    entry(2, 0, NO_GROUP);
+    fleet.update(fleet.find(HEAD).withEngineState("m", List.of("m"), null));
+    assertThat(known(), nullValue());
+  }
+
+  @Test
+  void aLaterFormationInTheListCountsAtOnce() {
+    entry(1, 0, NO_GROUP);
+    report(MemberState.OPEN);
+    pass(3);
+    entry(2, 0, "OPEN 7");
+    assertThat(known(), is(in("OPEN", 7)));
+  }
+
+  @Test
+  void theFirstListingOfAProcessCountsAtOnce() {
+    entry(1, 0, "OPEN 5");
+    entry(1, 1, NO_GROUP);
+    assertThat(known(), nullValue());
+  }
+}
