Status reports: an older copy of the store takes no replica from a box

Cause: an entry overrides what is known of a box once its last report is 1.5 s old, and after a drill the listed entries are seconds older. The class is that of the store that comes back older: what was read later than the copy is not told apart from what is newer than it.

Change: for 5 s from the first entry of a new era (EntryHistory.HOLD_NANOS, the time in which what was lost is written again) an entry changes no box's place in a replica, unless it names a later formation; then the newest entry counts. The box's own report counts at once, as before.

Why it holds: all entries, read or told by peers, come in by Fleet.takeEntry. For 5 s processes other than the keeper may know a box's place by reports alone; keepers ask their boxes.

--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -133,6 +133,7 @@
   }
 
   private void takeEntry(ListedEntry entry, StoreRecord record) {
+    reports.noteEra(record.position().era());
     // Most records are heartbeats of upstreams in which nothing has changed.
     ListedEntry before = entries.put(entry.box().id(), entry);
     if (before == null || !entry.box().equals(before.box())) {
--- a/edge/src/main/java/org/shoreroad/edge/sync/StatusReports.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/StatusReports.java
@@ -10,7 +10,12 @@
 
 /**
  * The newest status reports that upstreams returned directly, as far as they override entries of
- * the list that may be older. Used on the event loop.
+ * the list that may be older.
+ *
+ * <p>A store that comes back from a copy lists upstreams as they were seconds before. Until what
+ * was lost must have been written again, such an entry takes no replica from a box: a head that is
+ * cut off would seem to have left, and its members would be given to another replica. Used on the
+ * event loop.
  */
 final class StatusReports {
   /**
@@ -19,13 +24,18 @@
    */
   private static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+  private static final long NO_ERA = Long.MIN_VALUE;
+
   private final LongSupplier clockNanos;
   private final Map<String, Long> reportedAtNanos = new HashMap<>();
   private final Map<String, Long> reportedEpochs = new HashMap<>();
 
-  /** Upstreams whose newest entry was read while a newer report stood against it. */
+  /** Upstreams whose newest entry was read while what is known stood against it. */
   private final Set<String> heldBackIds = new HashSet<>();
 
+  private long era = NO_ERA;
+  private long copyUntilNanos = Long.MIN_VALUE / 2;
+
   StatusReports(LongSupplier clockNanos) {
     this.clockNanos = clockNanos;
   }
@@ -36,11 +46,23 @@
     reportedEpochs.merge(report.id(), epochOf(report), Math::max);
   }
 
-  /** Returns the entry with the state of a recent report, if the entry may be older than that. */
+  /** Takes note of the store's era that an entry was read in. */
+  void noteEra(long entryEra) {
+    if (entryEra <= era) {
+      return;
+    }
+    if (era != NO_ERA) {
+      copyUntilNanos = clockNanos.getAsLong() + EntryHistory.HOLD_NANOS;
+    }
+    era = entryEra;
+  }
+
+  /** Returns the entry with the state that is known, if the entry may be older than that. */
   FleetBox withNewerState(FleetBox before, FleetBox listed) {
     heldBackIds.remove(listed.id());
-    long knownEpoch = reportedEpochs.getOrDefault(listed.id(), 0L);
-    if (!hasRecent(listed.id()) || epochOf(listed) > knownEpoch) {
+    long knownEpoch = Math.max(epochOf(before), reportedEpochs.getOrDefault(listed.id(), 0L));
+    boolean mayBeOlder = hasRecent(listed.id()) || mayBeOfCopy();
+    if (!mayBeOlder || epochOf(listed) > knownEpoch) {
       return listed;
     }
     heldBackIds.add(listed.id());
@@ -48,12 +70,15 @@
   }
 
   /**
-   * Returns the upstreams whose entries were held back and whose reports are old by now, each once.
+   * Returns the upstreams whose entries were held back and count by now, each once.
    *
    * <p>An upstream writes no further entry while nothing changes, so that a report that is wrong by
    * now would stand for good: a box that had left its replica stood as its member for 17 s.
    */
   Set<String> takeOutdated() {
+    if (mayBeOfCopy()) {
+      return Set.of();
+    }
     Set<String> outdated = new HashSet<>(heldBackIds);
     outdated.removeIf(this::hasRecent);
     heldBackIds.removeAll(outdated);
@@ -67,6 +92,11 @@
     heldBackIds.remove(id);
   }
 
+  /** Returns true while entries may be from before what is known, since the store lost the rest. */
+  private boolean mayBeOfCopy() {
+    return clockNanos.getAsLong() - copyUntilNanos < 0;
+  }
+
   private boolean hasRecent(String id) {
     Long reportNanos = reportedAtNanos.get(id);
     return reportNanos != null && clockNanos.getAsLong() - reportNanos < REPORT_NANOS;
