--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FormationNumberTest.java
@@ -0,0 +1,79 @@
+package org.shoreroad.edge.sync;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.OutputStream;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+import org.shoreroad.edge.EventLog;
+
+/**
+ * The numbers of formations of a domain, where its owner gives it up and gets it again.
+ *
+ * <p>What was seen: on a hunted day requests ran at a replica with a member that had never been
+ * ready in it. The order of events: a replica was being formed; the owner could not renew its
+ * lease, gave it up, and got it again under the same generation, since nobody else had joined; it
+ * formed a replica of the same name and number from other boxes; two members of the former one said
+ * that they were ready, and the replica was opened.
+ */
+class FormationNumberTest {
+  private static final String DOMAIN = "s/d";
+  private static final int STEP_MS = 100;
+
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private long nowNanos = TimeUnit.HOURS.toNanos(1);
+  private final EventLog log = new EventLog("t", () -> nowNanos, OutputStream.nullOutputStream());
+  private final FakeStore store = new FakeStore();
+  private final DomainLeases leases =
+      new DomainLeases(
+          store, channel.eventLoop(), () -> nowNanos, log, "me", new Alone(), () -> Set.of(DOMAIN));
+
+  /** A process that hears of no other. */
+  private static final class Alone implements DomainLeases.Peers {
+    @Override
+    public int aliveCount() {
+      return 1;
+    }
+
+    @Override
+    public @Nullable Set<String> keptDomains() {
+      return Set.of();
+    }
+
+    @Override
+    public Set<String> names() {
+      return Set.of();
+    }
+  }
+
+  private void pass(int seconds) {
+    for (int i = 0; i < seconds * 1_000 / STEP_MS; i++) {
+      nowNanos += TimeUnit.MILLISECONDS.toNanos(STEP_MS);
+      channel.advanceTimeBy(STEP_MS, TimeUnit.MILLISECONDS);
+      channel.runScheduledPendingTasks();
+    }
+  }
+
+  @Test
+  void aNumberIsNotGivenAgainUnderTheSameGeneration() {
+    store.grant(new PartitionGrant(StoreEra.NONE, 7, Set.of(0)));
+    leases.start();
+    pass(10);
+    assertThat(leases.kept(), contains(DOMAIN));
+    long before = leases.nextEpoch(DOMAIN);
+    store.failWith(StoreFault.NO_ANSWER);
+    pass(10);
+    assertThat(leases.kept(), empty());
+    store.failWith(null);
+    store.grant(new PartitionGrant(StoreEra.NONE, 7, Set.of(0)));
+    pass(10);
+    assertThat(leases.kept(), contains(DOMAIN));
+    assertThat(leases.nextEpoch(DOMAIN), greaterThan(before));
+  }
+}
