Domain leases: a formation number is not given twice

A replica served with a member that had never been ready in it.

Cause: the number of a formation is the lease's generation and a count that began anew with each lease object. An owner that gave a domain up and got it again under the same generation gave the first numbers again; members of the former formation of that name and number said that they were ready. Class: a number that is taken to rise, over two owners of its count.

Change: a process counts the formations of each domain over all its leases there. A later process has another member name, so another generation.

--- a/edge/src/main/java/org/shoreroad/edge/sync/DomainLease.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/DomainLease.java
@@ -54,13 +54,15 @@
   private PartitionGrant grant = new PartitionGrant(StoreEra.NONE, 0, Set.of());
   private long validUntilNanos = Long.MIN_VALUE;
   private long heldFromNanos;
-  private long sequence;
+  private final LongSupplier sequence;
   private boolean wasGranted;
   private boolean isLeft;
 
   /**
    * Creates a lease that is not held; {@link #claim} joins the domain's group.
    *
+   * @param sequence numbers the formations that this process has given the domain, rising over all
+   *     its leases: the store may grant one again under the generation that it had
    * @param formerLeasesEndNanos when the last lease of the store's former era ends
    */
   DomainLease(
@@ -70,6 +72,7 @@
       EventLog log,
       String member,
       String domain,
+      LongSupplier sequence,
       long formerLeasesEndNanos) {
     this.store = store;
     this.loop = loop;
@@ -77,6 +80,7 @@
     this.log = log;
     this.member = member;
     this.domain = domain;
+    this.sequence = sequence;
     this.claimedNanos = clockNanos.getAsLong();
     this.formerLeasesEndNanos = formerLeasesEndNanos;
   }
@@ -150,8 +154,7 @@
 
   /** Returns a number higher than that of any earlier formation in the domain. */
   long nextEpoch() {
-    sequence++;
-    return (grant.fencingNumber() << SEQUENCE_BITS) + sequence;
+    return (grant.fencingNumber() << SEQUENCE_BITS) + sequence.getAsLong();
   }
 
   private static boolean ownsDomain(PartitionGrant grant) {
@@ -180,7 +183,6 @@
           "generation",
           next.generation());
     }
-    sequence = next.fencingNumber() == grant.fencingNumber() ? sequence : 0;
     grant = next;
     validUntilNanos = sentNanos + TimeUnit.MILLISECONDS.toNanos(TTL_MS - MARGIN_MS);
   }
--- a/edge/src/main/java/org/shoreroad/edge/sync/DomainLeases.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/DomainLeases.java
@@ -56,6 +56,10 @@
   private final Supplier<Set<String>> domains;
   private final DomainClaims claims;
   private final Map<String, DomainLease> leases = new HashMap<>();
+
+  /** How many formations this process has numbered in each domain, over all its leases there. */
+  private final Map<String, Long> formationCounts = new HashMap<>();
+
   private final Set<String> beingChecked = new HashSet<>();
   private Set<String> announced = Set.of();
   private Runnable onChange = () -> {};
@@ -246,7 +250,15 @@
       return;
     }
     DomainLease lease =
-        new DomainLease(store, loop, clockNanos, log, member, domain, formerLeasesEndNanos);
+        new DomainLease(
+            store,
+            loop,
+            clockNanos,
+            log,
+            member,
+            domain,
+            () -> formationCounts.merge(domain, 1L, Long::sum),
+            formerLeasesEndNanos);
     leases.put(domain, lease);
     lease.claim();
     tellChanges();
--- a/edge/src/test/java/org/shoreroad/edge/sync/DomainLeaseTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/DomainLeaseTest.java
@@ -17,9 +17,17 @@
   private long nowNanos = TimeUnit.HOURS.toNanos(1);
   private final EventLog log = new EventLog("t", () -> nowNanos, OutputStream.nullOutputStream());
   private final FakeStore store = new FakeStore();
+  private long formations;
   private final DomainLease lease =
       new DomainLease(
-          store, channel.eventLoop(), () -> nowNanos, log, "me", "s/d", Long.MIN_VALUE / 2);
+          store,
+          channel.eventLoop(),
+          () -> nowNanos,
+          log,
+          "me",
+          "s/d",
+          () -> ++formations,
+          Long.MIN_VALUE / 2);
 
   private void pass(long nanos) {
     nowNanos += nanos;
@@ -52,7 +60,14 @@
             () -> nowNanos, () -> TimeUnit.NANOSECONDS.toMillis(nowNanos + suspendedNanos[0]));
     DomainLease held =
         new DomainLease(
-            store, channel.eventLoop(), elapsed::nowNanos, log, "me", "s/d", Long.MIN_VALUE / 2);
+            store,
+            channel.eventLoop(),
+            elapsed::nowNanos,
+            log,
+            "me",
+            "s/d",
+            () -> ++formations,
+            Long.MIN_VALUE / 2);
     store.grant(new PartitionGrant(StoreEra.NONE, 7, Set.of(0)));
     held.claim();
     pass(700_000_000L);
