--- a/edge/src/main/java/org/shoreroad/edge/sync/DomainLease.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/DomainLease.java
@@ -40,29 +40,26 @@
   /** The partition whose member owns the domain; every topic has it. */
   private static final int OWNING_PARTITION = 0;
 
-  /** Number of bits for the formations within one generation. */
-  private static final int SEQUENCE_BITS = 20;
-
   private final LeaseStore store;
   private final EventLoop loop;
   private final LongSupplier clockNanos;
   private final EventLog log;
   private final String member;
   private final String domain;
+  private final FormationNumbers formationNumbers;
   private final long claimedNanos;
   private long formerLeasesEndNanos;
   private PartitionGrant grant = new PartitionGrant(StoreEra.NONE, 0, Set.of());
   private long validUntilNanos = Long.MIN_VALUE;
   private long heldFromNanos;
-  private final LongSupplier sequence;
   private boolean wasGranted;
   private boolean isLeft;
 
   /**
    * Creates a lease that is not held; {@link #claim} joins the domain's group.
    *
-   * @param sequence numbers the formations that this process has given the domain, rising over all
-   *     its leases: the store may grant one again under the generation that it had
+   * @param formationNumbers the numbers of this process in the domain, the same for all its leases
+   *     there, not null
    * @param formerLeasesEndNanos when the last lease of the store's former era ends
    */
   DomainLease(
@@ -72,7 +69,7 @@
       EventLog log,
       String member,
       String domain,
-      LongSupplier sequence,
+      FormationNumbers formationNumbers,
       long formerLeasesEndNanos) {
     this.store = store;
     this.loop = loop;
@@ -80,7 +77,7 @@
     this.log = log;
     this.member = member;
     this.domain = domain;
-    this.sequence = sequence;
+    this.formationNumbers = formationNumbers;
     this.claimedNanos = clockNanos.getAsLong();
     this.formerLeasesEndNanos = formerLeasesEndNanos;
   }
@@ -154,7 +151,7 @@
 
   /** Returns a number higher than that of any earlier formation in the domain. */
   long nextEpoch() {
-    return (grant.fencingNumber() << SEQUENCE_BITS) + sequence.getAsLong();
+    return formationNumbers.next(grant.fencingNumber());
   }
 
   private static boolean ownsDomain(PartitionGrant grant) {
--- a/edge/src/main/java/org/shoreroad/edge/sync/DomainLeases.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/DomainLeases.java
@@ -57,8 +57,7 @@
   private final DomainClaims claims;
   private final Map<String, DomainLease> leases = new HashMap<>();
 
-  /** How many formations this process has numbered in each domain, over all its leases there. */
-  private final Map<String, Long> formationCounts = new HashMap<>();
+  private final Map<String, FormationNumbers> formationNumbers = new HashMap<>();
 
   private final Set<String> beingChecked = new HashSet<>();
   private Set<String> announced = Set.of();
@@ -257,7 +256,7 @@
             log,
             member,
             domain,
-            () -> formationCounts.merge(domain, 1L, Long::sum),
+            formationNumbers.computeIfAbsent(domain, added -> new FormationNumbers()),
             formerLeasesEndNanos);
     leases.put(domain, lease);
     lease.claim();
--- a/edge/src/test/java/org/shoreroad/edge/sync/DomainLeaseTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/DomainLeaseTest.java
@@ -17,7 +17,6 @@
   private long nowNanos = TimeUnit.HOURS.toNanos(1);
   private final EventLog log = new EventLog("t", () -> nowNanos, OutputStream.nullOutputStream());
   private final FakeStore store = new FakeStore();
-  private long formations;
   private final DomainLease lease =
       new DomainLease(
           store,
@@ -26,7 +25,7 @@
           log,
           "me",
           "s/d",
-          () -> ++formations,
+          new FormationNumbers(),
           Long.MIN_VALUE / 2);
 
   private void pass(long nanos) {
@@ -66,7 +65,7 @@
             log,
             "me",
             "s/d",
-            () -> ++formations,
+            new FormationNumbers(),
             Long.MIN_VALUE / 2);
     store.grant(new PartitionGrant(StoreEra.NONE, 7, Set.of(0)));
     held.claim();
