Simplify after a reading: one identity per attempt, a set for leavings, one rounding in reports

Attempt built the upstream's identity up to four times a request. EntryHistory used a map as a set. AskedTable rounded as LogReport does. Backpressure.setListener takes limits only and is named so. No behaviour changed.

--- a/cli/src/main/java/org/shoreroad/cli/AskedTable.java
+++ b/cli/src/main/java/org/shoreroad/cli/AskedTable.java
@@ -39,7 +39,7 @@
     for (JsonNode line : log.of(event)) {
       String upstream = line.path("upstream").asText();
       String key = upstream + "/" + what;
-      double second = Math.round(log.secondsOf(line) * 1e3) / 1e3;
+      double second = LogReport.round(log.secondsOf(line));
       ObjectNode row =
           rows.computeIfAbsent(
               key,
--- a/cli/src/main/java/org/shoreroad/cli/LogReport.java
+++ b/cli/src/main/java/org/shoreroad/cli/LogReport.java
@@ -174,7 +174,8 @@
     return (int) (log.secondsOf(line) / STATE_SECONDS) * STATE_SECONDS;
   }
 
-  private static double round(double seconds) {
+  /** Returns seconds to the millisecond. */
+  static double round(double seconds) {
     return Math.round(seconds * 1e3) / 1e3;
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -273,7 +273,7 @@
           replicas.hurry();
         });
     mesh.setSuspicionListener(this::learnSuspicions);
-    backpressure.setListener(mesh::hurry);
+    backpressure.setLimitListener(mesh::hurry);
     backpressure.setLeavingListener(fleet::noteLeaving);
     quarantine.setRecorder(quarantineRegistry::write);
     fleet.setServiceCheck(configuration::isDeclared);
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -11,6 +11,7 @@
 import org.shoreroad.edge.http.CallFailure;
 import org.shoreroad.edge.http.CallListener;
 import org.shoreroad.edge.http.HttpCall;
+import org.shoreroad.fleet.Incarnation;
 
 /**
  * One sending of a request to one upstream; used on the event loop only.
@@ -27,6 +28,7 @@
   private final Exchange exchange;
   private final Relay relay;
   private final Target target;
+  private final Incarnation upstream;
   private final long startedNanos;
   private @Nullable HttpCall call;
   private @Nullable HttpResponse head;
@@ -41,11 +43,12 @@
     this.exchange = exchange;
     this.relay = relay;
     this.target = target;
+    this.upstream = target.box().incarnation();
     this.startedNanos = startedNanos;
   }
 
   void start(int maxConnections) {
-    hasTurn = relay.backpressure().isLimited(target.box().incarnation()) && takeTurn();
+    hasTurn = relay.backpressure().isLimited(upstream) && takeTurn();
     target.load().add(exchange, exchange.promptTokens(), startedNanos);
     call =
         relay
@@ -55,7 +58,7 @@
 
   /** Asked again, since the upstream may have asked for less while the connection came up. */
   private boolean isStillWanted() {
-    if (relay.backpressure().isResting(target.box().incarnation())) {
+    if (relay.backpressure().isResting(upstream)) {
       relay.counters().count("shoreroad.attempts.to_resting", "withdrawn");
       return false;
     }
@@ -63,7 +66,7 @@
   }
 
   private boolean takeTurn() {
-    return relay.backpressure().takeTurn(target.box().incarnation());
+    return relay.backpressure().takeTurn(upstream);
   }
 
   Target target() {
@@ -113,7 +116,7 @@
     }
     head = response;
     if (!isMisdirected(response)) {
-      relay.backpressure().recordAnswer(target.box().incarnation(), response, startedNanos);
+      relay.backpressure().recordAnswer(upstream, response, startedNanos);
     }
     target.load().recordProgress(relay.nowNanos());
     if (isRefusal(response)) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/Backpressure.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Backpressure.java
@@ -38,7 +38,7 @@
   private final LongSupplier clockNanos;
   private final EventLog log;
   private final RelayCounters counters;
-  private Runnable listener = () -> {};
+  private Runnable limitListener = () -> {};
   private Consumer<Incarnation> leavingListener = upstream -> {};
 
   /**
@@ -64,8 +64,8 @@
    * Sets what is run when an answer has told this process of a limit that it did not know, so that
    * the others hear of it soon.
    */
-  public void setListener(Runnable listener) {
-    this.listener = listener;
+  public void setLimitListener(Runnable limitListener) {
+    this.limitListener = limitListener;
   }
 
   /** Sets what takes an upstream that says in an answer that it is about to end. */
@@ -134,7 +134,7 @@
     LimitChange change = limits.recordAnswer(upstream, limit, sentNanos, clockNanos.getAsLong());
     writeChange(change, upstream, limit, "answer");
     if (change == LimitChange.BEGUN) {
-      listener.run();
+      limitListener.run();
     }
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/sync/EntryHistory.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/EntryHistory.java
@@ -1,9 +1,11 @@
 package org.shoreroad.edge.sync;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.fleet.FleetBox;
@@ -30,7 +32,8 @@
   private static final int MAX_KNOWN = 2_000;
 
   /** What an upstream itself said in an answer may be ahead of its entry, in any era. */
-  private final Map<Incarnation, Boolean> saidLeaving = new BoundedMap<>(MAX_KNOWN);
+  private final Set<Incarnation> saidLeaving =
+      Collections.newSetFromMap(new BoundedMap<>(MAX_KNOWN));
 
   private final Map<String, ListedEntry> leavings = new BoundedMap<>(MAX_KNOWN);
   private final Map<String, ListedEntry> removals = new BoundedMap<>(MAX_KNOWN);
@@ -48,7 +51,7 @@
 
   /** Takes note that an upstream has said in an answer that it is about to end. */
   void noteSaidLeaving(Incarnation upstream) {
-    saidLeaving.put(upstream, true);
+    saidLeaving.add(upstream);
   }
 
   /** Takes note that the entry of an upstream was taken away. */
@@ -61,7 +64,7 @@
    * from an answer, or from an earlier entry where this one comes from a copy that may be older.
    */
   ListedEntry withKnownLeaving(ListedEntry entry) {
-    return saidLeaving.containsKey(entry.box().incarnation())
+    return saidLeaving.contains(entry.box().incarnation())
             || mayPredate(entry, leavings.get(entry.box().id()))
         ? new ListedEntry(entry.box().withLeaving(), entry.position())
         : entry;
