--- a/core/src/main/java/org/shoreroad/limit/FleetLimits.java
+++ b/core/src/main/java/org/shoreroad/limit/FleetLimits.java
@@ -10,36 +10,35 @@
 import org.shoreroad.fleet.Incarnation;
 
 /**
- * The limits that upstreams have named to any process, and the part of each that this process may
- * use.
+ * Limits that upstreams have named to any process, and the share of this process in each.
  *
  * <p>The load that it answers: an upstream in need that takes one request a second, or a few, from
- * all processes together, while each process alone sends it less than that. No process can keep
- * such a limit for itself. So what an answer to one process says is told to all, and the limit is
- * dealt among a few of them, who pace their requests; the others pass the upstream over.
+ * all processes together, while each process alone sends less than that. A process can't keep such
+ * a limit alone. Each limit is therefore passed on to all processes and divided among a few of
+ * them, which pace their requests; the other processes skip the upstream.
  *
- * <p>Two processes that disagree for a moment on who is there may both hold a part; a part that
- * passes to another process begins with a pause. What an upstream said last counts. An answer
- * without a limit ends it only if its request was sent after an answer last named it: an older one
- * may have been on its way. It reads no clock: times are passed in, in nanoseconds of the steady
- * clock. Used by one thread.
+ * <p>Two processes whose membership views differ may both hold the same share for a moment; a share
+ * that moves to another process begins with a pause. The latest statement of an upstream counts. An
+ * answer without a limit ends the limit only if its request was sent after the limit was last
+ * named: an older answer may have been in flight. This class reads no clock: times are passed in,
+ * in nanoseconds of the steady clock. Used by one thread.
  *
  * @since 0.2
  */
 public final class FleetLimits {
-  /** A limit that no answer has named for this long is dropped; the next answer names it again. */
+  /** A limit is dropped this long after it was last named. Milliseconds. */
   static final long KEEP_MS = TimeUnit.MINUTES.toMillis(10);
 
-  /** Five heartbeats: a change is told so often, so that a lost one does not matter. */
+  /** Five heartbeats carry each change, so that a lost one does not matter. */
   private static final long NEW_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-  /** A process that has just started knows all limits within this time. */
+  /** Interval after which a limit is reported again, for processes that have just started. */
   private static final long REPEAT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
   /** Most limits in one heartbeat: about 35 bytes each, so 2.2 KB. */
   private static final int MAX_REPORTED = 64;
 
-  /** More upstreams than any fleet has; reports of further ones are passed over. */
+  /** Maximum number of upstreams, above the size of any fleet; further reports are ignored. */
   private static final int MAX_UPSTREAMS = 20_000;
 
   private final String self;
@@ -56,18 +55,18 @@
   }
 
   /**
-   * Sets the processes among which limits are dealt, this one among them; as long as there are
-   * none, this process sends nothing to limited upstreams.
+   * Sets the processes that limits are divided among, including this one; while the set is empty,
+   * this process sends nothing to limited upstreams.
    */
   public void setSharers(Set<String> names, long nowNanos) {
     if (!names.equals(sharers)) {
       sharers = Set.copyOf(names);
-      upstreams.values().forEach(upstream -> upstream.deal(self, sharers, nowNanos));
+      upstreams.values().forEach(upstream -> upstream.assignShare(self, sharers, nowNanos));
     }
   }
 
   /**
-   * Takes what an answer to this process says.
+   * Applies what an answer to this process states.
    *
    * @param upstream who answered, not null
    * @param limit the limit that the answer names, or null if it names none
@@ -85,7 +84,7 @@
     return tell(upstream, limit, toldNanos, nowNanos);
   }
 
-  /** Takes what another process tells; returns what that changed. */
+  /** Applies a report of another process; returns what it changed. */
   public LimitChange learn(LimitReport report, long nowNanos) {
     if (report.ageMs() > KEEP_MS) {
       return LimitChange.NONE;
@@ -106,18 +105,18 @@
         return LimitChange.NONE;
       }
       LimitedUpstream added = new LimitedUpstream(upstream, limit, toldNanos, nowNanos);
-      added.deal(self, sharers, nowNanos);
+      added.assignShare(self, sharers, nowNanos);
       upstreams.put(upstream, added);
       return LimitChange.BEGUN;
     }
     LimitChange change = known.tell(limit, toldNanos, nowNanos);
     if (change != LimitChange.NONE) {
-      known.deal(self, sharers, nowNanos);
+      known.assignShare(self, sharers, nowNanos);
     }
     return change;
   }
 
-  /** Returns what to tell the other processes now: what has changed, and each limit at times. */
+  /** Returns the reports that are due: recent changes, and every limit again at an interval. */
   public List<LimitReport> reports(long nowNanos) {
     long keepNanos = TimeUnit.MILLISECONDS.toNanos(KEEP_MS);
     upstreams.values().removeIf(upstream -> nowNanos - upstream.toldNanos() > keepNanos);
--- a/core/src/main/java/org/shoreroad/limit/LimitedUpstream.java
+++ b/core/src/main/java/org/shoreroad/limit/LimitedUpstream.java
@@ -7,15 +7,15 @@
 import org.shoreroad.routing.Rendezvous;
 
 /**
- * What one process knows of the limit of one upstream, and its own part of it.
+ * Limit of one upstream as this process knows it, and the share of this process.
  *
- * <p>About as many processes as the limit allows requests a second hold an equal part each, chosen
- * by rendezvous hashing. A part for each process would be useless where the limit is near one a
- * second: with every process allowed one request at any time, 58 processes would send 58 at once.
+ * <p>About as many processes as the limit allows requests per second hold an equal share each,
+ * chosen by rendezvous hashing. A share for each process would not keep a limit near one per
+ * second: if each of 58 processes may send one request at any time, 58 requests can arrive at once.
  * Used by one thread.
  */
 final class LimitedUpstream {
-  /** A limit of nothing still lets a request through at times, or its end would not be heard. */
+  /** Rate used for a limit of 0: without any request, the end of the limit would go unnoticed. */
   private static final double LEAST_PER_SECOND = 0.1;
 
   private final Incarnation upstream;
@@ -42,7 +42,7 @@
     return toldNanos;
   }
 
-  /** Takes what the upstream said later than all that is known. */
+  /** Applies a statement of the upstream that is later than all known ones. */
   LimitChange tell(@Nullable RequestLimit newLimit, long newToldNanos, long nowNanos) {
     RequestLimit former = limit;
     toldNanos = newToldNanos;
@@ -58,12 +58,13 @@
   }
 
   /**
-   * Finds out anew whether this process holds a part.
+   * Determines again whether this process holds a share, and its interval.
    *
    * @param self the name of this process, not null
-   * @param sharers the processes among which the parts are dealt; if empty, this process has none
+   * @param sharers the processes that the limit is divided among; if empty, this process has no
+   *     share
    */
-  void deal(String self, Set<String> sharers, long nowNanos) {
+  void assignShare(String self, Set<String> sharers, long nowNanos) {
     RequestLimit of = limit;
     if (of == null) {
       return;
@@ -87,14 +88,14 @@
     return limit == null || (isHolder && pacer != null && pacer.hasTurn(nowNanos));
   }
 
-  /** Takes the turn that there is, if there is a limit. */
+  /** Uses the available turn, if there is a limit. */
   void takeTurn(long nowNanos) {
     if (limit != null && pacer != null) {
       pacer.take(nowNanos);
     }
   }
 
-  /** Returns true if the other processes are to be told now: of a change, and again at times. */
+  /** Returns true if a report is due: after a change, and again at an interval. */
   boolean isReportDue(long newNanos, long repeatNanos, long nowNanos) {
     return nowNanos - changedNanos < newNanos || nowNanos - reportedNanos >= repeatNanos;
   }
--- a/core/src/main/java/org/shoreroad/limit/RestTime.java
+++ b/core/src/main/java/org/shoreroad/limit/RestTime.java
@@ -4,8 +4,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * For how long an upstream that turns a request away wants nothing more from the process that sent
- * it.
+ * Time for which an upstream that rejects a request asks the sending process to send nothing more.
  *
  * <p>This class is immutable and thread-safe.
  *
@@ -13,7 +12,7 @@
  * @since 0.2
  */
 public record RestTime(long nanos) {
-  /** Longest time that is kept: an upstream that wants more has to leave the list. */
+  /** Maximum: an upstream that is away for longer should leave the list. */
   static final RestTime LONGEST = new RestTime(TimeUnit.HOURS.toNanos(1));
 
   private static final double NANOS_PER_SECOND = 1e9;
--- a/core/src/main/java/org/shoreroad/limit/TurnPacer.java
+++ b/core/src/main/java/org/shoreroad/limit/TurnPacer.java
@@ -3,20 +3,20 @@
 /**
  * Spaces the requests of one process to one upstream evenly: the generic cell rate algorithm.
  *
- * <p>A turn may come half an interval early, so that a process whose requests come a little late
- * for some turns still has them all; a window of any length holds at most one turn and a half more
- * than the rate gives. Used by one thread.
+ * <p>A turn may be used half an interval early, so that requests that arrive slightly late for some
+ * turns do not lower the rate; a window of any length holds at most one and a half turns more than
+ * the rate allows. Used by one thread.
  */
 final class TurnPacer {
-  /** A turn may come an interval divided by this early. */
+  /** The interval divided by this is the time by which a turn may be used early. */
   private static final int EARLY_DIVISOR = 2;
 
   private long intervalNanos;
   private long dueNanos;
 
   /**
-   * Creates a pacer whose first turn comes after half an interval: the process that had the turns
-   * before may have used one just now.
+   * Creates a pacer whose first turn is available after half an interval: the process that held the
+   * share before may have used a turn just now.
    *
    * @param intervalNanos the time from one turn to the next, positive
    */
@@ -31,7 +31,7 @@
     dueNanos = Math.min(dueNanos, nowNanos + newIntervalNanos);
   }
 
-  /** Begins anew, as for a process that had no turns until now. */
+  /** Delays the next turn, as for a process that has held no share so far. */
   void restart(long nowNanos) {
     dueNanos = Math.max(dueNanos, nowNanos + intervalNanos);
   }
@@ -41,7 +41,7 @@
     return nowNanos >= dueNanos - intervalNanos / EARLY_DIVISOR;
   }
 
-  /** Takes the turn that there is. */
+  /** Uses the available turn. */
   void take(long nowNanos) {
     dueNanos = Math.max(dueNanos, nowNanos) + intervalNanos;
   }
--- a/core/src/main/java/org/shoreroad/limit/UpstreamRests.java
+++ b/core/src/main/java/org/shoreroad/limit/UpstreamRests.java
@@ -5,28 +5,28 @@
 import org.shoreroad.fleet.Incarnation;
 
 /**
- * The upstreams that want no request from this process for a time.
+ * Upstreams that have asked this process to send nothing for a time.
  *
- * <p>The load that it answers: upstreams that turn away all that comes. They have nothing open and
- * look free, so they draw more requests than those that serve, and a request that is sent from one
- * to the next uses up its attempts. Kept by incarnation, apart from what else is known of an
- * upstream: a new formation, a lost connection or another entry in the list ends no rest.
+ * <p>The load that it answers: upstreams that reject every request. They have nothing open and look
+ * idle, so they attract more requests than the upstreams that serve, and a request that is sent
+ * from one to the next uses up its attempts. Rests are kept by incarnation and separately from the
+ * load: a new formation, a lost connection or another entry in the list ends no rest.
  *
- * <p>It reads no clock: times are passed in, in nanoseconds of the steady clock. Used by one
- * thread.
+ * <p>This class reads no clock: times are passed in, in nanoseconds of the steady clock. Used by
+ * one thread.
  *
  * @since 0.2
  */
 public final class UpstreamRests {
   private final Map<Incarnation, Long> untilNanos = new HashMap<>();
 
-  /** Notes that an upstream asks for rest; a longer one that it has asked for before goes on. */
+  /** Begins a rest; a longer one that the upstream asked for earlier stays in force. */
   public void begin(Incarnation upstream, RestTime rest, long nowNanos) {
     untilNanos.values().removeIf(until -> until <= nowNanos);
     untilNanos.merge(upstream, nowNanos + rest.nanos(), Math::max);
   }
 
-  /** Returns true if the upstream wants no request from this process now. */
+  /** Returns true while a rest of the upstream lasts. */
   public boolean isResting(Incarnation upstream, long nowNanos) {
     Long until = untilNanos.get(upstream);
     return until != null && nowNanos < until;
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -182,9 +182,9 @@
   }
 
   /**
-   * Returns the names of the processes that share what upstreams take from all processes together,
-   * this one among them: all, or in a large system the hubs. Empty for a member of a hub, which
-   * does not know who is there.
+   * Returns the names of the processes that limits of upstreams are divided among, including this
+   * one: all alive processes, or in a large system the hubs. Empty for a member of a hub, which has
+   * no view of the alive processes.
    */
   public Set<String> sharers() {
     if (isMember()) {
@@ -303,7 +303,7 @@
     }
   }
 
-  /** Tells all peers soon if this process is a hub, so that what it heard just now goes on. */
+  /** Sends heartbeats soon if this process is a hub, to pass on what it has just received. */
   public void hurryAsHub() {
     if (isHub()) {
       hurry();
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -56,7 +56,7 @@
             .send(target.box().address(), exchange.toUpstreamRequest(target), maxConnections, this);
   }
 
-  /** Asked again, since the upstream may have asked for less while the connection came up. */
+  /** Checked again, since the upstream may have asked for less while the connection was opened. */
   private boolean isStillWanted() {
     if (relay.backpressure().isResting(upstream)) {
       relay.counters().count("shoreroad.attempts.to_resting", "withdrawn");
--- a/edge/src/main/java/org/shoreroad/edge/relay/Backpressure.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Backpressure.java
@@ -21,9 +21,9 @@
 import org.shoreroad.limit.UpstreamRests;
 
 /**
- * What upstreams ask for in their answers, at this process: limits, fed by the answers and by the
- * reports of other processes; rests, fed by the refusals that this process gets; leavings, which
- * are passed on to the list of upstreams. Asked before a request is sent.
+ * Requests of upstreams in their answers: limits, from answers and from the reports of other
+ * processes; rests, from the rejections that this process receives; leavings, which are passed on
+ * to the list of upstreams. Checked before each request is sent.
  *
  * <p>Used on the event loop.
  *
@@ -42,7 +42,7 @@
   private Consumer<Incarnation> leavingListener = upstream -> {};
 
   /**
-   * Creates an object that knows of nothing yet.
+   * Creates an instance without limits and rests.
    *
    * @param self the name of this process, not null
    * @param headers the names of the headers in which upstreams ask, not null
@@ -61,8 +61,8 @@
   }
 
   /**
-   * Sets what is run when an answer has told this process of a limit that it did not know, so that
-   * the others hear of it soon.
+   * Sets what is run when an answer names a limit that was not known here, so that the other
+   * processes receive it soon.
    */
   public void setLimitListener(Runnable limitListener) {
     this.limitListener = limitListener;
@@ -73,17 +73,17 @@
     this.leavingListener = leavingListener;
   }
 
-  /** Sets the processes among which limits are dealt, this one among them; none if empty. */
+  /** Sets the processes that limits are divided among, including this one; may be empty. */
   public void setSharers(Set<String> names) {
     limits.setSharers(names, clockNanos.getAsLong());
   }
 
-  /** Returns what to tell the other processes now. */
+  /** Returns the reports that are due to the other processes. */
   public List<LimitReport> reports() {
     return limits.reports(clockNanos.getAsLong());
   }
 
-  /** Joins the reports of another process; returns true if an upstream is newly limited. */
+  /** Applies the reports of another process; returns true if an upstream is newly limited. */
   public boolean learn(Collection<LimitReport> reports) {
     boolean hasBegun = false;
     for (LimitReport report : reports) {
@@ -100,7 +100,7 @@
   }
 
   /**
-   * Takes what an upstream's answer asks for.
+   * Applies what an upstream's answer asks for.
    *
    * @param upstream who answered, not null
    * @param head the head of the answer, not null
@@ -108,7 +108,7 @@
    */
   void recordAnswer(Incarnation upstream, HttpResponse head, long sentNanos) {
     String limit = head.headers().get(headers.limit());
-    // Bytes that lack the upstream's echo of the request do not end what it asked for.
+    // An answer without the upstream's echo of the request does not end a limit.
     if (limit != null || head.headers().contains(headers.attemptId())) {
       recordLimit(upstream, limit, sentNanos);
     }
@@ -161,7 +161,7 @@
     return limits.isLimited(upstream);
   }
 
-  /** Returns true if the upstream takes a request from this process now. */
+  /** Returns true if this process may send the upstream a request now. */
   boolean mayTake(FleetBox upstream) {
     if (limits.isEmpty() && rests.isEmpty()) {
       return true;
@@ -171,12 +171,12 @@
     return !rests.isResting(incarnation, nowNanos) && limits.hasTurn(incarnation, nowNanos);
   }
 
-  /** Returns true if the upstream wants no request from this process for a time. */
+  /** Returns true while a rest of the upstream lasts. */
   boolean isResting(Incarnation upstream) {
     return rests.isResting(upstream, clockNanos.getAsLong());
   }
 
-  /** Takes the turn for one request; returns false if there is a limit and no turn. */
+  /** Uses a turn for one request; returns false if there is a limit and no turn. */
   boolean takeTurn(Incarnation upstream) {
     boolean hasTurn = limits.takeTurn(upstream, clockNanos.getAsLong());
     if (limits.isLimited(upstream)) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -150,7 +150,7 @@
 
   private void waitOrRefuse() {
     boolean isHeldBack = service != null && relay.selector().isHeldBack(service, modelOf(service));
-    // A turn at a limited upstream, or the end of a rest, is seldom as near as the next free place.
+    // The next turn or the end of a rest is rarely as close as the next free place.
     boolean mayWait = !isHeldBack && sends.sent() == 0 && relay.nowNanos() < waitUntilNanos;
     // A stream that was begun waits for another replica as long as there is time.
     if (hasBegun() || mayWait) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
@@ -118,8 +118,8 @@
   }
 
   /**
-   * Returns true if upstreams stand, and none of them takes a request from this process now: each
-   * rests, or has a limit and no turn for it.
+   * Returns true if there are upstreams and this process may send a request to none of them now:
+   * each rests, or has a limit without a turn.
    */
   boolean isHeldBack(UpstreamService service, @Nullable String model) {
     List<FleetBox> standing = table.candidates(service, model);
--- a/edge/src/main/java/org/shoreroad/edge/sync/EntryHistory.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/EntryHistory.java
@@ -31,7 +31,7 @@
 
   private static final int MAX_KNOWN = 2_000;
 
-  /** What an upstream itself said in an answer may be ahead of its entry, in any era. */
+  /** Upstreams that announced in an answer that they leave; their entries may be older. */
   private final Set<Incarnation> saidLeaving =
       Collections.newSetFromMap(new BoundedMap<>(MAX_KNOWN));
 
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -28,7 +28,7 @@
  * @since 0.2
  */
 public final class Fleet implements TopicFollower.Listener {
-  /** Entries that lapsed in an outage are back within about two seconds (users' letter 2). */
+  /** Entries that lapsed in an outage are back within about two seconds. */
   private static final long RETURN_NANOS = TimeUnit.MILLISECONDS.toNanos(2_300);
 
   private final EntryIntake intake;
@@ -194,8 +194,8 @@
   }
 
   /**
-   * Takes note that an upstream has said in an answer that it is about to end: it gets no more
-   * requests, whatever its entry says.
+   * Records that an upstream has announced in an answer that it is about to end: it gets no more
+   * requests, whatever the state of its entry.
    */
   public void noteLeaving(Incarnation upstream) {
     history.noteSaidLeaving(upstream);
--- a/edge/src/main/java/org/shoreroad/edge/sync/FormationNumbers.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/FormationNumbers.java
@@ -1,12 +1,12 @@
 package org.shoreroad.edge.sync;
 
 /**
- * The numbers that this process gives to formations in one domain.
+ * Generator of the formation numbers of this process in one domain.
  *
- * <p>A number begins with the fencing number of the lease, and is higher than all that this process
- * has given before. It lasts over the leases of the process: the store may grant one again under
- * the fencing number that it had, and engines take formations of one number for the same. Used on
- * the event loop.
+ * <p>A number begins with the fencing number of the lease and is higher than all earlier ones of
+ * this process. One generator serves all leases of the process in the domain: the store may grant a
+ * lease again under the same fencing number, and engines treat formations with one number as the
+ * same. Used on the event loop.
  */
 final class FormationNumbers {
   /** Number of bits for the formations under one fencing number. */
--- a/edge/src/main/java/org/shoreroad/edge/sync/StatusReports.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/StatusReports.java
@@ -12,10 +12,10 @@
  * The newest status reports that upstreams returned directly, as far as they override entries of
  * the list that may be older.
  *
- * <p>A store that comes back from a copy lists upstreams as they were seconds before. Until what
- * was lost must have been written again, such an entry takes no replica from a box: a head that is
- * cut off would seem to have left, and its members would be given to another replica. Used on the
- * event loop.
+ * <p>A store that comes back from a copy lists upstreams as they were seconds before. Until the
+ * lost records must have been written again, such an entry does not remove a box from its replica:
+ * otherwise a partitioned head would seem to have left, and its members would be assigned to
+ * another replica. Used on the event loop.
  */
 final class StatusReports {
   /**
@@ -30,7 +30,7 @@
   private final Map<String, Long> reportedAtNanos = new HashMap<>();
   private final Map<String, Long> reportedEpochs = new HashMap<>();
 
-  /** Upstreams whose newest entry was read while what is known stood against it. */
+  /** Upstreams whose newest entry was read while newer known state overrode it. */
   private final Set<String> heldBackIds = new HashSet<>();
 
   private long era = NO_ERA;
@@ -46,7 +46,7 @@
     reportedEpochs.merge(report.id(), epochOf(report), Math::max);
   }
 
-  /** Takes note of the store's era that an entry was read in. */
+  /** Records the store's era in which an entry was read. */
   void noteEra(long entryEra) {
     if (entryEra <= era) {
       return;
@@ -92,7 +92,7 @@
     heldBackIds.remove(id);
   }
 
-  /** Returns true while entries may be from before what is known, since the store lost the rest. */
+  /** Returns true while entries may come from a copy that is older than the known state. */
   private boolean mayBeOfCopy() {
     return clockNanos.getAsLong() - copyUntilNanos < 0;
   }
--- a/edge/src/main/java/org/shoreroad/edge/sync/UnlistedUpstreams.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/UnlistedUpstreams.java
@@ -7,8 +7,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The known upstreams whose entries the list does not hold, since when, and which of them are off
- * the list for good. Used on the event loop.
+ * Known upstreams without an entry in the list: since when, and which of them are off the list for
+ * good. Used on the event loop.
  */
 final class UnlistedUpstreams {
   /** A box off the list that nobody could make sure of is forgotten after this time. */
