--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -205,6 +205,13 @@
     return new RelayRules(0.2, 100, 10);
   }
 
+  /** Answers each request in whole. */
+  static final FakeUpstream.Script SERVING =
+      (head, out, socket) -> {
+        write(out, whole(head, "served"));
+        return true;
+      };
+
   static void write(OutputStream out, String text) throws IOException {
     out.write(text.getBytes(StandardCharsets.UTF_8));
     out.flush();
