Log what decided that an answer is cut

Cause: answer_cut names the last failure only.

Change: answer_cut gains silentMs, leftMs, ends (each attempt's upstream and end), admittedVersion and isStopping. No decision changes.

Result: AnswerCutLogTest, EventTimingTest.

--- a/edge/src/main/java/org/shoreroad/edge/relay/EventTiming.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/EventTiming.java
@@ -39,6 +39,11 @@
     return TimeUnit.NANOSECONDS.toMillis(firstNanos - arrivedNanos);
   }
 
+  /** Returns for how long nothing has been passed on, in milliseconds. */
+  long silentMs(long nowNanos) {
+    return TimeUnit.NANOSECONDS.toMillis(nowNanos - (hasBegun ? lastNanos : arrivedNanos));
+  }
+
   /** Returns the longest time between two events, in milliseconds. */
   long longestPauseMs() {
     return TimeUnit.NANOSECONDS.toMillis(longestPauseNanos);
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -381,7 +381,7 @@
   }
 
   private void abort(String why) {
-    log.write("answer_cut", "reason", why, "lastEvent", events == null ? -1 : events.lastId());
+    log.writeCut(why, events, endNanos);
     relay.counters().count("shoreroad.answers.cut", why);
     cancelAttempt();
     finish();
@@ -393,20 +393,7 @@
     attempt = null;
     relay.counters().count("shoreroad.attempts.failed", end.code());
     boolean isCrash = end == AttemptEnd.DISCONNECTED;
-    log.write(
-        "attempt_failed",
-        "end",
-        end,
-        "upstream",
-        target.box().id(),
-        "bornMs",
-        target.box().bornMs(),
-        "replica",
-        String.valueOf(target.replicaName()),
-        "hadHead",
-        hadHead,
-        "fingerprint",
-        isCrash ? fingerprint() : "");
+    log.writeFailure(target, end, hadHead, isCrash ? fingerprint() : "");
     if (isCrash) {
       Crash crash = new Crash(target.box().incarnation(), hadHead);
       relay.quarantine().recordCrash(fingerprint(), crash);
--- a/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
@@ -15,12 +15,17 @@
  * event loop only.
  */
 final class ExchangeLog {
+  private static final long NO_VERSION = -1;
+  private static final long NO_EVENT = -1;
+
   private final Relay relay;
   private final CallerRequest request;
   private final RequestReader reader;
   private final SendHistory sends;
   private @Nullable Route route;
   private @Nullable ClientAccount account;
+  private long admittedVersion = NO_VERSION;
+  private final List<String> ends = new ArrayList<>();
 
   ExchangeLog(Relay relay, CallerRequest request, RequestReader reader, SendHistory sends) {
     this.relay = relay;
@@ -33,6 +38,7 @@
   void setAdmission(Admission admission) {
     route = admission.route();
     account = admission.account();
+    admittedVersion = configVersion();
   }
 
   /**
@@ -43,7 +49,6 @@
    */
   void write(String event, Object... what) {
     long heldMs = TimeUnit.NANOSECONDS.toMillis(relay.nowNanos() - request.arrivedNanos());
-    TrafficConfig config = relay.freshness().config();
     List<Object> fields = new ArrayList<>(List.of("request", reader.attemptId()));
     fields.addAll(Arrays.asList(what));
     fields.addAll(List.of("route", route == null ? "" : route.name(), "model", reader.model()));
@@ -51,10 +56,65 @@
     fields.addAll(List.of("sends", sends.sent(), "tried", sends.triedIds()));
     fields.addAll(List.of("attemptsLeft", sends.left()));
     fields.addAll(List.of("heldMs", heldMs, "configAgeMs", relay.freshness().configAgeMs()));
-    fields.addAll(List.of("configVersion", config == null ? -1 : config.version()));
+    fields.addAll(List.of("configVersion", configVersion()));
     relay.log().write(event, fields.toArray());
   }
 
+  private long configVersion() {
+    TrafficConfig config = relay.freshness().config();
+    return config == null ? NO_VERSION : config.version();
+  }
+
+  /**
+   * Writes that an attempt brought no whole answer.
+   *
+   * @param hadHead true if the upstream had begun to answer
+   * @param fingerprint what identifies the request when its caller returns, or an empty text
+   */
+  void writeFailure(Target target, AttemptEnd end, boolean hadHead, Object fingerprint) {
+    ends.add(target.box().id() + ":" + end);
+    write(
+        "attempt_failed",
+        "end",
+        end,
+        "upstream",
+        target.box().id(),
+        "bornMs",
+        target.box().bornMs(),
+        "replica",
+        String.valueOf(target.replicaName()),
+        "hadHead",
+        hadHead,
+        "fingerprint",
+        fingerprint);
+  }
+
+  /**
+   * Writes that an answer which has begun ends before it is whole.
+   *
+   * @param events what was passed on, or null if nothing was
+   * @param endNanos the end of the time of the request, on the steady clock
+   */
+  void writeCut(String reason, @Nullable EventRelay events, long endNanos) {
+    long nowNanos = relay.nowNanos();
+    write(
+        "answer_cut",
+        "reason",
+        reason,
+        "lastEvent",
+        events == null ? NO_EVENT : events.lastId(),
+        "silentMs",
+        events == null ? NO_EVENT : events.timing().silentMs(nowNanos),
+        "leftMs",
+        TimeUnit.NANOSECONDS.toMillis(endNanos - nowNanos),
+        "admittedVersion",
+        admittedVersion,
+        "ends",
+        ends,
+        "isStopping",
+        relay.isRefusingNew());
+  }
+
   /** Writes and counts that a stream which came to its end missed a target of its route. */
   void writeIfLate(EventTiming timing) {
     String reason = route == null ? null : timing.lateReason(route);
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/relay/AnswerCutLogTest.java
@@ -0,0 +1,33 @@
+package org.shoreroad.edge.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.matchesPattern;
+import static org.hamcrest.Matchers.not;
+
+import org.junit.jupiter.api.Test;
+
+/** The log line of an answer that ends before it is whole. */
+class AnswerCutLogTest extends LoopbackRelay {
+  @Test
+  void namesWhatDecidedIt() throws Exception {
+    upstream(
+        "i-1",
+        (head, out, socket) -> {
+          write(
+              out,
+              "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Seal: s\r\n"
+                  + "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n");
+          return false;
+        });
+    assertThat(call("/stream/"), not(containsString("0\r\n\r\n")));
+    String line =
+        logged().lines().filter(of -> of.contains("\"answer_cut\"")).findFirst().orElse("");
+    assertThat(line, containsString("\"lastEvent\":1"));
+    assertThat(line, containsString("\"ends\":\"[i-1:DISCONNECTED]\""));
+    assertThat(line, containsString("\"admittedVersion\":1"));
+    assertThat(line, containsString("\"isStopping\":false"));
+    assertThat(line, matchesPattern(".*\"leftMs\":-?[0-9]+,.*"));
+    assertThat(line, matchesPattern(".*\"silentMs\":[0-9]+,.*"));
+  }
+}
--- a/edge/src/test/java/org/shoreroad/edge/relay/EventTimingTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/EventTimingTest.java
@@ -62,4 +62,11 @@
     assertThat(timing.longestPauseMs(), is(301L));
     assertThat(timing.lateReason(ROUTE), is("pause"));
   }
+
+  @Test
+  void theSilenceCountsFromTheRequestAndThenFromTheLastEvent() {
+    assertThat(timing.silentMs(ms(1_250)), is(250L));
+    timing.recordEvent(ms(1_500));
+    assertThat(timing.silentMs(ms(1_600)), is(100L));
+  }
 }
