Tests, known red: a request taken from a silent upstream is cut

The upstream is silent for 0.8 s and then goes on. Meanwhile the request is sent to the next one, which is full, breaks off, or is silent too.

--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/relay/SilentUpstreamTest.java
@@ -0,0 +1,104 @@
+package org.shoreroad.edge.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/** A request whose upstream is silent and moves again, while the next one does not take it. */
+class SilentUpstreamTest extends LoopbackRelay {
+  private static final int SILENCE_MS = 800;
+  private static final String HEAD =
+      "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  private final AtomicInteger calls = new AtomicInteger();
+
+  /** Lists two heads; whichever is called first answers by the first script. */
+  private void upstreams(FakeUpstream.Script first, FakeUpstream.Script next) throws Exception {
+    FakeUpstream.Script byTurn =
+        (head, out, socket) ->
+            (calls.getAndIncrement() == 0 ? first : next).answer(head, out, socket);
+    upstream(HEAD_PREFIX + "1", byTurn);
+    upstream(HEAD_PREFIX + "2", byTurn);
+  }
+
+  private static final FakeUpstream.Script PAUSES_MIDWAY =
+      (head, out, socket) -> {
+        write(out, HEAD);
+        writeChunk(out, "id: 1\ndata: a\n\n");
+        Thread.sleep(SILENCE_MS);
+        writeChunk(out, "id: 2\ndata: b\n\n");
+        write(out, "0\r\n\r\n");
+        return true;
+      };
+
+  private static final FakeUpstream.Script PAUSES_BEFORE =
+      (head, out, socket) -> {
+        Thread.sleep(SILENCE_MS);
+        write(out, HEAD);
+        writeChunk(out, "id: 1\ndata: a\n\n");
+        writeChunk(out, "id: 2\ndata: b\n\n");
+        write(out, "0\r\n\r\n");
+        return true;
+      };
+
+  private static final FakeUpstream.Script IS_FULL =
+      (head, out, socket) -> {
+        write(out, "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        return true;
+      };
+
+  private static final FakeUpstream.Script BREAKS_OFF = (head, out, socket) -> false;
+
+  private static final FakeUpstream.Script IS_SILENT =
+      (head, out, socket) -> {
+        Thread.sleep(READ_TIMEOUT_MS);
+        return false;
+      };
+
+  private static void writeChunk(OutputStream out, String text) throws IOException {
+    write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+  }
+
+  private void assertWhole(String answer) {
+    assertThat(calls.get(), is(2));
+    assertThat(answer, containsString("id: 1\ndata: a\n\n"));
+    assertThat(answer, containsString("id: 2\ndata: b\n\n"));
+    assertThat(answer, endsWith("0\r\n\r\n"));
+  }
+
+  @Test
+  void anAnswerThatHasBegunIsNotCutBecauseTheNextUpstreamIsFull() throws Exception {
+    upstreams(PAUSES_MIDWAY, IS_FULL);
+    assertWhole(call("/llm/"));
+  }
+
+  @Test
+  void anAnswerThatHasBegunIsNotCutBecauseTheNextUpstreamBreaksOff() throws Exception {
+    upstreams(PAUSES_MIDWAY, BREAKS_OFF);
+    assertWhole(call("/llm/"));
+  }
+
+  @Test
+  void anAnswerThatHasBegunIsNotCutBecauseTheNextUpstreamIsSilentToo() throws Exception {
+    upstreams(PAUSES_MIDWAY, IS_SILENT);
+    assertWhole(call("/llm/"));
+  }
+
+  @Test
+  void aRequestDoesNotFailBecauseTheNextUpstreamIsFull() throws Exception {
+    upstreams(PAUSES_BEFORE, IS_FULL);
+    assertWhole(call("/llm/"));
+  }
+
+  @Test
+  void aRequestDoesNotFailBecauseTheNextUpstreamBreaksOff() throws Exception {
+    upstreams(PAUSES_BEFORE, BREAKS_OFF);
+    assertWhole(call("/llm/"));
+  }
+}
