--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -35,7 +35,6 @@
   private static final int PLAIN_WAIT_MS = 20;
 
   private static final int SMALLEST_DEADLINE_MS = 20;
-  private static final int LOWEST_RANK = 9;
 
   private final Relay relay;
   private final CallerRequest request;
@@ -205,16 +204,10 @@
         target.box().id(),
         remainingMs(),
         account,
-        isRanked && of != null ? rank(of) : RequestReader.NO_RANK,
+        isRanked && of != null ? RequestReader.rank(of, account) : RequestReader.NO_RANK,
         begun == null ? -1 : begun.lastId());
   }
 
-  private int rank(Route of) {
-    boolean isAccounts = account != null && account.priority() != ClientAccount.NO_PRIORITY;
-    int priority = isAccounts && account != null ? account.priority() : of.priority();
-    return Math.max(0, Math.min(LOWEST_RANK, priority));
-  }
-
   /** Asked right before the first byte leaves. */
   boolean maySendNow() {
     return !isOver && mayUseKey() && !isQuarantined() && relay.nowNanos() < endNanos;
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
@@ -11,12 +11,14 @@
 import org.shoreroad.edge.caller.HeaderNames;
 import org.shoreroad.quarantine.RequestFingerprint;
 import org.shoreroad.traffic.ClientAccount;
+import org.shoreroad.traffic.Route;
 
 /** Reads what a request's headers say, and writes those that its upstream gets. */
 final class RequestReader {
   /** Stands for a request whose urgency the upstream is not told. */
   static final int NO_RANK = -1;
 
+  private static final int LOWEST_RANK = 9;
   private static final String BEARER = "Bearer ";
   private static final int DEFAULT_DEADLINE_MS = 60_000;
 
@@ -79,6 +81,13 @@
     return known;
   }
 
+  /** Returns how urgent a request is, from 0, by its client account or else by its route. */
+  static int rank(Route route, @Nullable ClientAccount account) {
+    boolean isAccounts = account != null && account.priority() != ClientAccount.NO_PRIORITY;
+    int priority = isAccounts ? account.priority() : route.priority();
+    return Math.max(0, Math.min(LOWEST_RANK, priority));
+  }
+
   /**
    * Returns the request for an upstream: unaltered but for the headers of one connection, the key,
    * and those that this system sets.
