--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -44,6 +44,7 @@
   private final ExchangeLog log;
   private final String model;
   private final long promptTokens;
+  private RequestTargets targets;
   private @Nullable Route route;
   private @Nullable UpstreamService service;
   private @Nullable ModelEngine engine;
@@ -63,6 +64,7 @@
     this.log = new ExchangeLog(relay, request, reader, sends);
     this.model = reader.model();
     this.promptTokens = reader.promptTokens();
+    this.targets = new RequestTargets(relay.selector(), null, model, sends, 0);
   }
 
   /** Admits the request and sends it, or answers it at once. */
@@ -88,6 +90,7 @@
       return;
     }
     engine = ModelEngine.of(service, model);
+    targets = new RequestTargets(relay.selector(), service, model, sends, found.targetLatencyMs());
     long holdMs = Math.min(reader.deadlineMs(), found.timeoutMs());
     endNanos = request.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(holdMs);
     waitUntilNanos = request.arrivedNanos() + waitNanos();
@@ -130,7 +133,7 @@
       return;
     }
     UpstreamService to = service;
-    Optional<Target> target = to == null ? Optional.empty() : choose(to);
+    Optional<Target> target = targets.choose();
     if (to == null || target.isEmpty()) {
       waitOrRefuse();
       return;
@@ -142,13 +145,8 @@
     next.start(to.maxConnections() == 0 ? Integer.MAX_VALUE : connections);
   }
 
-  private Optional<Target> choose(UpstreamService to) {
-    int targetMs = route == null ? 0 : route.targetLatencyMs();
-    return relay.selector().choose(to, modelOf(to), sends.triedIds(), targetMs);
-  }
-
   private void waitOrRefuse() {
-    boolean isHeldBack = service != null && relay.selector().isHeldBack(service, modelOf(service));
+    boolean isHeldBack = targets.isHeldBack();
     // The next turn or the end of a rest is rarely as close as the next free place.
     boolean mayWait = !isHeldBack && sends.sent() == 0 && relay.nowNanos() < waitUntilNanos;
     // A stream that was begun waits for another replica as long as there is time.
@@ -161,17 +159,12 @@
       refuseOrFail(Refusal.HELD_BACK, RetryAfter.PLACE);
       return;
     }
-    boolean isStanding = service != null && relay.selector().hasAny(service, modelOf(service));
+    boolean isStanding = targets.isAnyStanding();
     refuseOrFail(
         isStanding ? Refusal.NO_PLACE : Refusal.NO_REPLICA,
         isStanding ? RetryAfter.PLACE : RetryAfter.REPLICA);
   }
 
-  /** Returns the model that is asked for, or null for a plain service. */
-  private @Nullable String modelOf(UpstreamService of) {
-    return of.engine() == null ? null : model;
-  }
-
   /** Looks after time limits and waiting. */
   void onTick() {
     if (isOver) {
@@ -304,8 +297,8 @@
     if (stalled == null || of == null || !stalled.hasLeft()) {
       return;
     }
-    boolean canMove = canRepeat() && service != null && !isQuarantined();
-    if (!canMove || choose(service).isEmpty() || !takeRepeat()) {
+    boolean canMove = canRepeat() && !isQuarantined();
+    if (!canMove || !targets.isAnyFree() || !takeRepeat()) {
       // Nobody else could do better, or may be asked to; the engine may still move.
       return;
     }
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestTargets.java
@@ -0,0 +1,60 @@
+package org.shoreroad.edge.relay;
+
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.traffic.UpstreamService;
+
+/**
+ * The upstreams that one request may be sent to: those of its service, and of its model where the
+ * service has models, that have not had it. Used on the event loop only.
+ */
+final class RequestTargets {
+  private final UpstreamSelector selector;
+  private final @Nullable UpstreamService service;
+  private final @Nullable String model;
+  private final SendHistory sends;
+  private final int targetLatencyMs;
+
+  /**
+   * Creates the targets of a request.
+   *
+   * @param service the service, or null if the configuration lacks it: then there is no upstream
+   * @param model the model that the request names, not null
+   * @param sends the attempts so far, not null
+   * @param targetLatencyMs the time within which an answer is wanted, in milliseconds
+   */
+  RequestTargets(
+      UpstreamSelector selector,
+      @Nullable UpstreamService service,
+      String model,
+      SendHistory sends,
+      int targetLatencyMs) {
+    this.selector = selector;
+    this.service = service;
+    this.model = service == null || service.engine() == null ? null : model;
+    this.sends = sends;
+    this.targetLatencyMs = targetLatencyMs;
+  }
+
+  /** Returns the best upstream that takes the request now, or empty. */
+  Optional<Target> choose() {
+    return service == null
+        ? Optional.empty()
+        : selector.choose(service, model, sends.triedIds(), targetLatencyMs);
+  }
+
+  /** Returns true if an upstream takes the request now. */
+  boolean isAnyFree() {
+    return choose().isPresent();
+  }
+
+  /** Returns true if there is any upstream, free or not. */
+  boolean isAnyStanding() {
+    return service != null && selector.hasAny(service, model);
+  }
+
+  /** Returns true if there are upstreams, and limits or rests hold back requests to all of them. */
+  boolean isHeldBack() {
+    return service != null && selector.isHeldBack(service, model);
+  }
+}
