Keep a silent upstream's attempt open until another upstream answers

What callers saw: an answer that had begun was cut, though its upstream had not broken off and most of the request's time was left.

Cause: when an upstream was silent for a little longer than a pass, Exchange cancelled the attempt there and sent the request to another upstream. That was the last attempt (max_attempts 2). If the other upstream was full, broke off or was silent too, nothing was left, and the answer was cut or answered 502, while the first upstream would have gone on. An irrevocable step was taken on a suspicion, before its replacement was certain.

Change: OpenAttempts holds the attempts of a request. The one at the silent upstream is cancelled once another upstream begins to answer; if the silent one moves first, the other one is cancelled. A failure ends the request only if no attempt is open. The number of sends and repeats is as before.

--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -129,10 +129,8 @@
     }
     if (isSuccess && exchange.isStream()) {
       notePromptRead();
-      events = exchange.onStreamHead(response);
-      if (events != null) {
-        events.restart();
-      }
+      events = exchange.onStreamHead(this, response);
+      events.restart();
     } else {
       body = Unpooled.compositeBuffer(64);
     }
@@ -153,6 +151,7 @@
     long nowNanos = relay.nowNanos();
     target.load().recordProgress(nowNanos);
     if (events != null) {
+      exchange.onProgress(this);
       measurePace(nowNanos);
       if (!events.take(content)) {
         fail(AttemptEnd.BROKEN);
@@ -180,7 +179,7 @@
       long avoidNanos = isMisdirected(answered) ? AVOID_NANOS : FULL_NANOS;
       target.load().avoidUntil(relay.nowNanos() + avoidNanos);
       end();
-      exchange.onAttemptFailed(target, AttemptEnd.REFUSED);
+      exchange.onAttemptFailed(this, AttemptEnd.REFUSED);
     } else if (events != null) {
       endStream(events);
     } else {
@@ -201,9 +200,9 @@
   private void endWhole(HttpResponse answered) {
     boolean hasFailed = answered.status().codeClass() == HttpStatusClass.SERVER_ERROR;
     target.load().recordOutcome(hasFailed);
-    if (hasFailed && exchange.canRepeat()) {
+    if (hasFailed && exchange.canSpare(this)) {
       end();
-      exchange.onAttemptFailed(target, AttemptEnd.FAILED);
+      exchange.onAttemptFailed(this, AttemptEnd.FAILED);
       return;
     }
     ByteBuf whole = body == null ? Unpooled.EMPTY_BUFFER : body;
@@ -222,19 +221,19 @@
         target.load().avoidUntil(relay.nowNanos() + AVOID_NANOS);
       }
       end();
-      exchange.onAttemptFailed(target, AttemptEnd.NOT_SENT);
+      exchange.onAttemptFailed(this, AttemptEnd.NOT_SENT);
       return;
     }
     target.load().recordOutcome(true);
     end();
     boolean isLost = failure.reason() == CallFailure.Reason.BROKEN;
-    exchange.onAttemptFailed(target, isLost ? AttemptEnd.DISCONNECTED : AttemptEnd.BROKEN);
+    exchange.onAttemptFailed(this, isLost ? AttemptEnd.DISCONNECTED : AttemptEnd.BROKEN);
   }
 
   private void fail(AttemptEnd why) {
     target.load().recordOutcome(true);
     cancel();
-    exchange.onAttemptFailed(target, why);
+    exchange.onAttemptFailed(this, why);
   }
 
   private void notePromptRead() {
--- a/edge/src/main/java/org/shoreroad/edge/relay/AttemptEnd.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/AttemptEnd.java
@@ -18,7 +18,7 @@
   DISCONNECTED,
   /** The answer was out of form. */
   BROKEN,
-  /** Nothing came for too long. */
+  /** Nothing came for too long; the attempt stays open until another upstream answers. */
   STALLED;
 
   /** Returns the text form for counters, such as {@code not_sent}. */
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -40,6 +40,7 @@
   private final CallerRequest request;
   private final AnswerChannel answers;
   private final SendHistory sends = new SendHistory();
+  private final OpenAttempts attempts = new OpenAttempts();
   private final RequestReader reader;
   private final ExchangeLog log;
   private final String model;
@@ -49,7 +50,6 @@
   private @Nullable UpstreamService service;
   private @Nullable ModelEngine engine;
   private @Nullable ClientAccount account;
-  private @Nullable Attempt attempt;
   private @Nullable EventRelay events;
   private long endNanos;
   private long waitUntilNanos;
@@ -139,13 +139,16 @@
       return;
     }
     Attempt next = new Attempt(this, relay, target.get(), relay.nowNanos());
-    attempt = next;
+    attempts.add(next);
     // Connections are shared with the other processes: each takes its part.
     int connections = Math.max(2, to.maxConnections() / relay.freshness().processCount());
     next.start(to.maxConnections() == 0 ? Integer.MAX_VALUE : connections);
   }
 
   private void waitOrRefuse() {
+    if (!attempts.isEmpty()) {
+      return;
+    }
     boolean isHeldBack = targets.isHeldBack();
     // The next turn or the end of a rest is rarely as close as the next free place.
     boolean mayWait = !isHeldBack && sends.sent() == 0 && relay.nowNanos() < waitUntilNanos;
@@ -182,8 +185,7 @@
       relay.counters().count("shoreroad.streams.cut", "time");
       abort("time");
     } else {
-      boolean hasLeft = sends.mayHaveRun() || (attempt != null && attempt.hasLeft());
-      cancelAttempt();
+      boolean hasLeft = sends.mayHaveRun() || attempts.haveLeft();
       refuse(hasLeft ? Refusal.NOT_ANSWERED_IN_TIME : Refusal.NOT_SENT_IN_TIME, RetryAfter.PLACE);
     }
   }
@@ -211,8 +213,9 @@
     sends.recordSent(target.box().id());
   }
 
-  /** Takes an answer's head; returns where its body goes. */
-  @Nullable EventRelay onStreamHead(HttpResponse head) {
+  /** Takes a stream's head; returns where its body goes. */
+  EventRelay onStreamHead(Attempt answering, HttpResponse head) {
+    onProgress(answering);
     EventRelay begun = events;
     if (begun == null) {
       begun =
@@ -224,6 +227,14 @@
     return begun;
   }
 
+  /** Notes that an upstream answers, so that no other one is needed. */
+  void onProgress(Attempt answering) {
+    boolean isNewest = answering == attempts.newest();
+    if (attempts.keepOnly(answering)) {
+      relay.counters().count("shoreroad.attempts.moved", isNewest ? "answered" : "needless");
+    }
+  }
+
   /** Passes a whole answer on. */
   void onWholeAnswer(HttpResponse head, ByteBuf body) {
     relay.counters().count("shoreroad.answers", Integer.toString(head.status().code()));
@@ -245,26 +256,24 @@
   }
 
   /** Decides what follows when an attempt brought nothing that can be passed on. */
-  void onAttemptFailed(Target target, AttemptEnd end) {
+  void onAttemptFailed(Attempt failed, AttemptEnd end) {
     if (end != AttemptEnd.NOT_SENT && end != AttemptEnd.REFUSED) {
       // Before the failure is noted: that may quarantine this request and answer it.
       sends.recordMayHaveRun();
     }
-    noteFailure(target, end);
-    if (isOver) {
+    boolean isNewest = failed == attempts.newest();
+    attempts.remove(failed);
+    noteFailure(failed, end);
+    if (isOver || !isNewest) {
       return;
     }
     if (end == AttemptEnd.NOT_SENT) {
-      sends.recordUnsent(target.box().id());
+      sends.recordUnsent(failed.target().box().id());
       retryUnsent();
-      return;
-    }
-    Route of = route;
-    boolean isAllowed = of != null && (end == AttemptEnd.REFUSED || of.isRepeatable());
-    if (isAllowed && sends.hasLeft() && !isQuarantined() && takeRepeat()) {
+    } else if (mayRepeatAfter(end)) {
       relay.counters().count("shoreroad.retries", end.code());
       send();
-    } else if (hasBegun()) {
+    } else if (hasBegun() && attempts.isEmpty()) {
       abort(end.name());
     } else {
       refuseOrFail(
@@ -273,6 +282,17 @@
     }
   }
 
+  private boolean mayRepeatAfter(AttemptEnd end) {
+    Route of = route;
+    boolean isAllowed = of != null && (end == AttemptEnd.REFUSED || of.isRepeatable());
+    // With an earlier upstream still at work, a repeat is worth it only where it can be sent.
+    return isAllowed
+        && sends.hasLeft()
+        && !isQuarantined()
+        && (attempts.isEmpty() || targets.isAnyFree())
+        && takeRepeat();
+  }
+
   private void retryUnsent() {
     if (!mayUseKey()) {
       refuseOrFail(Refusal.KEYS_TOO_OLD, RetryAfter.REPLICA);
@@ -290,23 +310,24 @@
             .tryRepeat(relay.nowNanos(), relay.freshness().processCount());
   }
 
-  /** Takes a request away from an upstream that stands still. */
-  void onStalled() {
-    Attempt stalled = attempt;
-    Route of = route;
-    if (stalled == null || of == null || !stalled.hasLeft()) {
-      return;
+  /**
+   * Sends the request to another upstream as well, since the one with this load is silent.
+   *
+   * @return true if it could not be sent now and may be soon
+   */
+  boolean onSilence(UpstreamLoad silent) {
+    Attempt newest = attempts.newest();
+    if (newest == null || newest.target().load() != silent || !canRepeat()) {
+      return false;
     }
-    boolean canMove = canRepeat() && !isQuarantined();
-    if (!canMove || !targets.isAnyFree() || !takeRepeat()) {
-      // Nobody else could do better, or may be asked to; the engine may still move.
-      return;
+    if (!newest.hasLeft() || isQuarantined() || !targets.isAnyFree() || !takeRepeat()) {
+      return true;
     }
-    stalled.cancel();
-    noteFailure(stalled.target(), AttemptEnd.STALLED);
+    noteFailure(newest, AttemptEnd.STALLED);
     sends.recordMayHaveRun();
     relay.counters().count("shoreroad.retries", AttemptEnd.STALLED.code());
     send();
+    return false;
   }
 
   /**
@@ -314,14 +335,13 @@
    * begun to answer it: an upstream that it still waits at would end too.
    */
   void onQuarantined(Set<RequestFingerprint> requests) {
-    boolean isRunning = attempt != null && attempt.hasHead();
-    if (isOver || isRunning || !requests.contains(fingerprint())) {
+    if (isOver || !requests.contains(fingerprint())) {
       return;
     }
-    if (attempt != null && attempt.hasLeft()) {
+    if (attempts.haveLeft()) {
       sends.recordMayHaveRun();
     }
-    cancelAttempt();
+    attempts.cancelUnbegun();
     refuseOrFail(Refusal.QUARANTINED, RetryAfter.QUARANTINE);
   }
 
@@ -333,19 +353,20 @@
   public void onCallerGone() {
     if (!isOver) {
       relay.counters().count("shoreroad.callers.gone", hasBegun() ? "midway" : "before");
-      cancelAttempt();
       finish();
     }
   }
 
   @Override
   public void onWritabilityChanged(boolean isWritable) {
-    if (attempt != null) {
-      attempt.setReading(isWritable);
-    }
+    attempts.setReading(isWritable);
   }
 
+  /** Ends the request, unless an upstream still has it. */
   private void refuseOrFail(Refusal refusal, RetryAfter retryAfter) {
+    if (!attempts.isEmpty()) {
+      return;
+    }
     if (hasBegun()) {
       abort(refusal.code());
       return;
@@ -369,19 +390,16 @@
   private void abort(String why) {
     log.writeCut(why, events, endNanos);
     relay.counters().count("shoreroad.answers.cut", why);
-    cancelAttempt();
     finish();
     answers.abort();
   }
 
-  private void noteFailure(Target target, AttemptEnd end) {
-    boolean hadHead = attempt != null && attempt.hasHead();
-    attempt = null;
+  private void noteFailure(Attempt failed, AttemptEnd end) {
     relay.counters().count("shoreroad.attempts.failed", end.code());
     boolean isCrash = end == AttemptEnd.DISCONNECTED;
-    log.writeFailure(target, end, hadHead, isCrash ? fingerprint() : "");
+    log.writeFailure(failed.target(), end, failed.hasHead(), isCrash ? fingerprint() : "");
     if (isCrash) {
-      Crash crash = new Crash(target.box().incarnation(), hadHead);
+      Crash crash = new Crash(failed.target().box().incarnation(), failed.hasHead());
       relay.quarantine().recordCrash(fingerprint(), crash);
     }
   }
@@ -390,18 +408,10 @@
     return reader.fingerprint(route == null ? "" : route.host(), account);
   }
 
-  private void cancelAttempt() {
-    Attempt running = attempt;
-    attempt = null;
-    if (running != null) {
-      running.cancel();
-    }
-  }
-
   private void finish() {
     if (!isOver) {
       isOver = true;
-      attempt = null;
+      attempts.cancelAll();
       relay.remove(this);
       request.body().release();
       if (events != null) {
@@ -414,7 +424,12 @@
     return route != null && route.kind() == RequestKind.STREAM;
   }
 
-  boolean canRepeat() {
+  /** Returns true if the request goes on without this attempt. */
+  boolean canSpare(Attempt failed) {
+    return attempts.hasOther(failed) || canRepeat();
+  }
+
+  private boolean canRepeat() {
     return route != null && route.isRepeatable() && sends.hasLeft();
   }
 
@@ -437,8 +452,10 @@
     return of == null ? 0 : of.passMs(load);
   }
 
-  String targetId() {
-    return attempt == null ? "" : attempt.target().box().id();
+  /** Returns the id of the upstream with this load, an empty text if it has not the request. */
+  String upstreamIdAt(UpstreamLoad load) {
+    Attempt at = attempts.findAt(load);
+    return at == null ? "" : at.target().box().id();
   }
 
   private boolean hasBegun() {
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/OpenAttempts.java
@@ -0,0 +1,79 @@
+package org.shoreroad.edge.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The attempts of one request that have not ended, the oldest first; used on the event loop only.
+ *
+ * <p>There is one, unless an upstream fell silent and the request was sent to another one as well.
+ * A silent upstream may go on, so its attempt is cancelled only once another one answers.
+ */
+final class OpenAttempts {
+  private final List<Attempt> open = new ArrayList<>(1);
+
+  void add(Attempt attempt) {
+    open.add(attempt);
+  }
+
+  void remove(Attempt attempt) {
+    open.remove(attempt);
+  }
+
+  boolean isEmpty() {
+    return open.isEmpty();
+  }
+
+  /** Returns the attempt that began last, or null if none is open. */
+  @Nullable Attempt newest() {
+    return open.isEmpty() ? null : open.get(open.size() - 1);
+  }
+
+  boolean hasOther(Attempt attempt) {
+    return open.stream().anyMatch(other -> other != attempt);
+  }
+
+  /** Returns the attempt at the upstream with this load, or null if there is none. */
+  @Nullable Attempt findAt(UpstreamLoad load) {
+    return open.stream()
+        .filter(attempt -> attempt.target().load() == load)
+        .findFirst()
+        .orElse(null);
+  }
+
+  /** Returns true if a byte of any of them may have left this process. */
+  boolean haveLeft() {
+    return open.stream().anyMatch(Attempt::hasLeft);
+  }
+
+  /** Cancels all but one; returns true if there was another one. */
+  boolean keepOnly(Attempt kept) {
+    if (open.size() < 2) {
+      return false;
+    }
+    cancelIf(attempt -> attempt != kept);
+    return true;
+  }
+
+  /** Cancels those whose upstream has not begun to answer. */
+  void cancelUnbegun() {
+    cancelIf(attempt -> !attempt.hasHead());
+  }
+
+  void cancelAll() {
+    cancelIf(attempt -> true);
+  }
+
+  private void cancelIf(Predicate<Attempt> condition) {
+    List<Attempt> cancelled = open.stream().filter(condition).toList();
+    open.removeAll(cancelled);
+    cancelled.forEach(Attempt::cancel);
+  }
+
+  /** Stops or resumes reading the answers. */
+  void setReading(boolean isReading) {
+    open.forEach(attempt -> attempt.setReading(isReading));
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
@@ -10,11 +10,11 @@
 import org.shoreroad.edge.EventLog;
 
 /**
- * Detects replicas that stand still and moves their requests to other heads.
+ * Detects replicas that stand still and has their requests sent to other heads as well.
  *
  * <p>A replica whose engine lost a member takes requests on, and none of them moves. So a head from
  * which no request of this process got anything for longer than its passes can take is suspected:
- * it gets nothing new, and what it has is taken elsewhere. Used on the event loop.
+ * it gets nothing new, and what it has is sent elsewhere too. Used on the event loop.
  *
  * @since 0.2
  */
@@ -24,7 +24,7 @@
    */
   private static final long RECENT_PROGRESS_NANOS = TimeUnit.MILLISECONDS.toNanos(120);
 
-  /** A request that could not be moved from a silent head is tried again this soon. */
+  /** A request that could not be sent elsewhere from a silent head is tried again this soon. */
   private static final long MOVE_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
 
   private final UpstreamTable table;
@@ -106,10 +106,10 @@
   }
 
   /**
-   * Looks for heads that stand still and takes their requests elsewhere.
+   * Looks for heads that stand still and has their requests sent elsewhere too.
    *
-   * @return the time until the next head can have been silent for too long, in nanoseconds, or
-   *     {@link Long#MAX_VALUE} if this process has nothing open at any head
+   * @return the time until the next head can have been silent for too long, or a request can be
+   *     sent elsewhere, in nanoseconds; {@link Long#MAX_VALUE} if neither can be
    */
   public long findStalled() {
     long nowNanos = clockNanos.getAsLong();
@@ -122,23 +122,25 @@
         }
         long limitNanos = SilenceLimit.nanos(engine, load, nowNanos);
         long leftNanos = limitNanos - (nowNanos - load.silentSinceNanos());
-        if (leftNanos < 0) {
-          stall(load, exchange, nowNanos);
+        if (leftNanos >= 0) {
+          nextNanos = Math.min(nextNanos, leftNanos);
+        } else if (stall(load, exchange, nowNanos)) {
+          nextNanos = Math.min(nextNanos, MOVE_AGAIN_NANOS);
         }
-        nextNanos = Math.min(nextNanos, leftNanos < 0 ? MOVE_AGAIN_NANOS : leftNanos);
       }
     }
     return nextNanos;
   }
 
-  private void stall(UpstreamLoad load, Exchange exchange, long nowNanos) {
+  /** Returns true if the request could not be sent elsewhere now and may be soon. */
+  private boolean stall(UpstreamLoad load, Exchange exchange, long nowNanos) {
     boolean isNew = !load.isSuspectedAt(nowNanos);
     load.suspect(true, nowNanos);
     if (isNew) {
       log.write(
           "replica_suspected",
           "head",
-          exchange.targetId(),
+          exchange.upstreamIdAt(load),
           "by",
           "silence",
           "silentMs",
@@ -147,8 +149,8 @@
           load.openCount(),
           "waitingTokens",
           load.waitingPromptTokens());
-      onSuspicion.accept(exchange.targetId());
+      onSuspicion.accept(exchange.upstreamIdAt(load));
     }
-    exchange.onStalled();
+    return exchange.onSilence(load);
   }
 }
--- a/edge/src/test/java/org/shoreroad/edge/relay/SilentUpstreamTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/SilentUpstreamTest.java
@@ -4,9 +4,13 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
@@ -101,4 +105,44 @@
     upstreams(PAUSES_BEFORE, BREAKS_OFF);
     assertWhole(call("/llm/"));
   }
+
+  @Test
+  void theSilentUpstreamIsLeftOnceTheNextOneAnswers() throws Exception {
+    CountDownLatch closed = new CountDownLatch(1);
+    upstreams(
+        (head, out, socket) -> {
+          write(out, HEAD);
+          writeChunk(out, "id: 1\ndata: a\n\nid: 2\nda");
+          awaitClose(socket, closed);
+          return false;
+        },
+        (head, out, socket) -> {
+          assertThat(FakeUpstream.header(head, "Last-Event-Id"), is("1"));
+          write(out, HEAD);
+          writeChunk(out, "id: 2\ndata: b\n\n");
+          write(out, "0\r\n\r\n");
+          return true;
+        });
+    assertWhole(call("/llm/"));
+    assertThat(closed.await(READ_TIMEOUT_MS, TimeUnit.MILLISECONDS), is(true));
+  }
+
+  @Test
+  void bothUpstreamsAreLeftAtTheDeadline() throws Exception {
+    CountDownLatch closed = new CountDownLatch(2);
+    FakeUpstream.Script silent =
+        (head, out, socket) -> {
+          awaitClose(socket, closed);
+          return false;
+        };
+    upstreams(silent, silent);
+    assertThat(call("/llm/"), startsWith("HTTP/1.1 504"));
+    assertThat(closed.await(READ_TIMEOUT_MS, TimeUnit.MILLISECONDS), is(true));
+  }
+
+  private static void awaitClose(Socket socket, CountDownLatch closed) throws IOException {
+    if (socket.getInputStream().read() < 0) {
+      closed.countDown();
+    }
+  }
 }
