Do not write the failure of a resumed stream's upstream into the answer

What callers saw: a stream that stops, neither whole nor closed, until the caller gives up or the connection's idle time is over.

Cause: after a stream had broken off, the next upstream's whole answer with another status than 2xx (500, 504, 404) went to onWholeAnswer, which writes a second head. The encoder rejected it in the middle of the first answer, and the connection then counted as resting. The answer was counted as delivered, and no line was logged. Found while looking for other ends of an answer that has begun.

Change: once a stream has begun, such an answer is a failed attempt; the stream goes on at another upstream, or the connection is closed at once.

--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -200,7 +200,7 @@
   private void endWhole(HttpResponse answered) {
     boolean hasFailed = answered.status().codeClass() == HttpStatusClass.SERVER_ERROR;
     target.load().recordOutcome(hasFailed);
-    if (hasFailed && exchange.canSpare(this)) {
+    if (exchange.hasBegun() || (hasFailed && exchange.canSpare(this))) {
       end();
       exchange.onAttemptFailed(this, AttemptEnd.FAILED);
       return;
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -458,7 +458,8 @@
     return at == null ? "" : at.target().box().id();
   }
 
-  private boolean hasBegun() {
+  /** Returns true if the caller has the head of a stream, so that no other answer can follow. */
+  boolean hasBegun() {
     return events != null;
   }
 
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -232,6 +232,15 @@
 
   /** Sends one request and returns all that comes until the connection ends; "!" marks a reset. */
   final String call(String path, String key, String more) throws IOException {
+    return exchange(path, key, "Connection: close\r\n" + more);
+  }
+
+  /** Does the same as a caller that would keep the connection. */
+  final String callKeepingAlive(String path) throws IOException {
+    return exchange(path, "secret", "");
+  }
+
+  private String exchange(String path, String key, String more) throws IOException {
     try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
       socket.setSoTimeout(READ_TIMEOUT_MS);
       write(
@@ -241,7 +250,7 @@
               + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt: a1\r\nX-Deadline: 1500\r\n"
               + "X-Account: forged\r\nX-Model: m\r\nAuthorization: Bearer "
               + key
-              + "\r\nConnection: close\r\n"
+              + "\r\n"
               + more
               + "\r\n");
       StringBuilder answer = new StringBuilder();
