Let answers end before a sound replica is closed to make room after a loss

What callers saw: after a loss, keepers close sound replicas of another model with preempt. Their answers break off; two replicas of a domain are closed within 10 ms, so a stream that is resumed meets a second closed head and is cut.

DomainKeeperTest.aSoundReplicaThatMakesRoomAfterALossIsNotClosedInTheMiddleOfItsAnswers failed before: CLOSE_NOW was the first and only closing order.

Result: the test passes.

--- a/core/src/main/java/org/shoreroad/fleet/Closings.java
+++ b/core/src/main/java/org/shoreroad/fleet/Closings.java
@@ -12,19 +12,23 @@
   /** Why a whole replica is closed. */
   private static final String MAKES_ROOM = "a wanted replica lacks boxes";
 
-  private final long drainLimitNanos;
+  private final KeeperTiming timing;
   private final Map<ReplicaId, Closing> closings = new HashMap<>();
 
   /**
    * Creates closings of which none is under way.
    *
-   * @param drainLimitNanos how long running requests may keep a closing replica
+   * @param timing how long running requests may keep a closing replica, not null
    */
-  Closings(long drainLimitNanos) {
-    this.drainLimitNanos = drainLimitNanos;
+  Closings(KeeperTiming timing) {
+    this.timing = timing;
   }
 
-  /** Notes that a replica is to be closed, unless that is noted. */
+  /**
+   * Notes that a replica is to be closed, unless that is noted.
+   *
+   * @param isUrgent true if its work is waited for only a short time
+   */
   void begin(ReplicaId replica, boolean isUrgent, long nowNanos) {
     closings.putIfAbsent(replica, new Closing(nowNanos, isUrgent));
   }
@@ -72,10 +76,7 @@
     if (!isWhole) {
       return BoxOrder.of(headId, Verb.CLOSE_NOW, replica.replica(), "a member is lost");
     }
-    if (closing.isUrgent()) {
-      return BoxOrder.of(headId, Verb.CLOSE_NOW, replica.replica(), MAKES_ROOM);
-    }
-    if (nowNanos - closing.sinceNanos() > drainLimitNanos) {
+    if (nowNanos - closing.sinceNanos() > closing.limitNanos(timing)) {
       return BoxOrder.of(headId, Verb.CLOSE_NOW, replica.replica(), "its work lasts too long");
     }
     String reason = replica.hasLeavingMember() ? "a member leaves" : MAKES_ROOM;
@@ -88,7 +89,11 @@
    * A closing.
    *
    * @param sinceNanos when it was decided
-   * @param isUrgent true if the replica's work is not waited for
+   * @param isUrgent true if the replica's work is waited for only a short time
    */
-  private record Closing(long sinceNanos, boolean isUrgent) {}
+  private record Closing(long sinceNanos, boolean isUrgent) {
+    long limitNanos(KeeperTiming timing) {
+      return isUrgent ? timing.urgentDrainLimitNanos() : timing.drainLimitNanos();
+    }
+  }
 }
--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -56,7 +56,7 @@
     this.domain = domain;
     this.timing = timing;
     this.epochs = epochs;
-    this.closings = new Closings(timing.drainLimitNanos());
+    this.closings = new Closings(timing);
     this.warmings = new SpareWarmup(domain, epochs);
     this.conversion = new ReplicaConversion(domain);
     this.orderBook = new OrderBook(timing.orderRepeatNanos());
@@ -327,7 +327,7 @@
       closed = reserveToGiveUp(models, givable);
     }
     for (ObservedReplica replica : closed) {
-      // After a loss each second counts; else the work may end first, as the leaving one's does.
+      // After a loss callers of the wanted model have fewer replicas, or none.
       closings.begin(replica.replica(), view.hasLoss(), nowNanos);
       close(replica, Objects.requireNonNull(replica.head()), MemberState.OPEN, true, nowNanos);
     }
--- a/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
@@ -206,6 +206,24 @@
     assertThat(domain.violations(), is(empty()));
   }
 
+  @Test
+  void aSoundReplicaThatMakesRoomAfterALossIsNotClosedInTheMiddleOfItsAnswers() {
+    addBoxes(BOXES);
+    run(SETTLE_SECONDS);
+    domain.kill(memberOf("large"));
+    given.clear();
+    run(8);
+    List<BoxOrder.Verb> closings =
+        given.stream()
+            .filter(order -> String.valueOf(order.replica()).contains("small"))
+            .map(BoxOrder::verb)
+            .filter(
+                verb -> verb == BoxOrder.Verb.CLOSE_AFTER_WORK || verb == BoxOrder.Verb.CLOSE_NOW)
+            .toList();
+    assertThat(closings, is(List.of(BoxOrder.Verb.CLOSE_AFTER_WORK)));
+    assertThat(domain.countOpen("large"), is(1L));
+  }
+
   @Test
   void oneReplicaIsClosedForOneThatLacksBoxes() {
     for (int seed = 0; seed < 20; seed++) {
