Answer the requests sent ahead of one that is the last

What callers saw: of requests sent ahead on one connection only the one under way was answered, then the connection was closed.

Cause: CallerConnection kept one flag for the connection. A request that asks for its closing, or bad input, set it on arrival, while earlier requests still waited, so the answer before them was marked as the last. Found while looking for other ends of a connection with requests unanswered.

Evidence: CallerServerTest.aRequestThatIsTheLastDoesNotEndThoseBeforeIt and badInputDoesNotEndTheRequestsBeforeIt failed before: one answer of three, and one of two.

Change: each waiting request carries whether it is the last; after bad input the connection is closed with the last answer before it.

Result: both pass.

--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
@@ -42,7 +42,7 @@
   private static final int MAX_AHEAD = 16;
 
   private final CallerServer server;
-  private final ArrayDeque<CallerRequest> ahead = new ArrayDeque<>();
+  private final ArrayDeque<RequestAhead> ahead = new ArrayDeque<>();
   private @Nullable Channel channel;
   private @Nullable HttpRequest arriving;
   private long arrivingSinceNanos;
@@ -51,7 +51,7 @@
   private boolean isAnswering;
   private boolean isLastAnswer;
   private boolean isRefusingInput;
-  private boolean isKeptAlive = true;
+  private boolean isKept = true;
   private boolean isFlushDue;
   private long quietSinceNanos;
   private long partialHeadSinceNanos;
@@ -123,32 +123,32 @@
     if (content instanceof LastHttpContent) {
       arriving = null;
       body = null;
-      takeRequest(
+      CallerRequest request =
           new CallerRequest(
-              head.method(), head.uri(), head.headers(), collected, arrivingSinceNanos),
-          HttpUtil.isKeepAlive(head));
+              head.method(), head.uri(), head.headers(), collected, arrivingSinceNanos);
+      takeRequest(new RequestAhead(request, HttpUtil.isKeepAlive(head)));
     }
   }
 
-  private void takeRequest(CallerRequest request, boolean isKept) {
-    isKeptAlive = isKeptAlive && isKept;
-    if (isAnswering) {
-      if (ahead.size() >= MAX_AHEAD) {
-        request.body().release();
-        abort();
-        return;
-      }
-      ahead.add(request);
+  private void takeRequest(RequestAhead next) {
+    if (!isAnswering && ahead.isEmpty()) {
+      answerNext(next);
       return;
     }
-    answerNext(request);
+    if (ahead.size() >= MAX_AHEAD) {
+      next.request().body().release();
+      abort();
+      return;
+    }
+    ahead.add(next);
   }
 
-  private void answerNext(CallerRequest request) {
+  private void answerNext(RequestAhead next) {
     isAnswering = true;
     isLastAnswer = false;
+    isKept = next.isKept();
     exchange = null;
-    CallerExchange begun = server.factory().begin(request, this);
+    CallerExchange begun = server.factory().begin(next.request(), this);
     // A refusal is answered before the factory returns; then there is nothing to tell.
     if (isAnswering) {
       exchange = begun;
@@ -203,12 +203,17 @@
   }
 
   private void markLast(HttpResponse response) {
-    isLastAnswer = server.isStopping() || !isKeptAlive;
+    isLastAnswer = server.isStopping() || !isKept || isRefusedNext();
     if (isLastAnswer) {
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
   }
 
+  /** Returns true if bad input came after the request that is being answered. */
+  private boolean isRefusedNext() {
+    return isRefusingInput && ahead.isEmpty();
+  }
+
   /**
    * Writes a part of an answer; all that is written in one pass of the event loop leaves with one
    * system call, such as the head with the first event, or the last event with the end.
@@ -238,13 +243,20 @@
     exchange = null;
     quietSinceNanos = server.nowNanos();
     // A request that came ahead is still answered, unless this answer said that it is the last.
-    if (isLastAnswer && channel != null) {
+    if ((isLastAnswer || isRefusedNext()) && channel != null) {
       isRefusingInput = true;
       channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
       releaseAhead();
       return;
     }
-    CallerRequest next = ahead.poll();
+    if (!ahead.isEmpty() && channel != null) {
+      // Not from here: refusals are answered before answerNext returns, one within the other.
+      channel.eventLoop().execute(this::answerAhead);
+    }
+  }
+
+  private void answerAhead() {
+    RequestAhead next = isAnswering ? null : ahead.poll();
     if (next != null) {
       answerNext(next);
     }
@@ -265,11 +277,9 @@
   private void refuse(HttpResponseStatus status, String reason) {
     server.countBadInput(reason);
     isRefusingInput = true;
-    isKeptAlive = false;
     releaseArriving();
-    if (isAnswering) {
-      // The answer under way must stay whole; the connection ends with it.
-      isLastAnswer = true;
+    if (isAnswering || !ahead.isEmpty()) {
+      // The answers before it must stay whole; the connection ends with the last of them.
       return;
     }
     answer(
@@ -296,7 +306,7 @@
 
   /** Returns true if no request is arriving or being answered. */
   boolean isResting() {
-    return !isAnswering && arriving == null && partialHeadSinceNanos == 0;
+    return !isAnswering && ahead.isEmpty() && arriving == null && partialHeadSinceNanos == 0;
   }
 
   @Override
@@ -335,7 +345,14 @@
   }
 
   private void releaseAhead() {
-    ahead.forEach(request -> request.body().release());
+    ahead.forEach(next -> next.request().body().release());
     ahead.clear();
   }
+
+  /**
+   * A request that waits for the answers before it.
+   *
+   * @param isKept false if the caller wants no request after it on the connection
+   */
+  private record RequestAhead(CallerRequest request, boolean isKept) {}
 }
--- a/edge/src/test/java/org/shoreroad/edge/caller/CallerServerTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/caller/CallerServerTest.java
@@ -28,6 +28,7 @@
 class CallerServerTest {
   private static final CallerLimits LIMITS = new CallerLimits(2_000, 1_000, 300, 600);
   private static final int READ_TIMEOUT_MS = 10_000;
+  private static final int LATE_MS = 100;
 
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private final EventLoop loop = group.next();
@@ -54,7 +55,10 @@
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
   }
 
-  /** Answers with the path, but for /cut, which breaks off, and /silent, which has no answer. */
+  /**
+   * Answers with the path, /late after a time, but for /cut, which breaks off, and /silent, which
+   * has no answer.
+   */
   private CallerExchange begin(CallerRequest request, AnswerChannel answers) {
     bodies.add(request.body().toString(StandardCharsets.UTF_8));
     request.body().release();
@@ -62,11 +66,10 @@
       answers.begin(HttpResponseStatus.OK, new DefaultHttpHeaders());
       answers.send(Unpooled.copiedBuffer("passed on", StandardCharsets.UTF_8));
       answers.abort();
+    } else if (request.uri().equals("/late")) {
+      loop.schedule(() -> answer(request, answers), LATE_MS, TimeUnit.MILLISECONDS);
     } else if (!request.uri().equals("/silent")) {
-      answers.answer(
-          HttpResponseStatus.OK,
-          new DefaultHttpHeaders(),
-          Unpooled.copiedBuffer(request.uri(), StandardCharsets.UTF_8));
+      answer(request, answers);
     }
     return new CallerExchange() {
       @Override
@@ -81,6 +84,13 @@
     };
   }
 
+  private static void answer(CallerRequest request, AnswerChannel answers) {
+    answers.answer(
+        HttpResponseStatus.OK,
+        new DefaultHttpHeaders(),
+        Unpooled.copiedBuffer(request.uri(), StandardCharsets.UTF_8));
+  }
+
   /** Sends bytes and returns what comes until the server closes. */
   private String send(String text) throws IOException {
     try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
@@ -100,6 +110,22 @@
     assertThat(answers.toLowerCase(), containsString("connection: close"));
   }
 
+  @Test
+  void aRequestThatIsTheLastDoesNotEndThoseBeforeIt() throws Exception {
+    String answers =
+        send(
+            "GET /late HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n"
+                + "GET /c HTTP/1.1\r\nConnection: close\r\n\r\n");
+    assertThat(answers.split("HTTP/1.1 200", -1).length - 1, is(3));
+  }
+
+  @Test
+  void badInputDoesNotEndTheRequestsBeforeIt() throws Exception {
+    String answers = send("GET /late HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\nnonsense\r\n\r\n");
+    assertThat(answers.split("HTTP/1.1 200", -1).length - 1, is(2));
+    assertThat(answers, containsString("/b"));
+  }
+
   @Test
   void aBodyInChunksIsTakenWhole() throws Exception {
     send(
