Stop reading a caller that sends many requests ahead, in place of closing

What callers saw: with more than 16 requests sent ahead the connection was closed at once, also in the middle of the answer under way.

Cause: CallerConnection bounded the queue by aborting the connection. The answer under way belongs to a request that was read whole and is sound.

Evidence: CallerServerTest.manyRequestsSentAheadDoNotEndTheConnection failed before: no answer of 201 arrived.

Change: nothing more is read while 16 requests wait. What was read before, at most one buffer of the socket, is still taken.

Result: all 201 answers arrive.

--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
@@ -38,7 +38,7 @@
  * @since 0.2
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter implements AnswerChannel {
-  /** How many requests a caller may send ahead. */
+  /** With this many requests sent ahead nothing more is read until one of them is answered. */
   private static final int MAX_AHEAD = 16;
 
   private final CallerServer server;
@@ -135,12 +135,9 @@
       answerNext(next);
       return;
     }
-    if (ahead.size() >= MAX_AHEAD) {
-      next.request().body().release();
-      abort();
-      return;
-    }
+    // What was read before the pause is still taken, so the queue may grow beyond the limit.
     ahead.add(next);
+    setReading(ahead.size() < MAX_AHEAD);
   }
 
   private void answerNext(RequestAhead next) {
@@ -258,10 +255,17 @@
   private void answerAhead() {
     RequestAhead next = isAnswering ? null : ahead.poll();
     if (next != null) {
+      setReading(ahead.size() < MAX_AHEAD);
       answerNext(next);
     }
   }
 
+  private void setReading(boolean isReading) {
+    if (channel != null) {
+      channel.config().setAutoRead(isReading);
+    }
+  }
+
   private void refuseInput(HttpObject part, Throwable cause) {
     boolean isTooLong = cause instanceof TooLongFrameException;
     if (!isTooLong) {
--- a/edge/src/test/java/org/shoreroad/edge/caller/CallerServerTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/caller/CallerServerTest.java
@@ -126,6 +126,18 @@
     assertThat(answers, containsString("/b"));
   }
 
+  @Test
+  void manyRequestsSentAheadDoNotEndTheConnection() throws Exception {
+    int count = 200;
+    StringBuilder requests = new StringBuilder("GET /late HTTP/1.1\r\n\r\n");
+    for (int i = 1; i < count; i++) {
+      requests.append("GET /r").append(i).append(" HTTP/1.1\r\n\r\n");
+    }
+    String answers = send(requests + "GET /last HTTP/1.1\r\nConnection: close\r\n\r\n");
+    assertThat(answers.split("HTTP/1.1 200", -1).length - 1, is(count + 1));
+    assertThat(answers, containsString("/last"));
+  }
+
   @Test
   void aBodyInChunksIsTakenWhole() throws Exception {
     send(
