Let answers of a replica that moves end though a member does not answer

What callers saw (by reading, not in a play): a replica whose member misses two questions of the keeper's process, or one while the head is suspected, is closed with preempt, and all its answers break off, also if its head gives events.

A head that gives events shows that all members work.

Evidence: DomainKeeperTest.aReplicaThatMovesIsNotClosedInTheMiddleOfItsAnswersForAMemberThatDoesNotAnswer failed before: the first order was CLOSE_NOW.

Change: ObservedBox tells whether the head stands still.

Result: the test passes; aReplicaThatStandsStillForALostMemberIsClosedAtOnce holds the former behaviour for real losses (it passed before as well).

--- a/core/src/main/java/org/shoreroad/fleet/Closings.java
+++ b/core/src/main/java/org/shoreroad/fleet/Closings.java
@@ -12,6 +12,8 @@
   /** Why a whole replica is closed. */
   private static final String MAKES_ROOM = "a wanted replica lacks boxes";
 
+  private static final String MEMBER_IS_LOST = "a member is lost";
+
   private final KeeperTiming timing;
   private final Map<ReplicaId, Closing> closings = new HashMap<>();
 
@@ -62,7 +64,7 @@
    * Returns the order that closes a replica, which is noted if it was not, or null if its head only
    * has to end its work.
    *
-   * @param isWhole false if it has lost a member, so that its work can't end
+   * @param isWhole false if a member seems to be lost; then its work can't end if it stands still
    */
   @Nullable BoxOrder order(
       ObservedReplica replica,
@@ -70,21 +72,29 @@
       MemberState state,
       boolean isWhole,
       long nowNanos) {
-    begin(replica.replica(), false, nowNanos);
+    begin(replica.replica(), !isWhole, nowNanos);
     Closing closing = closings.get(replica.replica());
     String headId = head.box().id();
-    if (!isWhole) {
-      return BoxOrder.of(headId, Verb.CLOSE_NOW, replica.replica(), "a member is lost");
+    // While the head moves, its members work, whatever did not reach this process.
+    if (!isWhole && head.isStandingStill()) {
+      return BoxOrder.of(headId, Verb.CLOSE_NOW, replica.replica(), MEMBER_IS_LOST);
     }
     if (nowNanos - closing.sinceNanos() > closing.limitNanos(timing)) {
       return BoxOrder.of(headId, Verb.CLOSE_NOW, replica.replica(), "its work lasts too long");
     }
-    String reason = replica.hasLeavingMember() ? "a member leaves" : MAKES_ROOM;
+    String reason = reason(replica, isWhole);
     return state == MemberState.OPEN
         ? BoxOrder.of(headId, Verb.CLOSE_AFTER_WORK, replica.replica(), reason)
         : null;
   }
 
+  private static String reason(ObservedReplica replica, boolean isWhole) {
+    if (!isWhole) {
+      return MEMBER_IS_LOST;
+    }
+    return replica.hasLeavingMember() ? "a member leaves" : MAKES_ROOM;
+  }
+
   /**
    * A closing.
    *
--- a/core/src/main/java/org/shoreroad/fleet/KeeperTiming.java
+++ b/core/src/main/java/org/shoreroad/fleet/KeeperTiming.java
@@ -10,7 +10,8 @@
  * @param orderRepeatNanos how long the effect of an order is waited for before it is given again
  * @param joinSlackNanos how much longer than its model's load time a formation may take
  * @param drainLimitNanos how long running requests may keep a closing replica, then they are cut
- * @param urgentDrainLimitNanos the same for a replica that makes room after a loss
+ * @param urgentDrainLimitNanos the same for a replica that makes room after a loss, or that moves
+ *     though a member seems to be lost
  * @param headlessNanos how long the members of a replica whose head was never seen stay bound
  * @param warmingNanos how long a spare box may take weights from its host
  * @since 0.2
--- a/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainKeeperTest.java
@@ -224,6 +224,29 @@
     assertThat(domain.countOpen("large"), is(1L));
   }
 
+  @Test
+  void aReplicaThatMovesIsNotClosedInTheMiddleOfItsAnswersForAMemberThatDoesNotAnswer() {
+    addBoxes(BOXES);
+    run(SETTLE_SECONDS);
+    domain.mute(memberOf("large"));
+    given.clear();
+    run(8);
+    assertThat(
+        given.stream().filter(o -> o.verb() == BoxOrder.Verb.CLOSE_NOW).toList(), is(empty()));
+    assertThat(domain.violations(), is(empty()));
+  }
+
+  @Test
+  void aReplicaThatStandsStillForALostMemberIsClosedAtOnce() {
+    addBoxes(BOXES);
+    run(SETTLE_SECONDS);
+    domain.kill(memberOf("large"));
+    given.clear();
+    run(1);
+    assertThat(
+        given.stream().map(BoxOrder::verb).filter(BoxOrder.Verb.CLOSE_NOW::equals).count(), is(1L));
+  }
+
   @Test
   void oneReplicaIsClosedForOneThatLacksBoxes() {
     for (int seed = 0; seed < 20; seed++) {
--- a/core/src/test/java/org/shoreroad/fleet/DomainPackingTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainPackingTest.java
@@ -26,7 +26,7 @@
     for (int i = 0; i < count; i++) {
       FleetBox box =
           new FleetBox("b" + i, "llm", "b:" + i, "z", 4, false, "d", null, List.of(staged), null);
-      boxes.add(new ObservedBox(box, true, Reach.LIKELY, true, true, lastModel));
+      boxes.add(new ObservedBox(box, true, Reach.LIKELY, true, true, false, lastModel));
     }
     return boxes;
   }
--- a/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
+++ b/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
@@ -115,6 +115,11 @@
     engine.take(BoxOrder.of(id, BoxOrder.Verb.LEAVE, engine.replica, "test"));
   }
 
+  /** A box answers no question any more, and works on. */
+  void mute(String id) {
+    engines.get(id).isMute = true;
+  }
+
   void leaveSoon(String id) {
     engines.get(id).isLeaving = true;
   }
@@ -160,7 +165,7 @@
       boolean isSilent = !engine.isAlive || engine.isCut;
       long silentNanos = isSilent ? nowNanos - engine.endedNanos : 0;
       boolean isListed = !(isSilent || engine.isOffList) || silentNanos < 3 * SECOND_NANOS;
-      Reach reach = silentNanos > 700_000_000L ? Reach.LOST : Reach.LIKELY;
+      Reach reach = silentNanos > 700_000_000L || engine.isMute ? Reach.LOST : Reach.LIKELY;
       if (silentNanos > CERTAIN_NANOS && !isListed) {
         reach = Reach.GONE;
       }
@@ -172,6 +177,7 @@
               reach,
               isSteady && !isSilent,
               isConfirmed,
+              engine.isServingInVain(),
               engine.lastModel()));
     }
     return observedBoxes;
@@ -224,6 +230,7 @@
     private boolean isAlive = true;
     private boolean isLeaving;
     private boolean isCut;
+    private boolean isMute;
     private boolean isOffList;
     private long endedNanos;
     private long healedNanos = -CERTAIN_NANOS;
@@ -386,6 +393,10 @@
       }
     }
 
+    boolean isServingInVain() {
+      return isAlive && state != null && state.isServing() && isStalled();
+    }
+
     boolean isStalled() {
       for (String member : membersOf.getOrDefault(replica, List.of())) {
         Engine other = engines.get(member);
--- a/core/src/test/java/org/shoreroad/fleet/ReplicaConversionTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/ReplicaConversionTest.java
@@ -43,7 +43,7 @@
     FleetBox box =
         new FleetBox(
             id, "llm", id, "z", 4, false, "d", model, List.of("large", "small"), membership);
-    observedBoxes.add(new ObservedBox(box, true, Reach.LIKELY, true, true, lastModel));
+    observedBoxes.add(new ObservedBox(box, true, Reach.LIKELY, true, true, false, lastModel));
   }
 
   private List<String> choose() {
--- a/core/src/test/java/org/shoreroad/fleet/SpareWarmupTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/SpareWarmupTest.java
@@ -19,7 +19,7 @@
   private static ObservedBox spare(String id, @Nullable String staged, @Nullable String lastModel) {
     List<String> onHost = staged == null ? List.of() : List.of(staged);
     FleetBox box = new FleetBox(id, "llm", id + ":1", "z", 18, false, "d", null, onHost, null);
-    return new ObservedBox(box, true, Reach.LIKELY, true, true, lastModel);
+    return new ObservedBox(box, true, Reach.LIKELY, true, true, false, lastModel);
   }
 
   @Test
--- a/edge/src/main/java/org/shoreroad/edge/replica/DomainWatch.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/DomainWatch.java
@@ -104,7 +104,8 @@
     for (FleetBox box : boxes) {
       FleetBox newest = fleet.find(box.id());
       if (newest != null) {
-        observedBoxes.add(see(newest, doubtful.contains(box.id()), nowNanos));
+        boolean isStandingStill = suspected.contains(box.id());
+        observedBoxes.add(observe(newest, doubtful.contains(box.id()), isStandingStill, nowNanos));
       }
     }
     return observedBoxes;
@@ -162,7 +163,8 @@
     }
   }
 
-  private ObservedBox see(FleetBox box, boolean isDoubtful, long nowNanos) {
+  private ObservedBox observe(
+      FleetBox box, boolean isDoubtful, boolean isStandingStill, long nowNanos) {
     ReachabilityTable reach = contact.reach();
     boolean isListed = fleet.isListed(box.id());
     Reach reached = reach.reach(box.id(), isDoubtful, nowNanos);
@@ -183,7 +185,8 @@
     String lastModel = fleet.lastModel(box.id());
     // A box whose entry is gone for good serves on for a while, as one that said that it leaves.
     FleetBox seen = fleet.isOnList(box.id()) ? box : box.withLeaving();
-    return new ObservedBox(seen, isListed, reached, isSteady, isConfirmed, lastModel);
+    return new ObservedBox(
+        seen, isListed, reached, isSteady, isConfirmed, isStandingStill, lastModel);
   }
 
   /** Returns the members of all replicas whose heads are suspected. */
