Count one end for each request that was read whole

Cause: nothing in the product said how many requests had ended without a whole answer, and a hanging answer was counted as delivered (ResumedStreamTest), so neither tests nor operators could miss one.

Change: Exchange.finish takes a RequestEnd; every end of an exchange leads through it. shoreroad_requests_ended_total{reason} and shoreroad_requests_open add up to shoreroad_requests_accepted. Requests that are open when the process ends are logged (request_unanswered). CallerConnection closes a connection on which a second answer is written in the middle of one.

Requests that were read ahead and dropped with their connection are not counted yet.

--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -340,6 +340,7 @@
     timer.every(UPKEEP_MS, "upkeep", upkeep::run);
     timer.every(SUMMARY_MS, "summary", this::summarize);
     metrics.gauge("shoreroad.requests.open", relay::openCount);
+    metrics.gauge("shoreroad.requests.accepted", relay::acceptedCount);
     metrics.gauge("shoreroad.requests.in_quarantine", quarantine::quarantinedCount);
     metrics.gauge("shoreroad.upstreams.limited", backpressure::limitedCount);
     metrics.gauge("shoreroad.callers.connections", callers::connectionCount);
--- a/edge/src/main/java/org/shoreroad/edge/PlannedStop.java
+++ b/edge/src/main/java/org/shoreroad/edge/PlannedStop.java
@@ -88,6 +88,7 @@
     boolean isIdle = callers.connectionCount() == 0 && relay.openCount() == 0;
     if (isIdle || clockNanos.getAsLong() - endNanos >= 0) {
       log.write("end", "open", relay.openCount());
+      relay.endAll();
       log.flush();
       onEnd.run();
     }
--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
@@ -49,6 +49,7 @@
   private @Nullable CompositeByteBuf body;
   private @Nullable CallerExchange exchange;
   private boolean isAnswering;
+  private boolean isMidway;
   private boolean isLastAnswer;
   private boolean isRefusingInput;
   private boolean isKept = true;
@@ -154,6 +155,11 @@
 
   @Override
   public void answer(HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
+    if (isMidway) {
+      content.release();
+      abort();
+      throw new IllegalStateException("a second answer in the middle of one");
+    }
     FullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, status, content, headers, new DefaultHttpHeaders());
@@ -171,6 +177,7 @@
     response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     markLast(response);
     write(response);
+    isMidway = true;
   }
 
   @Override
@@ -237,6 +244,7 @@
 
   private void finishAnswer() {
     isAnswering = false;
+    isMidway = false;
     exchange = null;
     quietSinceNanos = server.nowNanos();
     // A request that came ahead is still answered, unless this answer said that it is the last.
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -183,7 +183,7 @@
   private void endForTime() {
     if (hasBegun()) {
       relay.counters().count("shoreroad.streams.cut", "time");
-      abort("time");
+      abort("time", RequestEnd.TIMED_OUT);
     } else {
       boolean hasLeft = sends.mayHaveRun() || attempts.haveLeft();
       refuse(hasLeft ? Refusal.NOT_ANSWERED_IN_TIME : Refusal.NOT_SENT_IN_TIME, RetryAfter.PLACE);
@@ -240,7 +240,7 @@
     relay.counters().count("shoreroad.answers", Integer.toString(head.status().code()));
     relay.counters().record("shoreroad.answer", relay.nowNanos() - request.arrivedNanos());
     relay.quarantine().recordAnswer(this::fingerprint);
-    finish();
+    finish(RequestEnd.ANSWERED);
     answers.answer(head.status(), HopHeaders.copyWithout(head.headers()), body);
   }
 
@@ -251,7 +251,7 @@
       log.writeIfLate(events.timing());
     }
     relay.quarantine().recordAnswer(this::fingerprint);
-    finish();
+    finish(RequestEnd.ANSWERED);
     answers.end();
   }
 
@@ -274,7 +274,7 @@
       relay.counters().count("shoreroad.retries", end.code());
       send();
     } else if (hasBegun() && attempts.isEmpty()) {
-      abort(end.name());
+      abort(end.name(), RequestEnd.CUT);
     } else {
       refuseOrFail(
           end == AttemptEnd.REFUSED ? Refusal.UPSTREAM_REFUSED : Refusal.UPSTREAM_FAILED,
@@ -353,10 +353,16 @@
   public void onCallerGone() {
     if (!isOver) {
       relay.counters().count("shoreroad.callers.gone", hasBegun() ? "midway" : "before");
-      finish();
+      finish(RequestEnd.CALLER_GONE);
     }
   }
 
+  /** Ends the request because the process ends. */
+  void onProcessEnd() {
+    log.write("request_unanswered", "hasBegun", hasBegun());
+    finish(RequestEnd.PROCESS_ENDED);
+  }
+
   @Override
   public void onWritabilityChanged(boolean isWritable) {
     attempts.setReading(isWritable);
@@ -368,7 +374,7 @@
       return;
     }
     if (hasBegun()) {
-      abort(refusal.code());
+      abort(refusal.code(), RequestEnd.CUT);
       return;
     }
     boolean isFalse = refusal.isPromise() && sends.mayHaveRun();
@@ -383,14 +389,14 @@
     if (refusal.isPromise()) {
       headers.set(HttpHeaderNames.RETRY_AFTER, retryAfter.headerValue(relay.random()));
     }
-    finish();
+    finish(refusal.end());
     answers.answer(refusal.status(), headers, Unpooled.EMPTY_BUFFER);
   }
 
-  private void abort(String why) {
+  private void abort(String why, RequestEnd end) {
     log.writeCut(why, events, endNanos);
     relay.counters().count("shoreroad.answers.cut", why);
-    finish();
+    finish(end);
     answers.abort();
   }
 
@@ -408,9 +414,11 @@
     return reader.fingerprint(route == null ? "" : route.host(), account);
   }
 
-  private void finish() {
+  /** Ends the request; all its ends lead through here. */
+  private void finish(RequestEnd end) {
     if (!isOver) {
       isOver = true;
+      relay.counters().count("shoreroad.requests.ended", end.code());
       attempts.cancelAll();
       relay.remove(this);
       request.body().release();
--- a/edge/src/main/java/org/shoreroad/edge/relay/Refusal.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Refusal.java
@@ -40,6 +40,15 @@
     return status == HttpResponseStatus.SERVICE_UNAVAILABLE;
   }
 
+  /** Returns the end of a request that is answered so. */
+  RequestEnd end() {
+    return switch (this) {
+      case UPSTREAM_FAILED -> RequestEnd.FAILED;
+      case NOT_ANSWERED_IN_TIME -> RequestEnd.TIMED_OUT;
+      default -> RequestEnd.REFUSED;
+    };
+  }
+
   /** Returns the text form for answers, logs and counters, such as {@code no_place}. */
   String code() {
     return name().toLowerCase(Locale.ROOT);
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -59,6 +59,7 @@
   private int stallTickMs = LONGEST_STALL_TICK_MS;
   private boolean isTicking;
   private boolean isRefusingNew;
+  private long acceptedCount;
 
   /** Creates a relay; {@link #start} begins its timer. */
   public Relay(
@@ -99,6 +100,7 @@
 
   @Override
   public CallerExchange begin(CallerRequest request, AnswerChannel answers) {
+    acceptedCount++;
     Exchange exchange = new Exchange(this, request, answers);
     open.add(exchange);
     exchange.start();
@@ -110,6 +112,18 @@
     isRefusingNew = true;
   }
 
+  /** Ends all requests because the process ends. */
+  public void endAll() {
+    for (Exchange exchange : open.toArray(new Exchange[0])) {
+      exchange.onProcessEnd();
+    }
+  }
+
+  /** Returns the number of requests that were read whole: those that have ended and are open. */
+  public long acceptedCount() {
+    return acceptedCount;
+  }
+
   /** Returns the number of requests that are not answered yet. */
   public int openCount() {
     return open.size();
--- a/edge/src/test/java/org/shoreroad/edge/caller/CallerServerTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/caller/CallerServerTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -66,6 +67,9 @@
       answers.begin(HttpResponseStatus.OK, new DefaultHttpHeaders());
       answers.send(Unpooled.copiedBuffer("passed on", StandardCharsets.UTF_8));
       answers.abort();
+    } else if (request.uri().equals("/twice")) {
+      answers.begin(HttpResponseStatus.OK, new DefaultHttpHeaders());
+      assertThrows(IllegalStateException.class, () -> answer(request, answers));
     } else if (request.uri().equals("/late")) {
       loop.schedule(() -> answer(request, answers), LATE_MS, TimeUnit.MILLISECONDS);
     } else if (!request.uri().equals("/silent")) {
@@ -178,6 +182,13 @@
     assertThat(answer.endsWith("0\r\n\r\n"), is(false));
   }
 
+  @Test
+  void aSecondAnswerInTheMiddleOfOneClosesTheConnection() throws Exception {
+    String answer = send("GET /twice HTTP/1.1\r\n\r\n");
+    assertThat(answer, startsWith("HTTP/1.1 200"));
+    assertThat(answer.endsWith("0\r\n\r\n"), is(false));
+  }
+
   @Test
   void theLossOfTheCallerIsTold() throws Exception {
     try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -1,5 +1,8 @@
 package org.shoreroad.edge.relay;
 
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.ByteArrayOutputStream;
@@ -161,12 +164,35 @@
 
   @AfterEach
   void stop() throws Exception {
+    loop.submit(this::checkEachRequestHasOneEnd).sync();
     for (FakeUpstream upstream : upstreams) {
       upstream.close();
     }
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
   }
 
+  private void checkEachRequestHasOneEnd() {
+    long ended =
+        metrics
+            .toPrometheusText()
+            .lines()
+            .filter(line -> line.startsWith("shoreroad_requests_ended_total"))
+            .mapToLong(line -> (long) Double.parseDouble(line.substring(line.indexOf(' '))))
+            .sum();
+    assertThat("ends and open", ended + relay.openCount(), is(relay.acceptedCount()));
+  }
+
+  /** Returns how many requests have ended so. */
+  final long ended(RequestEnd end) throws Exception {
+    String prefix = "shoreroad_requests_ended_total{reason=\"" + end.code() + "\"} ";
+    return loop.submit(metrics::toPrometheusText)
+        .get()
+        .lines()
+        .filter(line -> line.startsWith(prefix))
+        .mapToLong(line -> (long) Double.parseDouble(line.substring(prefix.length())))
+        .sum();
+  }
+
   final FakeUpstream upstream(String id, FakeUpstream.Script script) throws Exception {
     FakeUpstream upstream = new FakeUpstream(script);
     upstreams.add(upstream);
