Relay: clearer names after a reading, one typed fingerprint in the log

OpenAttempts.isAnySent, one local for the suspected head's id, plainer comments. No behaviour changes.

--- a/core/src/main/java/org/shoreroad/fleet/Closings.java
+++ b/core/src/main/java/org/shoreroad/fleet/Closings.java
@@ -75,7 +75,7 @@
     begin(replica.replica(), !isWhole, nowNanos);
     Closing closing = closings.get(replica.replica());
     String headId = head.box().id();
-    // While the head moves, its members work, whatever did not reach this process.
+    // A head that gives events has all its members, although one of them does not answer here.
     if (!isWhole && head.isStandingStill()) {
       return BoxOrder.of(headId, Verb.CLOSE_NOW, replica.replica(), MEMBER_IS_LOST);
     }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -123,7 +123,7 @@
    * Sends the request to the best upstream, waits a little for one, or gives up.
    *
    * <p>Every way to an upstream leads through here: the first attempt, a repeat, a resumed stream,
-   * a request taken from a silent head. Attempts are bounded for one try of a caller only; what
+   * a second attempt beside a silent one. Attempts are bounded for one try of a caller only; what
    * ends its upstreams is stopped by the quarantine, which counts over tries and processes.
    */
   private void send() {
@@ -147,6 +147,7 @@
 
   private void waitOrRefuse() {
     if (!attempts.isEmpty()) {
+      // An upstream that fell silent still has the request.
       return;
     }
     boolean isHeldBack = targets.isHeldBack();
@@ -185,7 +186,7 @@
       relay.counters().count("shoreroad.streams.cut", "time");
       abort("time", RequestEnd.TIMED_OUT);
     } else {
-      boolean hasLeft = sends.mayHaveRun() || attempts.haveLeft();
+      boolean hasLeft = sends.mayHaveRun() || attempts.isAnySent();
       refuse(hasLeft ? Refusal.NOT_ANSWERED_IN_TIME : Refusal.NOT_SENT_IN_TIME, RetryAfter.PLACE);
     }
   }
@@ -338,7 +339,7 @@
     if (isOver || !requests.contains(fingerprint())) {
       return;
     }
-    if (attempts.haveLeft()) {
+    if (attempts.isAnySent()) {
       sends.recordMayHaveRun();
     }
     attempts.cancelUnbegun();
@@ -403,7 +404,7 @@
   private void noteFailure(Attempt failed, AttemptEnd end) {
     relay.counters().count("shoreroad.attempts.failed", end.code());
     boolean isCrash = end == AttemptEnd.DISCONNECTED;
-    log.writeFailure(failed.target(), end, failed.hasHead(), isCrash ? fingerprint() : "");
+    log.writeFailure(failed, end, isCrash ? fingerprint() : null);
     if (isCrash) {
       Crash crash = new Crash(failed.target().box().incarnation(), failed.hasHead());
       relay.quarantine().recordCrash(fingerprint(), crash);
--- a/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.caller.CallerRequest;
+import org.shoreroad.quarantine.RequestFingerprint;
 import org.shoreroad.traffic.ClientAccount;
 import org.shoreroad.traffic.Route;
 import org.shoreroad.traffic.TrafficConfig;
@@ -68,10 +69,11 @@
   /**
    * Writes that an attempt brought no whole answer.
    *
-   * @param hadHead true if the upstream had begun to answer
-   * @param fingerprint what identifies the request when its caller returns, or an empty text
+   * @param fingerprint what identifies the request when its caller returns, or null if it has
+   *     crashed no upstream
    */
-  void writeFailure(Target target, AttemptEnd end, boolean hadHead, Object fingerprint) {
+  void writeFailure(Attempt failed, AttemptEnd end, @Nullable RequestFingerprint fingerprint) {
+    Target target = failed.target();
     ends.add(target.box().id() + ":" + end);
     write(
         "attempt_failed",
@@ -84,9 +86,9 @@
         "replica",
         String.valueOf(target.replicaName()),
         "hadHead",
-        hadHead,
+        failed.hasHead(),
         "fingerprint",
-        fingerprint);
+        fingerprint == null ? "" : fingerprint);
   }
 
   /**
--- a/edge/src/main/java/org/shoreroad/edge/relay/OpenAttempts.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/OpenAttempts.java
@@ -44,7 +44,7 @@
   }
 
   /** Returns true if a byte of any of them may have left this process. */
-  boolean haveLeft() {
+  boolean isAnySent() {
     return open.stream().anyMatch(Attempt::hasLeft);
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
@@ -137,10 +137,11 @@
     boolean isNew = !load.isSuspectedAt(nowNanos);
     load.suspect(true, nowNanos);
     if (isNew) {
+      String headId = exchange.upstreamIdAt(load);
       log.write(
           "replica_suspected",
           "head",
-          exchange.upstreamIdAt(load),
+          headId,
           "by",
           "silence",
           "silentMs",
@@ -149,7 +150,7 @@
           load.openCount(),
           "waitingTokens",
           load.waitingPromptTokens());
-      onSuspicion.accept(exchange.upstreamIdAt(load));
+      onSuspicion.accept(headId);
     }
     return exchange.onSilence(load);
   }
