--- a/core/src/main/java/org/shoreroad/fleet/KeeperTiming.java
+++ b/core/src/main/java/org/shoreroad/fleet/KeeperTiming.java
@@ -24,7 +24,7 @@
     long headlessNanos,
     long warmingNanos) {
   /**
-   * Half a second covers an order, its effect and the word of it; four seconds cover a loss in
+   * Half a second covers an order, its effect and the report of it; four seconds cover a loss in
    * between; eight seconds are below the ten for which a leaving member waits for its head; most
    * answers end within one and a half; a head that nobody can find is broken by its own engine
    * after five seconds, and three more for the store's list to come; weights come from a host
--- a/core/src/main/java/org/shoreroad/fleet/ReplicaConversion.java
+++ b/core/src/main/java/org/shoreroad/fleet/ReplicaConversion.java
@@ -15,9 +15,8 @@
  * <p>That costs the callers of a closed replica a move, and its boxes serve nobody for two to three
  * seconds. So it is done only when boxes have just come free, most often after a loss, and must be
  * put to use anyway, or when a model has no replica left or stays under high pressure beside
- * another that has places. Without the last a model that had come to three of six replicas refused
- * a fifth of its requests for twelve seconds, until the end (one run of three). On a day with nine
- * losses 0.90 of what was owed was earned with it and 0.75 without (one run each). For one thread.
+ * another that has places: such a model would refuse requests for as long as the load lasts. For
+ * one thread.
  */
 final class ReplicaConversion {
   /** The least that the worst pressure must fall for a replica to be closed. */
@@ -27,7 +26,7 @@
   private static final double HIGH_PRESSURE = 0.8;
 
   /**
-   * And only if the worst pressure then falls by this much: at 0.1, five days of five were worse.
+   * Minimum reduction of the highest pressure that justifies closing a replica for a pressed model.
    */
   private static final double CLEAR_GAIN = 0.2;
 
--- a/edge/src/main/java/org/shoreroad/edge/relay/PaceMeter.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/PaceMeter.java
@@ -6,10 +6,9 @@
  * How slow an engine is against what its figures say, from the time between its passes; used on the
  * event loop.
  *
- * <p>A head that is slow draws requests, since it is not full, and is suspected again and again: 20
- * times in 6 s at four times the usual pass (logs of eight processes). So the choice of a head and
- * {@link SilenceLimit} go by its pace. Each pass gives an event to every request that writes, so
- * the events of one process come in groups, one a pass.
+ * <p>A slow head attracts requests, since it is not full, and would be suspected again and again.
+ * So the choice of a head and {@link SilenceLimit} depend on its pace. Each pass gives an event to
+ * every request that writes, so the events of one process come in groups, one for each pass.
  */
 final class PaceMeter {
   /** Events nearer to each other than this belong to one pass: the quickest takes 18 ms. */
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -30,13 +30,12 @@
   /** How often time limits are looked after. */
   private static final int TICK_MS = 100;
 
-  /** Shortest time between two looks for silent heads: a fifth of a usual pass, 50 ms. */
+  /** Shortest time between two checks for silent heads: a fifth of a usual pass, 50 ms. */
   private static final int SHORTEST_STALL_TICK_MS = 10;
 
   /**
-   * Longest time between two looks for silent heads: a head at which the first request is opened
-   * right after a look has a limit of at least this. A fixed look each 25 ms woke a serving process
-   * 40 times a second and found a silent head up to 25 ms late.
+   * Longest time between two checks for silent heads: a head at which the first request is opened
+   * right after a check has a stall timeout of at least this.
    */
   private static final int LONGEST_STALL_TICK_MS = 90;
 
--- a/edge/src/main/java/org/shoreroad/edge/relay/RelayCounters.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RelayCounters.java
@@ -1,7 +1,7 @@
 package org.shoreroad.edge.relay;
 
 /**
- * Counts what happens to requests, by reason.
+ * Request counters, labelled by outcome and reason.
  *
  * @since 0.2
  */
--- a/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
@@ -53,9 +53,8 @@
   /**
    * Returns the heads whose silence this process found itself, to be reported to the peers.
    *
-   * <p>What peers reported is not passed on. A suspicion that each process repeats as its own goes
-   * round without end and keeps callers away from replicas that were formed anew long ago: in 70 s
-   * with 18 processes 52 silences led to 1,546 suspicions.
+   * <p>Suspicions reported by peers are not included. If each process repeated them as its own,
+   * they would circulate without end and keep callers away from replicas that serve again.
    */
   public Set<String> ownSuspectedIds() {
     long nowNanos = clockNanos.getAsLong();
@@ -78,9 +77,8 @@
   /**
    * Takes over a peer's suspicions, unless a head has moved for this process since.
    *
-   * <p>They keep new requests away. Requests that are open here are moved by this process's own
-   * limit only. With all moved at once the large model's classes earned 0.61 and 0.70 of their
-   * payoff in place of 0.73 and 0.78 (one day at 18 processes, one run each).
+   * <p>They keep new requests away. Requests that are open here are sent elsewhere by the timeout
+   * of this process only: if all processes did so at once, the other heads would be overloaded.
    *
    * @return true if a head is newly suspected
    */
--- a/edge/src/main/java/org/shoreroad/edge/replica/DomainWatch.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/DomainWatch.java
@@ -58,7 +58,8 @@
   private static final int STALL_MARGIN_MS = 400;
 
   /**
-   * A leaving box listens no more but ends its work for ten seconds at most; and a second beyond.
+   * A deregistered box closes its listener but may finish running requests for up to 10 s. One
+   * second of margin.
    */
   private static final long LEAVING_NANOS = TimeUnit.SECONDS.toNanos(11);
 
