--- a/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
@@ -23,10 +23,10 @@
   private final CallerRequest request;
   private final RequestReader reader;
   private final SendHistory sends;
+  private final List<String> ends = new ArrayList<>();
   private @Nullable Route route;
   private @Nullable ClientAccount account;
   private long admittedVersion = NO_VERSION;
-  private final List<String> ends = new ArrayList<>();
 
   ExchangeLog(Relay relay, CallerRequest request, RequestReader reader, SendHistory sends) {
     this.relay = relay;
