--- a/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainKeeper.java
@@ -412,8 +412,8 @@
     if (loads > 0 && !isFresh()) {
       return false;
     }
-    // This check follows the one for weights. The other order requested reports from all boxes of a
-    // domain for as long as weights were missing: 183,167 requests in 52 s, 925 boxes, one run.
+    // This check follows the one for weights. The other order would request reports from all boxes
+    // of a domain for as long as weights are missing.
     if (!view.isConfirmed()) {
       needsReports = true;
       return false;
--- a/core/src/main/java/org/shoreroad/limit/LimitedUpstream.java
+++ b/core/src/main/java/org/shoreroad/limit/LimitedUpstream.java
@@ -11,8 +11,8 @@
  *
  * <p>About as many processes as the limit allows requests per second hold an equal share each,
  * chosen by rendezvous hashing. A share for each process would not keep a limit near one per
- * second: if each of 58 processes may send one request at any time, 58 requests can arrive at once.
- * Used by one thread.
+ * second: if each process may send one request at any time, as many can arrive at once. Used by one
+ * thread.
  */
 final class LimitedUpstream {
   /** Rate used for a limit of 0: without any request, the end of the limit would go unnoticed. */
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
@@ -37,10 +37,7 @@
   /** A quarter of a second of prompts that wait counts as much as all places taken. */
   private static final double READ_SECONDS_PER_COST = 0.25;
 
-  /**
-   * What an upstream in another zone counts: two to three places of eighteen. At a quarter of it a
-   * fifth to a third more bytes pass between zones, and no answer comes sooner (two days).
-   */
+  /** Cost of an upstream in another zone: two to three places of eighteen. */
   private static final double OTHER_ZONE_COST = 0.12;
 
   private static final double JITTER_COST = 0.04;
--- a/edge/src/main/java/org/shoreroad/edge/sync/DomainLeases.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/DomainLeases.java
@@ -56,9 +56,7 @@
   private final Supplier<Set<String>> domains;
   private final DomainClaims claims;
   private final Map<String, DomainLease> leases = new HashMap<>();
-
   private final Map<String, FormationNumbers> formationNumbers = new HashMap<>();
-
   private final Set<String> beingChecked = new HashSet<>();
   private Set<String> announced = Set.of();
   private Runnable onChange = () -> {};
--- a/edge/src/main/java/org/shoreroad/edge/sync/StatusReports.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/StatusReports.java
@@ -72,8 +72,8 @@
   /**
    * Returns the upstreams whose entries were held back and count by now, each once.
    *
-   * <p>An upstream writes no further entry while nothing changes, so that a report that is wrong by
-   * now would stand for good: a box that had left its replica stood as its member for 17 s.
+   * <p>An upstream writes no further entry while nothing changes, so a report that has become wrong
+   * would stay in force.
    */
   Set<String> takeOutdated() {
     if (mayBeOfCopy()) {
--- a/edge/src/test/java/org/shoreroad/edge/relay/CrashingRequestTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/CrashingRequestTest.java
@@ -21,19 +21,7 @@
 import org.shoreroad.quarantine.CrashReport;
 import org.shoreroad.quarantine.RequestFingerprint;
 
-/**
- * A request that ends each upstream that begins to run it.
- *
- * <p>What users saw: more than a tenth of the requests for one model were refused or cut for most
- * of a minute, and plain requests with them. The order of events: a request began to run, 10 to 160
- * ms later its upstream crashed; the process sent it to a second upstream within 3 ms, which
- * crashed too; the caller came back to another process, and both its attempts were new. 43
- * upstreams ended so, each with up to 32 requests of other callers. The cause: attempts were
- * counted for one try of a caller, and nothing counted the upstreams that ended under the same
- * request. The evidence: requests of one account were among the broken ones at all 45 ends; and
- * here, where a request that closes its connection is all that is amiss, each return of the caller
- * reached two more upstreams: 12 in six returns.
- */
+/** A request that ends each upstream that begins to run it. */
 class CrashingRequestTest extends LoopbackRelay {
   private static final int RETURNS = 6;
   private static final int UPSTREAMS = 8;
--- a/edge/src/test/java/org/shoreroad/edge/relay/LeavingUpstreamTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LeavingUpstreamTest.java
@@ -5,14 +5,7 @@
 
 import org.junit.jupiter.api.Test;
 
-/**
- * Upstreams that say in their answers that they are about to end.
- *
- * <p>Nobody saw it fail; it was found by looking for the cause of two other faults elsewhere. The
- * order of events: an upstream says in an answer that it leaves; its entry in the list says so
- * later, or never; until then it gets requests as any other. The cause: what it said in the answer
- * was not read. The evidence: 10 of 20 requests reached it more than 2 s after its answer.
- */
+/** Upstreams that say in their answers that they are about to end. */
 class LeavingUpstreamTest extends LoopbackRelay {
   private static final int CALLS = 20;
 
--- a/edge/src/test/java/org/shoreroad/edge/relay/RestingUpstreamTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/RestingUpstreamTest.java
@@ -8,19 +8,7 @@
 
 import org.junit.jupiter.api.Test;
 
-/**
- * Upstreams that turn a request away and ask for a time of rest.
- *
- * <p>What users saw: over a tenth of the requests of three kinds were refused or late for eight
- * seconds. Five of 18 upstreams turned all requests away and asked each process for 3 s of rest;
- * one process sent one of them 11 to 13 requests in such a time, where 2 are allowed. The order of
- * events: an upstream refused a request and asked for rest; the process passed it over for 60 ms;
- * then it had nothing open, looked free, and got the next request, and the one that another resting
- * upstream had refused. The cause: how long a refusal asked to be left alone was not read. The
- * evidence: 292 of 292 pairs of successive refusals of one process by one upstream lay less than 3
- * s apart, half of them less than 0.21 s, hardly one less than 60 ms; and here, where refusals with
- * a rest are all that is amiss, 25 requests reached an upstream in a rest of 3 s.
- */
+/** Upstreams that turn a request away and ask for a time of rest. */
 class RestingUpstreamTest extends LoopbackRelay {
   private static final int CALLS = 40;
   private static final int REST_MS = 3_000;
--- a/edge/src/test/java/org/shoreroad/edge/sync/FormationNumberTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FormationNumberTest.java
@@ -13,17 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.shoreroad.edge.EventLog;
 
-/**
- * The numbers of formations of a domain, where its owner gives it up and gets it again.
- *
- * <p>What was seen: requests ran at a replica with a member that had never been ready in it. The
- * order of events: a replica was being formed; the owner could not renew its lease, gave it up, and
- * got it again under the same generation, since nobody else had joined; it formed a replica of the
- * same name and number from other boxes; two members of the former one said that they were ready,
- * and the replica was opened. The cause: numbers were counted anew with each lease. The evidence:
- * the log of a replay, with the lease granted twice under one generation and the number ordered
- * twice with different members; and here the second lease, which gave the first one's number.
- */
+/** The numbers of formations of a domain, where its owner gives it up and gets it again. */
 class FormationNumberTest {
   private static final String DOMAIN = "s/d";
   private static final int STEP_MS = 100;
--- a/edge/src/test/java/org/shoreroad/edge/sync/OlderCopyTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/OlderCopyTest.java
@@ -17,17 +17,7 @@
 import org.shoreroad.fleet.Membership;
 import org.shoreroad.fleet.ReplicaId;
 
-/**
- * The replica of a box, where the store came back from a copy older than the replica.
- *
- * <p>What was seen: in the fault soak (seed 7026) a member of a replica was joined to another one
- * while its head was open. The order of events: a replica was formed; its head was cut off from the
- * processes; 2.3 s later the store came back from a copy in which no replica stood; the keeper
- * listed it, and 66 ms later joined the member elsewhere. The cause: an entry overrides what is
- * known of a box once its last report is 1.5 s old, also an entry of an older copy, so that a
- * silent head seemed to have left. The evidence: the times in the keeper's log; and here the list
- * alone, which forgot the replica at the first entry of the copy.
- */
+/** The replica of a box, where the store came back from a copy older than the replica. */
 class OlderCopyTest {
   private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
   private static final String HEAD = "a";
