Relay tests: one stream head, one broken-off stream and one sum of metrics

Six test classes wrote the head of a stream and its chunks anew, two read the counters by the same loop. LoopbackRelay holds them.

--- a/edge/src/test/java/org/shoreroad/edge/caller/CallerServerTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/caller/CallerServerTest.java
@@ -104,6 +104,10 @@
     }
   }
 
+  private static int countAnswers(String answers) {
+    return answers.split("HTTP/1.1 200", -1).length - 1;
+  }
+
   @Test
   void requestsSentAheadAreAnsweredInOrder() throws Exception {
     String answers =
@@ -120,13 +124,13 @@
         send(
             "GET /late HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n"
                 + "GET /c HTTP/1.1\r\nConnection: close\r\n\r\n");
-    assertThat(answers.split("HTTP/1.1 200", -1).length - 1, is(3));
+    assertThat(countAnswers(answers), is(3));
   }
 
   @Test
   void badInputDoesNotEndTheRequestsBeforeIt() throws Exception {
     String answers = send("GET /late HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\nnonsense\r\n\r\n");
-    assertThat(answers.split("HTTP/1.1 200", -1).length - 1, is(2));
+    assertThat(countAnswers(answers), is(2));
     assertThat(answers, containsString("/b"));
   }
 
@@ -138,7 +142,7 @@
       requests.append("GET /r").append(i).append(" HTTP/1.1\r\n\r\n");
     }
     String answers = send(requests + "GET /last HTTP/1.1\r\nConnection: close\r\n\r\n");
-    assertThat(answers.split("HTTP/1.1 200", -1).length - 1, is(count + 1));
+    assertThat(countAnswers(answers), is(count + 1));
     assertThat(answers, containsString("/last"));
   }
 
--- a/edge/src/test/java/org/shoreroad/edge/relay/AnswerCutLogTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/AnswerCutLogTest.java
@@ -11,15 +11,7 @@
 class AnswerCutLogTest extends LoopbackRelay {
   @Test
   void namesWhatDecidedIt() throws Exception {
-    upstream(
-        "i-1",
-        (head, out, socket) -> {
-          write(
-              out,
-              "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Seal: s\r\n"
-                  + "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n");
-          return false;
-        });
+    upstream("i-1", BREAKS_OFF_MIDWAY);
     assertThat(call("/stream/"), not(containsString("0\r\n\r\n")));
     String line =
         logged().lines().filter(of -> of.contains("\"answer_cut\"")).findFirst().orElse("");
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -68,6 +68,12 @@
   static final String HEAD_PREFIX = "head-";
 
   static final String SELF = "front-1~a";
+
+  /** Head of a stream's answer. */
+  static final String STREAM_HEAD =
+      "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
   private static final int SLOTS = 4;
   private final AtomicLong aheadNanos = new AtomicLong();
   final LongSupplier clockNanos = () -> System.nanoTime() + aheadNanos.get();
@@ -172,24 +178,22 @@
   }
 
   private void checkEachRequestHasOneEnd() {
-    long ended =
-        metrics
-            .toPrometheusText()
-            .lines()
-            .filter(line -> line.startsWith("shoreroad_requests_ended_total"))
-            .mapToLong(line -> (long) Double.parseDouble(line.substring(line.indexOf(' '))))
-            .sum();
+    long ended = sumOfMetrics("shoreroad_requests_ended_total{");
     assertThat("ends and open", ended + relay.openCount(), is(relay.acceptedCount()));
   }
 
   /** Returns how many requests have ended so. */
   final long ended(RequestEnd end) throws Exception {
-    String prefix = "shoreroad_requests_ended_total{reason=\"" + end.code() + "\"} ";
-    return loop.submit(metrics::toPrometheusText)
-        .get()
+    String prefix = "shoreroad_requests_ended_total{reason=\"" + end.code() + "\"}";
+    return loop.submit(() -> sumOfMetrics(prefix)).get();
+  }
+
+  private long sumOfMetrics(String prefix) {
+    return metrics
+        .toPrometheusText()
         .lines()
         .filter(line -> line.startsWith(prefix))
-        .mapToLong(line -> (long) Double.parseDouble(line.substring(prefix.length())))
+        .mapToLong(line -> (long) Double.parseDouble(line.substring(line.indexOf(' '))))
         .sum();
   }
 
@@ -238,6 +242,19 @@
         return true;
       };
 
+  /** Passes the first event of a stream on and breaks off. */
+  static final FakeUpstream.Script BREAKS_OFF_MIDWAY =
+      (head, out, socket) -> {
+        write(out, STREAM_HEAD);
+        writeChunk(out, FIRST_EVENT);
+        return false;
+      };
+
+  /** Writes a chunk of an answer that has no length. */
+  static void writeChunk(OutputStream out, String text) throws IOException {
+    write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+  }
+
   static void write(OutputStream out, String text) throws IOException {
     out.write(text.getBytes(StandardCharsets.UTF_8));
     out.flush();
--- a/edge/src/test/java/org/shoreroad/edge/relay/RelayTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/RelayTest.java
@@ -154,15 +154,7 @@
 
   @Test
   void aStreamThatCannotGoOnDoesNotLookWhole() throws Exception {
-    upstream(
-        "i-1",
-        (head, out, socket) -> {
-          write(
-              out,
-              "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Seal: s\r\n"
-                  + "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n");
-          return false;
-        });
+    upstream("i-1", BREAKS_OFF_MIDWAY);
     String answer = call("/stream/");
     assertThat(answer, containsString("id: 1"));
     assertThat(answer, not(containsString("0\r\n\r\n")));
--- a/edge/src/test/java/org/shoreroad/edge/relay/RequestEndTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/RequestEndTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
 
+import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 
@@ -16,15 +17,6 @@
         return false;
       };
 
-  private static final FakeUpstream.Script BREAKS_OFF_MIDWAY =
-      (head, out, socket) -> {
-        write(
-            out,
-            "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Seal: s\r\n"
-                + "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n");
-        return false;
-      };
-
   @Test
   void aWholeAnswerIsCounted() throws Exception {
     upstream("i-1", SERVING);
@@ -82,7 +74,7 @@
   private void callAndForget() {
     try {
       call("/once/");
-    } catch (java.io.IOException e) {
+    } catch (IOException e) {
       // The relay ends without an answer.
     }
   }
--- a/edge/src/test/java/org/shoreroad/edge/relay/ResumedStreamTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/ResumedStreamTest.java
@@ -10,22 +10,8 @@
 
 /** A stream whose first upstream breaks off after an event. */
 class ResumedStreamTest extends LoopbackRelay {
-  private static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
-
   private final AtomicInteger calls = new AtomicInteger();
 
-  private static final FakeUpstream.Script BREAKS_OFF_MIDWAY =
-      (head, out, socket) -> {
-        write(
-            out,
-            "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
-                + Integer.toHexString(FIRST_EVENT.length())
-                + "\r\n"
-                + FIRST_EVENT
-                + "\r\n");
-        return false;
-      };
-
   private void assertCut(String secondAnswer) throws Exception {
     FakeUpstream.Script byTurn =
         (head, out, socket) -> {
--- a/edge/src/test/java/org/shoreroad/edge/relay/SilentUpstreamTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/SilentUpstreamTest.java
@@ -7,7 +7,6 @@
 import static org.hamcrest.Matchers.startsWith;
 
 import java.io.IOException;
-import java.io.OutputStream;
 import java.net.Socket;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -17,8 +16,6 @@
 /** A request whose upstream is silent and moves again, while the next one does not take it. */
 class SilentUpstreamTest extends LoopbackRelay {
   private static final int SILENCE_MS = 800;
-  private static final String HEAD =
-      "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
 
   private final AtomicInteger calls = new AtomicInteger();
 
@@ -33,8 +30,8 @@
 
   private static final FakeUpstream.Script PAUSES_MIDWAY =
       (head, out, socket) -> {
-        write(out, HEAD);
-        writeChunk(out, "id: 1\ndata: a\n\n");
+        write(out, STREAM_HEAD);
+        writeChunk(out, FIRST_EVENT);
         Thread.sleep(SILENCE_MS);
         writeChunk(out, "id: 2\ndata: b\n\n");
         write(out, "0\r\n\r\n");
@@ -44,8 +41,8 @@
   private static final FakeUpstream.Script PAUSES_BEFORE =
       (head, out, socket) -> {
         Thread.sleep(SILENCE_MS);
-        write(out, HEAD);
-        writeChunk(out, "id: 1\ndata: a\n\n");
+        write(out, STREAM_HEAD);
+        writeChunk(out, FIRST_EVENT);
         writeChunk(out, "id: 2\ndata: b\n\n");
         write(out, "0\r\n\r\n");
         return true;
@@ -65,13 +62,9 @@
         return false;
       };
 
-  private static void writeChunk(OutputStream out, String text) throws IOException {
-    write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
-  }
-
   private void assertWhole(String answer) {
     assertThat(calls.get(), is(2));
-    assertThat(answer, containsString("id: 1\ndata: a\n\n"));
+    assertThat(answer, containsString(FIRST_EVENT));
     assertThat(answer, containsString("id: 2\ndata: b\n\n"));
     assertThat(answer, endsWith("0\r\n\r\n"));
   }
@@ -111,14 +104,14 @@
     CountDownLatch closed = new CountDownLatch(1);
     upstreams(
         (head, out, socket) -> {
-          write(out, HEAD);
+          write(out, STREAM_HEAD);
           writeChunk(out, "id: 1\ndata: a\n\nid: 2\nda");
           awaitClose(socket, closed);
           return false;
         },
         (head, out, socket) -> {
           assertThat(FakeUpstream.header(head, "Last-Event-Id"), is("1"));
-          write(out, HEAD);
+          write(out, STREAM_HEAD);
           writeChunk(out, "id: 2\ndata: b\n\n");
           write(out, "0\r\n\r\n");
           return true;
--- a/edge/src/test/java/org/shoreroad/edge/relay/StalledStreamTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/StalledStreamTest.java
@@ -5,8 +5,6 @@
 import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.is;
 
-import java.io.IOException;
-import java.io.OutputStream;
 import org.junit.jupiter.api.Test;
 
 /** A stream whose head is silent for longer than its passes take. */
@@ -16,11 +14,8 @@
   /** Sends an event, then nothing for a while, then the last event and the end. */
   private static final FakeUpstream.Script PAUSES =
       (head, out, socket) -> {
-        write(
-            out,
-            "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Seal: s\r\n"
-                + "Transfer-Encoding: chunked\r\n\r\n");
-        writeChunk(out, "id: 1\ndata: a\n\n");
+        write(out, STREAM_HEAD);
+        writeChunk(out, FIRST_EVENT);
         Thread.sleep(SILENCE_MS);
         writeChunk(out, "id: 2\ndata: b\n\n");
         write(out, "0\r\n\r\n");
@@ -32,10 +27,6 @@
     return new RelayRules(0, 0, 10);
   }
 
-  private static void writeChunk(OutputStream out, String text) throws IOException {
-    write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
-  }
-
   @Test
   void staysWhereItIsIfNoRepeatIsAllowed() throws Exception {
     FakeUpstream one = upstream(HEAD_PREFIX + "1", PAUSES);
