--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -11,7 +11,6 @@
 import org.shoreroad.edge.http.HttpCalls;
 import org.shoreroad.edge.peer.Announcement;
 import org.shoreroad.edge.peer.FailureDetector;
-import org.shoreroad.edge.peer.Heartbeat;
 import org.shoreroad.edge.peer.PeerMesh;
 import org.shoreroad.edge.peer.ProcessRegistry;
 import org.shoreroad.edge.peer.QuarantineRegistry;
@@ -27,12 +26,8 @@
 import org.shoreroad.edge.sync.CountedStore;
 import org.shoreroad.edge.sync.DomainLeases;
 import org.shoreroad.edge.sync.Fleet;
-import org.shoreroad.edge.sync.ListUpdate;
-import org.shoreroad.edge.sync.StorePosition;
-import org.shoreroad.edge.sync.StoreRecord;
 import org.shoreroad.edge.sync.Topic;
 import org.shoreroad.edge.sync.TopicFollower;
-import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.member.HubPlan;
 import org.shoreroad.traffic.CallerLimits;
 
@@ -120,13 +115,13 @@
   private final Backpressure backpressure;
   private final Relay relay;
   private final FailureDetector failureDetector;
+  private final LocalHeartbeats heartbeats;
   private final PeerMesh mesh;
   private final ReplicaService replicas;
   private final CallerServer callers;
   private final LoopLag lag;
   private final PeriodicUpdate periodicUpdate;
   private final GracefulShutdown shutdown;
-  private List<FleetBox> reports = List.of();
 
   /**
    * Creates a process and its parts.
@@ -184,9 +179,9 @@
     this.relay = makeRelay(loop, calls);
     this.lag = new LoopLag(log, UPDATE_INTERVAL_MS);
     this.failureDetector = new FailureDetector(clockNanos);
+    this.heartbeats = makeHeartbeats();
     HubPlan.ProcessLocation location = new HubPlan.ProcessLocation(name, settings.zone());
-    this.mesh =
-        new PeerMesh(loop, clockNanos, log, location, new LocalHeartbeats(), this::applyHeartbeat);
+    this.mesh = new PeerMesh(loop, clockNanos, log, location, heartbeats, heartbeats::apply);
     this.leases = new DomainLeases(store, loop, elapsed::nowNanos, log, name, mesh, fleet::domains);
     this.replicas = makeReplicas(loop);
     this.callers =
@@ -221,6 +216,19 @@
         backpressure);
   }
 
+  private LocalHeartbeats makeHeartbeats() {
+    return new LocalHeartbeats(
+        clockNanos,
+        configuration,
+        fleet,
+        listFollower,
+        upstreams,
+        stalls,
+        failureDetector,
+        quarantine,
+        backpressure);
+  }
+
   private ReplicaService makeReplicas(EventLoop loop) {
     return new ReplicaService(
         loop,
@@ -273,7 +281,8 @@
           mesh.sendSuspicion(Set.of(head));
           replicas.scheduleReconcile();
         });
-    mesh.setSuspicionListener(this::applySuspicions);
+    heartbeats.connect(mesh, leases, replicas);
+    mesh.setSuspicionListener(heartbeats::applySuspicions);
     backpressure.setLimitListener(mesh::sendSoon);
     backpressure.setLeavingListener(fleet::noteLeaving);
     quarantine.setRecorder(quarantineRegistry::write);
@@ -392,27 +401,6 @@
     }
   }
 
-  private Heartbeat makeHeartbeat(String sender, long sentNanos) {
-    return new Heartbeat(
-        sender,
-        sentNanos,
-        0,
-        Heartbeat.Scope.SELF,
-        1,
-        configuration.next(),
-        configuration.version(),
-        configuration.configAgeNanos(),
-        upstreams.ownLoads(),
-        stalls.ownSuspectedIds(),
-        failureDetector.questions(),
-        replicas.silentForPeers(),
-        leases.grantedDomains(),
-        reports,
-        ListUpdate.readTo(listFollower.next()),
-        quarantine.reports(),
-        backpressure.reports());
-  }
-
   /** Reads the contents of the store again after it was restored from an older copy. */
   private void noteEra() {
     metrics.count("shoreroad.store.eras", "new");
@@ -423,57 +411,4 @@
     leases.noteEra();
     quarantineRegistry.writeAgain(era);
   }
-
-  private void applyHeartbeat(Heartbeat heartbeat) {
-    configuration.applyHeartbeat(heartbeat);
-    failureDetector.applyHeartbeat(heartbeat);
-    ListUpdate update = heartbeat.listUpdate();
-    listFollower.noteEra(update.end().era());
-    if (update.hasProof() && !mesh.isReader()) {
-      listFollower.applyPeerUpdate(update, heartbeat.echoNanos() - update.ageNanos());
-    }
-    heartbeat.reports().forEach(fleet::updateByPeer);
-    quarantine.applyReports(heartbeat.crashReports());
-    if (backpressure.applyReports(heartbeat.limitReports())) {
-      mesh.sendSoonIfHub();
-    }
-    applySuspicions(heartbeat.suspectedUpstreams());
-  }
-
-  /** Applies the suspicions of a peer; returns true if one of them is new. */
-  private boolean applySuspicions(Set<String> heads) {
-    boolean isNew = stalls.suspectByPeer(heads);
-    if (isNew) {
-      replicas.scheduleReconcile();
-    }
-    return isNew;
-  }
-
-  /** Source of the heartbeats of one round; all peers get the same reports. */
-  private final class LocalHeartbeats implements PeerMesh.HeartbeatSource {
-    @Override
-    public Heartbeat make(String sender, long sentNanos) {
-      return makeHeartbeat(sender, sentNanos);
-    }
-
-    @Override
-    public ListUpdate listSince(StorePosition position) {
-      List<StoreRecord> records = fleet.recentChanges().since(position);
-      if (records == null || !listFollower.isCurrent()) {
-        // The position shows the receiver a new era.
-        return ListUpdate.readTo(listFollower.next());
-      }
-      return new ListUpdate(
-          position,
-          listFollower.next(),
-          clockNanos.getAsLong() - listFollower.provenNanos(),
-          listFollower.reachableForNanos(),
-          records);
-    }
-
-    @Override
-    public void onSent() {
-      reports = replicas.takeReports();
-    }
-  }
 }
--- a/edge/src/main/java/org/shoreroad/edge/EdgeSettings.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeSettings.java
@@ -20,6 +20,8 @@
  *     in milliseconds
  * @param graceMs the time between the stop signal and the end of the process, in milliseconds
  * @param rules the limits on retries
+ * @param sharesRoom true if the owners of fabric domains grant the room at their heads, because
+ *     callers compete for it
  * @since 0.2
  */
 public record EdgeSettings(
@@ -33,4 +35,5 @@
     boolean isKeyProofRequired,
     int stallMs,
     int graceMs,
-    RelayRules rules) {}
+    RelayRules rules,
+    boolean sharesRoom) {}
--- a/edge/src/main/java/org/shoreroad/edge/caller/HeaderNames.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/HeaderNames.java
@@ -20,6 +20,9 @@
  * @param limit the requests per second that the upstream accepts from all processes together,
  *     present in its answers while the limit is in force
  * @param leaving 1 in all answers of an upstream that is about to end
+ * @param lengthHint the caller's estimate of the tokens of the answer
+ * @param coldMs the time for which the upstream stays cold, in milliseconds, in its answers to
+ *     liveness checks
  * @since 0.2
  */
 public record HeaderNames(
@@ -34,4 +37,6 @@
     String seal,
     String notRun,
     String limit,
-    String leaving) {}
+    String leaving,
+    String lengthHint,
+    String coldMs) {}
--- a/edge/src/main/java/org/shoreroad/edge/peer/Digest.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Digest.java
@@ -77,7 +77,8 @@
         reports,
         listUpdate,
         own.crashReports(),
-        own.limitReports());
+        own.limitReports(),
+        AdditionsDigest.merge(own.additions(), others, nowNanos));
   }
 
   /**
@@ -120,7 +121,8 @@
         total.reports(),
         listUpdate,
         total.crashReports(),
-        total.limitReports());
+        total.limitReports(),
+        AdditionsDigest.without(total.additions(), member.additions()));
   }
 
   private static Load subtract(Load load, Load own) {
--- a/edge/src/main/java/org/shoreroad/edge/peer/Heartbeat.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Heartbeat.java
@@ -36,6 +36,7 @@
  *     that the receiver lacks
  * @param crashReports the crashes under requests that the receiver may not have received yet
  * @param limitReports the limits of upstreams that the receiver may not have received yet
+ * @param additions the parts that earlier releases ignore, not null
  * @since 0.2
  */
 public record Heartbeat(
@@ -55,7 +56,8 @@
     List<FleetBox> reports,
     ListUpdate listUpdate,
     List<CrashReport> crashReports,
-    List<LimitReport> limitReports) {
+    List<LimitReport> limitReports,
+    HeartbeatAdditions additions) {
   /** Configuration version of a process without a configuration. */
   public static final long NO_CONFIG = -1;
 
@@ -73,6 +75,7 @@
     Objects.requireNonNull(listUpdate, "listUpdate");
     crashReports = List.copyOf(crashReports);
     limitReports = List.copyOf(limitReports);
+    Objects.requireNonNull(additions, "additions");
   }
 
   /** Returns the heartbeat with the sending time of the receiver's last heartbeat as its echo. */
@@ -108,7 +111,8 @@
         reports,
         newListUpdate,
         crashReports,
-        limitReports);
+        limitReports,
+        additions);
   }
 
   /** Processes whose state a heartbeat carries, and the role of its receiver. */
--- a/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatCodec.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatCodec.java
@@ -27,8 +27,9 @@
  *
  * <p>Fields that earlier releases do not write are at the end: the start times of upstreams and the
  * crash reports, then the eras of positions in the store and the configuration version, then the
- * limits of upstreams. In a rolling upgrade a process of an earlier release ignores the fields that
- * it does not support, and a process of this release reads missing fields as empty.
+ * limits of upstreams, then the additions. In a rolling upgrade a process of an earlier release
+ * ignores the fields that it does not support, and a process of this release reads missing fields
+ * as empty.
  */
 final class HeartbeatCodec {
   private HeartbeatCodec() {}
@@ -61,6 +62,7 @@
       out.packLong(heartbeat.configNext().era()).packLong(heartbeat.listUpdate().end().era());
       out.packLong(heartbeat.configVersion());
       LimitReportCodec.pack(out, heartbeat.limitReports());
+      HeartbeatAdditionsCodec.pack(out, heartbeat.additions());
       return out.toByteArray();
     } catch (IOException e) {
       throw new IllegalStateException("write to a memory buffer failed", e);
@@ -69,7 +71,7 @@
 
   /**
    * Reads a heartbeat, also one of an earlier release without start times and crash reports,
-   * without eras, or without limits.
+   * without eras, limits or additions.
    *
    * @throws IOException or an unchecked exception if the bytes are no valid heartbeat
    */
@@ -98,6 +100,8 @@
       long listEra = hasEras ? in.unpackLong() : StorePosition.UNKNOWN_ERA;
       long configVersion = hasEras ? in.unpackLong() : Heartbeat.NO_CONFIG;
       List<LimitReport> limitReports = in.hasNext() ? LimitReportCodec.unpack(in) : List.of();
+      HeartbeatAdditions additions =
+          in.hasNext() ? HeartbeatAdditionsCodec.unpack(in) : HeartbeatAdditions.NONE;
       return new Heartbeat(
           sender,
           sentNanos,
@@ -115,7 +119,8 @@
           startedReports,
           listUpdate.withEra(listEra),
           crashReports,
-          limitReports);
+          limitReports,
+          additions);
     }
   }
 
--- a/edge/src/test/java/org/shoreroad/edge/peer/HeartbeatCodecTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/HeartbeatCodecTest.java
@@ -23,6 +23,7 @@
 import org.shoreroad.fleet.Incarnation;
 import org.shoreroad.fleet.MemberState;
 import org.shoreroad.fleet.Membership;
+import org.shoreroad.fleet.ModelTraffic;
 import org.shoreroad.fleet.ReplicaId;
 import org.shoreroad.limit.LimitReport;
 import org.shoreroad.limit.RequestLimit;
@@ -76,7 +77,13 @@
                   1_500)),
           List.of(
               new LimitReport(new Incarnation("i-10", 5), new RequestLimit(1.2), 40),
-              new LimitReport(new Incarnation("i-11", 0), null, 2_000)));
+              new LimitReport(new Incarnation("i-11", 0), null, 2_000)),
+          new HeartbeatAdditions(
+              Map.of("i-1", 2),
+              Map.of("llm/d-1", new HeartbeatAdditions.RoomOwner("node-2~b", "10.0.0.3:81")),
+              List.of(new ModelTraffic("llm", "m", "z", 9, 2, 1)),
+              List.of(new HeartbeatAdditions.ColdReport(new Incarnation("i-12", 6), 700)),
+              List.of(new HeartbeatAdditions.Evacuation("z", true, StorePosition.of(3, 11)))));
 
   @Test
   void parseReadsWhatToBytesWrites() throws IOException {
@@ -150,7 +157,7 @@
   }
 
   /**
-   * Truncated bytes are rejected except at three lengths, where they are a complete heartbeat of an
+   * Truncated bytes are rejected except at four lengths, where they are a complete heartbeat of an
    * earlier release. Frames carry their length, so a truncated heartbeat is not received as one.
    */
   @Test
@@ -165,7 +172,7 @@
         assertThat(truncated.length < whole.length, is(true));
       }
     }
-    assertThat(read.size(), is(3));
+    assertThat(read.size(), is(4));
     Heartbeat withoutStartTimes = read.get(0);
     assertThat(withoutStartTimes.crashReports(), is(List.of()));
     assertThat(withoutStartTimes.reports().get(0).bornMs(), is(Incarnation.UNKNOWN_START));
@@ -176,6 +183,9 @@
     assertThat(withoutLimits.configNext(), is(heartbeat.configNext()));
     assertThat(withoutLimits.configVersion(), is(heartbeat.configVersion()));
     assertThat(withoutLimits.limitReports(), is(List.of()));
+    Heartbeat withoutAdditions = read.get(3);
+    assertThat(withoutAdditions.limitReports(), is(heartbeat.limitReports()));
+    assertThat(withoutAdditions.additions(), is(HeartbeatAdditions.NONE));
     for (Heartbeat earlier : List.of(withoutStartTimes, withoutEras)) {
       assertThat(earlier.configNext(), is(StorePosition.of(StorePosition.UNKNOWN_ERA, 9)));
       assertThat(earlier.configVersion(), is(Heartbeat.NO_CONFIG));
--- a/edge/src/test/java/org/shoreroad/edge/peer/Heartbeats.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/Heartbeats.java
@@ -32,7 +32,8 @@
             List.of(),
             ListUpdate.NONE,
             List.of(),
-            List.of()));
+            List.of(),
+            HeartbeatAdditions.NONE));
   }
 
   /** Returns the heartbeat with loads. */
@@ -79,7 +80,8 @@
         bare.reports(),
         bare.listUpdate(),
         bare.crashReports(),
-        limits);
+        limits,
+        bare.additions());
   }
 
   /** Returns the heartbeat with changes of the upstream list. */
@@ -118,6 +120,7 @@
         reports,
         update,
         List.of(),
-        List.of());
+        List.of(),
+        bare.additions());
   }
 }
--- a/edge/src/test/java/org/shoreroad/edge/peer/PeerMeshTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/PeerMeshTest.java
@@ -89,7 +89,8 @@
           reports,
           ListUpdate.readTo(StorePosition.of(1, 3)),
           List.of(),
-          limits.reports(System.nanoTime()));
+          limits.reports(System.nanoTime()),
+          HeartbeatAdditions.NONE);
     }
 
     @Override
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -61,7 +61,9 @@
           "X-Seal",
           "X-Not-Run",
           "X-Limit",
-          "X-Leaving");
+          "X-Leaving",
+          "X-Length-Hint",
+          "X-Cold-Ms");
   static final int READ_TIMEOUT_MS = 10_000;
 
   /** Prefix of the ids of upstreams that are heads of replicas of model {@code m}. */
