--- a/edge/src/main/java/org/shoreroad/edge/LocalHeartbeats.java
+++ b/edge/src/main/java/org/shoreroad/edge/LocalHeartbeats.java
@@ -6,7 +6,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.peer.FailureDetector;
 import org.shoreroad.edge.peer.Heartbeat;
@@ -40,7 +40,7 @@
   private final RequestQuarantine quarantine;
   private final Backpressure backpressure;
   private final List<Consumer<Heartbeat>> listeners = new ArrayList<>();
-  private Supplier<HeartbeatAdditions> additions = () -> HeartbeatAdditions.NONE;
+  private final List<UnaryOperator<HeartbeatAdditions>> contributors = new ArrayList<>();
   private @Nullable PeerMesh mesh;
   private @Nullable DomainLeases leases;
   private @Nullable ReplicaService replicas;
@@ -75,9 +75,9 @@
     replicas = newReplicas;
   }
 
-  /** Sets the supplier of the additions to each heartbeat. */
-  void setAdditions(Supplier<HeartbeatAdditions> newAdditions) {
-    additions = newAdditions;
+  /** Adds a function that adds its part to the additions of each heartbeat. */
+  void addContributor(UnaryOperator<HeartbeatAdditions> contributor) {
+    contributors.add(contributor);
   }
 
   /** Adds a listener that is called with each received heartbeat after it was applied. */
@@ -105,7 +105,15 @@
         ListUpdate.readTo(listFollower.next()),
         quarantine.reports(),
         backpressure.reports(),
-        additions.get());
+        additions());
+  }
+
+  private HeartbeatAdditions additions() {
+    HeartbeatAdditions additions = HeartbeatAdditions.NONE;
+    for (UnaryOperator<HeartbeatAdditions> contributor : contributors) {
+      additions = contributor.apply(additions);
+    }
+    return additions;
   }
 
   @Override
--- a/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatAdditions.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatAdditions.java
@@ -41,6 +41,27 @@
     evacuations = List.copyOf(evacuations);
   }
 
+  /** Returns these additions with other granted requests and owners. */
+  public HeartbeatAdditions withRoom(
+      Map<String, Integer> newGrantedOpen, Map<String, RoomOwner> newRoomOwners) {
+    return new HeartbeatAdditions(newGrantedOpen, newRoomOwners, traffic, coldReports, evacuations);
+  }
+
+  /** Returns these additions with other traffic. */
+  public HeartbeatAdditions withTraffic(List<ModelTraffic> newTraffic) {
+    return new HeartbeatAdditions(grantedOpen, roomOwners, newTraffic, coldReports, evacuations);
+  }
+
+  /** Returns these additions with other cold upstreams. */
+  public HeartbeatAdditions withColdReports(List<ColdReport> newColdReports) {
+    return new HeartbeatAdditions(grantedOpen, roomOwners, traffic, newColdReports, evacuations);
+  }
+
+  /** Returns these additions with other evacuations. */
+  public HeartbeatAdditions withEvacuations(List<Evacuation> newEvacuations) {
+    return new HeartbeatAdditions(grantedOpen, roomOwners, traffic, coldReports, newEvacuations);
+  }
+
   /**
    * Process that grants room at the heads of a domain.
    *
