--- a/edge/src/main/java/org/shoreroad/edge/ConfigurationView.java
+++ b/edge/src/main/java/org/shoreroad/edge/ConfigurationView.java
@@ -25,6 +25,9 @@
   /** Network latency of a read, in addition to its wait in the store. */
   private static final int READ_LATENCY_MS = 250;
 
+  /** Time from the decision to read, without a wait in the store, to a proof. */
+  private static final int PEER_PROOF_RESERVE_MS = 900;
+
   /** A peer that reported a proof within this time still has one; five heartbeats. */
   private static final long PEER_PROOF_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -80,6 +83,15 @@
     return Math.max(MIN_WAIT_MS, Math.min(MAX_WAIT_MS, waitMs));
   }
 
+  /**
+   * Returns the maximum age of a proof received from peers, in milliseconds, before this process
+   * reads the configuration itself. What is left until keys are no longer trusted covers the check
+   * interval, the network latency of a read and a late timer.
+   */
+  static int peerProofMs(int revokeMs) {
+    return Math.max(MIN_WAIT_MS, revokeMs - REVOKE_MARGIN_MS - PEER_PROOF_RESERVE_MS);
+  }
+
   void setFollower(TopicFollower configFollower) {
     follower = configFollower;
   }
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -73,9 +73,6 @@
    */
   private static final int PEER_LIST_PROOF_MS = 1_500;
 
-  /** The same age for the configuration: a long poll of at most two seconds and five heartbeats. */
-  private static final int PEER_CONFIG_PROOF_MS = 3_000;
-
   /**
    * Maximum random delay before a process that detects a new store era, by other calls or from
    * peers, lists configuration and upstreams again. The 600 calls of 300 processes are spread,
@@ -268,7 +265,8 @@
     // Without hubs each process reads the configuration itself. A change must be in force within
     // two seconds. With three readers for all processes, whose reads the store may refuse, a change
     // was late in four of thirteen runs with 7 and 9 processes.
-    configFollower.readThroughPeersWhile(mesh::isMember, PEER_CONFIG_PROOF_MS);
+    configFollower.readThroughPeersWhile(
+        mesh::isMember, ConfigurationView.peerProofMs(settings.revokeMs()));
     configFollower.setListingDelay(() -> random.nextInt(LISTING_SPREAD_MS));
     listFollower.setListingDelay(() -> random.nextInt(LISTING_SPREAD_MS));
     processFollower.setListingDelay(() -> random.nextInt(PROCESS_LISTING_SPREAD_MS));
--- a/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
@@ -314,6 +314,8 @@
       return;
     }
     long sentNanos = clockNanos.getAsLong();
+    // After a suspension the last proof is old, so the first read doesn't wait for a change.
+    int readWaitMs = isReading ? waitMs : 0;
     if (!isReading) {
       isReading = true;
       log.write("topic_read_here", "topic", topic, "era", next.era(), "offset", next.offset());
@@ -321,7 +323,7 @@
     store.read(
         topic,
         next.offset(),
-        waitMs,
+        readWaitMs,
         new StoreCallback<>() {
           @Override
           public void onValue(StorePage page) {
--- a/edge/src/test/java/org/shoreroad/edge/ConfigurationViewTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/ConfigurationViewTest.java
@@ -254,4 +254,11 @@
     configuration.applyHeartbeat(Heartbeats.of("peer").withConfig(nowNanos, 3, 0));
     assertThat(configuration.mayTrustKeys(), is(true));
   }
+
+  /** A process that reads too late refuses callers whose keys are valid. */
+  @Test
+  void proofOfPeersIsReplacedWhileKeysAreStillTrusted() {
+    assertThat(ConfigurationView.peerProofMs(5_000), is(3_600));
+    assertThat(ConfigurationView.peerProofMs(1_000), is(100));
+  }
 }
--- a/edge/src/test/java/org/shoreroad/edge/sync/FakeStore.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FakeStore.java
@@ -14,6 +14,7 @@
 
   private final List<StoreRecord> records = new ArrayList<>();
   private final List<String> calls = new ArrayList<>();
+  private final List<Integer> waitsMs = new ArrayList<>();
   private final List<Long> joinedGenerations = new ArrayList<>();
   private long firstOffset;
   private long era = 1;
@@ -52,6 +53,11 @@
     return calls;
   }
 
+  /** Returns the wait of each read, in milliseconds. */
+  List<Integer> waitsMs() {
+    return waitsMs;
+  }
+
   boolean hasLeft() {
     return hasLeft;
   }
@@ -59,6 +65,7 @@
   @Override
   public void read(Topic topic, long fromOffset, int waitMs, StoreCallback<StorePage> callback) {
     calls.add("read " + fromOffset);
+    waitsMs.add(waitMs);
     if (fault != null) {
       callback.onFault(fault);
     } else if (fromOffset < firstOffset || fromOffset > records.size()) {
--- a/edge/src/test/java/org/shoreroad/edge/sync/FollowerAndFleetTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FollowerAndFleetTest.java
@@ -163,6 +163,21 @@
     assertThat(store.calls().size(), is(greaterThan(calls)));
   }
 
+  /** A first read that waits would let the proof become too old, so that keys are refused. */
+  @Test
+  void firstReadAfterPeerUpdatesStopDoesNotWait() {
+    store.put("a", "1");
+    follower.readThroughPeersWhile(() -> true, 3_000);
+    follower.start();
+    follower.applyPeerUpdate(peerUpdate(1, 1), nowNanos);
+    advance(SECOND_NANOS / 5);
+    int reads = store.waitsMs().size();
+    advance(SECOND_NANOS);
+    advance(SECOND_NANOS);
+    assertThat(store.waitsMs().get(reads), is(0));
+    assertThat(store.waitsMs().get(reads + 1), is(1_000));
+  }
+
   @Test
   void peerRejectedByTheStoreDoesNotHideThatOthersReachIt() {
     store.put("a", "1");
