--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -267,6 +267,9 @@
     // was late in four of thirteen runs with 7 and 9 processes.
     configFollower.readThroughPeersWhile(
         mesh::isMember, ConfigurationView.peerProofMs(settings.revokeMs()));
+    int configWaitMs = ConfigurationView.readWaitMs(settings.revokeMs());
+    configFollower.setWait(
+        () -> mesh.isHub() ? random.nextInt(configWaitMs / 2, configWaitMs) : configWaitMs);
     configFollower.setListingDelay(() -> random.nextInt(LISTING_SPREAD_MS));
     listFollower.setListingDelay(() -> random.nextInt(LISTING_SPREAD_MS));
     processFollower.setListingDelay(() -> random.nextInt(PROCESS_LISTING_SPREAD_MS));
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -346,7 +346,7 @@
   }
 
   /** Returns true if this process is a hub by its own plan or by that of another process. */
-  private boolean isHub() {
+  public boolean isHub() {
     return plan.isHub() || !peersInScope(Scope.MEMBER, Peer.ALIVE_NANOS).isEmpty();
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
@@ -41,10 +41,10 @@
   private final EventLoop loop;
   private final LongSupplier clockNanos;
   private final EventLog log;
-  private final int waitMs;
   private final IntSupplier minIntervalMs;
   private final Listener listener;
   private final Set<String> listedKeys = new HashSet<>();
+  private IntSupplier waitMs;
   private StorePosition next = StorePosition.NONE;
 
   /** Number of the current listing. Answers to calls of an earlier one are ignored. */
@@ -87,7 +87,7 @@
     this.loop = loop;
     this.clockNanos = clockNanos;
     this.log = log;
-    this.waitMs = waitMs;
+    this.waitMs = () -> waitMs;
     this.minIntervalMs = minIntervalMs;
     this.listener = listener;
   }
@@ -127,6 +127,16 @@
     listingDelayMs = delayMs;
   }
 
+  /**
+   * Sets the wait of each long poll in place of the fixed one. The long polls of all processes end
+   * together at each record, so with equal waits all proofs would be old at the same time.
+   *
+   * @param newWaitMs supplies the wait in milliseconds, not null
+   */
+  public void setWait(IntSupplier newWaitMs) {
+    waitMs = newWaitMs;
+  }
+
   /** Starts following the topic. */
   public void start() {
     list();
@@ -315,7 +325,7 @@
     }
     long sentNanos = clockNanos.getAsLong();
     // After a suspension the last proof is old, so the first read doesn't wait for a change.
-    int readWaitMs = isReading ? waitMs : 0;
+    int readWaitMs = isReading ? waitMs.getAsInt() : 0;
     if (!isReading) {
       isReading = true;
       log.write("topic_read_here", "topic", topic, "era", next.era(), "offset", next.offset());
--- a/edge/src/test/java/org/shoreroad/edge/sync/FollowerAndFleetTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FollowerAndFleetTest.java
@@ -178,6 +178,18 @@
     assertThat(store.waitsMs().get(reads + 1), is(1_000));
   }
 
+  @Test
+  void eachReadTakesItsWaitFromTheSupplier() {
+    int[] waitMs = {700};
+    store.put("a", "1");
+    follower.setWait(() -> waitMs[0]);
+    follower.start();
+    waitMs[0] = 900;
+    advance(SECOND_NANOS);
+    assertThat(store.waitsMs().get(0), is(700));
+    assertThat(store.waitsMs().get(1), is(900));
+  }
+
   @Test
   void peerRejectedByTheStoreDoesNotHideThatOthersReachIt() {
     store.put("a", "1");
