--- a/core/src/main/java/org/shoreroad/admission/ReturnPlan.java
+++ b/core/src/main/java/org/shoreroad/admission/ReturnPlan.java
@@ -9,18 +9,21 @@
  *
  * @since 0.2
  */
-public final class ReturnPlan {
+public final class ReturnPlan implements Returns {
   /** Records that a slot became free. */
+  @Override
   public void recordFreed(long nowNanos) {
     throw new UnsupportedOperationException();
   }
 
   /** Returns true if a caller with this content was invited to return and has not returned yet. */
+  @Override
   public boolean isExpected(long contentHash, long nowNanos) {
     throw new UnsupportedOperationException();
   }
 
   /** Removes the invitation of a caller that has returned. */
+  @Override
   public void recordReturned(long contentHash) {
     throw new UnsupportedOperationException();
   }
@@ -34,6 +37,7 @@
    * @param nowNanos the time on the steady clock
    * @return the time after which the caller should return, in milliseconds
    */
+  @Override
   public int invite(long contentHash, int waitingAhead, int remainingMs, long nowNanos) {
     throw new UnsupportedOperationException();
   }
--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -17,7 +17,7 @@
  */
 public final class RoomBook {
   /** Creates a book without heads. */
-  public RoomBook(EngineSpec spec, ModelShape model, ReturnPlan returns) {}
+  public RoomBook(EngineSpec spec, ModelShape model, Returns returns) {}
 
   /** Replaces the heads; grants at heads that are gone are dropped. */
   public void setHeads(Collection<HeadState> heads, long nowNanos) {
