--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -1,69 +1,406 @@
 package org.shoreroad.admission;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.shoreroad.fleet.EngineSpec;
 import org.shoreroad.fleet.ModelShape;
+import org.shoreroad.queue.FairQueue;
+import org.shoreroad.queue.QueuedItem;
 
 /**
  * Room at the heads of one model in the domains that a process owns: grants, requests that wait for
  * room, and their order under overload.
  *
- * <p>Skeleton. Reads no clock: times are passed in, in nanoseconds of the steady clock. Not
- * thread-safe.
+ * <p>A request is granted the head with the earliest forecast first event if its target for the
+ * first event and the targets for pauses of all streams there can be kept. Otherwise it waits if
+ * enough slots are expected to become free before it would be late, given those that go first, and
+ * is refused at once if not. A request that is late in any case gets room that nothing else needs.
+ *
+ * <p>Requests go first by priority, then if their caller was invited to return and their account is
+ * not over its share, then by the engine time that their account holds. Less urgent requests leave
+ * the room that more urgent ones are expected to need within the next pass.
+ *
+ * <p>Reads no clock: times are passed in, in nanoseconds of the steady clock. Numbers out of range
+ * are corrected, so that they affect only their own request or head. Not thread-safe.
  *
  * @since 0.2
  */
 public final class RoomBook {
+  private static final int GRANT_MS = 1_500;
+  private static final long GRANT_NANOS = TimeUnit.MILLISECONDS.toNanos(GRANT_MS);
+
+  /** Interval of the search for expired grants. */
+  private static final long EXPIRY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  /**
+   * Share of a target that a forecast may fill. The rest is for the ways between the caller, the
+   * processes and the engine, and for half a pass, by which the start of the next pass is unknown.
+   */
+  private static final double TARGET_SHARE = 0.85;
+
+  /** Share of a pass that a head in another zone must be earlier to be preferred. */
+  private static final double ZONE_PASS_SHARE = 0.25;
+
+  /** Bound for the memory of one model's requests that wait. */
+  private static final int MAX_WAITING = 1_000;
+
+  private static final double NANOS_PER_MS = 1e6;
+  private static final double MICROS_PER_MS = 1e3;
+
+  private final EngineForecast forecast;
+  private final long cacheCapacityTokens;
+  private final Returns returns;
+  private final AnswerLength answers;
+  private final AccountUse accounts = new AccountUse();
+  private final ArrivalReserve arrivals = new ArrivalReserve();
+  private final Map<String, HeadRoom> heads = new LinkedHashMap<>();
+  private final Map<RoomRequest.Key, Grant> grants = new HashMap<>();
+  private final Map<RoomRequest.Key, QueuedItem<WaitingRequest>> waiting = new HashMap<>();
+  private final FairQueue<WaitingRequest> queue = new FairQueue<>(MAX_WAITING);
+  private long expiryCheckedNanos;
+  private RoomRefusal lastReason = RoomRefusal.NO_HEAD;
+
   /** Creates a book without heads. */
-  public RoomBook(EngineSpec spec, ModelShape model, Returns returns) {}
+  public RoomBook(EngineSpec spec, ModelShape model, Returns returns) {
+    forecast = EngineForecast.of(spec, model);
+    cacheCapacityTokens = spec.kvCapacityTokens();
+    answers = new AnswerLength(forecast);
+    this.returns = Objects.requireNonNull(returns, "returns");
+  }
 
   /** Replaces the heads; grants at heads that are gone are dropped. */
-  public void setHeads(Collection<HeadState> heads, long nowNanos) {
-    throw new UnsupportedOperationException();
+  public void setHeads(Collection<HeadState> states, long nowNanos) {
+    Set<String> ids = new HashSet<>();
+    for (HeadState given : states) {
+      HeadState state = InputBounds.clamp(given);
+      ids.add(state.id());
+      HeadRoom head = heads.get(state.id());
+      if (head == null) {
+        head = new HeadRoom(forecast, answers, cacheCapacityTokens, state, nowNanos);
+        heads.put(state.id(), head);
+      }
+      head.setState(state);
+    }
+    for (HeadRoom head : List.copyOf(heads.values())) {
+      if (!ids.contains(head.state().id())) {
+        List.copyOf(head.grants()).forEach(this::release);
+        heads.remove(head.state().id());
+      }
+    }
   }
 
   /**
    * Decides on a request for room, or lets it wait for a slot that is expected to become free in
-   * time.
+   * time. A request that isn't final never waits. An offer of a request that was granted room
+   * before returns this decision again.
    *
+   * @param offered the request, not null
+   * @param nowNanos the time on the steady clock
    * @return the decisions that follow, of this request or of one that it displaces; without one of
    *     this request it waits
    */
-  public List<RoomDecision> offer(RoomRequest request, long nowNanos) {
-    throw new UnsupportedOperationException();
+  public List<RoomDecision> offer(RoomRequest offered, long nowNanos) {
+    Grant earlier = grants.get(offered.key());
+    if (earlier != null) {
+      return List.of(RoomDecision.granted(offered.key(), earlier.head().state().id()));
+    }
+    if (waiting.containsKey(offered.key())) {
+      return List.of();
+    }
+    RoomRequest request = InputBounds.clamp(offered);
+    arrivals.recordArrival(request.priority(), nowNanos);
+    long budgetNanos =
+        (long) ((request.targetLatencyMs() * TARGET_SHARE - request.ageMs()) * NANOS_PER_MS);
+    long costMicros = costMicros(request);
+    WaitingRequest item =
+        new WaitingRequest(
+            request,
+            nowNanos,
+            nowNanos + budgetNanos,
+            costMicros,
+            returns.isExpected(request.contentHash(), nowNanos));
+    List<RoomDecision> decisions = new ArrayList<>();
+    expireAndAdvance(nowNanos);
+    if (isLate(item, nowNanos)) {
+      decideLate(item, RoomRefusal.TARGET_OUT_OF_REACH, nowNanos, decisions);
+    } else {
+      enqueue(item, nowNanos, decisions);
+    }
+    decide(nowNanos, decisions);
+    return decisions;
   }
 
   /** Withdraws a request that waits, or frees the room that it was granted. */
   public List<RoomDecision> end(RoomRequest.Key key, GrantEnd end, long nowNanos) {
-    throw new UnsupportedOperationException();
+    QueuedItem<WaitingRequest> item = waiting.remove(key);
+    if (item != null) {
+      queue.removeIf(queued -> queued == item);
+    }
+    Grant grant = grants.get(key);
+    if (grant != null) {
+      HeadRoom head = grant.head();
+      if (end == GrantEnd.USED && nowNanos - grant.readNanos() > 0) {
+        double answerMs = (nowNanos - grant.readNanos()) / NANOS_PER_MS;
+        answers.recordMeasured(answerMs / head.passMs());
+      }
+      release(grant);
+      if (end == GrantEnd.REJECTED) {
+        head.recordRejected(nowNanos);
+      } else {
+        returns.recordFreed(nowNanos);
+      }
+    }
+    return advance(nowNanos);
   }
 
   /**
    * Renews the grants of a process. Grants that are not renewed for {@link #grantMillis()} expire.
    */
   public void renew(String holder, Set<Long> numbers, long nowNanos) {
-    throw new UnsupportedOperationException();
+    for (Long number : numbers) {
+      Grant grant = grants.get(new RoomRequest.Key(holder, number));
+      if (grant != null) {
+        grant.renew(nowNanos);
+      }
+    }
   }
 
   /** Returns the time after which a grant that isn't renewed expires, in milliseconds. */
   public static int grantMillis() {
-    return 1_500;
+    return GRANT_MS;
   }
 
   /** Expires grants and decides on the requests that wait, as far as that is possible now. */
   public List<RoomDecision> advance(long nowNanos) {
-    throw new UnsupportedOperationException();
+    List<RoomDecision> decisions = new ArrayList<>();
+    expireAndAdvance(nowNanos);
+    decide(nowNanos, decisions);
+    return decisions;
   }
 
   /** Returns the number of requests that wait for room. */
   public int waitingCount() {
-    return 0;
+    return queue.size();
   }
 
   /** Returns the number of further requests that could be granted room now, 0 or more. */
   public int freeCount(long nowNanos) {
-    throw new UnsupportedOperationException();
+    return Math.max(0, freePlaces(nowNanos) - queue.size());
+  }
+
+  private void expireAndAdvance(long nowNanos) {
+    if (nowNanos - expiryCheckedNanos >= EXPIRY_INTERVAL_NANOS) {
+      expiryCheckedNanos = nowNanos;
+      for (Grant grant : List.copyOf(grants.values())) {
+        if (grant.isExpired(GRANT_NANOS, nowNanos)) {
+          release(grant);
+          returns.recordFreed(nowNanos);
+        }
+      }
+    }
+    heads.values().forEach(head -> head.advance(nowNanos));
+  }
+
+  /** Decides on the requests that wait, in their order. */
+  private void decide(long nowNanos, List<RoomDecision> decisions) {
+    if (queue.size() == 0) {
+      return;
+    }
+    List<QueuedItem<WaitingRequest>> order = queue.inOrder(accounts::micros, this::goesFirst);
+    RoomOutlook outlook = RoomOutlook.of(heads.values(), nowNanos);
+    int free = freePlaces(nowNanos);
+    int kept = 0;
+    for (QueuedItem<WaitingRequest> queued : order) {
+      WaitingRequest item = queued.value();
+      HeadRoom head = free > kept ? choose(item, true, nowNanos) : null;
+      RoomRefusal reason = free > kept ? lastReason : RoomRefusal.TARGET_OUT_OF_REACH;
+      if (head != null && free - kept <= reserve(item, outlook, nowNanos)) {
+        head = null;
+        reason = RoomRefusal.KEPT_FOR_MORE_URGENT;
+      }
+      if (head != null) {
+        queue.take(queued);
+        waiting.remove(item.request().key());
+        decisions.add(grant(item, head, nowNanos));
+        free = freePlaces(nowNanos);
+      } else if (mayWait(item, kept + 1 - free, reason, outlook, nowNanos)) {
+        kept++;
+      } else {
+        queue.removeIf(other -> other == queued);
+        waiting.remove(item.request().key());
+        decisions.add(refuse(item, reason, kept, nowNanos));
+      }
+    }
+  }
+
+  /** Decides at once on a request that can't be in time. */
+  private void decideLate(
+      WaitingRequest item, RoomRefusal reason, long nowNanos, List<RoomDecision> decisions) {
+    RoomOutlook outlook = RoomOutlook.of(heads.values(), nowNanos);
+    int freeSlots = 0;
+    for (HeadRoom head : heads.values()) {
+      freeSlots += head.freeSlots(nowNanos);
+    }
+    double kept = arrivals.expectedBefore(FairQueue.PRIORITIES, outlook.passMs(), nowNanos);
+    boolean isRoomIdle = queue.size() == 0 && (item.isInvited() || freeSlots > kept);
+    HeadRoom head = isRoomIdle && freeSlots > 0 ? choose(item, false, nowNanos) : null;
+    decisions.add(
+        head != null
+            ? grant(item, head, nowNanos)
+            : refuse(item, heads.isEmpty() ? RoomRefusal.NO_HEAD : reason, queue.size(), nowNanos));
+  }
+
+  /** Returns true if no usable head could give the first event in time, even with a free slot. */
+  private boolean isLate(WaitingRequest item, long nowNanos) {
+    double budgetMs = item.budgetMs(nowNanos);
+    for (HeadRoom head : heads.values()) {
+      if (head.state().isUsable() && head.firstEventWithSlotMs(item.request()) <= budgetMs) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /**
+   * Returns true if a request may wait.
+   *
+   * @param slotsNeeded the number of slots that must become free first, 0 or less if there is one
+   *     but something else is in the way
+   */
+  private boolean mayWait(
+      WaitingRequest item,
+      int slotsNeeded,
+      RoomRefusal reason,
+      RoomOutlook outlook,
+      long nowNanos) {
+    RoomRequest request = item.request();
+    if (!request.isFinal() || outlook.roomPerMs() <= 0) {
+      return false;
+    }
+    if (reason == RoomRefusal.CACHE_FULL && request.promptTokens() > cacheCapacityTokens) {
+      return false;
+    }
+    double waitMs = slotsNeeded > 0 ? slotsNeeded / outlook.roomPerMs() : outlook.passMs() / 2;
+    double budgetMs = item.budgetMs(nowNanos) - waitMs;
+    for (HeadRoom head : heads.values()) {
+      if (head.state().isUsable() && head.firstEventWithSlotMs(request) <= budgetMs) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Returns the head for a request, or null with the reason in {@link #lastReason}. */
+  private @Nullable HeadRoom choose(WaitingRequest item, boolean needsTarget, long nowNanos) {
+    RoomRequest request = item.request();
+    lastReason = RoomRefusal.NO_HEAD;
+    HeadRoom best = null;
+    double bestMs = Double.POSITIVE_INFINITY;
+    for (HeadRoom head : heads.values()) {
+      RoomRefusal refusal = head.check(request, nowNanos);
+      double eventMs = refusal == null ? head.firstEventMs(request) : 0;
+      if (refusal == null && needsTarget && eventMs > item.budgetMs(nowNanos)) {
+        refusal = RoomRefusal.TARGET_OUT_OF_REACH;
+      }
+      if (refusal != null) {
+        lastReason = lastReason == RoomRefusal.NO_HEAD ? refusal : lastReason;
+        continue;
+      }
+      boolean isNear = head.state().zone().equals(request.zone());
+      double comparedMs = isNear ? eventMs : eventMs + head.passMs() * ZONE_PASS_SHARE;
+      if (comparedMs < bestMs) {
+        best = head;
+        bestMs = comparedMs;
+      }
+    }
+    return best;
+  }
+
+  private RoomDecision grant(WaitingRequest item, HeadRoom head, long nowNanos) {
+    RoomRequest request = item.request();
+    double readMs = forecast.readMs(head.load(), request.promptTokens(), answers.meanPasses());
+    long readNanos = nowNanos + (long) (readMs * NANOS_PER_MS);
+    long cacheTokens = head.cacheTokens(request);
+    Grant grant = new Grant(request, head, item.costMicros(), cacheTokens, nowNanos, readNanos);
+    head.add(grant);
+    grants.put(request.key(), grant);
+    accounts.add(request.account(), item.costMicros());
+    answers.recordExpected(request);
+    arrivals.recordGrant(request.priority(), nowNanos);
+    if (item.isInvited()) {
+      returns.recordReturned(request.contentHash());
+    }
+    return RoomDecision.granted(request.key(), head.state().id());
+  }
+
+  private RoomDecision refuse(
+      WaitingRequest item, RoomRefusal reason, int waitingAhead, long nowNanos) {
+    RoomRequest request = item.request();
+    if (!request.isFinal()) {
+      return RoomDecision.refused(request.key(), reason, 0);
+    }
+    if (item.isInvited()) {
+      returns.recordReturned(request.contentHash());
+    }
+    boolean isAccount =
+        reason == RoomRefusal.TARGET_OUT_OF_REACH && accounts.isOverShare(request.account());
+    int retryAfterMs =
+        returns.invite(request.contentHash(), waitingAhead, item.remainingMs(nowNanos), nowNanos);
+    return RoomDecision.refused(
+        request.key(), isAccount ? RoomRefusal.ACCOUNT_OVER_SHARE : reason, retryAfterMs);
+  }
+
+  private void release(Grant grant) {
+    grants.remove(grant.request().key());
+    grant.head().remove(grant);
+    accounts.remove(grant.request().account(), grant.costMicros());
+  }
+
+  private void enqueue(WaitingRequest item, long nowNanos, List<RoomDecision> decisions) {
+    RoomRequest request = item.request();
+    QueuedItem<WaitingRequest> queued =
+        new QueuedItem<>(
+            item, request.account(), 1, request.priority(), item.costMicros(), item.dueNanos());
+    FairQueue.OfferResult<WaitingRequest> result = queue.offer(queued);
+    if (result.isAccepted()) {
+      waiting.put(request.key(), queued);
+    }
+    WaitingRequest displaced =
+        result.isAccepted() ? result.displaced().map(QueuedItem::value).orElse(null) : item;
+    if (displaced != null) {
+      waiting.remove(displaced.request().key());
+      decisions.add(refuse(displaced, RoomRefusal.TARGET_OUT_OF_REACH, queue.size(), nowNanos));
+    }
+  }
+
+  private long costMicros(RoomRequest request) {
+    double costMs = forecast.costMs(request.promptTokens(), answers.passes(request));
+    return Math.max(1, (long) (costMs * MICROS_PER_MS));
+  }
+
+  private double reserve(WaitingRequest item, RoomOutlook outlook, long nowNanos) {
+    double freed = outlook.roomPerMs() * outlook.passMs();
+    return arrivals.reserve(item.request().priority(), outlook.passMs(), freed, nowNanos);
+  }
+
+  private boolean goesFirst(QueuedItem<WaitingRequest> queued) {
+    return queued.value().isInvited() && !accounts.isOverShare(queued.account());
+  }
+
+  private int freePlaces(long nowNanos) {
+    long free = 0;
+    for (HeadRoom head : heads.values()) {
+      free += head.free(nowNanos);
+    }
+    return (int) Math.min(Integer.MAX_VALUE, free);
   }
 }
--- a/core/src/main/java/org/shoreroad/queue/AccountFairLane.java
+++ b/core/src/main/java/org/shoreroad/queue/AccountFairLane.java
@@ -1,6 +1,8 @@
 package org.shoreroad.queue;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
@@ -8,6 +10,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -59,6 +62,42 @@
     return Optional.of(item);
   }
 
+  /** Returns the items by the weighted cost in use of their accounts, those that go first ahead. */
+  List<QueuedItem<T>> inOrder(
+      ToDoubleFunction<String> costInUse, Predicate<QueuedItem<T>> goesFirst) {
+    List<TaggedItem<T>> first = new ArrayList<>();
+    List<TaggedItem<T>> others = new ArrayList<>();
+    for (AccountQueue<T> queue : waiting) {
+      double cost = costInUse.applyAsDouble(queue.account);
+      for (QueuedItem<T> item : queue.items) {
+        List<TaggedItem<T>> tagged = goesFirst.test(item) ? first : others;
+        tagged.add(new TaggedItem<>(item, cost / queue.weight, queue.order));
+        cost += item.cost();
+      }
+    }
+    Collections.sort(first);
+    Collections.sort(others);
+    List<QueuedItem<T>> order = new ArrayList<>(size);
+    first.forEach(tagged -> order.add(tagged.item));
+    others.forEach(tagged -> order.add(tagged.item));
+    return order;
+  }
+
+  /** Takes an item out of its turn and counts its cost. */
+  boolean take(QueuedItem<T> item) {
+    AccountQueue<T> queue = queues.get(item.account());
+    if (queue == null || !queue.items.remove(item)) {
+      return false;
+    }
+    size--;
+    waiting.remove(queue);
+    virtualTime = Math.max(virtualTime, queue.start);
+    queue.finish = queue.start + item.cost() / (double) queue.weight;
+    requeue(queue);
+    removeIdle();
+    return true;
+  }
+
   void settle(QueuedItem<T> item, long realCost) {
     AccountQueue<T> queue = queues.get(item.account());
     if (queue == null) {
@@ -138,6 +177,16 @@
     return fullest;
   }
 
+  /** Item with the cost that its account has in use ahead of it, and a tie breaker. */
+  private record TaggedItem<T>(QueuedItem<T> item, double cost, long order)
+      implements Comparable<TaggedItem<T>> {
+    @Override
+    public int compareTo(TaggedItem<T> other) {
+      int byCost = Double.compare(cost, other.cost);
+      return byCost != 0 ? byCost : Long.compare(order, other.order);
+    }
+  }
+
   /** Items and virtual times of one account. */
   private static final class AccountQueue<T> implements Comparable<AccountQueue<T>> {
     private final String account;
--- a/core/src/main/java/org/shoreroad/queue/DrainRate.java
+++ b/core/src/main/java/org/shoreroad/queue/DrainRate.java
@@ -21,6 +21,7 @@
   private static final double JITTER_SHARE = 0.5;
   private static final double MS_PER_SECOND = 1_000;
 
+  private final double decaySeconds;
   private double completions;
   private long updatedNanos;
 
@@ -30,7 +31,18 @@
    * @param nowNanos the monotonic time
    */
   public DrainRate(long nowNanos) {
+    this(nowNanos, DECAY_SECONDS);
+  }
+
+  /**
+   * Creates a rate without completions.
+   *
+   * @param nowNanos the monotonic time
+   * @param decaySeconds the time constant of the mean, in seconds, positive
+   */
+  public DrainRate(long nowNanos, double decaySeconds) {
     updatedNanos = nowNanos;
+    this.decaySeconds = decaySeconds;
   }
 
   /** Records one completion. */
@@ -42,7 +54,7 @@
   /** Returns the completions per second. */
   public double perSecond(long nowNanos) {
     decay(nowNanos);
-    return completions / DECAY_SECONDS;
+    return completions / decaySeconds;
   }
 
   /**
@@ -65,7 +77,7 @@
   private void decay(long nowNanos) {
     double elapsedSeconds = (nowNanos - updatedNanos) / (double) TimeUnit.SECONDS.toNanos(1);
     if (elapsedSeconds > 0) {
-      completions *= Math.exp(-elapsedSeconds / DECAY_SECONDS);
+      completions *= Math.exp(-elapsedSeconds / decaySeconds);
       updatedNanos = nowNanos;
     }
   }
--- a/core/src/main/java/org/shoreroad/queue/FairQueue.java
+++ b/core/src/main/java/org/shoreroad/queue/FairQueue.java
@@ -1,9 +1,11 @@
 package org.shoreroad.queue;
 
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 
 /**
  * Bounded queue with priorities and with fairness among client accounts.
@@ -117,11 +119,67 @@
     if (pollsSinceOthers >= OTHERS_INTERVAL) {
       pollsSinceOthers = 0;
       lane = findOtherLane(first);
+      lastOtherLane = lane == first ? lastOtherLane : lane;
     }
     size--;
     return lanes.get(lane).poll();
   }
 
+  /**
+   * Returns the items in the order in which they are due by the cost that their accounts have in
+   * use: by priority with every {@value #OTHERS_INTERVAL}th item from the others as in {@link
+   * #poll}, and within a priority first the items that go first, then by the weighted cost that the
+   * account uses together with its items ahead. The queue isn't changed.
+   *
+   * @param costInUse the cost that an account has in use outside of the queue, not null
+   * @param goesFirst whether an item goes before the others of its priority, not null
+   * @return a new list
+   */
+  public List<QueuedItem<T>> inOrder(
+      ToDoubleFunction<String> costInUse, Predicate<QueuedItem<T>> goesFirst) {
+    List<QueuedItem<T>> order = new ArrayList<>(size);
+    List<Iterator<QueuedItem<T>>> sorted = new ArrayList<>(PRIORITIES);
+    for (AccountFairLane<T> lane : lanes) {
+      sorted.add(lane.inOrder(costInUse, goesFirst).iterator());
+    }
+    int polls = pollsSinceOthers;
+    int lastOther = lastOtherLane;
+    while (order.size() < size) {
+      int lane = findNext(sorted, 0);
+      polls++;
+      if (polls >= OTHERS_INTERVAL) {
+        polls = 0;
+        int other = findOther(sorted, lane, lastOther);
+        lastOther = other == lane ? lastOther : other;
+        lane = other;
+      }
+      order.add(sorted.get(lane).next());
+    }
+    return order;
+  }
+
+  /**
+   * Takes an item out of its turn, which counts as a poll.
+   *
+   * @param item the item, not null
+   * @return true if the item was in the queue
+   */
+  public boolean take(QueuedItem<T> item) {
+    int first = findFirstLane(0);
+    if (!lanes.get(item.priority()).take(item)) {
+      return false;
+    }
+    size--;
+    pollsSinceOthers++;
+    if (item.priority() > first) {
+      pollsSinceOthers = 0;
+      lastOtherLane = item.priority();
+    } else if (pollsSinceOthers >= OTHERS_INTERVAL && findOtherLane(first) == first) {
+      pollsSinceOthers = 0;
+    }
+    return true;
+  }
+
   /** Removes and returns the items whose deadline has passed, in no particular order. */
   public List<QueuedItem<T>> removeOverdue(long nowNanos) {
     return removeIf(item -> item.deadlineNanos() - nowNanos < 0);
@@ -145,6 +203,24 @@
     lanes.get(item.priority()).settle(item, realCost);
   }
 
+  private static <T> int findNext(List<Iterator<QueuedItem<T>>> lanes, int from) {
+    int lane = from;
+    while (lane < PRIORITIES && !lanes.get(lane).hasNext()) {
+      lane++;
+    }
+    return lane;
+  }
+
+  private static <T> int findOther(List<Iterator<QueuedItem<T>>> lanes, int first, int last) {
+    for (int step = 1; step <= PRIORITIES; step++) {
+      int lane = (last + step) % PRIORITIES;
+      if (lane > first && lanes.get(lane).hasNext()) {
+        return lane;
+      }
+    }
+    return first;
+  }
+
   private void add(QueuedItem<T> item) {
     lanes.get(item.priority()).add(item);
     size++;
@@ -169,7 +245,6 @@
     for (int step = 1; step <= PRIORITIES; step++) {
       int lane = (lastOtherLane + step) % PRIORITIES;
       if (lane > first && lanes.get(lane).size() > 0) {
-        lastOtherLane = lane;
         return lane;
       }
     }
