--- a/core/src/main/java/org/shoreroad/admission/EngineForecast.java
+++ b/core/src/main/java/org/shoreroad/admission/EngineForecast.java
@@ -51,7 +51,7 @@
 
   /** Returns the duration of one pass under the load, in milliseconds. */
   public double passMs(HeadLoad load) {
-    return passMs(load, Math.min(slots, load.open()), load.unreadTokens());
+    return durationMs(load, Math.min(slots, load.open()), load.unreadTokens());
   }
 
   /**
@@ -63,7 +63,7 @@
    * @return the duration in milliseconds
    */
   public double pauseMs(HeadLoad load, long promptTokens) {
-    return passMs(load, Math.min(slots, load.open() + 1), load.unreadTokens() + promptTokens);
+    return durationMs(load, Math.min(slots, load.open() + 1), load.unreadTokens() + promptTokens);
   }
 
   /**
@@ -85,20 +85,26 @@
     long tokens = load.unreadTokens() + promptTokens;
     long fullPasses = Math.max(0, (tokens - 1) / readTokensPerPass);
     long lastTokens = tokens - fullPasses * readTokensPerPass;
-    double fullMs = fullPasses == 0 ? 0 : fullPasses * passMs(load, running, readTokensPerPass);
+    double fullMs = fullPasses == 0 ? 0 : fullPasses * durationMs(load, running, readTokensPerPass);
     double presentMs = load.open() == 0 ? 0 : passMs(load) / 2;
-    return slotWaitMs(load, answerPasses) + presentMs + fullMs + passMs(load, running, lastTokens);
+    return slotWaitMs(load, answerPasses)
+        + presentMs
+        + fullMs
+        + durationMs(load, running, lastTokens);
   }
 
   /** Returns the duration of the pass in which a new request has its first event. */
   private double eventMs(HeadLoad load) {
-    return passMs(load, Math.min(slots, load.open() + 1), load.unreadTokens());
+    return durationMs(load, Math.min(slots, load.open() + 1), load.unreadTokens());
   }
 
-  /** Returns the time until a slot is free for a new request, in milliseconds. */
+  /**
+   * Returns the time until a slot is free for a new request, in milliseconds: the mean and the
+   * spread, since answers end at random.
+   */
   private double slotWaitMs(HeadLoad load, double answerPasses) {
     int ahead = load.open() - slots + 1;
-    return ahead <= 0 ? 0 : ahead / freedPerMs(load, answerPasses);
+    return ahead <= 0 ? 0 : (ahead + Math.sqrt(ahead)) / freedPerMs(load, answerPasses);
   }
 
   /**
@@ -130,7 +136,7 @@
     return readOnlyMs(promptTokens) * paceFactor + answerPasses * passMs(full) / slots;
   }
 
-  private double passMs(HeadLoad load, int running, long unreadTokens) {
+  private double durationMs(HeadLoad load, int running, long unreadTokens) {
     double readMs = readOnlyMs(Math.min(unreadTokens, readTokensPerPass));
     int steps = running == 0 ? 1 : Math.max(1, spec.stepsPerPass());
     double contextMs = load.contextTokens() / 1e3 * spec.contextMsPerKiloToken();
