--- a/core/src/main/java/org/shoreroad/admission/ArrivalReserve.java
+++ b/core/src/main/java/org/shoreroad/admission/ArrivalReserve.java
@@ -9,17 +9,20 @@
  * Room that less urgent requests leave to the more urgent ones that are expected within the next
  * pass.
  *
- * <p>One of {@link FairQueue#OTHERS_INTERVAL} grants needs no reserve, so that no priority starves.
- * Not thread-safe.
+ * <p>One of {@link FairQueue#OTHERS_INTERVAL} grants may take this room, so that no priority
+ * starves. Not thread-safe.
  */
 final class ArrivalReserve {
   /** Time constant of the mean of arrivals, in seconds; short, since bursts last seconds. */
   private static final double DECAY_SECONDS = 0.5;
 
+  /** Standard deviations of the spread; two cover 97 of 100 passes. */
+  private static final double SPREAD = 2;
+
   private static final double MS_PER_SECOND = 1e3;
 
   private final List<DrainRate> arrivals = new ArrayList<>();
-  private int grantsSinceLessUrgent;
+  private int grantsSinceKept;
 
   /** Records the arrival of a request. */
   void recordArrival(int priority, long nowNanos) {
@@ -29,33 +32,38 @@
     arrivals.get(priority).record(nowNanos);
   }
 
-  /** Records a grant. */
-  void recordGrant(int priority, long nowNanos) {
-    boolean isLessUrgent = arrivalsPerSecond(priority, nowNanos) > 0;
-    grantsSinceLessUrgent = isLessUrgent ? 0 : grantsSinceLessUrgent + 1;
+  /** Records a grant, and whether it took room that was kept. */
+  void recordGrant(boolean wasKept) {
+    grantsSinceKept = wasKept ? 0 : grantsSinceKept + 1;
+  }
+
+  /** Returns true if a request may take room that is kept for others, so that none starves. */
+  boolean mayTakeKept() {
+    return grantsSinceKept >= FairQueue.OTHERS_INTERVAL;
   }
 
   /**
    * Returns the number of requests expected to arrive within a time that are more urgent than a
-   * priority, with the spread of such a number.
+   * priority.
    *
    * @param priority the priority, or {@link FairQueue#PRIORITIES} for all
    */
   double expectedBefore(int priority, double durationMs, long nowNanos) {
-    double expected = arrivalsPerSecond(priority, nowNanos) * durationMs / MS_PER_SECOND;
-    return expected + Math.sqrt(expected);
+    return arrivalsPerSecond(priority, nowNanos) * durationMs / MS_PER_SECOND;
   }
 
   /**
-   * Returns the number of places that a request leaves free.
+   * Returns the number of slots that a request leaves free: the arrivals expected within a time
+   * less the slots that become free, and the spread of both.
    *
    * @param freed the number of slots expected to become free within the time
    */
   double reserve(int priority, double durationMs, double freed, long nowNanos) {
-    if (grantsSinceLessUrgent >= FairQueue.OTHERS_INTERVAL) {
+    double expected = expectedBefore(priority, durationMs, nowNanos);
+    if (expected <= 0) {
       return 0;
     }
-    return Math.max(0, expectedBefore(priority, durationMs, nowNanos) - freed);
+    return Math.max(0, expected - freed + SPREAD * Math.sqrt(expected + freed));
   }
 
   private double arrivalsPerSecond(int priority, long nowNanos) {
--- a/core/src/main/java/org/shoreroad/admission/HeadRoom.java
+++ b/core/src/main/java/org/shoreroad/admission/HeadRoom.java
@@ -18,8 +18,11 @@
    */
   private static final long LEARNING_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
-  /** Share of the slots that may be filled in one pass until the load of others is known. */
-  private static final int LEARNING_SHARE = 8;
+  /**
+   * Starts in a pass until the load of others is known, as a factor of the slots that become free
+   * in a pass of a full head. The excess over 1 is for arrivals that come together.
+   */
+  private static final double LEARNING_FACTOR = 1.5;
 
   /** Time in which the slots that an engine had too few of are tried again, in nanoseconds. */
   private static final double RECOVERY_NANOS = TimeUnit.SECONDS.toNanos(2);
@@ -135,7 +138,7 @@
 
   /** Returns the number of starts in a pass while the load of others is not known. */
   private int learningStarts() {
-    return Math.max(1, forecast.slots() / LEARNING_SHARE);
+    return (int) Math.max(1, Math.round(LEARNING_FACTOR * forecast.slots() / answers.meanPasses()));
   }
 
   /** Returns the number of free slots, without places in the engine's queue, 0 or more. */
--- a/core/src/main/java/org/shoreroad/admission/InputBounds.java
+++ b/core/src/main/java/org/shoreroad/admission/InputBounds.java
@@ -17,8 +17,11 @@
 
   private InputBounds() {}
 
-  /** Returns the request with its numbers in range; one without a target gets its deadline. */
-  static RoomRequest clamp(RoomRequest request) {
+  /**
+   * Returns the request with its numbers in range, the same object if they are; one without a
+   * target gets its deadline as target.
+   */
+  static RoomRequest clampRequest(RoomRequest request) {
     int remainingMs = clamp(request.remainingMs(), 0, MAX_TIME_MS);
     int targetMs = request.targetLatencyMs() > 0 ? request.targetLatencyMs() : remainingMs;
     RoomRequest clamped =
@@ -36,24 +39,43 @@
             request.contentHash(),
             request.excludedHeads(),
             request.isFinal());
-    return clamped;
+    return hasSameNumbers(request, clamped) ? request : clamped;
+  }
+
+  private static boolean hasSameNumbers(RoomRequest a, RoomRequest b) {
+    return a.priority() == b.priority()
+        && a.promptTokens() == b.promptTokens()
+        && a.answerTokens() == b.answerTokens()
+        && a.ageMs() == b.ageMs()
+        && a.targetLatencyMs() == b.targetLatencyMs()
+        && a.targetGapMs() == b.targetGapMs()
+        && a.remainingMs() == b.remainingMs();
   }
 
   /**
-   * Returns the state with its numbers in range. A rate of starts that is no number or negative
-   * permits none, since a cold head must not get more than it bears.
+   * Returns the state with its numbers in range, the same object if they are. A rate of starts that
+   * is no number or negative permits none, since a cold head must not get more than it bears.
    */
-  static HeadState clamp(HeadState state) {
-    double slowness = state.slowness();
-    double starts = state.startsPerSecond();
-    return new HeadState(
-        state.id(),
-        state.zone(),
-        clamp(state.foreignOpen(), 0, MAX_OPEN),
-        Math.max(0, Math.min(MAX_TOKENS, state.foreignUnreadTokens())),
-        slowness >= 1 ? Math.min(MAX_SLOWNESS, slowness) : 1,
-        state.isUsable(),
-        starts >= 0 ? starts : 0);
+  static HeadState clampState(HeadState state) {
+    int foreignOpen = clamp(state.foreignOpen(), 0, MAX_OPEN);
+    long foreignTokens = Math.max(0, Math.min(MAX_TOKENS, state.foreignUnreadTokens()));
+    double slowness = state.slowness() >= 1 ? Math.min(MAX_SLOWNESS, state.slowness()) : 1;
+    double starts = state.startsPerSecond() >= 0 ? state.startsPerSecond() : 0;
+    boolean isInRange =
+        foreignOpen == state.foreignOpen()
+            && foreignTokens == state.foreignUnreadTokens()
+            && slowness == state.slowness()
+            && starts == state.startsPerSecond();
+    return isInRange
+        ? state
+        : new HeadState(
+            state.id(),
+            state.zone(),
+            foreignOpen,
+            foreignTokens,
+            slowness,
+            state.isUsable(),
+            starts);
   }
 
   private static int clamp(int value, int low, int high) {
--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -67,12 +67,13 @@
   private final Map<RoomRequest.Key, QueuedItem<WaitingRequest>> waiting = new HashMap<>();
   private final FairQueue<WaitingRequest> queue = new FairQueue<>(MAX_WAITING);
   private long expiryCheckedNanos;
+  private long correctedCount;
   private RoomRefusal lastReason = RoomRefusal.NO_HEAD;
 
   /** Creates a book without heads. */
   public RoomBook(EngineSpec spec, ModelShape model, Returns returns) {
     forecast = EngineForecast.of(spec, model);
-    cacheCapacityTokens = spec.kvCapacityTokens();
+    cacheCapacityTokens = spec.kvCapacityTokens() > 0 ? spec.kvCapacityTokens() : Long.MAX_VALUE;
     answers = new AnswerLength(forecast);
     this.returns = Objects.requireNonNull(returns, "returns");
   }
@@ -81,7 +82,8 @@
   public void setHeads(Collection<HeadState> states, long nowNanos) {
     Set<String> ids = new HashSet<>();
     for (HeadState given : states) {
-      HeadState state = InputBounds.clamp(given);
+      HeadState state = InputBounds.clampState(given);
+      correctedCount += state == given ? 0 : 1;
       ids.add(state.id());
       HeadRoom head = heads.get(state.id());
       if (head == null) {
@@ -116,7 +118,8 @@
     if (waiting.containsKey(offered.key())) {
       return List.of();
     }
-    RoomRequest request = InputBounds.clamp(offered);
+    RoomRequest request = InputBounds.clampRequest(offered);
+    correctedCount += request == offered ? 0 : 1;
     arrivals.recordArrival(request.priority(), nowNanos);
     long budgetNanos =
         (long) ((request.targetLatencyMs() * TARGET_SHARE - request.ageMs()) * NANOS_PER_MS);
@@ -130,7 +133,9 @@
             returns.isExpected(request.contentHash(), nowNanos));
     List<RoomDecision> decisions = new ArrayList<>();
     expireAndAdvance(nowNanos);
-    if (isLate(item, nowNanos)) {
+    if (request.promptTokens() > cacheCapacityTokens) {
+      decisions.add(refuse(item, RoomRefusal.CACHE_FULL, queue.size(), nowNanos));
+    } else if (!isReachable(item, item.budgetMs(nowNanos))) {
       decideLate(item, RoomRefusal.TARGET_OUT_OF_REACH, nowNanos, decisions);
     } else {
       enqueue(item, nowNanos, decisions);
@@ -192,6 +197,11 @@
     return queue.size();
   }
 
+  /** Returns the number of requests and states of heads whose numbers were out of range. */
+  public long correctedCount() {
+    return correctedCount;
+  }
+
   /** Returns the number of further requests that could be granted room now, 0 or more. */
   public int freeCount(long nowNanos) {
     return Math.max(0, freePlaces(nowNanos) - queue.size());
@@ -218,12 +228,16 @@
     List<QueuedItem<WaitingRequest>> order = queue.inOrder(accounts::micros, this::goesFirst);
     RoomOutlook outlook = RoomOutlook.of(heads.values(), nowNanos);
     int free = freePlaces(nowNanos);
+    int freeSlots = freeSlots(nowNanos);
     int kept = 0;
     for (QueuedItem<WaitingRequest> queued : order) {
       WaitingRequest item = queued.value();
-      HeadRoom head = free > kept ? choose(item, true, nowNanos) : null;
-      RoomRefusal reason = free > kept ? lastReason : RoomRefusal.TARGET_OUT_OF_REACH;
-      if (head != null && free - kept <= reserve(item, outlook, nowNanos)) {
+      boolean mayQueue = kept == 0 && mayQueue(item, outlook, nowNanos);
+      int available = mayQueue ? free : freeSlots - kept;
+      HeadRoom head = available > 0 ? choose(item, true, mayQueue, nowNanos) : null;
+      RoomRefusal reason = available > 0 ? lastReason : RoomRefusal.TARGET_OUT_OF_REACH;
+      boolean isKept = available <= reserve(item, outlook, nowNanos);
+      if (head != null && isKept && !arrivals.mayTakeKept()) {
         head = null;
         reason = RoomRefusal.KEPT_FOR_MORE_URGENT;
       }
@@ -231,13 +245,15 @@
         queue.take(queued);
         waiting.remove(item.request().key());
         decisions.add(grant(item, head, nowNanos));
+        arrivals.recordGrant(isKept);
         free = freePlaces(nowNanos);
-      } else if (mayWait(item, kept + 1 - free, reason, outlook, nowNanos)) {
+        freeSlots = freeSlots(nowNanos);
+      } else if (mayWait(item, kept + 1 - freeSlots, outlook, nowNanos)) {
         kept++;
       } else {
         queue.removeIf(other -> other == queued);
         waiting.remove(item.request().key());
-        decisions.add(refuse(item, reason, kept, nowNanos));
+        decideLate(item, reason, nowNanos, decisions);
       }
     }
   }
@@ -246,28 +262,33 @@
   private void decideLate(
       WaitingRequest item, RoomRefusal reason, long nowNanos, List<RoomDecision> decisions) {
     RoomOutlook outlook = RoomOutlook.of(heads.values(), nowNanos);
-    int freeSlots = 0;
-    for (HeadRoom head : heads.values()) {
-      freeSlots += head.freeSlots(nowNanos);
-    }
-    double kept = arrivals.expectedBefore(FairQueue.PRIORITIES, outlook.passMs(), nowNanos);
+    int freeSlots = freeSlots(nowNanos);
+    double kept = arrivals.reserve(FairQueue.PRIORITIES, outlook.passMs(), 0, nowNanos);
     boolean isRoomIdle = queue.size() == 0 && (item.isInvited() || freeSlots > kept);
-    HeadRoom head = isRoomIdle && freeSlots > 0 ? choose(item, false, nowNanos) : null;
-    decisions.add(
-        head != null
-            ? grant(item, head, nowNanos)
-            : refuse(item, heads.isEmpty() ? RoomRefusal.NO_HEAD : reason, queue.size(), nowNanos));
+    HeadRoom head = null;
+    if (item.request().isFinal() && isRoomIdle && freeSlots > 0) {
+      head = choose(item, false, false, nowNanos);
+      reason = lastReason;
+    }
+    if (head != null) {
+      decisions.add(grant(item, head, nowNanos));
+    } else {
+      RoomRefusal stated = outlook.passMs() > 0 ? reason : RoomRefusal.NO_HEAD;
+      decisions.add(refuse(item, stated, queue.size(), nowNanos));
+    }
   }
 
-  /** Returns true if no usable head could give the first event in time, even with a free slot. */
-  private boolean isLate(WaitingRequest item, long nowNanos) {
-    double budgetMs = item.budgetMs(nowNanos);
+  /** Returns true if a head with a free slot could give the first event within the time. */
+  private boolean isReachable(WaitingRequest item, double budgetMs) {
+    RoomRequest request = item.request();
     for (HeadRoom head : heads.values()) {
-      if (head.state().isUsable() && head.firstEventWithSlotMs(item.request()) <= budgetMs) {
-        return false;
+      boolean mayUse =
+          head.state().isUsable() && !request.excludedHeads().contains(head.state().id());
+      if (mayUse && head.firstEventWithSlotMs(request) <= budgetMs) {
+        return true;
       }
     }
-    return true;
+    return false;
   }
 
   /**
@@ -277,30 +298,17 @@
    *     but something else is in the way
    */
   private boolean mayWait(
-      WaitingRequest item,
-      int slotsNeeded,
-      RoomRefusal reason,
-      RoomOutlook outlook,
-      long nowNanos) {
-    RoomRequest request = item.request();
-    if (!request.isFinal() || outlook.roomPerMs() <= 0) {
-      return false;
-    }
-    if (reason == RoomRefusal.CACHE_FULL && request.promptTokens() > cacheCapacityTokens) {
+      WaitingRequest item, int slotsNeeded, RoomOutlook outlook, long nowNanos) {
+    if (!item.request().isFinal() || outlook.roomPerMs() <= 0) {
       return false;
     }
     double waitMs = slotsNeeded > 0 ? slotsNeeded / outlook.roomPerMs() : outlook.passMs() / 2;
-    double budgetMs = item.budgetMs(nowNanos) - waitMs;
-    for (HeadRoom head : heads.values()) {
-      if (head.state().isUsable() && head.firstEventWithSlotMs(request) <= budgetMs) {
-        return true;
-      }
-    }
-    return false;
+    return isReachable(item, item.budgetMs(nowNanos) - waitMs);
   }
 
   /** Returns the head for a request, or null with the reason in {@link #lastReason}. */
-  private @Nullable HeadRoom choose(WaitingRequest item, boolean needsTarget, long nowNanos) {
+  private @Nullable HeadRoom choose(
+      WaitingRequest item, boolean needsTarget, boolean mayQueue, long nowNanos) {
     RoomRequest request = item.request();
     lastReason = RoomRefusal.NO_HEAD;
     HeadRoom best = null;
@@ -308,6 +316,9 @@
     for (HeadRoom head : heads.values()) {
       RoomRefusal refusal = head.check(request, nowNanos);
       double eventMs = refusal == null ? head.firstEventMs(request) : 0;
+      if (refusal == null && !mayQueue && head.freeSlots(nowNanos) == 0) {
+        refusal = RoomRefusal.TARGET_OUT_OF_REACH;
+      }
       if (refusal == null && needsTarget && eventMs > item.budgetMs(nowNanos)) {
         refusal = RoomRefusal.TARGET_OUT_OF_REACH;
       }
@@ -335,7 +346,6 @@
     grants.put(request.key(), grant);
     accounts.add(request.account(), item.costMicros());
     answers.recordExpected(request);
-    arrivals.recordGrant(request.priority(), nowNanos);
     if (item.isInvited()) {
       returns.recordReturned(request.contentHash());
     }
@@ -392,6 +402,17 @@
     return arrivals.reserve(item.request().priority(), outlook.passMs(), freed, nowNanos);
   }
 
+  /**
+   * Returns true if a request may wait in an engine's queue. There it takes the next slot before
+   * any request that comes later, so a less urgent one and one of an account over its share may
+   * not.
+   */
+  private boolean mayQueue(WaitingRequest item, RoomOutlook outlook, long nowNanos) {
+    RoomRequest request = item.request();
+    return !accounts.isOverShare(request.account())
+        && arrivals.expectedBefore(request.priority(), outlook.passMs(), nowNanos) < 1;
+  }
+
   private boolean goesFirst(QueuedItem<WaitingRequest> queued) {
     return queued.value().isInvited() && !accounts.isOverShare(queued.account());
   }
@@ -403,4 +424,12 @@
     }
     return (int) Math.min(Integer.MAX_VALUE, free);
   }
+
+  private int freeSlots(long nowNanos) {
+    long free = 0;
+    for (HeadRoom head : heads.values()) {
+      free += head.freeSlots(nowNanos);
+    }
+    return (int) Math.min(Integer.MAX_VALUE, free);
+  }
 }
--- /dev/null
+++ b/core/src/test/java/org/shoreroad/admission/FakeReturns.java
@@ -0,0 +1,33 @@
+package org.shoreroad.admission;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/** Returns after a fixed time. */
+final class FakeReturns implements Returns {
+  static final int RETRY_AFTER_MS = 400;
+
+  final Set<Long> invited = new HashSet<>();
+  int freed;
+
+  @Override
+  public void recordFreed(long nowNanos) {
+    freed++;
+  }
+
+  @Override
+  public boolean isExpected(long contentHash, long nowNanos) {
+    return invited.contains(contentHash);
+  }
+
+  @Override
+  public void recordReturned(long contentHash) {
+    invited.remove(contentHash);
+  }
+
+  @Override
+  public int invite(long contentHash, int waitingAhead, int remainingMs, long nowNanos) {
+    invited.add(contentHash);
+    return RETRY_AFTER_MS;
+  }
+}
