--- /dev/null
+++ b/core/src/test/java/org/shoreroad/admission/AccountUseTest.java
@@ -0,0 +1,32 @@
+package org.shoreroad.admission;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+
+class AccountUseTest {
+  @Test
+  void testIsOverShare_comparesWithTheMeanOfActiveAccounts() {
+    AccountUse use = new AccountUse();
+    use.add("only", 100);
+    assertThat(use.isOverShare("only"), is(false));
+    use.add("small", 10);
+    assertThat(use.isOverShare("only"), is(true));
+    assertThat(use.isOverShare("small"), is(false));
+    assertThat(use.isOverShare("none"), is(false));
+  }
+
+  @Test
+  void testRemove_forgetsAnAccountWithoutGrants() {
+    AccountUse use = new AccountUse();
+    use.add("a", 30);
+    use.add("a", 20);
+    use.add("b", 10);
+    use.remove("a", 20);
+    assertThat(use.micros("a"), is(30.0));
+    use.remove("b", 10);
+    assertThat(use.micros("b"), is(0.0));
+    assertThat(use.isOverShare("a"), is(false));
+  }
+}
--- a/core/src/test/java/org/shoreroad/queue/FairQueueTest.java
+++ b/core/src/test/java/org/shoreroad/queue/FairQueueTest.java
@@ -161,4 +161,67 @@
     assertThat(rate.retryAfterMs(now, 1_000_000, 0), is(DrainRate.MAX_RETRY_AFTER_MS));
     assertThat(rate.retryAfterMs(now, 0, 0), is(DrainRate.MIN_RETRY_AFTER_MS));
   }
+
+  @Property(tries = 200, seed = "11")
+  void testInOrderTake_listsEachItemOnceWithoutAChange(@ForAll long seed) {
+    Random random = new Random(seed);
+    FairQueue<Integer> queue = new FairQueue<>(100);
+    for (int i = 0; i < 40; i++) {
+      queue.offer(item(i, "a" + random.nextInt(4), 1 + random.nextInt(2), random.nextInt(3), 5));
+    }
+    List<QueuedItem<Integer>> order = queue.inOrder(a -> a.hashCode() % 7, i -> i.value() % 5 == 0);
+    assertThat(new HashSet<>(order).size(), is(40));
+    assertThat(queue.size(), is(40));
+    // Items that are taken in this order leave the order of the others as it was.
+    for (int i = 0; i < 40; i++) {
+      QueuedItem<Integer> first = queue.inOrder(a -> 0, item -> false).get(0);
+      assertThat(queue.take(first), is(true));
+      assertThat(queue.take(first), is(false));
+    }
+    assertThat(queue.size(), is(0));
+    assertThat(queue.poll().isPresent(), is(false));
+  }
+
+  @Test
+  void testInOrder_takesEachTenthFromTheOtherPriorities() {
+    FairQueue<Integer> queue = new FairQueue<>(1_000);
+    for (int i = 0; i < 200; i++) {
+      queue.offer(item(i, "a", 1, i % 2 == 0 ? 0 : 5, 1));
+    }
+    int less = 0;
+    for (int i = 0; i < 100; i++) {
+      QueuedItem<Integer> first = queue.inOrder(a -> 0, item -> false).get(0);
+      less += first.priority() == 5 ? 1 : 0;
+      queue.take(first);
+    }
+    assertThat(less, is(100 / FairQueue.OTHERS_INTERVAL));
+  }
+
+  @Test
+  void testInOrder_isByCostInUsePerWeightAndThenByTheItemsAhead() {
+    FairQueue<Integer> queue = new FairQueue<>(100);
+    queue.offer(item(1, "large", 1, 0, 10));
+    queue.offer(item(2, "small", 1, 0, 30));
+    queue.offer(item(3, "small", 1, 0, 30));
+    queue.offer(item(4, "weighty", 4, 0, 10));
+    Map<String, Double> inUse = Map.of("large", 40.0, "small", 20.0, "weighty", 120.0);
+    List<Integer> order = new ArrayList<>();
+    queue.inOrder(inUse::get, item -> false).forEach(item -> order.add(item.value()));
+    assertThat(order, is(List.of(2, 4, 1, 3)));
+    order.clear();
+    queue.inOrder(inUse::get, item -> item.value() == 3).forEach(item -> order.add(item.value()));
+    assertThat(order, is(List.of(3, 2, 4, 1)));
+  }
+
+  @Test
+  void testTake_countsTheCostForLaterPolls() {
+    FairQueue<Integer> queue = new FairQueue<>(100);
+    QueuedItem<Integer> taken = item(1, "a", 1, 0, 100);
+    queue.offer(taken);
+    queue.offer(item(2, "a", 1, 0, 1));
+    queue.offer(item(3, "b", 1, 0, 1));
+    queue.take(taken);
+    assertThat(queue.poll().orElseThrow().value(), is(3));
+    assertThat(queue.poll().orElseThrow().value(), is(2));
+  }
 }
