--- a/core/src/main/java/org/shoreroad/admission/AccountUse.java
+++ b/core/src/main/java/org/shoreroad/admission/AccountUse.java
@@ -4,31 +4,31 @@
 import java.util.Map;
 
 /**
- * Engine time that the grants of each client account hold.
+ * Share of the engines that the grants of each client account hold.
  *
  * <p>Not thread-safe.
  */
 final class AccountUse {
-  private final Map<String, Long> microsByAccount = new HashMap<>();
-  private long totalMicros;
+  private final Map<String, Long> ppmByAccount = new HashMap<>();
+  private long totalPpm;
 
-  void add(String account, long micros) {
-    microsByAccount.merge(account, micros, Long::sum);
-    totalMicros += micros;
+  void add(String account, long ppm) {
+    ppmByAccount.merge(account, ppm, Long::sum);
+    totalPpm += ppm;
   }
 
-  void remove(String account, long micros) {
-    microsByAccount.computeIfPresent(account, (name, held) -> held > micros ? held - micros : null);
-    totalMicros -= micros;
+  void remove(String account, long ppm) {
+    ppmByAccount.computeIfPresent(account, (name, held) -> held > ppm ? held - ppm : null);
+    totalPpm -= ppm;
   }
 
-  /** Returns the time that the grants of an account hold, in microseconds. */
-  double micros(String account) {
-    return microsByAccount.getOrDefault(account, 0L);
+  /** Returns the share that the grants of an account hold, in millionths of an engine. */
+  double sharePpm(String account) {
+    return ppmByAccount.getOrDefault(account, 0L);
   }
 
   /** Returns true if an account holds more than the mean of the accounts that hold any. */
   boolean isOverShare(String account) {
-    return micros(account) * microsByAccount.size() > totalMicros;
+    return sharePpm(account) * ppmByAccount.size() > totalPpm;
   }
 }
--- a/core/src/main/java/org/shoreroad/admission/EngineForecast.java
+++ b/core/src/main/java/org/shoreroad/admission/EngineForecast.java
@@ -124,16 +124,31 @@
   }
 
   /**
-   * Returns the time of the engine that a request takes: the reading of its prompt, and its share
-   * of the passes of its answer at full load.
+   * Returns the time of a fully loaded engine that a request takes: the reading of its prompt, and
+   * its share of the passes of its answer.
    *
    * @param promptTokens the tokens of its prompt, 0 or more
    * @param answerPasses the number of passes of its answer, positive
    * @return the time in milliseconds, positive
    */
   public double costMs(long promptTokens, double answerPasses) {
-    HeadLoad full = new HeadLoad(slots, 0, 0, 1);
-    return readOnlyMs(promptTokens) * paceFactor + answerPasses * passMs(full) / slots;
+    return readOnlyMs(promptTokens) * paceFactor + answerPasses * fullPassMs() / slots;
+  }
+
+  /**
+   * Returns the share of a fully loaded engine that a request takes while it runs.
+   *
+   * @param promptTokens the tokens of its prompt, 0 or more
+   * @param answerPasses the number of passes of its answer, positive
+   * @return the share, positive
+   */
+  public double engineShare(long promptTokens, double answerPasses) {
+    double costMs = costMs(promptTokens, answerPasses);
+    return costMs / (readOnlyMs(promptTokens) * paceFactor + answerPasses * fullPassMs());
+  }
+
+  private double fullPassMs() {
+    return passMs(new HeadLoad(slots, 0, 0, 1));
   }
 
   private double durationMs(HeadLoad load, int running, long unreadTokens) {
--- a/core/src/main/java/org/shoreroad/admission/Grant.java
+++ b/core/src/main/java/org/shoreroad/admission/Grant.java
@@ -8,7 +8,7 @@
 final class Grant {
   private final RoomRequest request;
   private final HeadRoom head;
-  private final long costMicros;
+  private final long sharePpm;
   private final long cacheTokens;
   private final long grantedNanos;
   private final long readNanos;
@@ -17,20 +17,20 @@
   /**
    * Creates a grant.
    *
-   * @param costMicros the engine time that it takes, in microseconds
+   * @param sharePpm the share of an engine that it takes, in millionths
    * @param cacheTokens the tokens that it takes in the key-value cache
    * @param readNanos the time at which its prompt is expected to be read
    */
   Grant(
       RoomRequest request,
       HeadRoom head,
-      long costMicros,
+      long sharePpm,
       long cacheTokens,
       long grantedNanos,
       long readNanos) {
     this.request = request;
     this.head = head;
-    this.costMicros = costMicros;
+    this.sharePpm = sharePpm;
     this.cacheTokens = cacheTokens;
     this.grantedNanos = grantedNanos;
     this.readNanos = readNanos;
@@ -45,8 +45,8 @@
     return head;
   }
 
-  long costMicros() {
-    return costMicros;
+  long sharePpm() {
+    return sharePpm;
   }
 
   long cacheTokens() {
--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -26,8 +26,8 @@
  * is refused at once if not. A request that is late in any case gets room that nothing else needs.
  *
  * <p>Requests go first by priority, then if their caller was invited to return and their account is
- * not over its share, then by the engine time that their account holds. Less urgent requests leave
- * the room that more urgent ones are expected to need within the next pass.
+ * not over its share, then by the share of the engines that their account holds. Less urgent
+ * requests leave the room that more urgent ones are expected to need within the next pass.
  *
  * <p>Reads no clock: times are passed in, in nanoseconds of the steady clock. Numbers out of range
  * are corrected, so that they affect only their own request or head. Not thread-safe.
@@ -54,7 +54,7 @@
   private static final int MAX_WAITING = 1_000;
 
   private static final double NANOS_PER_MS = 1e6;
-  private static final double MICROS_PER_MS = 1e3;
+  private static final double PPM = 1e6;
 
   private final EngineForecast forecast;
   private final long cacheCapacityTokens;
@@ -123,13 +123,13 @@
     arrivals.recordArrival(request.priority(), nowNanos);
     long budgetNanos =
         (long) ((request.targetLatencyMs() * TARGET_SHARE - request.ageMs()) * NANOS_PER_MS);
-    long costMicros = costMicros(request);
+    long sharePpm = sharePpm(request);
     WaitingRequest item =
         new WaitingRequest(
             request,
             nowNanos,
             nowNanos + budgetNanos,
-            costMicros,
+            sharePpm,
             returns.isExpected(request.contentHash(), nowNanos));
     List<RoomDecision> decisions = new ArrayList<>();
     expireAndAdvance(nowNanos);
@@ -225,7 +225,7 @@
     if (queue.size() == 0) {
       return;
     }
-    List<QueuedItem<WaitingRequest>> order = queue.inOrder(accounts::micros, this::goesFirst);
+    List<QueuedItem<WaitingRequest>> order = queue.inOrder(accounts::sharePpm, this::goesFirst);
     RoomOutlook outlook = RoomOutlook.of(heads.values(), nowNanos);
     int free = freePlaces(nowNanos);
     int freeSlots = freeSlots(nowNanos);
@@ -341,10 +341,10 @@
     double readMs = forecast.readMs(head.load(), request.promptTokens(), answers.meanPasses());
     long readNanos = nowNanos + (long) (readMs * NANOS_PER_MS);
     long cacheTokens = head.cacheTokens(request);
-    Grant grant = new Grant(request, head, item.costMicros(), cacheTokens, nowNanos, readNanos);
+    Grant grant = new Grant(request, head, item.sharePpm(), cacheTokens, nowNanos, readNanos);
     head.add(grant);
     grants.put(request.key(), grant);
-    accounts.add(request.account(), item.costMicros());
+    accounts.add(request.account(), item.sharePpm());
     answers.recordExpected(request);
     if (item.isInvited()) {
       returns.recordReturned(request.contentHash());
@@ -372,14 +372,14 @@
   private void release(Grant grant) {
     grants.remove(grant.request().key());
     grant.head().remove(grant);
-    accounts.remove(grant.request().account(), grant.costMicros());
+    accounts.remove(grant.request().account(), grant.sharePpm());
   }
 
   private void enqueue(WaitingRequest item, long nowNanos, List<RoomDecision> decisions) {
     RoomRequest request = item.request();
     QueuedItem<WaitingRequest> queued =
         new QueuedItem<>(
-            item, request.account(), 1, request.priority(), item.costMicros(), item.dueNanos());
+            item, request.account(), 1, request.priority(), item.sharePpm(), item.dueNanos());
     FairQueue.OfferResult<WaitingRequest> result = queue.offer(queued);
     if (result.isAccepted()) {
       waiting.put(request.key(), queued);
@@ -392,9 +392,9 @@
     }
   }
 
-  private long costMicros(RoomRequest request) {
-    double costMs = forecast.costMs(request.promptTokens(), answers.passes(request));
-    return Math.max(1, (long) (costMs * MICROS_PER_MS));
+  private long sharePpm(RoomRequest request) {
+    double share = forecast.engineShare(request.promptTokens(), answers.passes(request));
+    return Math.max(1, (long) (share * PPM));
   }
 
   private double reserve(WaitingRequest item, RoomOutlook outlook, long nowNanos) {
--- a/core/src/main/java/org/shoreroad/admission/WaitingRequest.java
+++ b/core/src/main/java/org/shoreroad/admission/WaitingRequest.java
@@ -8,11 +8,11 @@
  * @param request the request, not null
  * @param offeredNanos the time at which it was offered, in nanoseconds of the steady clock
  * @param dueNanos the time by which its first event is to come
- * @param costMicros the engine time that it takes, in microseconds
+ * @param sharePpm the share of an engine that it takes, in millionths
  * @param isInvited whether its caller was invited to return
  */
 record WaitingRequest(
-    RoomRequest request, long offeredNanos, long dueNanos, long costMicros, boolean isInvited) {
+    RoomRequest request, long offeredNanos, long dueNanos, long sharePpm, boolean isInvited) {
   private static final double NANOS_PER_MS = 1e6;
 
   /** Returns the time left to the first event in milliseconds, negative if it has passed. */
--- a/core/src/test/java/org/shoreroad/admission/AccountUseTest.java
+++ b/core/src/test/java/org/shoreroad/admission/AccountUseTest.java
@@ -24,9 +24,9 @@
     use.add("a", 20);
     use.add("b", 10);
     use.remove("a", 20);
-    assertThat(use.micros("a"), is(30.0));
+    assertThat(use.sharePpm("a"), is(30.0));
     use.remove("b", 10);
-    assertThat(use.micros("b"), is(0.0));
+    assertThat(use.sharePpm("b"), is(0.0));
     assertThat(use.isOverShare("a"), is(false));
   }
 }
--- a/core/src/test/java/org/shoreroad/admission/EngineForecastTest.java
+++ b/core/src/test/java/org/shoreroad/admission/EngineForecastTest.java
@@ -78,6 +78,13 @@
     assertThat(FORECAST.costMs(1_000, 21), greaterThan(costMs));
   }
 
+  @Test
+  void testEngineShare_isThatOfASlotAndOfReading() {
+    assertThat(FORECAST.engineShare(0, 20), closeTo(1 / 10.0, ERROR));
+    assertThat(FORECAST.engineShare(0, 200), closeTo(1 / 10.0, ERROR));
+    assertThat(FORECAST.engineShare(1_000, 20), closeTo((10 + 50) / (10 + 500.0), ERROR));
+  }
+
   @Test
   void testSpecWithoutFigures_givesFiniteTimes() {
     ModelShape model = new ModelShape("m", 1, 1, 1, 0, 0);
--- a/core/src/test/java/org/shoreroad/admission/ModelPlay.java
+++ b/core/src/test/java/org/shoreroad/admission/ModelPlay.java
@@ -33,6 +33,7 @@
   static final double MEAN_PROMPT = 714;
   static final double MEAN_EVENTS = 23;
   private static final double STEP_MS = 0.5;
+  private static final long FOREIGN_NUMBER = -1;
   private static final double HINT_SIGMA = 0.5;
 
   /** Age of the reports on the load of others, in intervals of 100 ms. */
@@ -52,6 +53,7 @@
   private long nextNumber;
   private long firstOwnNumber;
   private long silentBelow;
+  private double foreignPerMs;
   double nowMs;
 
   /** Arrivals at a rate, from one time to another. */
@@ -60,6 +62,7 @@
     private final int priority;
     private final double perMs;
     private final double untilMs;
+    private double sizeFactor = 1;
     private double nextMs;
 
     Source(List<String> accounts, int priority, double perMs, double fromMs, double untilMs) {
@@ -96,6 +99,19 @@
     return this;
   }
 
+  ModelPlay withLargerCalls(String account, double perMs, double sizeFactor, double untilMs) {
+    Source source = new Source(List.of(account), 0, perMs, 0, untilMs);
+    source.sizeFactor = sizeFactor;
+    sources.add(source);
+    return this;
+  }
+
+  /** Sends calls past the book, as a process of an earlier release does. */
+  ModelPlay withForeignLoad(double perMs) {
+    foreignPerMs = perMs;
+    return this;
+  }
+
   void play(double untilMs) {
     List<ModelCall> ended = new ArrayList<>();
     for (int step = 0; nowMs < untilMs; step++) {
@@ -104,6 +120,7 @@
         report();
       }
       arrive();
+      sendForeign();
       ended.clear();
       heads.forEach(head -> head.play(nowMs, ended));
       for (ModelCall call : ended) {
@@ -174,8 +191,8 @@
           new ModelCall(
               account,
               source.priority,
-              lognormal(MEAN_PROMPT, 0.7, 4_000),
-              lognormal(MEAN_EVENTS, 0.7, 58),
+              lognormal(MEAN_PROMPT * source.sizeFactor, 0.7, 4_000),
+              lognormal(MEAN_EVENTS * source.sizeFactor, 0.7, 58),
               Math.exp(HINT_SIGMA * random.nextGaussian()),
               source.nextMs);
       calls.add(call);
@@ -198,6 +215,15 @@
     return (int) Math.max(1, Math.min(max, Math.round(value)));
   }
 
+  private void sendForeign() {
+    if (random.nextDouble() < foreignPerMs * STEP_MS) {
+      int events = lognormal(MEAN_EVENTS, 0.7, 58);
+      ModelCall call = new ModelCall("", 5, lognormal(MEAN_PROMPT, 0.7, 4_000), events, 1, nowMs);
+      keys.put(call, new RoomRequest.Key("other", FOREIGN_NUMBER));
+      heads.get(random.nextInt(heads.size())).submit(call);
+    }
+  }
+
   private void offer(ModelCall call) {
     long number = nextNumber++;
     RoomRequest request = call.toRequest(number, nowMs);
--- a/core/src/test/java/org/shoreroad/admission/OverloadGoodputTest.java
+++ b/core/src/test/java/org/shoreroad/admission/OverloadGoodputTest.java
@@ -1,6 +1,7 @@
 package org.shoreroad.admission;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
@@ -149,4 +150,35 @@
     play.play(END_MS);
     assertThat(play.shareInTime(call -> true, 0, 2_000), greaterThanOrEqualTo(0.97));
   }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void testAccounts_shareTheTimeOfTheEnginesAndNotTheNumberOfRequests(long seed) {
+    ModelPlay play = new ModelPlay(seed, HEADS);
+    play.withSource(List.of("small"), 0, 1.5 * CAPACITY_PER_MS, 0, 8_000);
+    play.withLargerCalls("large", 0.75 * CAPACITY_PER_MS, 2, 8_000);
+    play.play(END_MS);
+    double smallCost = cost(play, "small");
+    double largeCost = cost(play, "large");
+    assertThat(smallCost / largeCost, closeTo(1, 0.25));
+  }
+
+  private static double cost(ModelPlay play, String account) {
+    EngineForecast forecast = EngineForecast.of(ModelPlay.SPEC, ModelPlay.SHAPE);
+    return play.calls.stream()
+        .filter(call -> call.account.equals(account) && call.isInTime())
+        .mapToDouble(
+            call -> forecast.costMs(call.promptTokens, forecast.answerPasses(call.answerTokens)))
+        .sum();
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void testForeignLoad_leavesTheRestInTime(long seed) {
+    ModelPlay play = playLoad(seed, 1);
+    play.withForeignLoad(0.4 * CAPACITY_PER_MS);
+    play.play(END_MS);
+    // The others choose heads blindly and crowd some of them, so not all of the rest is of use.
+    assertThat((double) inTime(play), greaterThan(0.8 * 0.6 * CAPACITY_PER_MS * 6_000));
+  }
 }
