--- a/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
+++ b/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
@@ -8,6 +8,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -220,6 +221,42 @@
     assertThat(book.waitingCount(), is(0));
   }
 
+  @Test
+  void testOffer_boundsTheNumberThatWaits() {
+    fill("a", SLOTS + 1);
+    Set<RoomRequest.Key> undecided = new HashSet<>();
+    int refused = 0;
+    for (int i = 0; i < 1_200; i++) {
+      RoomRequest plain = nextOf("a" + i % 3, 0);
+      RoomRequest patient =
+          new RoomRequest(
+              plain.key(),
+              "z",
+              plain.account(),
+              0,
+              100,
+              100,
+              0,
+              600_000,
+              0,
+              600_000,
+              i,
+              Set.of(),
+              true);
+      undecided.add(patient.key());
+      for (RoomDecision decision : offer(patient)) {
+        assertThat(undecided.remove(decision.key()), is(true));
+        refused += decision.isGranted() ? 0 : 1;
+      }
+      if (undecided.contains(patient.key())) {
+        assertThat(offer(patient), is(empty()));
+      }
+    }
+    assertThat(book.waitingCount(), is(1_000));
+    assertThat(undecided.size(), is(1_000));
+    assertThat(refused, greaterThan(100));
+  }
+
   @Test
   void testOffer_refusesAtOnceWhatIsNotFinal() {
     fill("a", SLOTS + 1);
@@ -319,7 +356,7 @@
     }
     knowHeads(withLoad(head("h0", "z"), SLOTS - 2, 0));
     now -= 2_000 * MS;
-    // The grants before have earned the less urgent ones a share; the first takes it.
+    // One of ten grants may take the room that is kept.
     offer(nextOf("b", 1));
     RoomDecision decision = only(offer(request(nextNumber++, "b", 1, 100, 0, false)));
     assertThat(decision.refusal(), is(RoomRefusal.KEPT_FOR_MORE_URGENT));
