--- a/core/src/main/java/org/shoreroad/admission/EngineForecast.java
+++ b/core/src/main/java/org/shoreroad/admission/EngineForecast.java
@@ -68,7 +68,8 @@
 
   /**
    * Returns the time from now to the first event of a new request: the wait for a slot, half of the
-   * pass that runs, the passes that read the prompts ahead and its own, and the pass of its event.
+   * steps of the pass that runs, the passes that read the prompts ahead and its own, and the pass
+   * of its event.
    *
    * @param load the load without the request
    * @param promptTokens the tokens of its prompt, 0 or more
@@ -86,16 +87,19 @@
     long fullPasses = Math.max(0, (tokens - 1) / readTokensPerPass);
     long lastTokens = tokens - fullPasses * readTokensPerPass;
     double fullMs = fullPasses == 0 ? 0 : fullPasses * durationMs(load, running, readTokensPerPass);
-    double presentMs = load.open() == 0 ? 0 : passMs(load) / 2;
+    double presentMs = load.open() == 0 ? 0 : durationMs(load, running, 0) / 2;
     return slotWaitMs(load, answerPasses)
         + presentMs
         + fullMs
         + durationMs(load, running, lastTokens);
   }
 
-  /** Returns the duration of the pass in which a new request has its first event. */
+  /**
+   * Returns the duration of the pass in which a new request has its first event. The prompts that
+   * arrive until then are read in it; as many tokens as are unread now arrive in two passes.
+   */
   private double eventMs(HeadLoad load) {
-    return durationMs(load, Math.min(slots, load.open() + 1), load.unreadTokens());
+    return durationMs(load, Math.min(slots, load.open() + 1), load.unreadTokens() / 2);
   }
 
   /**
@@ -147,7 +151,8 @@
     return costMs / (readOnlyMs(promptTokens) * paceFactor + answerPasses * fullPassMs());
   }
 
-  private double fullPassMs() {
+  /** Returns the duration of a pass with all slots in use and nothing to read, in milliseconds. */
+  public double fullPassMs() {
     return passMs(new HeadLoad(slots, 0, 0, 1));
   }
 
--- a/core/src/main/java/org/shoreroad/admission/HeadRoom.java
+++ b/core/src/main/java/org/shoreroad/admission/HeadRoom.java
@@ -74,17 +74,15 @@
 
   /** Returns the load as of the last call of {@link #advance}. */
   HeadLoad load() {
-    return new HeadLoad(open(), unreadTokens + state.foreignUnreadTokens(), contextTokens, slow());
+    long tokens = unreadTokens + state.foreignUnreadTokens();
+    return new HeadLoad(open(), tokens, contextTokens, state.slowness());
   }
 
   /** Returns the load without the requests that wait in the engine's queue. */
   private HeadLoad runningLoad() {
     int running = Math.min(open(), forecast.slots() - 1);
-    return new HeadLoad(running, unreadTokens + state.foreignUnreadTokens(), contextTokens, slow());
-  }
-
-  private double slow() {
-    return state.slowness();
+    long tokens = unreadTokens + state.foreignUnreadTokens();
+    return new HeadLoad(running, tokens, contextTokens, state.slowness());
   }
 
   private int open() {
@@ -114,7 +112,7 @@
     double startsPerMs = state.startsPerSecond() / 1e3;
     double perMs = forecast.freedPerMs(load(), answers.meanPasses());
     if (isHeldBack) {
-      perMs = isLearning(nowNanos) ? learningStarts() / passMs() : startsPerMs;
+      perMs = isLearning(nowNanos) ? learningStarts() / fullPassMs() : startsPerMs;
     }
     return Math.min(perMs, startsPerMs);
   }
@@ -127,7 +125,7 @@
     int places = limit(nowNanos) - open();
     int startsLeft = starts.left(state.startsPerSecond(), nowNanos);
     if (isLearning(nowNanos)) {
-      startsLeft = Math.min(startsLeft, learningStarts() - starts.count(passNanos(), nowNanos));
+      startsLeft = Math.min(startsLeft, learningStarts() - starts.count(fullPassNanos(), nowNanos));
     }
     return Math.max(0, Math.min(places, startsLeft));
   }
@@ -211,7 +209,7 @@
       return full;
     }
     long sinceNanos = nowNanos - rejectedNanos;
-    if (sinceNanos < passNanos()) {
+    if (sinceNanos < fullPassNanos()) {
       return 0;
     }
     if (sinceNanos > RECOVERY_NANOS) {
@@ -221,8 +219,13 @@
     return Math.min(full, openAtRejection + (int) (full * (sinceNanos / RECOVERY_NANOS)));
   }
 
-  private long passNanos() {
-    return (long) (passMs() * NANOS_PER_MS);
+  /** Returns the duration of a pass at full load, since the load of others may be unknown. */
+  private double fullPassMs() {
+    return forecast.fullPassMs() * state.slowness();
+  }
+
+  private long fullPassNanos() {
+    return (long) (fullPassMs() * NANOS_PER_MS);
   }
 
   /** Returns the used tokens, where requests of others count as the mean of the own ones. */
--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -47,6 +47,9 @@
    */
   private static final double TARGET_SHARE = 0.85;
 
+  /** Share of a pass in which a request that is next in order expects its slot. */
+  private static final double NEXT_PASS_SHARE = 0.25;
+
   /** Share of a pass that a head in another zone must be earlier to be preferred. */
   private static final double ZONE_PASS_SHARE = 0.25;
 
@@ -220,7 +223,10 @@
     heads.values().forEach(head -> head.advance(nowNanos));
   }
 
-  /** Decides on the requests that wait, in their order. */
+  /**
+   * Decides on the requests that wait, in their order. A slot that isn't fit for one of them is
+   * left to the next.
+   */
   private void decide(long nowNanos, List<RoomDecision> decisions) {
     if (queue.size() == 0) {
       return;
@@ -230,10 +236,11 @@
     int free = freePlaces(nowNanos);
     int freeSlots = freeSlots(nowNanos);
     int kept = 0;
+    int lessUrgent = 0;
     for (QueuedItem<WaitingRequest> queued : order) {
       WaitingRequest item = queued.value();
       boolean mayQueue = kept == 0 && mayQueue(item, outlook, nowNanos);
-      int available = mayQueue ? free : freeSlots - kept;
+      int available = mayQueue ? free : freeSlots;
       HeadRoom head = available > 0 ? choose(item, true, mayQueue, nowNanos) : null;
       RoomRefusal reason = available > 0 ? lastReason : RoomRefusal.TARGET_OUT_OF_REACH;
       boolean isKept = available <= reserve(item, outlook, nowNanos);
@@ -248,8 +255,9 @@
         arrivals.recordGrant(isKept);
         free = freePlaces(nowNanos);
         freeSlots = freeSlots(nowNanos);
-      } else if (mayWait(item, kept + 1 - freeSlots, outlook, nowNanos)) {
+      } else if (mayWait(item, kept + 1, lessUrgent, outlook, nowNanos)) {
         kept++;
+        lessUrgent += arrivals.expectedBefore(item.request().priority(), 1, nowNanos) > 0 ? 1 : 0;
       } else {
         queue.removeIf(other -> other == queued);
         waiting.remove(item.request().key());
@@ -294,16 +302,27 @@
   /**
    * Returns true if a request may wait.
    *
-   * @param slotsNeeded the number of slots that must become free first, 0 or less if there is one
-   *     but something else is in the way
+   * @param slotsNeeded the number of slots that must become free first, 1 or more
+   * @param lessUrgentAhead how many of those that wait ahead give way to more urgent arrivals
    */
   private boolean mayWait(
-      WaitingRequest item, int slotsNeeded, RoomOutlook outlook, long nowNanos) {
+      WaitingRequest item,
+      int slotsNeeded,
+      int lessUrgentAhead,
+      RoomOutlook outlook,
+      long nowNanos) {
     if (!item.request().isFinal() || outlook.roomPerMs() <= 0) {
       return false;
     }
-    double waitMs = slotsNeeded > 0 ? slotsNeeded / outlook.roomPerMs() : outlook.passMs() / 2;
-    return isReachable(item, item.budgetMs(nowNanos) - waitMs);
+    // More urgent arrivals go first, except in the turns that the queue gives to the others.
+    double urgentPerMs = arrivals.expectedBefore(item.request().priority(), 1, nowNanos);
+    double leftPerMs = Math.max(0, outlook.roomPerMs() - urgentPerMs);
+    double turnSlots = Math.max(slotsNeeded, (lessUrgentAhead + 0.5) * FairQueue.OTHERS_INTERVAL);
+    double waitMs = Math.min(slotsNeeded / leftPerMs, turnSlots / outlook.roomPerMs());
+    // What is next in order is not given up for a few milliseconds more.
+    boolean isPatient =
+        waitMs <= item.patienceMs(nowNanos) || waitMs <= outlook.passMs() * NEXT_PASS_SHARE;
+    return isPatient && isReachable(item, item.budgetMs(nowNanos) - waitMs);
   }
 
   /** Returns the head for a request, or null with the reason in {@link #lastReason}. */
--- a/core/src/main/java/org/shoreroad/admission/WaitingRequest.java
+++ b/core/src/main/java/org/shoreroad/admission/WaitingRequest.java
@@ -13,6 +13,12 @@
  */
 record WaitingRequest(
     RoomRequest request, long offeredNanos, long dueNanos, long sharePpm, boolean isInvited) {
+  /**
+   * Share of the target for which a request waits at most. A caller that is refused later has too
+   * little time for another attempt.
+   */
+  private static final double PATIENCE_SHARE = 0.25;
+
   private static final double NANOS_PER_MS = 1e6;
 
   /** Returns the time left to the first event in milliseconds, negative if it has passed. */
@@ -20,6 +26,12 @@
     return (dueNanos - nowNanos) / NANOS_PER_MS;
   }
 
+  /** Returns the time for which it may wait further, in milliseconds, negative if it has passed. */
+  double patienceMs(long nowNanos) {
+    double ageMs = request.ageMs() + (nowNanos - offeredNanos) / NANOS_PER_MS;
+    return request.targetLatencyMs() * PATIENCE_SHARE - ageMs;
+  }
+
   /** Returns the time until the caller's deadline, in milliseconds, 0 or more. */
   int remainingMs(long nowNanos) {
     long waitedMs = (long) ((nowNanos - offeredNanos) / NANOS_PER_MS);
--- a/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
+++ b/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
@@ -221,6 +221,19 @@
     assertThat(book.waitingCount(), is(0));
   }
 
+  @Test
+  void testAdvance_refusesWhileTheCallerHasTimeForAnotherAttempt() {
+    fill("a", SLOTS + 1);
+    RoomRequest patient =
+        new RoomRequest(
+            next().key(), "z", "a", 0, 100, 100, 0, 1_000, 200, 6_000, 1, Set.of(), true);
+    assertThat(offer(patient), is(empty()));
+    now += 150 * MS;
+    assertThat(book.advance(now), is(empty()));
+    now += 100 * MS;
+    assertThat(only(book.advance(now)).isGranted(), is(false));
+  }
+
   @Test
   void testOffer_boundsTheNumberThatWaits() {
     fill("a", SLOTS + 1);
