--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -211,6 +211,9 @@
   }
 
   private void expireAndAdvance(long nowNanos) {
+    if (grants.isEmpty()) {
+      expiryCheckedNanos = nowNanos;
+    }
     if (nowNanos - expiryCheckedNanos >= EXPIRY_INTERVAL_NANOS) {
       expiryCheckedNanos = nowNanos;
       for (Grant grant : List.copyOf(grants.values())) {
--- a/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
+++ b/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
@@ -23,7 +23,10 @@
 
   private final FakeReturns returns = new FakeReturns();
   private RoomBook book = new RoomBook(ModelPlay.SPEC, ModelPlay.SHAPE, returns);
-  private long now;
+
+  /** The steady clock may start anywhere, also below zero. */
+  private long now = Long.MIN_VALUE / 2;
+
   private long nextNumber;
 
   @BeforeEach
