--- a/core/src/main/java/org/shoreroad/admission/ArrivalReserve.java
+++ b/core/src/main/java/org/shoreroad/admission/ArrivalReserve.java
@@ -54,7 +54,8 @@
 
   /**
    * Returns the number of slots that a request leaves free: the arrivals expected within a time
-   * less the slots that become free, and the spread of both.
+   * less the slots that become free, and the spread of both, but no more than the arrivals need if
+   * no slot becomes free.
    *
    * @param freed the number of slots expected to become free within the time
    */
@@ -63,7 +64,8 @@
     if (expected <= 0) {
       return 0;
     }
-    return Math.max(0, expected - freed + SPREAD * Math.sqrt(expected + freed));
+    double most = expected + SPREAD * Math.sqrt(expected);
+    return Math.max(0, Math.min(most, expected - freed + SPREAD * Math.sqrt(expected + freed)));
   }
 
   private double arrivalsPerSecond(int priority, long nowNanos) {
--- a/core/src/test/java/org/shoreroad/admission/ArrivalReserveTest.java
+++ b/core/src/test/java/org/shoreroad/admission/ArrivalReserveTest.java
@@ -46,6 +46,13 @@
     assertThat(reserve.expectedBefore(2, 50, now + 3_000 * MS), closeTo(0, 0.1));
   }
 
+  @Test
+  void testReserve_isNoMoreThanTheArrivalsNeed() {
+    long now = recordArrivals() + 30_000 * MS;
+    // Nothing arrives any more, so no slot is kept, also if slots become free at random.
+    assertThat(reserve.reserve(2, 50, 1, now), closeTo(0, 0.01));
+  }
+
   @Test
   void testMayTakeKept_permitsOneOfTenGrants() {
     for (int i = 0; i < FairQueue.OTHERS_INTERVAL; i++) {
