--- a/core/src/main/java/org/shoreroad/admission/StartLog.java
+++ b/core/src/main/java/org/shoreroad/admission/StartLog.java
@@ -1,6 +1,7 @@
 package org.shoreroad.admission;
 
 import java.util.ArrayDeque;
+import java.util.Iterator;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -42,8 +43,10 @@
   /** Returns the number of starts in the last interval. */
   int count(long intervalNanos, long nowNanos) {
     int count = 0;
-    for (long start : startNanos) {
-      count += nowNanos - start < intervalNanos ? 1 : 0;
+    for (Iterator<Long> newest = startNanos.descendingIterator(); newest.hasNext(); count++) {
+      if (nowNanos - newest.next() >= intervalNanos) {
+        break;
+      }
     }
     return count;
   }
