--- a/core/src/main/java/org/shoreroad/admission/HeadRoom.java
+++ b/core/src/main/java/org/shoreroad/admission/HeadRoom.java
@@ -13,7 +13,7 @@
  */
 final class HeadRoom {
   /**
-   * Time after which the reports of all processes have told the load that others put on a head, in
+   * Time after which the reports of all processes contain the load that others put on a head, in
    * nanoseconds: two intervals of a heartbeat.
    */
   private static final long LEARNING_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
@@ -108,11 +108,15 @@
     if (!state.isUsable()) {
       return 0;
     }
-    boolean isHeldBack = open() < forecast.slots() && free(nowNanos) == 0;
     double startsPerMs = state.startsPerSecond() / 1e3;
     double perMs = forecast.freedPerMs(load(), answers.meanPasses());
-    if (isHeldBack) {
-      perMs = isLearning(nowNanos) ? learningStarts() / fullPassMs() : startsPerMs;
+    boolean isHeldBack = open() < forecast.slots() && free(nowNanos) == 0;
+    if (isHeldBack && isLearning(nowNanos)) {
+      perMs = learningStarts() / fullPassMs();
+    } else if (isHeldBack && hasRejected) {
+      perMs += fullLimit() * NANOS_PER_MS / RECOVERY_NANOS;
+    } else if (isHeldBack) {
+      perMs = startsPerMs;
     }
     return Math.min(perMs, startsPerMs);
   }
@@ -198,13 +202,18 @@
   }
 
   /**
-   * Returns the number of open requests that the head may have: its slots, and as many places in
-   * the engine's queue as slots become free in a pass, since a slot that becomes free is filled
-   * only when the next pass begins.
+   * Returns the number of open requests of a full head: its slots, and as many places in the
+   * engine's queue as slots become free in a pass, since a slot that becomes free is filled only
+   * when the next pass begins.
    */
-  private int limit(long nowNanos) {
+  private int fullLimit() {
     int places = (int) Math.max(1, Math.round(forecast.slots() / answers.meanPasses()));
-    int full = forecast.slots() + places;
+    return forecast.slots() + places;
+  }
+
+  /** Returns the number of open requests that the head may have, fewer after a rejection. */
+  private int limit(long nowNanos) {
+    int full = fullLimit();
     if (!hasRejected) {
       return full;
     }
--- a/core/src/test/java/org/shoreroad/admission/HeadRoomTest.java
+++ b/core/src/test/java/org/shoreroad/admission/HeadRoomTest.java
@@ -76,6 +76,17 @@
     assertThat(head.free(3_100 * MS), is(FULL - 10));
   }
 
+  @Test
+  void testRoomRate_afterARejectionIsThatOfTheRecovery() {
+    HeadState state = state(10, 0, Double.POSITIVE_INFINITY);
+    head.setState(state);
+    double freedPerMs = head.roomPerMs(1_000 * MS);
+    head.recordRejected(1_000 * MS);
+    assertThat(head.free(1_001 * MS), is(0));
+    double recoveredPerMs = FULL / 2_000.0;
+    assertThat(head.roomPerMs(1_001 * MS), closeTo(freedPerMs + recoveredPerMs, 1e-9));
+  }
+
   @Test
   void testAdvance_takesPromptsAsReadAfterTheirTime() {
     add(500, 0);
--- a/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
+++ b/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
@@ -361,6 +361,30 @@
     assertThat(decision.refusal(), is(RoomRefusal.TARGET_OUT_OF_REACH));
   }
 
+  @Test
+  void testOffer_keepsRoomForMoreUrgentArrivalsAfterARejection() {
+    knowHeads(head("h0", "z"), head("h1", "z"));
+    for (int i = 0; i < 400; i++) {
+      RoomRequest urgent = nextOf("a", 0);
+      offer(urgent);
+      book.end(urgent.key(), GrantEnd.UNUSED, now);
+      now += 5 * MS;
+    }
+    offer(nextOf("b", 1));
+    book.setHeads(List.of(withLoad(head("h0", "z"), SLOTS - 4, 0), head("h1", "z")), now);
+    RoomRequest rejected =
+        new RoomRequest(
+            next().key(), "z", "a", 0, 100, 100, 0, 250, 200, 6_000, 1, Set.of("h0"), true);
+    assertThat(only(offer(rejected)).headId(), is("h1"));
+    book.end(rejected.key(), GrantEnd.REJECTED, now);
+    List<RoomDecision> decisions = new ArrayList<>();
+    // One of ten grants may take the room that is kept.
+    for (int i = 0; i < 2; i++) {
+      decisions.addAll(offer(request(nextNumber++, "b", 1, 100, 0, false)));
+    }
+    assertThat(decisions.get(1).refusal(), is(RoomRefusal.KEPT_FOR_MORE_URGENT));
+  }
+
   @Test
   void testOffer_keepsRoomForMoreUrgentArrivals() {
     // 200 urgent requests a second, each soon ended.
