--- a/core/src/main/java/org/shoreroad/admission/HeadRoom.java
+++ b/core/src/main/java/org/shoreroad/admission/HeadRoom.java
@@ -42,7 +42,6 @@
   private HeadState state;
   private long unreadTokens;
   private long cacheTokens;
-  private long contextTokens;
   private boolean hasRejected;
   private int openAtRejection;
   private long rejectedNanos;
@@ -75,14 +74,14 @@
   /** Returns the load as of the last call of {@link #advance}. */
   HeadLoad load() {
     long tokens = unreadTokens + state.foreignUnreadTokens();
-    return new HeadLoad(open(), tokens, contextTokens, state.slowness());
+    return new HeadLoad(open(), tokens, usedCacheTokens(), state.slowness());
   }
 
   /** Returns the load without the requests that wait in the engine's queue. */
   private HeadLoad runningLoad() {
     int running = Math.min(open(), forecast.slots() - 1);
     long tokens = unreadTokens + state.foreignUnreadTokens();
-    return new HeadLoad(running, tokens, contextTokens, state.slowness());
+    return new HeadLoad(running, tokens, usedCacheTokens(), state.slowness());
   }
 
   private int open() {
@@ -172,7 +171,6 @@
     unread.addLast(grant);
     unreadTokens += grant.request().promptTokens();
     cacheTokens += grant.cacheTokens();
-    contextTokens += grant.cacheTokens();
     starts.record(grant.grantedNanos());
   }
 
@@ -181,7 +179,6 @@
       return;
     }
     cacheTokens -= grant.cacheTokens();
-    contextTokens -= grant.cacheTokens();
     if (unread.remove(grant)) {
       unreadTokens -= grant.request().promptTokens();
     }
--- a/core/src/test/java/org/shoreroad/admission/HeadRoomTest.java
+++ b/core/src/test/java/org/shoreroad/admission/HeadRoomTest.java
@@ -87,6 +87,13 @@
     assertThat(head.roomPerMs(1_001 * MS), closeTo(freedPerMs + recoveredPerMs, 1e-9));
   }
 
+  @Test
+  void testLoad_countsTheContextOfOthersAsTheMeanOfTheOwnGrants() {
+    Grant grant = add(900, 0);
+    head.setState(state(2, 0, 1e9));
+    assertThat(head.load().contextTokens(), is(3 * grant.cacheTokens()));
+  }
+
   @Test
   void testAdvance_takesPromptsAsReadAfterTheirTime() {
     add(500, 0);
