--- a/core/src/main/java/org/shoreroad/admission/ArrivalReserve.java
+++ b/core/src/main/java/org/shoreroad/admission/ArrivalReserve.java
@@ -24,7 +24,7 @@
   private final List<DrainRate> arrivals = new ArrayList<>();
   private int grantsSinceKept;
 
-  /** Records the arrival of a request. */
+  /** Records the arrival of a request that can be in time. */
   void recordArrival(int priority, long nowNanos) {
     while (arrivals.size() < FairQueue.PRIORITIES) {
       arrivals.add(new DrainRate(nowNanos, DECAY_SECONDS));
--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -56,6 +56,7 @@
   /** Bound for the memory of one model's requests that wait. */
   private static final int MAX_WAITING = 1_000;
 
+  private static final HeadLoad IDLE = new HeadLoad(0, 0, 0, 1);
   private static final double NANOS_PER_MS = 1e6;
   private static final double PPM = 1e6;
 
@@ -123,7 +124,6 @@
     }
     RoomRequest request = InputBounds.clampRequest(offered);
     correctedCount += request == offered ? 0 : 1;
-    arrivals.recordArrival(request.priority(), nowNanos);
     long budgetNanos =
         (long) ((request.targetLatencyMs() * TARGET_SHARE - request.ageMs()) * NANOS_PER_MS);
     long sharePpm = sharePpm(request);
@@ -134,6 +134,10 @@
             nowNanos + budgetNanos,
             sharePpm,
             returns.isExpected(request.contentHash(), nowNanos));
+    // Room is kept for arrivals, but not for those that would be late at an idle head too.
+    if (forecast.firstEventMs(IDLE, request.promptTokens(), 1) <= item.budgetMs(nowNanos)) {
+      arrivals.recordArrival(request.priority(), nowNanos);
+    }
     List<RoomDecision> decisions = new ArrayList<>();
     expireAndAdvance(nowNanos);
     if (request.promptTokens() > cacheCapacityTokens) {
--- a/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
+++ b/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
@@ -361,6 +361,17 @@
     assertThat(decision.refusal(), is(RoomRefusal.TARGET_OUT_OF_REACH));
   }
 
+  @Test
+  void testOffer_lateRequestsKeepNoRoomFromEachOther() {
+    knowHeads(withLoad(head("h0", "z"), 8, 0));
+    for (int i = 0; i < 1_000; i++) {
+      RoomRequest late = request(nextNumber++, "a", 0, 100, 3_000, true);
+      assertThat(only(offer(late)).isGranted(), is(true));
+      book.end(late.key(), GrantEnd.UNUSED, now);
+      now += MS;
+    }
+  }
+
   @Test
   void testOffer_keepsRoomForMoreUrgentArrivalsAfterARejection() {
     knowHeads(head("h0", "z"), head("h1", "z"));
