--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -107,7 +107,7 @@
   /**
    * Decides on a request for room, or lets it wait for a slot that is expected to become free in
    * time. A request that isn't final never waits. An offer of a request that was granted room
-   * before returns this decision again.
+   * before returns this decision again and renews the grant.
    *
    * @param offered the request, not null
    * @param nowNanos the time on the steady clock
@@ -117,6 +117,7 @@
   public List<RoomDecision> offer(RoomRequest offered, long nowNanos) {
     Grant earlier = grants.get(offered.key());
     if (earlier != null) {
+      earlier.renew(nowNanos);
       return List.of(RoomDecision.granted(offered.key(), earlier.head().state().id()));
     }
     if (waiting.containsKey(offered.key())) {
--- a/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
+++ b/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
@@ -117,6 +117,18 @@
     assertThat(book.freeCount(now), is(free));
   }
 
+  @Test
+  void testOffer_again_renewsTheGrant() {
+    RoomRequest request = next();
+    offer(request);
+    int free = book.freeCount(now);
+    now += 1_400 * MS;
+    offer(request);
+    now += 1_400 * MS;
+    book.advance(now);
+    assertThat(book.freeCount(now), is(free));
+  }
+
   @Test
   void testOffer_refusesWithoutAUsableHead() {
     book.setHeads(List.of(), now);
