--- a/core/src/test/java/org/shoreroad/admission/OverloadGoodputTest.java
+++ b/core/src/test/java/org/shoreroad/admission/OverloadGoodputTest.java
@@ -6,10 +6,12 @@
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -27,19 +29,35 @@
     return play.withSource(ACCOUNTS, 0, load * CAPACITY_PER_MS, 0, 8_000);
   }
 
-  @ParameterizedTest
-  @ValueSource(longs = {1, 2, 3, 4, 5, 6})
-  void testGoodput_doesNotFallWhenTheLoadRises(long seed) {
+  @Test
+  void testGoodput_doesNotFallWhenTheLoadRises() {
+    Map<Double, Long> totals = new HashMap<>();
+    for (long seed = 1; seed <= 6; seed++) {
+      Map<Double, ModelPlay> plays = playLoads(seed);
+      assertGoodput(plays);
+      plays.forEach((load, play) -> totals.merge(load, inTime(play), Long::sum));
+    }
+    double best = Collections.max(totals.values());
+    totals.forEach(
+        (load, total) ->
+            assertThat("load " + load, (double) total, greaterThanOrEqualTo(0.9 * best)));
+  }
+
+  private static Map<Double, ModelPlay> playLoads(long seed) {
     Map<Double, ModelPlay> plays = new HashMap<>();
     for (double load : new double[] {1, 1.5, 2, 3}) {
       ModelPlay play = playLoad(seed, load);
       play.play(END_MS);
       plays.put(load, play);
     }
+    return plays;
+  }
+
+  private static void assertGoodput(Map<Double, ModelPlay> plays) {
     long best = plays.values().stream().mapToLong(OverloadGoodputTest::inTime).max().orElseThrow();
     plays.forEach(
         (load, play) -> {
-          // Arrivals at random may be fewer than what the heads can serve.
+          // The arrivals of one seed may be fewer than what the heads can serve.
           long possible = Math.min(best, play.count(call -> true, 2_000, 8_000));
           String name = "load " + load + ", best " + best;
           assertThat(name, (double) inTime(play), greaterThanOrEqualTo(0.9 * possible));
@@ -78,7 +96,8 @@
       play.play(END_MS);
       shares[burst] = play.shareInTime(call -> call.priority < 2, 3_000, 6_500);
     }
-    assertThat(shares[1], greaterThanOrEqualTo(shares[0] - 0.05));
+    // The room that is kept is to suffice in 97 of 100 passes.
+    assertThat(shares[1], greaterThanOrEqualTo(shares[0] - 0.03));
   }
 
   @ParameterizedTest
