--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -249,12 +249,14 @@
       WaitingRequest item = queued.value();
       boolean mayQueue = kept == 0 && mayQueue(item, outlook, nowNanos);
       int available = mayQueue ? free : freeSlots;
-      HeadRoom head = available > 0 ? choose(item, true, mayQueue, nowNanos) : null;
-      RoomRefusal reason = available > 0 ? lastReason : RoomRefusal.TARGET_OUT_OF_REACH;
       boolean isKept = available <= reserve(item, outlook, nowNanos);
-      if (head != null && isKept && !arrivals.mayTakeKept()) {
-        head = null;
+      HeadRoom head = null;
+      RoomRefusal reason = RoomRefusal.TARGET_OUT_OF_REACH;
+      if (available > 0 && isKept && !arrivals.mayTakeKept()) {
         reason = RoomRefusal.KEPT_FOR_MORE_URGENT;
+      } else if (available > 0) {
+        head = choose(item, true, mayQueue, nowNanos);
+        reason = lastReason;
       }
       if (head != null) {
         queue.take(queued);
