--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -142,7 +142,7 @@
     List<RoomDecision> decisions = new ArrayList<>();
     expireAndAdvance(nowNanos);
     if (request.promptTokens() > cacheCapacityTokens) {
-      decisions.add(refuse(item, RoomRefusal.CACHE_FULL, queue.size(), nowNanos));
+      decisions.add(refuse(item, RoomRefusal.CACHE_FULL, nowNanos));
     } else if (!isReachable(item, item.budgetMs(nowNanos))) {
       decideLate(item, RoomRefusal.TARGET_OUT_OF_REACH, nowNanos, decisions);
     } else {
@@ -292,7 +292,7 @@
       decisions.add(grant(item, head, nowNanos));
     } else {
       RoomRefusal stated = outlook.passMs() > 0 ? reason : RoomRefusal.NO_HEAD;
-      decisions.add(refuse(item, stated, queue.size(), nowNanos));
+      decisions.add(refuse(item, stated, nowNanos));
     }
   }
 
@@ -381,8 +381,7 @@
     return RoomDecision.granted(request.key(), head.state().id());
   }
 
-  private RoomDecision refuse(
-      WaitingRequest item, RoomRefusal reason, int waitingAhead, long nowNanos) {
+  private RoomDecision refuse(WaitingRequest item, RoomRefusal reason, long nowNanos) {
     RoomRequest request = item.request();
     if (!request.isFinal()) {
       return RoomDecision.refused(request.key(), reason, 0);
@@ -392,6 +391,7 @@
     }
     boolean isAccount =
         reason == RoomRefusal.TARGET_OUT_OF_REACH && accounts.isOverShare(request.account());
+    int waitingAhead = queue.sizeUpTo(request.priority());
     int retryAfterMs =
         returns.invite(request.contentHash(), waitingAhead, item.remainingMs(nowNanos), nowNanos);
     return RoomDecision.refused(
@@ -417,7 +417,7 @@
         result.isAccepted() ? result.displaced().map(QueuedItem::value).orElse(null) : item;
     if (displaced != null) {
       waiting.remove(displaced.request().key());
-      decisions.add(refuse(displaced, RoomRefusal.TARGET_OUT_OF_REACH, queue.size(), nowNanos));
+      decisions.add(refuse(displaced, RoomRefusal.TARGET_OUT_OF_REACH, nowNanos));
     }
   }
 
--- a/core/src/test/java/org/shoreroad/admission/FakeReturns.java
+++ b/core/src/test/java/org/shoreroad/admission/FakeReturns.java
@@ -9,6 +9,7 @@
 
   final Set<Long> invited = new HashSet<>();
   int freed;
+  int lastWaitingAhead;
 
   @Override
   public void recordFreed(long nowNanos) {
@@ -28,6 +29,7 @@
   @Override
   public int invite(long contentHash, int waitingAhead, int remainingMs, long nowNanos) {
     invited.add(contentHash);
+    lastWaitingAhead = waitingAhead;
     return RETRY_AFTER_MS;
   }
 }
--- a/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
+++ b/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
@@ -201,6 +201,20 @@
     assertThat(granted, is(3));
   }
 
+  @Test
+  void testOffer_invitesBehindThoseOfItsPriorityAndMoreUrgentOnes() {
+    fill("a", SLOTS + 1);
+    RoomRequest plain = nextOf("b", 1);
+    RoomRequest patient =
+        new RoomRequest(
+            plain.key(), "z", "b", 1, 100, 100, 0, 60_000, 200, 60_000, 1, Set.of(), true);
+    assertThat(offer(patient), is(empty()));
+    offer(request(nextNumber++, "a", 0, 100, 3_000, true));
+    assertThat(returns.lastWaitingAhead, is(0));
+    offer(request(nextNumber++, "a", 1, 100, 3_000, true));
+    assertThat(returns.lastWaitingAhead, is(1));
+  }
+
   @Test
   void testEnd_grantsARequestThatWaits() {
     List<RoomRequest.Key> running = fill("a", SLOTS + 1);
