--- a/core/src/main/java/org/shoreroad/admission/HeadRoom.java
+++ b/core/src/main/java/org/shoreroad/admission/HeadRoom.java
@@ -38,7 +38,7 @@
   private final long knownSinceNanos;
   private final Set<Grant> grants = new HashSet<>();
   private final ArrayDeque<Grant> unread = new ArrayDeque<>();
-  private final StartLog starts = new StartLog();
+  private StartLog starts = new StartLog();
   private HeadState state;
   private long unreadTokens;
   private long cacheTokens;
@@ -67,6 +67,15 @@
     this.state = state;
   }
 
+  StartLog starts() {
+    return starts;
+  }
+
+  /** Counts the starts of an earlier time at this head too, null for none. */
+  void continueStarts(@Nullable StartLog earlier) {
+    starts = earlier == null ? starts : earlier;
+  }
+
   Set<Grant> grants() {
     return grants;
   }
--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -53,6 +53,9 @@
   /** Share of a pass that a head in another zone must be earlier to be preferred. */
   private static final double ZONE_PASS_SHARE = 0.25;
 
+  /** Time for which the starts at a head that is gone are kept. */
+  private static final long FORMER_STARTS_NANOS = TimeUnit.MINUTES.toNanos(1);
+
   /** Bound for the memory of one model's requests that wait. */
   private static final int MAX_WAITING = 1_000;
 
@@ -67,6 +70,10 @@
   private final AccountUse accounts = new AccountUse();
   private final ArrivalReserve arrivals = new ArrivalReserve();
   private final Map<String, HeadRoom> heads = new LinkedHashMap<>();
+
+  /** Starts at heads that are gone, since a cold one may soon be there again. */
+  private final Map<String, StartLog> formerStarts = new HashMap<>();
+
   private final Map<RoomRequest.Key, Grant> grants = new HashMap<>();
   private final Map<RoomRequest.Key, QueuedItem<WaitingRequest>> waiting = new HashMap<>();
   private final FairQueue<WaitingRequest> queue = new FairQueue<>(MAX_WAITING);
@@ -92,6 +99,7 @@
       HeadRoom head = heads.get(state.id());
       if (head == null) {
         head = new HeadRoom(forecast, answers, cacheCapacityTokens, state, nowNanos);
+        head.continueStarts(formerStarts.remove(state.id()));
         heads.put(state.id(), head);
       }
       head.setState(state);
@@ -100,8 +108,10 @@
       if (!ids.contains(head.state().id())) {
         List.copyOf(head.grants()).forEach(this::release);
         heads.remove(head.state().id());
+        formerStarts.put(head.state().id(), head.starts());
       }
     }
+    formerStarts.values().removeIf(starts -> starts.count(FORMER_STARTS_NANOS, nowNanos) == 0);
   }
 
   /**
--- a/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
+++ b/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
@@ -201,6 +201,21 @@
     assertThat(granted, is(3));
   }
 
+  @Test
+  void testOffer_boundsTheStartsOfAColdHeadThatWasGoneForAWhile() {
+    knowHeads(withStarts(head("h0", "z"), 3));
+    for (int i = 0; i < 3; i++) {
+      assertThat(only(offer(request(nextNumber++, "a", 0, 100, 0, false))).isGranted(), is(true));
+    }
+    now += 300 * MS;
+    book.setHeads(List.of(), now);
+    now += 300 * MS;
+    book.setHeads(List.of(withStarts(head("h0", "z"), 3)), now);
+    assertThat(only(offer(request(nextNumber++, "a", 0, 100, 0, false))).isGranted(), is(false));
+    now += 400 * MS;
+    assertThat(only(offer(request(nextNumber++, "a", 0, 100, 0, false))).isGranted(), is(true));
+  }
+
   @Test
   void testOffer_invitesBehindThoseOfItsPriorityAndMoreUrgentOnes() {
     fill("a", SLOTS + 1);
