--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -155,6 +155,9 @@
       decisions.add(refuse(item, RoomRefusal.CACHE_FULL, nowNanos));
     } else if (!isReachable(item, item.budgetMs(nowNanos))) {
       decideLate(item, RoomRefusal.TARGET_OUT_OF_REACH, nowNanos, decisions);
+    } else if (queue.size() >= MAX_WAITING && !request.isFinal()) {
+      // It does not wait, so it must not displace a request that does.
+      decisions.add(refuse(item, RoomRefusal.TARGET_OUT_OF_REACH, nowNanos));
     } else {
       enqueue(item, nowNanos, decisions);
     }
--- a/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
+++ b/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
@@ -314,6 +314,21 @@
     assertThat(refused, greaterThan(100));
   }
 
+  @Test
+  void testOffer_whatIsNotFinalDisplacesNothingThatWaits() {
+    fill("a", SLOTS + 1);
+    for (int i = 0; i < 1_000; i++) {
+      RoomRequest plain = nextOf("a", 0);
+      RoomRequest patient =
+          new RoomRequest(
+              plain.key(), "z", "a", 0, 100, 100, 0, 600_000, 0, 600_000, i, Set.of(), true);
+      assertThat(offer(patient), is(empty()));
+    }
+    RoomRequest other = request(nextNumber++, "b", 0, 100, 0, false);
+    assertThat(only(offer(other)).key(), is(other.key()));
+    assertThat(book.waitingCount(), is(1_000));
+  }
+
   @Test
   void testOffer_refusesAtOnceWhatIsNotFinal() {
     fill("a", SLOTS + 1);
