--- a/core/src/main/java/org/shoreroad/admission/InputBounds.java
+++ b/core/src/main/java/org/shoreroad/admission/InputBounds.java
@@ -54,7 +54,7 @@
 
   /**
    * Returns the state with its numbers in range, the same object if they are. A rate of starts that
-   * is no number or negative permits none, since a cold head must not get more than it bears.
+   * is no number or negative permits none, so that a cold head is never sent too many.
    */
   static HeadState clampState(HeadState state) {
     int foreignOpen = clamp(state.foreignOpen(), 0, MAX_OPEN);
--- a/core/src/test/java/org/shoreroad/admission/ModelPlay.java
+++ b/core/src/test/java/org/shoreroad/admission/ModelPlay.java
@@ -143,7 +143,7 @@
     report();
   }
 
-  /** Ends the process that holds all calls, without a word to the book. */
+  /** Ends the process that holds all calls; the book is not told. */
   void cutHolder() {
     heads.forEach(ModelHead::clear);
     silentBelow = nextNumber;
--- a/core/src/test/java/org/shoreroad/admission/OverloadGoodputTest.java
+++ b/core/src/test/java/org/shoreroad/admission/OverloadGoodputTest.java
@@ -197,7 +197,7 @@
     ModelPlay play = playLoad(seed, 1);
     play.withForeignLoad(0.4 * CAPACITY_PER_MS);
     play.play(END_MS);
-    // The others choose heads blindly and crowd some of them, so not all of the rest is of use.
+    // The others choose heads at random and overload some, so not all of the rest is usable.
     assertThat((double) inTime(play), greaterThan(0.8 * 0.6 * CAPACITY_PER_MS * 6_000));
   }
 }
