--- a/core/src/main/java/org/shoreroad/limit/LimitedUpstream.java
+++ b/core/src/main/java/org/shoreroad/limit/LimitedUpstream.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.fleet.Incarnation;
-import org.shoreroad.routing.Rendezvous;
 
 /**
  * Last known rate limit of one upstream, and the share of it that this process holds.
@@ -24,8 +23,7 @@
   private long statedNanos;
   private long changedNanos;
   private long reportedNanos;
-  private boolean isHolder;
-  private @Nullable TurnPacer pacer;
+  private final FleetShare share = FleetShare.withEarlyTurns();
 
   LimitedUpstream(Incarnation upstream, RequestLimit limit, long statedNanos, long nowNanos) {
     this.upstream = upstream;
@@ -73,26 +71,18 @@
     double perSecond = Math.max(MIN_PER_SECOND, currentLimit.perSecond());
     int holders = (int) Math.max(1, Math.min(sharers.size(), Math.round(perSecond)));
     long intervalNanos = (long) (TimeUnit.SECONDS.toNanos(1) * holders / perSecond);
-    boolean wasHolder = isHolder;
-    isHolder = !sharers.isEmpty() && Rendezvous.positionOf(self, upstream.id(), sharers) < holders;
-    if (pacer == null) {
-      pacer = new TurnPacer(intervalNanos, nowNanos);
-    }
-    pacer.setInterval(intervalNanos, nowNanos);
-    if (isHolder && !wasHolder) {
-      pacer.restart(nowNanos);
-    }
+    share.assign(self, upstream.id(), sharers, holders, intervalNanos, nowNanos);
   }
 
   /** Returns true if there is no limit, or if a turn of this process is available now. */
   boolean hasTurn(long nowNanos) {
-    return limit == null || (isHolder && pacer != null && pacer.hasTurn(nowNanos));
+    return limit == null || share.hasTurn(nowNanos);
   }
 
   /** Uses the available turn, if there is a limit. */
   void takeTurn(long nowNanos) {
-    if (limit != null && pacer != null) {
-      pacer.take(nowNanos);
+    if (limit != null) {
+      share.takeTurn(nowNanos);
     }
   }
 
--- a/core/src/main/java/org/shoreroad/limit/TurnPacer.java
+++ b/core/src/main/java/org/shoreroad/limit/TurnPacer.java
@@ -6,23 +6,31 @@
  *
  * <p>A turn is the permission to send one request. It may be used half an interval early, so that
  * requests that come slightly late for some turns do not lower the rate. A window of any length
- * holds at most one and a half turns more than the rate allows. Not thread-safe: confined to one
- * thread.
+ * then holds at most one and a half turns more than the rate allows. A strict pacer allows no early
+ * turn: any two are an interval apart. Not thread-safe: confined to one thread.
  */
 final class TurnPacer {
   /** Divisor of the interval that gives the time by which a turn may be used early. */
   private static final int EARLY_DIVISOR = 2;
 
+  private final boolean isStrict;
   private long intervalNanos;
   private long dueNanos;
 
+  /** Creates a pacer whose turns may be used early. */
+  TurnPacer(long intervalNanos, long nowNanos) {
+    this(false, intervalNanos, nowNanos);
+  }
+
   /**
-   * Creates a pacer whose first turn is available after half an interval, since the process that
-   * held the share before may have used a turn just now.
+   * Creates a pacer whose first turn is available after half an interval, a whole one if it is
+   * strict, since the process that held the share before may have used a turn just now.
    *
+   * @param isStrict true if no turn may be used early
    * @param intervalNanos the time from one turn to the next, positive
    */
-  TurnPacer(long intervalNanos, long nowNanos) {
+  TurnPacer(boolean isStrict, long intervalNanos, long nowNanos) {
+    this.isStrict = isStrict;
     this.intervalNanos = intervalNanos;
     this.dueNanos = nowNanos + intervalNanos;
   }
@@ -33,6 +41,11 @@
     dueNanos = Math.min(dueNanos, nowNanos + newIntervalNanos);
   }
 
+  /** Delays the next turn until the time at least. */
+  void delayUntil(long nanos) {
+    dueNanos = Math.max(dueNanos, nanos);
+  }
+
   /** Delays the next turn as in a new pacer, when this process has just got its share. */
   void restart(long nowNanos) {
     dueNanos = Math.max(dueNanos, nowNanos + intervalNanos);
@@ -40,7 +53,7 @@
 
   /** Returns true if a request may be sent now. */
   boolean hasTurn(long nowNanos) {
-    return nowNanos >= dueNanos - intervalNanos / EARLY_DIVISOR;
+    return nowNanos >= dueNanos - (isStrict ? 0 : intervalNanos / EARLY_DIVISOR);
   }
 
   /** Uses the available turn. */
--- a/core/src/main/java/org/shoreroad/traffic/UpstreamService.java
+++ b/core/src/main/java/org/shoreroad/traffic/UpstreamService.java
@@ -12,11 +12,18 @@
  * @param name the name of the service, not null
  * @param maxConnections the maximum connections of all processes together to one upstream
  * @param engine the specification of its engines, or null for a plain service
+ * @param coldStart what an upstream bears while it is cold, or null if there is no such bound
  * @since 0.2
  */
-public record UpstreamService(String name, int maxConnections, @Nullable EngineSpec engine) {
+public record UpstreamService(
+    String name, int maxConnections, @Nullable EngineSpec engine, @Nullable ColdStart coldStart) {
   /** Checks that the name isn't null. */
   public UpstreamService {
     Objects.requireNonNull(name, "name");
   }
+
+  /** Creates a service whose upstreams bear their full load from the start. */
+  public UpstreamService(String name, int maxConnections, @Nullable EngineSpec engine) {
+    this(name, maxConnections, engine, null);
+  }
 }
