--- a/edge/src/main/java/org/shoreroad/edge/ConfigurationView.java
+++ b/edge/src/main/java/org/shoreroad/edge/ConfigurationView.java
@@ -1,10 +1,13 @@
 package org.shoreroad.edge;
 
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.peer.Heartbeat;
 import org.shoreroad.edge.relay.ConfigurationSource;
+import org.shoreroad.edge.sync.Evacuations;
 import org.shoreroad.edge.sync.StorePosition;
 import org.shoreroad.edge.sync.StoreRecord;
 import org.shoreroad.edge.sync.TopicFollower;
@@ -39,6 +42,7 @@
   private final boolean isKeyProofRequired;
   private @Nullable TrafficConfig config;
   private @Nullable TopicFollower follower;
+  private @Nullable Evacuations evacuations;
   private long peerProvedNanos = Long.MIN_VALUE / 2;
   private boolean isNewestUnreadable;
   private long peerVersion = Heartbeat.NO_CONFIG;
@@ -84,6 +88,11 @@
     follower = configFollower;
   }
 
+  /** Sets the evacuated zones, whose records are in the topic of the configuration. */
+  void setEvacuations(Evacuations newEvacuations) {
+    evacuations = newEvacuations;
+  }
+
   void setProcessCount(int count) {
     processCount = count;
   }
@@ -91,6 +100,11 @@
   @Override
   public void onRecord(StoreRecord record) {
     byte[] value = record.value();
+    String zone = decoder.evacuatedZone(record.key());
+    if (zone != null && evacuations != null) {
+      evacuations.applyRecord(zone, value != null, record.position());
+      return;
+    }
     if (value == null || !decoder.isConfiguration(record.key())) {
       return;
     }
@@ -114,6 +128,21 @@
     }
   }
 
+  @Override
+  public void onListed(Set<String> keys, StorePosition end) {
+    if (evacuations == null) {
+      return;
+    }
+    Set<String> zones = new HashSet<>();
+    for (String key : keys) {
+      String zone = decoder.evacuatedZone(key);
+      if (zone != null) {
+        zones.add(zone);
+      }
+    }
+    evacuations.applyListing(zones, end);
+  }
+
   @Override
   public @Nullable TrafficConfig config() {
     return config;
@@ -226,5 +255,10 @@
      * @throws RuntimeException if the value can't be read
      */
     TrafficConfig decode(byte[] value);
+
+    /** Returns the zone whose evacuation a key requests, or null if it is another key. */
+    default @Nullable String evacuatedZone(String key) {
+      return null;
+    }
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -101,6 +101,7 @@
   private final CountedStore store;
   private final ConfigurationView configuration;
   private final Fleet fleet;
+  private final SendGates gates;
   private final TopicFollower configFollower;
   private final TopicFollower listFollower;
   private final ProcessRegistry processes;
@@ -164,9 +165,12 @@
             settings.revokeMs(),
             settings.isKeyProofRequired());
     this.fleet = new Fleet(ports.upstreamDecoder(), clockNanos, log);
+    this.gates =
+        new SendGates(
+            name, fleet, ports.upstreamDecoder(), configuration, clockNanos, log, metrics);
     int configWaitMs = ConfigurationView.readWaitMs(settings.revokeMs());
     this.configFollower = follower(Topic.CONFIGURATION, configWaitMs, () -> 0, configuration);
-    this.listFollower = follower(Topic.UPSTREAMS, LIST_WAIT_MS, () -> LIST_INTERVAL_MS, fleet);
+    this.listFollower = follower(Topic.UPSTREAMS, LIST_WAIT_MS, () -> LIST_INTERVAL_MS, gates);
     this.upstreams = new UpstreamTable(fleet, clockNanos, log);
     this.backpressure = new Backpressure(name, ports.headers(), clockNanos, log, metrics);
     this.selector =
@@ -213,7 +217,16 @@
         mesh,
         selector,
         upstreams,
-        backpressure);
+        backpressure,
+        this::updateGates);
+  }
+
+  /**
+   * An upstream that appears before the list was read once and there is traffic has not started.
+   */
+  private void updateGates() {
+    boolean hasTraffic = relay.acceptedCount() > 0 || upstreams.hasPeerLoad();
+    gates.update(mesh.names(), processFollower.isCurrent(), listFollower.isCurrent() && hasTraffic);
   }
 
   private LocalHeartbeats makeHeartbeats() {
@@ -282,6 +295,9 @@
           replicas.scheduleReconcile();
         });
     heartbeats.connect(mesh, leases, replicas);
+    gates.connect(upstreams, backpressure, heartbeats);
+    gates.evacuations().setChangeListener(mesh::sendSoon);
+    replicas.setEvacuations(gates.evacuations());
     mesh.setSuspicionListener(heartbeats::applySuspicions);
     backpressure.setLimitListener(mesh::sendSoon);
     backpressure.setLeavingListener(fleet::noteLeaving);
--- a/edge/src/main/java/org/shoreroad/edge/PeriodicUpdate.java
+++ b/edge/src/main/java/org/shoreroad/edge/PeriodicUpdate.java
@@ -10,8 +10,9 @@
 
 /**
  * Update of derived state, run each tenth of a second: the fleet, the number of processes, the
- * loads reported by peers, the processes that share the limits of upstreams, and the proof of the
- * configuration after a suspension of the box. Not thread-safe: used on the event loop.
+ * loads reported by peers, the processes that share the limits of upstreams, the gates for cold
+ * upstreams and evacuated zones, and the proof of the configuration after a suspension of the box.
+ * Not thread-safe: used on the event loop.
  */
 final class PeriodicUpdate {
   private final EventLog log;
@@ -26,6 +27,7 @@
   private final UpstreamSelector selector;
   private final UpstreamTable upstreams;
   private final Backpressure backpressure;
+  private final Runnable gateUpdate;
   private long lastLeadNanos;
   private boolean hasDroppedUndeclared;
 
@@ -41,7 +43,8 @@
       PeerMesh mesh,
       UpstreamSelector selector,
       UpstreamTable upstreams,
-      Backpressure backpressure) {
+      Backpressure backpressure,
+      Runnable gateUpdate) {
     this.log = log;
     this.metrics = metrics;
     this.lagMeasurement = lagMeasurement;
@@ -54,6 +57,7 @@
     this.selector = selector;
     this.upstreams = upstreams;
     this.backpressure = backpressure;
+    this.gateUpdate = gateUpdate;
   }
 
   /** Runs the update once. */
@@ -67,6 +71,7 @@
     selector.setProcessCount(processes);
     upstreams.setPeerLoads(mesh.latestHeartbeats());
     backpressure.setSharers(mesh.sharers());
+    gateUpdate.run();
   }
 
   /** Renews the proof of the configuration at once if the box may have been suspended. */
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -60,15 +60,19 @@
   }
 
   /**
-   * Returns true if the upstream's limit and rest still permit the request. Checked again, since
-   * the upstream may have asked for fewer requests while the connection was opened.
+   * Returns true if the upstream's limit, rest, coldness and zone still permit the request. Checked
+   * again, since the upstream may have asked for fewer requests while the connection was opened.
    */
   private boolean isStillPermitted() {
+    if (relay.backpressure().isEvacuated(target.box())) {
+      relay.counters().count("shoreroad.attempts.to_evacuated", "withdrawn");
+      return false;
+    }
     if (relay.backpressure().isResting(upstream)) {
       relay.counters().count("shoreroad.attempts.to_resting", "withdrawn");
       return false;
     }
-    return hasTurn || takeTurn();
+    return (hasTurn || takeTurn()) && relay.backpressure().confirmSend(upstream);
   }
 
   private boolean takeTurn() {
--- a/edge/src/main/java/org/shoreroad/edge/relay/Backpressure.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Backpressure.java
@@ -21,7 +21,8 @@
 import org.shoreroad.limit.UpstreamRests;
 
 /**
- * Applies the backpressure signals of upstreams: request limits, rests and announced shutdowns.
+ * Applies the backpressure signals of upstreams: request limits, rests and announced shutdowns, and
+ * the gates for cold upstreams and evacuated zones.
  *
  * <p>Limits come from the answers to this process and from the reports of other processes. A rest
  * is a time without requests that an upstream demands with {@code Retry-After} when it rejects a
@@ -39,6 +40,8 @@
   private final LongSupplier clockNanos;
   private final EventLog log;
   private final RelayCounters counters;
+  private @Nullable ColdGate coldGate;
+  private @Nullable ZoneGate zoneGate;
   private Runnable limitListener = () -> {};
   private Consumer<Incarnation> leavingListener = upstream -> {};
 
@@ -74,6 +77,12 @@
     this.leavingListener = leavingListener;
   }
 
+  /** Sets the gates for cold upstreams and for upstreams in evacuated zones. */
+  public void setGates(ColdGate newColdGate, ZoneGate newZoneGate) {
+    coldGate = newColdGate;
+    zoneGate = newZoneGate;
+  }
+
   /** Sets the processes that share each limit, including this one; may be empty. */
   public void setSharers(Set<String> names) {
     limits.setSharers(names, clockNanos.getAsLong());
@@ -160,13 +169,32 @@
         rest.seconds());
   }
 
-  /** Returns true if a limit of the upstream is in force. */
+  /** Returns true if a limit of the upstream is in force, or if it is or has just been cold. */
   boolean isLimited(Incarnation upstream) {
-    return limits.isLimited(upstream);
+    return limits.isLimited(upstream) || (coldGate != null && coldGate.isLimited(upstream));
   }
 
-  /** Returns true if neither a rest nor a limit forbids sending the upstream a request now. */
+  /** Returns true if a turn for a cold upstream is missing. */
+  boolean isHeldBackByCold(FleetBox upstream) {
+    return coldGate != null && !coldGate.hasTurn(upstream);
+  }
+
+  /**
+   * Returns true if no request may be sent to the upstream because its zone, or that of another
+   * member of its replica, is evacuated. Checked again right before the first byte is sent.
+   */
+  boolean isEvacuated(FleetBox upstream) {
+    return zoneGate != null && zoneGate.isClosed(upstream);
+  }
+
+  /**
+   * Returns true if nothing forbids sending the upstream a request now: no rest, limit, coldness or
+   * evacuation.
+   */
   boolean maySendTo(FleetBox upstream) {
+    if (isHeldBackByCold(upstream) || isEvacuated(upstream)) {
+      return false;
+    }
     if (limits.isEmpty() && rests.isEmpty()) {
       return true;
     }
@@ -181,11 +209,15 @@
   }
 
   /**
-   * Takes a turn, the permission to send one request under a limit.
+   * Takes a turn, the permission to send one request under a limit or to a cold upstream.
    *
    * @return false if the upstream is limited and no turn is due
    */
   boolean takeTurn(Incarnation upstream) {
+    if (coldGate != null && !coldGate.takeTurn(upstream)) {
+      counters.count("shoreroad.attempts.to_cold", "withdrawn");
+      return false;
+    }
     boolean hasTurn = limits.takeTurn(upstream, clockNanos.getAsLong());
     if (limits.isLimited(upstream)) {
       counters.count("shoreroad.attempts.to_limited", hasTurn ? "sent" : "withdrawn");
@@ -193,6 +225,19 @@
     return hasTurn;
   }
 
+  /**
+   * Returns true if the pace of requests to a cold upstream permits one at this moment, and counts
+   * it as sent. Called right before the first byte is sent.
+   */
+  boolean confirmSend(Incarnation upstream) {
+    if (coldGate == null || !coldGate.isLimited(upstream)) {
+      return true;
+    }
+    boolean isPermitted = coldGate.confirmSend(upstream);
+    counters.count("shoreroad.attempts.to_cold", isPermitted ? "sent" : "withdrawn");
+    return isPermitted;
+  }
+
   private void writeChange(
       LimitChange change, Incarnation upstream, @Nullable RequestLimit limit, String source) {
     if (change == LimitChange.NONE) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -151,17 +151,17 @@
       // A stalled upstream still has the request.
       return;
     }
-    boolean isHeldBack = targets.isHeldBack();
+    Refusal heldBack = targets.findHeldBack();
     // A limit or rest rarely permits the next request as soon as a slot would become free.
-    boolean mayWait = !isHeldBack && sends.sent() == 0 && relay.nowNanos() < waitUntilNanos;
+    boolean mayWait = heldBack == null && sends.sent() == 0 && relay.nowNanos() < waitUntilNanos;
     // A stream that has begun waits for another replica until the deadline.
     if (hasBegun() || mayWait) {
       isWaiting = true;
       relay.addWaiting(this);
       return;
     }
-    if (isHeldBack) {
-      refuseOrFail(Refusal.HELD_BACK, RetryAfter.PLACE);
+    if (heldBack != null) {
+      refuseOrFail(heldBack, RetryAfter.PLACE);
       return;
     }
     boolean hasUpstreams = targets.hasAny();
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestTargets.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestTargets.java
@@ -53,8 +53,8 @@
     return service != null && selector.hasAny(service, model);
   }
 
-  /** Returns true if there are upstreams, but limits or rests forbid requests to all of them. */
-  boolean isHeldBack() {
-    return service != null && selector.isHeldBack(service, model);
+  /** Returns why requests to all upstreams are forbidden now, or null if they are not. */
+  @Nullable Refusal findHeldBack() {
+    return service == null ? null : selector.findHeldBack(service, model);
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
@@ -114,12 +114,20 @@
   }
 
   /**
-   * Returns true if there are upstreams, but each is in a rest or has a limit without a turn due,
-   * so that this process may send none of them a request now.
+   * Returns why this process may send none of the upstreams a request now, or null if it may send
+   * one, or if there are no upstreams. Each is in a rest, has a limit without a turn due, is cold
+   * without a turn due, or is in an evacuated zone.
    */
-  boolean isHeldBack(UpstreamService service, @Nullable String model) {
+  @Nullable Refusal findHeldBack(UpstreamService service, @Nullable String model) {
     List<FleetBox> upstreams = table.candidates(service, model);
-    return !upstreams.isEmpty() && upstreams.stream().noneMatch(backpressure::maySendTo);
+    if (upstreams.isEmpty()) {
+      return table.isEvacuated(service, model) ? Refusal.EVACUATED : null;
+    }
+    if (upstreams.stream().anyMatch(backpressure::maySendTo)) {
+      return null;
+    }
+    boolean isCold = upstreams.stream().anyMatch(backpressure::isHeldBackByCold);
+    return isCold ? Refusal.COLD : Refusal.HELD_BACK;
   }
 
   private boolean isExcluded(UpstreamLoad load, long nowNanos) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
@@ -26,6 +26,9 @@
  * @since 0.2
  */
 public final class UpstreamTable {
+  /** Interval at which the members of replicas are looked at while a zone is evacuated. */
+  private static final long MEMBERS_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
   private final Fleet fleet;
   private final LongSupplier clockNanos;
   private final EventLog log;
@@ -33,7 +36,11 @@
   private final Map<String, List<FleetBox>> openHeads = new HashMap<>();
   private final Map<String, List<FleetBox>> plainUpstreams = new HashMap<>();
   private final Set<ReplicaId> servingReplicas = new HashSet<>();
+  private final Set<String> evacuatedKeys = new HashSet<>();
+  private @Nullable ZoneGate zoneGate;
   private long refreshedChanges = -1;
+  private long refreshedZoneChanges;
+  private long refreshedNanos;
 
   /** Creates a table over the fleet. */
   public UpstreamTable(Fleet fleet, LongSupplier clockNanos, EventLog log) {
@@ -42,6 +49,11 @@
     this.log = log;
   }
 
+  /** Sets the gate for upstreams in evacuated zones, which are not offered. */
+  public void setZoneGate(ZoneGate gate) {
+    zoneGate = gate;
+  }
+
   /** Returns the load of an upstream. */
   UpstreamLoad loadOf(String boxId) {
     return loads.computeIfAbsent(boxId, id -> new UpstreamLoad());
@@ -76,6 +88,11 @@
     return own;
   }
 
+  /** Returns true if another process has reported an open request. */
+  public boolean hasPeerLoad() {
+    return loads.values().stream().anyMatch(load -> load.openCount() > load.ownOpenCount());
+  }
+
   /**
    * Replaces the loads of all other processes.
    *
@@ -100,7 +117,17 @@
     refresh();
     return service.engine() == null
         ? plainUpstreams.getOrDefault(service.name(), List.of())
-        : openHeads.getOrDefault(service.name() + "/" + model, List.of());
+        : openHeads.getOrDefault(keyOf(service.name(), model), List.of());
+  }
+
+  /** Returns true if upstreams of the model, or of a plain service, are left out by evacuation. */
+  boolean isEvacuated(UpstreamService service, @Nullable String model) {
+    refresh();
+    return evacuatedKeys.contains(keyOf(service.name(), service.engine() == null ? null : model));
+  }
+
+  private static String keyOf(String service, @Nullable String model) {
+    return model == null ? service : service + "/" + model;
   }
 
   /** Returns a copy, because moving requests to other upstreams changes the loads. */
@@ -110,10 +137,13 @@
 
   /** Rebuilds the lists of upstreams if the fleet has changed. */
   private void refresh() {
-    if (fleet.targetChanges() == refreshedChanges) {
+    if (isFresh()) {
       return;
     }
     refreshedChanges = fleet.targetChanges();
+    refreshedZoneChanges = zoneGate == null ? 0 : zoneGate.changes();
+    refreshedNanos = clockNanos.getAsLong();
+    evacuatedKeys.clear();
     openHeads.clear();
     plainUpstreams.clear();
     servingReplicas.clear();
@@ -121,11 +151,15 @@
       if (box.isLeaving() || !fleet.isEligible(box.id())) {
         continue;
       }
+      if (zoneGate != null && zoneGate.isClosed(box)) {
+        evacuatedKeys.add(keyOf(box.service(), box.domain() == null ? null : box.model()));
+        continue;
+      }
       if (box.domain() == null) {
         plainUpstreams.computeIfAbsent(box.service(), name -> new ArrayList<>()).add(box);
       } else if (box.isOpenHead() && box.model() != null) {
         openHeads
-            .computeIfAbsent(box.service() + "/" + box.model(), name -> new ArrayList<>())
+            .computeIfAbsent(keyOf(box.service(), box.model()), name -> new ArrayList<>())
             .add(box);
         recordReplica(box);
         servingReplicas.add(box.membership().replica());
@@ -134,6 +168,21 @@
     loads.keySet().removeIf(id -> fleet.find(id) == null && loads.get(id).open().isEmpty());
   }
 
+  /**
+   * Returns true if nothing has changed. The members of a replica are no part of the changes that
+   * the fleet counts, so while a zone is evacuated the lists are rebuilt at an interval as well.
+   */
+  private boolean isFresh() {
+    if (fleet.targetChanges() != refreshedChanges) {
+      return false;
+    }
+    if (zoneGate == null) {
+      return true;
+    }
+    boolean isRecent = clockNanos.getAsLong() - refreshedNanos < MEMBERS_NANOS;
+    return zoneGate.changes() == refreshedZoneChanges && (zoneGate.isEmpty() || isRecent);
+  }
+
   private long countListedMembers(ReplicaId replica) {
     return fleet.boxes().stream()
         .filter(box -> box.membership() != null && box.membership().replica().equals(replica))
--- a/edge/src/main/java/org/shoreroad/edge/replica/DomainObserver.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/DomainObserver.java
@@ -8,7 +8,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.peer.FailureDetector;
+import org.shoreroad.edge.sync.Evacuations;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.fleet.DomainReconciler;
 import org.shoreroad.fleet.FleetBox;
@@ -77,6 +79,7 @@
   private final long replicaBreakNanos;
   private final Set<ReplicaId> headsSeen = new HashSet<>();
   private final Set<String> busyDomains = new HashSet<>();
+  private @Nullable Evacuations evacuations;
 
   DomainObserver(
       LongSupplier clockNanos,
@@ -93,6 +96,11 @@
     this.replicaBreakNanos = TimeUnit.MILLISECONDS.toNanos(stallMs + STALL_MARGIN_MS);
   }
 
+  /** Sets the evacuated zones; boxes there are observed as leaving, so that they form nothing. */
+  void setEvacuations(Evacuations newEvacuations) {
+    evacuations = newEvacuations;
+  }
+
   /**
    * Returns the current observations of the boxes, and requests reports where they are needed.
    *
@@ -193,7 +201,8 @@
     String lastModel = fleet.lastModel(box.id());
     // A box whose entry was removed continues to serve for a while, like one that announced its
     // end.
-    FleetBox seen = fleet.isEligible(box.id()) ? box : box.withLeaving();
+    boolean isEvacuated = evacuations != null && evacuations.isEvacuated(box.zone());
+    FleetBox seen = fleet.isEligible(box.id()) && !isEvacuated ? box : box.withLeaving();
     return new ObservedBox(seen, isListed, reached, isSteady, isConfirmed, isStalled, lastModel);
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -16,6 +16,7 @@
 import org.shoreroad.edge.RepeatingTimer;
 import org.shoreroad.edge.peer.FailureDetector;
 import org.shoreroad.edge.sync.DomainLeases;
+import org.shoreroad.edge.sync.Evacuations;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.fleet.BoxOrder;
 import org.shoreroad.fleet.Demand;
@@ -72,6 +73,7 @@
   private final Map<String, DomainReconciler> reconcilers = new HashMap<>();
   private final Map<String, Long> suspectedSinceNanos = new HashMap<>();
   private final Map<String, ServiceDomains> domainsByService = new HashMap<>();
+  private @Nullable Evacuations evacuations;
   private long lastForgetNanos;
   private boolean isReconcileScheduled;
 
@@ -105,6 +107,12 @@
         new DomainObserver(clockNanos, fleet, monitor, failureDetector, alivePeers, stallMs);
   }
 
+  /** Sets the evacuated zones, in which no replica is formed or opened. */
+  public void setEvacuations(Evacuations newEvacuations) {
+    evacuations = newEvacuations;
+    observer.setEvacuations(newEvacuations);
+  }
+
   /** Sets the listener for changed heads, which other processes must receive quickly. */
   public void setUrgentChangeListener(Runnable listener) {
     monitor.setUrgentChangeListener(listener);
@@ -206,7 +214,7 @@
 
   private void reconcileService(UpstreamService service, EngineSpec engine) {
     ServiceDomains known = domainsByService.get(service.name());
-    if (known == null || known.listChanges() != fleet.listChanges() || known.engine() != engine) {
+    if (known == null || !known.isFor(fleet.listChanges(), zoneChanges(), engine)) {
       known = deriveDomains(service, engine);
       domainsByService.put(service.name(), known);
     }
@@ -214,7 +222,7 @@
     Demand demand = demands.apply(service);
     for (String domain : known.names()) {
       String key = Fleet.domainKey(service.name(), domain);
-      if (leases.holds(key)) {
+      if (leases.holds(key) && !isEvacuated(fleet.boxesOf(key))) {
         reconcileDomain(key, domain, engine, fleet.boxesOf(key), known.plan(), suspected, demand);
       } else {
         reconcilers.remove(key);
@@ -242,22 +250,53 @@
       }
     }
     return new ServiceDomains(
-        fleet.listChanges(), engine, List.copyOf(sizes.keySet()), ReplicaPlan.of(engine, sizes));
+        fleet.listChanges(),
+        zoneChanges(),
+        engine,
+        List.copyOf(sizes.keySet()),
+        ReplicaPlan.of(engine, sizes));
   }
 
   /**
    * Fabric domains of a service, as derived from the list of upstreams.
    *
    * @param listChanges the number of list changes at the derivation
+   * @param zoneChanges the number of evacuated and returned zones at the derivation
    * @param engine the engines that the plan was made for
    * @param names the names of the domains
    * @param plan the planned replicas of each domain
    */
   private record ServiceDomains(
-      long listChanges, EngineSpec engine, List<String> names, ReplicaPlan plan) {}
+      long listChanges, long zoneChanges, EngineSpec engine, List<String> names, ReplicaPlan plan) {
+    /** Returns true if the domains were derived from this state. */
+    boolean isFor(long currentListChanges, long currentZoneChanges, EngineSpec currentEngine) {
+      return listChanges == currentListChanges
+          && zoneChanges == currentZoneChanges
+          && engine == currentEngine;
+    }
+  }
+
+  private long zoneChanges() {
+    return evacuations == null ? 0 : evacuations.changes();
+  }
+
+  private boolean isEvacuated(FleetBox box) {
+    return evacuations != null && evacuations.isEvacuated(box.zone());
+  }
+
+  /**
+   * Returns true if all boxes are in evacuated zones. Their domain gets no orders, so that replicas
+   * that are open finish their requests and can take new ones as soon as the zone returns.
+   */
+  private boolean isEvacuated(List<FleetBox> boxes) {
+    return !boxes.isEmpty() && boxes.stream().allMatch(this::isEvacuated);
+  }
 
   private int countStaying(List<FleetBox> boxes) {
-    return (int) boxes.stream().filter(box -> !box.isLeaving() && fleet.isListed(box.id())).count();
+    return (int)
+        boxes.stream()
+            .filter(box -> !box.isLeaving() && fleet.isListed(box.id()) && !isEvacuated(box))
+            .count();
   }
 
   private void reconcileDomain(
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -467,7 +467,7 @@
   }
 
   /** Decoder of the entries of the list. */
-  public interface Decoder {
+  public interface Decoder extends ColdnessDecoder {
     /**
      * Returns the upstream that an entry describes.
      *
