--- a/core/src/main/java/org/shoreroad/cold/ColdUpstream.java
+++ b/core/src/main/java/org/shoreroad/cold/ColdUpstream.java
@@ -73,9 +73,16 @@
     reportedUntilNanos = Math.max(reportedUntilNanos, untilNanos);
   }
 
-  /** Sets the time until which another member of the replica is cold that this upstream heads. */
-  void setMemberUntil(long untilNanos) {
-    memberUntilNanos = untilNanos;
+  /**
+   * Sets the time until which another member of the replica is cold that this upstream heads. If
+   * none is cold any more, the increase of the rate begins now.
+   */
+  void setMemberUntil(long untilNanos, long nowNanos) {
+    if (untilNanos > nowNanos) {
+      memberUntilNanos = untilNanos;
+    } else {
+      memberUntilNanos = Math.min(memberUntilNanos, nowNanos);
+    }
   }
 
   /** Returns the time until which the upstream states to be cold. */
@@ -125,9 +132,10 @@
   /**
    * Recomputes the share of this process.
    *
-   * <p>No second holds more turns than the rate: there are at most as many holders, and each has an
-   * equal whole number of turns in it. A new share begins with a pause of a second, because another
-   * process, or this one before it knew of the coldness, may have sent requests just now.
+   * <p>No second holds more turns than the rate: there are at most as many holders, and each has a
+   * whole number of turns in it, the first ones by the hashing one more than the others. A new
+   * share begins with a pause of a second, because another process, or this one before it knew of
+   * the coldness, may have sent requests just now.
    *
    * @param part the part of the rate that is divided into shares
    */
@@ -140,7 +148,7 @@
     }
     double perSecond = rateIn(phase) * part;
     int holders = (int) Math.max(1, Math.min(sharers.size(), Math.floor(perSecond)));
-    double turns = perSecond < 1 ? perSecond : Math.floor(perSecond / holders);
+    double turns = perSecond < 1 ? perSecond : turns(self, sharers, holders, (long) perSecond);
     intervalNanos = Math.max(1, (long) (PACE_NANOS / turns));
     boolean wasHolder = share.isHolder();
     share.assign(self, upstream.id(), sharers, holders, intervalNanos, nowNanos);
@@ -152,6 +160,11 @@
     }
   }
 
+  private long turns(String self, Set<String> sharers, int holders, long wholeTurns) {
+    boolean hasOneMore = Rendezvous.positionOf(self, upstream.id(), sharers) < wholeTurns % holders;
+    return wholeTurns / holders + (hasOneMore ? 1 : 0);
+  }
+
   boolean hasTurn(long nowNanos) {
     return isUnlimited(nowNanos) || share.hasTurn(nowNanos);
   }
--- a/core/src/main/java/org/shoreroad/cold/ColdUpstreams.java
+++ b/core/src/main/java/org/shoreroad/cold/ColdUpstreams.java
@@ -123,7 +123,7 @@
   /**
    * Sets the time until which other members are cold in the replica that an upstream heads.
    *
-   * @param untilNanos the time, in the past if no member is cold
+   * @param untilNanos the time, in the past if no other member is cold
    * @return true if the head has turned cold by this
    */
   public boolean coverMembers(Incarnation head, ColdStart rate, long untilNanos, long nowNanos) {
@@ -136,7 +136,7 @@
     if (cold == null) {
       return false;
     }
-    cold.setMemberUntil(untilNanos);
+    cold.setMemberUntil(untilNanos, nowNanos);
     return hasTurnedCold(cold, wasCold, nowNanos);
   }
 
