--- a/edge/src/main/java/org/shoreroad/edge/relay/ColdGate.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/ColdGate.java
@@ -174,14 +174,15 @@
     Map<ReplicaId, Long> untilNanos = new HashMap<>();
     for (FleetBox box : fleet.boxes()) {
       long boxUntilNanos = cold.ownUntilNanos(box.incarnation());
-      if (box.membership() != null && boxUntilNanos > nowNanos) {
+      if (box.membership() != null && !box.isHead() && boxUntilNanos > nowNanos) {
         untilNanos.merge(box.membership().replica(), boxUntilNanos, Math::max);
       }
     }
     for (FleetBox box : fleet.boxes()) {
       ColdStart rate = box.isHead() ? rateOf(box) : null;
-      Long replicaUntilNanos = rate == null ? null : untilNanos.get(box.membership().replica());
-      if (replicaUntilNanos != null) {
+      if (rate != null) {
+        long replicaUntilNanos =
+            untilNanos.getOrDefault(box.membership().replica(), Long.MIN_VALUE / 2);
         boolean hasTurnedCold =
             cold.coverMembers(box.incarnation(), rate, replicaUntilNanos, nowNanos);
         writeIfCold(hasTurnedCold, box.incarnation(), "member");
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -82,13 +82,13 @@
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   final EventLoop loop = group.next();
   private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
-  private final EventLog log = new EventLog("test", clockNanos, logged);
-  private final Fleet fleet = new Fleet(LoopbackRelay::decode, clockNanos, log);
+  final EventLog log = new EventLog("test", clockNanos, logged);
+  final Fleet fleet = new Fleet(LoopbackRelay::decode, clockNanos, log);
   private final List<FakeUpstream> upstreams = new ArrayList<>();
-  private final UpstreamTable table = new UpstreamTable(fleet, clockNanos, log);
+  final UpstreamTable table = new UpstreamTable(fleet, clockNanos, log);
   private final StallDetector stalls = new StallDetector(table, clockNanos, log);
   final FakeConfigurationSource configurationSource = new FakeConfigurationSource(config(engine()));
-  private final EdgeMetrics metrics = new EdgeMetrics();
+  final EdgeMetrics metrics = new EdgeMetrics();
   final RequestQuarantine quarantine = new RequestQuarantine(clockNanos, log, metrics);
   final Backpressure backpressure = new Backpressure(SELF, NAMES, clockNanos, log, metrics);
   Relay relay;
--- a/edge/src/test/java/org/shoreroad/edge/relay/UpstreamFixture.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UpstreamFixture.java
@@ -27,6 +27,7 @@
 abstract class UpstreamFixture {
   static final int SLOTS = 4;
   static final int TARGET_MS = 500;
+  static final String MEMBER_OF = "member of ";
   private static final EngineSpec ENGINE =
       new EngineSpec(
           SLOTS,
@@ -55,25 +56,36 @@
       new UpstreamSelector(table, backpressure, () -> nowNanos, new SplittableRandom(3), "z");
   final StallDetector stalls = new StallDetector(table, () -> nowNanos, log);
 
-  /** Decodes "web" (a plain upstream), "leaving" (a leaving head) or the state of a head. */
+  /** Returns the zone in an id such as {@code i-1@y}, else the usual one. */
+  private static String zoneOf(String id) {
+    return id.contains("@") ? id.substring(id.indexOf('@') + 1) : "z";
+  }
+
+  /**
+   * Decodes "web" (a plain upstream), "leaving" (a leaving head), the state of a head, or "member
+   * of" and the id of a head.
+   */
   private static FleetBox decode(String id, byte[] entry) {
     String text = new String(entry, StandardCharsets.UTF_8);
     boolean isLeaving = text.equals("leaving");
     if (text.equals("web")) {
-      return new FleetBox(id, "web", "h-" + id + ":1", "z", 6, false, null, null, List.of(), null);
+      return new FleetBox(
+          id, "web", "h-" + id + ":1", zoneOf(id), 6, false, null, null, List.of(), null);
     }
-    MemberState state = isLeaving ? MemberState.OPEN : MemberState.valueOf(text);
+    boolean isMember = text.startsWith(MEMBER_OF);
+    String headId = isMember ? text.substring(MEMBER_OF.length()) : id;
+    MemberState state = isLeaving || isMember ? MemberState.OPEN : MemberState.valueOf(text);
     return new FleetBox(
         id,
         "llm",
         "h-" + id + ":1",
-        "z",
+        zoneOf(id),
         SLOTS,
         isLeaving,
         "d",
         "m",
         List.of(),
-        new Membership(new ReplicaId("r-" + id, 1), 0, state));
+        new Membership(new ReplicaId("r-" + headId, 1), isMember ? 1 : 0, state));
   }
 
   final void list(String id, @Nullable String entry) {
