--- a/edge/src/main/java/org/shoreroad/edge/SendGates.java
+++ b/edge/src/main/java/org/shoreroad/edge/SendGates.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.LongSupplier;
-import org.shoreroad.edge.peer.Heartbeat;
 import org.shoreroad.edge.peer.HeartbeatAdditions;
 import org.shoreroad.edge.peer.HeartbeatAdditions.Evacuation;
 import org.shoreroad.edge.relay.Backpressure;
@@ -65,7 +64,7 @@
     upstreams.setZoneGate(zoneGate);
     backpressure.setGates(coldGate, zoneGate);
     heartbeats.addContributor(this::addTo);
-    heartbeats.addListener(this::apply);
+    heartbeats.addListener(heartbeat -> apply(heartbeat.additions()));
   }
 
   Evacuations evacuations() {
@@ -122,7 +121,8 @@
     return index < 0 ? process : process.substring(0, index);
   }
 
-  private HeartbeatAdditions addTo(HeartbeatAdditions additions) {
+  /** Adds what this process knows to the additions of a heartbeat. */
+  HeartbeatAdditions addTo(HeartbeatAdditions additions) {
     List<Evacuation> known =
         evacuations.states().stream()
             .map(one -> new Evacuation(one.zone(), one.isRequested(), one.position()))
@@ -130,8 +130,8 @@
     return additions.withColdReports(List.copyOf(coldGate.reports())).withEvacuations(known);
   }
 
-  private void apply(Heartbeat heartbeat) {
-    HeartbeatAdditions additions = heartbeat.additions();
+  /** Applies what another process knows. */
+  void apply(HeartbeatAdditions additions) {
     additions
         .evacuations()
         .forEach(
--- a/edge/src/main/java/org/shoreroad/edge/relay/ColdGate.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/ColdGate.java
@@ -217,7 +217,7 @@
   }
 
   /** Returns true if a turn of this process for the upstream is available, or none is needed. */
-  boolean hasTurn(FleetBox upstream) {
+  public boolean hasTurn(FleetBox upstream) {
     refresh();
     return cold.isEmpty() || cold.hasTurn(upstream.incarnation(), clockNanos.getAsLong());
   }
--- a/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
@@ -23,6 +23,7 @@
 import org.shoreroad.edge.peer.FailureDetector;
 import org.shoreroad.edge.peer.Heartbeats;
 import org.shoreroad.edge.sync.DomainLeases;
+import org.shoreroad.edge.sync.Evacuations;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.edge.sync.LeaseStore;
 import org.shoreroad.edge.sync.PartitionGrant;
@@ -47,6 +48,10 @@
   private static final long FENCE = 7;
   private static final int STEP_MS = 50;
   private static final int TASKS_AT_ONCE = 8;
+
+  /** Prefix of the ids of boxes whose domain spans zones. */
+  private static final String MIXED = "mixed-";
+
   private static final EngineSpec ENGINE =
       new EngineSpec(
           4, 999, 6, 0, 0, 46_000, 64, 5, 4, 6, 0, List.of(new ModelShape("m", 2, 1, 1, 9, 1)));
@@ -85,9 +90,13 @@
           Set::of,
           5_000);
 
+  /** Decodes a box; one with an id such as {@code a@y} is in zone y, and in the domain of it. */
   private static FleetBox decode(String id, byte[] entry) {
     List<String> staged = entry.length > 1 ? List.of("m") : List.of();
-    return new FleetBox(id, "llm", id + ":1", "z", 4, false, "d", null, staged, null);
+    int at = id.indexOf('@');
+    String zone = at < 0 ? "z" : id.substring(at + 1);
+    String domain = at < 0 || id.startsWith(MIXED) ? "d" : "d-" + zone;
+    return new FleetBox(id, "llm", id + ":1", zone, 4, false, domain, null, staged, null);
   }
 
   /** Store that grants the only partition to every caller. */
@@ -405,4 +414,79 @@
     assertThat(engines.asked, hasItem("a"));
     assertThat(service.silentForPeers(), is(empty()));
   }
+
+  private final Evacuations evacuations = new Evacuations(log);
+
+  private void evacuate(String zone, boolean isRequested, long offset) {
+    service.setEvacuations(evacuations);
+    evacuations.applyRecord(zone, isRequested, StorePosition.of(1, offset));
+  }
+
+  private Set<String> joined() {
+    Set<String> ids = new HashSet<>();
+    engines.orders.stream()
+        .filter(order -> order.verb() == BoxOrder.Verb.JOIN)
+        .forEach(order -> ids.add(order.boxId()));
+    return ids;
+  }
+
+  @Test
+  void noReplicaIsFormedInAnEvacuatedZone() {
+    list("a@x");
+    list("b@x");
+    list("c@y");
+    list("d@y");
+    acquireLeases();
+    evacuate("x", true, 1);
+    service.start();
+    advance(3_000);
+    assertThat(joined(), is(Set.of("c@y", "d@y")));
+    evacuate("x", false, 2);
+    advance(3_000);
+    assertThat(joined(), is(Set.of("a@x", "b@x", "c@y", "d@y")));
+  }
+
+  @Test
+  void aReplicaThatFormsIsNotOpenedUntilTheZoneReturns() {
+    list("a@x");
+    list("b@x");
+    engines.joinNanos = TimeUnit.MILLISECONDS.toNanos(1_000);
+    acquireLeases();
+    service.start();
+    advance(700);
+    assertThat(engines.count(BoxOrder.Verb.JOIN), is(2L));
+    evacuate("x", true, 1);
+    int orders = engines.orders.size();
+    advance(3_000);
+    assertThat(engines.orders.size(), is(orders));
+    evacuate("x", false, 2);
+    advance(5_000);
+    assertThat(engines.count(BoxOrder.Verb.OPEN) > 0, is(true));
+  }
+
+  @Test
+  void noBoxOfTheZoneJoinsAReplicaOfADomainThatSpansZones() {
+    list("mixed-a@x");
+    list("mixed-b@y");
+    list("mixed-c@y");
+    acquireLeases();
+    evacuate("x", true, 1);
+    service.start();
+    advance(3_000);
+    assertThat(joined(), is(Set.of("mixed-b@y", "mixed-c@y")));
+  }
+
+  @Test
+  void anEvacuatedDomainWithALostBoxGetsNoOrders() {
+    list("a@x");
+    list("b@x");
+    acquireLeases();
+    service.start();
+    advance(3_000);
+    evacuate("x", true, 1);
+    int orders = engines.orders.size();
+    engines.silent.add("b@x");
+    advance(3_000);
+    assertThat(engines.orders.size(), is(orders));
+  }
 }
