--- a/cli/src/main/java/org/shoreroad/cli/LogCommands.java
+++ b/cli/src/main/java/org/shoreroad/cli/LogCommands.java
@@ -60,7 +60,13 @@
         List.of("replica_suspected", "box_silent", "box_order", "replica_open");
 
     private static final List<String> STORE_EVENTS =
-        List.of("store_era", "topic_listed_in_new_era", "store_lost", "store_reached");
+        List.of(
+            "store_era",
+            "topic_listed_in_new_era",
+            "store_lost",
+            "store_reached",
+            "zone_evacuated",
+            "zone_returned");
 
     @Required
     @Arguments(
--- a/cli/src/main/java/org/shoreroad/cli/LogReport.java
+++ b/cli/src/main/java/org/shoreroad/cli/LogReport.java
@@ -13,7 +13,7 @@
 /**
  * Summary of the logs of all processes: refused requests, failed attempts and late answers, the
  * downtime of each replica after a loss, the state of models and boxes over time, restores of the
- * store from an older copy, and the signals that upstreams sent in their answers.
+ * store from an older copy, the signals of upstreams, and evacuations of availability zones.
  */
 final class LogReport {
   /** Period at which the processes log the state of models and boxes, in seconds. */
@@ -46,6 +46,7 @@
     tables.set("boxes", report.boxes());
     tables.set("storeEras", report.storeEras());
     tables.set("asked", UpstreamSignalTable.of(log));
+    tables.set("zones", ZoneTable.of(log));
     return tables;
   }
 
--- a/cli/src/main/java/org/shoreroad/cli/UpstreamSignalTable.java
+++ b/cli/src/main/java/org/shoreroad/cli/UpstreamSignalTable.java
@@ -35,6 +35,7 @@
     table.add("upstream_limit_ended", "limit_ended", "perSecond");
     table.add("upstream_rest", "rest", "seconds");
     table.add("upstream_leaving", "leaving", "");
+    table.add("upstream_cold", "cold", "by");
     return NODES.arrayNode().addAll(List.copyOf(table.rows.values()));
   }
 
--- a/cli/src/test/java/org/shoreroad/cli/LogCommandsTest.java
+++ b/cli/src/test/java/org/shoreroad/cli/LogCommandsTest.java
@@ -152,6 +152,32 @@
     assertThat(rows.path(1).path("asked").asText(), is("rest"));
   }
 
+  @Test
+  void reportShowsColdUpstreamsAndEvacuatedZones() throws IOException {
+    String zones =
+        write(
+            "z.log",
+            "{\"timeMs\":1000,\"node\":\"a\",\"event\":\"zone_evacuated\",\"zone\":\"z\","
+                + "\"isKnown\":true,\"era\":1,\"offset\":4,\"by\":\"store\"}",
+            "{\"timeMs\":1400,\"node\":\"b\",\"event\":\"zone_evacuated\",\"zone\":\"z\","
+                + "\"isKnown\":true,\"era\":1,\"offset\":4,\"by\":\"peer\"}",
+            "{\"timeMs\":3000,\"node\":\"a\",\"event\":\"zone_returned\",\"zone\":\"z\","
+                + "\"isKnown\":true,\"era\":1,\"offset\":9,\"by\":\"store\"}",
+            "{\"timeMs\":3000,\"node\":\"a\",\"event\":\"upstream_cold\",\"upstream\":\"i-1\","
+                + "\"by\":\"zone\"}");
+    assertThat(run("report", "--output", "json", zones), is(ExitCode.OK));
+    JsonNode report = new ObjectMapper().readTree(out.toByteArray());
+    JsonNode rows = report.path("zones");
+    assertThat(rows.size(), is(2));
+    assertThat(rows.path(0).path("what").asText(), is("zone_evacuated"));
+    assertThat(rows.path(0).path("processes").asInt(), is(2));
+    assertThat(rows.path(0).path("toldByPeer").asInt(), is(1));
+    assertThat(rows.path(0).path("toSecond").asDouble(), is(0.4));
+    assertThat(rows.path(1).path("what").asText(), is("zone_returned"));
+    assertThat(report.path("asked").path(0).path("asked").asText(), is("cold"));
+    assertThat(report.path("asked").path(0).path("lastFigure").asText(), is("zone"));
+  }
+
   @Test
   void explainShowsStoreEventsOfTheProcessOfTheRequestOnly() {
     assertThat(run("explain", "r1", first, second, storeRestore), is(ExitCode.OK));
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -165,9 +165,7 @@
             settings.revokeMs(),
             settings.isKeyProofRequired());
     this.fleet = new Fleet(ports.upstreamDecoder(), clockNanos, log);
-    this.gates =
-        new SendGates(
-            name, fleet, ports.upstreamDecoder(), configuration, clockNanos, log, metrics);
+    this.gates = makeGates();
     int configWaitMs = ConfigurationView.readWaitMs(settings.revokeMs());
     this.configFollower = follower(Topic.CONFIGURATION, configWaitMs, () -> 0, configuration);
     this.listFollower = follower(Topic.UPSTREAMS, LIST_WAIT_MS, () -> LIST_INTERVAL_MS, gates);
@@ -204,6 +202,11 @@
     connect(calls);
   }
 
+  private SendGates makeGates() {
+    return new SendGates(
+        name, fleet, ports.upstreamDecoder(), configuration, clockNanos, log, metrics);
+  }
+
   private PeriodicUpdate makePeriodicUpdate() {
     return new PeriodicUpdate(
         log,
