--- a/edge/src/main/java/org/shoreroad/edge/relay/Backpressure.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Backpressure.java
@@ -238,6 +238,14 @@
     return isPermitted;
   }
 
+  /**
+   * Returns true if a request under a grant may still be sent. It needs no turn of this process,
+   * since the process that grants requests at a cold upstream paces them.
+   */
+  boolean permitsGranted(FleetBox upstream) {
+    return !isEvacuated(upstream) && !isResting(upstream.incarnation());
+  }
+
   private void writeChange(
       LimitChange change, Incarnation upstream, @Nullable RequestLimit limit, String source) {
     if (change == LimitChange.NONE) {
--- a/edge/src/test/java/org/shoreroad/edge/relay/ColdGateTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/ColdGateTest.java
@@ -182,4 +182,13 @@
     gate.recordEntry(incarnation("h1"), 4_000);
     assertThat(gate.grantsPerSecond(fleet.find("h1")), is(1.0));
   }
+
+  @Test
+  void aGrantedRequestNeedsNoTurn() {
+    list("h1", "OPEN");
+    gate.update(true);
+    gate.recordEntry(incarnation("h1"), 4_000);
+    assertThat(backpressure.maySendTo(fleet.find("h1")), is(false));
+    assertThat(backpressure.permitsGranted(fleet.find("h1")), is(true));
+  }
 }
