--- a/core/src/main/java/org/shoreroad/queue/DrainRate.java
+++ b/core/src/main/java/org/shoreroad/queue/DrainRate.java
@@ -17,10 +17,11 @@
   /** Maximum retry delay, in milliseconds. */
   public static final long MAX_RETRY_AFTER_MS = 60_000;
 
-  private static final double DECAY_SECONDS = 5;
+  private static final double DEFAULT_DECAY_SECONDS = 5;
   private static final double JITTER_SHARE = 0.5;
   private static final double MS_PER_SECOND = 1_000;
 
+  private final double decaySeconds;
   private double completions;
   private long updatedNanos;
 
@@ -30,7 +31,22 @@
    * @param nowNanos the monotonic time
    */
   public DrainRate(long nowNanos) {
-    updatedNanos = nowNanos;
+    this(nowNanos, DEFAULT_DECAY_SECONDS);
+  }
+
+  /**
+   * Creates a rate without completions.
+   *
+   * @param nowNanos the monotonic time
+   * @param decaySeconds the time in which the weight of a completion falls to 1/e, in seconds,
+   *     above 0
+   */
+  public DrainRate(long nowNanos, double decaySeconds) {
+    if (!(decaySeconds > 0)) {
+      throw new IllegalArgumentException("decaySeconds must be above 0: " + decaySeconds);
+    }
+    this.decaySeconds = decaySeconds;
+    this.updatedNanos = nowNanos;
   }
 
   /** Records one completion. */
@@ -42,7 +58,7 @@
   /** Returns the completions per second. */
   public double perSecond(long nowNanos) {
     decay(nowNanos);
-    return completions / DECAY_SECONDS;
+    return completions / decaySeconds;
   }
 
   /**
@@ -65,7 +81,7 @@
   private void decay(long nowNanos) {
     double elapsedSeconds = (nowNanos - updatedNanos) / (double) TimeUnit.SECONDS.toNanos(1);
     if (elapsedSeconds > 0) {
-      completions *= Math.exp(-elapsedSeconds / DECAY_SECONDS);
+      completions *= Math.exp(-elapsedSeconds / decaySeconds);
       updatedNanos = nowNanos;
     }
   }
