--- a/core/src/main/java/org/shoreroad/admission/ReturnPlan.java
+++ b/core/src/main/java/org/shoreroad/admission/ReturnPlan.java
@@ -22,7 +22,7 @@
  *
  * @since 0.2
  */
-public final class ReturnPlan {
+public final class ReturnPlan implements Returns {
   /** Maximum delay that a caller is told, in milliseconds. */
   public static final int MAX_DELAY_MS = 60_000;
 
@@ -92,6 +92,7 @@
   }
 
   /** Records that a slot became free. */
+  @Override
   public void recordFreed(long nowNanos) {
     latestNanos = nowNanos;
     freedRate.recordFreed(nowNanos);
@@ -101,12 +102,14 @@
    * Returns true if a caller with this content was invited to return and has not returned yet. A
    * caller that comes before its time isn't expected.
    */
+  @Override
   public boolean isExpected(long contentHash, long nowNanos) {
     latestNanos = nowNanos;
     return own.isDue(contentHash, nowNanos) || foreign.isDue(contentHash, nowNanos);
   }
 
   /** Removes the invitation of a caller that has returned. */
+  @Override
   public void recordReturned(long contentHash) {
     boolean wasOwn = own.remove(contentHash);
     boolean wasForeign = foreign.remove(contentHash);
@@ -132,6 +135,7 @@
    * @return the time after which the caller should return, in milliseconds, from 1 to {@link
    *     #MAX_DELAY_MS}
    */
+  @Override
   public int invite(long contentHash, int waitingAhead, int remainingMs, long nowNanos) {
     latestNanos = nowNanos;
     recordRefusal(contentHash, nowNanos);
