--- a/edge/src/main/java/org/shoreroad/edge/peer/Digest.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Digest.java
@@ -146,6 +146,13 @@
                 Math.min(one.progressAgeMs(), other.progressAgeMs())));
   }
 
+  /** Returns the latest heartbeat of each of the peers, which must have sent one. */
+  static List<ReceivedHeartbeat> latestOf(Collection<Peer> peers) {
+    return peers.stream()
+        .map(peer -> new ReceivedHeartbeat(peer.lastHeartbeat(), peer.lastReceivedNanos()))
+        .toList();
+  }
+
   /**
    * A heartbeat and its time of arrival.
    *
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerChannels.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerChannels.java
@@ -2,21 +2,26 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler.Sharable;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.io.IOException;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 import org.msgpack.core.MessagePackException;
 import org.shoreroad.edge.EventLog;
 
 /**
- * Initializes the channels between processes: length-prefixed frames, each with a heartbeat or a
- * notice. Not thread-safe: for use on the event loop.
+ * Initializes the channels between processes: length-prefixed frames, each with a heartbeat, a
+ * notice, or content for another receiver. Not thread-safe: for use on the event loop.
  */
 @Sharable
 final class PeerChannels extends ChannelInitializer<SocketChannel> {
@@ -26,6 +31,7 @@
   private final EventLog log;
   private final Consumer<Heartbeat> heartbeats;
   private final Consumer<SuspicionNotice> notices;
+  private @Nullable PeerFrames others;
 
   /**
    * Creates an initializer.
@@ -39,22 +45,51 @@
     this.notices = notices;
   }
 
+  /** Sets the receiver of frames that are neither heartbeats nor notices. */
+  void setOthers(PeerFrames receiver) {
+    others = receiver;
+  }
+
+  /** Adds the handlers that divide the bytes into frames. */
+  static void addFraming(ChannelPipeline pipeline) {
+    pipeline.addLast(
+        new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+        new LengthFieldPrepender(LENGTH_BYTES));
+  }
+
   @Override
   protected void initChannel(SocketChannel channel) {
-    channel
-        .pipeline()
-        .addLast(
-            new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
-            new LengthFieldPrepender(LENGTH_BYTES),
-            new Receiver());
+    if (others != null) {
+      channel.config().setOption(ChannelOption.TCP_NODELAY, true);
+    }
+    addFraming(channel.pipeline());
+    channel.pipeline().addLast(new Receiver());
+  }
+
+  /** Replies on a channel. */
+  private record ChannelReplies(Channel channel) implements PeerFrames.Replies {
+    @Override
+    public boolean isOpen() {
+      return channel.isActive();
+    }
+
+    @Override
+    public void send(byte[] frame) {
+      if (channel.isActive() && channel.isWritable()) {
+        channel.writeAndFlush(Unpooled.wrappedBuffer(frame));
+      }
+    }
   }
 
   private final class Receiver extends SimpleChannelInboundHandler<ByteBuf> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
       byte[] bytes = ByteBufUtil.getBytes(frame);
+      PeerFrames receiver = others;
       try {
-        if (SuspicionNotice.isNotice(bytes)) {
+        if (receiver != null && receiver.accepts(bytes)) {
+          receiver.receive(bytes, new ChannelReplies(context.channel()));
+        } else if (SuspicionNotice.isNotice(bytes)) {
           notices.accept(SuspicionNotice.parse(bytes));
         } else {
           heartbeats.accept(HeartbeatCodec.parse(bytes));
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -139,6 +139,11 @@
         .bind(address);
   }
 
+  /** Sets the receiver of frames that are neither heartbeats nor notices. */
+  public void setFrameReceiver(PeerFrames receiver) {
+    channels.setOthers(receiver);
+  }
+
   /**
    * Adds a process and removes an earlier incarnation of the same node.
    *
@@ -314,26 +319,20 @@
   /** Returns heartbeats that together cover all other processes, each by exactly one of them. */
   private List<ReceivedHeartbeat> coverage(long windowNanos) {
     if (plan.isFullMesh()) {
-      return toReceived(peersInScope(Scope.SELF, windowNanos));
+      return Digest.latestOf(peersInScope(Scope.SELF, windowNanos));
     }
     if (isHub()) {
       List<Peer> hubsAndMembers = new ArrayList<>(peersInScope(Scope.HUB, windowNanos));
       hubsAndMembers.addAll(peersInScope(Scope.MEMBER, windowNanos));
-      return toReceived(hubsAndMembers);
+      return Digest.latestOf(hubsAndMembers);
     }
     // Of a former and a present hub, only the latest heartbeat counts: each covers all others.
     return peersInScope(Scope.REST, windowNanos).stream()
         .max(Comparator.comparingLong(peer -> peer.lastReceivedNanos()))
-        .map(peer -> toReceived(List.of(peer)))
+        .map(peer -> Digest.latestOf(List.of(peer)))
         .orElse(List.of());
   }
 
-  private static List<ReceivedHeartbeat> toReceived(Collection<Peer> peers) {
-    return peers.stream()
-        .map(peer -> new ReceivedHeartbeat(peer.lastHeartbeat(), peer.lastReceivedNanos()))
-        .toList();
-  }
-
   /** Returns the peers whose latest heartbeat has the scope and arrived within the window. */
   private List<Peer> peersInScope(Scope scope, long windowNanos) {
     long nowNanos = clockNanos.getAsLong();
@@ -417,17 +416,17 @@
   private void sendAsHub(Heartbeat own, long nowNanos) {
     List<Peer> members = peersInScope(Scope.MEMBER, Peer.ALIVE_NANOS);
     List<Peer> aliveHubs = peersInScope(Scope.HUB, Peer.ALIVE_NANOS);
-    List<ReceivedHeartbeat> receivedFromHubs = toReceived(aliveHubs);
+    List<ReceivedHeartbeat> fromMembers = Digest.latestOf(members);
+    List<ReceivedHeartbeat> receivedFromHubs = Digest.latestOf(aliveHubs);
     List<FleetBox> reports = new ArrayList<>(own.reports());
     reports.addAll(reportsOfMembers);
     Heartbeat toHubs =
-        Digest.merge(
-            own, Scope.HUB, toReceived(members), List.of(), reports, ListUpdate.NONE, nowNanos);
+        Digest.merge(own, Scope.HUB, fromMembers, List.of(), reports, ListUpdate.NONE, nowNanos);
     reachableHubs(aliveHubs)
         .forEach(
             hub -> hub.sendExpectingAnswer(toHubs.withListUpdate(updateFor(hub, own)), nowNanos));
     reports.addAll(reportsOfHubs);
-    List<ReceivedHeartbeat> all = new ArrayList<>(toReceived(members));
+    List<ReceivedHeartbeat> all = new ArrayList<>(fromMembers);
     all.addAll(receivedFromHubs);
     Heartbeat total =
         Digest.merge(own, Scope.REST, all, receivedFromHubs, reports, ListUpdate.NONE, nowNanos);
