--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.shoreroad.admission.GrantEnd;
 import org.shoreroad.edge.http.CallFailure;
 import org.shoreroad.edge.http.CallListener;
 import org.shoreroad.edge.http.HttpCall;
@@ -32,6 +33,7 @@
   private final Relay relay;
   private final Target target;
   private final Incarnation upstream;
+  private final RoomBroker.@Nullable Grant grant;
   private final long startedNanos;
   private @Nullable HttpCall call;
   private @Nullable HttpResponse head;
@@ -42,11 +44,22 @@
   private long lastEventNanos;
   private boolean isOver;
 
-  Attempt(Exchange exchange, Relay relay, Target target, long startedNanos) {
+  /**
+   * Creates an attempt that has not started.
+   *
+   * @param grant the grant of the room at the target, or null if there is none
+   */
+  Attempt(
+      Exchange exchange,
+      Relay relay,
+      Target target,
+      RoomBroker.@Nullable Grant grant,
+      long startedNanos) {
     this.exchange = exchange;
     this.relay = relay;
     this.target = target;
     this.upstream = target.box().incarnation();
+    this.grant = grant;
     this.startedNanos = startedNanos;
   }
 
@@ -90,10 +103,14 @@
 
   void cancel() {
     if (!isOver) {
-      end();
-      if (call != null) {
-        call.cancel();
-      }
+      end(isSent() ? GrantEnd.USED : GrantEnd.UNUSED);
+      cancelCall();
+    }
+  }
+
+  private void cancelCall() {
+    if (call != null) {
+      call.cancel();
     }
   }
 
@@ -184,7 +201,7 @@
     if (isRefusal(response)) {
       long avoidNanos = isMisdirected(response) ? AVOID_NANOS : AVOID_FULL_NANOS;
       target.load().avoidUntil(relay.nowNanos() + avoidNanos);
-      end();
+      end(isMisdirected(response) ? GrantEnd.UNUSED : GrantEnd.REJECTED);
       exchange.onAttemptFailed(this, AttemptFailure.REFUSED);
     } else if (events != null) {
       endStream(events);
@@ -199,7 +216,7 @@
       return;
     }
     target.load().recordOutcome(false);
-    end();
+    end(GrantEnd.USED);
     exchange.onStreamEnd();
   }
 
@@ -207,13 +224,13 @@
     boolean hasFailed = response.status().codeClass() == HttpStatusClass.SERVER_ERROR;
     target.load().recordOutcome(hasFailed);
     if (exchange.hasBegun() || (hasFailed && exchange.canContinueWithout(this))) {
-      end();
+      end(GrantEnd.FAILED);
       exchange.onAttemptFailed(this, AttemptFailure.FAILED);
       return;
     }
     ByteBuf content = body == null ? Unpooled.EMPTY_BUFFER : body;
     body = null;
-    end();
+    end(hasFailed ? GrantEnd.FAILED : GrantEnd.USED);
     exchange.onWholeAnswer(response, content);
   }
 
@@ -226,12 +243,12 @@
       if (failure.reason() != CallFailure.Reason.WITHDRAWN) {
         target.load().avoidUntil(relay.nowNanos() + AVOID_NANOS);
       }
-      end();
+      end(GrantEnd.UNUSED);
       exchange.onAttemptFailed(this, AttemptFailure.NOT_SENT);
       return;
     }
     target.load().recordOutcome(true);
-    end();
+    end(GrantEnd.FAILED);
     boolean isDisconnected = failure.reason() == CallFailure.Reason.BROKEN;
     exchange.onAttemptFailed(
         this, isDisconnected ? AttemptFailure.DISCONNECTED : AttemptFailure.BROKEN);
@@ -239,7 +256,10 @@
 
   private void fail(AttemptFailure failure) {
     target.load().recordOutcome(true);
-    cancel();
+    if (!isOver) {
+      end(GrantEnd.FAILED);
+      cancelCall();
+    }
     exchange.onAttemptFailed(this, failure);
   }
 
@@ -250,7 +270,7 @@
     }
   }
 
-  private void end() {
+  private void end(GrantEnd grantEnd) {
     isOver = true;
     if (isPromptRead) {
       target.load().removeDecoding(exchange);
@@ -261,5 +281,8 @@
       body.release();
       body = null;
     }
+    if (grant != null) {
+      grant.end(grantEnd);
+    }
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -8,10 +8,10 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.shoreroad.admission.RoomDecision;
 import org.shoreroad.edge.caller.AnswerChannel;
 import org.shoreroad.edge.caller.CallerExchange;
 import org.shoreroad.edge.caller.CallerRequest;
@@ -31,9 +31,6 @@
  * @since 0.2
  */
 final class Exchange implements CallerExchange {
-  /** Plain upstreams complete requests about this often: three with six slots, 20 ms a request. */
-  private static final int PLAIN_WAIT_MS = 20;
-
   private static final int MIN_DEADLINE_MS = 20;
 
   private final Relay relay;
@@ -46,14 +43,13 @@
   private final String model;
   private final long promptTokens;
   private RequestTargets targets;
+  private @Nullable Dispatch dispatch;
   private @Nullable Route route;
   private @Nullable UpstreamService service;
   private @Nullable ModelEngine engine;
   private @Nullable ClientAccount account;
   private @Nullable EventRelay events;
   private long endNanos;
-  private long waitUntilNanos;
-  private boolean isWaiting;
   private boolean isOver;
 
   Exchange(Relay relay, CallerRequest request, AnswerChannel answers) {
@@ -93,7 +89,7 @@
     targets = new RequestTargets(relay.selector(), service, model, sends, found.targetLatencyMs());
     long timeoutMs = Math.min(reader.deadlineMs(), found.timeoutMs());
     endNanos = request.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
-    waitUntilNanos = request.arrivedNanos() + waitNanos();
+    dispatch = new Dispatch(this, relay, targets, sends, engine, request.arrivedNanos());
     sends.setMaxAttempts(found.maxAttempts());
     if (relay.quarantine().recordArrival(this::fingerprint)) {
       refuse(Refusal.QUARANTINED, RetryAfter.QUARANTINE);
@@ -111,63 +107,52 @@
   }
 
   /**
-   * Returns how long a request may wait for a free slot, in nanoseconds. Engines admit and complete
-   * requests between passes, so when all slots are taken, one becomes free within about a pass.
-   */
-  private long waitNanos() {
-    ModelEngine modelEngine = engine;
-    return (long) ((modelEngine == null ? PLAIN_WAIT_MS : modelEngine.fullPassMs()) * 1e6);
-  }
-
-  /**
-   * Sends the request to the best upstream, waits a short time for one, or refuses the request.
+   * Sends the request to an upstream, lets it wait for one, or refuses it.
    *
    * <p>All attempts start here: the first, repeats, resumed streams, second attempts beside a
    * silent one. Their number is bounded only within one try of the caller. A request that crashes
    * its upstreams is stopped by the quarantine, which counts over all tries and processes.
    */
-  private void send() {
-    isWaiting = false;
+  void send() {
     if (isQuarantined()) {
       refuseOrFail(Refusal.QUARANTINED, RetryAfter.QUARANTINE);
-      return;
+    } else if (dispatch != null) {
+      dispatch.next();
     }
-    UpstreamService chosen = service;
-    Optional<Target> target = targets.choose();
-    if (chosen == null || target.isEmpty()) {
-      waitOrRefuse();
-      return;
-    }
-    Attempt next = new Attempt(this, relay, target.get(), relay.nowNanos());
-    attempts.add(next);
-    // The connections that the service permits are divided among all processes.
-    int connections =
-        Math.max(2, chosen.maxConnections() / relay.configurationSource().processCount());
-    next.start(chosen.maxConnections() == 0 ? Integer.MAX_VALUE : connections);
   }
 
-  private void waitOrRefuse() {
-    if (!attempts.isEmpty()) {
-      // A stalled upstream still has the request.
-      return;
-    }
-    boolean isHeldBack = targets.isHeldBack();
-    // A limit or rest rarely permits the next request as soon as a slot would become free.
-    boolean mayWait = !isHeldBack && sends.sent() == 0 && relay.nowNanos() < waitUntilNanos;
-    // A stream that has begun waits for another replica until the deadline.
-    if (hasBegun() || mayWait) {
-      isWaiting = true;
-      relay.addWaiting(this);
-      return;
-    }
-    if (isHeldBack) {
-      refuseOrFail(Refusal.HELD_BACK, RetryAfter.PLACE);
-      return;
-    }
-    boolean hasUpstreams = targets.hasAny();
-    refuseOrFail(
-        hasUpstreams ? Refusal.NO_PLACE : Refusal.NO_REPLICA,
-        hasUpstreams ? RetryAfter.PLACE : RetryAfter.REPLICA);
+  /** Starts an attempt at an upstream, under the grant of its room or without one. */
+  void startAttempt(Target target, RoomBroker.@Nullable Grant grant) {
+    Attempt next = new Attempt(this, relay, target, grant, relay.nowNanos());
+    attempts.add(next);
+    int maxConnections = Objects.requireNonNull(service, "service").maxConnections();
+    // The connections that the service permits are divided among all processes.
+    int connections = Math.max(2, maxConnections / relay.configurationSource().processCount());
+    next.start(maxConnections == 0 ? Integer.MAX_VALUE : connections);
+  }
+
+  /** Returns the request for room, for an admitted request to an engine. */
+  RoomBroker.Query roomQuery(Set<String> excludedHeads) {
+    Route current = Objects.requireNonNull(route, "route");
+    return new RoomBroker.Query(
+        Objects.requireNonNull(service, "service"),
+        model,
+        account == null ? "" : account.name(),
+        RequestReader.rank(current, account),
+        promptTokens,
+        reader.answerTokens(),
+        request.arrivedNanos(),
+        endNanos,
+        current.targetLatencyMs(),
+        current.targetGapMs(),
+        fingerprint().high(),
+        excludedHeads);
+  }
+
+  /** Refuses the request because the owners of all heads that were asked have no room. */
+  void refuseRoom(RoomDecision decision) {
+    String retryAfter = RetryAfter.headerValue(decision.retryAfterMs(), relay.random());
+    refuse(Refusal.NO_PLACE, retryAfter, String.valueOf(decision.refusal()));
   }
 
   /** Checks the deadline, and tries again to send a waiting request. */
@@ -177,8 +162,8 @@
     }
     if (relay.nowNanos() >= endNanos && route != null) {
       endAtDeadline();
-    } else if (isWaiting) {
-      send();
+    } else if (dispatch != null) {
+      dispatch.tick();
     }
   }
 
@@ -369,7 +354,7 @@
   }
 
   /** Refuses the request or cuts its answer, unless an upstream still has the request. */
-  private void refuseOrFail(Refusal refusal, RetryAfter retryAfter) {
+  void refuseOrFail(Refusal refusal, RetryAfter retryAfter) {
     if (!attempts.isEmpty()) {
       return;
     }
@@ -382,12 +367,16 @@
   }
 
   private void refuse(Refusal refusal, RetryAfter retryAfter) {
+    refuse(refusal, retryAfter.headerValue(relay.random()), "");
+  }
+
+  private void refuse(Refusal refusal, String retryAfterSeconds, String why) {
     relay.counters().count("shoreroad.refusals", refusal.code());
-    log.write("request_refused", "reason", refusal.code());
+    log.writeRefusal(refusal, why);
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set("X-Shoreroad-Reason", refusal.code());
     if (refusal.promisesNotRun()) {
-      headers.set(HttpHeaderNames.RETRY_AFTER, retryAfter.headerValue(relay.random()));
+      headers.set(HttpHeaderNames.RETRY_AFTER, retryAfterSeconds);
     }
     finish(refusal.end());
     answers.answer(refusal.status(), headers, Unpooled.EMPTY_BUFFER);
@@ -420,6 +409,9 @@
       isOver = true;
       relay.counters().count("shoreroad.requests.ended", end.code());
       attempts.cancelAll();
+      if (dispatch != null) {
+        dispatch.end();
+      }
       relay.remove(this);
       request.body().release();
       if (events != null) {
@@ -466,6 +458,11 @@
     return attempt == null ? "" : attempt.target().box().id();
   }
 
+  /** Returns true if an upstream has the request, or is about to. */
+  boolean hasAttempts() {
+    return !attempts.isEmpty();
+  }
+
   /** Returns true if a stream's head was sent to the caller, so that no other answer can follow. */
   boolean hasBegun() {
     return events != null;
--- a/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
@@ -62,6 +62,19 @@
     relay.log().write(event, fields.toArray());
   }
 
+  /**
+   * Writes that the request is refused.
+   *
+   * @param why the reason of the process that grants the room, or an empty text
+   */
+  void writeRefusal(Refusal refusal, String why) {
+    if (why.isEmpty()) {
+      write("request_refused", "reason", refusal.code());
+    } else {
+      write("request_refused", "reason", refusal.code(), "why", why);
+    }
+  }
+
   private long configVersion() {
     TrafficConfig config = relay.configurationSource().config();
     return config == null ? NO_VERSION : config.version();
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/HeadViews.java
@@ -0,0 +1,67 @@
+package org.shoreroad.edge.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongSupplier;
+import org.shoreroad.edge.sync.DomainIndex;
+import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.traffic.UpstreamService;
+
+/**
+ * The open heads of each model, as this process observes them. Used on the event loop.
+ *
+ * @since 0.2
+ */
+public final class HeadViews {
+  private final UpstreamTable table;
+  private final Backpressure backpressure;
+  private final LongSupplier clockNanos;
+
+  /** Creates views of the heads in the table. */
+  public HeadViews(UpstreamTable table, Backpressure backpressure, LongSupplier clockNanos) {
+    this.table = table;
+    this.backpressure = backpressure;
+    this.clockNanos = clockNanos;
+  }
+
+  /**
+   * Returns the open heads of a model.
+   *
+   * @param service a service with engines, not null
+   * @param model the model, not null
+   */
+  public List<HeadView> of(UpstreamService service, String model) {
+    List<HeadView> views = new ArrayList<>();
+    for (FleetBox box : table.candidates(service, model)) {
+      String domain = box.domain();
+      if (domain != null) {
+        views.add(view(box, DomainIndex.keyOf(box.service(), domain)));
+      }
+    }
+    return views;
+  }
+
+  /** Returns a number that changes whenever the set of heads may have changed. */
+  public long changes() {
+    return table.changes();
+  }
+
+  private HeadView view(FleetBox box, String domain) {
+    long nowNanos = clockNanos.getAsLong();
+    UpstreamLoad load = table.loadOf(box.id());
+    boolean isUsable =
+        !load.isSuspectedAt(nowNanos)
+            && !load.isAvoided(nowNanos)
+            && !backpressure.isLimited(box.incarnation())
+            && backpressure.maySendTo(box);
+    return new HeadView(
+        box.id(),
+        domain,
+        box.zone(),
+        load.openCount(),
+        load.peerGrantedCount(),
+        load.waitingPromptTokens(),
+        load.pace().slowness(nowNanos),
+        isUsable);
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.RepeatingTimer;
 import org.shoreroad.edge.caller.AnswerChannel;
@@ -58,6 +59,7 @@
   private int stallTickMs = MAX_STALL_TICK_MS;
   private boolean isWaitingTickScheduled;
   private boolean isRefusingNew;
+  private @Nullable RoomBroker roomBroker;
   private long acceptedCount;
 
   /** Creates a relay; {@link #start} starts its timers. */
@@ -91,6 +93,16 @@
     quarantine.setListener(this::endQuarantined);
   }
 
+  /** Sets the broker that asks for room at the heads of engines; without it none is asked for. */
+  public void setRoomBroker(RoomBroker broker) {
+    roomBroker = broker;
+  }
+
+  /** Returns the broker for room, or null if each process chooses by itself. */
+  @Nullable RoomBroker roomBroker() {
+    return roomBroker;
+  }
+
   /** Starts the periodic checks of open requests and of silent heads. */
   public void start() {
     timer.every(TICK_MS, "relay", this::tick);
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
@@ -61,6 +61,18 @@
     return Decimals.parse(request.header(names.tokenCount()).split(",", 2)[0].trim(), 0);
   }
 
+  /**
+   * Returns the caller's estimate of the tokens of the answer, at most the number that it permits,
+   * or 0 if it gives none.
+   */
+  int answerTokens() {
+    String[] counts = request.header(names.tokenCount()).split(",", 2);
+    long most = counts.length < 2 ? 0 : Decimals.parse(counts[1].trim(), 0);
+    long estimate = Decimals.parse(request.header(names.lengthHint()), 0);
+    long bounded = most == 0 ? estimate : Math.min(estimate, most);
+    return (int) Math.min(Integer.MAX_VALUE, bounded);
+  }
+
   /**
    * Returns the fingerprint, which is the same when the caller sends the request again. It is
    * computed on first use, since most requests end well and never need it.
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestTargets.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestTargets.java
@@ -1,6 +1,8 @@
 package org.shoreroad.edge.relay;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.traffic.UpstreamService;
 
@@ -43,6 +45,32 @@
         : selector.choose(service, model, sends.triedIds(), targetLatencyMs);
   }
 
+  /**
+   * Returns the best upstream that can take the request now, apart from some.
+   *
+   * @param unusable the ids of the upstreams that don't count, not null
+   */
+  Optional<Target> choose(Set<String> unusable) {
+    if (unusable.isEmpty() || service == null) {
+      return choose();
+    }
+    Set<String> excluded = new HashSet<>(sends.triedIds());
+    excluded.addAll(unusable);
+    return selector.choose(service, model, excluded, targetLatencyMs);
+  }
+
+  /** Returns the head with this id if this process may send the request there now. */
+  Optional<Target> at(String headId) {
+    return service == null
+        ? Optional.empty()
+        : selector.find(service, model, headId, sends.triedIds());
+  }
+
+  /** Returns true if the request is for a model whose heads' room is granted by their owners. */
+  boolean isRoomShared(RoomBroker broker) {
+    return service != null && model != null && broker.isShared(service, model);
+  }
+
   /** Returns true if an upstream can take the request now. */
   boolean isAnyFree() {
     return choose().isPresent();
--- a/edge/src/main/java/org/shoreroad/edge/relay/RetryAfter.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RetryAfter.java
@@ -33,6 +33,19 @@
   /** Returns the header value: seconds, from the delay to one and a half times the delay. */
   String headerValue(RandomGenerator random) {
     double randomizedMs = delayMs * (1 + SPREAD * random.nextDouble());
-    return Double.toString(Math.round(randomizedMs) / MILLIS_PER_SECOND);
+    return toSeconds(randomizedMs);
+  }
+
+  /**
+   * Returns the header value for a planned return, or for {@link #PLACE} if none is planned.
+   *
+   * @param plannedMs the time after which the caller should return, in milliseconds, 0 for none
+   */
+  static String headerValue(int plannedMs, RandomGenerator random) {
+    return plannedMs == 0 ? PLACE.headerValue(random) : toSeconds(plannedMs);
+  }
+
+  private static String toSeconds(double delayMs) {
+    return Double.toString(Math.round(delayMs) / MILLIS_PER_SECOND);
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
@@ -27,6 +27,7 @@
   private int ownDecodingCount;
   private int peerOpenCount;
   private long peerWaitingTokens;
+  private int peerGrantedCount;
   private long peerProgressNanos = Long.MIN_VALUE / 2;
   private double failureMean;
   private long progressNanos = Long.MIN_VALUE / 2;
@@ -171,6 +172,7 @@
   void clearPeerLoads() {
     peerOpenCount = 0;
     peerWaitingTokens = 0;
+    peerGrantedCount = 0;
   }
 
   /** Adds the load that another process reported. */
@@ -183,6 +185,16 @@
     }
   }
 
+  /** Adds the part of another process's load that the owner of the domain has granted. */
+  void addPeerGranted(int count) {
+    peerGrantedCount += count;
+  }
+
+  /** Returns the open requests of other processes that the owner of the domain has granted. */
+  int peerGrantedCount() {
+    return peerGrantedCount;
+  }
+
   /** Returns the prompt tokens of all requests without an event yet, over all processes. */
   long waitingPromptTokens() {
     return waitingPromptTokens + peerWaitingTokens;
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
@@ -108,6 +108,21 @@
     return best == null ? Optional.empty() : Optional.of(new Target(best, table.loadOf(best.id())));
   }
 
+  /**
+   * Returns the upstream with this id if this process may send it a request now, however many
+   * requests are open there.
+   */
+  Optional<Target> find(
+      UpstreamService service, @Nullable String model, String id, Set<String> tried) {
+    long nowNanos = clockNanos.getAsLong();
+    UpstreamLoad load = table.loadOf(id);
+    return table.candidates(service, model).stream()
+        .filter(box -> box.id().equals(id) && !tried.contains(id))
+        .filter(box -> !isExcluded(load, nowNanos) && backpressure.maySendTo(box))
+        .map(box -> new Target(box, load))
+        .findFirst();
+  }
+
   /** Returns true if there is an upstream for the model or the service, free or not. */
   boolean hasAny(UpstreamService service, @Nullable String model) {
     return !table.candidates(service, model).isEmpty();
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
@@ -92,6 +92,10 @@
             loadOf(load.upstream())
                 .addPeerLoad(load.open(), load.waitingPromptTokens(), progressNanos);
           }
+          heartbeat
+              .additions()
+              .grantedOpen()
+              .forEach((head, count) -> loadOf(head).addPeerGranted(count));
         });
   }
 
@@ -103,6 +107,11 @@
         : openHeads.getOrDefault(service.name() + "/" + model, List.of());
   }
 
+  /** Returns a number that changes whenever the lists of upstreams may have changed. */
+  long changes() {
+    return fleet.targetChanges();
+  }
+
   /** Returns a copy, because moving requests to other upstreams changes the loads. */
   List<UpstreamLoad> loadsWithOwnRequests() {
     return loads.values().stream().filter(load -> load.ownOpenCount() > 0).toList();
--- a/edge/src/main/java/org/shoreroad/edge/sync/DomainIndex.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/DomainIndex.java
@@ -9,12 +9,16 @@
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.fleet.FleetBox;
 
-/** Index of the boxes by fabric domain. Not thread-safe: used on the event loop. */
-final class DomainIndex {
+/**
+ * Index of the boxes by fabric domain. Not thread-safe: used on the event loop.
+ *
+ * @since 0.2
+ */
+public final class DomainIndex {
   private final Map<String, Map<String, FleetBox>> boxesByDomain = new HashMap<>();
 
   /** Returns the key of a fabric domain of a service. */
-  static String keyOf(String service, String domain) {
+  public static String keyOf(String service, String domain) {
     return service + "/" + domain;
   }
 
