--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -11,18 +11,21 @@
 import org.shoreroad.edge.http.HttpCalls;
 import org.shoreroad.edge.peer.Announcement;
 import org.shoreroad.edge.peer.FailureDetector;
+import org.shoreroad.edge.peer.HeartbeatAdditions;
 import org.shoreroad.edge.peer.PeerMesh;
 import org.shoreroad.edge.peer.ProcessRegistry;
 import org.shoreroad.edge.peer.QuarantineRegistry;
 import org.shoreroad.edge.relay.Backpressure;
 import org.shoreroad.edge.relay.DemandMeter;
 import org.shoreroad.edge.relay.FleetSummary;
+import org.shoreroad.edge.relay.HeadViews;
 import org.shoreroad.edge.relay.Relay;
 import org.shoreroad.edge.relay.RequestQuarantine;
 import org.shoreroad.edge.relay.StallDetector;
 import org.shoreroad.edge.relay.UpstreamSelector;
 import org.shoreroad.edge.relay.UpstreamTable;
 import org.shoreroad.edge.replica.ReplicaService;
+import org.shoreroad.edge.room.RoomSharing;
 import org.shoreroad.edge.sync.CountedStore;
 import org.shoreroad.edge.sync.DomainLeases;
 import org.shoreroad.edge.sync.Fleet;
@@ -198,6 +201,36 @@
     this.shutdown =
         new GracefulShutdown(loop, clockNanos, log, settings.graceMs(), leases, callers, relay);
     connect(calls);
+    shareRoom();
+  }
+
+  /** Lets the owners of fabric domains grant the room at their heads, if the settings say so. */
+  private void shareRoom() {
+    if (!settings.sharesRoom()) {
+      return;
+    }
+    RoomSharing room =
+        new RoomSharing(
+            loop,
+            clockNanos,
+            random,
+            log,
+            metrics,
+            new HeartbeatAdditions.RoomOwner(name, peerAddress()),
+            settings.zone(),
+            leases,
+            () -> mesh.latestHeartbeats().keySet(),
+            configuration::config,
+            new HeadViews(upstreams, backpressure, clockNanos));
+    relay.setRoomBroker(room.broker());
+    heartbeats.addContributor(room::contribute);
+    mesh.setFrameReceiver(room);
+    room.start();
+  }
+
+  private String peerAddress() {
+    String host = settings.peerListen().getAddress().getHostAddress();
+    return host + ":" + settings.peerListen().getPort();
   }
 
   private PeriodicUpdate makePeriodicUpdate() {
@@ -335,9 +368,7 @@
     configFollower.start();
     listFollower.start();
     quarantineRegistry.load();
-    String host = settings.peerListen().getAddress().getHostAddress();
-    Announcement announcement =
-        new Announcement(host + ":" + settings.peerListen().getPort(), settings.zone());
+    Announcement announcement = new Announcement(peerAddress(), settings.zone());
     // Members need the list only to find a hub. If 89 processes continued to read it, this would be
     // about 800 of 3,100 calls to the store in 72 s without faults, and each process would read
     // every restart of another.
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomSharing.java
@@ -0,0 +1,192 @@
+package org.shoreroad.edge.room;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.RepeatingTimer;
+import org.shoreroad.edge.peer.Heartbeat;
+import org.shoreroad.edge.peer.HeartbeatAdditions;
+import org.shoreroad.edge.peer.HeartbeatAdditions.RoomOwner;
+import org.shoreroad.edge.peer.PeerFrames;
+import org.shoreroad.edge.relay.HeadViews;
+import org.shoreroad.edge.relay.RelayCounters;
+import org.shoreroad.edge.relay.RoomBroker;
+import org.shoreroad.edge.sync.DomainLeases;
+import org.shoreroad.traffic.TrafficConfig;
+import org.shoreroad.traffic.UpstreamService;
+
+/**
+ * Room at replica heads that all processes share: creates and connects the service, the client and
+ * the connections of this process. Used on the event loop.
+ *
+ * @since 0.2
+ */
+public final class RoomSharing implements PeerFrames {
+  /** Interval at which owners take over load reports, the same as that of the reports. */
+  private static final int REFRESH_MS = 100;
+
+  private static final int RENEWAL_MS = 400;
+  private static final int TICKETS_MS = 200;
+  private static final int SUMMARY_MS = 2_000;
+  private static final int IDLE_CHECK_MS = 1_000;
+
+  private final RepeatingTimer timer;
+  private final RoomOwner self;
+  private final DomainLeases leases;
+  private final Supplier<Collection<Heartbeat>> latestHeartbeats;
+  private final RoomOwners owners;
+  private final RoomLinks links;
+  private final RoomClient client;
+  private final RoomService service;
+
+  /** This process as the receiver of its own replies. */
+  private final RoomReplies ownReplies =
+      new RoomReplies() {
+        @Override
+        public boolean isOpen() {
+          return true;
+        }
+
+        @Override
+        public void send(RoomMessage message) {
+          client.receive(self.process(), message);
+        }
+      };
+
+  /**
+   * Creates an instance; {@link #start} starts its timers.
+   *
+   * @param self the name of this process and its address for other processes, not null
+   * @param zone the availability zone of this process, not null
+   * @param latestHeartbeats returns the heartbeats that together cover all others, not null
+   * @param config returns the configuration in force, or null while there is none, not null
+   */
+  public RoomSharing(
+      EventLoop loop,
+      LongSupplier clockNanos,
+      RandomGenerator random,
+      EventLog log,
+      RelayCounters counters,
+      RoomOwner self,
+      String zone,
+      DomainLeases leases,
+      Supplier<Collection<Heartbeat>> latestHeartbeats,
+      Supplier<@Nullable TrafficConfig> config,
+      HeadViews heads) {
+    this.timer = new RepeatingTimer(loop, log);
+    this.self = self;
+    this.leases = leases;
+    this.latestHeartbeats = latestHeartbeats;
+    RoomTicks ticks = (delayMs, task) -> timer.once(delayMs, "room", task);
+    this.owners = new RoomOwners(zone, heads::of, clockNanos, random);
+    this.links = new RoomLinks(loop, clockNanos, log, self.process(), this::toSelf, listener());
+    this.client = new RoomClient(self.process(), zone, owners, links, ticks, clockNanos, counters);
+    this.service =
+        new RoomService(
+            () -> services(config.get()),
+            heads::of,
+            leases::holds,
+            () -> client.grantedBy(self.process()),
+            (spec, model) -> RoomLedger.of(spec, model, random),
+            ticks,
+            clockNanos,
+            log,
+            counters);
+  }
+
+  private static Collection<UpstreamService> services(@Nullable TrafficConfig config) {
+    return config == null ? List.of() : config.services();
+  }
+
+  private RoomLinks.Listener listener() {
+    return new RoomLinks.Listener() {
+      @Override
+      public void onReply(String owner, RoomMessage message) {
+        client.receive(owner, message);
+      }
+
+      @Override
+      public void onLost(String owner) {
+        client.onOwnerLost(owner);
+      }
+    };
+  }
+
+  /** Starts the timers. */
+  public void start() {
+    timer.every(REFRESH_MS, "room of heads", this::refresh);
+    timer.every(RENEWAL_MS, "room renewals", client::renew);
+    timer.every(
+        TICKETS_MS,
+        "room tickets",
+        () -> service.shareTickets(owners::ownersOf, self.process(), links));
+    timer.every(SUMMARY_MS, "room summary", service::summarize);
+    timer.every(IDLE_CHECK_MS, "room links", links::closeIdle);
+  }
+
+  /** Returns the broker for the requests of this process. */
+  public RoomBroker broker() {
+    return client;
+  }
+
+  /** Adds the granted requests and the owned domains of this process to a heartbeat. */
+  public HeartbeatAdditions contribute(HeartbeatAdditions additions) {
+    return additions.withRoom(client.grantedOpen(), ownDomains());
+  }
+
+  private Map<String, RoomOwner> ownDomains() {
+    Map<String, RoomOwner> own = new HashMap<>();
+    for (String domain : leases.grantedDomains()) {
+      if (leases.holds(domain)) {
+        own.put(domain, self);
+      }
+    }
+    return own;
+  }
+
+  private void refresh() {
+    Map<String, RoomOwner> known = new HashMap<>();
+    for (Heartbeat heartbeat : latestHeartbeats.get()) {
+      known.putAll(heartbeat.additions().roomOwners());
+    }
+    // A heartbeat of a hub may still name a domain that this process has given up.
+    known.values().removeIf(owner -> owner.process().equals(self.process()));
+    known.putAll(ownDomains());
+    owners.setOwners(known);
+    service.refresh();
+  }
+
+  private void toSelf(RoomMessage message) {
+    service.receive(message, ownReplies);
+  }
+
+  @Override
+  public boolean accepts(byte[] frame) {
+    return RoomCodec.isRoomMessage(frame);
+  }
+
+  @Override
+  public void receive(byte[] frame, Replies replies) throws IOException {
+    RoomReplies way =
+        new RoomReplies() {
+          @Override
+          public boolean isOpen() {
+            return replies.isOpen();
+          }
+
+          @Override
+          public void send(RoomMessage message) {
+            replies.send(RoomCodec.toBytes(message));
+          }
+        };
+    RoomCodec.parse(frame).ifPresent(message -> service.receive(message, way));
+  }
+}
