--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -218,7 +218,7 @@
             metrics,
             new HeartbeatAdditions.RoomOwner(name, peerAddress()),
             settings.zone(),
-            leases,
+            leases::heldDomains,
             () -> mesh.latestHeartbeats().keySet(),
             configuration::config,
             new HeadViews(upstreams, backpressure, clockNanos));
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomService.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomService.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.function.BiFunction;
 import java.util.function.LongSupplier;
-import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.shoreroad.admission.ReturnPlan;
 import org.shoreroad.admission.RoomDecision;
@@ -34,7 +33,7 @@
 
   private final Supplier<Collection<UpstreamService>> services;
   private final BiFunction<UpstreamService, String, List<HeadView>> heads;
-  private final Predicate<String> isOwned;
+  private final Supplier<Set<String>> ownedDomains;
   private final Supplier<Map<String, Integer>> ownGranted;
   private final RoomLedger.Factory ledgers;
   private final RoomTicks ticks;
@@ -49,14 +48,14 @@
    *
    * @param services returns the services of the configuration in force, not null
    * @param heads returns the open heads of a model, not null
-   * @param isOwned returns true if this process owns the domain with this key now, not null
+   * @param ownedDomains returns the keys of the domains that this process owns now, not null
    * @param ownGranted returns the requests of this process itself under grants of it, by the id of
    *     the head, not null
    */
   RoomService(
       Supplier<Collection<UpstreamService>> services,
       BiFunction<UpstreamService, String, List<HeadView>> heads,
-      Predicate<String> isOwned,
+      Supplier<Set<String>> ownedDomains,
       Supplier<Map<String, Integer>> ownGranted,
       RoomLedger.Factory ledgers,
       RoomTicks ticks,
@@ -65,7 +64,7 @@
       RelayCounters counters) {
     this.services = services;
     this.heads = heads;
-    this.isOwned = isOwned;
+    this.ownedDomains = ownedDomains;
     this.ownGranted = ownGranted;
     this.ledgers = ledgers;
     this.ticks = ticks;
@@ -77,11 +76,12 @@
   /** Takes over the present state of the heads in the domains that this process owns. */
   void refresh() {
     Map<String, Integer> granted = ownGranted.get();
+    Set<String> owned = ownedDomains.get();
     Set<String> current = new HashSet<>();
     for (UpstreamService service : services.get()) {
       if (service.engine() != null) {
         for (ModelShape shape : service.engine().models()) {
-          refresh(service, shape, granted, current);
+          refresh(service, shape, owned, granted, current);
         }
       }
     }
@@ -96,12 +96,13 @@
   private void refresh(
       UpstreamService service,
       ModelShape shape,
+      Set<String> allOwned,
       Map<String, Integer> granted,
       Set<String> current) {
     List<HeadView> listed = new ArrayList<>();
     Set<String> owned = new HashSet<>();
     for (HeadView head : heads.apply(service, shape.name())) {
-      if (isOwned.test(head.domain())) {
+      if (allOwned.contains(head.domain())) {
         listed.add(head);
         owned.add(head.domain());
       }
@@ -109,7 +110,7 @@
     String key = keyOf(service.name(), shape.name());
     ModelRoom room = rooms.get(key);
     if (room != null) {
-      room.domains().stream().filter(isOwned).forEach(owned::add);
+      room.domains().stream().filter(allOwned::contains).forEach(owned::add);
     }
     // The figures of the engine may have changed with the configuration.
     if (owned.isEmpty() || (room != null && !room.service().equals(service))) {
@@ -150,7 +151,7 @@
 
   private void ask(RoomMessage.Ask ask, RoomReplies replies) {
     ModelRoom room = rooms.get(keyOf(ask.service(), ask.model()));
-    if (room == null || !room.domains().stream().allMatch(isOwned)) {
+    if (room == null || !ownedDomains.get().containsAll(room.domains())) {
       refresh();
       room = rooms.get(keyOf(ask.service(), ask.model()));
     }
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomSharing.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomSharing.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -19,7 +20,6 @@
 import org.shoreroad.edge.relay.HeadViews;
 import org.shoreroad.edge.relay.RelayCounters;
 import org.shoreroad.edge.relay.RoomBroker;
-import org.shoreroad.edge.sync.DomainLeases;
 import org.shoreroad.traffic.TrafficConfig;
 import org.shoreroad.traffic.UpstreamService;
 
@@ -40,7 +40,7 @@
 
   private final RepeatingTimer timer;
   private final RoomOwner self;
-  private final DomainLeases leases;
+  private final Supplier<Set<String>> ownedDomains;
   private final Supplier<Collection<Heartbeat>> latestHeartbeats;
   private final RoomOwners owners;
   private final RoomLinks links;
@@ -66,6 +66,7 @@
    *
    * @param self the name of this process and its address for other processes, not null
    * @param zone the availability zone of this process, not null
+   * @param ownedDomains returns the keys of the domains that this process owns now, not null
    * @param latestHeartbeats returns the heartbeats that together cover all others, not null
    * @param config returns the configuration in force, or null while there is none, not null
    */
@@ -77,13 +78,13 @@
       RelayCounters counters,
       RoomOwner self,
       String zone,
-      DomainLeases leases,
+      Supplier<Set<String>> ownedDomains,
       Supplier<Collection<Heartbeat>> latestHeartbeats,
       Supplier<@Nullable TrafficConfig> config,
       HeadViews heads) {
     this.timer = new RepeatingTimer(loop, log);
     this.self = self;
-    this.leases = leases;
+    this.ownedDomains = ownedDomains;
     this.latestHeartbeats = latestHeartbeats;
     RoomTicks ticks = (delayMs, task) -> timer.once(delayMs, "room", task);
     this.owners = new RoomOwners(zone, heads::of, clockNanos, random);
@@ -93,7 +94,7 @@
         new RoomService(
             () -> services(config.get()),
             heads::of,
-            leases::holds,
+            ownedDomains,
             () -> client.grantedBy(self.process()),
             (spec, model) -> RoomLedger.of(spec, model, random),
             ticks,
@@ -144,11 +145,7 @@
 
   private Map<String, RoomOwner> ownDomains() {
     Map<String, RoomOwner> own = new HashMap<>();
-    for (String domain : leases.grantedDomains()) {
-      if (leases.holds(domain)) {
-        own.put(domain, self);
-      }
-    }
+    ownedDomains.get().forEach(domain -> own.put(domain, self));
     return own;
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/sync/DomainLeases.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/DomainLeases.java
@@ -144,6 +144,18 @@
     return granted;
   }
 
+  /** Returns the domains for which this process may send orders now. */
+  public Set<String> heldDomains() {
+    Set<String> held = new HashSet<>();
+    leases.forEach(
+        (domain, lease) -> {
+          if (lease.isHeld()) {
+            held.add(domain);
+          }
+        });
+    return held;
+  }
+
   /** Returns true if the store has assigned at least one domain to this process. */
   public boolean hasGrantedDomains() {
     return leases.values().stream().anyMatch(DomainLease::isGranted);
--- a/edge/src/test/java/org/shoreroad/edge/peer/Heartbeats.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/Heartbeats.java
@@ -62,6 +62,29 @@
     return with(bare.configVersion(), limits);
   }
 
+  /** Returns the heartbeat with loads and additions, sent at a time. */
+  public Heartbeat withRoom(long sentNanos, List<Load> loads, HeartbeatAdditions additions) {
+    return new Heartbeat(
+        bare.sender(),
+        sentNanos,
+        0,
+        bare.scope(),
+        bare.processes(),
+        bare.configNext(),
+        bare.configVersion(),
+        bare.configAgeNanos(),
+        loads,
+        Set.of(),
+        Map.of(),
+        Set.of(),
+        Set.of(),
+        List.of(),
+        ListUpdate.NONE,
+        List.of(),
+        List.of(),
+        additions);
+  }
+
   private Heartbeat with(long version, List<LimitReport> limits) {
     return new Heartbeat(
         bare.sender(),
