--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerLink.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerLink.java
@@ -45,6 +45,7 @@
   private final Deque<byte[]> queued = new ArrayDeque<>();
   private @Nullable Channel channel;
   private boolean isConnecting;
+  private boolean isClosed;
   private long lostNanos = Long.MIN_VALUE / 2;
   private long lastSentNanos;
 
@@ -87,7 +88,7 @@
       open.writeAndFlush(Unpooled.wrappedBuffer(frame));
       return true;
     }
-    if (queued.size() >= MAX_QUEUED || nowNanos - lostNanos < RECONNECT_NANOS) {
+    if (isClosed || queued.size() >= MAX_QUEUED || nowNanos - lostNanos < RECONNECT_NANOS) {
       return false;
     }
     queued.add(frame);
@@ -97,7 +98,11 @@
     return true;
   }
 
-  /** Closes the connection if nothing was sent for some time; returns true if it is closed. */
+  /**
+   * Closes the link for good if nothing was sent for some time; the listener isn't called.
+   *
+   * @return true if it is closed
+   */
   public boolean closeIfIdle(long nowNanos) {
     if (nowNanos - lastSentNanos <= IDLE_TIMEOUT_NANOS) {
       return false;
@@ -106,8 +111,9 @@
     return true;
   }
 
-  /** Closes the connection. */
+  /** Closes the link for good; the listener isn't called. */
   public void close() {
+    isClosed = true;
     if (channel != null) {
       channel.close();
     }
@@ -138,6 +144,10 @@
       handleLoss();
       return;
     }
+    if (isClosed) {
+      done.channel().close();
+      return;
+    }
     channel = done.channel();
     done.channel().closeFuture().addListener(closed -> handleLoss());
     while (!queued.isEmpty()) {
@@ -150,7 +160,9 @@
     channel = null;
     queued.clear();
     lostNanos = clockNanos.getAsLong();
-    listener.onLost();
+    if (!isClosed) {
+      listener.onLost();
+    }
   }
 
   private final class Receiver extends SimpleChannelInboundHandler<ByteBuf> {
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomLinks.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomLinks.java
@@ -4,8 +4,8 @@
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.http.NumericAddress;
 import org.shoreroad.edge.peer.HeartbeatAdditions.RoomOwner;
@@ -17,7 +17,7 @@
   private final LongSupplier clockNanos;
   private final EventLog log;
   private final String self;
-  private final Consumer<RoomMessage> toSelf;
+  private final Predicate<RoomMessage> toSelf;
   private final Listener listener;
   private final Map<RoomOwner, PeerLink> links = new HashMap<>();
 
@@ -34,14 +34,15 @@
    * Creates an instance without connections.
    *
    * @param self the name of this process, not null
-   * @param toSelf handles the messages to this process as an owner, not null
+   * @param toSelf handles the messages to this process as an owner and returns false if that fails,
+   *     not null
    */
   RoomLinks(
       EventLoop loop,
       LongSupplier clockNanos,
       EventLog log,
       String self,
-      Consumer<RoomMessage> toSelf,
+      Predicate<RoomMessage> toSelf,
       Listener listener) {
     this.loop = loop;
     this.clockNanos = clockNanos;
@@ -54,8 +55,7 @@
   @Override
   public boolean send(RoomOwner owner, RoomMessage message) {
     if (owner.process().equals(self)) {
-      toSelf.accept(message);
-      return true;
+      return toSelf.test(message);
     }
     if (!NumericAddress.isValid(owner.address())) {
       log.write("room_owner_unusable", "process", owner.process(), "address", owner.address());
@@ -77,6 +77,7 @@
 
       @Override
       public void onLost() {
+        log.write("room_link_lost", "process", owner.process());
         listener.onLost(owner.process());
       }
     };
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomSharing.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomSharing.java
@@ -38,7 +38,10 @@
   private static final int SUMMARY_MS = 2_000;
   private static final int IDLE_CHECK_MS = 1_000;
 
+  private final EventLoop loop;
   private final RepeatingTimer timer;
+  private final EventLog log;
+  private final RelayCounters counters;
   private final RoomOwner self;
   private final Supplier<Set<String>> ownedDomains;
   private final Supplier<Collection<Heartbeat>> latestHeartbeats;
@@ -47,7 +50,10 @@
   private final RoomClient client;
   private final RoomService service;
 
-  /** This process as the receiver of its own replies. */
+  /**
+   * This process as the receiver of its own replies, which arrive later like those of others: a
+   * freed slot may otherwise start a request while the end of another one is still under way.
+   */
   private final RoomReplies ownReplies =
       new RoomReplies() {
         @Override
@@ -57,7 +63,7 @@
 
         @Override
         public void send(RoomMessage message) {
-          client.receive(self.process(), message);
+          loop.execute(() -> client.receive(self.process(), message));
         }
       };
 
@@ -82,6 +88,9 @@
       Supplier<Collection<Heartbeat>> latestHeartbeats,
       Supplier<@Nullable TrafficConfig> config,
       HeadViews heads) {
+    this.loop = loop;
+    this.log = log;
+    this.counters = counters;
     this.timer = new RepeatingTimer(loop, log);
     this.self = self;
     this.ownedDomains = ownedDomains;
@@ -161,8 +170,22 @@
     service.refresh();
   }
 
-  private void toSelf(RoomMessage message) {
-    service.receive(message, ownReplies);
+  private boolean toSelf(RoomMessage message) {
+    return handle(message, ownReplies);
+  }
+
+  /** Handles a message to this process as an owner; returns false if that fails. */
+  private boolean handle(RoomMessage message, RoomReplies replies) {
+    try {
+      service.receive(message, replies);
+      return true;
+    } catch (RuntimeException e) {
+      // The request goes to another owner or where its process chooses.
+      counters.count("shoreroad.room.failures", e.getClass().getSimpleName());
+      String place = e.getStackTrace().length == 0 ? "" : e.getStackTrace()[0].toString();
+      log.write("room_failed", "why", String.valueOf(e), "place", place);
+      return false;
+    }
   }
 
   @Override
@@ -184,6 +207,6 @@
             replies.send(RoomCodec.toBytes(message));
           }
         };
-    RoomCodec.parse(frame).ifPresent(message -> service.receive(message, way));
+    RoomCodec.parse(frame).ifPresent(message -> handle(message, way));
   }
 }
