--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -221,7 +221,8 @@
             leases::heldDomains,
             () -> mesh.latestHeartbeats().keySet(),
             configuration::config,
-            new HeadViews(upstreams, backpressure, clockNanos));
+            new HeadViews(upstreams, backpressure, clockNanos),
+            replicas::closingHeadIds);
     relay.setRoomBroker(room.broker());
     heartbeats.addContributor(room::contribute);
     mesh.setFrameReceiver(room);
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -2,10 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Objects;
 import java.util.Set;
@@ -133,19 +131,11 @@
 
   /** Returns the request for room, for an admitted request to an engine. */
   RoomBroker.Query roomQuery(Set<String> excludedHeads) {
-    Route current = Objects.requireNonNull(route, "route");
-    return new RoomBroker.Query(
+    return reader.toRoomQuery(
         Objects.requireNonNull(service, "service"),
-        model,
-        account == null ? "" : account.name(),
-        RequestReader.rank(current, account),
-        promptTokens,
-        reader.answerTokens(),
-        request.arrivedNanos(),
+        Objects.requireNonNull(route, "route"),
+        account,
         endNanos,
-        current.targetLatencyMs(),
-        current.targetGapMs(),
-        fingerprint().high(),
         excludedHeads);
   }
 
@@ -373,13 +363,8 @@
   private void refuse(Refusal refusal, String retryAfterSeconds, String why) {
     relay.counters().count("shoreroad.refusals", refusal.code());
     log.writeRefusal(refusal, why);
-    HttpHeaders headers = new DefaultHttpHeaders();
-    headers.set("X-Shoreroad-Reason", refusal.code());
-    if (refusal.promisesNotRun()) {
-      headers.set(HttpHeaderNames.RETRY_AFTER, retryAfterSeconds);
-    }
     finish(refusal.end());
-    answers.answer(refusal.status(), headers, Unpooled.EMPTY_BUFFER);
+    answers.answer(refusal.status(), refusal.headers(retryAfterSeconds), Unpooled.EMPTY_BUFFER);
   }
 
   private void abort(String reason, RequestEnd end) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/HeadView.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/HeadView.java
@@ -15,6 +15,8 @@
  *     owner of the domain
  * @param unreadTokens the prompt tokens of the open requests without an event
  * @param slowness the measured duration of a pass divided by the specified one, at least 1
+ * @param startsPerSecond the number of requests that it may be sent in a second while it is cold,
+ *     {@link Double#POSITIVE_INFINITY} if it isn't cold
  * @param isUsable true if this process may send it requests now
  * @since 0.2
  */
@@ -26,6 +28,7 @@
     int peerGrantedCount,
     long unreadTokens,
     double slowness,
+    double startsPerSecond,
     boolean isUsable) {
   /** Checks that no name is null. */
   public HeadView {
@@ -33,4 +36,18 @@
     Objects.requireNonNull(domain, "domain");
     Objects.requireNonNull(zone, "zone");
   }
+
+  /** Returns the head as one that may not be sent requests. */
+  public HeadView withoutUse() {
+    return new HeadView(
+        id,
+        domain,
+        zone,
+        openCount,
+        peerGrantedCount,
+        unreadTokens,
+        slowness,
+        startsPerSecond,
+        false);
+  }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/HeadViews.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/HeadViews.java
@@ -62,6 +62,7 @@
         load.peerGrantedCount(),
         load.waitingPromptTokens(),
         load.pace().slowness(nowNanos),
+        Double.POSITIVE_INFINITY,
         isUsable);
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Refusal.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Refusal.java
@@ -1,5 +1,8 @@
 package org.shoreroad.edge.relay;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Locale;
 
@@ -40,6 +43,21 @@
     return status == HttpResponseStatus.SERVICE_UNAVAILABLE;
   }
 
+  /**
+   * Returns the headers of the answer.
+   *
+   * @param retryAfterSeconds the time after which the caller is asked to retry, in seconds, which
+   *     is told only if the request has not run
+   */
+  HttpHeaders headers(String retryAfterSeconds) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set("X-Shoreroad-Reason", code());
+    if (promisesNotRun()) {
+      headers.set(HttpHeaderNames.RETRY_AFTER, retryAfterSeconds);
+    }
+    return headers;
+  }
+
   /** Returns how a request with this refusal is counted as ended. */
   RequestEnd end() {
     return switch (this) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
@@ -6,12 +6,14 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.caller.CallerRequest;
 import org.shoreroad.edge.caller.HeaderNames;
 import org.shoreroad.quarantine.RequestFingerprint;
 import org.shoreroad.traffic.ClientAccount;
 import org.shoreroad.traffic.Route;
+import org.shoreroad.traffic.UpstreamService;
 
 /**
  * Reader of the headers of a caller's request, which also creates the request for the upstream. Not
@@ -96,6 +98,35 @@
     return computed;
   }
 
+  /**
+   * Returns the request for room at a head.
+   *
+   * @param service the service, which has engines, not null
+   * @param account the client account of the caller, or null
+   * @param endNanos the deadline on the steady clock
+   * @param excludedHeads the ids of the heads that the request must not be sent to, not null
+   */
+  RoomBroker.Query toRoomQuery(
+      UpstreamService service,
+      Route route,
+      @Nullable ClientAccount account,
+      long endNanos,
+      Set<String> excludedHeads) {
+    return new RoomBroker.Query(
+        service,
+        model(),
+        account == null ? "" : account.name(),
+        rank(route, account),
+        promptTokens(),
+        answerTokens(),
+        request.arrivedNanos(),
+        endNanos,
+        route.targetLatencyMs(),
+        route.targetGapMs(),
+        fingerprint(route.host(), account).high(),
+        excludedHeads);
+  }
+
   /** Returns how urgent a request is, from 0 to 9, by its client account or else by its route. */
   static int rank(Route route, @Nullable ClientAccount account) {
     boolean hasAccountPriority = account != null && account.priority() != ClientAccount.NO_PRIORITY;
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -168,6 +168,13 @@
     return monitor.takeReports();
   }
 
+  /** Returns the ids of the heads of replicas that this process is closing. */
+  public Set<String> closingHeadIds() {
+    Set<String> ids = new HashSet<>();
+    reconcilers.values().forEach(reconciler -> ids.addAll(reconciler.closingHeadIds()));
+    return ids;
+  }
+
   /** Forgets a box that has ended or restarted, and with it the orders it was given. */
   public void forget(String id) {
     monitor.forget(id);
--- a/edge/src/main/java/org/shoreroad/edge/room/ModelRoom.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/ModelRoom.java
@@ -146,7 +146,7 @@
         foreignTokens,
         view.slowness(),
         view.isUsable(),
-        Double.POSITIVE_INFINITY);
+        view.startsPerSecond());
   }
 
   private void dropExpired(long nowNanos) {
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomAsk.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomAsk.java
@@ -85,7 +85,7 @@
     boolean isSent = client.port().send(next.owner(), message);
     if (!isSent && number == sentNumber && client.unregister(sentNumber)) {
       isAnySilent = true;
-      client.counters().count("shoreroad.room.silent", "not_sent");
+      client.record("silent", "not_sent");
       askNext();
     }
   }
@@ -134,7 +134,7 @@
 
   /** Called when the owner gave no reply in time or its connection was lost. */
   void onSilent(String reason) {
-    client.counters().count("shoreroad.room.silent", reason);
+    client.record("silent", reason);
     isAnySilent = true;
     endAtOwner();
     askNext();
@@ -150,13 +150,13 @@
     client.owners().recordFree(owner.name(), query, decided.freeCount());
     String headId = decision.headId();
     if (headId == null) {
-      client.counters().count("shoreroad.room.refusals", refusalCode(decision));
+      client.record("refusals", refusalCode(decision));
       noteRefusal(decision);
       askNext();
       return;
     }
     isOver = true;
-    client.counters().count("shoreroad.room.grants", "owner_" + asked.size());
+    client.record("grants", "owner_" + asked.size());
     listener.onGranted(client.hold(owner.owner(), decision.key(), headId, owner.domainOf(headId)));
   }
 
@@ -180,7 +180,7 @@
     RoomDecision refused = refusal;
     boolean isSilent = isAnySilent || client.owners().isAnyAvoided(query.service(), query.model());
     if (refused == null || isSilent) {
-      client.counters().count("shoreroad.room.unavailable", isSilent ? "silent" : "no_owner");
+      client.record("unavailable", isSilent ? "silent" : "no_owner");
       listener.onUnavailable(refusingHeads);
     } else {
       listener.onRefused(refused);
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomClient.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomClient.java
@@ -5,11 +5,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.admission.GrantEnd;
 import org.shoreroad.admission.RoomRequest;
+import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.peer.HeartbeatAdditions.RoomOwner;
 import org.shoreroad.edge.relay.RelayCounters;
 import org.shoreroad.edge.relay.RoomBroker;
@@ -35,6 +37,7 @@
   private final RelayCounters counters;
   private final Map<Long, RoomAsk> open = new HashMap<>();
   private final Map<Long, HeldGrant> granted = new HashMap<>();
+  private final Map<String, Integer> results = new TreeMap<>();
   private long lastNumber;
   private boolean isTickScheduled;
 
@@ -94,7 +97,7 @@
       ask.onDecided(decided);
     } else if (decided.decision().isGranted() && !granted.containsKey(key.number())) {
       // The request has ended or gone elsewhere since it was asked.
-      counters.count("shoreroad.room.unused", "late");
+      record("unused", "late");
       owners
           .find(owner)
           .ifPresent(found -> port.send(found, new RoomMessage.End(key, GrantEnd.UNUSED)));
@@ -160,10 +163,6 @@
     return port;
   }
 
-  RelayCounters counters() {
-    return counters;
-  }
-
   String zone() {
     return zone;
   }
@@ -210,6 +209,21 @@
     return counts;
   }
 
+  /** Counts a result of an ask, for the metrics and the next summary. */
+  void record(String counter, String reason) {
+    counters.count("shoreroad.room." + counter, reason);
+    results.merge(counter + ":" + reason, 1, Integer::sum);
+  }
+
+  /** Logs the results of the asks since the last summary, if there are any. */
+  void summarize(EventLog log) {
+    if (!results.isEmpty()) {
+      log.write(
+          "room_asks", "open", open.size(), "held", granted.size(), "results", results.toString());
+      results.clear();
+    }
+  }
+
   /** Returns the number of asks without a result. */
   int openCount() {
     return open.size();
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomSharing.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomSharing.java
@@ -17,6 +17,7 @@
 import org.shoreroad.edge.peer.HeartbeatAdditions;
 import org.shoreroad.edge.peer.HeartbeatAdditions.RoomOwner;
 import org.shoreroad.edge.peer.PeerFrames;
+import org.shoreroad.edge.relay.HeadView;
 import org.shoreroad.edge.relay.HeadViews;
 import org.shoreroad.edge.relay.RelayCounters;
 import org.shoreroad.edge.relay.RoomBroker;
@@ -74,6 +75,7 @@
    * @param zone the availability zone of this process, not null
    * @param ownedDomains returns the keys of the domains that this process owns now, not null
    * @param latestHeartbeats returns the heartbeats that together cover all others, not null
+   * @param closingHeads returns the ids of the heads of replicas that this process is closing
    * @param config returns the configuration in force, or null while there is none, not null
    */
   public RoomSharing(
@@ -87,7 +89,8 @@
       Supplier<Set<String>> ownedDomains,
       Supplier<Collection<Heartbeat>> latestHeartbeats,
       Supplier<@Nullable TrafficConfig> config,
-      HeadViews heads) {
+      HeadViews heads,
+      Supplier<Set<String>> closingHeads) {
     this.loop = loop;
     this.log = log;
     this.counters = counters;
@@ -102,7 +105,7 @@
     this.service =
         new RoomService(
             () -> services(config.get()),
-            heads::of,
+            (upstreams, model) -> withoutClosing(heads.of(upstreams, model), closingHeads.get()),
             ownedDomains,
             () -> client.grantedBy(self.process()),
             (spec, model) -> RoomLedger.of(spec, model, random),
@@ -112,6 +115,15 @@
             counters);
   }
 
+  /** Returns the heads, of which those that are being closed are not usable. */
+  private static List<HeadView> withoutClosing(List<HeadView> heads, Set<String> closingIds) {
+    return closingIds.isEmpty()
+        ? heads
+        : heads.stream()
+            .map(head -> closingIds.contains(head.id()) ? head.withoutUse() : head)
+            .toList();
+  }
+
   private static Collection<UpstreamService> services(@Nullable TrafficConfig config) {
     return config == null ? List.of() : config.services();
   }
@@ -138,10 +150,15 @@
         TICKETS_MS,
         "room tickets",
         () -> service.shareTickets(owners::ownersOf, self.process(), links));
-    timer.every(SUMMARY_MS, "room summary", service::summarize);
+    timer.every(SUMMARY_MS, "room summary", this::summarize);
     timer.every(IDLE_CHECK_MS, "room links", links::closeIdle);
   }
 
+  private void summarize() {
+    service.summarize();
+    client.summarize(log);
+  }
+
   /** Returns the broker for the requests of this process. */
   public RoomBroker broker() {
     return client;
--- a/edge/src/test/java/org/shoreroad/edge/relay/SharedRoomProcess.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/SharedRoomProcess.java
@@ -57,7 +57,8 @@
 
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   final EventLoop loop = group.next();
-  final Set<String> ownedDomains = new HashSet<>();
+  private final Set<String> ownedDomains = new HashSet<>();
+  private final Set<String> closingHeads = new HashSet<>();
   private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
   private final LongSupplier clockNanos = System::nanoTime;
   private final EventLog log;
@@ -116,7 +117,8 @@
             () -> Set.copyOf(ownedDomains),
             () -> mesh.latestHeartbeats().keySet(),
             SharedRoomProcess::config,
-            new HeadViews(table, backpressure, clockNanos));
+            new HeadViews(table, backpressure, clockNanos),
+            () -> Set.copyOf(closingHeads));
     CallerServer server =
         new CallerServer(loop, clockNanos, () -> CallerLimits.DEFAULT, relay, reason -> {});
     callerAddress = (InetSocketAddress) server.start(any).sync().channel().localAddress();
@@ -199,6 +201,11 @@
     loop.submit(() -> ownedDomains.add("llm/" + domain)).sync();
   }
 
+  /** Begins to close the replica of a head. */
+  void closeHead(String id) throws Exception {
+    loop.submit(() -> closingHeads.add(id)).sync();
+  }
+
   InetSocketAddress callerAddress() {
     return callerAddress;
   }
--- a/edge/src/test/java/org/shoreroad/edge/relay/SharedRoomTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/SharedRoomTest.java
@@ -169,6 +169,17 @@
     }
   }
 
+  @Test
+  void aHeadThatItsOwnerClosesGetsNoMoreRequests() throws Exception {
+    start(true);
+    processes.get(1).closeHead("d2-a");
+    Thread.sleep(300);
+    List<Result> results = join(load(CALLERS, processes, 1_000));
+    checkEachEndsInTime(results);
+    assertThat(largest.get("d2-a").get(), is(0));
+    assertThat(largest.get("d2-b").get(), greaterThan(0));
+  }
+
   @Test
   void requestsGoOnWhenAnOwnerIsKilled() throws Exception {
     start(true);
--- a/edge/src/test/java/org/shoreroad/edge/room/RoomClientTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/room/RoomClientTest.java
@@ -256,7 +256,8 @@
     addOwner("one", 0);
     Asked excluded = ask(Set.of("h-one"));
     assertThat(excluded.unavailable, is(empty()));
-    heads.set(0, new HeadView("h-one", "llm/d-one", "z", 0, 0, 0, 1, false));
+    heads.set(
+        0, new HeadView("h-one", "llm/d-one", "z", 0, 0, 0, 1, Double.POSITIVE_INFINITY, false));
     assertThat(ask().grant, nullValue());
   }
 }
--- a/edge/src/test/java/org/shoreroad/edge/room/RoomFixture.java
+++ b/edge/src/test/java/org/shoreroad/edge/room/RoomFixture.java
@@ -116,7 +116,9 @@
     Owner owner = new Owner(name, maxWaiting);
     owners.put(name, owner);
     owner.domains.add("llm/d-" + name);
-    heads.add(new HeadView("h-" + name, "llm/d-" + name, "z", 0, 0, 0, 1, true));
+    heads.add(
+        new HeadView(
+            "h-" + name, "llm/d-" + name, "z", 0, 0, 0, 1, Double.POSITIVE_INFINITY, true));
     owner.service.refresh();
     announce();
     return owner;
--- a/edge/src/test/java/org/shoreroad/edge/room/RoomServiceTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/room/RoomServiceTest.java
@@ -24,7 +24,9 @@
   @Test
   void theLoadWithoutGrantsIsForeign() {
     Owner owner = addOwner("one", 0);
-    heads.set(0, new HeadView("h-one", "llm/d-one", "z", 10, 6, 1_000, 1.5, true));
+    heads.set(
+        0,
+        new HeadView("h-one", "llm/d-one", "z", 10, 6, 1_000, 1.5, Double.POSITIVE_INFINITY, true));
     HeadState state = stateAfterRefresh(owner);
     assertThat(state.foreignOpen(), is(4));
     assertThat(state.foreignUnreadTokens(), is(400L));
@@ -35,7 +37,8 @@
   @Test
   void aLoadReportOlderThanTheGrantsIsNeverNegative() {
     Owner owner = addOwner("one", 0);
-    heads.set(0, new HeadView("h-one", "llm/d-one", "z", 2, 5, 100, 1, true));
+    heads.set(
+        0, new HeadView("h-one", "llm/d-one", "z", 2, 5, 100, 1, Double.POSITIVE_INFINITY, true));
     HeadState state = stateAfterRefresh(owner);
     assertThat(state.foreignOpen(), is(0));
     assertThat(state.foreignUnreadTokens(), is(0L));
