--- a/edge/src/main/java/org/shoreroad/edge/relay/HeadViews.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/HeadViews.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import org.shoreroad.edge.sync.DomainIndex;
 import org.shoreroad.fleet.FleetBox;
@@ -41,9 +42,15 @@
     return views;
   }
 
-  /** Returns a number that changes whenever the set of heads may have changed. */
-  public long changes() {
-    return table.changes();
+  /**
+   * Returns the open heads of a model, of which some are not usable because they are being closed.
+   *
+   * @param closingIds the ids of the heads that are being closed, not null
+   */
+  public List<HeadView> of(UpstreamService service, String model, Set<String> closingIds) {
+    List<HeadView> views = of(service, model);
+    views.replaceAll(head -> closingIds.contains(head.id()) ? head.withoutUse() : head);
+    return views;
   }
 
   private HeadView view(FleetBox box, String domain) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
@@ -107,11 +107,6 @@
         : openHeads.getOrDefault(service.name() + "/" + model, List.of());
   }
 
-  /** Returns a number that changes whenever the lists of upstreams may have changed. */
-  long changes() {
-    return fleet.targetChanges();
-  }
-
   /** Returns a copy, because moving requests to other upstreams changes the loads. */
   List<UpstreamLoad> loadsWithOwnRequests() {
     return loads.values().stream().filter(load -> load.ownOpenCount() > 0).toList();
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomSharing.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomSharing.java
@@ -17,7 +17,6 @@
 import org.shoreroad.edge.peer.HeartbeatAdditions;
 import org.shoreroad.edge.peer.HeartbeatAdditions.RoomOwner;
 import org.shoreroad.edge.peer.PeerFrames;
-import org.shoreroad.edge.relay.HeadView;
 import org.shoreroad.edge.relay.HeadViews;
 import org.shoreroad.edge.relay.RelayCounters;
 import org.shoreroad.edge.relay.RoomBroker;
@@ -105,7 +104,7 @@
     this.service =
         new RoomService(
             () -> services(config.get()),
-            (upstreams, model) -> withoutClosing(heads.of(upstreams, model), closingHeads.get()),
+            (upstreams, model) -> heads.of(upstreams, model, closingHeads.get()),
             ownedDomains,
             () -> client.grantedBy(self.process()),
             (spec, model) -> RoomLedger.of(spec, model, random),
@@ -115,15 +114,6 @@
             counters);
   }
 
-  /** Returns the heads, of which those that are being closed are not usable. */
-  private static List<HeadView> withoutClosing(List<HeadView> heads, Set<String> closingIds) {
-    return closingIds.isEmpty()
-        ? heads
-        : heads.stream()
-            .map(head -> closingIds.contains(head.id()) ? head.withoutUse() : head)
-            .toList();
-  }
-
   private static Collection<UpstreamService> services(@Nullable TrafficConfig config) {
     return config == null ? List.of() : config.services();
   }
