--- a/edge/src/main/java/org/shoreroad/edge/relay/EventSplitter.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/EventSplitter.java
@@ -15,8 +15,8 @@
  */
 final class EventSplitter {
   /**
-   * Maximum size of an incomplete event, far above the size of any event of a model; a stream
-   * without any end of event fails here.
+   * Maximum size of an event, far above that of any event of a model; a stream without any end of
+   * event fails here.
    */
   private static final int MAX_EVENT_BYTES = 1_048_576;
 
@@ -42,23 +42,30 @@
    *
    * @param bytes the bytes; the caller of this method releases them
    * @param sink receives the events
-   * @return false if the incomplete event exceeds the maximum size
+   * @return false if an event exceeds the maximum size; it is dropped, and the stream is unusable
    */
   boolean add(ByteBuf bytes, Sink sink) {
     ByteBuf all = partial.isReadable() ? Unpooled.wrappedBuffer(partial, bytes.retain()) : bytes;
     boolean isCombined = all != bytes;
     int end = findEventEnd(all);
-    while (end >= 0) {
+    while (end >= 0 && end - all.readerIndex() <= MAX_EVENT_BYTES) {
       ByteBuf event = Unpooled.copiedBuffer(all.readSlice(end - all.readerIndex()));
       sink.onEvent(event, readId(event));
       end = findEventEnd(all);
     }
-    ByteBuf rest = all.isReadable() ? Unpooled.copiedBuffer(all) : Unpooled.EMPTY_BUFFER;
+    boolean isTooLarge = end >= 0 || all.readableBytes() > MAX_EVENT_BYTES;
+    boolean hasRest = all.isReadable() && !isTooLarge;
+    ByteBuf rest = hasRest ? Unpooled.copiedBuffer(all) : Unpooled.EMPTY_BUFFER;
     if (isCombined) {
       all.release();
     }
     partial = rest;
-    return rest.readableBytes() <= MAX_EVENT_BYTES;
+    return !isTooLarge;
+  }
+
+  /** Returns the bytes of the incomplete event. */
+  int partialBytes() {
+    return partial.readableBytes();
   }
 
   /** Returns true if the bytes so far end in the middle of an event. */
--- a/edge/src/test/java/org/shoreroad/edge/relay/EventSplitterTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/EventSplitterTest.java
@@ -90,4 +90,24 @@
     }
     assertThat(isAccepted, is(false));
   }
+
+  @Test
+  void aCompleteEventAboveTheMaximumIsRefused() {
+    boolean isAccepted = add("data: 1\n\ndata: " + "x".repeat(1_048_576) + "\n\n");
+    assertThat(isAccepted, is(false));
+    assertThat(events, contains("data: 1\n\n"));
+  }
+
+  @Test
+  void anEventThatIsCompletedAboveTheMaximumIsRefused() {
+    assertThat(add("data: " + "x".repeat(1_048_000)), is(true));
+    assertThat(add("x".repeat(1_000) + "\n\n"), is(false));
+    assertThat(events.isEmpty(), is(true));
+  }
+
+  @Test
+  void nothingIsHeldOfAnEventAboveTheMaximum() {
+    assertThat(add("x".repeat(1_048_577)), is(false));
+    assertThat(splitter.hasPartialEvent(), is(false));
+  }
 }
