--- a/edge/src/main/java/org/shoreroad/edge/http/HttpConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/HttpConnection.java
@@ -38,6 +38,7 @@
   private boolean isKeptAlive = true;
   private boolean hasHead;
   private boolean isBroken;
+  private boolean isRequestWritten = true;
   private long maxIdleNanos = DEFAULT_IDLE_NANOS;
   private long idleSinceNanos;
 
@@ -64,7 +65,8 @@
       return;
     }
     next.markSent();
-    open.writeAndFlush(next.request());
+    isRequestWritten = false;
+    open.writeAndFlush(next.request()).addListener(done -> isRequestWritten = done.isSuccess());
   }
 
   /** Closes the connection because its call is no longer wanted. */
@@ -150,6 +152,10 @@
     }
   }
 
+  /**
+   * Ends the call. A server may answer before it has read the request; the connection is then not
+   * reused, since the rest would be held until the server reads it.
+   */
   private void readEnd() {
     if (isBroken) {
       // The connection was reset; the decoder synthesized this end for an answer without a length.
@@ -163,7 +169,7 @@
     }
     HttpCall ended = call;
     call = null;
-    if (isKeptAlive && isOpen()) {
+    if (isKeptAlive && isOpen() && isRequestWritten) {
       setReading(true);
       pool.addIdle(this);
     } else {
