--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -8,6 +8,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import org.shoreroad.edge.caller.CallerServer;
+import org.shoreroad.edge.caller.HeldBytes;
 import org.shoreroad.edge.http.HttpCalls;
 import org.shoreroad.edge.peer.Announcement;
 import org.shoreroad.edge.peer.FailureDetector;
@@ -118,6 +119,7 @@
   private final LocalHeartbeats heartbeats;
   private final PeerMesh mesh;
   private final ReplicaService replicas;
+  private final HeldBytes heldBytes;
   private final CallerServer callers;
   private final LoopLag lag;
   private final PeriodicUpdate periodicUpdate;
@@ -184,13 +186,15 @@
     this.mesh = new PeerMesh(loop, clockNanos, log, location, heartbeats, heartbeats::apply);
     this.leases = new DomainLeases(store, loop, elapsed::nowNanos, log, name, mesh, fleet::domains);
     this.replicas = makeReplicas(loop);
+    this.heldBytes = new HeldBytes(settings.heldBytes(), new HeldBytesLog(log, metrics));
     this.callers =
         new CallerServer(
             loop,
             clockNanos,
             this::limits,
             relay,
-            reason -> metrics.count("shoreroad.bad_input", reason));
+            reason -> metrics.count("shoreroad.bad_input", reason),
+            heldBytes);
     this.processes = new ProcessRegistry(store, loop, log, mesh, location);
     this.processFollower =
         follower(Topic.PROCESSES, PROCESS_WAIT_MS, this::processIntervalMs, processes);
@@ -355,6 +359,7 @@
     metrics.gauge("shoreroad.requests.in_quarantine", quarantine::quarantinedCount);
     metrics.gauge("shoreroad.upstreams.limited", backpressure::limitedCount);
     metrics.gauge("shoreroad.callers.connections", callers::connectionCount);
+    metrics.gauge("shoreroad.callers.held_bytes", heldBytes::estimatedBytes);
     metrics.gauge("shoreroad.config.age_ms", configuration::configAgeMs);
     metrics.gauge("shoreroad.processes.alive", mesh::aliveCount);
     metrics.gauge("shoreroad.log.dropped_lines", log::droppedLines);
--- a/edge/src/main/java/org/shoreroad/edge/EdgeSettings.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeSettings.java
@@ -1,6 +1,7 @@
 package org.shoreroad.edge;
 
 import java.net.InetSocketAddress;
+import org.shoreroad.edge.caller.HeldBytesRule;
 import org.shoreroad.edge.relay.RelayRules;
 
 /**
@@ -22,6 +23,7 @@
  * @param rules the limits on retries
  * @param sharesRoom true if the owners of fabric domains grant the room at their heads, because
  *     callers compete for it
+ * @param heldBytes the bounds on what is held for callers that do not read
  * @since 0.2
  */
 public record EdgeSettings(
@@ -36,4 +38,5 @@
     int stallMs,
     int graceMs,
     RelayRules rules,
-    boolean sharesRoom) {}
+    boolean sharesRoom,
+    HeldBytesRule heldBytes) {}
--- a/edge/src/main/java/org/shoreroad/edge/caller/AnswerChannel.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/AnswerChannel.java
@@ -25,6 +25,13 @@
   /** Closes the connection, so that the caller sees the answer as incomplete. */
   void abort();
 
+  /**
+   * Adds to the bytes of the answer that are collected for the caller before they are sent.
+   *
+   * @param change the change, negative for bytes that were sent or dropped
+   */
+  default void addCollected(long change) {}
+
   /** Returns false while the caller reads too slowly. */
   boolean isWritable();
 }
--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
@@ -7,6 +7,8 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -43,6 +45,9 @@
   /** Queued requests at which reading is paused until one of them is answered. */
   private static final int MAX_QUEUED = 16;
 
+  /** Short: another process usually has memory. */
+  private static final String MEMORY_RETRY_AFTER_SECONDS = "0.05";
+
   private final CallerServer server;
   private final ArrayDeque<QueuedRequest> queue = new ArrayDeque<>();
   private @Nullable Channel channel;
@@ -58,6 +63,10 @@
   private boolean isFlushDue;
   private long idleSinceNanos;
   private long partialHeadSinceNanos;
+  private long writtenParts;
+  private long collectedBytes;
+  private int answeringBodyBytes;
+  private final ReadProgress progress = new ReadProgress();
 
   CallerConnection(CallerServer server) {
     this.server = server;
@@ -77,6 +86,12 @@
     }
   }
 
+  /** Records that a part of an answer is to be sent, after it was encoded. */
+  void onPartWritten(int bytes) {
+    writtenParts++;
+    server.addHeld(bytes);
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
@@ -121,6 +136,11 @@
       return;
     }
     if (bytes.isReadable()) {
+      if (!server.held().hasRoomFor(bytes.readableBytes())) {
+        refuseForMemory();
+        return;
+      }
+      server.addHeld(bytes.readableBytes());
       collected.addComponent(true, bytes.retain());
     }
     if (content instanceof LastHttpContent) {
@@ -147,6 +167,7 @@
     isAnswering = true;
     isLastAnswer = false;
     isKeptAlive = next.isKeptAlive();
+    answeringBodyBytes = next.request().body().readableBytes();
     exchange = null;
     CallerExchange begun = server.factory().begin(next.request(), this);
     // A refusal is answered before the factory returns; its exchange gets no events.
@@ -203,6 +224,14 @@
     }
   }
 
+  @Override
+  public void addCollected(long change) {
+    collectedBytes = Math.max(0, collectedBytes + change);
+    if (change > 0) {
+      server.addHeld(change);
+    }
+  }
+
   @Override
   public boolean isWritable() {
     return channel != null && channel.isWritable();
@@ -245,6 +274,8 @@
   }
 
   private void finishAnswer() {
+    collectedBytes = 0;
+    answeringBodyBytes = 0;
     isAnswering = false;
     isAnswerBegun = false;
     exchange = null;
@@ -318,6 +349,50 @@
     }
   }
 
+  /** Refuses a request that there is no memory for; another process may have some. */
+  private void refuseForMemory() {
+    server.held().recordRefused();
+    isRefusingInput = true;
+    releaseArriving();
+    if (!isAnswering && queue.isEmpty()) {
+      HttpHeaders headers = new DefaultHttpHeaders();
+      headers.set("X-Shoreroad-Reason", "memory_full");
+      headers.set(HttpHeaderNames.RETRY_AFTER, MEMORY_RETRY_AFTER_SECONDS);
+      answer(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER);
+    }
+  }
+
+  /** Returns what is held for the caller, and records what it has read since the last check. */
+  HeldBytesRule.Holder<CallerConnection> toHolder(long nowNanos) {
+    long pendingBytes = 0;
+    if (channel != null) {
+      // Parts that are not flushed would count as sent.
+      channel.flush();
+    }
+    ChannelOutboundBuffer pending = channel == null ? null : channel.unsafe().outboundBuffer();
+    if (pending != null) {
+      pendingBytes = pending.totalPendingWriteBytes();
+      progress.update(
+          pendingBytes, writtenParts - pending.size(), pending.currentProgress(), nowNanos);
+    }
+    long requestBytes = answeringBodyBytes + (body == null ? 0 : body.readableBytes());
+    for (QueuedRequest next : queue) {
+      requestBytes += next.request().body().readableBytes();
+    }
+    return new HeldBytesRule.Holder<>(
+        this, pendingBytes + collectedBytes, requestBytes, progress.unreadNanos());
+  }
+
+  /** Ends the connection of a caller that does not read, without the parts not sent yet. */
+  void endUnread() {
+    isRefusingInput = true;
+    if (channel != null) {
+      // Otherwise the kernel would still hold what the caller does not read.
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+      channel.close();
+    }
+  }
+
   /** Returns true if no request is arriving or being answered. */
   boolean isIdle() {
     return !isAnswering && queue.isEmpty() && arriving == null && partialHeadSinceNanos == 0;
--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
@@ -1,12 +1,14 @@
 package org.shoreroad.edge.caller;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -34,22 +36,51 @@
   private static final int BACKLOG = 1_024;
   private static final int TIMEOUT_CHECK_MS = 250;
 
+  /**
+   * Send buffer of a connection, enough for 5 Mbit/s at a round trip of 100 ms. By default the
+   * kernel holds up to some megabytes for a caller that does not read, beside the bytes that are
+   * counted here. It accepts more once a third is free, so with a larger buffer, a caller behind a
+   * slow link would seem to read nothing for seconds.
+   */
+  private static final int SEND_BUFFER_BYTES = 65_536;
+
   private final EventLoop loop;
   private final LongSupplier clockNanos;
   private final Supplier<CallerLimits> limits;
   private final CallerExchange.Factory factory;
   private final Consumer<String> badInputCounter;
+  private final HeldBytes held;
   private final Set<CallerConnection> connections = new HashSet<>();
   private @Nullable Channel listening;
   private boolean isStopping;
+  private boolean isCheckDue;
 
-  /** Creates a server; {@link #start} opens its port. */
+  /** Creates a server with the bound on held bytes that follows from the memory of the process. */
   public CallerServer(
       EventLoop loop,
       LongSupplier clockNanos,
       Supplier<CallerLimits> limits,
       CallerExchange.Factory factory,
       Consumer<String> badInputCounter) {
+    this(
+        loop,
+        clockNanos,
+        limits,
+        factory,
+        badInputCounter,
+        new HeldBytes(
+            HeldBytesRule.forMemory(HeldBytes.bufferMemoryBytes()), HeldBytes.Listener.NONE));
+  }
+
+  /** Creates a server; {@link #start} opens its port. */
+  public CallerServer(
+      EventLoop loop,
+      LongSupplier clockNanos,
+      Supplier<CallerLimits> limits,
+      CallerExchange.Factory factory,
+      Consumer<String> badInputCounter,
+      HeldBytes held) {
+    this.held = held;
     this.loop = loop;
     this.clockNanos = clockNanos;
     this.limits = limits;
@@ -71,6 +102,7 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
             .childHandler(new Initializer())
             .bind(address);
     listening = opening.channel();
@@ -130,6 +162,23 @@
     badInputCounter.accept(reason);
   }
 
+  HeldBytes held() {
+    return held;
+  }
+
+  /** Adds bytes that are held for a caller, and checks the bound soon if they may exceed it. */
+  void addHeld(long bytes) {
+    if (held.add(bytes) && !isCheckDue) {
+      isCheckDue = true;
+      loop.execute(this::checkHeld);
+    }
+  }
+
+  private void checkHeld() {
+    isCheckDue = false;
+    held.check(new ArrayList<>(connections), nowNanos());
+  }
+
   void add(CallerConnection connection) {
     connections.add(connection);
   }
@@ -142,6 +191,7 @@
     long nowNanos = nowNanos();
     // A closed connection removes itself from the set.
     new ArrayList<>(connections).forEach(connection -> connection.checkTimeouts(nowNanos));
+    checkHeld();
   }
 
   private final class Initializer extends ChannelInitializer<SocketChannel> {
@@ -159,7 +209,7 @@
   }
 
   /** Notifies the connection of received bytes, so that a head that never ends is detected. */
-  private static final class ByteMonitor extends ChannelInboundHandlerAdapter {
+  private static final class ByteMonitor extends ChannelDuplexHandler {
     private final CallerConnection connection;
 
     ByteMonitor(CallerConnection connection) {
@@ -171,5 +221,11 @@
       connection.onBytes();
       context.fireChannelRead(message);
     }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+      connection.onPartWritten(message instanceof ByteBuf part ? part.readableBytes() : 0);
+      context.write(message, promise);
+    }
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.shoreroad.edge.caller.AnswerChannel;
 import org.shoreroad.edge.http.CallFailure;
 import org.shoreroad.edge.http.CallListener;
 import org.shoreroad.edge.http.HttpCall;
@@ -30,6 +31,7 @@
 
   private final Exchange exchange;
   private final Relay relay;
+  private final AnswerChannel answers;
   private final Target target;
   private final Incarnation upstream;
   private final long startedNanos;
@@ -42,9 +44,10 @@
   private long lastEventNanos;
   private boolean isOver;
 
-  Attempt(Exchange exchange, Relay relay, Target target, long startedNanos) {
+  Attempt(Exchange exchange, Relay relay, AnswerChannel answers, Target target, long startedNanos) {
     this.exchange = exchange;
     this.relay = relay;
+    this.answers = answers;
     this.target = target;
     this.upstream = target.box().incarnation();
     this.startedNanos = startedNanos;
@@ -97,9 +100,13 @@
     }
   }
 
+  /** Pauses or resumes reading the answer, because the caller reads too slowly or goes on. */
   void setReading(boolean isReading) {
-    if (call != null) {
+    if (call != null && !isOver) {
       call.setReading(isReading);
+      target.load().setPaused(exchange, !isReading, relay.nowNanos());
+      // The time of a pause is not the pace of the upstream.
+      lastEventNanos = 0;
     }
   }
 
@@ -161,8 +168,12 @@
       recordPace(nowNanos);
       if (!events.add(content)) {
         fail(AttemptFailure.BROKEN);
+      } else if (!answers.isWritable()) {
+        // Also an attempt that began while the caller did not read.
+        setReading(false);
       }
     } else if (body != null) {
+      answers.addCollected(content.readableBytes());
       body.addComponent(true, content.retain());
     }
   }
@@ -212,6 +223,7 @@
       return;
     }
     ByteBuf content = body == null ? Unpooled.EMPTY_BUFFER : body;
+    answers.addCollected(-content.readableBytes());
     body = null;
     end();
     exchange.onWholeAnswer(response, content);
@@ -258,6 +270,7 @@
       target.load().removeWaiting(exchange, exchange.promptTokens());
     }
     if (body != null) {
+      answers.addCollected(-body.readableBytes());
       body.release();
       body = null;
     }
--- a/edge/src/main/java/org/shoreroad/edge/relay/EventRelay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/EventRelay.java
@@ -34,13 +34,16 @@
 
   /** Starts the stream of another upstream; drops an incomplete event of the former one. */
   void restart() {
-    splitter.clear();
+    release();
     splitter = new EventSplitter();
   }
 
   /** Adds bytes and forwards complete events; returns false if an incomplete event is too large. */
   boolean add(ByteBuf bytes) {
-    return splitter.add(bytes, this::forward);
+    int formerBytes = splitter.partialBytes();
+    boolean isAccepted = splitter.add(bytes, this::forward);
+    answers.addCollected(splitter.partialBytes() - formerBytes);
+    return isAccepted;
   }
 
   private void forward(ByteBuf event, long id) {
@@ -72,6 +75,7 @@
   }
 
   void release() {
+    answers.addCollected(-splitter.partialBytes());
     splitter.clear();
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -138,7 +138,7 @@
       waitOrRefuse();
       return;
     }
-    Attempt next = new Attempt(this, relay, target.get(), relay.nowNanos());
+    Attempt next = new Attempt(this, relay, answers, target.get(), relay.nowNanos());
     attempts.add(next);
     // The connections that the service permits are divided among all processes.
     int connections =
--- a/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
@@ -114,7 +114,7 @@
     for (UpstreamLoad load : table.loadsWithOwnRequests()) {
       for (Exchange exchange : new ArrayList<>(load.open())) {
         ModelEngine engine = exchange.engine();
-        if (engine == null) {
+        if (engine == null || load.isPaused(exchange)) {
           continue;
         }
         long timeoutNanos = StallTimeout.nanos(engine, load, nowNanos);
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
@@ -1,5 +1,6 @@
 package org.shoreroad.edge.relay;
 
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -22,6 +23,7 @@
   private static final long NEWLY_FORMED_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final Set<Exchange> open = new LinkedHashSet<>();
+  private final Set<Exchange> paused = new HashSet<>();
   private PaceMeter pace = new PaceMeter();
   private long waitingPromptTokens;
   private int ownDecodingCount;
@@ -73,6 +75,7 @@
 
   /** Removes a request that has had no event yet. */
   void removeWaiting(Exchange exchange, long promptTokens) {
+    paused.remove(exchange);
     if (open.remove(exchange)) {
       waitingPromptTokens -= promptTokens;
     }
@@ -80,11 +83,27 @@
 
   /** Removes a request that has had an event, so that its prompt was read. */
   void removeDecoding(Exchange exchange) {
+    paused.remove(exchange);
     if (open.remove(exchange)) {
       ownDecodingCount--;
     }
   }
 
+  /** Records that this process stops or resumes reading the answer to a request. */
+  void setPaused(Exchange exchange, boolean isPaused, long nowNanos) {
+    if (isPaused) {
+      paused.add(exchange);
+    } else if (paused.remove(exchange)) {
+      // Nothing could be heard from an upstream whose answers were not read.
+      openSinceNanos = nowNanos;
+    }
+  }
+
+  /** Returns true if the answer to the request is not read, so that silence shows nothing. */
+  boolean isPaused(Exchange exchange) {
+    return paused.contains(exchange);
+  }
+
   /** Records the first event of a request, which shows that its prompt was read. */
   void recordPromptRead(long promptTokens) {
     waitingPromptTokens -= promptTokens;
@@ -190,7 +209,8 @@
 
   /** Returns true if a request of this process is decoding, so that each pass sends it an event. */
   boolean hasOwnDecoding() {
-    return ownDecodingCount > 0;
+    // Those whose answer is not read show no event.
+    return ownDecodingCount > paused.size();
   }
 
   long ownWaitingPromptTokens() {
--- a/edge/src/test/java/org/shoreroad/edge/http/UnreadRequestTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/http/UnreadRequestTest.java
@@ -63,7 +63,10 @@
     String address = "127.0.0.1:" + server.getLocalPort();
     FullHttpRequest request =
         new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1, HttpMethod.POST, "/", Unpooled.directBuffer(bodyBytes).writeZero(bodyBytes));
+            HttpVersion.HTTP_1_1,
+            HttpMethod.POST,
+            "/",
+            Unpooled.directBuffer(bodyBytes).writeZero(bodyBytes));
     request.headers().set("Content-Length", bodyBytes);
     loop.submit(() -> calls.send(address, request, 10, listener)).sync();
     return request;
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -28,6 +28,8 @@
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.caller.CallerServer;
 import org.shoreroad.edge.caller.HeaderNames;
+import org.shoreroad.edge.caller.HeldBytes;
+import org.shoreroad.edge.caller.HeldBytesRule;
 import org.shoreroad.edge.http.HttpCalls;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.edge.sync.StorePosition;
@@ -159,7 +161,13 @@
             quarantine,
             backpressure);
     CallerServer server =
-        new CallerServer(loop, clockNanos, () -> CallerLimits.DEFAULT, relay, reason -> {});
+        new CallerServer(
+            loop,
+            clockNanos,
+            () -> CallerLimits.DEFAULT,
+            relay,
+            reason -> {},
+            new HeldBytes(heldBytesRule(), HeldBytes.Listener.NONE));
     address =
         (InetSocketAddress)
             server
@@ -237,6 +245,16 @@
     return new RelayRules(0.2, 100, 10);
   }
 
+  /** Returns the bounds on what is held for callers. */
+  HeldBytesRule heldBytesRule() {
+    return HeldBytesRule.forMemory(HeldBytes.bufferMemoryBytes());
+  }
+
+  /** Returns the address for callers. */
+  final InetSocketAddress address() {
+    return address;
+  }
+
   /** Answers each request completely. */
   static final FakeUpstream.Script SERVING =
       (head, out, socket) -> {
