--- a/edge/src/main/java/org/shoreroad/edge/http/HttpCalls.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/HttpCalls.java
@@ -190,9 +190,17 @@
     };
   }
 
-  /** Parses a numeric {@code host:port} without a name lookup. */
+  /**
+   * Parses a numeric {@code host:port} without a name lookup.
+   *
+   * @throws IllegalArgumentException if the host or the port is missing, or the port is no number
+   *     from 0 to 65535
+   */
   public static InetSocketAddress toSocketAddress(String address) {
     int colon = address.lastIndexOf(':');
+    if (colon <= 0) {
+      throw new IllegalArgumentException("no host or no port: " + address);
+    }
     return new InetSocketAddress(
         address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
   }
