--- a/daemon/src/main/java/org/shoreroad/daemon/ops/OpsCalls.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/ops/OpsCalls.java
@@ -99,7 +99,7 @@
       case "POST diff" -> apply(body, "", true);
       case "POST drain" -> drain(argument, true);
       case "POST undrain" -> drain(argument, false);
-      case "GET in-force" -> inForce(Long.parseLong(argument));
+      case "GET in-force" -> inForce(parseVersion(argument));
       case "GET explain" -> explain(argument);
       default -> throw ShoreroadException.notRun(ErrorCode.NOT_FOUND, "unknown call: " + name);
     };
@@ -264,6 +264,15 @@
     return Map.of("box", box, "draining", isDraining, "version", outcome.offset());
   }
 
+  private static long parseVersion(String text) {
+    try {
+      return Long.parseLong(text);
+    } catch (NumberFormatException e) {
+      throw ShoreroadException.notRun(
+          ErrorCode.BAD_REQUEST, "the version is not a whole number: " + text);
+    }
+  }
+
   /** Returns the working processes that have not yet applied a version. */
   private Map<String, Object> inForce(long version) {
     members.pingAll();
