--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.admission.GrantEnd;
+import org.shoreroad.edge.caller.AnswerChannel;
 import org.shoreroad.edge.http.CallFailure;
 import org.shoreroad.edge.http.CallListener;
 import org.shoreroad.edge.http.HttpCall;
@@ -31,6 +32,7 @@
 
   private final Exchange exchange;
   private final Relay relay;
+  private final AnswerChannel answers;
   private final Target target;
   private final Incarnation upstream;
   private final RoomBroker.@Nullable Grant grant;
@@ -52,11 +54,13 @@
   Attempt(
       Exchange exchange,
       Relay relay,
+      AnswerChannel answers,
       Target target,
       RoomBroker.@Nullable Grant grant,
       long startedNanos) {
     this.exchange = exchange;
     this.relay = relay;
+    this.answers = answers;
     this.target = target;
     this.upstream = target.box().incarnation();
     this.grant = grant;
@@ -114,9 +118,13 @@
     }
   }
 
+  /** Pauses or resumes reading the answer, because the caller reads too slowly or goes on. */
   void setReading(boolean isReading) {
-    if (call != null) {
+    if (call != null && !isOver) {
       call.setReading(isReading);
+      target.load().setPaused(exchange, !isReading, relay.nowNanos());
+      // The time of a pause is not the pace of the upstream.
+      lastEventNanos = 0;
     }
   }
 
@@ -178,8 +186,12 @@
       recordPace(nowNanos);
       if (!events.add(content)) {
         fail(AttemptFailure.BROKEN);
+      } else if (!answers.isWritable()) {
+        // Also an attempt that began while the caller did not read.
+        setReading(false);
       }
     } else if (body != null) {
+      answers.addCollected(content.readableBytes());
       body.addComponent(true, content.retain());
     }
   }
@@ -229,6 +241,7 @@
       return;
     }
     ByteBuf content = body == null ? Unpooled.EMPTY_BUFFER : body;
+    answers.addCollected(-content.readableBytes());
     body = null;
     end(hasFailed ? GrantEnd.FAILED : GrantEnd.USED);
     exchange.onWholeAnswer(response, content);
@@ -278,6 +291,7 @@
       target.load().removeWaiting(exchange, exchange.promptTokens());
     }
     if (body != null) {
+      answers.addCollected(-body.readableBytes());
       body.release();
       body = null;
     }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -121,7 +121,7 @@
 
   /** Starts an attempt at an upstream, under the grant of its room or without one. */
   void startAttempt(Target target, RoomBroker.@Nullable Grant grant) {
-    Attempt next = new Attempt(this, relay, target, grant, relay.nowNanos());
+    Attempt next = new Attempt(this, relay, answers, target, grant, relay.nowNanos());
     attempts.add(next);
     int maxConnections = Objects.requireNonNull(service, "service").maxConnections();
     // The connections that the service permits are divided among all processes.
