--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -205,7 +205,6 @@
     this.shutdown =
         new GracefulShutdown(loop, clockNanos, log, settings.graceMs(), leases, callers, relay);
     connect(calls);
-    shareRoom();
   }
 
   /** Lets the owners of fabric domains grant the room at their heads, if the settings say so. */
@@ -336,6 +335,7 @@
           replicas.forget(box.id());
           failureDetector.forget(box.id());
         });
+    shareRoom();
   }
 
   /**
