--- a/core/src/main/java/org/shoreroad/admission/ReturnShare.java
+++ b/core/src/main/java/org/shoreroad/admission/ReturnShare.java
@@ -5,19 +5,26 @@
 /**
  * Share of the freed slots that is left to callers that return.
  *
- * <p>New requests compete for the same slots, so the share falls with the rate at which these are
- * refused. It also falls whenever a caller that returned is refused again, and recovers slowly with
- * callers that return. Not thread-safe.
+ * <p>New requests compete for the same slots, and unlike most returns they can still be in time. So
+ * the share falls with the part of them that is refused, down to its minimum. It also falls
+ * whenever a caller that returned is refused again, and recovers slowly with callers that return.
+ * Not thread-safe.
  *
  * @since 0.2
  */
 final class ReturnShare {
-  /** Share that is always left to returns, so that the measurement goes on. */
-  static final double MIN_SHARE = 0.1;
+  /**
+   * Share that is always left to returns. Most of them are late, and requests in time are not to
+   * fall by more than a tenth when the load rises; returns take half of it at most.
+   */
+  static final double MIN_SHARE = 0.05;
 
-  /** Share that is never exceeded, since a new request can still be in time. */
+  /** Share while no new request is refused. */
   static final double MAX_SHARE = 0.6;
 
+  /** Part of the new requests that is refused at which the share has its minimum. */
+  private static final double MAX_REFUSED_PART = 0.1;
+
   private static final double DECAY_SECONDS = 1;
   private static final double FACTOR_PER_REPEATED_REFUSAL = 0.8;
   private static final double GAIN_PER_RETURN = 0.01;
@@ -49,6 +56,7 @@
    */
   double share(double freedPerSecond, long nowNanos) {
     double refusedPerSecond = refusals.perSecond(nowNanos);
-    return Math.max(MIN_SHARE, limit * freedPerSecond / (freedPerSecond + refusedPerSecond));
+    double refusedPart = refusedPerSecond / (freedPerSecond + refusedPerSecond);
+    return Math.max(MIN_SHARE, limit * (1 - refusedPart / MAX_REFUSED_PART));
   }
 }
