--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -25,9 +25,9 @@
  * enough slots are expected to become free before it would be late, given those that go first, and
  * is refused at once if not. A request that is late in any case gets room that nothing else needs.
  *
- * <p>Requests go first by priority, then if their caller was invited to return and their account is
- * not over its share, then by the share of the engines that their account holds. Less urgent
- * requests leave the room that more urgent ones are expected to need within the next pass.
+ * <p>Requests go first by priority, then if their caller was invited to return, then by the share
+ * of the engines that their account holds. Less urgent requests leave the room that more urgent
+ * ones are expected to need within the next pass.
  *
  * <p>Reads no clock: times are passed in, in nanoseconds of the steady clock. Numbers out of range
  * are corrected, so that they affect only their own request or head. Not thread-safe.
@@ -436,7 +436,8 @@
   }
 
   private boolean goesFirst(QueuedItem<WaitingRequest> queued) {
-    return queued.value().isInvited() && !accounts.isOverShare(queued.account());
+    // No account gets much by this, as ReturnPlan invites no more than a part of the slots.
+    return queued.value().isInvited();
   }
 
   private int freePlaces(long nowNanos) {
