--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -168,8 +168,7 @@
             settings.isKeyProofRequired());
     this.fleet = new Fleet(ports.upstreamDecoder(), clockNanos, log);
     this.gates = makeGates();
-    int configWaitMs = ConfigurationView.readWaitMs(settings.revokeMs());
-    this.configFollower = follower(Topic.CONFIGURATION, configWaitMs, () -> 0, configuration);
+    this.configFollower = follower(Topic.CONFIGURATION, configWaitMs(), () -> 0, configuration);
     this.listFollower = follower(Topic.UPSTREAMS, LIST_WAIT_MS, () -> LIST_INTERVAL_MS, gates);
     this.upstreams = new UpstreamTable(fleet, clockNanos, log);
     this.backpressure = new Backpressure(name, ports.headers(), clockNanos, log, metrics);
@@ -230,6 +229,7 @@
             configuration::config,
             new HeadViews(upstreams, backpressure, clockNanos),
             replicas::closingHeadIds);
+    gates.coldGate().setGranting(true);
     relay.setRoomBroker(room.broker());
     heartbeats.addContributor(room::contribute);
     mesh.setFrameReceiver(room);
@@ -320,7 +320,7 @@
     // was late in four of thirteen runs with 7 and 9 processes.
     configFollower.readThroughPeersWhile(
         mesh::isMember, ConfigurationView.peerProofMs(settings.revokeMs()));
-    int configWaitMs = ConfigurationView.readWaitMs(settings.revokeMs());
+    int configWaitMs = configWaitMs();
     configFollower.setWait(
         () -> mesh.isHub() ? random.nextInt(configWaitMs / 2, configWaitMs) : configWaitMs);
     configFollower.setListingDelay(() -> random.nextInt(LISTING_SPREAD_MS));
@@ -434,6 +434,10 @@
     return new TopicFollower(topic, store, loop, clockNanos, log, waitMs, minIntervalMs, listener);
   }
 
+  private int configWaitMs() {
+    return ConfigurationView.readWaitMs(settings.revokeMs());
+  }
+
   private int processIntervalMs() {
     return mesh.isMember() ? MEMBER_PROCESS_INTERVAL_MS : PROCESS_INTERVAL_MS;
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -89,11 +89,13 @@
       relay.counters().count("shoreroad.attempts.to_resting", "withdrawn");
       return false;
     }
-    return (hasTurn || takeTurn()) && relay.backpressure().confirmSend(upstream);
+    return (hasTurn || takeTurn()) && (grant != null || relay.backpressure().confirmSend(upstream));
   }
 
   private boolean takeTurn() {
-    return relay.backpressure().takeTurn(upstream);
+    return grant != null
+        ? relay.backpressure().takeLimitTurn(upstream)
+        : relay.backpressure().takeTurn(upstream);
   }
 
   Target target() {
--- a/edge/src/main/java/org/shoreroad/edge/relay/Backpressure.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Backpressure.java
@@ -218,6 +218,11 @@
       counters.count("shoreroad.attempts.to_cold", "withdrawn");
       return false;
     }
+    return takeLimitTurn(upstream);
+  }
+
+  /** Takes a turn as {@link #takeTurn}, for a request that needs none at a cold upstream. */
+  boolean takeLimitTurn(Incarnation upstream) {
     boolean hasTurn = limits.takeTurn(upstream, clockNanos.getAsLong());
     if (limits.isLimited(upstream)) {
       counters.count("shoreroad.attempts.to_limited", hasTurn ? "sent" : "withdrawn");
@@ -243,7 +248,20 @@
    * since the process that grants requests at a cold upstream paces them.
    */
   boolean permitsGranted(FleetBox upstream) {
-    return !isEvacuated(upstream) && !isResting(upstream.incarnation());
+    Incarnation incarnation = upstream.incarnation();
+    return !isEvacuated(upstream)
+        && !isResting(incarnation)
+        && limits.hasTurn(incarnation, clockNanos.getAsLong());
+  }
+
+  /** Returns true if the owner of the upstream's domain may grant requests there. */
+  boolean mayGrant(FleetBox upstream) {
+    return !limits.isLimited(upstream.incarnation()) && permitsGranted(upstream);
+  }
+
+  /** Returns the requests per second that may be granted at the upstream; infinite if warm. */
+  double grantsPerSecond(FleetBox upstream) {
+    return coldGate == null ? Double.POSITIVE_INFINITY : coldGate.grantsPerSecond(upstream);
   }
 
   private void writeChange(
--- a/edge/src/main/java/org/shoreroad/edge/relay/HeadViews.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/HeadViews.java
@@ -57,10 +57,7 @@
     long nowNanos = clockNanos.getAsLong();
     UpstreamLoad load = table.loadOf(box.id());
     boolean isUsable =
-        !load.isSuspectedAt(nowNanos)
-            && !load.isAvoided(nowNanos)
-            && !backpressure.isLimited(box.incarnation())
-            && backpressure.maySendTo(box);
+        !load.isSuspectedAt(nowNanos) && !load.isAvoided(nowNanos) && backpressure.mayGrant(box);
     return new HeadView(
         box.id(),
         domain,
@@ -69,7 +66,7 @@
         load.peerGrantedCount(),
         load.waitingPromptTokens(),
         load.pace().slowness(nowNanos),
-        Double.POSITIVE_INFINITY,
+        backpressure.grantsPerSecond(box),
         isUsable);
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestTargets.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestTargets.java
@@ -59,7 +59,7 @@
     return selector.choose(service, model, excluded, targetLatencyMs);
   }
 
-  /** Returns the head with this id if this process may send the request there now. */
+  /** Returns the head with this id if the request may be sent there under a grant now. */
   Optional<Target> at(String headId) {
     return service == null
         ? Optional.empty()
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
@@ -109,8 +109,8 @@
   }
 
   /**
-   * Returns the upstream with this id if this process may send it a request now, however many
-   * requests are open there.
+   * Returns the upstream with this id if this process may send it a request under a grant now,
+   * however many requests are open there.
    */
   Optional<Target> find(
       UpstreamService service, @Nullable String model, String id, Set<String> tried) {
@@ -118,7 +118,7 @@
     UpstreamLoad load = table.loadOf(id);
     return table.candidates(service, model).stream()
         .filter(box -> box.id().equals(id) && !tried.contains(id))
-        .filter(box -> !isExcluded(load, nowNanos) && backpressure.maySendTo(box))
+        .filter(box -> !isExcluded(load, nowNanos) && backpressure.permitsGranted(box))
         .map(box -> new Target(box, load))
         .findFirst();
   }
