--- a/core/src/main/java/org/shoreroad/admission/HeadRoom.java
+++ b/core/src/main/java/org/shoreroad/admission/HeadRoom.java
@@ -13,7 +13,7 @@
  */
 final class HeadRoom {
   /**
-   * Time after which the reports of all processes have told the load that others put on a head, in
+   * Time after which the reports of all processes contain the load that others put on a head, in
    * nanoseconds: two intervals of a heartbeat.
    */
   private static final long LEARNING_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
@@ -38,11 +38,10 @@
   private final long knownSinceNanos;
   private final Set<Grant> grants = new HashSet<>();
   private final ArrayDeque<Grant> unread = new ArrayDeque<>();
-  private final StartLog starts = new StartLog();
+  private StartLog starts = new StartLog();
   private HeadState state;
   private long unreadTokens;
   private long cacheTokens;
-  private long contextTokens;
   private boolean hasRejected;
   private int openAtRejection;
   private long rejectedNanos;
@@ -68,6 +67,15 @@
     this.state = state;
   }
 
+  StartLog starts() {
+    return starts;
+  }
+
+  /** Counts the starts of an earlier time at this head too, null for none. */
+  void continueStarts(@Nullable StartLog earlier) {
+    starts = earlier == null ? starts : earlier;
+  }
+
   Set<Grant> grants() {
     return grants;
   }
@@ -75,14 +83,14 @@
   /** Returns the load as of the last call of {@link #advance}. */
   HeadLoad load() {
     long tokens = unreadTokens + state.foreignUnreadTokens();
-    return new HeadLoad(open(), tokens, contextTokens, state.slowness());
+    return new HeadLoad(open(), tokens, usedCacheTokens(), state.slowness());
   }
 
   /** Returns the load without the requests that wait in the engine's queue. */
   private HeadLoad runningLoad() {
     int running = Math.min(open(), forecast.slots() - 1);
     long tokens = unreadTokens + state.foreignUnreadTokens();
-    return new HeadLoad(running, tokens, contextTokens, state.slowness());
+    return new HeadLoad(running, tokens, usedCacheTokens(), state.slowness());
   }
 
   private int open() {
@@ -108,11 +116,15 @@
     if (!state.isUsable()) {
       return 0;
     }
-    boolean isHeldBack = open() < forecast.slots() && free(nowNanos) == 0;
     double startsPerMs = state.startsPerSecond() / 1e3;
     double perMs = forecast.freedPerMs(load(), answers.meanPasses());
-    if (isHeldBack) {
-      perMs = isLearning(nowNanos) ? learningStarts() / fullPassMs() : startsPerMs;
+    boolean isHeldBack = open() < forecast.slots() && free(nowNanos) == 0;
+    if (isHeldBack && isLearning(nowNanos)) {
+      perMs = learningStarts() / fullPassMs();
+    } else if (isHeldBack && hasRejected) {
+      perMs += fullLimit() * NANOS_PER_MS / RECOVERY_NANOS;
+    } else if (isHeldBack) {
+      perMs = startsPerMs;
     }
     return Math.min(perMs, startsPerMs);
   }
@@ -168,7 +180,6 @@
     unread.addLast(grant);
     unreadTokens += grant.request().promptTokens();
     cacheTokens += grant.cacheTokens();
-    contextTokens += grant.cacheTokens();
     starts.record(grant.grantedNanos());
   }
 
@@ -177,7 +188,6 @@
       return;
     }
     cacheTokens -= grant.cacheTokens();
-    contextTokens -= grant.cacheTokens();
     if (unread.remove(grant)) {
       unreadTokens -= grant.request().promptTokens();
     }
@@ -198,13 +208,18 @@
   }
 
   /**
-   * Returns the number of open requests that the head may have: its slots, and as many places in
-   * the engine's queue as slots become free in a pass, since a slot that becomes free is filled
-   * only when the next pass begins.
+   * Returns the number of open requests of a full head: its slots, and as many places in the
+   * engine's queue as slots become free in a pass, since a slot that becomes free is filled only
+   * when the next pass begins.
    */
-  private int limit(long nowNanos) {
+  private int fullLimit() {
     int places = (int) Math.max(1, Math.round(forecast.slots() / answers.meanPasses()));
-    int full = forecast.slots() + places;
+    return forecast.slots() + places;
+  }
+
+  /** Returns the number of open requests that the head may have, fewer after a rejection. */
+  private int limit(long nowNanos) {
+    int full = fullLimit();
     if (!hasRejected) {
       return full;
     }
--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -53,9 +53,13 @@
   /** Share of a pass that a head in another zone must be earlier to be preferred. */
   private static final double ZONE_PASS_SHARE = 0.25;
 
+  /** Time for which the starts at a head that is gone are kept. */
+  private static final long FORMER_STARTS_NANOS = TimeUnit.MINUTES.toNanos(1);
+
   /** Bound for the memory of one model's requests that wait. */
   private static final int MAX_WAITING = 1_000;
 
+  private static final HeadLoad IDLE = new HeadLoad(0, 0, 0, 1);
   private static final double NANOS_PER_MS = 1e6;
   private static final double PPM = 1e6;
 
@@ -66,6 +70,10 @@
   private final AccountUse accounts = new AccountUse();
   private final ArrivalReserve arrivals = new ArrivalReserve();
   private final Map<String, HeadRoom> heads = new LinkedHashMap<>();
+
+  /** Starts at heads that are gone, since a cold one may soon be there again. */
+  private final Map<String, StartLog> formerStarts = new HashMap<>();
+
   private final Map<RoomRequest.Key, Grant> grants = new HashMap<>();
   private final Map<RoomRequest.Key, QueuedItem<WaitingRequest>> waiting = new HashMap<>();
   private final FairQueue<WaitingRequest> queue = new FairQueue<>(MAX_WAITING);
@@ -91,6 +99,7 @@
       HeadRoom head = heads.get(state.id());
       if (head == null) {
         head = new HeadRoom(forecast, answers, cacheCapacityTokens, state, nowNanos);
+        head.continueStarts(formerStarts.remove(state.id()));
         heads.put(state.id(), head);
       }
       head.setState(state);
@@ -99,14 +108,16 @@
       if (!ids.contains(head.state().id())) {
         List.copyOf(head.grants()).forEach(this::release);
         heads.remove(head.state().id());
+        formerStarts.put(head.state().id(), head.starts());
       }
     }
+    formerStarts.values().removeIf(starts -> starts.count(FORMER_STARTS_NANOS, nowNanos) == 0);
   }
 
   /**
    * Decides on a request for room, or lets it wait for a slot that is expected to become free in
    * time. A request that isn't final never waits. An offer of a request that was granted room
-   * before returns this decision again.
+   * before returns this decision again and renews the grant.
    *
    * @param offered the request, not null
    * @param nowNanos the time on the steady clock
@@ -116,6 +127,7 @@
   public List<RoomDecision> offer(RoomRequest offered, long nowNanos) {
     Grant earlier = grants.get(offered.key());
     if (earlier != null) {
+      earlier.renew(nowNanos);
       return List.of(RoomDecision.granted(offered.key(), earlier.head().state().id()));
     }
     if (waiting.containsKey(offered.key())) {
@@ -123,7 +135,6 @@
     }
     RoomRequest request = InputBounds.clampRequest(offered);
     correctedCount += request == offered ? 0 : 1;
-    arrivals.recordArrival(request.priority(), nowNanos);
     long budgetNanos =
         (long) ((request.targetLatencyMs() * TARGET_SHARE - request.ageMs()) * NANOS_PER_MS);
     long sharePpm = sharePpm(request);
@@ -134,12 +145,19 @@
             nowNanos + budgetNanos,
             sharePpm,
             returns.isExpected(request.contentHash(), nowNanos));
+    // Room is kept for arrivals, but not for those that would be late at an idle head too.
+    if (forecast.firstEventMs(IDLE, request.promptTokens(), 1) <= item.budgetMs(nowNanos)) {
+      arrivals.recordArrival(request.priority(), nowNanos);
+    }
     List<RoomDecision> decisions = new ArrayList<>();
     expireAndAdvance(nowNanos);
     if (request.promptTokens() > cacheCapacityTokens) {
-      decisions.add(refuse(item, RoomRefusal.CACHE_FULL, queue.size(), nowNanos));
+      decisions.add(refuse(item, RoomRefusal.CACHE_FULL, nowNanos));
     } else if (!isReachable(item, item.budgetMs(nowNanos))) {
       decideLate(item, RoomRefusal.TARGET_OUT_OF_REACH, nowNanos, decisions);
+    } else if (queue.size() >= MAX_WAITING && !request.isFinal()) {
+      // It does not wait, so it must not displace a request that does.
+      decisions.add(refuse(item, RoomRefusal.TARGET_OUT_OF_REACH, nowNanos));
     } else {
       enqueue(item, nowNanos, decisions);
     }
@@ -244,12 +262,14 @@
       WaitingRequest item = queued.value();
       boolean mayQueue = kept == 0 && mayQueue(item, outlook, nowNanos);
       int available = mayQueue ? free : freeSlots;
-      HeadRoom head = available > 0 ? choose(item, true, mayQueue, nowNanos) : null;
-      RoomRefusal reason = available > 0 ? lastReason : RoomRefusal.TARGET_OUT_OF_REACH;
       boolean isKept = available <= reserve(item, outlook, nowNanos);
-      if (head != null && isKept && !arrivals.mayTakeKept()) {
-        head = null;
+      HeadRoom head = null;
+      RoomRefusal reason = RoomRefusal.TARGET_OUT_OF_REACH;
+      if (available > 0 && isKept && !arrivals.mayTakeKept()) {
         reason = RoomRefusal.KEPT_FOR_MORE_URGENT;
+      } else if (available > 0) {
+        head = choose(item, true, mayQueue, nowNanos);
+        reason = lastReason;
       }
       if (head != null) {
         queue.take(queued);
@@ -285,7 +305,7 @@
       decisions.add(grant(item, head, nowNanos));
     } else {
       RoomRefusal stated = outlook.passMs() > 0 ? reason : RoomRefusal.NO_HEAD;
-      decisions.add(refuse(item, stated, queue.size(), nowNanos));
+      decisions.add(refuse(item, stated, nowNanos));
     }
   }
 
@@ -374,8 +394,7 @@
     return RoomDecision.granted(request.key(), head.state().id());
   }
 
-  private RoomDecision refuse(
-      WaitingRequest item, RoomRefusal reason, int waitingAhead, long nowNanos) {
+  private RoomDecision refuse(WaitingRequest item, RoomRefusal reason, long nowNanos) {
     RoomRequest request = item.request();
     if (!request.isFinal()) {
       return RoomDecision.refused(request.key(), reason, 0);
@@ -385,6 +404,7 @@
     }
     boolean isAccount =
         reason == RoomRefusal.TARGET_OUT_OF_REACH && accounts.isOverShare(request.account());
+    int waitingAhead = queue.sizeUpTo(request.priority());
     int retryAfterMs =
         returns.invite(request.contentHash(), waitingAhead, item.remainingMs(nowNanos), nowNanos);
     return RoomDecision.refused(
@@ -410,7 +430,7 @@
         result.isAccepted() ? result.displaced().map(QueuedItem::value).orElse(null) : item;
     if (displaced != null) {
       waiting.remove(displaced.request().key());
-      decisions.add(refuse(displaced, RoomRefusal.TARGET_OUT_OF_REACH, queue.size(), nowNanos));
+      decisions.add(refuse(displaced, RoomRefusal.TARGET_OUT_OF_REACH, nowNanos));
     }
   }
 
--- a/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
+++ b/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
@@ -117,6 +117,18 @@
     assertThat(book.freeCount(now), is(free));
   }
 
+  @Test
+  void testOffer_again_renewsTheGrant() {
+    RoomRequest request = next();
+    offer(request);
+    int free = book.freeCount(now);
+    now += 1_400 * MS;
+    offer(request);
+    now += 1_400 * MS;
+    book.advance(now);
+    assertThat(book.freeCount(now), is(free));
+  }
+
   @Test
   void testOffer_refusesWithoutAUsableHead() {
     book.setHeads(List.of(), now);
@@ -189,6 +201,35 @@
     assertThat(granted, is(3));
   }
 
+  @Test
+  void testOffer_boundsTheStartsOfAColdHeadThatWasGoneForAWhile() {
+    knowHeads(withStarts(head("h0", "z"), 3));
+    for (int i = 0; i < 3; i++) {
+      assertThat(only(offer(request(nextNumber++, "a", 0, 100, 0, false))).isGranted(), is(true));
+    }
+    now += 300 * MS;
+    book.setHeads(List.of(), now);
+    now += 300 * MS;
+    book.setHeads(List.of(withStarts(head("h0", "z"), 3)), now);
+    assertThat(only(offer(request(nextNumber++, "a", 0, 100, 0, false))).isGranted(), is(false));
+    now += 400 * MS;
+    assertThat(only(offer(request(nextNumber++, "a", 0, 100, 0, false))).isGranted(), is(true));
+  }
+
+  @Test
+  void testOffer_invitesBehindThoseOfItsPriorityAndMoreUrgentOnes() {
+    fill("a", SLOTS + 1);
+    RoomRequest plain = nextOf("b", 1);
+    RoomRequest patient =
+        new RoomRequest(
+            plain.key(), "z", "b", 1, 100, 100, 0, 60_000, 200, 60_000, 1, Set.of(), true);
+    assertThat(offer(patient), is(empty()));
+    offer(request(nextNumber++, "a", 0, 100, 3_000, true));
+    assertThat(returns.lastWaitingAhead, is(0));
+    offer(request(nextNumber++, "a", 1, 100, 3_000, true));
+    assertThat(returns.lastWaitingAhead, is(1));
+  }
+
   @Test
   void testEnd_grantsARequestThatWaits() {
     List<RoomRequest.Key> running = fill("a", SLOTS + 1);
@@ -273,6 +314,21 @@
     assertThat(refused, greaterThan(100));
   }
 
+  @Test
+  void testOffer_whatIsNotFinalDisplacesNothingThatWaits() {
+    fill("a", SLOTS + 1);
+    for (int i = 0; i < 1_000; i++) {
+      RoomRequest plain = nextOf("a", 0);
+      RoomRequest patient =
+          new RoomRequest(
+              plain.key(), "z", "a", 0, 100, 100, 0, 600_000, 0, 600_000, i, Set.of(), true);
+      assertThat(offer(patient), is(empty()));
+    }
+    RoomRequest other = request(nextNumber++, "b", 0, 100, 0, false);
+    assertThat(only(offer(other)).key(), is(other.key()));
+    assertThat(book.waitingCount(), is(1_000));
+  }
+
   @Test
   void testOffer_refusesAtOnceWhatIsNotFinal() {
     fill("a", SLOTS + 1);
@@ -361,6 +417,41 @@
     assertThat(decision.refusal(), is(RoomRefusal.TARGET_OUT_OF_REACH));
   }
 
+  @Test
+  void testOffer_lateRequestsKeepNoRoomFromEachOther() {
+    knowHeads(withLoad(head("h0", "z"), 8, 0));
+    for (int i = 0; i < 1_000; i++) {
+      RoomRequest late = request(nextNumber++, "a", 0, 100, 3_000, true);
+      assertThat(only(offer(late)).isGranted(), is(true));
+      book.end(late.key(), GrantEnd.UNUSED, now);
+      now += MS;
+    }
+  }
+
+  @Test
+  void testOffer_keepsRoomForMoreUrgentArrivalsAfterARejection() {
+    knowHeads(head("h0", "z"), head("h1", "z"));
+    for (int i = 0; i < 400; i++) {
+      RoomRequest urgent = nextOf("a", 0);
+      offer(urgent);
+      book.end(urgent.key(), GrantEnd.UNUSED, now);
+      now += 5 * MS;
+    }
+    offer(nextOf("b", 1));
+    book.setHeads(List.of(withLoad(head("h0", "z"), SLOTS - 4, 0), head("h1", "z")), now);
+    RoomRequest rejected =
+        new RoomRequest(
+            next().key(), "z", "a", 0, 100, 100, 0, 250, 200, 6_000, 1, Set.of("h0"), true);
+    assertThat(only(offer(rejected)).headId(), is("h1"));
+    book.end(rejected.key(), GrantEnd.REJECTED, now);
+    List<RoomDecision> decisions = new ArrayList<>();
+    // One of ten grants may take the room that is kept.
+    for (int i = 0; i < 2; i++) {
+      decisions.addAll(offer(request(nextNumber++, "b", 1, 100, 0, false)));
+    }
+    assertThat(decisions.get(1).refusal(), is(RoomRefusal.KEPT_FOR_MORE_URGENT));
+  }
+
   @Test
   void testOffer_keepsRoomForMoreUrgentArrivals() {
     // 200 urgent requests a second, each soon ended.
