--- a/edge/src/main/java/org/shoreroad/edge/relay/Dispatch.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Dispatch.java
@@ -130,10 +130,10 @@
   }
 
   @Override
-  public void onUnavailable(Set<String> refusingHeads) {
+  public void onUnavailable(Set<String> coveredHeads) {
     ask = null;
     isChosenHere = true;
-    unusableHeads.addAll(refusingHeads);
+    unusableHeads.addAll(coveredHeads);
     chooseHere();
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/relay/RoomBroker.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RoomBroker.java
@@ -52,9 +52,10 @@
     /**
      * Called when an owner does not answer, or none grants room at the model's heads now.
      *
-     * @param refusingHeads the ids of the heads whose owners have refused, not null
+     * @param coveredHeads the ids of the heads that this process must not choose by itself, since
+     *     their owners answer and at least one has refused, not null
      */
-    void onUnavailable(Set<String> refusingHeads);
+    void onUnavailable(Set<String> coveredHeads);
   }
 
   /**
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomAsk.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomAsk.java
@@ -35,7 +35,6 @@
   private @Nullable RoomDecision refusal;
   private long number = NOT_SENT;
   private long replyByNanos;
-  private final Set<String> refusingHeads = new HashSet<>();
   private boolean isAnySilent;
   private boolean isOver;
 
@@ -85,6 +84,7 @@
     boolean isSent = client.port().send(next.owner(), message);
     if (!isSent && number == sentNumber && client.unregister(sentNumber)) {
       isAnySilent = true;
+      client.avoid(next.name());
       client.record("silent", "not_sent");
       askNext();
     }
@@ -168,20 +168,21 @@
   /** Keeps the refusal that the caller is told: the latest by an owner with heads. */
   private void noteRefusal(RoomDecision decision) {
     RoomRefusal reason = decision.refusal();
-    ModelOwner owner = current;
-    if (owner != null && reason != RoomRefusal.NOT_OWNER && reason != RoomRefusal.NO_HEAD) {
+    if (reason != RoomRefusal.NOT_OWNER && reason != RoomRefusal.NO_HEAD) {
       refusal = decision;
-      refusingHeads.addAll(owner.domainsByHead().keySet());
     }
   }
 
   private void giveUp() {
     isOver = true;
     RoomDecision refused = refusal;
-    boolean isSilent = isAnySilent || client.owners().isAnyAvoided(query.service(), query.model());
+    RoomOwners owners = client.owners();
+    boolean isSilent = isAnySilent || owners.isAnyAvoided(query.service(), query.model());
     if (refused == null || isSilent) {
       client.record("unavailable", isSilent ? "silent" : "no_owner");
-      listener.onUnavailable(refusingHeads);
+      // Once an owner has refused, only the heads of those that don't answer are left to choose.
+      listener.onUnavailable(
+          refused == null ? Set.of() : owners.headsOfAnswering(query.service(), query.model()));
     } else {
       listener.onRefused(refused);
     }
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomClient.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomClient.java
@@ -111,7 +111,7 @@
 
   /** Asks other owners instead of one whose connection was lost. */
   void onOwnerLost(String owner) {
-    owners.avoid(owner, clockNanos.getAsLong() + AVOID_NANOS);
+    avoid(owner);
     for (RoomAsk ask : List.copyOf(open.values())) {
       if (ask.isAt(owner) && open.containsValue(ask)) {
         ask.onSilent("owner_lost");
@@ -119,12 +119,17 @@
     }
   }
 
+  /** Does not ask an owner for a while. */
+  void avoid(String owner) {
+    owners.avoid(owner, clockNanos.getAsLong() + AVOID_NANOS);
+  }
+
   private void tick() {
     isTickScheduled = false;
     long nowNanos = clockNanos.getAsLong();
     for (RoomAsk ask : List.copyOf(open.values())) {
       if (ask.isSilentAt(nowNanos)) {
-        owners.avoid(ask.ownerName(), nowNanos + AVOID_NANOS);
+        avoid(ask.ownerName());
         ask.onSilent("no_reply");
       }
     }
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomOwners.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomOwners.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -96,6 +97,18 @@
             .anyMatch(owner -> owner != null && isAvoided(owner.process()));
   }
 
+  /** Returns the ids of the model's heads whose owner is known and may be asked. */
+  Set<String> headsOfAnswering(UpstreamService service, String model) {
+    Set<String> ids = new HashSet<>();
+    for (HeadView head : heads.apply(service, model)) {
+      RoomOwner owner = byDomain.get(head.domain());
+      if (owner != null && !isAvoided(owner.process())) {
+        ids.add(head.id());
+      }
+    }
+    return ids;
+  }
+
   /** Returns the owner of this name. */
   Optional<RoomOwner> find(String process) {
     return byDomain.values().stream().filter(owner -> owner.process().equals(process)).findFirst();
--- a/edge/src/test/java/org/shoreroad/edge/room/RoomClientTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/room/RoomClientTest.java
@@ -129,6 +129,23 @@
     assertThat(asked.unavailable, is(Set.of("h-two")));
   }
 
+  @Test
+  void onlyHeadsOfSilentOwnersAreLeftOnceAnotherHasRefused() {
+    addOwner("one", 0).isSilent = true;
+    for (String name : List.of("two", "three", "four", "five")) {
+      fill(addOwner(name, 0));
+      heads.remove(heads.size() - 1);
+      heads.add(
+          new HeadView(
+              "h-" + name, "llm/d-" + name, "z", SLOTS, 0, 0, 1, Double.POSITIVE_INFINITY, true));
+    }
+    // Only the silent owner has free slots by the load reports, so it is asked.
+    Asked first = ask();
+    ticks.advance(SILENCE_MS);
+    assertThat(first.unavailable, is(Set.of("h-two", "h-three", "h-four", "h-five")));
+    assertThat(ask().unavailable, is(Set.of("h-two", "h-three", "h-four", "h-five")));
+  }
+
   @Test
   void anOwnerThatFallsSilentDuringTheWaitIsFollowedByTheOwnChoice() {
     Owner owner = addOwner("one", 5);
--- a/edge/src/test/java/org/shoreroad/edge/room/RoomFixture.java
+++ b/edge/src/test/java/org/shoreroad/edge/room/RoomFixture.java
@@ -182,8 +182,8 @@
     }
 
     @Override
-    public void onUnavailable(Set<String> refusingHeads) {
-      unavailable = refusingHeads;
+    public void onUnavailable(Set<String> coveredHeads) {
+      unavailable = coveredHeads;
       results++;
     }
 
