--- a/edge/src/main/java/org/shoreroad/edge/room/RoomClient.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomClient.java
@@ -10,6 +10,7 @@
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.admission.GrantEnd;
+import org.shoreroad.admission.RoomBook;
 import org.shoreroad.admission.RoomRequest;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.peer.HeartbeatAdditions.RoomOwner;
@@ -28,6 +29,8 @@
   /** Time after which an owner that didn't reply or was lost is asked again. */
   private static final long AVOID_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+  private static final long GRANT_NANOS = TimeUnit.MILLISECONDS.toNanos(RoomBook.grantMillis());
+
   private final String self;
   private final String zone;
   private final RoomOwners owners;
@@ -183,20 +186,33 @@
     return grant;
   }
 
-  /** Renews the grants in use, at each owner with one message. */
+  /**
+   * Renews the grants in use, at each owner with one message. Those that have expired meanwhile,
+   * because this process was suspended or cut off from the owner, are load without a grant from
+   * then on.
+   */
   void renew() {
+    long nowNanos = clockNanos.getAsLong();
     Map<RoomOwner, Set<Long>> numbers = new HashMap<>();
     for (HeldGrant grant : granted.values()) {
-      numbers.computeIfAbsent(grant.owner, added -> new HashSet<>()).add(grant.key.number());
+      if (!grant.hasExpiredAt(nowNanos)) {
+        numbers.computeIfAbsent(grant.owner, added -> new HashSet<>()).add(grant.key.number());
+      }
     }
-    numbers.forEach((owner, held) -> port.send(owner, new RoomMessage.Renewal(self, held)));
+    numbers.forEach(
+        (owner, held) -> {
+          if (port.send(owner, new RoomMessage.Renewal(self, held))) {
+            held.forEach(number -> granted.get(number).renewedNanos = nowNanos);
+          }
+        });
   }
 
   /** Returns the number of requests under grants of the present owners, by the id of the head. */
   Map<String, Integer> grantedOpen() {
+    long nowNanos = clockNanos.getAsLong();
     Map<String, Integer> counts = new HashMap<>();
     for (HeldGrant grant : granted.values()) {
-      if (owners.isOwner(grant.owner.process(), grant.domain)) {
+      if (owners.isOwner(grant.owner.process(), grant.domain) && !grant.hasExpiredAt(nowNanos)) {
         counts.merge(grant.headId, 1, Integer::sum);
       }
     }
@@ -205,9 +221,10 @@
 
   /** Returns the number of requests under grants of one owner, by the id of the head. */
   Map<String, Integer> grantedBy(String owner) {
+    long nowNanos = clockNanos.getAsLong();
     Map<String, Integer> counts = new HashMap<>();
     for (HeldGrant grant : granted.values()) {
-      if (grant.owner.process().equals(owner)) {
+      if (grant.owner.process().equals(owner) && !grant.hasExpiredAt(nowNanos)) {
         counts.merge(grant.headId, 1, Integer::sum);
       }
     }
@@ -244,12 +261,18 @@
     private final RoomRequest.Key key;
     private final String headId;
     private final String domain;
+    private long renewedNanos;
 
     HeldGrant(RoomOwner owner, RoomRequest.Key key, String headId, String domain) {
       this.owner = owner;
       this.key = key;
       this.headId = headId;
       this.domain = domain;
+      this.renewedNanos = clockNanos.getAsLong();
+    }
+
+    boolean hasExpiredAt(long nowNanos) {
+      return nowNanos - renewedNanos > GRANT_NANOS;
     }
 
     @Override
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -303,8 +303,13 @@
     return exchange(path, "secret", "");
   }
 
+  /** Opens a connection to the relay, as a caller does. */
+  final Socket connect() throws IOException {
+    return new Socket(address.getAddress(), address.getPort());
+  }
+
   private String exchange(String path, String key, String moreHeaders) throws IOException {
-    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+    try (Socket socket = connect()) {
       socket.setSoTimeout(READ_TIMEOUT_MS);
       write(
           socket.getOutputStream(),
--- a/edge/src/test/java/org/shoreroad/edge/room/RoomClientTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/room/RoomClientTest.java
@@ -237,6 +237,33 @@
     assertThat(asked.grant, notNullValue());
   }
 
+  @Test
+  void aGrantThatExpiredDuringASuspensionIsLoadWithoutAGrantFromThenOn() {
+    Owner owner = addOwner("one", 0);
+    Asked asked = ask();
+    client.renew();
+    ticks.advance(1_600);
+    client.renew();
+    owner.service.refresh();
+    assertThat(client.grantedOpen(), is(Map.of()));
+    assertThat(owner.ledger.grantedCount(), is(0));
+    asked.end();
+    assertThat(client.grantedCount(), is(0));
+  }
+
+  @Test
+  void aGrantWhoseOwnerCannotBeReachedIsLoadWithoutAGrantOnceItExpires() {
+    Owner owner = addOwner("one", 0);
+    ask();
+    owner.isUnreachable = true;
+    for (int i = 0; i < 4; i++) {
+      client.renew();
+      assertThat(client.grantedOpen(), is(Map.of("h-one", 1)));
+      ticks.advance(400);
+    }
+    assertThat(client.grantedOpen(), is(Map.of()));
+  }
+
   @Test
   void aFormerOwnerDeclinesAndTheProcessChoosesByItself() {
     Owner owner = addOwner("one", 5);
