--- a/edge/src/test/java/org/shoreroad/edge/room/RoomClientTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/room/RoomClientTest.java
@@ -129,6 +129,23 @@
     assertThat(asked.unavailable, is(Set.of("h-two")));
   }
 
+  @Test
+  void onlyHeadsOfSilentOwnersAreLeftOnceAnotherHasRefused() {
+    addOwner("one", 0).isSilent = true;
+    for (String name : List.of("two", "three", "four", "five")) {
+      fill(addOwner(name, 0));
+      heads.remove(heads.size() - 1);
+      heads.add(
+          new HeadView(
+              "h-" + name, "llm/d-" + name, "z", SLOTS, 0, 0, 1, Double.POSITIVE_INFINITY, true));
+    }
+    // Only the silent owner has free slots by the load reports, so it is asked.
+    Asked first = ask();
+    ticks.advance(SILENCE_MS);
+    assertThat(first.unavailable, is(Set.of("h-two", "h-three", "h-four", "h-five")));
+    assertThat(ask().unavailable, is(Set.of("h-two", "h-three", "h-four", "h-five")));
+  }
+
   @Test
   void anOwnerThatFallsSilentDuringTheWaitIsFollowedByTheOwnChoice() {
     Owner owner = addOwner("one", 5);
@@ -220,6 +237,33 @@
     assertThat(asked.grant, notNullValue());
   }
 
+  @Test
+  void aGrantThatExpiredDuringASuspensionIsLoadWithoutAGrantFromThenOn() {
+    Owner owner = addOwner("one", 0);
+    Asked asked = ask();
+    client.renew();
+    ticks.advance(1_600);
+    client.renew();
+    owner.service.refresh();
+    assertThat(client.grantedOpen(), is(Map.of()));
+    assertThat(owner.ledger.grantedCount(), is(0));
+    asked.end();
+    assertThat(client.grantedCount(), is(0));
+  }
+
+  @Test
+  void aGrantWhoseOwnerCannotBeReachedIsLoadWithoutAGrantOnceItExpires() {
+    Owner owner = addOwner("one", 0);
+    ask();
+    owner.isUnreachable = true;
+    for (int i = 0; i < 4; i++) {
+      client.renew();
+      assertThat(client.grantedOpen(), is(Map.of("h-one", 1)));
+      ticks.advance(400);
+    }
+    assertThat(client.grantedOpen(), is(Map.of()));
+  }
+
   @Test
   void aFormerOwnerDeclinesAndTheProcessChoosesByItself() {
     Owner owner = addOwner("one", 5);
