--- a/core/src/main/java/org/shoreroad/fleet/DomainPacking.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainPacking.java
@@ -8,19 +8,22 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Choice of the replicas that the available boxes of a domain form while there is traffic.
  *
  * <p>The declared shares of the models apply to a complete fleet. Once boxes are lost, the choice
  * depends on the requests open at each model's replicas in all domains: of all ways to use the
- * available boxes, it is the one that leaves the highest pressure of any model lowest. This class
- * is immutable and thread-safe.
+ * available boxes, it is the one that leaves the highest pressure of any model lowest. While
+ * requests are refused or late, the needs of the models count instead of the open requests, and
+ * replicas that other domains are forming count as present. This class is immutable and
+ * thread-safe.
  */
 final class DomainPacking {
   /**
    * Assumed open requests of a model without replicas, in multiples of the slots of a replica. The
-   * actual number is unknown, because refused requests are not counted.
+   * actual number is unknown unless refused requests are counted.
    */
   private static final double ASSUMED_OPEN_REPLICAS = 1;
 
@@ -48,14 +51,20 @@
   static DomainPacking of(
       List<ModelShape> models, Demand demand, Collection<ObservedBox> observedBoxes) {
     Map<String, Integer> replicasElsewhere = new HashMap<>();
+    Demand.Strain strain = demand.strain();
     for (ModelShape model : models) {
+      String name = model.name();
+      int forming = strain == null ? 0 : strain.formingCount(name);
       long here =
           observedBoxes.stream()
               .map(ObservedBox::box)
-              .filter(box -> box.isOpenHead() && model.name().equals(box.model()))
+              .filter(
+                  box ->
+                      (box.isOpenHead() && name.equals(box.model()))
+                          || (strain != null && box.isFormingHead(name)))
               .count();
-      int count = demand.replicaCount(model.name()) - (int) here;
-      replicasElsewhere.put(model.name(), Math.max(0, count));
+      int count = demand.replicaCount(name) + forming - (int) here;
+      replicasElsewhere.put(name, Math.max(0, count));
     }
     return new DomainPacking(models, demand, replicasElsewhere);
   }
@@ -88,14 +97,56 @@
   private double pressure(
       ModelShape model, Map<String, Integer> retained, Map<String, Integer> formed) {
     String name = model.name();
-    int here = retained.getOrDefault(name, 0) + formed.getOrDefault(name, 0);
-    int replicas = replicasElsewhere.getOrDefault(name, 0) + here;
-    if (replicas == 0) {
-      return Demand.NO_REPLICA_PRESSURE;
+    int replicas = replicas(name, retained, formed);
+    // Only the count of conversions that other domains may make can lead below zero by design.
+    boolean isUnserved = demand.strain() == null ? replicas == 0 : replicas <= 0;
+    return isUnserved ? Demand.NO_REPLICA_PRESSURE : needed(name) / replicas;
+  }
+
+  private int replicas(String model, Map<String, Integer> retained, Map<String, Integer> formed) {
+    int here = retained.getOrDefault(model, 0) + formed.getOrDefault(model, 0);
+    return replicasElsewhere.getOrDefault(model, 0) + here;
+  }
+
+  /**
+   * Returns the needed replicas of a model, or the open requests divided by the slots of a replica.
+   */
+  double needed(String model) {
+    Demand.Strain strain = demand.strain();
+    if (strain != null) {
+      return strain.needed(model);
     }
-    int now = demand.replicaCount(name);
-    double open = now == 0 ? ASSUMED_OPEN_REPLICAS : demand.pressure(name) * now;
-    return open / replicas;
+    int now = demand.replicaCount(model);
+    return now == 0 ? ASSUMED_OPEN_REPLICAS : demand.pressure(model) * now;
+  }
+
+  /** Returns the same packing with the models under their highest recent load, if it is known. */
+  DomainPacking atPeakOf(Set<String> peakModels) {
+    Demand.Strain strain = demand.strain();
+    if (strain == null) {
+      return this;
+    }
+    Demand atPeak =
+        new Demand(
+            demand.pressures(),
+            demand.replicas(),
+            demand.hasTraffic(),
+            strain.atPeakOf(peakModels));
+    return new DomainPacking(models, atPeak, replicasElsewhere);
+  }
+
+  /** Returns the needs while requests are refused or late, otherwise null. */
+  Demand.@Nullable Strain strain() {
+    return demand.strain();
+  }
+
+  /** Returns the model with the highest pressure, or null if there are no models. */
+  @Nullable String highestPressureModel(
+      Map<String, Integer> retained, Map<String, Integer> formed) {
+    return models.stream()
+        .max(Comparator.comparingDouble(model -> pressure(model, retained, formed)))
+        .map(ModelShape::name)
+        .orElse(null);
   }
 
   /** Returns the replicas of the packing whose boxes need no weights from the weight store. */
--- a/core/src/main/java/org/shoreroad/fleet/DomainReconciler.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainReconciler.java
@@ -10,6 +10,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
 import org.shoreroad.fleet.BoxOrder.Verb;
 
 /**
@@ -90,6 +91,11 @@
     return !formations.isEmpty() || !closingReplicas.isEmpty();
   }
 
+  /** Returns the decision to convert replicas since the last call, or null if there was none. */
+  public @Nullable Conversion takeConversion() {
+    return conversion.takeUnreported();
+  }
+
   /**
    * Returns the orders to give now.
    *
@@ -124,6 +130,7 @@
       }
     }
     List<ModelShape> models = sortByPressure(spec, plan);
+    conversion.setRank(plan.rankOf(domain));
     closeReplicas(models, observed.values(), nowNanos);
     formMissing(models, nowNanos);
     formReserve(models, nowNanos);
@@ -205,7 +212,7 @@
       return true;
     }
     for (ObservedBox member : members) {
-      if (!isMemberOf(member, replica)) {
+      if (!member.isMemberOf(replica)) {
         order(
             BoxOrder.join(
                 member.box().id(),
@@ -222,7 +229,7 @@
   private boolean abandon(Formation formation, String reason, long nowNanos) {
     Map<String, ObservedBox> observedById = view.observedById();
     ObservedBox head = observedById.get(formation.headId());
-    if (head != null && isMemberOf(head, formation.replica()) && !head.isLost()) {
+    if (head != null && head.isMemberOf(formation.replica()) && !head.isLost()) {
       view.bind(
           formation.memberIds().stream().map(observedById::get).filter(Objects::nonNull).toList());
       order(
@@ -469,9 +476,4 @@
       orders.add(order);
     }
   }
-
-  private static boolean isMemberOf(ObservedBox observed, ReplicaId replica) {
-    Membership membership = observed.box().membership();
-    return membership != null && membership.replica().equals(replica);
-  }
 }
--- a/core/src/main/java/org/shoreroad/fleet/FleetBox.java
+++ b/core/src/main/java/org/shoreroad/fleet/FleetBox.java
@@ -96,6 +96,15 @@
     return membership != null && membership.isHead() && membership.state() == MemberState.OPEN;
   }
 
+  /** Returns true if this box is the head of a replica that is being formed for the model. */
+  public boolean isFormingHead(String wantedModel) {
+    return membership != null
+        && membership.isHead()
+        && (membership.state() == MemberState.JOINING || membership.state() == MemberState.READY)
+        && domain != null
+        && membership.replica().isOf(domain, wantedModel);
+  }
+
   /** Returns a copy of this box with another start time; see {@link Incarnation#bornMs()}. */
   public FleetBox withStart(long newBornMs) {
     return new FleetBox(
--- a/core/src/main/java/org/shoreroad/fleet/ObservedBox.java
+++ b/core/src/main/java/org/shoreroad/fleet/ObservedBox.java
@@ -77,6 +77,12 @@
     return reach != Reach.LIKELY;
   }
 
+  /** Returns true if the box is a member of the replica, in any state. */
+  public boolean isMemberOf(ReplicaId replica) {
+    Membership membership = box.membership();
+    return membership != null && membership.replica().equals(replica);
+  }
+
   /** Returns true if the box is a member of the replica in the state. */
   public boolean isIn(ReplicaId replica, MemberState state) {
     Membership membership = box.membership();
--- a/core/src/main/java/org/shoreroad/fleet/ReplicaConversion.java
+++ b/core/src/main/java/org/shoreroad/fleet/ReplicaConversion.java
@@ -16,7 +16,10 @@
  * 2 to 3 s. So replicas are closed only in two cases. Either boxes have just become available,
  * mostly after a loss, and must be used anyway. Or a model has no replica, or stays under high
  * pressure while another has free slots: it would refuse requests for as long as the load lasts.
- * Not thread-safe: used by one thread.
+ *
+ * <p>While requests are refused or late, a conversion must gain more than it costs, see {@link
+ * ConversionGain}, and more domains act at once the larger the imbalance is. Not thread-safe: used
+ * by one thread.
  */
 final class ReplicaConversion {
   /**
@@ -48,15 +51,51 @@
    */
   private static final long INTERVAL_NANOS = 6_000_000_000L;
 
+  /**
+   * Minimum gain while requests are refused or late, in replica-seconds. An added replica gains it
+   * if it is needed for two to three seconds more than the conversion takes.
+   */
+  private static final double MIN_GAIN_SECONDS = 2.5;
+
+  /** The same in a domain that has just lost a replica, whose boxes change it anyway. */
+  private static final double MIN_GAIN_SECONDS_AFTER_LOSS = 1;
+
+  /** Cost of each closed replica that decides between conversions of almost equal gain. */
+  private static final double GAIN_SECONDS_PER_CLOSED = 0.1;
+
+  /** Time for which a conversion must gain before it begins, since counts vary by chance. */
+  private static final long MIN_LASTED_NANOS = 500_000_000L;
+
+  /** The same for a domain that is not among the first: these have converted and opened by then. */
+  private static final long LASTED_WITHOUT_FIRST_NANOS = 4_000_000_000L;
+
+  private static final long NEVER = Long.MIN_VALUE;
+
+  /** Higher than any position, and small enough to count up to it. */
+  private static final int UNKNOWN_RANK = 1_000;
+
   private final String domain;
   private @Nullable Set<String> previouslyAvailableIds;
   private long convertedNanos = Long.MIN_VALUE / 2;
+  private long gainSinceNanos = NEVER;
+  private int rank = UNKNOWN_RANK;
+  private @Nullable Conversion unreported;
 
   /** Creates a conversion for the domain that has closed no replica yet. */
   ReplicaConversion(String domain) {
     this.domain = domain;
   }
 
+  /**
+   * Sets the position of the domain among all domains. While requests are refused or late, the
+   * domains with the lowest positions act at once, as many as gain by it.
+   *
+   * @param newRank the position, or a negative number if it is not known
+   */
+  void setRank(int newRank) {
+    rank = newRank < 0 ? UNKNOWN_RANK : newRank;
+  }
+
   /**
    * Returns the replicas to close: none, one or two.
    *
@@ -73,40 +112,130 @@
       Map<String, Integer> wanted,
       List<ObservedReplica> closable,
       long nowNanos) {
-    boolean isTooSoon = nowNanos - convertedNanos < INTERVAL_NANOS;
+    int newlyAvailable = updateAvailable(view);
+    if (nowNanos - convertedNanos < INTERVAL_NANOS) {
+      return List.of();
+    }
+    boolean isOwnTurn = (nowNanos / TURN_NANOS + domain.hashCode()) % TURNS == 0;
+    List<ObservedReplica> best =
+        packing.strain() == null
+            ? chooseByPressure(view, packing, wanted, closable, newlyAvailable > 0, isOwnTurn)
+            : chooseByGain(view, packing, wanted, closable, newlyAvailable, isOwnTurn, nowNanos);
+    if (!best.isEmpty()) {
+      convertedNanos = nowNanos;
+      unreported =
+          new Conversion(
+              best.stream().map(replica -> replica.replica().toString()).toList(),
+              packing.highestPressure(wanted, Map.of()),
+              packing.highestPressure(countsAfter(best, view, packing), Map.of()),
+              packing.strain() != null);
+    }
+    return best;
+  }
+
+  private static List<ObservedReplica> chooseByPressure(
+      DomainView view,
+      DomainPacking packing,
+      Map<String, Integer> wanted,
+      List<ObservedReplica> closable,
+      boolean hasNewlyAvailable,
+      boolean isOwnTurn) {
     double pressureBefore = packing.highestPressure(wanted, Map.of());
     boolean isUnserved = pressureBefore >= Demand.NO_REPLICA_PRESSURE;
-    boolean hasNewlyAvailable = updateAvailable(view);
-    boolean isOwnTurn = (nowNanos / TURN_NANOS + domain.hashCode()) % TURNS == 0;
     boolean isUnderPressure = pressureBefore >= HIGH_PRESSURE && isOwnTurn;
-    if (isTooSoon || !(hasNewlyAvailable || isUnserved || isUnderPressure)) {
+    if (!(hasNewlyAvailable || isUnserved || isUnderPressure)) {
       return List.of();
     }
     List<ObservedReplica> best = List.of();
     double lowestPressure =
         pressureBefore - (hasNewlyAvailable ? MIN_GAIN_WITH_AVAILABLE : MIN_GAIN);
     for (List<ObservedReplica> closed : oneOrTwoOf(closable)) {
-      double pressureAfter = pressureWithout(closed, view, packing);
+      double pressureAfter = packing.highestPressure(countsAfter(closed, view, packing), Map.of());
       if (pressureAfter < lowestPressure) {
         best = closed;
         lowestPressure = pressureAfter;
       }
     }
-    if (!best.isEmpty()) {
-      convertedNanos = nowNanos;
-    }
     return best;
   }
 
-  /** Returns true if boxes have become available since the last call. */
-  private boolean updateAvailable(DomainView view) {
+  /**
+   * Returns the replicas to close while requests are refused or late. A domain acts if it is among
+   * as many first ones as can gain by the same conversion, if it has just lost a replica, or in its
+   * own turn if the gain remains when the first ones have had time: they may lack boxes or weights.
+   */
+  private List<ObservedReplica> chooseByGain(
+      DomainView view,
+      DomainPacking packing,
+      Map<String, Integer> wanted,
+      List<ObservedReplica> closable,
+      int newlyAvailable,
+      boolean isOwnTurn,
+      long nowNanos) {
+    double pressure = packing.highestPressure(wanted, Map.of());
+    String model = packing.highestPressureModel(wanted, Map.of());
+    Demand.Strain strain = packing.strain();
+    if (model == null || strain == null || pressure < HIGH_PRESSURE) {
+      gainSinceNanos = NEVER;
+      return List.of();
+    }
+    // A single box has mostly ended its warm-up.
+    boolean isAfterLoss = newlyAvailable > 1 && view.hasLoss();
+    double minGain = isAfterLoss ? MIN_GAIN_SECONDS_AFTER_LOSS : MIN_GAIN_SECONDS;
+    double lastingSeconds = ConversionGain.lastingSeconds(pressure, strain.risePerSecond(model));
+    List<ObservedReplica> best = List.of();
+    double highestGain = minGain;
+    List<ObservedReplica> whole = closable.stream().filter(ReplicaConversion::isWhole).toList();
+    for (List<ObservedReplica> closed : oneOrTwoOf(whole)) {
+      Map<String, Integer> after = countsAfter(closed, view, packing);
+      double gain =
+          ConversionGain.of(packing, wanted, counts(closed), after, lastingSeconds)
+              - GAIN_SECONDS_PER_CLOSED * closed.size();
+      if (gain > highestGain) {
+        best = closed;
+        highestGain = gain;
+      }
+    }
+    if (best.isEmpty() || isAfterLoss) {
+      gainSinceNanos = NEVER;
+      return best;
+    }
+    gainSinceNanos = gainSinceNanos == NEVER ? nowNanos : gainSinceNanos;
+    long lastedNanos = nowNanos - gainSinceNanos;
+    if (lastedNanos < MIN_LASTED_NANOS) {
+      return List.of();
+    }
+    if (isOwnTurn && lastedNanos > LASTED_WITHOUT_FIRST_NANOS) {
+      return best;
+    }
+    Map<String, Integer> after = countsAfter(best, view, packing);
+    int useful =
+        ConversionGain.usefulCount(
+            packing, wanted, counts(best), after, lastingSeconds, minGain, rank + 1);
+    return rank < useful ? best : List.of();
+  }
+
+  /** Returns true if the replica is not about to be dissolved anyway. */
+  private static boolean isWhole(ObservedReplica replica) {
+    return !replica.hasLeavingMember() && replica.members().stream().noneMatch(ObservedBox::isLost);
+  }
+
+  /** Returns the conversion since the last call, or null if there was none. */
+  @Nullable Conversion takeUnreported() {
+    Conversion taken = unreported;
+    unreported = null;
+    return taken;
+  }
+
+  /** Returns the number of boxes that have become available since the last call. */
+  private int updateAvailable(DomainView view) {
     Set<String> availableIds = new HashSet<>();
     view.available().forEach(observed -> availableIds.add(observed.box().id()));
+    Set<String> newIds = new HashSet<>(availableIds);
     // The boxes found by the first call may have been available for a long time.
-    boolean hasNewlyAvailable =
-        previouslyAvailableIds != null && !previouslyAvailableIds.containsAll(availableIds);
+    newIds.removeAll(previouslyAvailableIds == null ? availableIds : previouslyAvailableIds);
     previouslyAvailableIds = availableIds;
-    return hasNewlyAvailable;
+    return newIds.size();
   }
 
   private static List<List<ObservedReplica>> oneOrTwoOf(List<ObservedReplica> replicas) {
@@ -120,15 +249,22 @@
     return choices;
   }
 
-  /** Returns the highest pressure with the best packing of the available and the closed boxes. */
-  private static double pressureWithout(
+  private static Map<String, Integer> counts(List<ObservedReplica> replicas) {
+    Map<String, Integer> counts = new HashMap<>();
+    replicas.forEach(replica -> counts.merge(String.valueOf(replica.model()), 1, Integer::sum));
+    return counts;
+  }
+
+  /** Returns the replicas with the best packing of the available and the closed boxes. */
+  private static Map<String, Integer> countsAfter(
       List<ObservedReplica> closed, DomainView view, DomainPacking packing) {
-    Map<String, Integer> remaining = new HashMap<>(view.retained());
+    Map<String, Integer> counts = new HashMap<>(view.retained());
     List<ObservedBox> boxes = view.available();
     for (ObservedReplica replica : closed) {
-      remaining.merge(String.valueOf(replica.model()), -1, Integer::sum);
+      counts.merge(String.valueOf(replica.model()), -1, Integer::sum);
       boxes.addAll(replica.members());
     }
-    return packing.highestPressure(remaining, packing.fill(boxes, remaining));
+    packing.fill(boxes, counts).forEach((model, more) -> counts.merge(model, more, Integer::sum));
+    return counts;
   }
 }
--- a/core/src/main/java/org/shoreroad/fleet/ReplicaId.java
+++ b/core/src/main/java/org/shoreroad/fleet/ReplicaId.java
@@ -37,6 +37,11 @@
     return new ReplicaId(name + SEPARATOR + head.id() + SEPARATOR + head.address(), epoch);
   }
 
+  /** Returns true if the name shows that the replica was formed in the domain for the model. */
+  public boolean isOf(String domain, String model) {
+    return name.startsWith(domain + "-" + model + "-" + epoch + SEPARATOR);
+  }
+
   /** Returns the id of the head, or null if the name does not contain it. */
   public @Nullable String headId() {
     int end = name.lastIndexOf(SEPARATOR);
--- a/core/src/main/java/org/shoreroad/fleet/ReplicaPlan.java
+++ b/core/src/main/java/org/shoreroad/fleet/ReplicaPlan.java
@@ -59,6 +59,11 @@
     return wantedByDomain.getOrDefault(domain, Map.of()).getOrDefault(model, 0);
   }
 
+  /** Returns the position of the domain among all domains, the same at every process, or -1. */
+  public int rankOf(String domain) {
+    return List.copyOf(wantedByDomain.keySet()).indexOf(domain);
+  }
+
   /** Returns the packing of a domain that best approaches the models' shares of all boxes. */
   private static Map<String, Integer> fill(
       EngineSpec spec, int boxes, Map<String, Integer> boxesUsed, Set<String> plannedModels) {
--- a/core/src/test/java/org/shoreroad/fleet/DomainPackingTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainPackingTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.shoreroad.fleet.ObservedBox.Reach;
 
@@ -61,4 +62,40 @@
     assertThat(packing.highestPressure(Map.of(), Map.of()), is(greaterThan(100.0)));
     assertThat(packing.fill(boxes(4, "large", "small"), Map.of()), is(Map.of("large", 1)));
   }
+
+  @Test
+  void needsCountWhileRequestsAreRefused() {
+    Demand.Strain strain =
+        new Demand.Strain(
+            Map.of("large", 6.0, "small", 2.0),
+            Map.of("large", 6.0, "small", 9.0),
+            Map.of("large", 1),
+            Map.of());
+    Demand demand =
+        new Demand(
+            Map.of("large", 1.5, "small", 0.9), Map.of("large", 4, "small", 8), true, strain);
+    DomainPacking packing = DomainPacking.of(List.of(LARGE, SMALL), demand, List.of());
+    // One more large replica is being formed elsewhere.
+    assertThat(packing.highestPressure(Map.of(), Map.of()), is(closeTo(6.0 / 5, 1e-9)));
+    assertThat(packing.fill(boxes(4, "large", "small"), Map.of()), is(Map.of("large", 1)));
+    assertThat(
+        packing.atPeakOf(Set.of("small")).highestPressure(Map.of("large", 2), Map.of()),
+        is(closeTo(9.0 / 8, 1e-9)));
+  }
+
+  @Test
+  void formingReplicasOfTheDomainItselfAreNotCountedTwice() {
+    Demand.Strain strain =
+        new Demand.Strain(Map.of("large", 6.0), Map.of(), Map.of("large", 1), Map.of());
+    Demand demand = new Demand(Map.of(), Map.of("large", 4), true, strain);
+    FleetBox box = boxes(1, null).get(0).box();
+    FleetBox forming =
+        box.withEngineState(
+            null,
+            List.of(),
+            new Membership(ReplicaId.of("d", "large", 3, box), 0, MemberState.JOINING));
+    ObservedBox head = new ObservedBox(forming, true, Reach.LIKELY, true, true, false, null);
+    DomainPacking packing = DomainPacking.of(List.of(LARGE), demand, List.of(head));
+    assertThat(packing.highestPressure(Map.of("large", 1), Map.of()), is(closeTo(6.0 / 5, 1e-9)));
+  }
 }
--- a/core/src/test/java/org/shoreroad/fleet/ReplicaConversionTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/ReplicaConversionTest.java
@@ -1,8 +1,10 @@
 package org.shoreroad.fleet;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -25,6 +27,7 @@
   private long nowNanos = (8 * 125 + 1 - "d".hashCode() % 8) * SECOND_NANOS;
 
   private Demand demand = demand(0.9, 0.2);
+  private boolean hasLoss;
 
   private static Demand demand(double large, double small) {
     return new Demand(Map.of("large", large, "small", small), Map.of("large", 3, "small", 8), true);
@@ -47,15 +50,22 @@
   }
 
   private List<String> choose() {
+    return choose(conversion);
+  }
+
+  private List<String> choose(ReplicaConversion chosenBy) {
     DomainView view = new DomainView(observedBoxes);
     List<ObservedReplica> replicas = List.copyOf(ObservedReplica.from(observedBoxes).values());
     replicas.forEach(replica -> view.bindRetained(replica.members(), "small"));
+    if (hasLoss) {
+      view.recordDissolving(true);
+    }
     DomainPacking packing = DomainPacking.of(MODELS, demand, observedBoxes);
     Map<String, Integer> wanted = new HashMap<>(view.retained());
     packing
         .fill(view.available(), view.retained())
         .forEach((name, more) -> wanted.merge(name, more, Integer::sum));
-    return conversion.choose(view, packing, wanted, replicas, nowNanos).stream()
+    return chosenBy.choose(view, packing, wanted, replicas, nowNanos).stream()
         .map(replica -> replica.replica().name())
         .toList();
   }
@@ -134,4 +144,108 @@
     nowNanos += 2 * SECOND_NANOS;
     assertThat(choose().size() <= 2, is(true));
   }
+
+  /** Returns a demand in which two domains gain by one more large replica instead of two small. */
+  private static Demand strained(double largeNeed, double largeRise, double smallPeak) {
+    Demand.Strain strain =
+        new Demand.Strain(
+            Map.of("large", largeNeed, "small", 2.4),
+            Map.of("large", largeNeed, "small", smallPeak),
+            Map.of(),
+            Map.of("large", largeRise));
+    return new Demand(
+        Map.of("large", largeNeed / 3, "small", 0.3), Map.of("large", 3, "small", 8), true, strain);
+  }
+
+  private void addTwoSmallReplicas() {
+    addSmallReplica("a");
+    addSmallReplica("b");
+  }
+
+  @Test
+  void asManyFirstDomainsAsGainActAtOnceWhileRequestsAreRefused() {
+    addTwoSmallReplicas();
+    demand = strained(4.8, 0, 2.4);
+    for (int rank = 0; rank < 4; rank++) {
+      ReplicaConversion ranked = new ReplicaConversion("d");
+      ranked.setRank(rank);
+      assertThat(choose(ranked), is(empty()));
+      nowNanos += SECOND_NANOS / 2;
+      assertThat(choose(ranked).size(), is(rank < 2 ? 2 : 0));
+      nowNanos -= SECOND_NANOS / 2;
+    }
+  }
+
+  @Test
+  void laterDomainActsInItsTurnIfTheFirstOnesDoNot() {
+    addTwoSmallReplicas();
+    demand = strained(4.8, 0, 2.4);
+    conversion.setRank(3);
+    for (int second = 0; second < 7; second++) {
+      assertThat(choose(), is(empty()));
+      nowNanos += SECOND_NANOS;
+    }
+    assertThat(choose().size(), is(2));
+  }
+
+  @Test
+  void domainThatLostAReplicaActsAtOnce() {
+    addTwoSmallReplicas();
+    demand = strained(4.8, 0, 2.4);
+    conversion.setRank(3);
+    assertThat(choose(), is(empty()));
+    // Two boxes suffice for one more large replica together with one small replica.
+    add("free0", "large", null);
+    add("free1", "large", null);
+    hasLoss = true;
+    assertThat(choose().size(), is(1));
+  }
+
+  @Test
+  void singleSpareBoxThatBecomesAvailableIsNoReasonWhileRequestsAreRefused() {
+    addTwoSmallReplicas();
+    demand = strained(4.8, 0, 2.4);
+    conversion.setRank(3);
+    assertThat(choose(), is(empty()));
+    add("free0", "large", null);
+    hasLoss = true;
+    assertThat(choose(), is(empty()));
+  }
+
+  @Test
+  void noReplicaIsClosedForADemandThatFallsSoon() {
+    addTwoSmallReplicas();
+    demand = strained(4.8, -0.2, 2.4);
+    conversion.setRank(0);
+    choose();
+    nowNanos += SECOND_NANOS;
+    assertThat(choose(), is(empty()));
+  }
+
+  @Test
+  void noReplicaIsClosedThatItsModelNeededShortlyBefore() {
+    addTwoSmallReplicas();
+    demand = strained(4.8, 0, 12);
+    conversion.setRank(0);
+    choose();
+    nowNanos += SECOND_NANOS;
+    assertThat(choose(), is(empty()));
+  }
+
+  @Test
+  void conversionIsReportedOnceWithBothPressures() {
+    addTwoSmallReplicas();
+    demand = strained(4.8, 0, 2.4);
+    conversion.setRank(0);
+    choose();
+    assertThat(conversion.takeUnreported(), is(nullValue()));
+    nowNanos += SECOND_NANOS;
+    choose();
+    Conversion taken = conversion.takeUnreported();
+    assertThat(taken.closed().size(), is(2));
+    assertThat(taken.pressureBefore(), is(closeTo(1.6, 1e-9)));
+    assertThat(taken.pressureAfter(), is(closeTo(1.2, 1e-9)));
+    assertThat(taken.isStrained(), is(true));
+    assertThat(conversion.takeUnreported(), is(nullValue()));
+  }
 }
--- a/core/src/test/java/org/shoreroad/fleet/ReplicaIdTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/ReplicaIdTest.java
@@ -26,4 +26,16 @@
       assertThat(new ReplicaId(name, 17).headAddress(), is(nullValue()));
     }
   }
+
+  @Test
+  void nameShowsDomainAndModel() {
+    FleetBox head =
+        new FleetBox("b-m2-7", "llm", "h:1", "z", 4, false, "d-m3", null, List.of(), null);
+    ReplicaId replica = ReplicaId.of("d-m3", "m1", 7, head);
+    assertThat(replica.isOf("d-m3", "m1"), is(true));
+    assertThat(replica.isOf("d-m3", "m2"), is(false));
+    assertThat(replica.isOf("d-m3", "m3"), is(false));
+    assertThat(replica.isOf("d", "m1"), is(false));
+    assertThat(new ReplicaId("d-m1-7", 7).isOf("d", "m1"), is(false));
+  }
 }
--- a/core/src/test/java/org/shoreroad/fleet/ReplicaPlanTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/ReplicaPlanTest.java
@@ -65,4 +65,13 @@
     assertThat(plan.wanted("d", "small"), is(0));
     assertThat(plan.wanted("unknown", "large"), is(0));
   }
+
+  @Test
+  void domainsHaveRanksInTheOrderOfTheirNames() {
+    ReplicaPlan plan = ReplicaPlan.of(spec, Map.of("c", 8, "a", 6, "b", 2));
+    assertThat(plan.rankOf("a"), is(0));
+    assertThat(plan.rankOf("b"), is(1));
+    assertThat(plan.rankOf("c"), is(2));
+    assertThat(plan.rankOf("d"), is(-1));
+  }
 }
