--- a/core/src/main/java/org/shoreroad/fleet/HostPreparation.java
+++ b/core/src/main/java/org/shoreroad/fleet/HostPreparation.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.ToIntFunction;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Choice of the weights that the hosts of a domain load in advance. With the weights on its host, a
@@ -22,8 +23,9 @@
   private final WeightPrefetch prefetch = new WeightPrefetch();
 
   /**
-   * Returns the orders to load weights: first for missing replicas, then for free boxes, then for
-   * boxes of small replicas.
+   * Returns the orders to load weights: while requests are refused or late, first for a replica
+   * that lacks few boxes; then for missing replicas, then for free boxes, then for boxes of small
+   * replicas.
    *
    * @param view the domain, not null
    * @param spec the engines of the service, not null
@@ -50,7 +52,13 @@
         view.retained().isEmpty()
             || !demand.hasTraffic()
             || models.stream().anyMatch(model -> demand.replicaCount(model.name()) == 0);
-    prefetch.update(spec, view.observedById(), isUrgent, nowNanos);
+    prefetch.removeEnded(view.observedById(), nowNanos);
+    prefetch.setLimit(spec, true);
+    ReplicaCompletion completion = completion(view, models, demand);
+    if (completion != null) {
+      completion.boxes().forEach(observed -> stage(observed, completion.model(), orders, nowNanos));
+    }
+    prefetch.setLimit(spec, isUrgent);
     for (ModelShape model : models) {
       if (surplus.applyAsInt(model) < 0) {
         view.pickMembers(model).forEach(observed -> stage(observed, model, orders, nowNanos));
@@ -75,6 +83,14 @@
     return orders;
   }
 
+  /** Returns the replica to complete while requests are refused or late, or null for none. */
+  private @Nullable ReplicaCompletion completion(
+      DomainView view, List<ModelShape> models, Demand demand) {
+    return demand.strain() == null || view.isDissolving()
+        ? null
+        : ReplicaCompletion.choose(view.free(), models, prefetch::isLoading);
+  }
+
   /**
    * Returns the model that boxes without weights load first. This is the one with the smallest
    * replicas, unless the pressure of another is far higher: boxes load one after the other, so a
--- a/core/src/main/java/org/shoreroad/fleet/WeightPrefetch.java
+++ b/core/src/main/java/org/shoreroad/fleet/WeightPrefetch.java
@@ -11,7 +11,10 @@
   /** Divisor of {@link EngineSpec#loadsAtOnce()} that yields the limit of one domain. */
   private static final int NORMAL_DIVISOR = 4;
 
-  /** The same while the domain or a model has no replica, or before the first request. */
+  /**
+   * The same while the domain or a model has no replica, before the first request, and for a
+   * replica that lacks few boxes while requests are refused or late.
+   */
   private static final int URGENT_DIVISOR = 2;
 
   /** A load without visible effect after this many load times of its model counts as lost. */
@@ -20,10 +23,13 @@
   private final Map<String, Staging> running = new HashMap<>();
   private int maxConcurrent;
 
-  /** Removes the loads that have ended and sets the limit of concurrent loads. */
-  void update(
-      EngineSpec spec, Map<String, ObservedBox> observedById, boolean isUrgent, long nowNanos) {
+  /** Sets the limit of concurrent loads. */
+  void setLimit(EngineSpec spec, boolean isUrgent) {
     maxConcurrent = Math.max(1, spec.loadsAtOnce() / (isUrgent ? URGENT_DIVISOR : NORMAL_DIVISOR));
+  }
+
+  /** Removes the loads that have ended. */
+  void removeEnded(Map<String, ObservedBox> observedById, long nowNanos) {
     running
         .entrySet()
         .removeIf(
@@ -45,6 +51,12 @@
     return true;
   }
 
+  /** Returns true if the weights of the model are being loaded to the host of the box. */
+  boolean isLoading(ObservedBox observed, ModelShape model) {
+    Staging staging = running.get(observed.box().id());
+    return staging != null && staging.model().equals(model);
+  }
+
   /** Removes the load to the host of a box that has restarted. */
   void forget(String boxId) {
     running.remove(boxId);
