--- a/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
+++ b/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
@@ -33,6 +33,7 @@
   private final List<DelayedOrder> delayedOrders = new ArrayList<>();
   private final EngineSpec spec;
   private final Random random;
+  private final String name;
   private final List<String> violations = new ArrayList<>();
   private double unansweredFraction;
   private long openNanos = OPEN_NANOS;
@@ -42,8 +43,13 @@
   private int addedBoxes;
 
   FakeDomain(EngineSpec spec, Random random) {
+    this(spec, random, "d");
+  }
+
+  FakeDomain(EngineSpec spec, Random random, String name) {
     this.spec = spec;
     this.random = random;
+    this.name = name;
   }
 
   static EngineSpec spec() {
@@ -93,6 +99,18 @@
     engines.get(id).silentSinceNanos = nowNanos;
   }
 
+  /** Ends a member of a replica of the model and all boxes that belong to no replica. */
+  void loseMemberAndSpares(String model) {
+    boolean hasLostMember = false;
+    for (Engine engine : engines.values()) {
+      boolean isMember = engine.replica != null && engine.rank > 0 && model.equals(engine.model);
+      if (engine.replica == null || (isMember && !hasLostMember)) {
+        hasLostMember |= isMember;
+        kill(engine.id);
+      }
+    }
+  }
+
   /** Ends the boxes that have announced that they leave. */
   void endLeaving() {
     engines.values().stream().filter(e -> e.isAlive && e.isLeaving).forEach(e -> kill(e.id));
@@ -269,7 +287,7 @@
           "z",
           18,
           isLeaving,
-          "d",
+          name,
           reportedModel,
           List.copyOf(staged),
           membership);
