--- a/edge/src/main/java/org/shoreroad/edge/peer/AdditionsDigest.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/AdditionsDigest.java
@@ -80,7 +80,8 @@
             total.zone(),
             Math.max(0, total.arrived() - own.arrived()),
             Math.max(0, total.refused() - own.refused()),
-            Math.max(0, total.late() - own.late()));
+            Math.max(0, total.late() - own.late()),
+            Math.max(0, total.promptTokens() - own.promptTokens()));
   }
 
   private static String keyOf(ModelTraffic traffic) {
--- a/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatAdditions.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatAdditions.java
@@ -17,7 +17,7 @@
  *     currently owns the head's domain, by the id of the head. They are part of {@link
  *     Heartbeat#loads()}
  * @param roomOwners the processes that grant room, by the key of the fabric domain
- * @param traffic the requests of the last interval, by model and availability zone
+ * @param traffic the requests of the last complete second, by model and availability zone
  * @param coldReports the upstreams that are cold
  * @param evacuations the newest evacuation request or withdrawal of each availability zone
  * @since 0.2
--- a/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatAdditionsCodec.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatAdditionsCodec.java
@@ -32,6 +32,7 @@
     for (ModelTraffic traffic : additions.traffic()) {
       out.packString(traffic.service()).packString(traffic.model()).packString(traffic.zone());
       out.packInt(traffic.arrived()).packInt(traffic.refused()).packInt(traffic.late());
+      out.packLong(traffic.promptTokens());
     }
     out.packArrayHeader(additions.coldReports().size());
     for (ColdReport cold : additions.coldReports()) {
@@ -85,7 +86,8 @@
               in.unpackString(),
               in.unpackInt(),
               in.unpackInt(),
-              in.unpackInt()));
+              in.unpackInt(),
+              in.unpackLong()));
     }
     return traffic;
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -43,6 +43,7 @@
   private final OpenAttempts attempts = new OpenAttempts();
   private final RequestReader reader;
   private final ExchangeLog log;
+  private final RequestTraffic traffic;
   private final String model;
   private final long promptTokens;
   private RequestTargets targets;
@@ -64,6 +65,7 @@
     this.log = new ExchangeLog(relay, request, reader, sends);
     this.model = reader.model();
     this.promptTokens = reader.promptTokens();
+    this.traffic = new RequestTraffic(relay, request, model, promptTokens);
     this.targets = new RequestTargets(relay.selector(), null, model, sends, 0);
   }
 
@@ -99,9 +101,7 @@
       refuse(Refusal.QUARANTINED, RetryAfter.QUARANTINE);
       return;
     }
-    if (service != null) {
-      relay.budgetOf(service.name()).recordFirst(relay.nowNanos());
-    }
+    traffic.recordArrival(service, found);
     send();
   }
 
@@ -222,7 +222,7 @@
       relayed =
           new EventRelay(answers, relay::nowNanos, request.arrivedNanos(), reader.lastEventId());
       events = relayed;
-      relay.counters().record("shoreroad.first_head", relay.nowNanos() - request.arrivedNanos());
+      traffic.recordFirstHead();
       answers.begin(head.status(), HopByHopHeaders.copyWithout(head.headers()));
     }
     return relayed;
@@ -382,7 +382,7 @@
   }
 
   private void refuse(Refusal refusal, RetryAfter retryAfter) {
-    relay.counters().count("shoreroad.refusals", refusal.code());
+    traffic.recordRefusal(refusal);
     log.write("request_refused", "reason", refusal.code());
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set("X-Shoreroad-Reason", refusal.code());
--- a/edge/src/main/java/org/shoreroad/edge/relay/Refusal.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Refusal.java
@@ -40,6 +40,14 @@
     return status == HttpResponseStatus.SERVICE_UNAVAILABLE;
   }
 
+  /** Returns true if the request could be served if its model had more replicas. */
+  boolean isForWantOfRoom() {
+    return switch (this) {
+      case NO_REPLICA, NO_PLACE, UPSTREAM_REFUSED, NOT_SENT_IN_TIME, NOT_ANSWERED_IN_TIME -> true;
+      default -> false;
+    };
+  }
+
   /** Returns how a request with this refusal is counted as ended. */
   RequestEnd end() {
     return switch (this) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.RepeatingTimer;
 import org.shoreroad.edge.caller.AnswerChannel;
@@ -55,6 +56,7 @@
   private final Map<String, AttemptBudget> budgets = new HashMap<>();
   private final Set<Exchange> open = new HashSet<>();
   private final Set<Exchange> waiting = new HashSet<>();
+  private @Nullable TrafficMeter traffic;
   private int stallTickMs = MAX_STALL_TICK_MS;
   private boolean isWaitingTickScheduled;
   private boolean isRefusingNew;
@@ -91,6 +93,11 @@
     quarantine.setListener(this::endQuarantined);
   }
 
+  /** Sets the meter of the requests for each model; without it, none are counted. */
+  public void setTraffic(TrafficMeter newTraffic) {
+    traffic = newTraffic;
+  }
+
   /** Starts the periodic checks of open requests and of silent heads. */
   public void start() {
     timer.every(TICK_MS, "relay", this::tick);
@@ -212,6 +219,11 @@
     return calls;
   }
 
+  /** Returns the meter of the requests for each model, or null if they are not counted. */
+  @Nullable TrafficMeter traffic() {
+    return traffic;
+  }
+
   UpstreamSelector selector() {
     return selector;
   }
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/relay/TrafficMeter.java
@@ -0,0 +1,78 @@
+package org.shoreroad.edge.relay;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.function.LongSupplier;
+import java.util.stream.Stream;
+import org.shoreroad.demand.TrafficWindow;
+import org.shoreroad.edge.peer.Heartbeat;
+import org.shoreroad.edge.peer.HeartbeatAdditions;
+import org.shoreroad.fleet.ModelTraffic;
+
+/**
+ * Counts of the requests for each model within a second, of this process and of all others.
+ *
+ * <p>The counts of a process are in its heartbeats, so they expire with them. Used on the event
+ * loop.
+ *
+ * @since 0.2
+ */
+public final class TrafficMeter {
+  private final LongSupplier clockNanos;
+  private final String zone;
+  private final RelayCounters counters;
+  private final TrafficWindow own = new TrafficWindow();
+  private List<Heartbeat> peerHeartbeats = List.of();
+
+  /**
+   * Creates a meter that has counted no requests.
+   *
+   * @param clockNanos the steady clock, not null
+   * @param zone the availability zone of this process, not null
+   * @param counters the counters of this process, not null
+   */
+  public TrafficMeter(LongSupplier clockNanos, String zone, RelayCounters counters) {
+    this.clockNanos = clockNanos;
+    this.zone = zone;
+    this.counters = counters;
+  }
+
+  void recordArrival(String service, String model, long promptTokens) {
+    counters.count("shoreroad.models.arrived", model);
+    own.recordArrival(service, model, promptTokens, clockNanos.getAsLong());
+  }
+
+  void recordRefusal(String service, String model) {
+    counters.count("shoreroad.models.refused", model);
+    own.recordRefusal(service, model, clockNanos.getAsLong());
+  }
+
+  void recordLate(String service, String model) {
+    counters.count("shoreroad.models.late", model);
+    own.recordLate(service, model, clockNanos.getAsLong());
+  }
+
+  /** Returns the additions with the counts of this process. */
+  public HeartbeatAdditions contribute(HeartbeatAdditions additions) {
+    return additions.withTraffic(own.traffic(zone, clockNanos.getAsLong()));
+  }
+
+  /**
+   * Replaces the heartbeats of all other processes.
+   *
+   * @param newest heartbeats that together cover all other processes once, not null
+   */
+  public void setPeerHeartbeats(Collection<Heartbeat> newest) {
+    peerHeartbeats = List.copyOf(newest);
+  }
+
+  /** Returns the counts of all processes and availability zones for the model. */
+  ModelTraffic total(String service, String model) {
+    Stream<ModelTraffic> ofOwn = own.traffic(zone, clockNanos.getAsLong()).stream();
+    Stream<ModelTraffic> ofPeers =
+        peerHeartbeats.stream().flatMap(heartbeat -> heartbeat.additions().traffic().stream());
+    return Stream.concat(ofOwn, ofPeers)
+        .filter(one -> one.service().equals(service) && one.model().equals(model))
+        .reduce(new ModelTraffic(service, model, zone, 0, 0, 0, 0), ModelTraffic::plus);
+  }
+}
--- a/edge/src/test/java/org/shoreroad/edge/peer/HeartbeatCodecTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/HeartbeatCodecTest.java
@@ -81,7 +81,7 @@
           new HeartbeatAdditions(
               Map.of("i-1", 2),
               Map.of("llm/d-1", new HeartbeatAdditions.RoomOwner("node-2~b", "10.0.0.3:81")),
-              List.of(new ModelTraffic("llm", "m", "z", 9, 2, 1)),
+              List.of(new ModelTraffic("llm", "m", "z", 9, 2, 1, 6_000)),
               List.of(new HeartbeatAdditions.ColdReport(new Incarnation("i-12", 6), 700)),
               List.of(new HeartbeatAdditions.Evacuation("z", true, StorePosition.of(3, 11)))));
 
--- a/edge/src/test/java/org/shoreroad/edge/peer/Heartbeats.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/Heartbeats.java
@@ -62,7 +62,16 @@
     return with(bare.configVersion(), limits);
   }
 
+  /** Returns the heartbeat with additions. */
+  public Heartbeat withAdditions(HeartbeatAdditions additions) {
+    return with(bare.configVersion(), bare.limitReports(), additions);
+  }
+
   private Heartbeat with(long version, List<LimitReport> limits) {
+    return with(version, limits, bare.additions());
+  }
+
+  private Heartbeat with(long version, List<LimitReport> limits, HeartbeatAdditions additions) {
     return new Heartbeat(
         bare.sender(),
         0,
@@ -81,7 +90,7 @@
         bare.listUpdate(),
         bare.crashReports(),
         limits,
-        bare.additions());
+        additions);
   }
 
   /** Returns the heartbeat with changes of the upstream list. */
