--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -20,6 +20,7 @@
 import org.shoreroad.edge.relay.Relay;
 import org.shoreroad.edge.relay.RequestQuarantine;
 import org.shoreroad.edge.relay.StallDetector;
+import org.shoreroad.edge.relay.TrafficMeter;
 import org.shoreroad.edge.relay.UpstreamSelector;
 import org.shoreroad.edge.relay.UpstreamTable;
 import org.shoreroad.edge.replica.ReplicaService;
@@ -109,6 +110,8 @@
   private final UpstreamTable upstreams;
   private final UpstreamSelector selector;
   private final StallDetector stalls;
+  private final TrafficMeter traffic;
+  private final DemandMeter demands;
   private final FleetSummary summary;
   private final RequestQuarantine quarantine;
   private final QuarantineRegistry quarantineRegistry;
@@ -172,7 +175,9 @@
     this.selector =
         new UpstreamSelector(upstreams, backpressure, clockNanos, random, settings.zone());
     this.stalls = new StallDetector(upstreams, clockNanos, log);
-    this.summary = new FleetSummary(fleet, upstreams, log);
+    this.traffic = new TrafficMeter(clockNanos, settings.zone(), metrics);
+    this.demands = new DemandMeter(upstreams, traffic, clockNanos);
+    this.summary = new FleetSummary(fleet, upstreams, demands, log);
     this.quarantine = new RequestQuarantine(clockNanos, log, metrics);
     this.quarantineRegistry =
         new QuarantineRegistry(store, loop, timeOfDayMs, log, quarantine::applyReports);
@@ -213,6 +218,7 @@
         mesh,
         selector,
         upstreams,
+        traffic,
         backpressure);
   }
 
@@ -239,7 +245,7 @@
         ports.engines(),
         configuration::config,
         stalls::suspectedIds,
-        new DemandMeter(upstreams)::demand,
+        demands::demand,
         failureDetector,
         mesh::witnessNames,
         settings.stallMs());
@@ -282,6 +288,8 @@
           replicas.scheduleReconcile();
         });
     heartbeats.connect(mesh, leases, replicas);
+    heartbeats.addContributor(traffic::contribute);
+    relay.setTraffic(traffic);
     mesh.setSuspicionListener(heartbeats::applySuspicions);
     backpressure.setLimitListener(mesh::sendSoon);
     backpressure.setLeavingListener(fleet::noteLeaving);
--- a/edge/src/main/java/org/shoreroad/edge/PeriodicUpdate.java
+++ b/edge/src/main/java/org/shoreroad/edge/PeriodicUpdate.java
@@ -1,8 +1,11 @@
 package org.shoreroad.edge;
 
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.shoreroad.edge.peer.Heartbeat;
 import org.shoreroad.edge.peer.PeerMesh;
 import org.shoreroad.edge.relay.Backpressure;
+import org.shoreroad.edge.relay.TrafficMeter;
 import org.shoreroad.edge.relay.UpstreamSelector;
 import org.shoreroad.edge.relay.UpstreamTable;
 import org.shoreroad.edge.sync.Fleet;
@@ -10,8 +13,9 @@
 
 /**
  * Update of derived state, run each tenth of a second: the fleet, the number of processes, the
- * loads reported by peers, the processes that share the limits of upstreams, and the proof of the
- * configuration after a suspension of the box. Not thread-safe: used on the event loop.
+ * loads and the traffic reported by peers, the processes that share the limits of upstreams, and
+ * the proof of the configuration after a suspension of the box. Not thread-safe: used on the event
+ * loop.
  */
 final class PeriodicUpdate {
   private final EventLog log;
@@ -25,6 +29,7 @@
   private final PeerMesh mesh;
   private final UpstreamSelector selector;
   private final UpstreamTable upstreams;
+  private final TrafficMeter traffic;
   private final Backpressure backpressure;
   private long lastLeadNanos;
   private boolean hasDroppedUndeclared;
@@ -41,6 +46,7 @@
       PeerMesh mesh,
       UpstreamSelector selector,
       UpstreamTable upstreams,
+      TrafficMeter traffic,
       Backpressure backpressure) {
     this.log = log;
     this.metrics = metrics;
@@ -53,6 +59,7 @@
     this.mesh = mesh;
     this.selector = selector;
     this.upstreams = upstreams;
+    this.traffic = traffic;
     this.backpressure = backpressure;
   }
 
@@ -65,7 +72,9 @@
     int processes = mesh.sharingCount();
     configuration.setProcessCount(processes);
     selector.setProcessCount(processes);
-    upstreams.setPeerLoads(mesh.latestHeartbeats());
+    Map<Heartbeat, Long> latest = mesh.latestHeartbeats();
+    upstreams.setPeerLoads(latest);
+    traffic.setPeerHeartbeats(latest.keySet());
     backpressure.setSharers(mesh.sharers());
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/relay/FleetSummary.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/FleetSummary.java
@@ -20,16 +20,21 @@
 public final class FleetSummary {
   private final Fleet fleet;
   private final UpstreamTable table;
+  private final DemandMeter demands;
   private final EventLog log;
 
   /** Creates a summary. */
-  public FleetSummary(Fleet fleet, UpstreamTable table, EventLog log) {
+  public FleetSummary(Fleet fleet, UpstreamTable table, DemandMeter demands, EventLog log) {
     this.fleet = fleet;
     this.table = table;
+    this.demands = demands;
     this.log = log;
   }
 
-  /** Logs the open and the suspected heads of each model of the service, with their total load. */
+  /**
+   * Logs the open and the suspected heads of each model of the service, with their total load, and
+   * the demand for it.
+   */
   public void summarize(UpstreamService service) {
     if (service.engine() == null) {
       return;
@@ -60,6 +65,7 @@
           "waitingTokens",
           waitingTokens);
     }
+    demands.summarize(service, log);
   }
 
   /** Logs the number of boxes in each state. */
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
@@ -103,6 +103,15 @@
         : openHeads.getOrDefault(service.name() + "/" + model, List.of());
   }
 
+  /** Returns the number of replicas of the model that are being formed. */
+  int countForming(UpstreamService service, String model) {
+    return (int)
+        fleet.boxes().stream()
+            .filter(box -> box.service().equals(service.name()) && box.isFormingHead(model))
+            .filter(box -> !box.isLeaving() && fleet.isEligible(box.id()))
+            .count();
+  }
+
   /** Returns a copy, because moving requests to other upstreams changes the loads. */
   List<UpstreamLoad> loadsWithOwnRequests() {
     return loads.values().stream().filter(load -> load.ownOpenCount() > 0).toList();
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -18,6 +18,7 @@
 import org.shoreroad.edge.sync.DomainLeases;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.fleet.BoxOrder;
+import org.shoreroad.fleet.Conversion;
 import org.shoreroad.fleet.Demand;
 import org.shoreroad.fleet.DomainReconciler;
 import org.shoreroad.fleet.EngineSpec;
@@ -276,6 +277,7 @@
     reconciler
         .decide(nowNanos, engine, observedBoxes, plan, observer.headsSeen(), demand)
         .forEach(order -> sendOrder(key, reconciler, engine, order));
+    logConversion(key, reconciler.takeConversion());
     if (reconciler.needsReports() && !neededReports) {
       // Sends the report requests at once.
       scheduleReconcile();
@@ -320,6 +322,23 @@
         });
   }
 
+  private void logConversion(String key, @Nullable Conversion conversion) {
+    if (conversion != null) {
+      log.write(
+          "replica_conversion",
+          "domain",
+          key,
+          "closed",
+          conversion.closed(),
+          "pressureBefore",
+          conversion.pressureBefore(),
+          "pressureAfter",
+          conversion.pressureAfter(),
+          "isStrained",
+          conversion.isStrained());
+    }
+  }
+
   private void logOrder(BoxOrder order, long fence, Engines.OrderOutcome outcome) {
     log.write(
         "box_order",
--- a/edge/src/test/java/org/shoreroad/edge/relay/UpstreamFixture.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UpstreamFixture.java
@@ -55,13 +55,21 @@
       new UpstreamSelector(table, backpressure, () -> nowNanos, new SplittableRandom(3), "z");
   final StallDetector stalls = new StallDetector(table, () -> nowNanos, log);
 
-  /** Decodes "web" (a plain upstream), "leaving" (a leaving head) or the state of a head. */
+  /**
+   * Decodes "web" (a plain upstream), "leaving" (a leaving head), "FORMING" (a head that joins a
+   * replica of model "m") or the state of a head.
+   */
   private static FleetBox decode(String id, byte[] entry) {
     String text = new String(entry, StandardCharsets.UTF_8);
     boolean isLeaving = text.equals("leaving");
     if (text.equals("web")) {
       return new FleetBox(id, "web", "h-" + id + ":1", "z", 6, false, null, null, List.of(), null);
     }
+    if (text.equals("FORMING")) {
+      FleetBox box = new FleetBox(id, "llm", "h:1", "z", SLOTS, false, "d", null, List.of(), null);
+      ReplicaId replica = ReplicaId.of("d", "m", 1, box);
+      return box.withEngineState(null, List.of(), new Membership(replica, 0, MemberState.JOINING));
+    }
     MemberState state = isLeaving ? MemberState.OPEN : MemberState.valueOf(text);
     return new FleetBox(
         id,
