--- a/core/src/main/java/org/shoreroad/fleet/ReplicaConversion.java
+++ b/core/src/main/java/org/shoreroad/fleet/ReplicaConversion.java
@@ -69,6 +69,15 @@
   /** The same for a domain that is not among the first: these have converted and opened by then. */
   private static final long LASTED_WITHOUT_FIRST_NANOS = 4_000_000_000L;
 
+  /**
+   * The same while a model has no replica. If one of the first domains had closed replicas, its new
+   * one would be seen to form by then.
+   */
+  private static final long UNSERVED_WITHOUT_FIRST_NANOS = 2_000_000_000L;
+
+  /** Length of a turn while a model has no replica. */
+  private static final long UNSERVED_TURN_NANOS = 250_000_000L;
+
   private static final long NEVER = Long.MIN_VALUE;
 
   /** Higher than any position, and small enough to count up to it. */
@@ -116,11 +125,11 @@
     if (nowNanos - convertedNanos < INTERVAL_NANOS) {
       return List.of();
     }
-    boolean isOwnTurn = (nowNanos / TURN_NANOS + domain.hashCode()) % TURNS == 0;
+    boolean isOwnTurn = isOwnTurn(nowNanos, TURN_NANOS);
     List<ObservedReplica> best =
         packing.strain() == null
             ? chooseByPressure(view, packing, wanted, closable, newlyAvailable > 0, isOwnTurn)
-            : chooseByGain(view, packing, wanted, closable, newlyAvailable, isOwnTurn, nowNanos);
+            : chooseByGain(view, packing, wanted, closable, newlyAvailable, nowNanos);
     if (!best.isEmpty()) {
       convertedNanos = nowNanos;
       unreported =
@@ -133,6 +142,10 @@
     return best;
   }
 
+  private boolean isOwnTurn(long nowNanos, long turnNanos) {
+    return (nowNanos / turnNanos + domain.hashCode()) % TURNS == 0;
+  }
+
   private static List<ObservedReplica> chooseByPressure(
       DomainView view,
       DomainPacking packing,
@@ -170,7 +183,6 @@
       Map<String, Integer> wanted,
       List<ObservedReplica> closable,
       int newlyAvailable,
-      boolean isOwnTurn,
       long nowNanos) {
     double pressure = packing.highestPressure(wanted, Map.of());
     String model = packing.highestPressureModel(wanted, Map.of());
@@ -205,7 +217,7 @@
     if (lastedNanos < MIN_LASTED_NANOS) {
       return List.of();
     }
-    if (isOwnTurn && lastedNanos > LASTED_WITHOUT_FIRST_NANOS) {
+    if (isTurnWithoutFirst(pressure >= Demand.NO_REPLICA_PRESSURE, lastedNanos, nowNanos)) {
       return best;
     }
     Map<String, Integer> after = countsAfter(best, view, packing);
@@ -215,6 +227,12 @@
     return rank < useful ? best : List.of();
   }
 
+  private boolean isTurnWithoutFirst(boolean isUnserved, long lastedNanos, long nowNanos) {
+    return isUnserved
+        ? lastedNanos > UNSERVED_WITHOUT_FIRST_NANOS && isOwnTurn(nowNanos, UNSERVED_TURN_NANOS)
+        : lastedNanos > LASTED_WITHOUT_FIRST_NANOS && isOwnTurn(nowNanos, TURN_NANOS);
+  }
+
   /** Returns true if the replica is not about to be dissolved anyway. */
   private static boolean isWhole(ObservedReplica replica) {
     return !replica.hasLeavingMember() && replica.members().stream().noneMatch(ObservedBox::isLost);
--- a/core/src/test/java/org/shoreroad/fleet/ReplicaConversionTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/ReplicaConversionTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.nullValue;
 
@@ -188,6 +189,27 @@
     assertThat(choose().size(), is(2));
   }
 
+  @Test
+  void laterDomainsActWithinFourSecondsIfTheFirstOnesLeaveAModelUnserved() {
+    addTwoSmallReplicas();
+    demand =
+        new Demand(
+            Map.of("large", Demand.NO_REPLICA_PRESSURE, "small", 0.3),
+            Map.of("large", 0, "small", 8),
+            true,
+            strained(4.8, 0, 2.4).strain());
+    conversion.setRank(30);
+    int closed = 0;
+    int seconds = 0;
+    for (int step = 0; step <= 16 && closed == 0; step++) {
+      closed = choose().size();
+      seconds = step / 4;
+      nowNanos += SECOND_NANOS / 4;
+    }
+    assertThat(closed, is(2));
+    assertThat(seconds, is(greaterThanOrEqualTo(2)));
+  }
+
   @Test
   void domainThatLostAReplicaActsAtOnce() {
     addTwoSmallReplicas();
