--- a/edge/src/main/java/org/shoreroad/edge/relay/DemandMeter.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/DemandMeter.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.shoreroad.demand.DemandEstimator;
+import org.shoreroad.demand.FormingReplicas;
 import org.shoreroad.demand.ModelLoad;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.fleet.Demand;
@@ -34,6 +35,7 @@
   private final TrafficMeter traffic;
   private final LongSupplier clockNanos;
   private final Map<String, DemandEstimator> estimators = new HashMap<>();
+  private final Map<String, FormingReplicas> formingByService = new HashMap<>();
 
   /** Creates a meter that has measured no traffic yet. */
   public DemandMeter(UpstreamTable table, TrafficMeter traffic, LongSupplier clockNanos) {
@@ -51,16 +53,20 @@
     if (engine == null) {
       return Demand.NONE;
     }
+    long nowNanos = clockNanos.getAsLong();
+    FormingReplicas forming =
+        formingByService.computeIfAbsent(service.name(), name -> new FormingReplicas());
+    forming.update(table.heads(service), nowNanos);
     Map<String, ModelLoad> loads = new HashMap<>();
     for (ModelShape model : engine.models()) {
-      loads.put(model.name(), load(service, model.name()));
+      loads.put(model.name(), load(service, model.name(), forming.count(model.name(), nowNanos)));
     }
     return estimators
         .computeIfAbsent(service.name(), name -> new DemandEstimator())
-        .update(engine, loads, clockNanos.getAsLong());
+        .update(engine, loads, nowNanos);
   }
 
-  private ModelLoad load(UpstreamService service, String model) {
+  private ModelLoad load(UpstreamService service, String model, int forming) {
     long nowNanos = clockNanos.getAsLong();
     List<FleetBox> heads = table.candidates(service, model);
     int open = 0;
@@ -73,7 +79,7 @@
     ModelTraffic counts = traffic.total(service.name(), model);
     return new ModelLoad(
         heads.size(),
-        table.countForming(service, model),
+        forming,
         capacity,
         open,
         counts.arrived(),
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
@@ -103,13 +103,12 @@
         : openHeads.getOrDefault(service.name() + "/" + model, List.of());
   }
 
-  /** Returns the number of replicas of the model that are being formed. */
-  int countForming(UpstreamService service, String model) {
-    return (int)
-        fleet.boxes().stream()
-            .filter(box -> box.service().equals(service.name()) && box.isFormingHead(model))
-            .filter(box -> !box.isLeaving() && fleet.isEligible(box.id()))
-            .count();
+  /** Returns the heads of replicas of the service, in any state. */
+  List<FleetBox> heads(UpstreamService service) {
+    return fleet.boxes().stream()
+        .filter(box -> box.isHead() && box.service().equals(service.name()))
+        .filter(box -> !box.isLeaving() && fleet.isEligible(box.id()))
+        .toList();
   }
 
   /** Returns a copy, because moving requests to other upstreams changes the loads. */
--- a/edge/src/test/java/org/shoreroad/edge/relay/DemandMeterTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/DemandMeterTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.shoreroad.edge.EdgeMetrics;
+import org.shoreroad.fleet.Demand;
 import org.shoreroad.fleet.EngineSpec;
 import org.shoreroad.fleet.ModelShape;
 import org.shoreroad.traffic.UpstreamService;
@@ -85,10 +86,16 @@
   @Test
   void headsThatAreFormingForTheModelAreCounted() {
     list("a", "OPEN");
-    list("b", "JOINING");
-    assertThat(table.countForming(LLM, "m"), is(0));
+    setPeerLoad("a", 4, 0, 0);
     list("c", "FORMING");
-    assertThat(table.countForming(LLM, "m"), is(1));
-    assertThat(table.countForming(LLM, "other"), is(0));
+    Demand measured = Demand.NONE;
+    for (int i = 0; i < 40; i++) {
+      traffic.recordArrival("llm", "m", 100);
+      traffic.recordRefusal("llm", "m");
+      nowNanos += 100_000_000L;
+      measured = demand.demand(TWO_MODELS);
+    }
+    assertThat(measured.strain().formingCount("m"), is(1));
+    assertThat(measured.strain().formingCount("n"), is(0));
   }
 }
