--- a/core/src/main/java/org/shoreroad/demand/ModelEstimate.java
+++ b/core/src/main/java/org/shoreroad/demand/ModelEstimate.java
@@ -19,10 +19,10 @@
   private static final double SLOT_TIME_SMOOTHING_NANOS = TimeUnit.SECONDS.toNanos(3);
 
   /**
-   * Share of its time that an engine can spend on prompts. Passes then take 1.5 times as long as
-   * those without prompts, which is the usual slowness of a head.
+   * Share of its time that an engine can spend on prompts. A prompt that arrives at random then
+   * waits on average as long as one is read, and a pass takes twice as long as one without prompts.
    */
-  private static final double MAX_READING_SHARE = 1 / 3.0;
+  private static final double MAX_READING_SHARE = 0.5;
 
   /** Passes of a request before the time in a slot has been measured. */
   private static final double INITIAL_PASSES = 16;
