--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -23,6 +23,7 @@
 import org.shoreroad.edge.relay.Relay;
 import org.shoreroad.edge.relay.RequestQuarantine;
 import org.shoreroad.edge.relay.StallDetector;
+import org.shoreroad.edge.relay.TrafficMeter;
 import org.shoreroad.edge.relay.UpstreamSelector;
 import org.shoreroad.edge.relay.UpstreamTable;
 import org.shoreroad.edge.replica.ReplicaService;
@@ -111,6 +112,8 @@
   private final UpstreamTable upstreams;
   private final UpstreamSelector selector;
   private final StallDetector stalls;
+  private final TrafficMeter traffic;
+  private final DemandMeter demands;
   private final FleetSummary summary;
   private final RequestQuarantine quarantine;
   private final QuarantineRegistry quarantineRegistry;
@@ -175,7 +178,9 @@
     this.selector =
         new UpstreamSelector(upstreams, backpressure, clockNanos, random, settings.zone());
     this.stalls = new StallDetector(upstreams, clockNanos, log);
-    this.summary = new FleetSummary(fleet, upstreams, log);
+    this.traffic = new TrafficMeter(clockNanos, settings.zone(), metrics);
+    this.demands = new DemandMeter(upstreams, traffic, clockNanos);
+    this.summary = new FleetSummary(fleet, upstreams, demands, log);
     this.quarantine = new RequestQuarantine(clockNanos, log, metrics);
     this.quarantineRegistry =
         new QuarantineRegistry(store, loop, timeOfDayMs, log, quarantine::applyReports);
@@ -188,14 +193,7 @@
     this.leases = new DomainLeases(store, loop, elapsed::nowNanos, log, name, mesh, fleet::domains);
     this.replicas = makeReplicas(loop);
     this.heldBytes = new HeldBytes(settings.heldBytes(), new HeldBytesLog(log, metrics));
-    this.callers =
-        new CallerServer(
-            loop,
-            clockNanos,
-            this::limits,
-            relay,
-            reason -> metrics.count("shoreroad.bad_input", reason),
-            heldBytes);
+    this.callers = makeCallers(loop);
     this.processes = new ProcessRegistry(store, loop, log, mesh, location);
     this.processFollower =
         follower(Topic.PROCESSES, PROCESS_WAIT_MS, this::processIntervalMs, processes);
@@ -205,6 +203,16 @@
     connect(calls);
   }
 
+  private CallerServer makeCallers(EventLoop loop) {
+    return new CallerServer(
+        loop,
+        clockNanos,
+        this::limits,
+        relay,
+        reason -> metrics.count("shoreroad.bad_input", reason),
+        heldBytes);
+  }
+
   private SendGates makeGates() {
     return new SendGates(
         name, fleet, ports.upstreamDecoder(), configuration, clockNanos, log, metrics);
@@ -254,6 +262,7 @@
         mesh,
         selector,
         upstreams,
+        traffic,
         backpressure,
         this::updateGates);
   }
@@ -289,7 +298,7 @@
         ports.engines(),
         configuration::config,
         stalls::suspectedIds,
-        new DemandMeter(upstreams)::demand,
+        demands::demand,
         failureDetector,
         mesh::witnessNames,
         settings.stallMs());
@@ -339,6 +348,8 @@
     gates.connect(upstreams, backpressure, heartbeats);
     gates.evacuations().setChangeListener(mesh::sendSoon);
     replicas.setEvacuations(gates.evacuations());
+    heartbeats.addContributor(traffic::contribute);
+    relay.setTraffic(traffic);
     mesh.setSuspicionListener(heartbeats::applySuspicions);
     backpressure.setLimitListener(mesh::sendSoon);
     backpressure.setLeavingListener(fleet::noteLeaving);
@@ -406,17 +417,10 @@
     RepeatingTimer timer = new RepeatingTimer(loop, log);
     timer.every(UPDATE_INTERVAL_MS, "upkeep", periodicUpdate::run);
     timer.every(SUMMARY_INTERVAL_MS, "summary", this::summarize);
-    metrics.gauge("shoreroad.requests.open", relay::openCount);
-    metrics.gauge("shoreroad.requests.accepted", relay::acceptedCount);
-    metrics.gauge("shoreroad.requests.in_quarantine", quarantine::quarantinedCount);
-    metrics.gauge("shoreroad.upstreams.limited", backpressure::limitedCount);
-    metrics.gauge("shoreroad.callers.connections", callers::connectionCount);
-    metrics.gauge("shoreroad.callers.held_bytes", heldBytes::estimatedBytes);
-    metrics.gauge("shoreroad.config.age_ms", configuration::configAgeMs);
-    metrics.gauge("shoreroad.processes.alive", mesh::aliveCount);
-    metrics.gauge("shoreroad.log.dropped_lines", log::droppedLines);
-    metrics.gauge("shoreroad.store.former_era_answers", ports.storeEra()::formerAnswers);
-    metrics.gauge("shoreroad.loop.longest_lag_ms", lag::takeLongestMs);
+    new ProcessGauges(metrics)
+        .addCallers(relay, quarantine, callers, heldBytes)
+        .addSystem(backpressure, mesh, configuration, ports.storeEra())
+        .addProcess(log, lag);
   }
 
   /**
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -38,6 +38,7 @@
   private final OpenAttempts attempts = new OpenAttempts();
   private final RequestReader reader;
   private final ExchangeLog log;
+  private final RequestTraffic traffic;
   private final String model;
   private final long promptTokens;
   private RequestTargets targets;
@@ -58,6 +59,7 @@
     this.log = new ExchangeLog(relay, request, reader, sends);
     this.model = reader.model();
     this.promptTokens = reader.promptTokens();
+    this.traffic = new RequestTraffic(relay, request, model, promptTokens);
     this.targets = new RequestTargets(relay.selector(), null, model, sends, 0);
   }
 
@@ -93,9 +95,7 @@
       refuse(Refusal.QUARANTINED, RetryAfter.QUARANTINE);
       return;
     }
-    if (service != null) {
-      relay.budgetOf(service.name()).recordFirst(relay.nowNanos());
-    }
+    traffic.recordArrival(service, found);
     send();
   }
 
@@ -197,7 +197,7 @@
       relayed =
           new EventRelay(answers, relay::nowNanos, request.arrivedNanos(), reader.lastEventId());
       events = relayed;
-      relay.counters().record("shoreroad.first_head", relay.nowNanos() - request.arrivedNanos());
+      traffic.recordFirstHead();
       answers.begin(head.status(), HopByHopHeaders.copyWithout(head.headers()));
     }
     return relayed;
@@ -363,6 +363,7 @@
   private void refuse(Refusal refusal, String retryAfterSeconds, String why) {
     relay.counters().count("shoreroad.refusals", refusal.code());
     log.writeRefusal(refusal, why);
+    traffic.recordRefusal(refusal);
     finish(refusal.end());
     answers.answer(refusal.status(), refusal.headers(retryAfterSeconds), Unpooled.EMPTY_BUFFER);
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -56,6 +56,7 @@
   private final Map<String, AttemptBudget> budgets = new HashMap<>();
   private final Set<Exchange> open = new HashSet<>();
   private final Set<Exchange> waiting = new HashSet<>();
+  private @Nullable TrafficMeter traffic;
   private int stallTickMs = MAX_STALL_TICK_MS;
   private boolean isWaitingTickScheduled;
   private boolean isRefusingNew;
@@ -103,6 +104,11 @@
     return roomBroker;
   }
 
+  /** Sets the meter of the requests for each model; without it, none are counted. */
+  public void setTraffic(TrafficMeter newTraffic) {
+    traffic = newTraffic;
+  }
+
   /** Starts the periodic checks of open requests and of silent heads. */
   public void start() {
     timer.every(TICK_MS, "relay", this::tick);
@@ -224,6 +230,11 @@
     return calls;
   }
 
+  /** Returns the meter of the requests for each model, or null if they are not counted. */
+  @Nullable TrafficMeter traffic() {
+    return traffic;
+  }
+
   UpstreamSelector selector() {
     return selector;
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
@@ -134,6 +134,14 @@
     return model == null ? service : service + "/" + model;
   }
 
+  /** Returns the heads of replicas of the service, in any state. */
+  List<FleetBox> heads(UpstreamService service) {
+    return fleet.boxes().stream()
+        .filter(box -> box.isHead() && box.service().equals(service.name()))
+        .filter(box -> !box.isLeaving() && fleet.isEligible(box.id()))
+        .toList();
+  }
+
   /** Returns a copy, because moving requests to other upstreams changes the loads. */
   List<UpstreamLoad> loadsWithOwnRequests() {
     return loads.values().stream().filter(load -> load.ownOpenCount() > 0).toList();
--- a/edge/src/test/java/org/shoreroad/edge/relay/EvacuatedZoneTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/EvacuatedZoneTest.java
@@ -43,7 +43,7 @@
   private ColdGate coldGate;
 
   @BeforeEach
-  void connect() throws Exception {
+  void connectGates() throws Exception {
     loop.submit(
             () -> {
               evacuations = new Evacuations(log);
--- a/edge/src/test/java/org/shoreroad/edge/relay/UpstreamFixture.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UpstreamFixture.java
@@ -62,8 +62,8 @@
   }
 
   /**
-   * Decodes "web" (a plain upstream), "leaving" (a leaving head), the state of a head, or "member
-   * of" and the id of a head.
+   * Decodes "web" (a plain upstream), "leaving" (a leaving head), "FORMING" (a head that joins a
+   * replica of model "m"), the state of a head, or "member of" and the id of a head.
    */
   private static FleetBox decode(String id, byte[] entry) {
     String text = new String(entry, StandardCharsets.UTF_8);
@@ -72,6 +72,11 @@
       return new FleetBox(
           id, "web", "h-" + id + ":1", zoneOf(id), 6, false, null, null, List.of(), null);
     }
+    if (text.equals("FORMING")) {
+      FleetBox box = new FleetBox(id, "llm", "h:1", "z", SLOTS, false, "d", null, List.of(), null);
+      ReplicaId replica = ReplicaId.of("d", "m", 1, box);
+      return box.withEngineState(null, List.of(), new Membership(replica, 0, MemberState.JOINING));
+    }
     boolean isMember = text.startsWith(MEMBER_OF);
     String headId = isMember ? text.substring(MEMBER_OF.length()) : id;
     MemberState state = isLeaving || isMember ? MemberState.OPEN : MemberState.valueOf(text);
--- a/edge/src/test/java/org/shoreroad/edge/relay/ZoneGateTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/ZoneGateTest.java
@@ -131,7 +131,9 @@
   void replicasOfTheZoneAreNoSupply() {
     list("h1@a", "OPEN");
     list("h2@b", "OPEN");
-    DemandMeter meter = new DemandMeter(table);
+    DemandMeter meter =
+        new DemandMeter(
+            table, new TrafficMeter(() -> nowNanos, "z", new EdgeMetrics()), () -> nowNanos);
     assertThat(meter.demand(LLM).replicaCount("m"), is(2));
     evacuate("a");
     assertThat(meter.demand(LLM).replicaCount("m"), is(1));
