--- a/core/src/main/java/org/shoreroad/admission/ReturnPlan.java
+++ b/core/src/main/java/org/shoreroad/admission/ReturnPlan.java
@@ -36,6 +36,12 @@
   static final int MAX_INVITATIONS = 4_096;
 
   private static final int MAX_EQUAL_CONTENTS = 16;
+
+  /**
+   * Time for which a refused caller of another owner is remembered: it returns within its third.
+   */
+  private static final int FOREIGN_REFUSED_MS = 10_000;
+
   private static final int MAX_REMAINING_MS = 86_400_000;
   private static final int MAX_WAITING = 1_000_000;
   private static final int MAX_RETURNED = 1_024;
@@ -71,6 +77,8 @@
           return size() > MAX_RETURNED;
         }
       };
+  private final RefusedCallers refused = new RefusedCallers(MAX_INVITATIONS);
+  private final RefusedCallers foreignRefused = new RefusedCallers(MAX_INVITATIONS);
   private final ArrayDeque<Long> pendingDueNanos = new ArrayDeque<>();
   private final ArrayDeque<Long> unreported = new ArrayDeque<>();
   private final ArrayDeque<Long> reportedOnce = new ArrayDeque<>();
@@ -108,6 +116,33 @@
     return own.isDue(contentHash, nowNanos) || foreign.isDue(contentHash, nowNanos);
   }
 
+  @Override
+  public int takeCallerAgeMs(long contentHash, long nowNanos) {
+    int ageMs =
+        Math.max(
+            ageMs(refused, contentHash, nowNanos), ageMs(foreignRefused, contentHash, nowNanos));
+    refused.remove(contentHash);
+    foreignRefused.remove(contentHash);
+    return ageMs;
+  }
+
+  private static int ageMs(RefusedCallers callers, long contentHash, long nowNanos) {
+    Long firstNanos = callers.findFirstNanos(contentHash, nowNanos);
+    return firstNanos == null ? 0 : toAgeMs(firstNanos, nowNanos);
+  }
+
+  private static int toAgeMs(long firstNanos, long nowNanos) {
+    long ageMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - firstNanos);
+    return (int) Math.max(0, Math.min(MAX_REMAINING_MS, ageMs));
+  }
+
+  @Override
+  public void recordRefused(long contentHash, int ageMs, int remainingMs, long nowNanos) {
+    long firstNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(Math.max(0, ageMs));
+    int leftMs = Math.max(0, Math.min(MAX_REMAINING_MS, remainingMs));
+    refused.add(contentHash, firstNanos, leftMs, nowNanos);
+  }
+
   /** Removes the invitation of a caller that has returned. */
   @Override
   public void recordReturned(long contentHash) {
@@ -139,6 +174,7 @@
   public int invite(long contentHash, int waitingAhead, int remainingMs, long nowNanos) {
     latestNanos = nowNanos;
     recordRefusal(contentHash, nowNanos);
+    addBounded(unreported, contentHash);
     int ahead = Math.max(0, Math.min(MAX_WAITING, waitingAhead));
     double leftMs = Math.max(0, Math.min(MAX_REMAINING_MS, remainingMs));
     double allowedMs = Math.min(MAX_DELAY_MS, leftMs * ALLOWED_PART * USED_PART);
@@ -199,7 +235,6 @@
     long validMs = Math.min((long) delayMs + EXPIRY_MS, leftMs);
     own.add(contentHash, dueNanos, nowNanos + TimeUnit.MILLISECONDS.toNanos(validMs), nowNanos);
     pendingDueNanos.addLast(dueNanos);
-    addBounded(unreported, contentHash);
   }
 
   private static void addBounded(ArrayDeque<Long> hashes, long contentHash) {
@@ -210,8 +245,8 @@
   }
 
   /**
-   * Returns the invitations that other owners of the model lack, at most {@link #MAX_TICKETS}, and
-   * marks them as reported. Each is returned twice, in different lists, since a message may be
+   * Returns the refused callers that other owners of the model lack, at most {@link #MAX_TICKETS},
+   * and marks them as reported. Each is returned twice, in different lists, since a message may be
    * lost.
    */
   public List<Ticket> takeNewTickets(long nowNanos) {
@@ -233,23 +268,29 @@
 
   private boolean addTicket(long contentHash, List<Ticket> tickets, long nowNanos) {
     Long dueNanos = own.findDueNanos(contentHash, nowNanos);
-    if (dueNanos == null) {
+    Long firstNanos = refused.findFirstNanos(contentHash, nowNanos);
+    if (dueNanos == null && firstNanos == null) {
       return false;
     }
-    long dueMs = TimeUnit.NANOSECONDS.toMillis(dueNanos - nowNanos);
-    tickets.add(new Ticket(contentHash, (int) dueMs));
+    int dueMs =
+        dueNanos == null
+            ? Ticket.NOT_INVITED
+            : (int) TimeUnit.NANOSECONDS.toMillis(dueNanos - nowNanos);
+    int ageMs = firstNanos == null ? 0 : toAgeMs(firstNanos, nowNanos);
+    tickets.add(new Ticket(contentHash, dueMs, ageMs));
     return true;
   }
 
   /**
-   * Adds the invitations of another owner. Ignores those with a due time that no owner sets, those
-   * beyond {@link #MAX_TICKETS}, and those for which there is no memory; own invitations are not
-   * affected.
+   * Adds the refused callers of another owner. Ignores due times and ages that no owner sets,
+   * tickets beyond {@link #MAX_TICKETS}, and those for which there is no memory; own invitations
+   * are not affected.
    */
   public void addTickets(List<Ticket> tickets, long nowNanos) {
     latestNanos = nowNanos;
     int count = Math.min(MAX_TICKETS, tickets.size());
     for (Ticket ticket : tickets.subList(0, count)) {
+      addRefused(ticket, nowNanos);
       if (ticket.dueMs() < -EXPIRY_MS || ticket.dueMs() > MAX_DELAY_MS) {
         continue;
       }
@@ -262,6 +303,15 @@
     }
   }
 
+  /** Records the age of another owner's caller, once, since a ticket is sent twice. */
+  private void addRefused(Ticket ticket, long nowNanos) {
+    boolean isKnown = foreignRefused.findFirstNanos(ticket.contentHash(), nowNanos) != null;
+    if (!isKnown && ticket.ageMs() > 0 && ticket.ageMs() <= MAX_DELAY_MS) {
+      long firstNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(ticket.ageMs());
+      foreignRefused.add(ticket.contentHash(), firstNanos, FOREIGN_REFUSED_MS, nowNanos);
+    }
+  }
+
   /** Returns the number of contents that are remembered, of own and other invitations. */
   int rememberedCount() {
     return own.size() + foreign.size();
@@ -271,7 +321,12 @@
    * Invitation of a refused caller, for the other owners.
    *
    * @param contentHash the hash of the request's content
-   * @param dueMs the time until the planned return, in milliseconds, negative if it has passed
+   * @param dueMs the time until the planned return, in milliseconds, negative if it has passed, or
+   *     {@link #NOT_INVITED}
+   * @param ageMs the time since the caller first came, in milliseconds, 0 if unknown
    */
-  public record Ticket(long contentHash, int dueMs) {}
+  public record Ticket(long contentHash, int dueMs, int ageMs) {
+    /** Due time of a caller that was told not to return. */
+    public static final int NOT_INVITED = Integer.MAX_VALUE;
+  }
 }
--- a/core/src/main/java/org/shoreroad/admission/Returns.java
+++ b/core/src/main/java/org/shoreroad/admission/Returns.java
@@ -15,6 +15,20 @@
   /** Returns true if a caller with this content was invited to return and has not returned yet. */
   boolean isExpected(long contentHash, long nowNanos);
 
+  /**
+   * Returns the time since a caller first came that was refused and now returns, in milliseconds, 0
+   * if no caller with this content was refused. The caller is then no longer one that may return.
+   */
+  int takeCallerAgeMs(long contentHash, long nowNanos);
+
+  /**
+   * Records that a caller was refused, so that it is recognized when it returns, invited or not.
+   *
+   * @param ageMs the time since the caller first came, in milliseconds
+   * @param remainingMs the time until its deadline, in milliseconds
+   */
+  void recordRefused(long contentHash, int ageMs, int remainingMs, long nowNanos);
+
   /** Removes the invitation of a caller that has returned; does nothing if there is none. */
   void recordReturned(long contentHash);
 
--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -10,7 +10,6 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.jspecify.annotations.Nullable;
 import org.shoreroad.fleet.EngineSpec;
 import org.shoreroad.fleet.ModelShape;
 import org.shoreroad.queue.FairQueue;
@@ -50,9 +49,6 @@
   /** Share of a pass in which a request that is next in order expects its slot. */
   private static final double NEXT_PASS_SHARE = 0.25;
 
-  /** Share of a pass that a head in another zone must be earlier to be preferred. */
-  private static final double ZONE_PASS_SHARE = 0.25;
-
   /** Time for which the starts at a head that is gone are kept. */
   private static final long FORMER_STARTS_NANOS = TimeUnit.MINUTES.toNanos(1);
 
@@ -79,7 +75,6 @@
   private final FairQueue<WaitingRequest> queue = new FairQueue<>(MAX_WAITING);
   private long expiryCheckedNanos;
   private long correctedCount;
-  private RoomRefusal lastReason = RoomRefusal.NO_HEAD;
 
   /** Creates a book without heads. */
   public RoomBook(EngineSpec spec, ModelShape model, Returns returns) {
@@ -133,18 +128,19 @@
     if (waiting.containsKey(offered.key())) {
       return List.of();
     }
-    RoomRequest request = InputBounds.clampRequest(offered);
-    correctedCount += request == offered ? 0 : 1;
+    RoomRequest clamped = InputBounds.clampRequest(offered);
+    correctedCount += clamped == offered ? 0 : 1;
+    boolean isInvited = returns.isExpected(clamped.contentHash(), nowNanos);
+    int callerAgeMs = returns.takeCallerAgeMs(clamped.contentHash(), nowNanos);
+    // The target of a caller that returns counts from its first request. One that was invited has
+    // its place all the same, of which there are few.
+    boolean isOlder = !isInvited && callerAgeMs > clamped.ageMs();
+    RoomRequest request = isOlder ? clamped.withAgeMs(callerAgeMs) : clamped;
     long budgetNanos =
         (long) ((request.targetLatencyMs() * TARGET_SHARE - request.ageMs()) * NANOS_PER_MS);
     long sharePpm = sharePpm(request);
     WaitingRequest item =
-        new WaitingRequest(
-            request,
-            nowNanos,
-            nowNanos + budgetNanos,
-            sharePpm,
-            returns.isExpected(request.contentHash(), nowNanos));
+        new WaitingRequest(request, nowNanos, nowNanos + budgetNanos, sharePpm, isInvited);
     // Room is kept for arrivals, but not for those that would be late at an idle head too.
     if (forecast.firstEventMs(IDLE, request.promptTokens(), 1) <= item.budgetMs(nowNanos)) {
       arrivals.recordArrival(request.priority(), nowNanos);
@@ -268,8 +264,9 @@
       if (available > 0 && isKept && !arrivals.mayTakeKept()) {
         reason = RoomRefusal.KEPT_FOR_MORE_URGENT;
       } else if (available > 0) {
-        head = choose(item, true, mayQueue, nowNanos);
-        reason = lastReason;
+        HeadChoice choice = HeadChoice.inTime(heads.values(), item, mayQueue, nowNanos);
+        head = choice.head();
+        reason = choice.reason();
       }
       if (head != null) {
         queue.take(queued);
@@ -298,8 +295,9 @@
     boolean isRoomIdle = queue.size() == 0 && (item.isInvited() || freeSlots > kept);
     HeadRoom head = null;
     if (item.request().isFinal() && isRoomIdle && freeSlots > 0) {
-      head = choose(item, false, false, nowNanos);
-      reason = lastReason;
+      HeadChoice choice = HeadChoice.late(heads.values(), item, nowNanos);
+      head = choice.head();
+      reason = choice.reason();
     }
     if (head != null) {
       decisions.add(grant(item, head, nowNanos));
@@ -348,36 +346,6 @@
     return isPatient && isReachable(item, item.budgetMs(nowNanos) - waitMs);
   }
 
-  /** Returns the head for a request, or null with the reason in {@link #lastReason}. */
-  private @Nullable HeadRoom choose(
-      WaitingRequest item, boolean needsTarget, boolean mayQueue, long nowNanos) {
-    RoomRequest request = item.request();
-    lastReason = RoomRefusal.NO_HEAD;
-    HeadRoom best = null;
-    double bestMs = Double.POSITIVE_INFINITY;
-    for (HeadRoom head : heads.values()) {
-      RoomRefusal refusal = head.check(request, nowNanos);
-      double eventMs = refusal == null ? head.firstEventMs(request) : 0;
-      if (refusal == null && !mayQueue && head.freeSlots(nowNanos) == 0) {
-        refusal = RoomRefusal.TARGET_OUT_OF_REACH;
-      }
-      if (refusal == null && needsTarget && eventMs > item.budgetMs(nowNanos)) {
-        refusal = RoomRefusal.TARGET_OUT_OF_REACH;
-      }
-      if (refusal != null) {
-        lastReason = lastReason == RoomRefusal.NO_HEAD ? refusal : lastReason;
-        continue;
-      }
-      boolean isNear = head.state().zone().equals(request.zone());
-      double comparedMs = isNear ? eventMs : eventMs + head.passMs() * ZONE_PASS_SHARE;
-      if (comparedMs < bestMs) {
-        best = head;
-        bestMs = comparedMs;
-      }
-    }
-    return best;
-  }
-
   private RoomDecision grant(WaitingRequest item, HeadRoom head, long nowNanos) {
     RoomRequest request = item.request();
     double readMs = forecast.readMs(head.load(), request.promptTokens(), answers.meanPasses());
@@ -405,8 +373,9 @@
     boolean isAccount =
         reason == RoomRefusal.TARGET_OUT_OF_REACH && accounts.isOverShare(request.account());
     int waitingAhead = queue.sizeUpTo(request.priority());
-    int retryAfterMs =
-        returns.invite(request.contentHash(), waitingAhead, item.remainingMs(nowNanos), nowNanos);
+    int remainingMs = item.remainingMs(nowNanos);
+    returns.recordRefused(request.contentHash(), item.ageMs(nowNanos), remainingMs, nowNanos);
+    int retryAfterMs = returns.invite(request.contentHash(), waitingAhead, remainingMs, nowNanos);
     return RoomDecision.refused(
         request.key(), isAccount ? RoomRefusal.ACCOUNT_OVER_SHARE : reason, retryAfterMs);
   }
--- a/core/src/main/java/org/shoreroad/admission/RoomRequest.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomRequest.java
@@ -47,6 +47,24 @@
     excludedHeads = Set.copyOf(excludedHeads);
   }
 
+  /** Returns the request with another time since the caller's request arrived. */
+  public RoomRequest withAgeMs(int newAgeMs) {
+    return new RoomRequest(
+        key,
+        zone,
+        account,
+        priority,
+        promptTokens,
+        answerTokens,
+        newAgeMs,
+        targetLatencyMs,
+        targetGapMs,
+        remainingMs,
+        contentHash,
+        excludedHeads,
+        isFinal);
+  }
+
   /**
    * Identity of a request for room.
    *
--- a/core/src/main/java/org/shoreroad/admission/WaitingRequest.java
+++ b/core/src/main/java/org/shoreroad/admission/WaitingRequest.java
@@ -32,6 +32,11 @@
     return request.targetLatencyMs() * PATIENCE_SHARE - ageMs;
   }
 
+  /** Returns the time since the caller first came, in milliseconds. */
+  int ageMs(long nowNanos) {
+    return request.ageMs() + (int) ((nowNanos - offeredNanos) / NANOS_PER_MS);
+  }
+
   /** Returns the time until the caller's deadline, in milliseconds, 0 or more. */
   int remainingMs(long nowNanos) {
     long waitedMs = (long) ((nowNanos - offeredNanos) / NANOS_PER_MS);
--- a/core/src/test/java/org/shoreroad/admission/FakeReturns.java
+++ b/core/src/test/java/org/shoreroad/admission/FakeReturns.java
@@ -1,6 +1,8 @@
 package org.shoreroad.admission;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 
 /** Returns after a fixed time. */
@@ -8,6 +10,8 @@
   static final int RETRY_AFTER_MS = 400;
 
   final Set<Long> invited = new HashSet<>();
+  final Map<Long, Integer> refusedAgesMs = new HashMap<>();
+  int lastRefusedAgeMs;
   int freed;
   int lastWaitingAhead;
 
@@ -21,6 +25,17 @@
     return invited.contains(contentHash);
   }
 
+  @Override
+  public int takeCallerAgeMs(long contentHash, long nowNanos) {
+    Integer ageMs = refusedAgesMs.remove(contentHash);
+    return ageMs == null ? 0 : ageMs;
+  }
+
+  @Override
+  public void recordRefused(long contentHash, int ageMs, int remainingMs, long nowNanos) {
+    lastRefusedAgeMs = ageMs;
+  }
+
   @Override
   public void recordReturned(long contentHash) {
     invited.remove(contentHash);
--- a/core/src/test/java/org/shoreroad/admission/ReturnPlanTest.java
+++ b/core/src/test/java/org/shoreroad/admission/ReturnPlanTest.java
@@ -185,7 +185,7 @@
     List<Ticket> flood = new ArrayList<>();
     Random random = new Random(2);
     for (int i = 0; i < 100_000; i++) {
-      flood.add(new Ticket(random.nextLong(), random.nextInt()));
+      flood.add(new Ticket(random.nextLong(), random.nextInt(), random.nextInt()));
     }
     for (int i = 0; i < 100; i++) {
       plan.addTickets(flood.subList(i * 1_000, flood.size()), 0);
@@ -199,9 +199,9 @@
   void ticketsWithAnImpossibleTimeAreIgnored() {
     plan.addTickets(
         List.of(
-            new Ticket(1, Integer.MIN_VALUE),
-            new Ticket(2, Integer.MAX_VALUE),
-            new Ticket(3, -ReturnPlan.EXPIRY_MS - 1)),
+            new Ticket(1, Integer.MIN_VALUE, -1),
+            new Ticket(2, Integer.MAX_VALUE, 0),
+            new Ticket(3, -ReturnPlan.EXPIRY_MS - 1, 0)),
         0);
     assertThat(plan.rememberedCount(), is(0));
   }
--- a/core/src/test/java/org/shoreroad/admission/ReturnsUnderOverloadTest.java
+++ b/core/src/test/java/org/shoreroad/admission/ReturnsUnderOverloadTest.java
@@ -29,6 +29,14 @@
           return false;
         }
 
+        @Override
+        public int takeCallerAgeMs(long contentHash, long nowNanos) {
+          return 0;
+        }
+
+        @Override
+        public void recordRefused(long contentHash, int ageMs, int remainingMs, long nowNanos) {}
+
         @Override
         public void recordReturned(long contentHash) {}
 
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomCodec.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomCodec.java
@@ -70,7 +70,7 @@
       out.packInt(TICKETS).packString(tickets.service()).packString(tickets.model());
       out.packArrayHeader(tickets.tickets().size());
       for (Ticket ticket : tickets.tickets()) {
-        out.packLong(ticket.contentHash()).packInt(ticket.dueMs());
+        out.packLong(ticket.contentHash()).packInt(ticket.dueMs()).packInt(ticket.ageMs());
       }
     }
   }
@@ -221,7 +221,7 @@
     String model = in.unpackString();
     List<Ticket> tickets = new ArrayList<>();
     for (int count = in.unpackArrayHeader(); count > 0; count--) {
-      tickets.add(new Ticket(in.unpackLong(), in.unpackInt()));
+      tickets.add(new Ticket(in.unpackLong(), in.unpackInt(), in.unpackInt()));
     }
     return new RoomMessage.Tickets(service, model, tickets);
   }
--- a/edge/src/test/java/org/shoreroad/edge/room/RoomCodecTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/room/RoomCodecTest.java
@@ -47,7 +47,8 @@
         new RoomMessage.Decided(RoomDecision.refused(KEY, RoomRefusal.CACHE_FULL, 250), 0),
         new RoomMessage.End(KEY, GrantEnd.REJECTED),
         new RoomMessage.Renewal("front-1~a", Set.of(1L, 1L << 40)),
-        new RoomMessage.Tickets("llm", "m", List.of(new Ticket(-9, 300), new Ticket(4, -20))));
+        new RoomMessage.Tickets(
+            "llm", "m", List.of(new Ticket(-9, 300, 12), new Ticket(4, -20, 0))));
   }
 
   private static RoomMessage parse(byte[] bytes) throws IOException {
--- a/edge/src/test/java/org/shoreroad/edge/room/RoomServiceTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/room/RoomServiceTest.java
@@ -81,7 +81,7 @@
   void invitationsReachTheOtherOwnersOfTheModelOnly() {
     Owner one = addOwner("one", 0);
     Owner two = addOwner("two", 0);
-    Ticket ticket = new Ticket(5, 100);
+    Ticket ticket = new Ticket(5, 100, 9);
     one.ledger.tickets.add(ticket);
     List<String> receivers = new ArrayList<>();
     Map<String, RoomOwner> all = known.ownersOf(LLM, "m");
@@ -100,7 +100,7 @@
   @Test
   void messagesOnUnknownModelsAndRequestsHaveNoEffect() {
     Owner owner = addOwner("one", 0);
-    owner.receive(new RoomMessage.Tickets("llm", "none", List.of(new Ticket(1, 1))));
+    owner.receive(new RoomMessage.Tickets("llm", "none", List.of(new Ticket(1, 1, 1))));
     owner.receive(new RoomMessage.End(RoomCodecTest.KEY, GrantEnd.USED));
     owner.receive(new RoomMessage.Waiting(RoomCodecTest.KEY));
     assertThat(owner.ledger.ends, is(empty()));
