--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -190,14 +190,22 @@
 
   /**
    * Renews the grants of a process. Grants that are not renewed for {@link #grantMillis()} expire.
+   *
+   * @param holder the name of the process, not null
+   * @param numbers the numbers of its requests, not null
+   * @param nowNanos the time on the steady clock
+   * @return the numbers of the requests that hold a grant, not null
    */
-  public void renew(String holder, Set<Long> numbers, long nowNanos) {
+  public Set<Long> renew(String holder, Set<Long> numbers, long nowNanos) {
+    Set<Long> held = new HashSet<>();
     for (Long number : numbers) {
       Grant grant = grants.get(new RoomRequest.Key(holder, number));
       if (grant != null) {
         grant.renew(nowNanos);
+        held.add(number);
       }
     }
+    return held;
   }
 
   /** Returns the time after which a grant that isn't renewed expires, in milliseconds. */
--- a/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
+++ b/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
@@ -360,8 +360,9 @@
     offer(next());
     int free = book.freeCount(now);
     now += 1_000 * MS;
-    book.renew("p", Set.of(kept.key().number(), 77L), now);
-    book.renew("stranger", Set.of(1L), now);
+    Set<Long> held = book.renew("p", Set.of(kept.key().number(), 77L), now);
+    assertThat(held, is(Set.of(kept.key().number())));
+    assertThat(book.renew("stranger", Set.of(1L), now), is(Set.of()));
     now += 600 * MS;
     book.advance(now);
     assertThat(book.freeCount(now), is(free + 1));
--- a/edge/src/main/java/org/shoreroad/edge/room/ModelRoom.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/ModelRoom.java
@@ -196,14 +196,19 @@
     deliver(ledger.end(key, end, clockNanos.getAsLong()));
   }
 
-  /** Renews the grants of a process. */
-  void renew(String holder, Set<Long> numbers) {
+  /** Renews the grants of a process; returns the numbers of the requests that hold a grant here. */
+  Set<Long> renew(String holder, Set<Long> numbers) {
     long nowNanos = clockNanos.getAsLong();
+    Set<Long> held = ledger.renew(holder, numbers, nowNanos);
     for (long number : numbers) {
-      heldSinceNanos.computeIfPresent(
-          new RoomRequest.Key(holder, number), (key, since) -> nowNanos);
+      RoomRequest.Key key = new RoomRequest.Key(holder, number);
+      if (held.contains(number)) {
+        heldSinceNanos.put(key, nowNanos);
+      } else if (heldSinceNanos.remove(key) != null) {
+        record("grant_lost");
+      }
     }
-    ledger.renew(holder, numbers, nowNanos);
+    return held;
   }
 
   /** Decides on the requests that wait, and tells their processes that the others still wait. */
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomClient.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomClient.java
@@ -86,6 +86,22 @@
       }
     } else if (message instanceof RoomMessage.Decided decided) {
       receive(owner, decided);
+    } else if (message instanceof RoomMessage.Renewed renewed && renewed.holder().equals(self)) {
+      renewed.held().forEach(number -> onRenewed(owner, number, true));
+      renewed.lost().forEach(number -> onRenewed(owner, number, false));
+    }
+  }
+
+  private void onRenewed(String owner, long number, boolean isHeld) {
+    HeldGrant grant = granted.get(number);
+    if (grant == null || !grant.owner.process().equals(owner)) {
+      return;
+    }
+    if (isHeld) {
+      grant.renewedNanos = grant.askedNanos;
+    } else if (!grant.isLost) {
+      grant.isLost = true;
+      record("lost", "not_held");
     }
   }
 
@@ -187,9 +203,9 @@
   }
 
   /**
-   * Renews the grants in use, at each owner with one message. Those that have expired meanwhile,
-   * because this process was suspended or cut off from the owner, are load without a grant from
-   * then on.
+   * Asks each owner to renew the grants in use, with one message. Those that expire without an
+   * answer, because a process was suspended or cut off from the other, and those that the owner no
+   * longer holds, are load without a grant from then on.
    */
   void renew() {
     long nowNanos = clockNanos.getAsLong();
@@ -197,14 +213,10 @@
     for (HeldGrant grant : granted.values()) {
       if (!grant.hasExpiredAt(nowNanos)) {
         numbers.computeIfAbsent(grant.owner, added -> new HashSet<>()).add(grant.key.number());
+        grant.askedNanos = nowNanos;
       }
     }
-    numbers.forEach(
-        (owner, held) -> {
-          if (port.send(owner, new RoomMessage.Renewal(self, held))) {
-            held.forEach(number -> granted.get(number).renewedNanos = nowNanos);
-          }
-        });
+    numbers.forEach((owner, held) -> port.send(owner, new RoomMessage.Renewal(self, held)));
   }
 
   /** Returns the number of requests under grants of the present owners, by the id of the head. */
@@ -263,16 +275,22 @@
     private final String domain;
     private long renewedNanos;
 
+    /** Time of the last message that asks for the renewal; the owner renews no earlier. */
+    private long askedNanos;
+
+    private boolean isLost;
+
     HeldGrant(RoomOwner owner, RoomRequest.Key key, String headId, String domain) {
       this.owner = owner;
       this.key = key;
       this.headId = headId;
       this.domain = domain;
       this.renewedNanos = clockNanos.getAsLong();
+      this.askedNanos = renewedNanos;
     }
 
     boolean hasExpiredAt(long nowNanos) {
-      return nowNanos - renewedNanos > GRANT_NANOS;
+      return isLost || nowNanos - renewedNanos > GRANT_NANOS;
     }
 
     @Override
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomCodec.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomCodec.java
@@ -32,6 +32,7 @@
   private static final int END = 4;
   private static final int RENEWAL = 5;
   private static final int TICKETS = 6;
+  private static final int RENEWED = 7;
 
   private RoomCodec() {}
 
@@ -61,11 +62,10 @@
     } else if (message instanceof RoomMessage.End end) {
       packKey(out.packInt(END), end.key()).packString(end.end().name());
     } else if (message instanceof RoomMessage.Renewal renewal) {
-      out.packInt(RENEWAL).packString(renewal.holder());
-      out.packArrayHeader(renewal.numbers().size());
-      for (long number : renewal.numbers()) {
-        out.packLong(number);
-      }
+      packNumbers(out.packInt(RENEWAL).packString(renewal.holder()), renewal.numbers());
+    } else if (message instanceof RoomMessage.Renewed renewed) {
+      packNumbers(out.packInt(RENEWED).packString(renewed.holder()), renewed.held());
+      packNumbers(out, renewed.lost());
     } else if (message instanceof RoomMessage.Tickets tickets) {
       out.packInt(TICKETS).packString(tickets.service()).packString(tickets.model());
       out.packArrayHeader(tickets.tickets().size());
@@ -75,6 +75,13 @@
     }
   }
 
+  private static void packNumbers(MessagePacker out, Set<Long> numbers) throws IOException {
+    out.packArrayHeader(numbers.size());
+    for (long number : numbers) {
+      out.packLong(number);
+    }
+  }
+
   private static MessagePacker packKey(MessagePacker out, RoomRequest.Key key) throws IOException {
     out.packString(key.holder()).packLong(key.number());
     return out;
@@ -122,7 +129,9 @@
       case WAITING -> new RoomMessage.Waiting(unpackKey(in));
       case DECIDED -> unpackDecided(in);
       case END -> new RoomMessage.End(unpackKey(in), unpackEnd(in.unpackString()));
-      case RENEWAL -> unpackRenewal(in);
+      case RENEWAL -> new RoomMessage.Renewal(in.unpackString(), unpackNumbers(in));
+      case RENEWED ->
+          new RoomMessage.Renewed(in.unpackString(), unpackNumbers(in), unpackNumbers(in));
       case TICKETS -> unpackTickets(in);
       default -> null;
     };
@@ -207,13 +216,12 @@
     return GrantEnd.USED;
   }
 
-  private static RoomMessage unpackRenewal(MessageUnpacker in) throws IOException {
-    String holder = in.unpackString();
+  private static Set<Long> unpackNumbers(MessageUnpacker in) throws IOException {
     Set<Long> numbers = new HashSet<>();
     for (int count = in.unpackArrayHeader(); count > 0; count--) {
       numbers.add(in.unpackLong());
     }
-    return new RoomMessage.Renewal(holder, numbers);
+    return numbers;
   }
 
   private static RoomMessage unpackTickets(MessageUnpacker in) throws IOException {
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomLedger.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomLedger.java
@@ -24,7 +24,7 @@
 
   List<RoomDecision> end(RoomRequest.Key key, GrantEnd end, long nowNanos);
 
-  void renew(String holder, Set<Long> numbers, long nowNanos);
+  Set<Long> renew(String holder, Set<Long> numbers, long nowNanos);
 
   List<RoomDecision> advance(long nowNanos);
 
@@ -62,8 +62,8 @@
       }
 
       @Override
-      public void renew(String holder, Set<Long> numbers, long nowNanos) {
-        book.renew(holder, numbers, nowNanos);
+      public Set<Long> renew(String holder, Set<Long> numbers, long nowNanos) {
+        return book.renew(holder, numbers, nowNanos);
       }
 
       @Override
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomMessage.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomMessage.java
@@ -84,6 +84,22 @@
     }
   }
 
+  /**
+   * Answer to a renewal, to the process that sent it.
+   *
+   * @param holder the name of the process, not null
+   * @param held the numbers of the requests that still hold a grant, not null
+   * @param lost the numbers of those that hold none, not null
+   */
+  record Renewed(String holder, Set<Long> held, Set<Long> lost) implements RoomMessage {
+    /** Copies the sets. */
+    public Renewed {
+      Objects.requireNonNull(holder, "holder");
+      held = Set.copyOf(held);
+      lost = Set.copyOf(lost);
+    }
+  }
+
   /**
    * Callers that an owner has invited to return, to the other owners of the model.
    *
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomService.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomService.java
@@ -140,7 +140,7 @@
         }
       }
     } else if (message instanceof RoomMessage.Renewal renewal) {
-      rooms.values().forEach(room -> room.renew(renewal.holder(), renewal.numbers()));
+      renew(renewal, replies);
     } else if (message instanceof RoomMessage.Tickets tickets) {
       ModelRoom room = rooms.get(keyOf(tickets.service(), tickets.model()));
       if (room != null) {
@@ -149,6 +149,17 @@
     }
   }
 
+  /** Renews grants, and tells their process which of them are lost. */
+  private void renew(RoomMessage.Renewal renewal, RoomReplies replies) {
+    Set<Long> held = new HashSet<>();
+    for (ModelRoom room : rooms.values()) {
+      held.addAll(room.renew(renewal.holder(), renewal.numbers()));
+    }
+    Set<Long> lost = new HashSet<>(renewal.numbers());
+    lost.removeAll(held);
+    replies.send(new RoomMessage.Renewed(renewal.holder(), held, lost));
+  }
+
   private void ask(RoomMessage.Ask ask, RoomReplies replies) {
     ModelRoom room = rooms.get(keyOf(ask.service(), ask.model()));
     if (room == null || !ownedDomains.get().containsAll(room.domains())) {
--- a/edge/src/test/java/org/shoreroad/edge/room/FakeLedger.java
+++ b/edge/src/test/java/org/shoreroad/edge/room/FakeLedger.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -98,10 +99,13 @@
   }
 
   @Override
-  public void renew(String holder, Set<Long> numbers, long nowNanos) {
+  public Set<Long> renew(String holder, Set<Long> numbers, long nowNanos) {
     renewedNanos.replaceAll(
         (key, since) ->
             key.holder().equals(holder) && numbers.contains(key.number()) ? nowNanos : since);
+    Set<Long> held = new HashSet<>(numbers);
+    held.removeIf(number -> !grants.containsKey(new RoomRequest.Key(holder, number)));
+    return held;
   }
 
   @Override
--- a/edge/src/test/java/org/shoreroad/edge/room/RoomClientTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/room/RoomClientTest.java
@@ -264,6 +264,45 @@
     assertThat(client.grantedOpen(), is(Map.of()));
   }
 
+  @Test
+  void aGrantWhoseRenewalsAreNotAnsweredIsLoadWithoutAGrantOnceItExpires() {
+    Owner owner = addOwner("one", 0);
+    ask();
+    owner.isSilent = true;
+    for (int i = 0; i < 4; i++) {
+      client.renew();
+      ticks.advance(400);
+    }
+    assertThat(client.grantedOpen(), is(Map.of()));
+    owner.isSilent = false;
+    client.renew();
+    assertThat(client.grantedOpen(), is(Map.of()));
+  }
+
+  @Test
+  void aGrantThatItsOwnerHoldsNoMoreIsLoadWithoutAGrantAfterTheNextRenewal() {
+    Owner owner = addOwner("one", 0);
+    Asked asked = ask();
+    // As after a suspension of the owner, or a lease that moved and came back.
+    owner.ledger.setHeads(List.of(), ticks.nowNanos());
+    owner.service.refresh();
+    assertThat(owner.ledger.grantedCount(), is(0));
+    client.renew();
+    assertThat(client.grantedOpen(), is(Map.of()));
+    asked.end();
+    assertThat(client.grantedCount(), is(0));
+  }
+
+  @Test
+  void anAnswerToRenewalsOfAnotherOwnerHasNoEffect() {
+    addOwner("one", 0);
+    ask();
+    addOwner("two", 0);
+    client.receive("two", new RoomMessage.Renewed(SELF, Set.of(), Set.of(1L)));
+    client.receive("one", new RoomMessage.Renewed("other~b", Set.of(), Set.of(1L)));
+    assertThat(client.grantedOpen(), is(Map.of("h-one", 1)));
+  }
+
   @Test
   void aFormerOwnerDeclinesAndTheProcessChoosesByItself() {
     Owner owner = addOwner("one", 5);
--- a/edge/src/test/java/org/shoreroad/edge/room/RoomCodecTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/room/RoomCodecTest.java
@@ -47,6 +47,7 @@
         new RoomMessage.Decided(RoomDecision.refused(KEY, RoomRefusal.CACHE_FULL, 250), 0),
         new RoomMessage.End(KEY, GrantEnd.REJECTED),
         new RoomMessage.Renewal("front-1~a", Set.of(1L, 1L << 40)),
+        new RoomMessage.Renewed("front-1~a", Set.of(1L, 1L << 40), Set.of(2L)),
         new RoomMessage.Tickets("llm", "m", List.of(new Ticket(-9, 300), new Ticket(4, -20))));
   }
 
