--- a/edge/src/main/java/org/shoreroad/edge/room/ModelRoom.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/ModelRoom.java
@@ -1,6 +1,7 @@
 package org.shoreroad.edge.room;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -36,6 +37,9 @@
   private static final long RETIRED_NANOS =
       TimeUnit.MILLISECONDS.toNanos(2L * RoomBook.grantMillis());
 
+  /** Bound for the length of a line, as there may be thousands of client accounts. */
+  private static final int MAX_LOGGED_ACCOUNTS = 40;
+
   private static final long GRANT_NANOS = TimeUnit.MILLISECONDS.toNanos(RoomBook.grantMillis());
   private static final long NOTE_NANOS = TimeUnit.MILLISECONDS.toNanos(RoomService.WAITING_NOTE_MS);
 
@@ -171,8 +175,10 @@
   /** Decides on a request or queues it. */
   void ask(RoomRequest request, RoomReplies replies) {
     long nowNanos = clockNanos.getAsLong();
+    // Offered first: a request whose decision fails must not stay among those that wait.
+    List<RoomDecision> decisions = ledger.offer(request, nowNanos);
     waiting.put(request.key(), new Waiter(request.account(), replies, nowNanos));
-    deliver(ledger.offer(request, nowNanos));
+    deliver(decisions);
     if (waiting.containsKey(request.key())) {
       record("waiting");
       replies.send(new RoomMessage.Waiting(request.key()));
@@ -276,6 +282,24 @@
     ledger.addTickets(tickets, clockNanos.getAsLong());
   }
 
+  /** Returns the text of the largest counts, with the sum of all others if there are more. */
+  static String mostFrequent(Map<String, Integer> counts, int max) {
+    if (counts.size() <= max) {
+      return new TreeMap<>(counts).toString();
+    }
+    Map<String, Integer> largest = new TreeMap<>();
+    counts.entrySet().stream()
+        .sorted(
+            Map.Entry.<String, Integer>comparingByValue(Comparator.reverseOrder())
+                .thenComparing(Map.Entry.comparingByKey()))
+        .limit(max)
+        .forEach(entry -> largest.put(entry.getKey(), entry.getValue()));
+    int all = counts.values().stream().mapToInt(Integer::intValue).sum();
+    int named = largest.values().stream().mapToInt(Integer::intValue).sum();
+    largest.put("others", all - named);
+    return largest.toString();
+  }
+
   /** Logs the room and the decisions since the last summary. */
   void summarize(EventLog log) {
     int usable = 0;
@@ -303,7 +327,7 @@
         "results",
         results.toString(),
         "accounts",
-        accounts.toString());
+        mostFrequent(accounts, MAX_LOGGED_ACCOUNTS));
     results.clear();
     accounts.clear();
   }
--- a/edge/src/test/java/org/shoreroad/edge/room/FakeLedger.java
+++ b/edge/src/test/java/org/shoreroad/edge/room/FakeLedger.java
@@ -31,6 +31,7 @@
   final List<String> ends = new ArrayList<>();
   final List<ReturnPlan.Ticket> tickets = new ArrayList<>();
   final List<ReturnPlan.Ticket> received = new ArrayList<>();
+  boolean isFailing;
   private List<HeadState> heads = List.of();
 
   FakeLedger(int slots, int maxWaiting) {
@@ -54,6 +55,9 @@
 
   @Override
   public List<RoomDecision> offer(RoomRequest request, long nowNanos) {
+    if (isFailing) {
+      throw new IllegalStateException("scripted failure");
+    }
     waiting.put(request.key(), request);
     List<RoomDecision> decisions = decide(nowNanos);
     boolean mayWait = request.isFinal() && waiting.size() <= maxWaiting;
