--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
@@ -109,13 +109,22 @@
             loadOf(load.upstream())
                 .addPeerLoad(load.open(), load.waitingPromptTokens(), progressNanos);
           }
-          heartbeat
-              .additions()
-              .grantedOpen()
-              .forEach((head, count) -> loadOf(head).addPeerGranted(count));
+          addPeerGranted(heartbeat);
         });
   }
 
+  /** Adds granted requests, of each report no more than it tells as open. */
+  private void addPeerGranted(Heartbeat heartbeat) {
+    Map<String, Integer> granted = heartbeat.additions().grantedOpen();
+    if (granted.isEmpty()) {
+      return;
+    }
+    for (Heartbeat.Load load : heartbeat.loads()) {
+      int count = Math.min(load.open(), granted.getOrDefault(load.upstream(), 0));
+      loadOf(load.upstream()).addPeerGranted(Math.max(0, count));
+    }
+  }
+
   /** Returns the upstreams of the model, or of a plain service, in no particular order. */
   List<FleetBox> candidates(UpstreamService service, @Nullable String model) {
     refresh();
--- a/edge/src/test/java/org/shoreroad/edge/relay/HeadViewsTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/HeadViewsTest.java
@@ -46,6 +46,22 @@
     assertThat(view("h1").peerGrantedCount(), is(0));
   }
 
+  @Test
+  void noReportTellsMoreOfTheLoadGrantedThanItsOwn() {
+    List<Heartbeat.Load> loads = List.of(new Heartbeat.Load("h1", 5, 700, 10));
+    Map<String, Integer> tooMany = Map.of("h1", Integer.MAX_VALUE, "h2", 4);
+    Map<String, Integer> negative = Map.of("h1", -7);
+    HeartbeatAdditions none = HeartbeatAdditions.NONE;
+    table.setPeerLoads(
+        Map.of(
+            Heartbeats.of("p").withRoom(0, loads, none.withRoom(tooMany, Map.of())), nowNanos,
+            Heartbeats.of("q").withRoom(0, loads, none.withRoom(negative, Map.of())), nowNanos,
+            Heartbeats.of("r").withRoom(0, loads, none), nowNanos));
+    assertThat(view("h1").openCount(), is(15));
+    assertThat(view("h1").peerGrantedCount(), is(5));
+    assertThat(view("h2").peerGrantedCount(), is(0));
+  }
+
   @Test
   void suspectedAndAvoidedHeadsAreNotUsable() {
     assertThat(view("h1").isUsable(), is(true));
