--- a/edge/src/main/java/org/shoreroad/edge/relay/Dispatch.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Dispatch.java
@@ -124,16 +124,24 @@
   }
 
   @Override
-  public void onRefused(RoomDecision decision) {
+  public void onRefused(RoomDecision decision, Set<String> coveredHeads) {
     ask = null;
-    exchange.refuseRoom(decision);
+    Set<String> unusable = new HashSet<>(unusableHeads);
+    unusable.addAll(coveredHeads);
+    Optional<Target> target = targets.choose(unusable);
+    if (target.isPresent()) {
+      relay.counters().count("shoreroad.room.unavailable", "after_refusal");
+      isChosenHere = true;
+      exchange.startAttempt(target.get(), null);
+    } else {
+      exchange.refuseRoom(decision);
+    }
   }
 
   @Override
-  public void onUnavailable(Set<String> coveredHeads) {
+  public void onUnavailable() {
     ask = null;
     isChosenHere = true;
-    unusableHeads.addAll(coveredHeads);
     chooseHere();
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/relay/RoomBroker.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RoomBroker.java
@@ -46,16 +46,17 @@
     /** Called when room is granted, whose end must be reported. */
     void onGranted(Grant grant);
 
-    /** Called when all owners that were asked have refused. */
-    void onRefused(RoomDecision decision);
-
     /**
-     * Called when an owner does not answer, or none grants room at the model's heads now.
+     * Called when the owners that were asked have refused. The request may still go to a head
+     * without an answering owner.
      *
-     * @param coveredHeads the ids of the heads that this process must not choose by itself, since
-     *     their owners answer and at least one has refused, not null
+     * @param decision the refusal for the caller, not null
+     * @param coveredHeads the ids of the model's heads whose owners answer, not null
      */
-    void onUnavailable(Set<String> coveredHeads);
+    void onRefused(RoomDecision decision, Set<String> coveredHeads);
+
+    /** Called when no owner answers or none has a usable head. */
+    void onUnavailable();
   }
 
   /**
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomAsk.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomAsk.java
@@ -176,15 +176,11 @@
   private void giveUp() {
     isOver = true;
     RoomDecision refused = refusal;
-    RoomOwners owners = client.owners();
-    boolean isSilent = isAnySilent || owners.isAnyAvoided(query.service(), query.model());
-    if (refused == null || isSilent) {
-      client.record("unavailable", isSilent ? "silent" : "no_owner");
-      // Once an owner has refused, only the heads of those that don't answer are left to choose.
-      listener.onUnavailable(
-          refused == null ? Set.of() : owners.headsOfAnswering(query.service(), query.model()));
+    if (refused == null) {
+      client.record("unavailable", isAnySilent ? "silent" : "no_head");
+      listener.onUnavailable();
     } else {
-      listener.onRefused(refused);
+      listener.onRefused(refused, client.owners().headsOfAnswering(query.service(), query.model()));
     }
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomClient.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomClient.java
@@ -77,8 +77,12 @@
     return new RoomAsk(this, query, listener);
   }
 
-  /** Handles a reply of an owner; other messages are ignored. */
+  /**
+   * Handles a reply of an owner; other messages are ignored. An owner that replies late is asked
+   * again from then on.
+   */
   void receive(String owner, RoomMessage message) {
+    owners.recordReply(owner);
     if (message instanceof RoomMessage.Waiting waiting) {
       RoomAsk ask = findAsk(owner, waiting.key());
       if (ask != null) {
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomOwners.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomOwners.java
@@ -88,15 +88,6 @@
             .anyMatch(head -> byDomain.containsKey(head.domain()));
   }
 
-  /** Returns true if the owner of a usable head of the model is not asked for some time. */
-  boolean isAnyAvoided(UpstreamService service, String model) {
-    return !avoidedUntilNanos.isEmpty()
-        && heads.apply(service, model).stream()
-            .filter(HeadView::isUsable)
-            .map(head -> byDomain.get(head.domain()))
-            .anyMatch(owner -> owner != null && isAvoided(owner.process()));
-  }
-
   /** Returns the ids of the model's heads whose owner is known and may be asked. */
   Set<String> headsOfAnswering(UpstreamService service, String model) {
     Set<String> ids = new HashSet<>();
@@ -137,6 +128,11 @@
     avoidedUntilNanos.put(process, untilNanos);
   }
 
+  /** Records that a process has replied, so that it is asked again. */
+  void recordReply(String process) {
+    avoidedUntilNanos.remove(process);
+  }
+
   private boolean isAvoided(String process) {
     Long untilNanos = avoidedUntilNanos.get(process);
     return untilNanos != null && clockNanos.getAsLong() - untilNanos < 0;
