--- a/edge/src/test/java/org/shoreroad/edge/room/FakeLedger.java
+++ b/edge/src/test/java/org/shoreroad/edge/room/FakeLedger.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +31,7 @@
   final List<String> ends = new ArrayList<>();
   final List<ReturnPlan.Ticket> tickets = new ArrayList<>();
   final List<ReturnPlan.Ticket> received = new ArrayList<>();
+  boolean isFailing;
   private List<HeadState> heads = List.of();
 
   FakeLedger(int slots, int maxWaiting) {
@@ -53,6 +55,9 @@
 
   @Override
   public List<RoomDecision> offer(RoomRequest request, long nowNanos) {
+    if (isFailing) {
+      throw new IllegalStateException("scripted failure");
+    }
     waiting.put(request.key(), request);
     List<RoomDecision> decisions = decide(nowNanos);
     boolean mayWait = request.isFinal() && waiting.size() <= maxWaiting;
@@ -98,10 +103,13 @@
   }
 
   @Override
-  public void renew(String holder, Set<Long> numbers, long nowNanos) {
+  public Set<Long> renew(String holder, Set<Long> numbers, long nowNanos) {
     renewedNanos.replaceAll(
         (key, since) ->
             key.holder().equals(holder) && numbers.contains(key.number()) ? nowNanos : since);
+    Set<Long> held = new HashSet<>(numbers);
+    held.removeIf(number -> !grants.containsKey(new RoomRequest.Key(holder, number)));
+    return held;
   }
 
   @Override
