--- a/core/src/main/java/org/shoreroad/cold/ColdUpstream.java
+++ b/core/src/main/java/org/shoreroad/cold/ColdUpstream.java
@@ -44,6 +44,7 @@
   private int assignedPhase = UNLIMITED;
   private long intervalNanos = PACE_NANOS;
   private long pausedUntilNanos = NEVER;
+  private long grantsPausedUntilNanos = NEVER;
   private long lastSentNanos = NEVER;
 
   ColdUpstream(Incarnation upstream, ColdStart rate) {
@@ -150,6 +151,9 @@
     int holders = (int) Math.max(1, Math.min(sharers.size(), Math.floor(perSecond)));
     double turns = perSecond < 1 ? perSecond : turns(self, sharers, holders, (long) perSecond);
     intervalNanos = Math.max(1, (long) (PACE_NANOS / turns));
+    if (begins) {
+      grantsPausedUntilNanos = nowNanos + SECOND_NANOS;
+    }
     boolean wasHolder = share.isHolder();
     share.assign(self, upstream.id(), sharers, holders, intervalNanos, nowNanos);
     if (begins || (share.isHolder() && !wasHolder && phase == COLD)) {
@@ -165,6 +169,14 @@
     return wholeTurns / holders + (hasOneMore ? 1 : 0);
   }
 
+  /**
+   * Returns true if requests under grants may be sent. They pause for a second too when the
+   * upstream turns cold, since the process that granted them may not know of it yet.
+   */
+  boolean permitsGranted(long nowNanos) {
+    return !isCold(nowNanos) || nowNanos >= grantsPausedUntilNanos;
+  }
+
   boolean hasTurn(long nowNanos) {
     return isUnlimited(nowNanos) || share.hasTurn(nowNanos);
   }
--- a/core/src/main/java/org/shoreroad/cold/ColdUpstreams.java
+++ b/core/src/main/java/org/shoreroad/cold/ColdUpstreams.java
@@ -219,13 +219,22 @@
 
   /**
    * Returns the number of requests per second that may be granted at the upstream, in addition to
-   * the shares; infinite if it is not limited.
+   * the shares; infinite if it is not limited, 0 in the pause after it has turned cold.
    */
   public double grantsPerSecond(Incarnation upstream, long nowNanos) {
-    ColdUpstream known = upstreams.get(upstream);
-    return known == null
-        ? Double.POSITIVE_INFINITY
-        : known.perSecond(nowNanos) * (1 - PART_BESIDE_GRANTS);
+    ColdUpstream known = refreshed(upstream, nowNanos);
+    if (known == null) {
+      return Double.POSITIVE_INFINITY;
+    }
+    return known.permitsGranted(nowNanos)
+        ? known.perSecond(nowNanos) * (1 - PART_BESIDE_GRANTS)
+        : 0;
+  }
+
+  /** Returns true if a request under a grant may be sent, without a turn of this process. */
+  public boolean permitsGranted(Incarnation upstream, long nowNanos) {
+    ColdUpstream known = refreshed(upstream, nowNanos);
+    return known == null || known.permitsGranted(nowNanos);
   }
 
   /** Returns true if a turn of this process for the upstream is available, or none is needed. */
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -89,7 +89,7 @@
       relay.counters().count("shoreroad.attempts.to_resting", "withdrawn");
       return false;
     }
-    return (hasTurn || takeTurn()) && (grant != null || relay.backpressure().confirmSend(upstream));
+    return (hasTurn || takeTurn()) && confirmSend();
   }
 
   private boolean takeTurn() {
@@ -98,6 +98,12 @@
         : relay.backpressure().takeTurn(upstream);
   }
 
+  private boolean confirmSend() {
+    return grant != null
+        ? relay.backpressure().confirmGranted(upstream)
+        : relay.backpressure().confirmSend(upstream);
+  }
+
   Target target() {
     return target;
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Backpressure.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Backpressure.java
@@ -238,19 +238,32 @@
     if (coldGate == null || !coldGate.isLimited(upstream)) {
       return true;
     }
-    boolean isPermitted = coldGate.confirmSend(upstream);
+    return countCold(coldGate.confirmSend(upstream));
+  }
+
+  /** Returns true as {@link #confirmSend}, for a request under a grant. */
+  boolean confirmGranted(Incarnation upstream) {
+    if (coldGate == null || !coldGate.isLimited(upstream)) {
+      return true;
+    }
+    return countCold(coldGate.permitsGranted(upstream));
+  }
+
+  private boolean countCold(boolean isPermitted) {
     counters.count("shoreroad.attempts.to_cold", isPermitted ? "sent" : "withdrawn");
     return isPermitted;
   }
 
   /**
    * Returns true if a request under a grant may still be sent. It needs no turn of this process,
-   * since the process that grants requests at a cold upstream paces them.
+   * since the process that grants requests at a cold upstream paces them, once it knows of the
+   * coldness.
    */
   boolean permitsGranted(FleetBox upstream) {
     Incarnation incarnation = upstream.incarnation();
     return !isEvacuated(upstream)
         && !isResting(incarnation)
+        && (coldGate == null || coldGate.permitsGranted(incarnation))
         && limits.hasTurn(incarnation, clockNanos.getAsLong());
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/relay/ColdGate.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/ColdGate.java
@@ -233,6 +233,12 @@
     return cold.isEmpty() || cold.confirmSend(upstream, clockNanos.getAsLong());
   }
 
+  /** Returns true if a request under a grant may be sent right now; see {@link ColdUpstreams}. */
+  boolean permitsGranted(Incarnation upstream) {
+    refresh();
+    return cold.isEmpty() || cold.permitsGranted(upstream, clockNanos.getAsLong());
+  }
+
   /** Returns the requests per second that may be granted at the upstream; infinite if warm. */
   public double grantsPerSecond(FleetBox upstream) {
     refresh();
--- a/edge/src/test/java/org/shoreroad/edge/relay/ColdGateTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/ColdGateTest.java
@@ -180,6 +180,8 @@
     gate.update(true);
     assertThat(gate.grantsPerSecond(fleet.find("h1")), is(Double.POSITIVE_INFINITY));
     gate.recordEntry(incarnation("h1"), 4_000);
+    assertThat("in the pause", gate.grantsPerSecond(fleet.find("h1")), is(0.0));
+    advance(1_000);
     assertThat(gate.grantsPerSecond(fleet.find("h1")), is(1.0));
   }
 
@@ -188,7 +190,22 @@
     list("h1", "OPEN");
     gate.update(true);
     gate.recordEntry(incarnation("h1"), 4_000);
+    advance(1_000);
     assertThat(backpressure.maySendTo(fleet.find("h1")), is(false));
     assertThat(backpressure.permitsGranted(fleet.find("h1")), is(true));
+    assertThat(backpressure.confirmGranted(incarnation("h1")), is(true));
+  }
+
+  @Test
+  void aGrantOfAnOwnerThatDoesNotKnowOfTheColdnessIsNotUsed() {
+    list("h1", "OPEN");
+    gate.update(true);
+    assertThat(backpressure.permitsGranted(fleet.find("h1")), is(true));
+    gate.recordEntry(incarnation("h1"), 4_000);
+    advance(900);
+    assertThat(backpressure.permitsGranted(fleet.find("h1")), is(false));
+    assertThat("chosen before", backpressure.confirmGranted(incarnation("h1")), is(false));
+    advance(100);
+    assertThat(backpressure.confirmGranted(incarnation("h1")), is(true));
   }
 }
