--- a/edge/src/main/java/org/shoreroad/edge/sync/Evacuations.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Evacuations.java
@@ -79,8 +79,7 @@
     if (known == null) {
       return states.size() < MAX_ZONES;
     }
-    return !known.position().isSameEra(next.position())
-        || next.position().offset() > known.position().offset();
+    return next.position().era() > known.position().era() || isNewer(next);
   }
 
   /** Applies the state that another process reports. */
--- a/edge/src/test/java/org/shoreroad/edge/sync/EvacuationsTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/EvacuationsTest.java
@@ -83,6 +83,14 @@
     assertThat("a report of the former era", evacuations.isEvacuated("a"), is(true));
   }
 
+  @Test
+  void aLateRecordOfAFormerEraDoesNotReplaceAReportOfTheNewOne() {
+    evacuations.applyListing(Set.of(), at(1, 7));
+    evacuations.applyReport(new State("a", false, at(2, 20)));
+    evacuations.applyRecord("a", true, at(1, 8));
+    assertThat(evacuations.isEvacuated("a"), is(false));
+  }
+
   @Test
   void aCopyOfTheStoreWithoutTheRequestKeepsIt() {
     evacuations.applyRecord("a", true, at(1, 50));
