--- a/core/src/main/java/org/shoreroad/cold/ColdUpstreams.java
+++ b/core/src/main/java/org/shoreroad/cold/ColdUpstreams.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.fleet.Incarnation;
 import org.shoreroad.traffic.ColdStart;
@@ -34,7 +35,7 @@
   private final String self;
   private final Map<Incarnation, ColdUpstream> upstreams = new HashMap<>();
   private Set<String> sharers = Set.of();
-  private double sharedPart = 1;
+  private Predicate<Incarnation> isGranted = upstream -> false;
 
   /**
    * Creates a table without cold upstreams.
@@ -57,16 +58,21 @@
   }
 
   /**
-   * Sets whether requests under grants go to cold upstreams as well, without a share of the sending
-   * process. Half of the rate is for them then.
+   * Sets which upstreams are sent requests under grants as well while they are cold, without a
+   * share of the sending process. Half of their rate is for these then.
    */
-  public void setGranting(boolean isGranting, long nowNanos) {
-    sharedPart = isGranting ? PART_BESIDE_GRANTS : 1;
+  public void setGranted(Predicate<Incarnation> newGranted, long nowNanos) {
+    isGranted = newGranted;
     assignShares(nowNanos);
   }
 
   private void assignShares(long nowNanos) {
-    upstreams.values().forEach(one -> one.assignShare(self, sharers, sharedPart, nowNanos));
+    upstreams.forEach(
+        (upstream, cold) -> cold.assignShare(self, sharers, sharedPart(upstream), nowNanos));
+  }
+
+  private double sharedPart(Incarnation upstream) {
+    return isGranted.test(upstream) ? PART_BESIDE_GRANTS : 1;
   }
 
   /**
@@ -88,7 +94,7 @@
       return false;
     }
     cold.state(nowNanos + toNanos(remainingMs), nowNanos);
-    return hasTurnedCold(cold, wasCold, nowNanos);
+    return hasTurnedCold(upstream, cold, wasCold, nowNanos);
   }
 
   /**
@@ -105,7 +111,7 @@
       return false;
     }
     cold.assume(nowNanos + toNanos(rate.coldMs()), nowNanos + toNanos(firmMs));
-    return hasTurnedCold(cold, wasCold, nowNanos);
+    return hasTurnedCold(upstream, cold, wasCold, nowNanos);
   }
 
   /** Applies a report of another process; returns true if the upstream has turned cold by this. */
@@ -117,7 +123,7 @@
       return false;
     }
     cold.report(nowNanos + toNanos(remainingMs));
-    return hasTurnedCold(cold, wasCold, nowNanos);
+    return hasTurnedCold(upstream, cold, wasCold, nowNanos);
   }
 
   /**
@@ -137,11 +143,12 @@
       return false;
     }
     cold.setMemberUntil(untilNanos, nowNanos);
-    return hasTurnedCold(cold, wasCold, nowNanos);
+    return hasTurnedCold(head, cold, wasCold, nowNanos);
   }
 
-  private boolean hasTurnedCold(ColdUpstream cold, boolean wasCold, long nowNanos) {
-    cold.refresh(self, sharers, sharedPart, nowNanos);
+  private boolean hasTurnedCold(
+      Incarnation upstream, ColdUpstream cold, boolean wasCold, long nowNanos) {
+    cold.refresh(self, sharers, sharedPart(upstream), nowNanos);
     return !wasCold && cold.isCold(nowNanos);
   }
 
@@ -272,7 +279,7 @@
   private @Nullable ColdUpstream refreshed(Incarnation upstream, long nowNanos) {
     ColdUpstream known = upstreams.get(upstream);
     if (known != null) {
-      known.refresh(self, sharers, sharedPart, nowNanos);
+      known.refresh(self, sharers, sharedPart(upstream), nowNanos);
     }
     return known;
   }
--- a/core/src/test/java/org/shoreroad/cold/ColdUpstreamsTest.java
+++ b/core/src/test/java/org/shoreroad/cold/ColdUpstreamsTest.java
@@ -128,7 +128,7 @@
 
   @Test
   void grantsAndSharesDivideTheRate() {
-    cold.setGranting(true, START);
+    cold.setGranted(upstream -> true, START);
     cold.recordStatement(UPSTREAM, RATE, 10_000, START);
     assertThat(cold.grantsPerSecond(UPSTREAM, START + SECOND), is(2.0));
     assertThat(sentWithin(START + 2 * SECOND, SECOND), is(2));
@@ -136,7 +136,7 @@
 
   @Test
   void grantsPauseWhenAnUpstreamTurnsCold() {
-    cold.setGranting(true, START);
+    cold.setGranted(upstream -> true, START);
     assertThat(cold.permitsGranted(UPSTREAM, START), is(true));
     cold.recordStatement(UPSTREAM, RATE, 10_000, START);
     assertThat(cold.permitsGranted(UPSTREAM, START + SECOND - 1), is(false));
--- a/edge/src/main/java/org/shoreroad/edge/relay/ColdGate.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/ColdGate.java
@@ -4,7 +4,9 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.cold.ColdUpstreams;
@@ -41,6 +43,11 @@
   private final EventLog log;
   private final RelayCounters counters;
   private final Map<String, Incarnation> seen = new HashMap<>();
+
+  /** Until when upstreams state to be cold whose rate is not declared, by their service. */
+  private final Map<Incarnation, Long> unratedUntilNanos = new HashMap<>();
+
+  private @Nullable TrafficConfig ratedConfig;
   private boolean isObservingStarts;
   private long seenListChanges = -1;
   private long coveredTargetChanges = -1;
@@ -79,7 +86,14 @@
 
   /** Sets whether requests under grants go to cold upstreams too; see {@link ColdUpstreams}. */
   public void setGranting(boolean isGranting) {
-    cold.setGranting(isGranting, clockNanos.getAsLong());
+    Predicate<Incarnation> isGranted = isGranting ? this::isGranted : upstream -> false;
+    cold.setGranted(isGranted, clockNanos.getAsLong());
+  }
+
+  /** Returns false if the upstream belongs to no fabric domain, so that nobody grants requests. */
+  private boolean isGranted(Incarnation upstream) {
+    FleetBox box = fleet.find(upstream.id());
+    return box == null || box.domain() != null;
   }
 
   /**
@@ -90,6 +104,7 @@
    */
   public void update(boolean mayObserveStarts) {
     observeStarts();
+    applyUnrated();
     isObservingStarts = mayObserveStarts;
     cold.removeWarm(clockNanos.getAsLong());
     coverHeads();
@@ -105,11 +120,45 @@
     observeStarts();
     FleetBox box = fleet.find(upstream.id());
     ColdStart rate = box == null ? null : rateOf(box);
-    if (rate != null && box.incarnation().equals(upstream)) {
-      boolean hasTurnedCold =
-          cold.recordStatement(upstream, rate, remainingMs, clockNanos.getAsLong());
-      writeIfCold(hasTurnedCold, upstream, "entry");
+    if (box == null || !box.incarnation().equals(upstream)) {
+      return;
+    }
+    if (rate == null) {
+      recordUnrated(upstream, remainingMs);
+      return;
     }
+    boolean hasTurnedCold =
+        cold.recordStatement(upstream, rate, remainingMs, clockNanos.getAsLong());
+    writeIfCold(hasTurnedCold, upstream, "entry");
+  }
+
+  private void recordUnrated(Incarnation upstream, long remainingMs) {
+    if (remainingMs > 0) {
+      long believedMs = Math.min(ColdUpstreams.MAX_REMAINING_MS, remainingMs);
+      unratedUntilNanos.put(
+          upstream, clockNanos.getAsLong() + TimeUnit.MILLISECONDS.toNanos(believedMs));
+    } else {
+      unratedUntilNanos.remove(upstream);
+    }
+  }
+
+  /** Applies what entries stated before their services declared a rate. */
+  private void applyUnrated() {
+    if (unratedUntilNanos.isEmpty()) {
+      ratedConfig = config.get();
+      return;
+    }
+    long nowNanos = clockNanos.getAsLong();
+    unratedUntilNanos.values().removeIf(untilNanos -> untilNanos <= nowNanos);
+    if (config.get() == ratedConfig) {
+      return;
+    }
+    ratedConfig = config.get();
+    Map<Incarnation, Long> stated = Map.copyOf(unratedUntilNanos);
+    unratedUntilNanos.clear();
+    stated.forEach(
+        (upstream, untilNanos) ->
+            recordEntry(upstream, TimeUnit.NANOSECONDS.toMillis(untilNanos - nowNanos)));
   }
 
   /** Applies the reports of another process; those of unknown upstreams are ignored. */
@@ -248,6 +297,9 @@
   /** Includes what has changed in the list since the last update. */
   private void refresh() {
     observeStarts();
+    if (config.get() != ratedConfig) {
+      applyUnrated();
+    }
     if (fleet.targetChanges() != coveredTargetChanges) {
       coverHeads();
     }
--- a/edge/src/test/java/org/shoreroad/edge/relay/ColdGateTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/ColdGateTest.java
@@ -1,13 +1,17 @@
 package org.shoreroad.edge.relay;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.nullValue;
 
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.shoreroad.edge.EdgeMetrics;
@@ -27,12 +31,16 @@
       new ColdGate("p", fleet, () -> config, () -> nowNanos, log, new EdgeMetrics());
 
   private static TrafficConfig config(ColdStart coldStart) {
+    return config(coldStart, null);
+  }
+
+  private static TrafficConfig config(ColdStart coldStart, @Nullable ColdStart plainColdStart) {
     return TrafficConfig.of(
         1,
         List.of(),
         List.of(
             new UpstreamService("llm", 100, LLM.engine(), coldStart),
-            new UpstreamService("web", 100, null, null)),
+            new UpstreamService("web", 100, null, plainColdStart)),
         null,
         CallerLimits.DEFAULT);
   }
@@ -120,6 +128,59 @@
     assertThat(gate.coldCount(), is(0));
   }
 
+  @Test
+  void whatAnEntryStatesBeforeTheRateIsDeclaredCounts() {
+    config = null;
+    list("h1", "OPEN");
+    list("h2", "OPEN");
+    gate.recordEntry(incarnation("h1"), 5_000);
+    gate.recordEntry(incarnation("h2"), 5_000);
+    gate.recordEntry(incarnation("h2"), 0);
+    advance(1_000);
+    config = config(COLD);
+    assertThat(backpressure.maySendTo(fleet.find("h1")), is(false));
+    assertThat(backpressure.maySendTo(fleet.find("h2")), is(true));
+    assertThat("for the time that is left", gate.reports(), contains(report("h1", 4_000)));
+  }
+
+  @Test
+  void whatAnEntryStatesEndsAlsoWithoutADeclaredRate() {
+    config = null;
+    list("h1", "OPEN");
+    gate.recordEntry(incarnation("h1"), 5_000);
+    advance(5_000);
+    config = config(COLD);
+    assertThat(backpressure.maySendTo(fleet.find("h1")), is(true));
+    assertThat(gate.coldCount(), is(0));
+  }
+
+  private static ColdReport report(String id, int remainingMs) {
+    return new ColdReport(incarnation(id), remainingMs);
+  }
+
+  @Test
+  void plainUpstreamsKeepTheWholeRateBesideGrants() {
+    config = config(COLD, COLD);
+    gate.setGranting(true);
+    list("w1", "web");
+    list("h1", "OPEN");
+    gate.update(true);
+    gate.recordEntry(incarnation("w1"), 10_000);
+    gate.recordEntry(incarnation("h1"), 10_000);
+    assertThat(sentInSeconds("w1", 6), greaterThan(6));
+    assertThat(sentInSeconds("h1", 3), lessThanOrEqualTo(3));
+  }
+
+  private int sentInSeconds(String id, int seconds) {
+    int sent = 0;
+    for (int i = 0; i < seconds * 100; i++) {
+      advance(10);
+      boolean isSent = gate.takeTurn(incarnation(id)) && gate.confirmSend(incarnation(id));
+      sent += isSent ? 1 : 0;
+    }
+    return sent;
+  }
+
   @Test
   void aColdMemberMakesItsHeadCold() {
     list("h1", "OPEN");
