--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
@@ -136,11 +136,10 @@
       return;
     }
     if (bytes.isReadable()) {
-      if (!server.held().hasRoomFor(bytes.readableBytes())) {
+      if (!server.addRequestHeld(bytes.readableBytes())) {
         refuseForMemory();
         return;
       }
-      server.addHeld(bytes.readableBytes());
       collected.addComponent(true, bytes.retain());
     }
     if (content instanceof LastHttpContent) {
--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
@@ -36,6 +36,9 @@
   private static final int BACKLOG = 1_024;
   private static final int TIMEOUT_CHECK_MS = 250;
 
+  /** Minimum time between two checks of the held bytes for requests that seem not to fit. */
+  private static final long RECHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+
   /**
    * Send buffer of a connection, enough for 5 Mbit/s at a round trip of 100 ms. By default the
    * kernel holds up to some megabytes for a caller that does not read, beside the bytes that are
@@ -54,6 +57,7 @@
   private @Nullable Channel listening;
   private boolean isStopping;
   private boolean isCheckDue;
+  private long checkedNanos;
 
   /** Creates a server with the bound on held bytes that follows from the memory of the process. */
   public CallerServer(
@@ -168,7 +172,28 @@
 
   /** Adds bytes that are held for a caller, and checks the bound soon if they may exceed it. */
   void addHeld(long bytes) {
-    if (held.add(bytes) && !isCheckDue) {
+    checkSoonIf(held.add(bytes));
+  }
+
+  /**
+   * Adds bytes of a request, if they fit.
+   *
+   * @return false if they do not fit, so that the request must be refused
+   */
+  boolean addRequestHeld(long bytes) {
+    if (!held.hasRoomForRequest(bytes) && nowNanos() - checkedNanos >= RECHECK_NANOS) {
+      // What was sent or answered since the last check is still counted.
+      checkHeld();
+    }
+    if (!held.hasRoomForRequest(bytes)) {
+      return false;
+    }
+    checkSoonIf(held.addRequest(bytes));
+    return true;
+  }
+
+  private void checkSoonIf(boolean isCheckNeeded) {
+    if (isCheckNeeded && !isCheckDue) {
       isCheckDue = true;
       loop.execute(this::checkHeld);
     }
@@ -176,7 +201,8 @@
 
   private void checkHeld() {
     isCheckDue = false;
-    held.check(new ArrayList<>(connections), nowNanos());
+    checkedNanos = nowNanos();
+    held.check(new ArrayList<>(connections), checkedNanos);
   }
 
   void add(CallerConnection connection) {
--- a/edge/src/main/java/org/shoreroad/edge/caller/HeldBytes.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/HeldBytes.java
@@ -18,6 +18,7 @@
   private final HeldBytesRule rule;
   private final Listener listener;
   private long estimatedBytes;
+  private long estimatedRequestBytes;
 
   /** Creates a bound of a server that holds nothing. */
   public HeldBytes(HeldBytesRule rule, Listener listener) {
@@ -69,9 +70,16 @@
     return estimatedBytes > rule.maxBytes();
   }
 
-  /** Returns true if this many more bytes fit. */
-  boolean hasRoomFor(long bytes) {
-    return estimatedBytes + bytes <= rule.maxBytes();
+  /** Adds bytes of a request as {@link #add}. */
+  boolean addRequest(long bytes) {
+    estimatedRequestBytes += bytes;
+    return add(bytes);
+  }
+
+  /** Returns true if this many more bytes of requests fit. */
+  boolean hasRoomForRequest(long bytes) {
+    return estimatedRequestBytes + bytes <= rule.maxRequestBytes()
+        && estimatedBytes + bytes <= rule.maxBytes();
   }
 
   /** Records that a request is refused for lack of memory. */
@@ -89,10 +97,12 @@
       }
     }
     estimatedBytes = HeldBytesRule.totalBytes(holders);
+    estimatedRequestBytes = holders.stream().mapToLong(Holder::requestBytes).sum();
     for (Ending<CallerConnection> ending : rule.choose(holders)) {
       Holder<CallerConnection> holder = ending.holder();
       long heldBytes = holder.answerBytes() + holder.requestBytes();
       estimatedBytes -= heldBytes;
+      estimatedRequestBytes -= holder.requestBytes();
       long unreadMs = TimeUnit.NANOSECONDS.toMillis(holder.unreadNanos());
       listener.onEnded(ending.reason(), heldBytes, unreadMs);
       holder.connection().endUnread();
--- a/edge/src/main/java/org/shoreroad/edge/caller/HeldBytesRule.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/HeldBytesRule.java
@@ -29,6 +29,12 @@
   /** Part of the memory for callers; the rest is for upstreams, peers, the store and the code. */
   private static final int MEMORY_DIVISOR = 4;
 
+  /**
+   * Part of the bound for requests. If they filled all of it, callers would be ended for any answer
+   * that waits, however fast they read.
+   */
+  private static final double REQUEST_PART = 0.75;
+
   /** Part of the bound to which connections are ended, so that not each new byte ends one. */
   private static final double TARGET_PART = 0.9;
 
@@ -89,6 +95,11 @@
   /** Connection that is to be ended, and why. */
   record Ending<C>(Holder<C> holder, Reason reason) {}
 
+  /** Returns the maximum number of bytes of requests. */
+  long maxRequestBytes() {
+    return (long) (maxBytes * REQUEST_PART);
+  }
+
   /** Returns the bytes held on these connections. */
   static <C> long totalBytes(List<Holder<C>> holders) {
     return holders.stream().mapToLong(h -> h.answerBytes() + h.requestBytes()).sum();
--- a/edge/src/test/java/org/shoreroad/edge/caller/SlowReadersTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/caller/SlowReadersTest.java
@@ -258,6 +258,24 @@
     assertThat(ended, is(empty()));
   }
 
+  @Test
+  void requestsThatWereAnsweredTakeNoMemoryFromTheNext() throws Exception {
+    int bodyBytes = MAX_BYTES / 4;
+    String head = "POST /whole HTTP/1.1\r\nConnection: close\r\nContent-Length: " + bodyBytes;
+    for (int i = 0; i < 8; i++) {
+      // Two checks of the bound are not closer to each other.
+      Thread.sleep(20);
+      try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+        socket.setSoTimeout(READ_TIMEOUT_MS);
+        send(socket, head + "\r\n\r\n" + "x".repeat(bodyBytes));
+        int size = socket.getInputStream().readAllBytes().length;
+        assertThat("request " + i, size, greaterThanOrEqualTo(WHOLE_BYTES));
+      }
+    }
+    assertThat(refused, is(empty()));
+    assertThat(ended, is(empty()));
+  }
+
   @Test
   void requestsAreRefusedWhileThereIsNoMemory() throws Exception {
     String body = "x".repeat(12 * MB);
