--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -77,10 +77,15 @@
   }
 
   /**
-   * Returns true if the upstream's limit, rest, coldness and zone still permit the request. Checked
-   * again, since the upstream may have asked for fewer requests while the connection was opened.
+   * Returns true if the grant and the upstream's limit, rest, coldness and zone still permit the
+   * request. Checked again, since the upstream may have asked for fewer requests while the
+   * connection was opened, or this process may have been suspended.
    */
   private boolean isStillPermitted() {
+    if (grant != null && !grant.isInForce()) {
+      relay.counters().count("shoreroad.room.unused", "expired");
+      return false;
+    }
     if (relay.backpressure().isEvacuated(target.box())) {
       relay.counters().count("shoreroad.attempts.to_evacuated", "withdrawn");
       return false;
--- a/edge/src/main/java/org/shoreroad/edge/relay/RoomBroker.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RoomBroker.java
@@ -37,6 +37,13 @@
     /** Returns the id of the head. */
     String headId();
 
+    /**
+     * Returns false once the owner may have given the room to another request, since the grant was
+     * not renewed while this process was suspended or cut off. A request that was not sent by then
+     * must not be.
+     */
+    boolean isInForce();
+
     /** Reports the end of the use; only the first call has an effect. */
     void end(GrantEnd end);
   }
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomClient.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomClient.java
@@ -280,6 +280,11 @@
       return headId;
     }
 
+    @Override
+    public boolean isInForce() {
+      return !hasExpiredAt(clockNanos.getAsLong());
+    }
+
     @Override
     public void end(GrantEnd end) {
       if (granted.remove(key.number()) != null) {
--- a/edge/src/test/java/org/shoreroad/edge/relay/EvacuatedZoneTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/EvacuatedZoneTest.java
@@ -70,8 +70,10 @@
     String answer = call("/again/x");
     assertThat(answer, startsWith("HTTP/1.1 503"));
     assertThat(answer.toLowerCase(), containsString("x-shoreroad-reason: evacuated"));
-    evacuate(2, false);
     assertThat(upstream.requestHeads().size(), is(1));
+    evacuate(2, false);
+    assertThat(call("/again/x"), containsString("served"));
+    assertThat(upstream.requestHeads().size(), is(2));
   }
 
   @Test
--- a/edge/src/test/java/org/shoreroad/edge/relay/GrantedRoomTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/GrantedRoomTest.java
@@ -8,7 +8,9 @@
 
 import java.net.Socket;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
@@ -18,6 +20,12 @@
 import org.shoreroad.admission.RoomDecision;
 import org.shoreroad.admission.RoomRefusal;
 import org.shoreroad.admission.RoomRequest;
+import org.shoreroad.edge.sync.Evacuations;
+import org.shoreroad.edge.sync.StorePosition;
+import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.traffic.CallerLimits;
+import org.shoreroad.traffic.ColdStart;
+import org.shoreroad.traffic.TrafficConfig;
 import org.shoreroad.traffic.UpstreamService;
 
 /** Tests what the relay does with the results of asks for room, which a fake broker scripts. */
@@ -41,6 +49,9 @@
   private final List<RoomBroker.Query> queries = new CopyOnWriteArrayList<>();
   private final List<String> ends = new CopyOnWriteArrayList<>();
   private final List<Consumer<RoomBroker.Listener>> script = new ArrayList<>();
+  private Evacuations evacuations;
+  private ColdGate coldGate;
+  private final Set<String> expired = new HashSet<>();
   private volatile int withdrawn;
 
   /** Broker that answers the asks as the script says; those beyond it stay without a result. */
@@ -70,25 +81,58 @@
   }
 
   @BeforeEach
-  void setBroker() throws Exception {
-    loop.submit(() -> relay.setRoomBroker(new FakeBroker())).sync();
+  void connectParts() throws Exception {
+    loop.submit(
+            () -> {
+              relay.setRoomBroker(new FakeBroker());
+              evacuations = new Evacuations(log);
+              ZoneGate zoneGate = new ZoneGate(fleet, evacuations);
+              coldGate = new ColdGate(SELF, fleet, this::coldConfig, clockNanos, log, metrics);
+              table.setZoneGate(zoneGate);
+              backpressure.setGates(coldGate, zoneGate);
+            })
+        .sync();
+  }
+
+  private TrafficConfig coldConfig() {
+    UpstreamService service = new UpstreamService("llm", 100, null, new ColdStart(60, 10));
+    return TrafficConfig.of(1, List.of(), List.of(service), null, CallerLimits.DEFAULT);
   }
 
   private void grant(String headId) {
+    grant(headId, () -> {});
+  }
+
+  /** Grants room; the action runs while the connection to the head is being opened. */
+  private void grant(String headId, Runnable whileConnecting) {
     script.add(
-        listener ->
-            listener.onGranted(
-                new RoomBroker.Grant() {
-                  @Override
-                  public String headId() {
-                    return headId;
-                  }
+        listener -> {
+          listener.onGranted(new FakeGrant(headId));
+          whileConnecting.run();
+        });
+  }
 
-                  @Override
-                  public void end(GrantEnd end) {
-                    ends.add(headId + " " + end);
-                  }
-                }));
+  private final class FakeGrant implements RoomBroker.Grant {
+    private final String headId;
+
+    FakeGrant(String headId) {
+      this.headId = headId;
+    }
+
+    @Override
+    public String headId() {
+      return headId;
+    }
+
+    @Override
+    public boolean isInForce() {
+      return !expired.contains(headId);
+    }
+
+    @Override
+    public void end(GrantEnd end) {
+      ends.add(headId + " " + end);
+    }
   }
 
   private void refuse() {
@@ -181,6 +225,44 @@
     assertThat(ends, is(List.of("head-1 UNUSED", "head-2 USED")));
   }
 
+  @Test
+  void nothingIsSentUnderAGrantThatExpiresBefore() throws Exception {
+    FakeUpstream head = upstream("head-1", STREAMING);
+    upstream("head-2", STREAMING);
+    grant("head-1", () -> expired.add("head-1"));
+    grant("head-2");
+    assertThat(call("/llm/"), startsWith("HTTP/1.1 200"));
+    assertThat(head.requestHeads(), hasSize(0));
+    assertThat(ends, is(List.of("head-1 UNUSED", "head-2 USED")));
+  }
+
+  @Test
+  void nothingIsSentUnderAGrantToAZoneThatIsEvacuatedBefore() throws Exception {
+    FakeUpstream head = upstream("head-1", STREAMING);
+    grant(
+        "head-1",
+        () -> evacuations.applyRecord(head("head-1").zone(), true, StorePosition.of(1, 1)));
+    script.add(listener -> listener.onUnavailable(Set.of()));
+    assertThat(call("/llm/").toLowerCase(), containsString("x-shoreroad-reason: evacuated"));
+    assertThat(head.requestHeads(), hasSize(0));
+    assertThat(ends, is(List.of("head-1 UNUSED")));
+  }
+
+  @Test
+  void nothingIsSentUnderAGrantToAHeadThatTurnsColdBefore() throws Exception {
+    FakeUpstream head = upstream("head-1", STREAMING);
+    upstream("head-2", STREAMING);
+    grant("head-1", () -> coldGate.recordEntry(head("head-1").incarnation(), 60_000));
+    grant("head-2");
+    assertThat(call("/llm/"), startsWith("HTTP/1.1 200"));
+    assertThat(head.requestHeads(), hasSize(0));
+    assertThat(ends, is(List.of("head-1 UNUSED", "head-2 USED")));
+  }
+
+  private FleetBox head(String id) {
+    return Objects.requireNonNull(fleet.find(id));
+  }
+
   @Test
   void withoutAnAnsweringOwnerTheProcessChoosesAmongTheHeadsThatAreLeft() throws Exception {
     FakeUpstream covered = upstream("head-1", STREAMING);
--- a/edge/src/test/java/org/shoreroad/edge/room/RoomClientTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/room/RoomClientTest.java
@@ -242,8 +242,10 @@
     Owner owner = addOwner("one", 0);
     Asked asked = ask();
     client.renew();
+    assertThat(asked.grant.isInForce(), is(true));
     ticks.advance(1_600);
     client.renew();
+    assertThat(asked.grant.isInForce(), is(false));
     owner.service.refresh();
     assertThat(client.grantedOpen(), is(Map.of()));
     assertThat(owner.ledger.grantedCount(), is(0));
