--- a/edge/src/main/java/org/shoreroad/edge/room/RoomClient.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomClient.java
@@ -89,7 +89,7 @@
         ask.onWaiting();
       }
     } else if (message instanceof RoomMessage.Decided decided) {
-      receive(owner, decided);
+      receiveDecision(owner, decided);
     } else if (message instanceof RoomMessage.Renewed renewed && renewed.holder().equals(self)) {
       renewed.held().forEach(number -> onRenewed(owner, number, true));
       renewed.lost().forEach(number -> onRenewed(owner, number, false));
@@ -109,7 +109,7 @@
     }
   }
 
-  private void receive(String owner, RoomMessage.Decided decided) {
+  private void receiveDecision(String owner, RoomMessage.Decided decided) {
     RoomRequest.Key key = decided.decision().key();
     if (!key.holder().equals(self)) {
       return;
@@ -302,6 +302,11 @@
       return headId;
     }
 
+    @Override
+    public boolean isInForce() {
+      return !hasExpiredAt(clockNanos.getAsLong());
+    }
+
     @Override
     public void end(GrantEnd end) {
       if (granted.remove(key.number()) != null) {
