--- a/core/src/main/java/org/shoreroad/demand/ModelEstimate.java
+++ b/core/src/main/java/org/shoreroad/demand/ModelEstimate.java
@@ -119,9 +119,13 @@
     return Math.max(slots, neededReaders(spec, shape));
   }
 
-  /** Returns the replicas needed at the end of a conversion that begins now. */
+  /**
+   * Returns the replicas needed at the end of a conversion that begins now. No rise is foreseen
+   * above the highest need of the last seconds, since a swing ends there.
+   */
   double neededReplicas(EngineSpec spec, ModelShape shape) {
-    return presentNeed(spec, shape) * trendFactor();
+    double present = presentNeed(spec, shape);
+    return Math.min(present * trendFactor(), Math.max(present, peak.value()));
   }
 
   /**
