--- a/edge/src/main/java/org/shoreroad/edge/ConfigurationView.java
+++ b/edge/src/main/java/org/shoreroad/edge/ConfigurationView.java
@@ -1,6 +1,8 @@
 package org.shoreroad.edge;
 
+import java.util.Collection;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -12,6 +14,7 @@
 import org.shoreroad.edge.sync.StoreRecord;
 import org.shoreroad.edge.sync.TopicFollower;
 import org.shoreroad.traffic.TrafficConfig;
+import org.shoreroad.traffic.UpstreamService;
 
 /**
  * View of the configuration that this process uses, with the age of the proof that it is the
@@ -160,6 +163,11 @@
     return config;
   }
 
+  /** Returns the services of the configuration in force, none if there is no configuration. */
+  Collection<UpstreamService> services() {
+    return config == null ? List.of() : config.services();
+  }
+
   /** Returns true if the service is declared, or if there is no configuration yet. */
   boolean isDeclared(String service) {
     return config == null || config.findService(service).isPresent();
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -27,6 +27,8 @@
 import org.shoreroad.edge.relay.UpstreamSelector;
 import org.shoreroad.edge.relay.UpstreamTable;
 import org.shoreroad.edge.replica.ReplicaService;
+import org.shoreroad.edge.room.RoomActivation;
+import org.shoreroad.edge.room.RoomMode;
 import org.shoreroad.edge.room.RoomSharing;
 import org.shoreroad.edge.sync.CountedStore;
 import org.shoreroad.edge.sync.DomainLeases;
@@ -220,7 +222,7 @@
 
   /** Lets the owners of fabric domains grant the room at their heads, if the settings say so. */
   private void shareRoom() {
-    if (!settings.sharesRoom()) {
+    if (settings.roomMode() == RoomMode.NEVER) {
       return;
     }
     RoomSharing room =
@@ -236,8 +238,10 @@
             () -> mesh.latestHeartbeats().keySet(),
             configuration::config,
             new HeadViews(upstreams, backpressure, clockNanos),
-            replicas::closingHeadIds);
-    gates.coldGate().setGranting(true);
+            replicas::closingHeadIds,
+            new RoomActivation(
+                settings.roomMode(), configuration::services, traffic::arrived, clockNanos),
+            gates.coldGate()::setGranting);
     relay.setRoomBroker(room.broker());
     heartbeats.addContributor(room::contribute);
     mesh.setFrameReceiver(room);
@@ -416,7 +420,10 @@
     replicas.start();
     RepeatingTimer timer = new RepeatingTimer(loop, log);
     timer.every(UPDATE_INTERVAL_MS, "upkeep", periodicUpdate::run);
-    timer.every(SUMMARY_INTERVAL_MS, "summary", this::summarize);
+    timer.every(
+        SUMMARY_INTERVAL_MS,
+        "summary",
+        new ProcessSummary(configuration, summary, store, log)::run);
     new ProcessGauges(metrics)
         .addCallers(relay, quarantine, callers, heldBytes)
         .addSystem(backpressure, mesh, configuration, ports.storeEra())
@@ -457,15 +464,6 @@
         && configuration.isServing();
   }
 
-  /** Logs the state of the fleet, so that a lack of replicas can be analyzed later. */
-  private void summarize() {
-    if (configuration.config() != null) {
-      configuration.config().services().forEach(summary::summarize);
-      summary.summarizeBoxes();
-      log.write("store_calls", "counts", store.takeCounts());
-    }
-  }
-
   /** Reads the contents of the store again after it was restored from an older copy. */
   private void noteEra() {
     metrics.count("shoreroad.store.eras", "new");
--- a/edge/src/main/java/org/shoreroad/edge/EdgeSettings.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import org.shoreroad.edge.caller.HeldBytesRule;
 import org.shoreroad.edge.relay.RelayRules;
+import org.shoreroad.edge.room.RoomMode;
 
 /**
  * Settings of one process.
@@ -21,8 +22,7 @@
  *     in milliseconds
  * @param graceMs the time between the stop signal and the end of the process, in milliseconds
  * @param rules the limits on retries
- * @param sharesRoom true if the owners of fabric domains grant the room at their heads, because
- *     callers compete for it
+ * @param roomMode when the owners of fabric domains grant the room at their heads, not null
  * @param heldBytes the bounds on what is held for callers that do not read
  * @since 0.2
  */
@@ -38,5 +38,5 @@
     int stallMs,
     int graceMs,
     RelayRules rules,
-    boolean sharesRoom,
+    RoomMode roomMode,
     HeldBytesRule heldBytes) {}
--- a/edge/src/main/java/org/shoreroad/edge/relay/TrafficMeter.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/TrafficMeter.java
@@ -8,6 +8,7 @@
 import org.shoreroad.edge.peer.Heartbeat;
 import org.shoreroad.edge.peer.HeartbeatAdditions;
 import org.shoreroad.fleet.ModelTraffic;
+import org.shoreroad.traffic.UpstreamService;
 
 /**
  * Counts of the requests for each model within a second, of this process and of all others.
@@ -66,6 +67,15 @@
     peerHeartbeats = List.copyOf(newest);
   }
 
+  /** Returns the number of requests for all models of a service, in all processes. */
+  public int arrived(UpstreamService service) {
+    return service.engine() == null
+        ? 0
+        : service.engine().models().stream()
+            .mapToInt(model -> total(service.name(), model.name()).arrived())
+            .sum();
+  }
+
   /** Returns the counts of all processes and availability zones for the model. */
   ModelTraffic total(String service, String model) {
     Stream<ModelTraffic> ofOwn = own.traffic(zone, clockNanos.getAsLong()).stream();
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomSharing.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomSharing.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -36,6 +37,7 @@
   private static final int RENEWAL_MS = 400;
   private static final int TICKETS_MS = 200;
   private static final int SUMMARY_MS = 2_000;
+  private static final int SAMPLE_MS = 1_000;
   private static final int IDLE_CHECK_MS = 1_000;
 
   private final EventLoop loop;
@@ -45,10 +47,13 @@
   private final RoomOwner self;
   private final Supplier<Set<String>> ownedDomains;
   private final Supplier<Collection<Heartbeat>> latestHeartbeats;
+  private final RoomActivation activation;
+  private final Consumer<Boolean> activityListener;
   private final RoomOwners owners;
   private final RoomLinks links;
   private final RoomClient client;
   private final RoomService service;
+  private boolean isActive;
 
   /**
    * This process as the receiver of its own replies, which arrive later like those of others: a
@@ -74,6 +79,9 @@
    * @param zone the availability zone of this process, not null
    * @param ownedDomains returns the keys of the domains that this process owns now, not null
    * @param latestHeartbeats returns the heartbeats that together cover all others, not null
+   * @param activityListener called with true when room is shared from now on, and with false when
+   *     it is not any more, not null
+   * @param activation decides when room is shared, not null
    * @param closingHeads returns the ids of the heads of replicas that this process is closing
    * @param config returns the configuration in force, or null while there is none, not null
    */
@@ -89,7 +97,9 @@
       Supplier<Collection<Heartbeat>> latestHeartbeats,
       Supplier<@Nullable TrafficConfig> config,
       HeadViews heads,
-      Supplier<Set<String>> closingHeads) {
+      Supplier<Set<String>> closingHeads,
+      RoomActivation activation,
+      Consumer<Boolean> activityListener) {
     this.loop = loop;
     this.log = log;
     this.counters = counters;
@@ -97,6 +107,8 @@
     this.self = self;
     this.ownedDomains = ownedDomains;
     this.latestHeartbeats = latestHeartbeats;
+    this.activation = activation;
+    this.activityListener = activityListener;
     RoomTicks ticks = (delayMs, task) -> timer.once(delayMs, "room", task);
     this.owners = new RoomOwners(zone, heads::of, clockNanos, random);
     this.links = new RoomLinks(loop, clockNanos, log, self.process(), this::toSelf, listener());
@@ -134,6 +146,7 @@
 
   /** Starts the timers. */
   public void start() {
+    timer.every(SAMPLE_MS, "room demand", activation::sample);
     timer.every(REFRESH_MS, "room of heads", this::refresh);
     timer.every(RENEWAL_MS, "room renewals", client::renew);
     timer.every(
@@ -145,6 +158,9 @@
   }
 
   private void summarize() {
+    if (!isActive) {
+      return;
+    }
     service.summarize();
     client.summarize(log);
   }
@@ -160,12 +176,30 @@
   }
 
   private Map<String, RoomOwner> ownDomains() {
+    if (!isActive) {
+      return Map.of();
+    }
     Map<String, RoomOwner> own = new HashMap<>();
     ownedDomains.get().forEach(domain -> own.put(domain, self));
     return own;
   }
 
   private void refresh() {
+    boolean wasActive = isActive;
+    isActive = activation.isActive();
+    if (isActive != wasActive) {
+      log.write("room_sharing", "isActive", isActive);
+      activityListener.accept(isActive);
+    }
+    if (isActive) {
+      takeOver();
+    } else if (wasActive) {
+      // Without owners, requests go where their processes choose; grants in use run on.
+      owners.setOwners(Map.of());
+    }
+  }
+
+  private void takeOver() {
     Map<String, RoomOwner> known = new HashMap<>();
     for (Heartbeat heartbeat : latestHeartbeats.get()) {
       known.putAll(heartbeat.additions().roomOwners());
--- a/edge/src/test/java/org/shoreroad/edge/relay/SharedRoomProcess.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/SharedRoomProcess.java
@@ -23,6 +23,8 @@
 import org.shoreroad.edge.peer.HeartbeatAdditions.RoomOwner;
 import org.shoreroad.edge.peer.Heartbeats;
 import org.shoreroad.edge.peer.PeerMesh;
+import org.shoreroad.edge.room.RoomActivation;
+import org.shoreroad.edge.room.RoomMode;
 import org.shoreroad.edge.room.RoomSharing;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.edge.sync.ListUpdate;
@@ -118,7 +120,9 @@
             () -> mesh.latestHeartbeats().keySet(),
             SharedRoomProcess::config,
             new HeadViews(table, backpressure, clockNanos),
-            () -> Set.copyOf(closingHeads));
+            () -> Set.copyOf(closingHeads),
+            new RoomActivation(RoomMode.ALWAYS, List::of, service -> 0, clockNanos),
+            isActive -> {});
     CallerServer server =
         new CallerServer(loop, clockNanos, () -> CallerLimits.DEFAULT, relay, reason -> {});
     callerAddress = (InetSocketAddress) server.start(any).sync().channel().localAddress();
