--- a/core/src/main/java/org/shoreroad/admission/AccountUse.java
+++ b/core/src/main/java/org/shoreroad/admission/AccountUse.java
@@ -9,9 +9,16 @@
  * <p>Not thread-safe.
  */
 final class AccountUse {
+  private static final double PPM = 1e6;
+
   private final Map<String, Long> ppmByAccount = new HashMap<>();
   private long totalPpm;
 
+  /** Returns a share of an engine in millionths, at least 1. */
+  static long toPpm(double share) {
+    return Math.max(1, (long) (share * PPM));
+  }
+
   void add(String account, long ppm) {
     ppmByAccount.merge(account, ppm, Long::sum);
     totalPpm += ppm;
--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -61,7 +61,6 @@
 
   private static final HeadLoad IDLE = new HeadLoad(0, 0, 0, 1);
   private static final double NANOS_PER_MS = 1e6;
-  private static final double PPM = 1e6;
 
   private final EngineForecast forecast;
   private final long cacheCapacityTokens;
@@ -189,12 +188,8 @@
   }
 
   /**
-   * Renews the grants of a process. Grants that are not renewed for {@link #grantMillis()} expire.
-   *
-   * @param holder the name of the process, not null
-   * @param numbers the numbers of its requests, not null
-   * @param nowNanos the time on the steady clock
-   * @return the numbers of the requests that hold a grant, not null
+   * Renews the grants of a process and returns the numbers of the requests that hold one. Grants
+   * that are not renewed for {@link #grantMillis()} expire.
    */
   public Set<Long> renew(String holder, Set<Long> numbers, long nowNanos) {
     Set<Long> held = new HashSet<>();
@@ -443,8 +438,7 @@
   }
 
   private long sharePpm(RoomRequest request) {
-    double share = forecast.engineShare(request.promptTokens(), answers.passes(request));
-    return Math.max(1, (long) (share * PPM));
+    return AccountUse.toPpm(forecast.engineShare(request.promptTokens(), answers.passes(request)));
   }
 
   private double reserve(WaitingRequest item, RoomOutlook outlook, long nowNanos) {
--- a/core/src/test/java/org/shoreroad/admission/AccountUseTest.java
+++ b/core/src/test/java/org/shoreroad/admission/AccountUseTest.java
@@ -17,6 +17,13 @@
     assertThat(use.isOverShare("none"), is(false));
   }
 
+  @Test
+  void testToPpm_isAtLeastOne() {
+    assertThat(AccountUse.toPpm(0.25), is(250_000L));
+    assertThat(AccountUse.toPpm(0), is(1L));
+    assertThat(AccountUse.toPpm(Double.NaN), is(1L));
+  }
+
   @Test
   void testRemove_forgetsAnAccountWithoutGrants() {
     AccountUse use = new AccountUse();
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomClient.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomClient.java
@@ -96,19 +96,6 @@
     }
   }
 
-  private void onRenewed(String owner, long number, boolean isHeld) {
-    HeldGrant grant = granted.get(number);
-    if (grant == null || !grant.owner.process().equals(owner)) {
-      return;
-    }
-    if (isHeld) {
-      grant.renewedNanos = grant.askedNanos;
-    } else if (!grant.isLost) {
-      grant.isLost = true;
-      record("lost", "not_held");
-    }
-  }
-
   private void receive(String owner, RoomMessage.Decided decided) {
     RoomRequest.Key key = decided.decision().key();
     if (!key.holder().equals(self)) {
@@ -127,6 +114,19 @@
     }
   }
 
+  private void onRenewed(String owner, long number, boolean isHeld) {
+    HeldGrant grant = granted.get(number);
+    if (grant == null || !grant.owner.process().equals(owner)) {
+      return;
+    }
+    if (isHeld) {
+      grant.renewedNanos = grant.askedNanos;
+    } else if (!grant.isLost) {
+      grant.isLost = true;
+      record("lost", "not_held");
+    }
+  }
+
   private @Nullable RoomAsk findAsk(String owner, RoomRequest.Key key) {
     RoomAsk ask = key.holder().equals(self) ? open.get(key.number()) : null;
     return ask != null && ask.isAt(owner) ? ask : null;
