--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -180,7 +180,7 @@
       release(grant);
       if (end == GrantEnd.REJECTED) {
         head.recordRejected(nowNanos);
-      } else {
+      } else if (end != GrantEnd.UNUSED) {
         returns.recordFreed(nowNanos);
       }
     }
--- a/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
+++ b/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
@@ -353,6 +353,19 @@
     assertThat(book.freeCount(now), is(SLOTS + 1));
   }
 
+  @Test
+  void testEnd_countsAsFreedOnlyWhatWasUsed() {
+    for (GrantEnd end : GrantEnd.values()) {
+      RoomRequest request = next();
+      assertThat(only(offer(request)).isGranted(), is(true));
+      returns.freed = 0;
+      book.end(request.key(), end, now);
+      boolean isServed = end == GrantEnd.USED || end == GrantEnd.FAILED;
+      assertThat(end.name(), returns.freed, is(isServed ? 1 : 0));
+      now += 3_000 * MS;
+    }
+  }
+
   @Test
   void testRenew_keepsGrantsThatOtherwiseExpire() {
     RoomRequest kept = next();
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
@@ -77,7 +77,7 @@
 
   /**
    * Returns the fingerprint, which is the same when the caller sends the request again. It is
-   * computed on first use, since most requests end well and never need it.
+   * computed on first use, since requests that ask for no room and end well never need it.
    *
    * @param host the host name of the route, not null. The Host header may contain the port of the
    *     process that the caller has reached, which differs when it sends the request again
