--- a/core/src/test/java/org/shoreroad/cold/ColdUpstreamsSimulationTest.java
+++ b/core/src/test/java/org/shoreroad/cold/ColdUpstreamsSimulationTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -39,6 +40,9 @@
   /** Longest latency from the sending of a request to its arrival. */
   private static final long ARRIVAL_NANOS = 30 * MILLI;
 
+  /** Time until all processes know of the coldness: an interval of reading the list. */
+  private static final long LAG = 900 * MILLI;
+
   private static final double OVERAGE = 1.5;
   private static final int SLACK = 5;
 
@@ -168,6 +172,120 @@
     assertThat(findExceeded(true), empty());
   }
 
+  /**
+   * Owners that follow one another, each of which knows only its own grants, and processes that
+   * learn of the coldness one after the other. Counted from when all know of it.
+   */
+  private static List<Long> arrivalsWithGrants(int size, ColdStart rate, long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    Set<String> names = new HashSet<>();
+    for (int i = 0; i < size; i++) {
+      names.add("p" + i);
+    }
+    List<GrantingProcess> processes = new ArrayList<>();
+    names.stream()
+        .sorted()
+        .forEach(name -> processes.add(new GrantingProcess(name, names, random.nextLong(LAG))));
+    double offered = 8 * rate.requestsPerSecond() * STEP_NANOS / SECOND + 0.01;
+    List<Long> arrivals = new ArrayList<>();
+    int owner = 0;
+    long ownerUntilNanos = 0;
+    for (long now = 0; now < END_NANOS; now += STEP_NANOS) {
+      if (now >= ownerUntilNanos) {
+        // A lease is held for longer than a second.
+        ownerUntilNanos = now + SECOND + random.nextLong(2 * SECOND);
+        owner = random.nextInt(size);
+      }
+      for (GrantingProcess process : processes) {
+        process.step(now, rate, offered / size, random);
+      }
+      if (random.nextDouble() < offered && processes.get(owner).grant(now)) {
+        GrantingProcess granted = processes.get(random.nextInt(size));
+        granted.grantedUntilNanos.add(now + random.nextLong(SLOW_CONNECT_NANOS));
+      }
+      for (GrantingProcess process : processes) {
+        int sent = process.send(now);
+        for (; sent > 0 && now >= LAG; sent--) {
+          arrivals.add(now + random.nextLong(ARRIVAL_NANOS));
+        }
+      }
+    }
+    arrivals.sort(Long::compare);
+    return arrivals;
+  }
+
+  /** A process that also sends granted requests, and grants them while it is the owner. */
+  private static final class GrantingProcess {
+    private final ColdUpstreams cold;
+    private final long knowsNanos;
+    private final List<Long> grantNanos = new ArrayList<>();
+    private final List<Long> grantedUntilNanos = new ArrayList<>();
+    private final List<Long> connectingUntilNanos = new ArrayList<>();
+
+    GrantingProcess(String name, Set<String> names, long knowsNanos) {
+      cold = new ColdUpstreams(name);
+      cold.setGranted(upstream -> true, 0);
+      cold.setSharers(names, 0);
+      this.knowsNanos = knowsNanos;
+    }
+
+    void step(long nowNanos, ColdStart rate, double offered, SplittableRandom random) {
+      if (nowNanos >= knowsNanos && !cold.isCold(UPSTREAM, nowNanos)) {
+        cold.recordStatement(UPSTREAM, rate, COLD_MS - nowNanos / MILLI, nowNanos);
+      }
+      if (random.nextDouble() < offered && cold.takeTurn(UPSTREAM, nowNanos)) {
+        connectingUntilNanos.add(nowNanos + random.nextLong(SLOW_CONNECT_NANOS));
+      }
+    }
+
+    boolean grant(long nowNanos) {
+      double perSecond = cold.grantsPerSecond(UPSTREAM, nowNanos);
+      long intervalNanos = perSecond >= 1 ? SECOND : (long) (SECOND / Math.max(1e-9, perSecond));
+      grantNanos.removeIf(granted -> nowNanos - granted >= intervalNanos);
+      boolean mayGrant = perSecond > 0 && grantNanos.size() < Math.max(1, Math.floor(perSecond));
+      if (mayGrant) {
+        grantNanos.add(nowNanos);
+      }
+      return mayGrant;
+    }
+
+    int send(long nowNanos) {
+      int sent = 0;
+      for (Long dueNanos : List.copyOf(connectingUntilNanos)) {
+        if (dueNanos <= nowNanos) {
+          connectingUntilNanos.remove(dueNanos);
+          sent += cold.confirmSend(UPSTREAM, nowNanos) ? 1 : 0;
+        }
+      }
+      for (Long dueNanos : List.copyOf(grantedUntilNanos)) {
+        if (dueNanos <= nowNanos) {
+          grantedUntilNanos.remove(dueNanos);
+          sent += cold.permitsGranted(UPSTREAM, nowNanos) ? 1 : 0;
+        }
+      }
+      return sent;
+    }
+  }
+
+  @Test
+  void theUsersBoundHoldsWithGrantsAndChangesOfOwner() {
+    List<String> exceeded = new ArrayList<>();
+    for (int size : SIZES) {
+      for (double perSecond : RATES) {
+        for (int seed = 0; seed < SEEDS; seed++) {
+          ColdStart rate = new ColdStart(12, perSecond);
+          List<Long> arrivals = arrivalsWithGrants(size, rate, seed);
+          int max = maxInSecond(arrivals);
+          if (max > perSecond * OVERAGE + SLACK) {
+            exceeded.add(size + " processes, " + perSecond + "/s, seed " + seed + ": " + max);
+          }
+          assertThat("none sent at " + perSecond, arrivals.isEmpty(), is(false));
+        }
+      }
+    }
+    assertThat(exceeded, empty());
+  }
+
   @Test
   void halfOfTheWholeRequestsPerSecondAreUsedWhileThereIsDemand() {
     for (int size : SIZES) {
