--- a/core/src/main/java/org/shoreroad/demand/TrafficWindow.java
+++ b/core/src/main/java/org/shoreroad/demand/TrafficWindow.java
@@ -121,13 +121,18 @@
       return (int) Math.floorMod(interval, (long) INTERVALS + 1);
     }
 
+    /** Returns true if no request was counted in the window. */
     boolean isEmpty() {
       ModelTraffic sum = toTraffic("");
       return sum.arrived() == 0 && sum.refused() == 0 && sum.late() == 0;
     }
 
+    /** Returns true if no request was counted in the window or in the current interval. */
     boolean isUnused(long nowNanos) {
-      return nowNanos / INTERVAL_NANOS - current > INTERVALS;
+      int interval = advance(nowNanos);
+      boolean isCurrentEmpty =
+          arrived[interval] == 0 && refused[interval] == 0 && late[interval] == 0;
+      return isCurrentEmpty && isEmpty();
     }
 
     /** Returns the sums of all intervals but the current one. */
--- a/core/src/test/java/org/shoreroad/demand/TrafficWindowTest.java
+++ b/core/src/test/java/org/shoreroad/demand/TrafficWindowTest.java
@@ -52,6 +52,30 @@
         contains(new ModelTraffic("llm", "later", "z", 1, 0, 0, 1)));
   }
 
+  @Test
+  void modelsThatAreReportedAgainAndAgainMakeRoomOnceUnused() {
+    for (int i = 0; i < 64; i++) {
+      window.recordArrival("llm", "m" + i, 1, nowNanos);
+    }
+    for (int i = 0; i < 10; i++) {
+      nowNanos += INTERVAL_NANOS;
+      window.traffic("z", nowNanos);
+    }
+    window.recordArrival("llm", "later", 1, nowNanos);
+    assertThat(
+        window.traffic("z", nowNanos + INTERVAL_NANOS),
+        contains(new ModelTraffic("llm", "later", "z", 1, 0, 0, 1)));
+  }
+
+  @Test
+  void modelWithRequestsInTheCurrentIntervalIsInUse() {
+    for (int i = 0; i < 64; i++) {
+      window.recordArrival("llm", "m" + i, 1, nowNanos);
+    }
+    window.recordArrival("llm", "later", 1, nowNanos);
+    assertThat(window.traffic("z", nowNanos + INTERVAL_NANOS), hasSize(64));
+  }
+
   @Test
   void requestsOfThePauseOfASuspendedProcessExpire() {
     window.recordArrival("llm", "m", 1, nowNanos);
