--- a/core/src/main/java/org/shoreroad/fleet/DomainPacking.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainPacking.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -54,21 +55,23 @@
     Demand.Strain strain = demand.strain();
     for (ModelShape model : models) {
       String name = model.name();
+      int openHere = countHeads(observedBoxes, box -> box.isOpenHead() && name.equals(box.model()));
+      int open = Math.max(0, demand.replicaCount(name) - openHere);
       int forming = strain == null ? 0 : strain.formingCount(name);
-      long here =
-          observedBoxes.stream()
-              .map(ObservedBox::box)
-              .filter(
-                  box ->
-                      (box.isOpenHead() && name.equals(box.model()))
-                          || (strain != null && box.isFormingHead(name)))
-              .count();
-      int count = demand.replicaCount(name) + forming - (int) here;
-      replicasElsewhere.put(name, Math.max(0, count));
+      // Heads of closed replicas are in the same state, but are not among the counted ones, so they
+      // must not reduce the number of open replicas.
+      int formingHere =
+          forming == 0 ? 0 : countHeads(observedBoxes, box -> box.isFormingHead(name));
+      replicasElsewhere.put(name, open + Math.max(0, forming - formingHere));
     }
     return new DomainPacking(models, demand, replicasElsewhere);
   }
 
+  private static int countHeads(
+      Collection<ObservedBox> observedBoxes, Predicate<FleetBox> isCounted) {
+    return (int) observedBoxes.stream().map(ObservedBox::box).filter(isCounted).count();
+  }
+
   /**
    * Returns the number of replicas of each model to form.
    *
--- a/core/src/test/java/org/shoreroad/fleet/DomainPackingTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainPackingTest.java
@@ -83,6 +83,22 @@
         is(closeTo(9.0 / 8, 1e-9)));
   }
 
+  @Test
+  void closedReplicasOfTheDomainItselfDoNotHideReplicasElsewhere() {
+    Demand.Strain strain = new Demand.Strain(Map.of("large", 6.0), Map.of(), Map.of(), Map.of());
+    Demand demand = new Demand(Map.of(), Map.of("large", 4), true, strain);
+    FleetBox box = boxes(1, null).get(0).box();
+    // The head of a closed replica is in the same state as that of one that is being formed.
+    FleetBox closed =
+        box.withEngineState(
+            null,
+            List.of(),
+            new Membership(ReplicaId.of("d", "large", 3, box), 0, MemberState.READY));
+    ObservedBox head = new ObservedBox(closed, true, Reach.LIKELY, true, true, false, null);
+    DomainPacking packing = DomainPacking.of(List.of(LARGE), demand, List.of(head));
+    assertThat(packing.highestPressure(Map.of(), Map.of()), is(closeTo(6.0 / 4, 1e-9)));
+  }
+
   @Test
   void formingReplicasOfTheDomainItselfAreNotCountedTwice() {
     Demand.Strain strain =
