--- a/core/src/main/java/org/shoreroad/demand/RecentPeak.java
+++ b/core/src/main/java/org/shoreroad/demand/RecentPeak.java
@@ -13,6 +13,9 @@
   private static final int SECONDS = 15;
   private static final long STEP_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+  /** Time without values after which it is not known which were the highest in between. */
+  private static final int MAX_PAUSE_SECONDS = 2;
+
   private final double[] highest = new double[SECONDS];
   private long current = Long.MIN_VALUE;
   private long firstSecond;
@@ -24,7 +27,7 @@
     for (long i = 0; i < begun; i++) {
       highest[indexOf(now - i)] = 0;
     }
-    firstSecond = begun >= SECONDS ? now : firstSecond;
+    firstSecond = begun > MAX_PAUSE_SECONDS ? now : firstSecond;
     current = Math.max(current, now);
     int index = indexOf(current);
     highest[index] = Math.max(highest[index], value);
@@ -34,7 +37,7 @@
     return (int) Math.floorMod(second, (long) SECONDS);
   }
 
-  /** Returns true if values were added throughout the last 15 seconds. */
+  /** Returns true if values were added throughout the last 15 seconds, without a longer pause. */
   boolean isComplete() {
     return current != Long.MIN_VALUE && current - firstSecond >= SECONDS;
   }
--- a/core/src/test/java/org/shoreroad/demand/RecentPeakTest.java
+++ b/core/src/test/java/org/shoreroad/demand/RecentPeakTest.java
@@ -25,6 +25,18 @@
     assertThat(peak.value(), is(2.0));
   }
 
+  @Test
+  void peaksAreIncompleteAfterAPauseOfSeconds() {
+    peak.add(1, 100 * SECOND_NANOS);
+    peak.add(1, 101 * SECOND_NANOS);
+    for (int second = 114; second < 129; second++) {
+      peak.add(1, second * SECOND_NANOS);
+      assertThat(peak.isComplete(), is(false));
+    }
+    peak.add(1, 129 * SECOND_NANOS);
+    assertThat(peak.isComplete(), is(true));
+  }
+
   @Test
   void valuesBeforeALongPauseAreForgotten() {
     peak.add(9, 100 * SECOND_NANOS);
