--- a/core/src/main/java/org/shoreroad/demand/DemandEstimator.java
+++ b/core/src/main/java/org/shoreroad/demand/DemandEstimator.java
@@ -55,7 +55,8 @@
       hasTraffic |= load.open() > 0;
       ModelEstimate estimate = estimates.computeIfAbsent(model.name(), name -> new ModelEstimate());
       estimate.add(load, spec, model, nowNanos);
-      if (estimate.isStrained()) {
+      // No boxes are planned for a model without a share, whatever is refused.
+      if (model.share() > 0 && estimate.isStrained()) {
         strainedNanos = nowNanos;
       }
     }
--- a/core/src/main/java/org/shoreroad/demand/ModelEstimate.java
+++ b/core/src/main/java/org/shoreroad/demand/ModelEstimate.java
@@ -100,8 +100,11 @@
     return Math.max(open, arrived * newShare() * slotSeconds);
   }
 
-  /** Returns the replicas that the prompts need, without the trend. */
+  /** Returns the replicas that the prompts need, without the trend; 0 if no rate is declared. */
   double neededReaders(EngineSpec spec, ModelShape shape) {
+    if (spec.promptTokensPerSecond() <= 0) {
+      return 0;
+    }
     double readSeconds = promptTokens * shape.paceFactor() / spec.promptTokensPerSecond();
     return newShare() * readSeconds / MAX_READING_SHARE;
   }
--- a/core/src/main/java/org/shoreroad/fleet/EngineSpec.java
+++ b/core/src/main/java/org/shoreroad/fleet/EngineSpec.java
@@ -62,6 +62,7 @@
   public double passMs(ModelShape model, int running, long waitingPromptTokens) {
     double stepsMs = stepsPerPass * (stepMs + Math.min(slots, running) * perSequenceMs);
     long readTokens = Math.min(waitingPromptTokens, (long) stepsPerPass * chunkTokens);
-    return (stepsMs + readTokens / promptTokensPerSecond * 1e3) * model.paceFactor();
+    double readMs = readTokens == 0 ? 0 : readTokens / promptTokensPerSecond * 1e3;
+    return (stepsMs + readMs) * model.paceFactor();
   }
 }
--- a/core/src/test/java/org/shoreroad/demand/DemandEstimatorTest.java
+++ b/core/src/test/java/org/shoreroad/demand/DemandEstimatorTest.java
@@ -177,6 +177,36 @@
     assertThat(demand.strain().needed("large"), is(greaterThan(0.5)));
   }
 
+  @Test
+  void refusedRequestsForAModelWithoutAShareOfTheBoxesAreNoStrain() {
+    ModelShape unplanned = new ModelShape("unplanned", 6, 0, 1, 12, 1.1);
+    Demand demand = Demand.NONE;
+    for (int i = 0; i < 50; i++) {
+      nowNanos += STEP_NANOS;
+      Map<String, ModelLoad> loads =
+          Map.of(
+              "large", load(4, 20, 40, 0, 0),
+              "small", load(4, 10, 40, 0, 0),
+              "unplanned", load(0, 0, 30, 30, 0));
+      demand = estimator.update(spec(LARGE, SMALL, unplanned), loads, nowNanos);
+    }
+    assertThat(demand.strain(), is(nullValue()));
+  }
+
+  @Test
+  void needIsFiniteIfTheReadingRateIsNotDeclared() {
+    EngineSpec withoutRate =
+        new EngineSpec(SLOTS, 1_000_000, 6, 0.1, 0, 0, 2_048, 5, 4, 6, 200, List.of(LARGE, SMALL));
+    Demand demand = Demand.NONE;
+    for (int i = 0; i < 80; i++) {
+      nowNanos += STEP_NANOS;
+      Map<String, ModelLoad> loads =
+          Map.of("large", load(2, 40, 80, 40, 0), "small", load(4, 10, 40, 0, 0));
+      demand = estimator.update(withoutRate, loads, nowNanos);
+    }
+    assertThat(demand.pressure("large"), is(closeTo(80 / 1.5 / 40, 0.01)));
+  }
+
   @Test
   void serviceWithOneModelIsNeverStrained() {
     Demand demand = Demand.NONE;
