--- a/core/src/main/java/org/shoreroad/demand/DemandSwing.java
+++ b/core/src/main/java/org/shoreroad/demand/DemandSwing.java
@@ -61,10 +61,10 @@
   /** Compares sums of a few samples, which vary less by chance than single ones. */
   private boolean differs() {
     int[] values = samples.stream().mapToInt(Integer::intValue).toArray();
-    int calmest = Integer.MAX_VALUE;
-    int busiest = 0;
+    long calmest = Long.MAX_VALUE;
+    long busiest = 0;
     for (int last = SUMMED - 1; last < values.length; last++) {
-      int sum = 0;
+      long sum = 0;
       for (int i = 0; i < SUMMED; i++) {
         sum += values[last - i];
       }
--- a/core/src/test/java/org/shoreroad/demand/DemandSwingTest.java
+++ b/core/src/test/java/org/shoreroad/demand/DemandSwingTest.java
@@ -73,6 +73,14 @@
     assertThat(swing.isUneven(nowNanos), is(false));
   }
 
+  @Test
+  void evenDemandWithVeryLargeCountsIsEven() {
+    for (int second = 0; second < 16; second++) {
+      record(1_000_000_000);
+    }
+    assertThat(swing.isUneven(nowNanos), is(false));
+  }
+
   @Test
   void callsWithinASecondAreIgnored() {
     for (int i = 0; i < 100; i++) {
