--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
@@ -143,11 +143,15 @@
     return model == null ? service : service + "/" + model;
   }
 
-  /** Returns the heads of replicas of the service, in any state. */
+  /**
+   * Returns the heads of replicas of the service, in any state. Those of evacuated availability
+   * zones are left out, since their replicas will serve no requests.
+   */
   List<FleetBox> heads(UpstreamService service) {
     return fleet.boxes().stream()
         .filter(box -> box.isHead() && box.service().equals(service.name()))
         .filter(box -> !box.isLeaving() && fleet.isEligible(box.id()))
+        .filter(box -> zoneGate == null || !zoneGate.isClosed(box))
         .toList();
   }
 
--- a/edge/src/test/java/org/shoreroad/edge/relay/UpstreamFixture.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UpstreamFixture.java
@@ -73,7 +73,9 @@
           id, "web", "h-" + id + ":1", zoneOf(id), 6, false, null, null, List.of(), null);
     }
     if (text.equals("FORMING")) {
-      FleetBox box = new FleetBox(id, "llm", "h:1", "z", SLOTS, false, "d", null, List.of(), null);
+      FleetBox box =
+          new FleetBox(
+              id, "llm", "h-" + id + ":1", zoneOf(id), SLOTS, false, "d", null, List.of(), null);
       ReplicaId replica = ReplicaId.of("d", "m", 1, box);
       return box.withEngineState(null, List.of(), new Membership(replica, 0, MemberState.JOINING));
     }
--- a/edge/src/test/java/org/shoreroad/edge/relay/ZoneGateTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/ZoneGateTest.java
@@ -54,6 +54,15 @@
     assertThat(choose(Set.of("h2@b")), is(nullValue()));
   }
 
+  @Test
+  void headsInAnEvacuatedZoneAreNoSupply() {
+    list("h1@a", "FORMING");
+    list("h2@b", "FORMING");
+    assertThat(table.heads(LLM).size(), is(2));
+    evacuate("a");
+    assertThat(table.heads(LLM).stream().map(FleetBox::id).toList(), is(List.of("h2@b")));
+  }
+
   @Test
   void anUpstreamThatAppearsLaterIsNotOffered() {
     evacuate("a");
