--- a/edge/src/main/java/org/shoreroad/edge/room/RoomActivation.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomActivation.java
@@ -2,7 +2,9 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
@@ -45,13 +47,16 @@
     if (mode != RoomMode.WHILE_UNEVEN) {
       return;
     }
+    Set<String> declared = new HashSet<>();
     for (UpstreamService service : services.get()) {
       if (service.engine() != null) {
+        declared.add(service.name());
         swings
             .computeIfAbsent(service.name(), name -> new DemandSwing())
             .record(arrivals.applyAsInt(service), clockNanos.getAsLong());
       }
     }
+    swings.keySet().retainAll(declared);
   }
 
   /** Returns true if room is shared now. */
--- a/edge/src/test/java/org/shoreroad/edge/room/RoomActivationTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/room/RoomActivationTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.shoreroad.fleet.EngineSpec;
@@ -40,6 +41,20 @@
     assertThat(activation.isActive(), is(false));
   }
 
+  @Test
+  void demandForAServiceThatIsNoLongerDeclaredDoesNotCount() {
+    List<UpstreamService> services = new ArrayList<>(List.of(LLM));
+    RoomActivation activation =
+        new RoomActivation(
+            RoomMode.WHILE_UNEVEN, () -> services, service -> arrived, () -> nowNanos);
+    pass(activation, 10, 200);
+    pass(activation, 4, 90);
+    assertThat(activation.isActive(), is(true));
+    services.clear();
+    pass(activation, 1, 90);
+    assertThat(activation.isActive(), is(false));
+  }
+
   @Test
   void theOtherModesDoNotDependOnDemand() {
     RoomActivation never = activation(RoomMode.NEVER);
