--- a/core/src/main/java/org/shoreroad/fleet/DomainPacking.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainPacking.java
@@ -138,6 +138,11 @@
     return new DomainPacking(models, atPeak, replicasElsewhere);
   }
 
+  /** Returns the models that the boxes can serve. */
+  List<ModelShape> models() {
+    return models;
+  }
+
   /** Returns the needs while requests are refused or late, otherwise null. */
   Demand.@Nullable Strain strain() {
     return demand.strain();
--- a/core/src/main/java/org/shoreroad/fleet/ReplicaConversion.java
+++ b/core/src/main/java/org/shoreroad/fleet/ReplicaConversion.java
@@ -1,6 +1,5 @@
 package org.shoreroad.fleet;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -162,7 +161,7 @@
     List<ObservedReplica> best = List.of();
     double lowestPressure =
         pressureBefore - (hasNewlyAvailable ? MIN_GAIN_WITH_AVAILABLE : MIN_GAIN);
-    for (List<ObservedReplica> closed : oneOrTwoOf(closable)) {
+    for (List<ObservedReplica> closed : ReplicaChoices.oneOrTwoOf(closable, packing.models())) {
       double pressureAfter = packing.highestPressure(countsAfter(closed, view, packing), Map.of());
       if (pressureAfter < lowestPressure) {
         best = closed;
@@ -198,7 +197,7 @@
     List<ObservedReplica> best = List.of();
     double highestGain = minGain;
     List<ObservedReplica> whole = closable.stream().filter(ReplicaConversion::isWhole).toList();
-    for (List<ObservedReplica> closed : oneOrTwoOf(whole)) {
+    for (List<ObservedReplica> closed : ReplicaChoices.oneOrTwoOf(whole, packing.models())) {
       Map<String, Integer> after = countsAfter(closed, view, packing);
       double gain =
           ConversionGain.of(packing, wanted, counts(closed), after, lastingSeconds)
@@ -256,17 +255,6 @@
     return newIds.size();
   }
 
-  private static List<List<ObservedReplica>> oneOrTwoOf(List<ObservedReplica> replicas) {
-    List<List<ObservedReplica>> choices = new ArrayList<>();
-    for (int i = 0; i < replicas.size(); i++) {
-      choices.add(List.of(replicas.get(i)));
-      for (int j = i + 1; j < replicas.size(); j++) {
-        choices.add(List.of(replicas.get(i), replicas.get(j)));
-      }
-    }
-    return choices;
-  }
-
   private static Map<String, Integer> counts(List<ObservedReplica> replicas) {
     Map<String, Integer> counts = new HashMap<>();
     replicas.forEach(replica -> counts.merge(String.valueOf(replica.model()), 1, Integer::sum));
