--- a/cli/src/main/java/org/shoreroad/cli/LogCommands.java
+++ b/cli/src/main/java/org/shoreroad/cli/LogCommands.java
@@ -23,7 +23,7 @@
   @Command(
       name = "report",
       description =
-          "Summarizes logs: refusals, failed attempts, late answers, losses, models, boxes.")
+          "Summarizes logs: refusals, failed attempts, late answers, losses, models, boxes, room.")
   @Examples(
       examples = "shoreroadctl report front-1.log front-2.log",
       descriptions = "The logs of all processes of a site.")
--- a/cli/src/main/java/org/shoreroad/cli/LogReport.java
+++ b/cli/src/main/java/org/shoreroad/cli/LogReport.java
@@ -13,7 +13,8 @@
 /**
  * Summary of the logs of all processes: refused requests, failed attempts and late answers, the
  * downtime of each replica after a loss, the state of models and boxes over time, restores of the
- * store from an older copy, the signals of upstreams, and evacuations of availability zones.
+ * store from an older copy, the signals of upstreams, evacuations of availability zones, and the
+ * room that owners of domains granted and refused.
  */
 final class LogReport {
   /** Period at which the processes log the state of models and boxes, in seconds. */
@@ -47,6 +48,7 @@
     tables.set("storeEras", report.storeEras());
     tables.set("asked", UpstreamSignalTable.of(log));
     tables.set("zones", ZoneTable.of(log));
+    RoomTables.addTo(tables, log);
     return tables;
   }
 
