--- a/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
@@ -63,16 +63,19 @@
   }
 
   /**
-   * Writes that the request is refused.
+   * Writes that the request is refused, with its priority if it has a route.
    *
    * @param why the reason of the process that grants the room, or an empty text
    */
   void writeRefusal(Refusal refusal, String why) {
-    if (why.isEmpty()) {
-      write("request_refused", "reason", refusal.code());
-    } else {
-      write("request_refused", "reason", refusal.code(), "why", why);
+    List<Object> fields = new ArrayList<>(List.of("reason", refusal.code()));
+    if (!why.isEmpty()) {
+      fields.addAll(List.of("why", why));
     }
+    if (route != null) {
+      fields.addAll(List.of("priority", RequestReader.rank(route, account)));
+    }
+    write("request_refused", fields.toArray());
   }
 
   private long configVersion() {
