--- a/core/src/main/java/org/shoreroad/admission/InputBounds.java
+++ b/core/src/main/java/org/shoreroad/admission/InputBounds.java
@@ -39,15 +39,29 @@
             request.contentHash(),
             request.excludedHeads(),
             request.isFinal());
-    return hasSameNumbers(request, clamped) ? request : clamped;
+    boolean isSame =
+        hasSameNumbers(request, clamped) && request.targetLatencyMs() == clamped.targetLatencyMs();
+    return isSame ? request : clamped;
   }
 
+  /**
+   * Returns true if a number of the request was out of range. A target of 0 is in range: the route
+   * of the request has none.
+   *
+   * @param clamped the result of {@link #clampRequest} for the request
+   */
+  static boolean isCorrected(RoomRequest request, RoomRequest clamped) {
+    boolean isTargetInRange =
+        request.targetLatencyMs() == 0 || request.targetLatencyMs() == clamped.targetLatencyMs();
+    return !isTargetInRange || !hasSameNumbers(request, clamped);
+  }
+
+  /** Returns true if all numbers but the target for the first event are the same. */
   private static boolean hasSameNumbers(RoomRequest a, RoomRequest b) {
     return a.priority() == b.priority()
         && a.promptTokens() == b.promptTokens()
         && a.answerTokens() == b.answerTokens()
         && a.ageMs() == b.ageMs()
-        && a.targetLatencyMs() == b.targetLatencyMs()
         && a.targetGapMs() == b.targetGapMs()
         && a.remainingMs() == b.remainingMs();
   }
--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -128,7 +128,7 @@
       return List.of();
     }
     RoomRequest clamped = InputBounds.clampRequest(offered);
-    correctedCount += clamped == offered ? 0 : 1;
+    correctedCount += InputBounds.isCorrected(offered, clamped) ? 1 : 0;
     boolean isInvited = returns.isExpected(clamped.contentHash(), nowNanos);
     int callerAgeMs = returns.takeCallerAgeMs(clamped.contentHash(), nowNanos);
     // The target of a caller that returns counts from its first request. One that was invited has
--- a/core/src/test/java/org/shoreroad/admission/InputBoundsTest.java
+++ b/core/src/test/java/org/shoreroad/admission/InputBoundsTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.sameInstance;
 
+import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -56,7 +57,24 @@
     RoomRequest request =
         new RoomRequest(
             new RoomRequest.Key("p", 1), "z", "a", 0, 1, 1, 1, 0, 1, 5_000, 7, Set.of(), true);
-    assertThat(InputBounds.clampRequest(request).targetLatencyMs(), is(5_000));
+    RoomRequest clamped = InputBounds.clampRequest(request);
+    assertThat(clamped.targetLatencyMs(), is(5_000));
+    assertThat(InputBounds.isCorrected(request, clamped), is(false));
+  }
+
+  @Test
+  void testRequest_outOfRangeIsCorrected() {
+    for (RoomRequest bad : List.of(request(-1, 1, 1), request(1, -1, 1), request(1, 1, -1))) {
+      assertThat(InputBounds.isCorrected(bad, InputBounds.clampRequest(bad)), is(true));
+    }
+  }
+
+  @Test
+  void testRequest_negativeTargetIsCorrected() {
+    RoomRequest bad =
+        new RoomRequest(
+            new RoomRequest.Key("p", 1), "z", "a", 0, 1, 1, 1, -1, 1, 5_000, 7, Set.of(), true);
+    assertThat(InputBounds.isCorrected(bad, InputBounds.clampRequest(bad)), is(true));
   }
 
   @Test
