--- a/edge/src/main/java/org/shoreroad/edge/room/ModelRoom.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/ModelRoom.java
@@ -40,6 +40,9 @@
   /** Bound for the length of a line, as there may be thousands of client accounts. */
   private static final int MAX_LOGGED_ACCOUNTS = 40;
 
+  /** Source of numbers that are reported of heads; others are processes that ask for room. */
+  private static final String HEADS = "heads";
+
   private static final long GRANT_NANOS = TimeUnit.MILLISECONDS.toNanos(RoomBook.grantMillis());
   private static final long NOTE_NANOS = TimeUnit.MILLISECONDS.toNanos(RoomService.WAITING_NOTE_MS);
 
@@ -53,6 +56,10 @@
   private final Map<String, ListedHead> heads = new HashMap<>();
   private final Map<String, Integer> results = new TreeMap<>();
   private final Map<String, Integer> accounts = new TreeMap<>();
+  private long corrected;
+
+  /** Source of the first input with numbers out of range, or null if none is to be logged. */
+  private @Nullable String correctedSource;
 
   /** State of a head and the time of the last listing that contained it. */
   private record ListedHead(HeadState state, String domain, long listedNanos) {}
@@ -126,6 +133,7 @@
       heads.put(view.id(), new ListedHead(state, view.domain(), nowNanos));
     }
     ledger.setHeads(heads.values().stream().map(ListedHead::state).toList(), nowNanos);
+    recordCorrections(HEADS);
     dropExpired(nowNanos);
     advance();
   }
@@ -177,6 +185,7 @@
     long nowNanos = clockNanos.getAsLong();
     // Offered first: a request whose decision fails must not stay among those that wait.
     List<RoomDecision> decisions = ledger.offer(request, nowNanos);
+    recordCorrections(request.key().holder());
     waiting.put(request.key(), new Waiter(request.account(), replies, nowNanos));
     deliver(decisions);
     if (waiting.containsKey(request.key())) {
@@ -274,6 +283,16 @@
     counters.count("shoreroad.room.decisions", result);
   }
 
+  /** Counts the numbers out of range since the last call, and keeps the source of the first. */
+  private void recordCorrections(String source) {
+    long count = ledger.correctedCount();
+    if (count > corrected) {
+      counters.count("shoreroad.room.corrected", source.equals(HEADS) ? HEADS : "request");
+      correctedSource = corrected == 0 ? source : correctedSource;
+      corrected = count;
+    }
+  }
+
   List<ReturnPlan.Ticket> takeNewTickets() {
     return ledger.takeNewTickets(clockNanos.getAsLong());
   }
@@ -300,8 +319,12 @@
     return largest.toString();
   }
 
-  /** Logs the room and the decisions since the last summary. */
+  /** Logs the room and the decisions since the last summary, and once the first bad input. */
   void summarize(EventLog log) {
+    if (correctedSource != null) {
+      log.write("room_input_corrected", "model", model, "source", correctedSource);
+      correctedSource = null;
+    }
     int usable = 0;
     int foreign = 0;
     for (ListedHead head : heads.values()) {
@@ -324,6 +347,8 @@
         waiting.size(),
         "free",
         ledger.freeCount(clockNanos.getAsLong()),
+        "corrected",
+        corrected,
         "results",
         results.toString(),
         "accounts",
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomLedger.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomLedger.java
@@ -32,6 +32,8 @@
 
   int freeCount(long nowNanos);
 
+  long correctedCount();
+
   List<ReturnPlan.Ticket> takeNewTickets(long nowNanos);
 
   void addTickets(List<ReturnPlan.Ticket> tickets, long nowNanos);
@@ -81,6 +83,11 @@
         return book.freeCount(nowNanos);
       }
 
+      @Override
+      public long correctedCount() {
+        return book.correctedCount();
+      }
+
       @Override
       public List<ReturnPlan.Ticket> takeNewTickets(long nowNanos) {
         return returns.takeNewTickets(nowNanos);
--- a/edge/src/test/java/org/shoreroad/edge/room/FakeLedger.java
+++ b/edge/src/test/java/org/shoreroad/edge/room/FakeLedger.java
@@ -129,6 +129,11 @@
     return heads.stream().mapToInt(this::free).sum();
   }
 
+  @Override
+  public long correctedCount() {
+    return 0;
+  }
+
   @Override
   public List<ReturnPlan.Ticket> takeNewTickets(long nowNanos) {
     List<ReturnPlan.Ticket> taken = List.copyOf(tickets);
