--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -361,7 +361,6 @@
   }
 
   private void refuse(Refusal refusal, String retryAfterSeconds, String why) {
-    relay.counters().count("shoreroad.refusals", refusal.code());
     log.writeRefusal(refusal, why);
     traffic.recordRefusal(refusal);
     finish(refusal.end());
--- a/edge/src/test/java/org/shoreroad/edge/relay/RequestTrafficTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/RequestTrafficTest.java
@@ -1,11 +1,13 @@
 package org.shoreroad.edge.relay;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
 
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.shoreroad.edge.EdgeMetrics;
@@ -61,6 +63,18 @@
     assertThat(counted(), is(counts(1, 1, 0)));
   }
 
+  @Test
+  void refusalIsInTheMetricsOnce() throws Exception {
+    callModel();
+    String refusals =
+        loop.submit(metrics::toPrometheusText)
+            .get()
+            .lines()
+            .filter(line -> line.startsWith("shoreroad_refusals_total"))
+            .collect(Collectors.joining());
+    assertThat(refusals, endsWith(" 1.0"));
+  }
+
   @Test
   void firstEventAfterTheTargetCountsAsLate() throws Exception {
     // The target of the route is 200 ms.
