--- a/cli/src/main/java/org/shoreroad/cli/LogCommands.java
+++ b/cli/src/main/java/org/shoreroad/cli/LogCommands.java
@@ -23,7 +23,7 @@
   @Command(
       name = "report",
       description =
-          "Summarizes logs: refusals, failed attempts, late answers, losses, models, boxes.")
+          "Summarizes logs: refusals, failed attempts, late answers, losses, models, boxes, room.")
   @Examples(
       examples = "shoreroadctl report front-1.log front-2.log",
       descriptions = "The logs of all processes of a site.")
@@ -60,7 +60,13 @@
         List.of("replica_suspected", "box_silent", "box_order", "replica_open");
 
     private static final List<String> STORE_EVENTS =
-        List.of("store_era", "topic_listed_in_new_era", "store_lost", "store_reached");
+        List.of(
+            "store_era",
+            "topic_listed_in_new_era",
+            "store_lost",
+            "store_reached",
+            "zone_evacuated",
+            "zone_returned");
 
     @Required
     @Arguments(
--- a/core/src/main/java/org/shoreroad/admission/RoomBook.java
+++ b/core/src/main/java/org/shoreroad/admission/RoomBook.java
@@ -10,7 +10,6 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.jspecify.annotations.Nullable;
 import org.shoreroad.fleet.EngineSpec;
 import org.shoreroad.fleet.ModelShape;
 import org.shoreroad.queue.FairQueue;
@@ -25,9 +24,9 @@
  * enough slots are expected to become free before it would be late, given those that go first, and
  * is refused at once if not. A request that is late in any case gets room that nothing else needs.
  *
- * <p>Requests go first by priority, then if their caller was invited to return and their account is
- * not over its share, then by the share of the engines that their account holds. Less urgent
- * requests leave the room that more urgent ones are expected to need within the next pass.
+ * <p>Requests go first by priority, then if their caller was invited to return, then by the share
+ * of the engines that their account holds. Less urgent requests leave the room that more urgent
+ * ones are expected to need within the next pass.
  *
  * <p>Reads no clock: times are passed in, in nanoseconds of the steady clock. Numbers out of range
  * are corrected, so that they affect only their own request or head. Not thread-safe.
@@ -50,9 +49,6 @@
   /** Share of a pass in which a request that is next in order expects its slot. */
   private static final double NEXT_PASS_SHARE = 0.25;
 
-  /** Share of a pass that a head in another zone must be earlier to be preferred. */
-  private static final double ZONE_PASS_SHARE = 0.25;
-
   /** Time for which the starts at a head that is gone are kept. */
   private static final long FORMER_STARTS_NANOS = TimeUnit.MINUTES.toNanos(1);
 
@@ -61,7 +57,6 @@
 
   private static final HeadLoad IDLE = new HeadLoad(0, 0, 0, 1);
   private static final double NANOS_PER_MS = 1e6;
-  private static final double PPM = 1e6;
 
   private final EngineForecast forecast;
   private final long cacheCapacityTokens;
@@ -79,7 +74,6 @@
   private final FairQueue<WaitingRequest> queue = new FairQueue<>(MAX_WAITING);
   private long expiryCheckedNanos;
   private long correctedCount;
-  private RoomRefusal lastReason = RoomRefusal.NO_HEAD;
 
   /** Creates a book without heads. */
   public RoomBook(EngineSpec spec, ModelShape model, Returns returns) {
@@ -133,18 +127,19 @@
     if (waiting.containsKey(offered.key())) {
       return List.of();
     }
-    RoomRequest request = InputBounds.clampRequest(offered);
-    correctedCount += request == offered ? 0 : 1;
+    RoomRequest clamped = InputBounds.clampRequest(offered);
+    correctedCount += InputBounds.isCorrected(offered, clamped) ? 1 : 0;
+    boolean isInvited = returns.isExpected(clamped.contentHash(), nowNanos);
+    int callerAgeMs = returns.takeCallerAgeMs(clamped.contentHash(), nowNanos);
+    // The target of a caller that returns counts from its first request. One that was invited has
+    // its place all the same, of which there are few.
+    boolean isOlder = !isInvited && callerAgeMs > clamped.ageMs();
+    RoomRequest request = isOlder ? clamped.withAgeMs(callerAgeMs) : clamped;
     long budgetNanos =
         (long) ((request.targetLatencyMs() * TARGET_SHARE - request.ageMs()) * NANOS_PER_MS);
     long sharePpm = sharePpm(request);
     WaitingRequest item =
-        new WaitingRequest(
-            request,
-            nowNanos,
-            nowNanos + budgetNanos,
-            sharePpm,
-            returns.isExpected(request.contentHash(), nowNanos));
+        new WaitingRequest(request, nowNanos, nowNanos + budgetNanos, sharePpm, isInvited);
     // Room is kept for arrivals, but not for those that would be late at an idle head too.
     if (forecast.firstEventMs(IDLE, request.promptTokens(), 1) <= item.budgetMs(nowNanos)) {
       arrivals.recordArrival(request.priority(), nowNanos);
@@ -181,7 +176,7 @@
       release(grant);
       if (end == GrantEnd.REJECTED) {
         head.recordRejected(nowNanos);
-      } else {
+      } else if (end != GrantEnd.UNUSED) {
         returns.recordFreed(nowNanos);
       }
     }
@@ -189,15 +184,19 @@
   }
 
   /**
-   * Renews the grants of a process. Grants that are not renewed for {@link #grantMillis()} expire.
+   * Renews the grants of a process and returns the numbers of the requests that hold one. Grants
+   * that are not renewed for {@link #grantMillis()} expire.
    */
-  public void renew(String holder, Set<Long> numbers, long nowNanos) {
+  public Set<Long> renew(String holder, Set<Long> numbers, long nowNanos) {
+    Set<Long> held = new HashSet<>();
     for (Long number : numbers) {
       Grant grant = grants.get(new RoomRequest.Key(holder, number));
       if (grant != null) {
         grant.renew(nowNanos);
+        held.add(number);
       }
     }
+    return held;
   }
 
   /** Returns the time after which a grant that isn't renewed expires, in milliseconds. */
@@ -268,8 +267,9 @@
       if (available > 0 && isKept && !arrivals.mayTakeKept()) {
         reason = RoomRefusal.KEPT_FOR_MORE_URGENT;
       } else if (available > 0) {
-        head = choose(item, true, mayQueue, nowNanos);
-        reason = lastReason;
+        HeadChoice choice = HeadChoice.inTime(heads.values(), item, mayQueue, nowNanos);
+        head = choice.head();
+        reason = choice.reason();
       }
       if (head != null) {
         queue.take(queued);
@@ -298,8 +298,9 @@
     boolean isRoomIdle = queue.size() == 0 && (item.isInvited() || freeSlots > kept);
     HeadRoom head = null;
     if (item.request().isFinal() && isRoomIdle && freeSlots > 0) {
-      head = choose(item, false, false, nowNanos);
-      reason = lastReason;
+      HeadChoice choice = HeadChoice.late(heads.values(), item, nowNanos);
+      head = choice.head();
+      reason = choice.reason();
     }
     if (head != null) {
       decisions.add(grant(item, head, nowNanos));
@@ -348,36 +349,6 @@
     return isPatient && isReachable(item, item.budgetMs(nowNanos) - waitMs);
   }
 
-  /** Returns the head for a request, or null with the reason in {@link #lastReason}. */
-  private @Nullable HeadRoom choose(
-      WaitingRequest item, boolean needsTarget, boolean mayQueue, long nowNanos) {
-    RoomRequest request = item.request();
-    lastReason = RoomRefusal.NO_HEAD;
-    HeadRoom best = null;
-    double bestMs = Double.POSITIVE_INFINITY;
-    for (HeadRoom head : heads.values()) {
-      RoomRefusal refusal = head.check(request, nowNanos);
-      double eventMs = refusal == null ? head.firstEventMs(request) : 0;
-      if (refusal == null && !mayQueue && head.freeSlots(nowNanos) == 0) {
-        refusal = RoomRefusal.TARGET_OUT_OF_REACH;
-      }
-      if (refusal == null && needsTarget && eventMs > item.budgetMs(nowNanos)) {
-        refusal = RoomRefusal.TARGET_OUT_OF_REACH;
-      }
-      if (refusal != null) {
-        lastReason = lastReason == RoomRefusal.NO_HEAD ? refusal : lastReason;
-        continue;
-      }
-      boolean isNear = head.state().zone().equals(request.zone());
-      double comparedMs = isNear ? eventMs : eventMs + head.passMs() * ZONE_PASS_SHARE;
-      if (comparedMs < bestMs) {
-        best = head;
-        bestMs = comparedMs;
-      }
-    }
-    return best;
-  }
-
   private RoomDecision grant(WaitingRequest item, HeadRoom head, long nowNanos) {
     RoomRequest request = item.request();
     double readMs = forecast.readMs(head.load(), request.promptTokens(), answers.meanPasses());
@@ -405,8 +376,9 @@
     boolean isAccount =
         reason == RoomRefusal.TARGET_OUT_OF_REACH && accounts.isOverShare(request.account());
     int waitingAhead = queue.sizeUpTo(request.priority());
-    int retryAfterMs =
-        returns.invite(request.contentHash(), waitingAhead, item.remainingMs(nowNanos), nowNanos);
+    int remainingMs = item.remainingMs(nowNanos);
+    returns.recordRefused(request.contentHash(), item.ageMs(nowNanos), remainingMs, nowNanos);
+    int retryAfterMs = returns.invite(request.contentHash(), waitingAhead, remainingMs, nowNanos);
     return RoomDecision.refused(
         request.key(), isAccount ? RoomRefusal.ACCOUNT_OVER_SHARE : reason, retryAfterMs);
   }
@@ -435,8 +407,7 @@
   }
 
   private long sharePpm(RoomRequest request) {
-    double share = forecast.engineShare(request.promptTokens(), answers.passes(request));
-    return Math.max(1, (long) (share * PPM));
+    return AccountUse.toPpm(forecast.engineShare(request.promptTokens(), answers.passes(request)));
   }
 
   private double reserve(WaitingRequest item, RoomOutlook outlook, long nowNanos) {
@@ -456,7 +427,8 @@
   }
 
   private boolean goesFirst(QueuedItem<WaitingRequest> queued) {
-    return queued.value().isInvited() && !accounts.isOverShare(queued.account());
+    // No account gets much by this, as ReturnPlan invites no more than a part of the slots.
+    return queued.value().isInvited();
   }
 
   private int freePlaces(long nowNanos) {
--- a/core/src/main/java/org/shoreroad/queue/DrainRate.java
+++ b/core/src/main/java/org/shoreroad/queue/DrainRate.java
@@ -17,7 +17,7 @@
   /** Maximum retry delay, in milliseconds. */
   public static final long MAX_RETRY_AFTER_MS = 60_000;
 
-  private static final double DECAY_SECONDS = 5;
+  private static final double DEFAULT_DECAY_SECONDS = 5;
   private static final double JITTER_SHARE = 0.5;
   private static final double MS_PER_SECOND = 1_000;
 
@@ -31,18 +31,22 @@
    * @param nowNanos the monotonic time
    */
   public DrainRate(long nowNanos) {
-    this(nowNanos, DECAY_SECONDS);
+    this(nowNanos, DEFAULT_DECAY_SECONDS);
   }
 
   /**
    * Creates a rate without completions.
    *
    * @param nowNanos the monotonic time
-   * @param decaySeconds the time constant of the mean, in seconds, positive
+   * @param decaySeconds the time in which the weight of a completion falls to 1/e, in seconds,
+   *     above 0
    */
   public DrainRate(long nowNanos, double decaySeconds) {
-    updatedNanos = nowNanos;
+    if (!(decaySeconds > 0)) {
+      throw new IllegalArgumentException("decaySeconds must be above 0: " + decaySeconds);
+    }
     this.decaySeconds = decaySeconds;
+    this.updatedNanos = nowNanos;
   }
 
   /** Records one completion. */
--- a/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
+++ b/core/src/test/java/org/shoreroad/admission/RoomBookTest.java
@@ -353,6 +353,19 @@
     assertThat(book.freeCount(now), is(SLOTS + 1));
   }
 
+  @Test
+  void testEnd_countsAsFreedOnlyWhatWasUsed() {
+    for (GrantEnd end : GrantEnd.values()) {
+      RoomRequest request = next();
+      assertThat(only(offer(request)).isGranted(), is(true));
+      returns.freed = 0;
+      book.end(request.key(), end, now);
+      boolean isServed = end == GrantEnd.USED || end == GrantEnd.FAILED;
+      assertThat(end.name(), returns.freed, is(isServed ? 1 : 0));
+      now += 3_000 * MS;
+    }
+  }
+
   @Test
   void testRenew_keepsGrantsThatOtherwiseExpire() {
     RoomRequest kept = next();
@@ -360,8 +373,9 @@
     offer(next());
     int free = book.freeCount(now);
     now += 1_000 * MS;
-    book.renew("p", Set.of(kept.key().number(), 77L), now);
-    book.renew("stranger", Set.of(1L), now);
+    Set<Long> held = book.renew("p", Set.of(kept.key().number(), 77L), now);
+    assertThat(held, is(Set.of(kept.key().number())));
+    assertThat(book.renew("stranger", Set.of(1L), now), is(Set.of()));
     now += 600 * MS;
     book.advance(now);
     assertThat(book.freeCount(now), is(free + 1));
--- a/edge/src/main/java/org/shoreroad/edge/ConfigurationView.java
+++ b/edge/src/main/java/org/shoreroad/edge/ConfigurationView.java
@@ -1,14 +1,20 @@
 package org.shoreroad.edge;
 
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.peer.Heartbeat;
 import org.shoreroad.edge.relay.ConfigurationSource;
+import org.shoreroad.edge.sync.Evacuations;
 import org.shoreroad.edge.sync.StorePosition;
 import org.shoreroad.edge.sync.StoreRecord;
 import org.shoreroad.edge.sync.TopicFollower;
 import org.shoreroad.traffic.TrafficConfig;
+import org.shoreroad.traffic.UpstreamService;
 
 /**
  * View of the configuration that this process uses, with the age of the proof that it is the
@@ -42,6 +48,7 @@
   private final boolean isKeyProofRequired;
   private @Nullable TrafficConfig config;
   private @Nullable TopicFollower follower;
+  private @Nullable Evacuations evacuations;
   private long peerProvedNanos = Long.MIN_VALUE / 2;
   private boolean isNewestUnreadable;
   private long peerVersion = Heartbeat.NO_CONFIG;
@@ -96,6 +103,11 @@
     follower = configFollower;
   }
 
+  /** Sets the evacuated zones, whose records are in the topic of the configuration. */
+  void setEvacuations(Evacuations newEvacuations) {
+    evacuations = newEvacuations;
+  }
+
   void setProcessCount(int count) {
     processCount = count;
   }
@@ -103,6 +115,11 @@
   @Override
   public void onRecord(StoreRecord record) {
     byte[] value = record.value();
+    String zone = decoder.evacuatedZone(record.key());
+    if (zone != null && evacuations != null) {
+      evacuations.applyRecord(zone, value != null, record.position());
+      return;
+    }
     if (value == null || !decoder.isConfiguration(record.key())) {
       return;
     }
@@ -126,11 +143,31 @@
     }
   }
 
+  @Override
+  public void onListed(Set<String> keys, StorePosition end) {
+    if (evacuations == null) {
+      return;
+    }
+    Set<String> zones = new HashSet<>();
+    for (String key : keys) {
+      String zone = decoder.evacuatedZone(key);
+      if (zone != null) {
+        zones.add(zone);
+      }
+    }
+    evacuations.applyListing(zones, end);
+  }
+
   @Override
   public @Nullable TrafficConfig config() {
     return config;
   }
 
+  /** Returns the services of the configuration in force, none if there is no configuration. */
+  Collection<UpstreamService> services() {
+    return config == null ? List.of() : config.services();
+  }
+
   /** Returns true if the service is declared, or if there is no configuration yet. */
   boolean isDeclared(String service) {
     return config == null || config.findService(service).isPresent();
@@ -238,5 +275,10 @@
      * @throws RuntimeException if the value can't be read
      */
     TrafficConfig decode(byte[] value);
+
+    /** Returns the zone whose evacuation a key requests, or null if it is another key. */
+    default @Nullable String evacuatedZone(String key) {
+      return null;
+    }
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -8,21 +8,28 @@
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import org.shoreroad.edge.caller.CallerServer;
+import org.shoreroad.edge.caller.HeldBytes;
 import org.shoreroad.edge.http.HttpCalls;
 import org.shoreroad.edge.peer.Announcement;
 import org.shoreroad.edge.peer.FailureDetector;
+import org.shoreroad.edge.peer.HeartbeatAdditions;
 import org.shoreroad.edge.peer.PeerMesh;
 import org.shoreroad.edge.peer.ProcessRegistry;
 import org.shoreroad.edge.peer.QuarantineRegistry;
 import org.shoreroad.edge.relay.Backpressure;
 import org.shoreroad.edge.relay.DemandMeter;
 import org.shoreroad.edge.relay.FleetSummary;
+import org.shoreroad.edge.relay.HeadViews;
 import org.shoreroad.edge.relay.Relay;
 import org.shoreroad.edge.relay.RequestQuarantine;
 import org.shoreroad.edge.relay.StallDetector;
+import org.shoreroad.edge.relay.TrafficMeter;
 import org.shoreroad.edge.relay.UpstreamSelector;
 import org.shoreroad.edge.relay.UpstreamTable;
 import org.shoreroad.edge.replica.ReplicaService;
+import org.shoreroad.edge.room.RoomActivation;
+import org.shoreroad.edge.room.RoomMode;
+import org.shoreroad.edge.room.RoomSharing;
 import org.shoreroad.edge.sync.CountedStore;
 import org.shoreroad.edge.sync.DomainLeases;
 import org.shoreroad.edge.sync.Fleet;
@@ -98,6 +105,7 @@
   private final CountedStore store;
   private final ConfigurationView configuration;
   private final Fleet fleet;
+  private final SendGates gates;
   private final TopicFollower configFollower;
   private final TopicFollower listFollower;
   private final ProcessRegistry processes;
@@ -106,6 +114,8 @@
   private final UpstreamTable upstreams;
   private final UpstreamSelector selector;
   private final StallDetector stalls;
+  private final TrafficMeter traffic;
+  private final DemandMeter demands;
   private final FleetSummary summary;
   private final RequestQuarantine quarantine;
   private final QuarantineRegistry quarantineRegistry;
@@ -115,6 +125,7 @@
   private final LocalHeartbeats heartbeats;
   private final PeerMesh mesh;
   private final ReplicaService replicas;
+  private final HeldBytes heldBytes;
   private final CallerServer callers;
   private final LoopLag lag;
   private final PeriodicUpdate periodicUpdate;
@@ -161,15 +172,17 @@
             settings.revokeMs(),
             settings.isKeyProofRequired());
     this.fleet = new Fleet(ports.upstreamDecoder(), clockNanos, log);
-    int configWaitMs = ConfigurationView.readWaitMs(settings.revokeMs());
-    this.configFollower = follower(Topic.CONFIGURATION, configWaitMs, () -> 0, configuration);
-    this.listFollower = follower(Topic.UPSTREAMS, LIST_WAIT_MS, () -> LIST_INTERVAL_MS, fleet);
+    this.gates = makeGates();
+    this.configFollower = follower(Topic.CONFIGURATION, configWaitMs(), () -> 0, configuration);
+    this.listFollower = follower(Topic.UPSTREAMS, LIST_WAIT_MS, () -> LIST_INTERVAL_MS, gates);
     this.upstreams = new UpstreamTable(fleet, clockNanos, log);
     this.backpressure = new Backpressure(name, ports.headers(), clockNanos, log, metrics);
     this.selector =
         new UpstreamSelector(upstreams, backpressure, clockNanos, random, settings.zone());
     this.stalls = new StallDetector(upstreams, clockNanos, log);
-    this.summary = new FleetSummary(fleet, upstreams, log);
+    this.traffic = new TrafficMeter(clockNanos, settings.zone(), metrics);
+    this.demands = new DemandMeter(upstreams, traffic, clockNanos);
+    this.summary = new FleetSummary(fleet, upstreams, demands, log);
     this.quarantine = new RequestQuarantine(clockNanos, log, metrics);
     this.quarantineRegistry =
         new QuarantineRegistry(store, loop, timeOfDayMs, log, quarantine::applyReports);
@@ -181,13 +194,8 @@
     this.mesh = new PeerMesh(loop, clockNanos, log, location, heartbeats, heartbeats::apply);
     this.leases = new DomainLeases(store, loop, elapsed::nowNanos, log, name, mesh, fleet::domains);
     this.replicas = makeReplicas(loop);
-    this.callers =
-        new CallerServer(
-            loop,
-            clockNanos,
-            this::limits,
-            relay,
-            reason -> metrics.count("shoreroad.bad_input", reason));
+    this.heldBytes = new HeldBytes(settings.heldBytes(), new HeldBytesLog(log, metrics));
+    this.callers = makeCallers(loop);
     this.processes = new ProcessRegistry(store, loop, log, mesh, location);
     this.processFollower =
         follower(Topic.PROCESSES, PROCESS_WAIT_MS, this::processIntervalMs, processes);
@@ -197,6 +205,54 @@
     connect(calls);
   }
 
+  private CallerServer makeCallers(EventLoop loop) {
+    return new CallerServer(
+        loop,
+        clockNanos,
+        this::limits,
+        relay,
+        reason -> metrics.count("shoreroad.bad_input", reason),
+        heldBytes);
+  }
+
+  private SendGates makeGates() {
+    return new SendGates(
+        name, fleet, ports.upstreamDecoder(), configuration, clockNanos, log, metrics);
+  }
+
+  /** Lets the owners of fabric domains grant the room at their heads, if the settings say so. */
+  private void shareRoom() {
+    if (settings.roomMode() == RoomMode.NEVER) {
+      return;
+    }
+    RoomSharing room =
+        new RoomSharing(
+            loop,
+            clockNanos,
+            random,
+            log,
+            metrics,
+            new HeartbeatAdditions.RoomOwner(name, peerAddress()),
+            settings.zone(),
+            leases::heldDomains,
+            () -> mesh.latestHeartbeats().keySet(),
+            configuration::config,
+            new HeadViews(upstreams, backpressure, clockNanos),
+            replicas::closingHeadIds,
+            new RoomActivation(
+                settings.roomMode(), configuration::services, traffic::arrived, clockNanos),
+            gates.coldGate()::setGranting);
+    relay.setRoomBroker(room.broker());
+    heartbeats.addContributor(room::contribute);
+    mesh.setFrameReceiver(room);
+    room.start();
+  }
+
+  private String peerAddress() {
+    String host = settings.peerListen().getAddress().getHostAddress();
+    return host + ":" + settings.peerListen().getPort();
+  }
+
   private PeriodicUpdate makePeriodicUpdate() {
     return new PeriodicUpdate(
         log,
@@ -210,7 +266,17 @@
         mesh,
         selector,
         upstreams,
-        backpressure);
+        traffic,
+        backpressure,
+        this::updateGates);
+  }
+
+  /**
+   * An upstream that appears before the list was read once and there is traffic has not started.
+   */
+  private void updateGates() {
+    boolean hasTraffic = relay.acceptedCount() > 0 || upstreams.hasPeerLoad();
+    gates.update(mesh.names(), processFollower.isCurrent(), listFollower.isCurrent() && hasTraffic);
   }
 
   private LocalHeartbeats makeHeartbeats() {
@@ -236,7 +302,7 @@
         ports.engines(),
         configuration::config,
         stalls::suspectedIds,
-        new DemandMeter(upstreams)::demand,
+        demands::demand,
         failureDetector,
         mesh::witnessNames,
         settings.stallMs());
@@ -267,7 +333,7 @@
     // was late in four of thirteen runs with 7 and 9 processes.
     configFollower.readThroughPeersWhile(
         mesh::isMember, ConfigurationView.peerProofMs(settings.revokeMs()));
-    int configWaitMs = ConfigurationView.readWaitMs(settings.revokeMs());
+    int configWaitMs = configWaitMs();
     configFollower.setWait(
         () -> mesh.isHub() ? random.nextInt(configWaitMs / 2, configWaitMs) : configWaitMs);
     configFollower.setListingDelay(() -> random.nextInt(LISTING_SPREAD_MS));
@@ -283,6 +349,11 @@
           replicas.scheduleReconcile();
         });
     heartbeats.connect(mesh, leases, replicas);
+    gates.connect(upstreams, backpressure, heartbeats);
+    gates.evacuations().setChangeListener(mesh::sendSoon);
+    replicas.setEvacuations(gates.evacuations());
+    heartbeats.addContributor(traffic::contribute);
+    relay.setTraffic(traffic);
     mesh.setSuspicionListener(heartbeats::applySuspicions);
     backpressure.setLimitListener(mesh::sendSoon);
     backpressure.setLeavingListener(fleet::noteLeaving);
@@ -299,6 +370,7 @@
           replicas.forget(box.id());
           failureDetector.forget(box.id());
         });
+    shareRoom();
   }
 
   /**
@@ -336,9 +408,7 @@
     configFollower.start();
     listFollower.start();
     quarantineRegistry.load();
-    String host = settings.peerListen().getAddress().getHostAddress();
-    Announcement announcement =
-        new Announcement(host + ":" + settings.peerListen().getPort(), settings.zone());
+    Announcement announcement = new Announcement(peerAddress(), settings.zone());
     // Members need the list only to find a hub. If 89 processes continued to read it, this would be
     // about 800 of 3,100 calls to the store in 72 s without faults, and each process would read
     // every restart of another.
@@ -350,17 +420,14 @@
     replicas.start();
     RepeatingTimer timer = new RepeatingTimer(loop, log);
     timer.every(UPDATE_INTERVAL_MS, "upkeep", periodicUpdate::run);
-    timer.every(SUMMARY_INTERVAL_MS, "summary", this::summarize);
-    metrics.gauge("shoreroad.requests.open", relay::openCount);
-    metrics.gauge("shoreroad.requests.accepted", relay::acceptedCount);
-    metrics.gauge("shoreroad.requests.in_quarantine", quarantine::quarantinedCount);
-    metrics.gauge("shoreroad.upstreams.limited", backpressure::limitedCount);
-    metrics.gauge("shoreroad.callers.connections", callers::connectionCount);
-    metrics.gauge("shoreroad.config.age_ms", configuration::configAgeMs);
-    metrics.gauge("shoreroad.processes.alive", mesh::aliveCount);
-    metrics.gauge("shoreroad.log.dropped_lines", log::droppedLines);
-    metrics.gauge("shoreroad.store.former_era_answers", ports.storeEra()::formerAnswers);
-    metrics.gauge("shoreroad.loop.longest_lag_ms", lag::takeLongestMs);
+    timer.every(
+        SUMMARY_INTERVAL_MS,
+        "summary",
+        new ProcessSummary(configuration, summary, store, log)::run);
+    new ProcessGauges(metrics)
+        .addCallers(relay, quarantine, callers, heldBytes)
+        .addSystem(backpressure, mesh, configuration, ports.storeEra())
+        .addProcess(log, lag);
   }
 
   /**
@@ -378,6 +445,10 @@
     return new TopicFollower(topic, store, loop, clockNanos, log, waitMs, minIntervalMs, listener);
   }
 
+  private int configWaitMs() {
+    return ConfigurationView.readWaitMs(settings.revokeMs());
+  }
+
   private int processIntervalMs() {
     return mesh.isMember() ? MEMBER_PROCESS_INTERVAL_MS : PROCESS_INTERVAL_MS;
   }
@@ -393,15 +464,6 @@
         && configuration.isServing();
   }
 
-  /** Logs the state of the fleet, so that a lack of replicas can be analyzed later. */
-  private void summarize() {
-    if (configuration.config() != null) {
-      configuration.config().services().forEach(summary::summarize);
-      summary.summarizeBoxes();
-      log.write("store_calls", "counts", store.takeCounts());
-    }
-  }
-
   /** Reads the contents of the store again after it was restored from an older copy. */
   private void noteEra() {
     metrics.count("shoreroad.store.eras", "new");
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -8,6 +8,8 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.shoreroad.admission.GrantEnd;
+import org.shoreroad.edge.caller.AnswerChannel;
 import org.shoreroad.edge.http.CallFailure;
 import org.shoreroad.edge.http.CallListener;
 import org.shoreroad.edge.http.HttpCall;
@@ -30,8 +32,10 @@
 
   private final Exchange exchange;
   private final Relay relay;
+  private final AnswerChannel answers;
   private final Target target;
   private final Incarnation upstream;
+  private final RoomBroker.@Nullable Grant grant;
   private final long startedNanos;
   private @Nullable HttpCall call;
   private @Nullable HttpResponse head;
@@ -42,11 +46,24 @@
   private long lastEventNanos;
   private boolean isOver;
 
-  Attempt(Exchange exchange, Relay relay, Target target, long startedNanos) {
+  /**
+   * Creates an attempt that has not started.
+   *
+   * @param grant the grant of the room at the target, or null if there is none
+   */
+  Attempt(
+      Exchange exchange,
+      Relay relay,
+      AnswerChannel answers,
+      Target target,
+      RoomBroker.@Nullable Grant grant,
+      long startedNanos) {
     this.exchange = exchange;
     this.relay = relay;
+    this.answers = answers;
     this.target = target;
     this.upstream = target.box().incarnation();
+    this.grant = grant;
     this.startedNanos = startedNanos;
   }
 
@@ -60,19 +77,36 @@
   }
 
   /**
-   * Returns true if the upstream's limit and rest still permit the request. Checked again, since
-   * the upstream may have asked for fewer requests while the connection was opened.
+   * Returns true if the grant and the upstream's limit, rest, coldness and zone still permit the
+   * request. Checked again, since the upstream may have asked for fewer requests while the
+   * connection was opened, or this process may have been suspended.
    */
   private boolean isStillPermitted() {
+    if (grant != null && !grant.isInForce()) {
+      relay.counters().count("shoreroad.room.unused", "expired");
+      return false;
+    }
+    if (relay.backpressure().isEvacuated(target.box())) {
+      relay.counters().count("shoreroad.attempts.to_evacuated", "withdrawn");
+      return false;
+    }
     if (relay.backpressure().isResting(upstream)) {
       relay.counters().count("shoreroad.attempts.to_resting", "withdrawn");
       return false;
     }
-    return hasTurn || takeTurn();
+    return (hasTurn || takeTurn()) && confirmSend();
   }
 
   private boolean takeTurn() {
-    return relay.backpressure().takeTurn(upstream);
+    return grant != null
+        ? relay.backpressure().takeLimitTurn(upstream)
+        : relay.backpressure().takeTurn(upstream);
+  }
+
+  private boolean confirmSend() {
+    return grant != null
+        ? relay.backpressure().confirmGranted(upstream)
+        : relay.backpressure().confirmSend(upstream);
   }
 
   Target target() {
@@ -90,16 +124,24 @@
 
   void cancel() {
     if (!isOver) {
-      end();
-      if (call != null) {
-        call.cancel();
-      }
+      end(isSent() ? GrantEnd.USED : GrantEnd.UNUSED);
+      cancelCall();
     }
   }
 
-  void setReading(boolean isReading) {
+  private void cancelCall() {
     if (call != null) {
+      call.cancel();
+    }
+  }
+
+  /** Pauses or resumes reading the answer, because the caller reads too slowly or goes on. */
+  void setReading(boolean isReading) {
+    if (call != null && !isOver) {
       call.setReading(isReading);
+      target.load().setPaused(exchange, !isReading, relay.nowNanos());
+      // The time of a pause is not the pace of the upstream.
+      lastEventNanos = 0;
     }
   }
 
@@ -161,8 +203,12 @@
       recordPace(nowNanos);
       if (!events.add(content)) {
         fail(AttemptFailure.BROKEN);
+      } else if (!answers.isWritable()) {
+        // Also an attempt that began while the caller did not read.
+        setReading(false);
       }
     } else if (body != null) {
+      answers.addCollected(content.readableBytes());
       body.addComponent(true, content.retain());
     }
   }
@@ -184,7 +230,7 @@
     if (isRefusal(response)) {
       long avoidNanos = isMisdirected(response) ? AVOID_NANOS : AVOID_FULL_NANOS;
       target.load().avoidUntil(relay.nowNanos() + avoidNanos);
-      end();
+      end(isMisdirected(response) ? GrantEnd.UNUSED : GrantEnd.REJECTED);
       exchange.onAttemptFailed(this, AttemptFailure.REFUSED);
     } else if (events != null) {
       endStream(events);
@@ -199,7 +245,7 @@
       return;
     }
     target.load().recordOutcome(false);
-    end();
+    end(GrantEnd.USED);
     exchange.onStreamEnd();
   }
 
@@ -207,13 +253,14 @@
     boolean hasFailed = response.status().codeClass() == HttpStatusClass.SERVER_ERROR;
     target.load().recordOutcome(hasFailed);
     if (exchange.hasBegun() || (hasFailed && exchange.canContinueWithout(this))) {
-      end();
+      end(GrantEnd.FAILED);
       exchange.onAttemptFailed(this, AttemptFailure.FAILED);
       return;
     }
     ByteBuf content = body == null ? Unpooled.EMPTY_BUFFER : body;
+    answers.addCollected(-content.readableBytes());
     body = null;
-    end();
+    end(hasFailed ? GrantEnd.FAILED : GrantEnd.USED);
     exchange.onWholeAnswer(response, content);
   }
 
@@ -226,12 +273,12 @@
       if (failure.reason() != CallFailure.Reason.WITHDRAWN) {
         target.load().avoidUntil(relay.nowNanos() + AVOID_NANOS);
       }
-      end();
+      end(GrantEnd.UNUSED);
       exchange.onAttemptFailed(this, AttemptFailure.NOT_SENT);
       return;
     }
     target.load().recordOutcome(true);
-    end();
+    end(GrantEnd.FAILED);
     boolean isDisconnected = failure.reason() == CallFailure.Reason.BROKEN;
     exchange.onAttemptFailed(
         this, isDisconnected ? AttemptFailure.DISCONNECTED : AttemptFailure.BROKEN);
@@ -239,7 +286,10 @@
 
   private void fail(AttemptFailure failure) {
     target.load().recordOutcome(true);
-    cancel();
+    if (!isOver) {
+      end(GrantEnd.FAILED);
+      cancelCall();
+    }
     exchange.onAttemptFailed(this, failure);
   }
 
@@ -250,7 +300,7 @@
     }
   }
 
-  private void end() {
+  private void end(GrantEnd grantEnd) {
     isOver = true;
     if (isPromptRead) {
       target.load().removeDecoding(exchange);
@@ -258,8 +308,12 @@
       target.load().removeWaiting(exchange, exchange.promptTokens());
     }
     if (body != null) {
+      answers.addCollected(-body.readableBytes());
       body.release();
       body = null;
     }
+    if (grant != null) {
+      grant.end(grantEnd);
+    }
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
@@ -62,6 +62,22 @@
     relay.log().write(event, fields.toArray());
   }
 
+  /**
+   * Writes that the request is refused, with its priority if it has a route.
+   *
+   * @param why the reason of the process that grants the room, or an empty text
+   */
+  void writeRefusal(Refusal refusal, String why) {
+    List<Object> fields = new ArrayList<>(List.of("reason", refusal.code()));
+    if (!why.isEmpty()) {
+      fields.addAll(List.of("why", why));
+    }
+    if (route != null) {
+      fields.addAll(List.of("priority", RequestReader.rank(route, account)));
+    }
+    write("request_refused", fields.toArray());
+  }
+
   private long configVersion() {
     TrafficConfig config = relay.configurationSource().config();
     return config == null ? NO_VERSION : config.version();
--- a/edge/src/main/java/org/shoreroad/edge/relay/Refusal.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Refusal.java
@@ -1,5 +1,8 @@
 package org.shoreroad.edge.relay;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Locale;
 
@@ -19,6 +22,8 @@
   NO_REPLICA(HttpResponseStatus.SERVICE_UNAVAILABLE),
   NO_PLACE(HttpResponseStatus.SERVICE_UNAVAILABLE),
   HELD_BACK(HttpResponseStatus.SERVICE_UNAVAILABLE),
+  COLD(HttpResponseStatus.SERVICE_UNAVAILABLE),
+  EVACUATED(HttpResponseStatus.SERVICE_UNAVAILABLE),
   QUARANTINED(HttpResponseStatus.SERVICE_UNAVAILABLE),
   UPSTREAM_REFUSED(HttpResponseStatus.SERVICE_UNAVAILABLE),
   NOT_SENT_IN_TIME(HttpResponseStatus.SERVICE_UNAVAILABLE),
@@ -40,6 +45,29 @@
     return status == HttpResponseStatus.SERVICE_UNAVAILABLE;
   }
 
+  /**
+   * Returns the headers of the answer.
+   *
+   * @param retryAfterSeconds the time after which the caller is asked to retry, in seconds, which
+   *     is told only if the request has not run
+   */
+  HttpHeaders headers(String retryAfterSeconds) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set("X-Shoreroad-Reason", code());
+    if (promisesNotRun()) {
+      headers.set(HttpHeaderNames.RETRY_AFTER, retryAfterSeconds);
+    }
+    return headers;
+  }
+
+  /** Returns true if the request could be served if its model had more replicas. */
+  boolean isForWantOfRoom() {
+    return switch (this) {
+      case NO_REPLICA, NO_PLACE, UPSTREAM_REFUSED, NOT_SENT_IN_TIME, NOT_ANSWERED_IN_TIME -> true;
+      default -> false;
+    };
+  }
+
   /** Returns how a request with this refusal is counted as ended. */
   RequestEnd end() {
     return switch (this) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
@@ -6,12 +6,14 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.caller.CallerRequest;
 import org.shoreroad.edge.caller.HeaderNames;
 import org.shoreroad.quarantine.RequestFingerprint;
 import org.shoreroad.traffic.ClientAccount;
 import org.shoreroad.traffic.Route;
+import org.shoreroad.traffic.UpstreamService;
 
 /**
  * Reader of the headers of a caller's request, which also creates the request for the upstream. Not
@@ -61,9 +63,21 @@
     return Decimals.parse(request.header(names.tokenCount()).split(",", 2)[0].trim(), 0);
   }
 
+  /**
+   * Returns the caller's estimate of the tokens of the answer, at most the number that it permits,
+   * or 0 if it gives none.
+   */
+  int answerTokens() {
+    String[] counts = request.header(names.tokenCount()).split(",", 2);
+    long most = counts.length < 2 ? 0 : Decimals.parse(counts[1].trim(), 0);
+    long estimate = Decimals.parse(request.header(names.lengthHint()), 0);
+    long bounded = most == 0 ? estimate : Math.min(estimate, most);
+    return (int) Math.min(Integer.MAX_VALUE, bounded);
+  }
+
   /**
    * Returns the fingerprint, which is the same when the caller sends the request again. It is
-   * computed on first use, since most requests end well and never need it.
+   * computed on first use, since requests that ask for no room and end well never need it.
    *
    * @param host the host name of the route, not null. The Host header may contain the port of the
    *     process that the caller has reached, which differs when it sends the request again
@@ -84,6 +98,35 @@
     return computed;
   }
 
+  /**
+   * Returns the request for room at a head.
+   *
+   * @param service the service, which has engines, not null
+   * @param account the client account of the caller, or null
+   * @param endNanos the deadline on the steady clock
+   * @param excludedHeads the ids of the heads that the request must not be sent to, not null
+   */
+  RoomBroker.Query toRoomQuery(
+      UpstreamService service,
+      Route route,
+      @Nullable ClientAccount account,
+      long endNanos,
+      Set<String> excludedHeads) {
+    return new RoomBroker.Query(
+        service,
+        model(),
+        account == null ? "" : account.name(),
+        rank(route, account),
+        promptTokens(),
+        answerTokens(),
+        request.arrivedNanos(),
+        endNanos,
+        route.targetLatencyMs(),
+        route.targetGapMs(),
+        fingerprint(route.host(), account).high(),
+        excludedHeads);
+  }
+
   /** Returns how urgent a request is, from 0 to 9, by its client account or else by its route. */
   static int rank(Route route, @Nullable ClientAccount account) {
     boolean hasAccountPriority = account != null && account.priority() != ClientAccount.NO_PRIORITY;
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -16,8 +16,10 @@
 import org.shoreroad.edge.RepeatingTimer;
 import org.shoreroad.edge.peer.FailureDetector;
 import org.shoreroad.edge.sync.DomainLeases;
+import org.shoreroad.edge.sync.Evacuations;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.fleet.BoxOrder;
+import org.shoreroad.fleet.Conversion;
 import org.shoreroad.fleet.Demand;
 import org.shoreroad.fleet.DomainReconciler;
 import org.shoreroad.fleet.EngineSpec;
@@ -72,6 +74,7 @@
   private final Map<String, DomainReconciler> reconcilers = new HashMap<>();
   private final Map<String, Long> suspectedSinceNanos = new HashMap<>();
   private final Map<String, ServiceDomains> domainsByService = new HashMap<>();
+  private @Nullable Evacuations evacuations;
   private long lastForgetNanos;
   private boolean isReconcileScheduled;
 
@@ -105,6 +108,12 @@
         new DomainObserver(clockNanos, fleet, monitor, failureDetector, alivePeers, stallMs);
   }
 
+  /** Sets the evacuated zones, in which no replica is formed or opened. */
+  public void setEvacuations(Evacuations newEvacuations) {
+    evacuations = newEvacuations;
+    observer.setEvacuations(newEvacuations);
+  }
+
   /** Sets the listener for changed heads, which other processes must receive quickly. */
   public void setUrgentChangeListener(Runnable listener) {
     monitor.setUrgentChangeListener(listener);
@@ -168,6 +177,13 @@
     return monitor.takeReports();
   }
 
+  /** Returns the ids of the heads of replicas that this process is closing. */
+  public Set<String> closingHeadIds() {
+    Set<String> ids = new HashSet<>();
+    reconcilers.values().forEach(reconciler -> ids.addAll(reconciler.closingHeadIds()));
+    return ids;
+  }
+
   /** Forgets a box that has ended or restarted, and with it the orders it was given. */
   public void forget(String id) {
     monitor.forget(id);
@@ -206,7 +222,7 @@
 
   private void reconcileService(UpstreamService service, EngineSpec engine) {
     ServiceDomains known = domainsByService.get(service.name());
-    if (known == null || known.listChanges() != fleet.listChanges() || known.engine() != engine) {
+    if (known == null || !known.isFor(fleet.listChanges(), zoneChanges(), engine)) {
       known = deriveDomains(service, engine);
       domainsByService.put(service.name(), known);
     }
@@ -214,7 +230,7 @@
     Demand demand = demands.apply(service);
     for (String domain : known.names()) {
       String key = Fleet.domainKey(service.name(), domain);
-      if (leases.holds(key)) {
+      if (leases.holds(key) && !isEvacuated(fleet.boxesOf(key))) {
         reconcileDomain(key, domain, engine, fleet.boxesOf(key), known.plan(), suspected, demand);
       } else {
         reconcilers.remove(key);
@@ -242,22 +258,53 @@
       }
     }
     return new ServiceDomains(
-        fleet.listChanges(), engine, List.copyOf(sizes.keySet()), ReplicaPlan.of(engine, sizes));
+        fleet.listChanges(),
+        zoneChanges(),
+        engine,
+        List.copyOf(sizes.keySet()),
+        ReplicaPlan.of(engine, sizes));
   }
 
   /**
    * Fabric domains of a service, as derived from the list of upstreams.
    *
    * @param listChanges the number of list changes at the derivation
+   * @param zoneChanges the number of evacuated and returned zones at the derivation
    * @param engine the engines that the plan was made for
    * @param names the names of the domains
    * @param plan the planned replicas of each domain
    */
   private record ServiceDomains(
-      long listChanges, EngineSpec engine, List<String> names, ReplicaPlan plan) {}
+      long listChanges, long zoneChanges, EngineSpec engine, List<String> names, ReplicaPlan plan) {
+    /** Returns true if the domains were derived from this state. */
+    boolean isFor(long currentListChanges, long currentZoneChanges, EngineSpec currentEngine) {
+      return listChanges == currentListChanges
+          && zoneChanges == currentZoneChanges
+          && engine == currentEngine;
+    }
+  }
+
+  private long zoneChanges() {
+    return evacuations == null ? 0 : evacuations.changes();
+  }
+
+  private boolean isEvacuated(FleetBox box) {
+    return evacuations != null && evacuations.isEvacuated(box.zone());
+  }
+
+  /**
+   * Returns true if all boxes are in evacuated zones. Their domain gets no orders, so that replicas
+   * that are open finish their requests and can take new ones as soon as the zone returns.
+   */
+  private boolean isEvacuated(List<FleetBox> boxes) {
+    return !boxes.isEmpty() && boxes.stream().allMatch(this::isEvacuated);
+  }
 
   private int countStaying(List<FleetBox> boxes) {
-    return (int) boxes.stream().filter(box -> !box.isLeaving() && fleet.isListed(box.id())).count();
+    return (int)
+        boxes.stream()
+            .filter(box -> !box.isLeaving() && fleet.isListed(box.id()) && !isEvacuated(box))
+            .count();
   }
 
   private void reconcileDomain(
@@ -276,6 +323,7 @@
     reconciler
         .decide(nowNanos, engine, observedBoxes, plan, observer.headsSeen(), demand)
         .forEach(order -> sendOrder(key, reconciler, engine, order));
+    logConversion(key, reconciler.takeConversion());
     if (reconciler.needsReports() && !neededReports) {
       // Sends the report requests at once.
       scheduleReconcile();
@@ -320,6 +368,23 @@
         });
   }
 
+  private void logConversion(String key, @Nullable Conversion conversion) {
+    if (conversion != null) {
+      log.write(
+          "replica_conversion",
+          "domain",
+          key,
+          "closed",
+          conversion.closed(),
+          "pressureBefore",
+          conversion.pressureBefore(),
+          "pressureAfter",
+          conversion.pressureAfter(),
+          "isStrained",
+          conversion.isStrained());
+    }
+  }
+
   private void logOrder(BoxOrder order, long fence, Engines.OrderOutcome outcome) {
     log.write(
         "box_order",
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -28,6 +28,8 @@
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.caller.CallerServer;
 import org.shoreroad.edge.caller.HeaderNames;
+import org.shoreroad.edge.caller.HeldBytes;
+import org.shoreroad.edge.caller.HeldBytesRule;
 import org.shoreroad.edge.http.HttpCalls;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.edge.sync.StorePosition;
@@ -82,13 +84,13 @@
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   final EventLoop loop = group.next();
   private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
-  private final EventLog log = new EventLog("test", clockNanos, logged);
-  private final Fleet fleet = new Fleet(LoopbackRelay::decode, clockNanos, log);
+  final EventLog log = new EventLog("test", clockNanos, logged);
+  final Fleet fleet = new Fleet(LoopbackRelay::decode, clockNanos, log);
   private final List<FakeUpstream> upstreams = new ArrayList<>();
-  private final UpstreamTable table = new UpstreamTable(fleet, clockNanos, log);
+  final UpstreamTable table = new UpstreamTable(fleet, clockNanos, log);
   private final StallDetector stalls = new StallDetector(table, clockNanos, log);
   final FakeConfigurationSource configurationSource = new FakeConfigurationSource(config(engine()));
-  private final EdgeMetrics metrics = new EdgeMetrics();
+  final EdgeMetrics metrics = new EdgeMetrics();
   final RequestQuarantine quarantine = new RequestQuarantine(clockNanos, log, metrics);
   final Backpressure backpressure = new Backpressure(SELF, NAMES, clockNanos, log, metrics);
   Relay relay;
@@ -159,7 +161,13 @@
             quarantine,
             backpressure);
     CallerServer server =
-        new CallerServer(loop, clockNanos, () -> CallerLimits.DEFAULT, relay, reason -> {});
+        new CallerServer(
+            loop,
+            clockNanos,
+            () -> CallerLimits.DEFAULT,
+            relay,
+            reason -> {},
+            new HeldBytes(heldBytesRule(), HeldBytes.Listener.NONE));
     address =
         (InetSocketAddress)
             server
@@ -237,6 +245,16 @@
     return new RelayRules(0.2, 100, 10);
   }
 
+  /** Returns the bounds on what is held for callers. */
+  HeldBytesRule heldBytesRule() {
+    return HeldBytesRule.forMemory(HeldBytes.bufferMemoryBytes());
+  }
+
+  /** Returns the address for callers. */
+  final InetSocketAddress address() {
+    return address;
+  }
+
   /** Answers each request completely. */
   static final FakeUpstream.Script SERVING =
       (head, out, socket) -> {
@@ -285,8 +303,13 @@
     return exchange(path, "secret", "");
   }
 
+  /** Opens a connection to the relay, as a caller does. */
+  final Socket connect() throws IOException {
+    return new Socket(address.getAddress(), address.getPort());
+  }
+
   private String exchange(String path, String key, String moreHeaders) throws IOException {
-    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+    try (Socket socket = connect()) {
       socket.setSoTimeout(READ_TIMEOUT_MS);
       write(
           socket.getOutputStream(),
