--- a/cli/src/main/java/org/shoreroad/cli/RoomTables.java
+++ b/cli/src/main/java/org/shoreroad/cli/RoomTables.java
@@ -99,7 +99,7 @@
   }
 
   /**
-   * Returns the numbers out of range that owners were told. A line has the sum since the owner took
+   * Returns the numbers out of range that owners received. A line has the sum since the owner took
    * the model on, so the largest counts.
    */
   private ArrayNode corrections() {
--- a/core/src/main/java/org/shoreroad/admission/ReturnPlan.java
+++ b/core/src/main/java/org/shoreroad/admission/ReturnPlan.java
@@ -11,11 +11,11 @@
 /**
  * Times at which refused callers return to the replicas of one model.
  *
- * <p>A refused caller waits as long as it is told, up to a third of its remaining time, and returns
+ * <p>A refused caller waits for the stated delay, up to a third of its remaining time, and returns
  * once. It is invited for the earliest time at which a slot is likely to be left for it: after the
  * requests that wait, and after the callers invited before. Invitations are spread, so that they
  * take no more than a share of the freed slots. A caller without such a time within its third is
- * told the expected time, so that it does not return in vain.
+ * given the expected time, so that it does not return without a chance.
  *
  * <p>Own invitations are limited by the schedule, and those of other owners of the model serve only
  * to recognize their callers. Reads no clock. Not thread-safe.
@@ -23,7 +23,7 @@
  * @since 0.2
  */
 public final class ReturnPlan implements Returns {
-  /** Maximum delay that a caller is told, in milliseconds. */
+  /** Maximum delay that is stated to a caller, in milliseconds. */
   public static final int MAX_DELAY_MS = 60_000;
 
   /** Maximum number of tickets in a message, and of those that are accepted from one. */
@@ -47,7 +47,10 @@
   private static final int MAX_RETURNED = 1_024;
   private static final double ALLOWED_PART = 1 / 3.0;
 
-  /** Part of the allowed time that is used, since part of it passes before the caller is told. */
+  /**
+   * Part of the allowed time that is used, since part of it passes before the caller has the
+   * answer.
+   */
   private static final double USED_PART = 0.95;
 
   /** Excess over the allowed time that shows a caller that it should not return. */
@@ -326,7 +329,7 @@
    * @param ageMs the time since the caller first came, in milliseconds, 0 if unknown
    */
   public record Ticket(long contentHash, int dueMs, int ageMs) {
-    /** Due time of a caller that was told not to return. */
+    /** Due time of a caller that was not invited. */
     public static final int NOT_INVITED = Integer.MAX_VALUE;
   }
 }
--- a/core/src/main/java/org/shoreroad/cold/ColdUpstreams.java
+++ b/core/src/main/java/org/shoreroad/cold/ColdUpstreams.java
@@ -23,7 +23,7 @@
  * @since 0.2
  */
 public final class ColdUpstreams {
-  /** Longest remaining time that is believed: ten minutes, as for the declared time. */
+  /** Maximum remaining time that is used: ten minutes, as for the declared time. */
   public static final long MAX_REMAINING_MS = (long) (ColdStart.MAX_SECONDS * 1_000);
 
   /** Maximum number of upstreams, above the size of any fleet; further ones are ignored. */
--- a/core/src/main/java/org/shoreroad/demand/ModelEstimate.java
+++ b/core/src/main/java/org/shoreroad/demand/ModelEstimate.java
@@ -141,7 +141,7 @@
 
   /**
    * Returns the factor by which the arrivals are expected to change during a conversion. A rise
-   * counts only once it can be told from a swing that has been seen before.
+   * counts only once it can be distinguished from a swing that occurred before.
    */
   double trendFactor() {
     double factor = 1 + risePerSecond() * HORIZON_SECONDS;
--- a/edge/src/main/java/org/shoreroad/edge/SendGates.java
+++ b/edge/src/main/java/org/shoreroad/edge/SendGates.java
@@ -121,7 +121,7 @@
     return index < 0 ? process : process.substring(0, index);
   }
 
-  /** Adds what this process knows to the additions of a heartbeat. */
+  /** Adds the evacuations and cold upstreams of this process to the additions of a heartbeat. */
   HeartbeatAdditions addTo(HeartbeatAdditions additions) {
     List<Evacuation> known =
         evacuations.states().stream()
@@ -130,7 +130,7 @@
     return additions.withColdReports(List.copyOf(coldGate.reports())).withEvacuations(known);
   }
 
-  /** Applies what another process knows. */
+  /** Applies the evacuations and cold upstreams of another process. */
   void apply(HeartbeatAdditions additions) {
     additions
         .evacuations()
--- a/edge/src/main/java/org/shoreroad/edge/relay/Backpressure.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Backpressure.java
@@ -256,8 +256,8 @@
 
   /**
    * Returns true if a request under a grant may still be sent. It needs no turn of this process,
-   * since the process that grants requests at a cold upstream paces them, once it knows of the
-   * coldness.
+   * since the process that grants requests at a cold upstream paces them, once it has evidence of
+   * the coldness.
    */
   boolean permitsGranted(FleetBox upstream) {
     Incarnation incarnation = upstream.incarnation();
--- a/edge/src/main/java/org/shoreroad/edge/relay/Refusal.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Refusal.java
@@ -49,7 +49,7 @@
    * Returns the headers of the answer.
    *
    * @param retryAfterSeconds the time after which the caller is asked to retry, in seconds, which
-   *     is told only if the request has not run
+   *     is sent only if the request has not run
    */
   HttpHeaders headers(String retryAfterSeconds) {
     HttpHeaders headers = new DefaultHttpHeaders();
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
@@ -95,7 +95,7 @@
     if (isPaused) {
       paused.add(exchange);
     } else if (paused.remove(exchange)) {
-      // Nothing could be heard from an upstream whose answers were not read.
+      // No progress can be observed at an upstream whose answers are not read.
       openSinceNanos = nowNanos;
     }
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
@@ -113,7 +113,7 @@
         });
   }
 
-  /** Adds granted requests, of each report no more than it tells as open. */
+  /** Adds granted requests, of each report at most its open ones. */
   private void addPeerGranted(Heartbeat heartbeat) {
     Map<String, Integer> granted = heartbeat.additions().grantedOpen();
     if (granted.isEmpty()) {
--- a/edge/src/main/java/org/shoreroad/edge/room/ModelRoom.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/ModelRoom.java
@@ -226,7 +226,10 @@
     return held;
   }
 
-  /** Decides on the requests that wait, and tells their processes that the others still wait. */
+  /**
+   * Decides on the requests that wait, and notifies the processes of the others that these still
+   * wait.
+   */
   void advance() {
     long nowNanos = clockNanos.getAsLong();
     deliver(ledger.advance(nowNanos));
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomAsk.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomAsk.java
@@ -165,7 +165,7 @@
     return reason == null ? "" : reason.code();
   }
 
-  /** Keeps the refusal that the caller is told: the latest by an owner with heads. */
+  /** Keeps the refusal for the caller: the latest by an owner with heads. */
   private void noteRefusal(RoomDecision decision) {
     RoomRefusal reason = decision.refusal();
     if (reason != RoomRefusal.NOT_OWNER && reason != RoomRefusal.NO_HEAD) {
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomService.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomService.java
@@ -149,7 +149,7 @@
     }
   }
 
-  /** Renews grants, and tells their process which of them are lost. */
+  /** Renews grants, and reports to their process which of them are lost. */
   private void renew(RoomMessage.Renewal renewal, RoomReplies replies) {
     Set<Long> held = new HashSet<>();
     for (ModelRoom room : rooms.values()) {
