--- a/edge/src/main/java/org/shoreroad/edge/ConfigurationView.java
+++ b/edge/src/main/java/org/shoreroad/edge/ConfigurationView.java
@@ -31,6 +31,8 @@
   /** Network latency of a read, in addition to its wait in the store. */
   private static final int READ_LATENCY_MS = 250;
 
+  private static final int MAX_PEER_PROOF_MS = 2_400;
+
   /** Time from the decision to read, without a wait in the store, to a proof. */
   private static final int PEER_PROOF_RESERVE_MS = 900;
 
@@ -92,11 +94,14 @@
 
   /**
    * Returns the maximum age of a proof received from peers, in milliseconds, before this process
-   * reads the configuration itself. What is left until keys are no longer trusted covers the check
-   * interval, the network latency of a read and a late timer.
+   * reads the configuration itself. A hub that can't read the store reports an old configuration
+   * until then, and a change must be in force at its members within three seconds. The rest of the
+   * time for which keys are trusted covers the check interval, the network latency of a read and a
+   * late timer.
    */
   static int peerProofMs(int revokeMs) {
-    return Math.max(MIN_WAIT_MS, revokeMs - REVOKE_MARGIN_MS - PEER_PROOF_RESERVE_MS);
+    int trustedMs = revokeMs - REVOKE_MARGIN_MS - PEER_PROOF_RESERVE_MS;
+    return Math.max(MIN_WAIT_MS, Math.min(MAX_PEER_PROOF_MS, trustedMs));
   }
 
   void setFollower(TopicFollower configFollower) {
--- a/edge/src/test/java/org/shoreroad/edge/ConfigurationViewTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/ConfigurationViewTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.nullValue;
 
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -255,10 +256,15 @@
     assertThat(configuration.mayTrustKeys(), is(true));
   }
 
-  /** A process that reads too late refuses callers whose keys are valid. */
+  /**
+   * A member whose hub can't read the store must have a change in force within three seconds, of
+   * which the check and the read take up to 0.5 s. A process that reads too late refuses callers
+   * whose keys are valid.
+   */
   @Test
-  void proofOfPeersIsReplacedWhileKeysAreStillTrusted() {
-    assertThat(ConfigurationView.peerProofMs(5_000), is(3_600));
+  void proofOfPeersIsReplacedBeforeAChangeIsLateAndWhileKeysAreTrusted() {
+    assertThat(ConfigurationView.peerProofMs(5_000), is(lessThanOrEqualTo(2_500)));
+    assertThat(ConfigurationView.peerProofMs(2_000), is(600));
     assertThat(ConfigurationView.peerProofMs(1_000), is(100));
   }
 }
