--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -222,6 +222,10 @@
 
   /** Lets the owners of fabric domains grant the room at their heads, if the settings say so. */
   private void shareRoom() {
+    RoomActivation activation =
+        new RoomActivation(
+            settings.roomMode(), configuration::services, traffic::arrived, clockNanos);
+    demands.setUnevenCheck(activation::isActive);
     if (settings.roomMode() == RoomMode.NEVER) {
       return;
     }
@@ -239,8 +243,7 @@
             configuration::config,
             new HeadViews(upstreams, backpressure, clockNanos),
             replicas::closingHeadIds,
-            new RoomActivation(
-                settings.roomMode(), configuration::services, traffic::arrived, clockNanos),
+            activation,
             gates.coldGate()::setGranting);
     relay.setRoomBroker(room.broker());
     heartbeats.addContributor(room::contribute);
--- a/edge/src/main/java/org/shoreroad/edge/relay/DemandMeter.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/DemandMeter.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.shoreroad.demand.DemandEstimator;
 import org.shoreroad.demand.FormingReplicas;
@@ -37,6 +38,8 @@
   private final Map<String, DemandEstimator> estimators = new HashMap<>();
   private final Map<String, FormingReplicas> formingByService = new HashMap<>();
 
+  private BooleanSupplier isUneven = () -> true;
+
   /** Creates a meter that has measured no traffic yet. */
   public DemandMeter(UpstreamTable table, TrafficMeter traffic, LongSupplier clockNanos) {
     this.table = table;
@@ -44,6 +47,16 @@
     this.clockNanos = clockNanos;
   }
 
+  /**
+   * Sets the condition under which refused and late requests count. Without them, the demand
+   * follows from the open requests alone.
+   *
+   * @param newIsUneven returns true while callers compete for room or demand is uneven, not null
+   */
+  public void setUnevenCheck(BooleanSupplier newIsUneven) {
+    isUneven = newIsUneven;
+  }
+
   /**
    * Returns the demand for the models of the service; see {@link DemandEstimator}. A model without
    * a replica has {@link Demand#NO_REPLICA_PRESSURE}, more than any model with a replica.
@@ -77,14 +90,15 @@
       capacity += Math.min(1, USUAL_SLOWNESS / load.pace().slowness(nowNanos));
     }
     ModelTraffic counts = traffic.total(service.name(), model);
+    boolean isCounted = isUneven.getAsBoolean();
     return new ModelLoad(
         heads.size(),
         forming,
         capacity,
         open,
         counts.arrived(),
-        counts.refused(),
-        counts.late(),
+        isCounted ? counts.refused() : 0,
+        isCounted ? counts.late() : 0,
         counts.promptTokens());
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/room/RoomActivation.java
+++ b/edge/src/main/java/org/shoreroad/edge/room/RoomActivation.java
@@ -60,7 +60,7 @@
   }
 
   /** Returns true if room is shared now. */
-  boolean isActive() {
+  public boolean isActive() {
     if (mode != RoomMode.WHILE_UNEVEN) {
       return mode == RoomMode.ALWAYS;
     }
--- a/edge/src/test/java/org/shoreroad/edge/relay/DemandMeterTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/DemandMeterTest.java
@@ -83,6 +83,22 @@
     assertThat(demand.demand(TWO_MODELS).pressure("m"), is(closeTo(20 / 1.5 / 10, 0.1)));
   }
 
+  /** Otherwise replicas would be closed in the usual share of late requests of a busy service. */
+  @Test
+  void refusedRequestsChangeNothingWhileDemandIsEven() {
+    list("a", "OPEN");
+    setPeerLoad("a", 4, 0, 0);
+    demand.setUnevenCheck(() -> false);
+    for (int i = 0; i < 100; i++) {
+      traffic.recordArrival("llm", "m", 100);
+      traffic.recordRefusal("llm", "m");
+      nowNanos += 50_000_000L;
+      demand.demand(TWO_MODELS);
+    }
+    assertThat(demand.demand(TWO_MODELS).pressure("m"), is(1.0));
+    assertThat(demand.demand(TWO_MODELS).strain(), is(nullValue()));
+  }
+
   @Test
   void headsThatAreFormingForTheModelAreCounted() {
     list("a", "OPEN");
