Log what awaited and refused requests wait for

Change: attempt_failed names the cause, request_refused the number of candidates in each state and the open attempts, caller_gone is new, and replica_suspected has the silence towards this process. No decision changes.

--- a/edge/src/main/java/org/shoreroad/edge/http/CallFailure.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/CallFailure.java
@@ -1,5 +1,6 @@
 package org.shoreroad.edge.http;
 
+import java.util.Locale;
 import java.util.Objects;
 
 /**
@@ -32,6 +33,11 @@
     /** The call timed out. */
     TIMEOUT,
     /** The listener withdrew the call before the request was sent. */
-    WITHDRAWN
+    WITHDRAWN;
+
+    /** Returns the text form for counters and logs, such as {@code not_connected}. */
+    public String code() {
+      return name().toLowerCase(Locale.ROOT);
+    }
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -41,6 +41,7 @@
   private @Nullable HttpResponse head;
   private @Nullable CompositeByteBuf body;
   private @Nullable EventRelay events;
+  private CallFailure.@Nullable Reason failureCause;
   private boolean hasTurn;
   private boolean isPromptRead;
   private long lastEventNanos;
@@ -117,6 +118,25 @@
     return call != null && call.isSent();
   }
 
+  /** Returns why the call failed, or null if it has not failed by itself. */
+  CallFailure.@Nullable Reason failureCause() {
+    return failureCause;
+  }
+
+  /**
+   * Returns the upstream, whether the request was sent, and the time since the last bytes that any
+   * process has reported from there and since the last ones that this process has received.
+   */
+  String describe(long nowNanos) {
+    UpstreamLoad load = target.load();
+    return target.box().id()
+        + (isSent() ? ":sent" : ":connecting")
+        + ":silentMs="
+        + TimeUnit.NANOSECONDS.toMillis(nowNanos - load.silentSinceNanos())
+        + ":ownSilentMs="
+        + TimeUnit.NANOSECONDS.toMillis(nowNanos - load.ownSilentSinceNanos());
+  }
+
   /** Returns true once the upstream has begun to answer, which shows that it runs the request. */
   boolean hasHead() {
     return head != null;
@@ -269,7 +289,9 @@
     if (isOver) {
       return;
     }
+    failureCause = failure.reason();
     if (!failure.isSent()) {
+      relay.counters().count("shoreroad.attempts.not_sent", failure.reason().code());
       if (failure.reason() != CallFailure.Reason.WITHDRAWN) {
         target.load().avoidUntil(relay.nowNanos() + AVOID_NANOS);
       }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -329,6 +330,7 @@
   public void onCallerGone() {
     if (!isOver) {
       relay.counters().count("shoreroad.callers.gone", hasBegun() ? "midway" : "before");
+      log.write("caller_gone", "hasBegun", hasBegun(), "awaited", awaited());
       finish(RequestEnd.CALLER_GONE);
     }
   }
@@ -361,12 +363,17 @@
   }
 
   private void refuse(Refusal refusal, String retryAfterSeconds, String why) {
-    log.writeRefusal(refusal, why);
+    String candidates = refusal.isForWantOfRoom() ? targets.describe() : "";
+    log.writeRefusal(refusal, why, candidates, awaited());
     traffic.recordRefusal(refusal);
     finish(refusal.end());
     answers.answer(refusal.status(), refusal.headers(retryAfterSeconds), Unpooled.EMPTY_BUFFER);
   }
 
+  private List<String> awaited() {
+    return attempts.describe(relay.nowNanos());
+  }
+
   private void abort(String reason, RequestEnd end) {
     log.writeCut(reason, events, endNanos);
     relay.counters().count("shoreroad.answers.cut", reason);
--- a/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
@@ -66,9 +66,17 @@
    * Writes that the request is refused, with its priority if it has a route.
    *
    * @param why the reason of the process that grants the room, or an empty text
+   * @param candidates the number of upstreams in each state, or an empty text
+   * @param awaited the open attempts
    */
-  void writeRefusal(Refusal refusal, String why) {
+  void writeRefusal(Refusal refusal, String why, String candidates, List<String> awaited) {
     List<Object> fields = new ArrayList<>(List.of("reason", refusal.code()));
+    if (!candidates.isEmpty()) {
+      fields.addAll(List.of("candidates", candidates));
+    }
+    if (!awaited.isEmpty()) {
+      fields.addAll(List.of("awaited", awaited));
+    }
     if (!why.isEmpty()) {
       fields.addAll(List.of("why", why));
     }
@@ -105,6 +113,8 @@
         String.valueOf(target.replicaName()),
         "hadHead",
         failed.hasHead(),
+        "cause",
+        failed.failureCause() == null ? "" : failed.failureCause().code(),
         "fingerprint",
         fingerprint == null ? "" : fingerprint);
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/OpenAttempts.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/OpenAttempts.java
@@ -72,6 +72,11 @@
     cancelled.forEach(Attempt::cancel);
   }
 
+  /** Returns a description of each attempt for the log. */
+  List<String> describe(long nowNanos) {
+    return open.stream().map(attempt -> attempt.describe(nowNanos)).toList();
+  }
+
   /** Stops or resumes reading the answers of all attempts. */
   void setReading(boolean isReading) {
     open.forEach(attempt -> attempt.setReading(isReading));
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestTargets.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestTargets.java
@@ -81,6 +81,13 @@
     return service != null && selector.hasAny(service, model);
   }
 
+  /** Returns how many upstreams are in each state for this request, for the log. */
+  String describe() {
+    return service == null
+        ? ""
+        : selector.describe(service, model, sends.triedIds(), targetLatencyMs);
+  }
+
   /** Returns why requests to all upstreams are forbidden now, or null if they are not. */
   @Nullable Refusal findHeldBack() {
     return service == null ? null : selector.findHeldBack(service, model);
--- a/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
@@ -143,6 +143,8 @@
           "silence",
           "silentMs",
           TimeUnit.NANOSECONDS.toMillis(nowNanos - load.silentSinceNanos()),
+          "ownSilentMs",
+          TimeUnit.NANOSECONDS.toMillis(nowNanos - load.ownSilentSinceNanos()),
           "open",
           load.openCount(),
           "waitingTokens",
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
@@ -237,6 +237,14 @@
     return Math.max(openSinceNanos, Math.max(progressNanos, peerProgressNanos));
   }
 
+  /**
+   * Returns the start of the current silence towards this process on the steady clock: the later of
+   * its last progress here and the time since which it has had requests open here.
+   */
+  long ownSilentSinceNanos() {
+    return Math.max(openSinceNanos, progressNanos);
+  }
+
   double failureMean() {
     return failureMean;
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
@@ -128,6 +130,28 @@
     return !table.candidates(service, model).isEmpty();
   }
 
+  /** Returns how many upstreams are in each state for a request, for the log. */
+  String describe(
+      UpstreamService service, @Nullable String model, Set<String> tried, int targetLatencyMs) {
+    long nowNanos = clockNanos.getAsLong();
+    Map<String, Integer> counts = new TreeMap<>();
+    for (FleetBox box : table.candidates(service, model)) {
+      UpstreamLoad load = table.loadOf(box.id());
+      String state =
+          tried.contains(box.id())
+              ? "tried"
+              : load.isAvoided(nowNanos)
+                  ? "avoided"
+                  : load.isSuspectedAt(nowNanos)
+                      ? "suspected"
+                      : !backpressure.maySendTo(box)
+                          ? "held_back"
+                          : isFull(load, box, service.engine(), targetLatencyMs) ? "full" : "free";
+      counts.merge(state, 1, Integer::sum);
+    }
+    return counts.toString();
+  }
+
   /**
    * Returns why this process may send none of the upstreams a request now, or null if it may send
    * one, or if there are no upstreams. Each is in a rest, has a limit without a turn due, is cold
