--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -2,14 +2,23 @@
 
 import io.netty.channel.EventLoop;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import org.shoreroad.edge.caller.CallerServer;
 import org.shoreroad.edge.caller.HeldBytes;
+import org.shoreroad.edge.forward.ForwardClient;
+import org.shoreroad.edge.forward.ForwardServer;
+import org.shoreroad.edge.forward.ProbeOutcome;
 import org.shoreroad.edge.http.HttpCalls;
+import org.shoreroad.edge.http.UpstreamCalls;
+import org.shoreroad.edge.path.DirectCalls;
+import org.shoreroad.edge.path.RoutedCalls;
+import org.shoreroad.edge.path.UpstreamPaths;
 import org.shoreroad.edge.peer.Announcement;
 import org.shoreroad.edge.peer.FailureDetector;
 import org.shoreroad.edge.peer.HeartbeatAdditions;
@@ -27,14 +36,17 @@
 import org.shoreroad.edge.relay.UpstreamSelector;
 import org.shoreroad.edge.relay.UpstreamTable;
 import org.shoreroad.edge.replica.ReplicaService;
+import org.shoreroad.edge.replica.UnreachedBoxes;
 import org.shoreroad.edge.room.RoomActivation;
 import org.shoreroad.edge.room.RoomMode;
 import org.shoreroad.edge.room.RoomSharing;
 import org.shoreroad.edge.sync.CountedStore;
+import org.shoreroad.edge.sync.DomainIndex;
 import org.shoreroad.edge.sync.DomainLeases;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.edge.sync.Topic;
 import org.shoreroad.edge.sync.TopicFollower;
+import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.member.HubPlan;
 import org.shoreroad.traffic.CallerLimits;
 
@@ -90,6 +102,9 @@
   /** The same delay for the process list, which is not urgent. */
   private static final int PROCESS_LISTING_SPREAD_MS = 3_000;
 
+  /** Time without a path to the boxes of a domain after which its lease is released. */
+  private static final long RELEASE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
   private static final int UPDATE_INTERVAL_MS = 100;
   private static final int SUMMARY_INTERVAL_MS = 2_000;
 
@@ -120,6 +135,10 @@
   private final RequestQuarantine quarantine;
   private final QuarantineRegistry quarantineRegistry;
   private final Backpressure backpressure;
+  private final UpstreamPaths paths;
+  private final ForwardClient forwards;
+  private final RoutedCalls routedCalls;
+  private final ForwardServer forwardServer;
   private final Relay relay;
   private final FailureDetector failureDetector;
   private final LocalHeartbeats heartbeats;
@@ -186,7 +205,17 @@
     this.quarantine = new RequestQuarantine(clockNanos, log, metrics);
     this.quarantineRegistry =
         new QuarantineRegistry(store, loop, timeOfDayMs, log, quarantine::applyReports);
-    this.relay = makeRelay(loop, calls);
+    RepeatingTimer timer = new RepeatingTimer(loop, log);
+    this.paths =
+        new UpstreamPaths(calls, clockNanos, random.split(), log, metrics, timer, fleet::boxes);
+    this.forwards =
+        new ForwardClient(loop, clockNanos, random.split(), log, metrics, this::reachableProcesses);
+    DirectCalls directCalls = new DirectCalls(calls, paths, clockNanos);
+    this.routedCalls = new RoutedCalls(directCalls, forwards);
+    this.forwardServer =
+        new ForwardServer(
+            timer, metrics, ports.headers(), directCalls, calls, paths::isServiceLost, fleet::find);
+    this.relay = makeRelay(loop, routedCalls);
     this.lag = new LoopLag(log, UPDATE_INTERVAL_MS);
     this.failureDetector = new FailureDetector(clockNanos);
     this.heartbeats = makeHeartbeats();
@@ -201,7 +230,8 @@
         follower(Topic.PROCESSES, PROCESS_WAIT_MS, this::processIntervalMs, processes);
     this.periodicUpdate = makePeriodicUpdate();
     this.shutdown =
-        new GracefulShutdown(loop, clockNanos, log, settings.graceMs(), leases, callers, relay);
+        new GracefulShutdown(
+            loop, clockNanos, log, settings.graceMs(), leases, callers, relay, forwardServer);
     connect(calls);
   }
 
@@ -247,7 +277,7 @@
             gates.coldGate()::setGranting);
     relay.setRoomBroker(room.broker());
     heartbeats.addContributor(room::contribute);
-    mesh.setFrameReceiver(room);
+    mesh.addFrameReceiver(room);
     room.start();
   }
 
@@ -311,7 +341,7 @@
         settings.stallMs());
   }
 
-  private Relay makeRelay(EventLoop loop, HttpCalls calls) {
+  private Relay makeRelay(EventLoop loop, UpstreamCalls calls) {
     return new Relay(
         loop,
         clockNanos,
@@ -373,9 +403,43 @@
           replicas.forget(box.id());
           failureDetector.forget(box.id());
         });
+    connectPaths();
     shareRoom();
   }
 
+  /** Connects the parts that distinguish a lost path from failed upstreams. */
+  private void connectPaths() {
+    selector.setReachability(routedCalls::isReachable);
+    relay.setPathCheck(paths);
+    stalls.setPathCheck(paths);
+    paths.setLossListener(upstreams::clearExclusions);
+    leases.setCondition(
+        domain -> !paths.isServiceLostFor(DomainIndex.serviceOf(domain), RELEASE_NANOS));
+    replicas.setUnreachedBoxes(
+        new UnreachedBoxes() {
+          @Override
+          public void onNoAnswer(FleetBox box) {
+            paths.suspect(box);
+          }
+
+          @Override
+          public void confirmRefusal(FleetBox box, Consumer<Boolean> callback) {
+            paths.suspect(box);
+            forwards.probe(box, outcome -> callback.accept(isRefusal(outcome)));
+          }
+        });
+    mesh.addFrameReceiver(forwardServer);
+  }
+
+  /** Returns true if another process was refused too, or if there is no other process to ask. */
+  private boolean isRefusal(ProbeOutcome outcome) {
+    return outcome == ProbeOutcome.REFUSED || reachableProcesses().isEmpty();
+  }
+
+  private Map<String, String> reachableProcesses() {
+    return mesh.reachableAddresses();
+  }
+
   /**
    * Opens the ports and starts all parts; to be called on the event loop.
    *
@@ -420,6 +484,8 @@
     processes.announce(announcement);
     leases.start();
     relay.start();
+    paths.start();
+    forwards.start();
     replicas.start();
     RepeatingTimer timer = new RepeatingTimer(loop, log);
     timer.every(UPDATE_INTERVAL_MS, "upkeep", periodicUpdate::run);
--- a/edge/src/main/java/org/shoreroad/edge/GracefulShutdown.java
+++ b/edge/src/main/java/org/shoreroad/edge/GracefulShutdown.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.shoreroad.edge.caller.CallerServer;
+import org.shoreroad.edge.forward.ForwardServer;
 import org.shoreroad.edge.relay.Relay;
 import org.shoreroad.edge.sync.DomainLeases;
 
@@ -32,6 +33,7 @@
   private final DomainLeases leases;
   private final CallerServer callers;
   private final Relay relay;
+  private final ForwardServer forwards;
   private boolean hasBegun;
 
   /**
@@ -46,7 +48,8 @@
       int graceMs,
       DomainLeases leases,
       CallerServer callers,
-      Relay relay) {
+      Relay relay,
+      ForwardServer forwards) {
     this.loop = loop;
     this.clockNanos = clockNanos;
     this.log = log;
@@ -54,6 +57,7 @@
     this.leases = leases;
     this.callers = callers;
     this.relay = relay;
+    this.forwards = forwards;
   }
 
   /** Returns true once the shutdown has begun. */
@@ -73,6 +77,7 @@
     hasBegun = true;
     log.write("stop", "open", relay.openCount(), "connections", callers.connectionCount());
     leases.leave();
+    forwards.refuseNew();
     callers.disableKeepAlive();
     loop.schedule(
         () -> {
@@ -86,7 +91,8 @@
   }
 
   private void endIfDone(long endNanos, Runnable onEnd) {
-    boolean isIdle = callers.connectionCount() == 0 && relay.openCount() == 0;
+    boolean isIdle =
+        callers.connectionCount() == 0 && relay.openCount() == 0 && forwards.openCount() == 0;
     if (isIdle || clockNanos.getAsLong() - endNanos >= 0) {
       log.write("end", "open", relay.openCount());
       relay.endAll();
--- a/edge/src/main/java/org/shoreroad/edge/caller/HeaderNames.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/HeaderNames.java
@@ -1,5 +1,7 @@
 package org.shoreroad.edge.caller;
 
+import io.netty.handler.codec.http.HttpResponse;
+
 /**
  * Names of the headers that callers, this process and upstreams exchange.
  *
@@ -39,4 +41,13 @@
     String limit,
     String leaving,
     String lengthHint,
-    String coldMs) {}
+    String coldMs) {
+  /**
+   * Returns true if an answer belongs to another request than the one with this id. An upstream may
+   * send one more answer late on a connection.
+   */
+  public boolean isOfOtherRequest(HttpResponse answer, String requestId) {
+    String echoedId = answer.headers().get(attemptId);
+    return echoedId == null ? answer.headers().contains(seal) : !echoedId.equals(requestId);
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/forward/ForwardClient.java
@@ -0,0 +1,222 @@
+package org.shoreroad.edge.forward;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.RepeatingTimer;
+import org.shoreroad.edge.http.CallListener;
+import org.shoreroad.edge.http.UpstreamCall;
+import org.shoreroad.edge.peer.PeerLink;
+import org.shoreroad.edge.relay.RelayCounters;
+import org.shoreroad.fleet.FleetBox;
+
+/**
+ * Client of the other processes that sends calls to upstreams through them.
+ *
+ * <p>Which of them have a path to an upstream is found by asking: one without a path says so at
+ * once. A few that have one share the calls of this process. Not thread-safe: used on the event
+ * loop.
+ *
+ * @since 0.2
+ */
+public final class ForwardClient {
+  private static final int TICK_MS = 100;
+
+  /** Number of processes that share the calls of this one. */
+  private static final int WANTED_FORWARDERS = 4;
+
+  /** Maximum number of processes asked about one upstream. */
+  private static final int MAX_PROBES = 2;
+
+  /** Time for which no process is asked after none of them could send a call. */
+  private static final long NONE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  /** Time for which the list of the other processes is used again. */
+  private static final long PEERS_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  private static final int CONNECT_TIMEOUT_MS = 200;
+
+  private final EventLoop loop;
+  private final LongSupplier clockNanos;
+  private final RandomGenerator random;
+  private final EventLog log;
+  private final RelayCounters counters;
+  private final Supplier<Map<String, String>> peers;
+  private final Map<String, Forwarder> forwarders = new HashMap<>();
+  private final Map<String, Long> noneUntilNanos = new HashMap<>();
+  private Map<String, String> knownPeers = Map.of();
+  private long peersReadNanos = Long.MIN_VALUE / 2;
+  private long lastNumber;
+
+  /**
+   * Creates a client without connections.
+   *
+   * @param peers supplies the addresses of the other processes that seem alive by name, not null
+   */
+  public ForwardClient(
+      EventLoop loop,
+      LongSupplier clockNanos,
+      RandomGenerator random,
+      EventLog log,
+      RelayCounters counters,
+      Supplier<Map<String, String>> peers) {
+    this.loop = loop;
+    this.clockNanos = clockNanos;
+    this.random = random;
+    this.log = log;
+    this.counters = counters;
+    this.peers = peers;
+  }
+
+  /** Starts the periodic check of the connections. */
+  public void start() {
+    new RepeatingTimer(loop, log).every(TICK_MS, "forwarders", this::tick);
+  }
+
+  private void tick() {
+    List.copyOf(forwarders.values()).forEach(Forwarder::checkLink);
+    long nowNanos = clockNanos.getAsLong();
+    forwarders.values().removeIf(forwarder -> forwarder.closeIfIdle(nowNanos));
+  }
+
+  /**
+   * Sends a request through another process.
+   *
+   * @param box the upstream, not null
+   * @param request the request, released by this client, not null
+   * @param maxConnections the connections to the upstream that this process may have
+   * @param listener the listener to the progress of the call, not null. {@link
+   *     CallListener#onSending} may be followed by a failure that nothing was sent
+   */
+  public UpstreamCall send(
+      FleetBox box, FullHttpRequest request, int maxConnections, CallListener listener) {
+    ForwardedCall call =
+        new ForwardedCall(this, ++lastNumber, box, request, maxConnections, listener);
+    counters.count("shoreroad.calls.forwarded", box.service());
+    // Not at once, since the listener expects no failure before it has the call.
+    loop.execute(call::start);
+    return call;
+  }
+
+  /** Returns true if another process may be able to send calls to the service. */
+  public boolean hasForwarder(String service) {
+    long untilNanos = noneUntilNanos.getOrDefault(service, Long.MIN_VALUE / 2);
+    return !peers().isEmpty() && clockNanos.getAsLong() - untilNanos >= 0;
+  }
+
+  /**
+   * Asks other processes whether they can connect to an upstream.
+   *
+   * @param callback called with the outcome, {@link ProbeOutcome#UNABLE} if none could try
+   */
+  public void probe(FleetBox box, Consumer<ProbeOutcome> callback) {
+    probe(box, new HashSet<>(), callback);
+  }
+
+  private void probe(FleetBox box, Set<String> tried, Consumer<ProbeOutcome> callback) {
+    Forwarder next = tried.size() >= MAX_PROBES ? null : choose(box.service(), tried);
+    if (next == null) {
+      callback.accept(ProbeOutcome.UNABLE);
+      return;
+    }
+    tried.add(next.name());
+    next.probe(
+        ++lastNumber,
+        box.id(),
+        outcome -> {
+          if (outcome == ProbeOutcome.UNABLE) {
+            probe(box, tried, callback);
+          } else {
+            callback.accept(outcome);
+          }
+        });
+  }
+
+  /**
+   * Returns a process that may have a path to the service: the one with the fewest calls of this
+   * process among those known to have one, or another one while too few are known.
+   *
+   * @param tried the names of the processes that don't count, not null
+   * @return the process, or null if there is none
+   */
+  @Nullable Forwarder choose(String service, Set<String> tried) {
+    List<Forwarder> able = new ArrayList<>();
+    List<String> unknown = new ArrayList<>();
+    for (String name : peers().keySet()) {
+      Forwarder known = forwarders.get(name);
+      if (tried.contains(name) || isUnable(name, service)) {
+        continue;
+      }
+      if (known != null && known.isAble(service)) {
+        able.add(known);
+      } else {
+        unknown.add(name);
+      }
+    }
+    if (!unknown.isEmpty() && able.size() < WANTED_FORWARDERS) {
+      String name = unknown.get(random.nextInt(unknown.size()));
+      return forwarders.computeIfAbsent(name, added -> new Forwarder(added, this));
+    }
+    if (able.isEmpty()) {
+      boolean hasUntested = tried.stream().anyMatch(name -> !isUnable(name, service));
+      if (!hasUntested) {
+        noneUntilNanos.put(service, clockNanos.getAsLong() + NONE_NANOS);
+      }
+      return null;
+    }
+    Forwarder least = able.get(0);
+    for (Forwarder forwarder : able) {
+      if (forwarder.openCount() < least.openCount()) {
+        least = forwarder;
+      }
+    }
+    return least;
+  }
+
+  private boolean isUnable(String name, String service) {
+    Forwarder known = forwarders.get(name);
+    return known != null && known.isUnable(service);
+  }
+
+  /** Returns the addresses of the other processes by name, of a short time ago at most. */
+  private Map<String, String> peers() {
+    long nowNanos = clockNanos.getAsLong();
+    if (nowNanos - peersReadNanos > PEERS_NANOS) {
+      peersReadNanos = nowNanos;
+      knownPeers = peers.get();
+    }
+    return knownPeers;
+  }
+
+  /** Creates a link to a process. */
+  PeerLink newLink(String name, PeerLink.Listener listener) {
+    String address = Objects.requireNonNull(peers().get(name), name);
+    return new PeerLink(loop, clockNanos, address, listener, CONNECT_TIMEOUT_MS);
+  }
+
+  /** Removes a process whose link is dead. */
+  void forget(String name) {
+    forwarders.remove(name);
+  }
+
+  long nowNanos() {
+    return clockNanos.getAsLong();
+  }
+
+  EventLog log() {
+    return log;
+  }
+}
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/forward/ForwardServer.java
@@ -0,0 +1,358 @@
+package org.shoreroad.edge.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.edge.RepeatingTimer;
+import org.shoreroad.edge.caller.HeaderNames;
+import org.shoreroad.edge.http.CallFailure;
+import org.shoreroad.edge.http.CallListener;
+import org.shoreroad.edge.http.HttpCalls;
+import org.shoreroad.edge.http.UpstreamCall;
+import org.shoreroad.edge.http.UpstreamCalls;
+import org.shoreroad.edge.peer.PeerFrames;
+import org.shoreroad.edge.relay.RelayCounters;
+import org.shoreroad.fleet.FleetBox;
+
+/**
+ * Sends calls to upstreams for other processes, which have no path to them, and returns the
+ * answers.
+ *
+ * <p>Decides nothing about the requests: choice of the upstream, limits, repeats and keys are the
+ * business of the process that has the caller. Not thread-safe: used on the event loop.
+ *
+ * @since 0.2
+ */
+public final class ForwardServer implements PeerFrames {
+  /** Maximum number of open calls for others; above it they are sent through another process. */
+  private static final int MAX_OPEN = 1_000;
+
+  /** Interval at which reading goes on once a connection takes more frames. */
+  private static final int RESUME_MS = 10;
+
+  private static final int PROBE_TIMEOUT_MS = 150;
+
+  private final RepeatingTimer timer;
+  private final RelayCounters counters;
+  private final HeaderNames headers;
+  private final UpstreamCalls calls;
+  private final HttpCalls probes;
+  private final Predicate<String> isServiceLost;
+  private final Function<String, @Nullable FleetBox> upstreams;
+  private final Map<Replies, Link> links = new HashMap<>();
+  private final Set<Answer> paused = new HashSet<>();
+  private boolean isResumeScheduled;
+  private boolean isRefusingNew;
+
+  /**
+   * Creates a server without calls.
+   *
+   * @param calls the client that sends calls directly, not null
+   * @param probes the client that opens connections to try them, not null
+   * @param isServiceLost returns true if this process has no path to a service either, not null
+   * @param upstreams returns the listed upstream with an id, or null, not null
+   */
+  public ForwardServer(
+      RepeatingTimer timer,
+      RelayCounters counters,
+      HeaderNames headers,
+      UpstreamCalls calls,
+      HttpCalls probes,
+      Predicate<String> isServiceLost,
+      Function<String, @Nullable FleetBox> upstreams) {
+    this.timer = timer;
+    this.counters = counters;
+    this.headers = headers;
+    this.calls = calls;
+    this.probes = probes;
+    this.isServiceLost = isServiceLost;
+    this.upstreams = upstreams;
+  }
+
+  /** Takes no new calls from now on, so that open ones can end in time. */
+  public void refuseNew() {
+    isRefusingNew = true;
+  }
+
+  /** Returns the number of open calls for other processes. */
+  public int openCount() {
+    int count = 0;
+    for (Link link : links.values()) {
+      count += link.answers.size();
+    }
+    return count;
+  }
+
+  @Override
+  public boolean accepts(byte[] frame) {
+    return ForwardCodec.isForwardMessage(frame);
+  }
+
+  @Override
+  public void receive(byte[] frame, Replies replies) throws IOException {
+    ForwardMessage message = ForwardCodec.parse(frame).orElse(null);
+    if (message != null) {
+      links.computeIfAbsent(replies, this::open).receive(message);
+    }
+  }
+
+  private Link open(Replies replies) {
+    Link link = new Link(replies);
+    replies.onClose(
+        () -> {
+          links.remove(replies);
+          link.cancelAll();
+        });
+    return link;
+  }
+
+  private void scheduleResume() {
+    if (!isResumeScheduled) {
+      isResumeScheduled = true;
+      timer.once(RESUME_MS, "forwarded answers", this::resume);
+    }
+  }
+
+  private void resume() {
+    isResumeScheduled = false;
+    for (Answer answer : List.copyOf(paused)) {
+      answer.updateReading();
+    }
+    if (!paused.isEmpty()) {
+      scheduleResume();
+    }
+  }
+
+  /** Connection to another process and the calls for it. */
+  private final class Link {
+    private final Replies replies;
+    private final Map<Long, Answer> answers = new HashMap<>();
+
+    Link(Replies replies) {
+      this.replies = replies;
+    }
+
+    void receive(ForwardMessage message) throws IOException {
+      if (message instanceof ForwardMessage.Call call) {
+        begin(call);
+      } else if (message instanceof ForwardMessage.Ping) {
+        send(new ForwardMessage.Pong(message.number()));
+      } else if (message instanceof ForwardMessage.Probe probe) {
+        probe(probe);
+      } else {
+        Answer answer = answers.get(message.number());
+        if (answer != null) {
+          receive(answer, message);
+        }
+      }
+    }
+
+    private void receive(Answer answer, ForwardMessage message) throws IOException {
+      if (message instanceof ForwardMessage.Body body) {
+        answer.addBody(body.bytes());
+      } else if (message instanceof ForwardMessage.Cancel) {
+        answer.cancel();
+      } else if (message instanceof ForwardMessage.Reading reading) {
+        answer.setWanted(reading.isReading());
+      }
+    }
+
+    private void begin(ForwardMessage.Call message) throws IOException {
+      FleetBox box = upstreams.apply(message.upstream());
+      CallFailure.Reason obstacle = findObstacle(box);
+      counters.count("shoreroad.calls.for_others", obstacle == null ? "taken" : obstacle.code());
+      if (obstacle != null || box == null) {
+        String reason = String.valueOf(obstacle);
+        send(new ForwardMessage.Failed(message.number(), reason, false));
+        return;
+      }
+      Answer answer = new Answer(this, message, box);
+      answers.put(message.number(), answer);
+      answer.addBody(message.body());
+    }
+
+    /** Returns why a call can't be sent to the upstream now, or null if it can. */
+    private CallFailure.@Nullable Reason findObstacle(@Nullable FleetBox box) {
+      if (isRefusingNew || openCount() >= MAX_OPEN) {
+        return CallFailure.Reason.PATH_LOST;
+      }
+      if (box == null || isServiceLost.test(box.service())) {
+        return box == null ? CallFailure.Reason.NOT_CONNECTED : CallFailure.Reason.PATH_LOST;
+      }
+      return calls.isPathLost(box) ? CallFailure.Reason.NOT_CONNECTED : null;
+    }
+
+    private void probe(ForwardMessage.Probe message) {
+      FleetBox box = upstreams.apply(message.upstream());
+      if (box == null || isServiceLost.test(box.service())) {
+        send(new ForwardMessage.Probed(message.number(), ProbeOutcome.UNABLE.name()));
+        return;
+      }
+      probes.probe(
+          box.address(),
+          PROBE_TIMEOUT_MS,
+          failure -> send(new ForwardMessage.Probed(message.number(), outcome(failure).name())));
+    }
+
+    private static ProbeOutcome outcome(CallFailure.@Nullable Reason failure) {
+      if (failure == null) {
+        return ProbeOutcome.CONNECTED;
+      }
+      return failure == CallFailure.Reason.REFUSED ? ProbeOutcome.REFUSED : ProbeOutcome.UNREACHED;
+    }
+
+    void send(ForwardMessage message) {
+      replies.sendReliably(ForwardCodec.toBytes(message));
+    }
+
+    void cancelAll() {
+      List.copyOf(answers.values()).forEach(Answer::cancel);
+    }
+  }
+
+  /** Call for another process and its answer. */
+  private final class Answer implements CallListener {
+    private final Link link;
+    private final ForwardMessage.Call message;
+    private final FleetBox box;
+    private final ByteBuf body;
+    private @Nullable UpstreamCall call;
+    private boolean isWanted = true;
+    private boolean isReading = true;
+    private boolean isStarted;
+
+    Answer(Link link, ForwardMessage.Call message, FleetBox box) {
+      this.link = link;
+      this.message = message;
+      this.box = box;
+      this.body = Unpooled.buffer(Math.max(0, message.body().length));
+    }
+
+    void addBody(byte[] bytes) throws IOException {
+      if (isStarted || body.readableBytes() + bytes.length > message.bodyBytes()) {
+        throw new IOException("the body is longer than announced");
+      }
+      body.writeBytes(bytes);
+      if (body.readableBytes() == message.bodyBytes()) {
+        isStarted = true;
+        // The connections of the process that asks are not used, so they are added to those here.
+        int maxConnections = message.maxConnections() * (1 + links.size());
+        call =
+            calls.send(box, toRequest(), Math.max(message.maxConnections(), maxConnections), this);
+      }
+    }
+
+    private FullHttpRequest toRequest() {
+      FullHttpRequest request =
+          new DefaultFullHttpRequest(
+              HttpVersion.HTTP_1_1, HttpMethod.valueOf(message.method()), message.uri(), body);
+      List<String> fields = message.headers();
+      for (int i = 0; i + 1 < fields.size(); i += 2) {
+        request.headers().add(fields.get(i), fields.get(i + 1));
+      }
+      return request;
+    }
+
+    private String requestId() {
+      List<String> fields = message.headers();
+      for (int i = 0; i + 1 < fields.size(); i += 2) {
+        if (fields.get(i).equalsIgnoreCase(headers.attemptId())) {
+          return fields.get(i + 1);
+        }
+      }
+      return "";
+    }
+
+    void cancel() {
+      end();
+      if (call != null) {
+        call.cancel();
+      } else {
+        body.release();
+      }
+    }
+
+    private void end() {
+      link.answers.remove(message.number());
+      paused.remove(this);
+    }
+
+    void setWanted(boolean wanted) {
+      isWanted = wanted;
+      updateReading();
+    }
+
+    /** Reads the answer while the caller does and the connection takes it. */
+    void updateReading() {
+      boolean isTaken = link.replies.isWritable();
+      if (isTaken) {
+        paused.remove(this);
+      } else if (paused.add(this)) {
+        scheduleResume();
+      }
+      boolean shallRead = isWanted && isTaken;
+      if (call != null && shallRead != isReading) {
+        isReading = shallRead;
+        call.setReading(shallRead);
+      }
+    }
+
+    @Override
+    public boolean onHead(HttpResponse head) {
+      if (headers.isOfOtherRequest(head, requestId())) {
+        return false;
+      }
+      link.send(
+          new ForwardMessage.Head(
+              message.number(),
+              head.status().code(),
+              head.status().reasonPhrase(),
+              fieldsOf(head.headers())));
+      return true;
+    }
+
+    @Override
+    public void onContent(ByteBuf content) {
+      link.send(new ForwardMessage.Content(message.number(), ByteBufUtil.getBytes(content)));
+      updateReading();
+    }
+
+    @Override
+    public void onEnd() {
+      end();
+      link.send(new ForwardMessage.End(message.number()));
+    }
+
+    @Override
+    public void onFailure(CallFailure failure) {
+      end();
+      link.send(
+          new ForwardMessage.Failed(message.number(), failure.reason().name(), failure.isSent()));
+    }
+  }
+
+  private static List<String> fieldsOf(HttpHeaders from) {
+    List<String> fields = new ArrayList<>();
+    for (Map.Entry<String, String> field : from) {
+      fields.add(field.getKey());
+      fields.add(field.getValue());
+    }
+    return fields;
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/http/CallFailure.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/CallFailure.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Objects;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Failure of a call, which has no complete answer.
@@ -32,6 +33,10 @@
     MALFORMED,
     /** The call timed out. */
     TIMEOUT,
+    /** This process has no path to the upstream, and no other process could send the request. */
+    PATH_LOST,
+    /** The process that sent the request for this one was lost. */
+    FORWARDER_LOST,
     /** The listener withdrew the call before the request was sent. */
     WITHDRAWN;
 
@@ -39,5 +44,15 @@
     public String code() {
       return name().toLowerCase(Locale.ROOT);
     }
+
+    /** Returns the reason with this name, or null if there is none. */
+    public static @Nullable Reason find(String name) {
+      for (Reason reason : values()) {
+        if (reason.name().equals(name)) {
+          return reason;
+        }
+      }
+      return null;
+    }
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/http/HttpCall.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/HttpCall.java
@@ -10,7 +10,7 @@
  *
  * @since 0.2
  */
-public final class HttpCall {
+public final class HttpCall implements UpstreamCall {
   private final FullHttpRequest request;
   private final CallListener listener;
   private @Nullable HttpConnection connection;
@@ -23,6 +23,7 @@
   }
 
   /** Ends the call and closes its connection; the listener is not called any more. */
+  @Override
   public void cancel() {
     if (isOver) {
       return;
@@ -38,18 +39,23 @@
     connection.cancel();
   }
 
-  /** Pauses or resumes reading, to pass the backpressure of a slow caller on to the upstream. */
+  @Override
   public void setReading(boolean isReading) {
     if (connection != null && !isOver) {
       connection.setReading(isReading);
     }
   }
 
-  /** Returns true once a byte of the request may have been sent. */
+  @Override
   public boolean isSent() {
     return isSent;
   }
 
+  @Override
+  public boolean isDirect() {
+    return true;
+  }
+
   boolean isOver() {
     return isOver;
   }
--- a/edge/src/main/java/org/shoreroad/edge/http/HttpCalls.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/HttpCalls.java
@@ -16,9 +16,13 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
+import org.shoreroad.fleet.FleetBox;
 
 /**
  * HTTP client with a pool of keep-alive connections for each address.
@@ -28,7 +32,7 @@
  *
  * @since 0.2
  */
-public final class HttpCalls {
+public final class HttpCalls implements UpstreamCalls {
   private static final int MAX_INITIAL_LINE_BYTES = 4_096;
   private static final int MAX_HEADER_BYTES = 32_768;
   private static final int MAX_CHUNK_BYTES = 65_536;
@@ -37,6 +41,7 @@
   private final LongSupplier clockNanos;
   private final int connectTimeoutMs;
   private final Map<String, AddressPool> pools = new HashMap<>();
+  private ConnectListener connectListener = ConnectListener.NONE;
   private long connectionsOpened;
 
   /**
@@ -68,7 +73,58 @@
     return call;
   }
 
+  @Override
+  public HttpCall send(
+      FleetBox box, FullHttpRequest request, int maxConnections, CallListener listener) {
+    return send(box.address(), request, maxConnections, listener);
+  }
+
+  /** Listener to the connections that this client opens. */
+  public interface ConnectListener {
+    /** Ignores all connections. */
+    ConnectListener NONE =
+        new ConnectListener() {
+          @Override
+          public void onConnecting(String address) {}
+
+          @Override
+          public void onConnected(String address, boolean isSuccess) {}
+        };
+
+    /** Called when a connection is being opened. */
+    void onConnecting(String address);
+
+    /** Called when a connection was opened or could not be opened. */
+    void onConnected(String address, boolean isSuccess);
+  }
+
+  /** Sets the listener to the connections that this client opens. */
+  public void setConnectListener(ConnectListener listener) {
+    connectListener = listener;
+  }
+
+  /**
+   * Opens a connection, which the next call to the address uses.
+   *
+   * @param address the address as {@code host:port}, not null
+   * @param timeoutMs the time to establish it, in milliseconds
+   * @param callback called with null if it was established, else with the reason, not null
+   */
+  public void probe(
+      String address, int timeoutMs, Consumer<CallFailure.@Nullable Reason> callback) {
+    pools.computeIfAbsent(address, AddressPool::new).probe(timeoutMs, callback);
+  }
+
+  /** Fails the calls to an address that wait for a connection; nothing of them was sent. */
+  public void failConnecting(String address) {
+    AddressPool pool = pools.get(address);
+    if (pool != null) {
+      pool.failConnecting();
+    }
+  }
+
   /** Closes connections that were idle for too long, and removes empty pools. */
+  @Override
   public void sweep() {
     long nowNanos = clockNanos.getAsLong();
     pools.values().forEach(pool -> pool.closeExpired(nowNanos));
@@ -93,6 +149,7 @@
     private final String address;
     private final ArrayDeque<HttpConnection> idle = new ArrayDeque<>();
     private final Set<HttpConnection> all = new HashSet<>();
+    private final Set<HttpCall> connectingCalls = new HashSet<>();
 
     AddressPool(String address) {
       this.address = address;
@@ -117,27 +174,53 @@
     }
 
     private void connect(HttpCall call) {
+      connectingCalls.add(call);
       HttpConnection connection = new HttpConnection(this);
+      open(connection, connectTimeoutMs)
+          .addListener((ChannelFutureListener) done -> finishConnect(done, connection, call));
+    }
+
+    private ChannelFuture open(HttpConnection connection, int timeoutMs) {
       all.add(connection);
       connectionsOpened++;
-      ChannelFuture connecting =
-          new Bootstrap()
-              .group(loop)
-              .channel(NioSocketChannel.class)
-              .option(ChannelOption.TCP_NODELAY, true)
-              .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
-              .handler(initializer(connection))
-              .connect(toSocketAddress(address));
-      connecting.addListener((ChannelFutureListener) done -> finishConnect(done, connection, call));
+      connectListener.onConnecting(address);
+      return new Bootstrap()
+          .group(loop)
+          .channel(NioSocketChannel.class)
+          .option(ChannelOption.TCP_NODELAY, true)
+          .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
+          .handler(initializer(connection))
+          .connect(toSocketAddress(address));
+    }
+
+    void probe(int timeoutMs, Consumer<CallFailure.@Nullable Reason> callback) {
+      HttpConnection connection = new HttpConnection(this);
+      open(connection, timeoutMs)
+          .addListener(
+              (ChannelFutureListener)
+                  done -> {
+                    if (done.isSuccess()) {
+                      addIdle(connection);
+                    } else {
+                      all.remove(connection);
+                    }
+                    connectListener.onConnected(address, done.isSuccess());
+                    callback.accept(done.isSuccess() ? null : reasonOf(done));
+                  });
+    }
+
+    void failConnecting() {
+      List<HttpCall> failed = List.copyOf(connectingCalls);
+      connectingCalls.clear();
+      failed.forEach(call -> call.fail(CallFailure.Reason.PATH_LOST));
     }
 
     private void finishConnect(ChannelFuture done, HttpConnection connection, HttpCall call) {
+      connectingCalls.remove(call);
+      connectListener.onConnected(address, done.isSuccess());
       if (!done.isSuccess()) {
         all.remove(connection);
-        boolean isRefused =
-            done.cause() instanceof ConnectException refused
-                && String.valueOf(refused.getMessage()).contains("refused");
-        call.fail(isRefused ? CallFailure.Reason.REFUSED : CallFailure.Reason.NOT_CONNECTED);
+        call.fail(reasonOf(done));
       } else if (call.isOver()) {
         addIdle(connection);
       } else {
@@ -145,6 +228,13 @@
       }
     }
 
+    private static CallFailure.Reason reasonOf(ChannelFuture failed) {
+      boolean isRefused =
+          failed.cause() instanceof ConnectException refused
+              && String.valueOf(refused.getMessage()).contains("refused");
+      return isRefused ? CallFailure.Reason.REFUSED : CallFailure.Reason.NOT_CONNECTED;
+    }
+
     void addIdle(HttpConnection connection) {
       connection.startIdle(clockNanos.getAsLong());
       idle.addFirst(connection);
--- a/edge/src/main/java/org/shoreroad/edge/peer/Peer.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/Peer.java
@@ -47,6 +47,11 @@
     return location.name();
   }
 
+  /** Returns its address for other processes, as host and port. */
+  String address() {
+    return connection.address();
+  }
+
   ProcessLocation location() {
     return location;
   }
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerChannels.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerChannels.java
@@ -14,6 +14,8 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.msgpack.core.MessagePackException;
@@ -31,7 +33,7 @@
   private final EventLog log;
   private final Consumer<Heartbeat> heartbeats;
   private final Consumer<SuspicionNotice> notices;
-  private @Nullable PeerFrames others;
+  private final List<PeerFrames> others = new ArrayList<>(2);
 
   /**
    * Creates an initializer.
@@ -45,9 +47,18 @@
     this.notices = notices;
   }
 
-  /** Sets the receiver of frames that are neither heartbeats nor notices. */
-  void setOthers(PeerFrames receiver) {
-    others = receiver;
+  /** Adds a receiver of frames that are neither heartbeats nor notices. */
+  void addReceiver(PeerFrames receiver) {
+    others.add(receiver);
+  }
+
+  private @Nullable PeerFrames findReceiver(byte[] frame) {
+    for (PeerFrames receiver : others) {
+      if (receiver.accepts(frame)) {
+        return receiver;
+      }
+    }
+    return null;
   }
 
   /** Adds the handlers that divide the bytes into frames. */
@@ -59,15 +70,21 @@
 
   @Override
   protected void initChannel(SocketChannel channel) {
-    if (others != null) {
+    if (!others.isEmpty()) {
       channel.config().setOption(ChannelOption.TCP_NODELAY, true);
     }
     addFraming(channel.pipeline());
-    channel.pipeline().addLast(new Receiver());
+    channel.pipeline().addLast(new Receiver(new ChannelReplies(channel)));
   }
 
   /** Replies on a channel. */
-  private record ChannelReplies(Channel channel) implements PeerFrames.Replies {
+  private static final class ChannelReplies implements PeerFrames.Replies {
+    private final Channel channel;
+
+    ChannelReplies(Channel channel) {
+      this.channel = channel;
+    }
+
     @Override
     public boolean isOpen() {
       return channel.isActive();
@@ -79,16 +96,39 @@
         channel.writeAndFlush(Unpooled.wrappedBuffer(frame));
       }
     }
+
+    @Override
+    public void sendReliably(byte[] frame) {
+      if (channel.isActive()) {
+        channel.writeAndFlush(Unpooled.wrappedBuffer(frame));
+      }
+    }
+
+    @Override
+    public boolean isWritable() {
+      return channel.isWritable();
+    }
+
+    @Override
+    public void onClose(Runnable listener) {
+      channel.closeFuture().addListener(closed -> listener.run());
+    }
   }
 
   private final class Receiver extends SimpleChannelInboundHandler<ByteBuf> {
+    private final ChannelReplies replies;
+
+    Receiver(ChannelReplies replies) {
+      this.replies = replies;
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
       byte[] bytes = ByteBufUtil.getBytes(frame);
-      PeerFrames receiver = others;
       try {
-        if (receiver != null && receiver.accepts(bytes)) {
-          receiver.receive(bytes, new ChannelReplies(context.channel()));
+        PeerFrames receiver = findReceiver(bytes);
+        if (receiver != null) {
+          receiver.receive(bytes, replies);
         } else if (SuspicionNotice.isNotice(bytes)) {
           notices.accept(SuspicionNotice.parse(bytes));
         } else {
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerConnection.java
@@ -76,6 +76,11 @@
     }
   }
 
+  /** Returns the address of the process, as host and port. */
+  String address() {
+    return address;
+  }
+
   /** Returns the time of the last failed attempt to open the connection. */
   long refusedNanos() {
     return refusedNanos;
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerFrames.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerFrames.java
@@ -29,5 +29,14 @@
 
     /** Sends a frame, or drops it if the connection is closed or does not take it. */
     void send(byte[] frame);
+
+    /** Sends a frame, also if the connection is slow; drops it if the connection is closed. */
+    void sendReliably(byte[] frame);
+
+    /** Returns true if the connection takes more frames without delay. */
+    boolean isWritable();
+
+    /** Calls a listener when the connection is closed, or now if it is. */
+    void onClose(Runnable listener);
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerLink.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerLink.java
@@ -42,6 +42,7 @@
   private final LongSupplier clockNanos;
   private final String address;
   private final Listener listener;
+  private final int connectTimeoutMs;
   private final Deque<byte[]> queued = new ArrayDeque<>();
   private @Nullable Channel channel;
   private boolean isConnecting;
@@ -56,15 +57,35 @@
    * @param listener receives the replies, not null
    */
   public PeerLink(EventLoop loop, LongSupplier clockNanos, String address, Listener listener) {
+    this(loop, clockNanos, address, listener, CONNECT_TIMEOUT_MS);
+  }
+
+  /**
+   * Creates a closed link.
+   *
+   * @param address the address of the other process, as host and port, not null
+   * @param listener receives the replies, not null
+   * @param connectTimeoutMs the time to open the connection, in milliseconds
+   */
+  public PeerLink(
+      EventLoop loop,
+      LongSupplier clockNanos,
+      String address,
+      Listener listener,
+      int connectTimeoutMs) {
     this.loop = loop;
     this.clockNanos = clockNanos;
     this.address = address;
     this.listener = listener;
+    this.connectTimeoutMs = connectTimeoutMs;
     this.lastSentNanos = clockNanos.getAsLong();
   }
 
   /** Receives the frames and the loss of the connection. */
   public interface Listener {
+    /** Called when the connection has opened, before queued frames are sent. */
+    default void onOpen() {}
+
     /** Called with each frame; an exception closes the connection. */
     void onFrame(byte[] frame) throws Exception;
 
@@ -78,13 +99,24 @@
    * @return false if the frame is dropped, since the connection was lost just now or is too slow
    */
   public boolean send(byte[] frame) {
+    Channel open = channel;
+    if (open != null && open.isActive() && !open.isWritable()) {
+      lastSentNanos = clockNanos.getAsLong();
+      return false;
+    }
+    return sendReliably(frame);
+  }
+
+  /**
+   * Sends a frame, after the connection has opened if need be, also if the connection is slow.
+   *
+   * @return false if the frame is dropped, since the connection was lost just now
+   */
+  public boolean sendReliably(byte[] frame) {
     long nowNanos = clockNanos.getAsLong();
     lastSentNanos = nowNanos;
     Channel open = channel;
     if (open != null && open.isActive()) {
-      if (!open.isWritable()) {
-        return false;
-      }
       open.writeAndFlush(Unpooled.wrappedBuffer(frame));
       return true;
     }
@@ -125,7 +157,7 @@
         .group(loop)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
         .handler(
             new ChannelInitializer<SocketChannel>() {
               @Override
@@ -149,6 +181,7 @@
       return;
     }
     channel = done.channel();
+    listener.onOpen();
     done.channel().closeFuture().addListener(closed -> handleLoss());
     while (!queued.isEmpty()) {
       done.channel().write(Unpooled.wrappedBuffer(queued.remove()));
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
@@ -139,9 +140,28 @@
         .bind(address);
   }
 
-  /** Sets the receiver of frames that are neither heartbeats nor notices. */
-  public void setFrameReceiver(PeerFrames receiver) {
-    channels.setOthers(receiver);
+  /** Adds a receiver of frames that are neither heartbeats nor notices. */
+  public void addFrameReceiver(PeerFrames receiver) {
+    channels.addReceiver(receiver);
+  }
+
+  /**
+   * Returns the addresses by name of the other processes that seem alive: those with a recent
+   * heartbeat, or with hubs also all others that have not failed to answer.
+   */
+  public Map<String, String> reachableAddresses() {
+    long nowNanos = clockNanos.getAsLong();
+    Map<String, String> addresses = new HashMap<>();
+    for (Peer peer : peers.all()) {
+      boolean isAlive =
+          plan.isFullMesh()
+              ? peer.hasHeartbeatWithin(Peer.ALIVE_NANOS, nowNanos)
+              : !peer.isUnresponsive(nowNanos);
+      if (isAlive) {
+        addresses.put(peer.name(), peer.address());
+      }
+    }
+    return addresses;
   }
 
   /**
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -12,7 +12,7 @@
 import org.shoreroad.edge.caller.AnswerChannel;
 import org.shoreroad.edge.http.CallFailure;
 import org.shoreroad.edge.http.CallListener;
-import org.shoreroad.edge.http.HttpCall;
+import org.shoreroad.edge.http.UpstreamCall;
 import org.shoreroad.fleet.Incarnation;
 
 /**
@@ -37,12 +37,13 @@
   private final Incarnation upstream;
   private final RoomBroker.@Nullable Grant grant;
   private final long startedNanos;
-  private @Nullable HttpCall call;
+  private @Nullable UpstreamCall call;
   private @Nullable HttpResponse head;
   private @Nullable CompositeByteBuf body;
   private @Nullable EventRelay events;
   private CallFailure.@Nullable Reason failureCause;
   private boolean hasTurn;
+  private boolean isRecordedAsSent;
   private boolean isPromptRead;
   private long lastEventNanos;
   private boolean isOver;
@@ -72,9 +73,7 @@
     hasTurn = relay.backpressure().isLimited(upstream) && takeTurn();
     target.load().add(exchange, exchange.promptTokens(), startedNanos);
     call =
-        relay
-            .calls()
-            .send(target.box().address(), exchange.toUpstreamRequest(target), maxConnections, this);
+        relay.calls().send(target.box(), exchange.toUpstreamRequest(target), maxConnections, this);
   }
 
   /**
@@ -123,6 +122,16 @@
     return failureCause;
   }
 
+  /** Returns true if the call failed since no process had a path to the upstream. */
+  boolean isPathLost() {
+    return failureCause == CallFailure.Reason.PATH_LOST;
+  }
+
+  /** Returns true if it is open on a connection of this process, which has lost the path. */
+  boolean isOnLostPath() {
+    return call != null && call.isDirect() && relay.calls().isPathLost(target.box());
+  }
+
   /**
    * Returns the upstream, whether the request was sent, and the time since the last bytes that any
    * process has reported from there and since the last ones that this process has received.
@@ -171,18 +180,18 @@
       return false;
     }
     exchange.onSent(target);
+    isRecordedAsSent = true;
     return true;
   }
 
   @Override
   public boolean onHead(HttpResponse response) {
-    String echoedId = response.headers().get(relay.headers().attemptId());
-    boolean isSealed = response.headers().contains(relay.headers().seal());
-    if (echoedId == null ? isSealed : !echoedId.equals(exchange.attemptId())) {
+    if (relay.headers().isOfOtherRequest(response, exchange.attemptId())) {
       relay.counters().count("shoreroad.answers.passed_over", "other_request");
       return false;
     }
     head = response;
+    boolean isSealed = response.headers().contains(relay.headers().seal());
     if (!isMisdirected(response)) {
       relay.backpressure().recordAnswer(upstream, response, startedNanos);
     }
@@ -292,14 +301,19 @@
     failureCause = failure.reason();
     if (!failure.isSent()) {
       relay.counters().count("shoreroad.attempts.not_sent", failure.reason().code());
-      if (failure.reason() != CallFailure.Reason.WITHDRAWN) {
+      if (isRecordedAsSent) {
+        exchange.onNotSent(target);
+      }
+      if (!isPathLost() && failure.reason() != CallFailure.Reason.WITHDRAWN) {
         target.load().avoidUntil(relay.nowNanos() + AVOID_NANOS);
       }
       end(GrantEnd.UNUSED);
       exchange.onAttemptFailed(this, AttemptFailure.NOT_SENT);
       return;
     }
-    target.load().recordOutcome(true);
+    if (failure.reason() != CallFailure.Reason.FORWARDER_LOST) {
+      target.load().recordOutcome(true);
+    }
     end(GrantEnd.FAILED);
     boolean isDisconnected = failure.reason() == CallFailure.Reason.BROKEN;
     exchange.onAttemptFailed(
--- a/edge/src/main/java/org/shoreroad/edge/relay/Dispatch.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Dispatch.java
@@ -65,6 +65,10 @@
   /** Sends the request to an upstream, now or later, or refuses it. */
   void next() {
     isWaiting = false;
+    if (!exchange.hasBegun() && targets.isWithoutPath()) {
+      exchange.refuseOrFail(Refusal.NO_PATH, RetryAfter.PLACE);
+      return;
+    }
     RoomBroker broker = relay.roomBroker();
     if (broker != null && mayAsk() && targets.isRoomShared(broker)) {
       askCount++;
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -190,6 +190,11 @@
     sends.recordSent(target.box().id());
   }
 
+  /** Takes back {@link #onSent}, since nothing has reached the upstream after all. */
+  void onNotSent(Target target) {
+    sends.recordNotSent(target.box().id());
+  }
+
   /** Begins the answer with a stream's head if it is the first; returns the relay for its body. */
   EventRelay onStreamHead(Attempt answering, HttpResponse head) {
     onProgress(answering);
@@ -244,7 +249,11 @@
       return;
     }
     if (failure == AttemptFailure.NOT_SENT) {
-      sends.recordUnsent(failed.target().box().id());
+      if (failed.isPathLost()) {
+        sends.recordPathLost();
+      } else {
+        sends.recordUnsent(failed.target().box().id());
+      }
       retryUnsent();
     } else if (mayRepeatAfter(failure)) {
       relay.counters().count("shoreroad.retries", failure.code());
@@ -387,7 +396,18 @@
     log.writeFailure(failed, failure, isCrash ? fingerprint() : null);
     if (isCrash) {
       Crash crash = new Crash(failed.target().box().incarnation(), failed.hasHead());
-      relay.quarantine().recordCrash(fingerprint(), crash);
+      RequestFingerprint crashing = fingerprint();
+      // A lost path ends connections to sound upstreams too.
+      relay
+          .pathCheck()
+          .confirm(
+              failed.target().box().service(),
+              relay.nowNanos(),
+              isReached -> {
+                if (isReached) {
+                  relay.quarantine().recordCrash(crashing, crash);
+                }
+              });
     }
   }
 
@@ -444,6 +464,11 @@
     return modelEngine == null ? 0 : modelEngine.passMs(load);
   }
 
+  /** Returns the attempt at the upstream with this load, or null if there is none. */
+  @Nullable Attempt attemptAt(UpstreamLoad load) {
+    return attempts.findAt(load);
+  }
+
   /** Returns the id of the upstream with this load, empty if the request has no attempt there. */
   String upstreamIdAt(UpstreamLoad load) {
     Attempt attempt = attempts.findAt(load);
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -15,7 +15,7 @@
 import org.shoreroad.edge.caller.CallerExchange;
 import org.shoreroad.edge.caller.CallerRequest;
 import org.shoreroad.edge.caller.HeaderNames;
-import org.shoreroad.edge.http.HttpCalls;
+import org.shoreroad.edge.http.UpstreamCalls;
 import org.shoreroad.quarantine.RequestFingerprint;
 import org.shoreroad.routing.AttemptBudget;
 
@@ -46,7 +46,7 @@
   private final EventLog log;
   private final RelayCounters counters;
   private final HeaderNames headers;
-  private final HttpCalls calls;
+  private final UpstreamCalls calls;
   private final UpstreamSelector selector;
   private final StallDetector stalls;
   private final ConfigurationSource configurationSource;
@@ -56,6 +56,7 @@
   private final Map<String, AttemptBudget> budgets = new HashMap<>();
   private final Set<Exchange> open = new HashSet<>();
   private final Set<Exchange> waiting = new HashSet<>();
+  private PathCheck pathCheck = PathCheck.SOUND;
   private @Nullable TrafficMeter traffic;
   private int stallTickMs = MAX_STALL_TICK_MS;
   private boolean isWaitingTickScheduled;
@@ -71,7 +72,7 @@
       EventLog log,
       RelayCounters counters,
       HeaderNames headers,
-      HttpCalls calls,
+      UpstreamCalls calls,
       UpstreamSelector selector,
       StallDetector stalls,
       ConfigurationSource configurationSource,
@@ -109,6 +110,11 @@
     traffic = newTraffic;
   }
 
+  /** Sets the check of the paths to upstreams; without it, all are taken for sound. */
+  public void setPathCheck(PathCheck check) {
+    pathCheck = check;
+  }
+
   /** Starts the periodic checks of open requests and of silent heads. */
   public void start() {
     timer.every(TICK_MS, "relay", this::tick);
@@ -226,10 +232,14 @@
     return headers;
   }
 
-  HttpCalls calls() {
+  UpstreamCalls calls() {
     return calls;
   }
 
+  PathCheck pathCheck() {
+    return pathCheck;
+  }
+
   /** Returns the meter of the requests for each model, or null if they are not counted. */
   @Nullable TrafficMeter traffic() {
     return traffic;
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestTargets.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestTargets.java
@@ -76,6 +76,11 @@
     return choose().isPresent();
   }
 
+  /** Returns true if there are upstreams for the request, but no path to any of them. */
+  boolean isWithoutPath() {
+    return service != null && selector.isWithoutPath(service, model);
+  }
+
   /** Returns true if there is an upstream for the request, free or not. */
   boolean hasAny() {
     return service != null && selector.hasAny(service, model);
--- a/edge/src/main/java/org/shoreroad/edge/relay/SendHistory.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/SendHistory.java
@@ -34,6 +34,18 @@
     triedIds.add(upstreamId);
   }
 
+  /** Records that nothing of an attempt recorded as sent has reached the upstream. */
+  void recordNotSent(String upstreamId) {
+    sent--;
+    attemptsLeft++;
+    triedIds.remove(upstreamId);
+  }
+
+  /** Records an attempt that failed for want of a path; the upstream may be tried again. */
+  void recordPathLost() {
+    unsent++;
+  }
+
   /** Records an attempt of which nothing has left this process. */
   void recordUnsent(String upstreamId) {
     unsent++;
--- a/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
@@ -26,10 +26,20 @@
   /** Delay before another attempt to send a request of a stalled head to another one. */
   private static final long RESEND_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
 
+  /**
+   * Time without a byte to this process, while the upstream makes progress for others, after which
+   * the path to it is checked.
+   */
+  private static final long HIDDEN_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  /** Time without a byte on a lost path after which a request is sent by another one as well. */
+  private static final long LOST_PATH_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
   private final UpstreamTable table;
   private final LongSupplier clockNanos;
   private final EventLog log;
   private Consumer<String> suspicionListener = head -> {};
+  private PathCheck pathCheck = PathCheck.SOUND;
 
   /** Creates a detector that suspects no head. */
   public StallDetector(UpstreamTable table, LongSupplier clockNanos, EventLog log) {
@@ -43,6 +53,11 @@
     suspicionListener = listener;
   }
 
+  /** Sets the check of the paths to upstreams; without it, all are taken for sound. */
+  public void setPathCheck(PathCheck check) {
+    pathCheck = check;
+  }
+
   /** Returns the ids of the heads that are suspected now, by this process or by a peer. */
   public Set<String> suspectedIds() {
     long nowNanos = clockNanos.getAsLong();
@@ -114,14 +129,29 @@
     for (UpstreamLoad load : table.loadsWithOwnRequests()) {
       for (Exchange exchange : new ArrayList<>(load.open())) {
         ModelEngine engine = exchange.engine();
-        if (engine == null || load.isPaused(exchange)) {
+        Attempt attempt = exchange.attemptAt(load);
+        if (attempt == null || load.isPaused(exchange)) {
+          continue;
+        }
+        if (attempt.isOnLostPath()) {
+          boolean isSilent = nowNanos - load.ownSilentSinceNanos() > LOST_PATH_SILENCE_NANOS;
+          if (isSilent && exchange.onStall(load)) {
+            nextNanos = Math.min(nextNanos, RESEND_DELAY_NANOS);
+          }
+          continue;
+        }
+        if (nowNanos - load.ownSilentSinceNanos() > HIDDEN_SILENCE_NANOS
+            && load.takePathCheck(HIDDEN_SILENCE_NANOS, nowNanos)) {
+          pathCheck.suspect(attempt.target().box());
+        }
+        if (engine == null) {
           continue;
         }
         long timeoutNanos = StallTimeout.nanos(engine, load, nowNanos);
         long leftNanos = timeoutNanos - (nowNanos - load.silentSinceNanos());
         if (leftNanos >= 0) {
           nextNanos = Math.min(nextNanos, leftNanos);
-        } else if (suspectAndResend(load, exchange, nowNanos)) {
+        } else if (suspectAndResend(load, exchange, attempt, nowNanos)) {
           nextNanos = Math.min(nextNanos, RESEND_DELAY_NANOS);
         }
       }
@@ -130,11 +160,12 @@
   }
 
   /** Returns true if the request could not be sent to another head now, but may be soon. */
-  private boolean suspectAndResend(UpstreamLoad load, Exchange exchange, long nowNanos) {
+  private boolean suspectAndResend(
+      UpstreamLoad load, Exchange exchange, Attempt attempt, long nowNanos) {
     boolean isNew = !load.isSuspectedAt(nowNanos);
-    load.suspect(true, nowNanos);
+    load.suspect(false, nowNanos);
     if (isNew) {
-      String headId = exchange.upstreamIdAt(load);
+      String headId = attempt.target().box().id();
       log.write(
           "replica_suspected",
           "head",
@@ -149,8 +180,20 @@
           load.openCount(),
           "waitingTokens",
           load.waitingPromptTokens());
-      suspicionListener.accept(headId);
+      String service = attempt.target().box().service();
+      pathCheck.confirm(
+          service, load.silentSinceNanos(), isReached -> reportSuspicion(load, headId, isReached));
     }
     return exchange.onStall(load);
   }
+
+  /** Tells the other processes of a stall, unless only this process has lost its path. */
+  private void reportSuspicion(UpstreamLoad load, String headId, boolean isReached) {
+    if (isReached) {
+      load.confirmSuspicion();
+      suspicionListener.accept(headId);
+    } else {
+      load.clearExclusion();
+    }
+  }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
@@ -35,6 +35,7 @@
   private long progressNanos = Long.MIN_VALUE / 2;
   private long openSinceNanos;
   private long suspectedNanos;
+  private long pathCheckedNanos = Long.MIN_VALUE / 2;
   private boolean isSuspected;
   private boolean hasOwnSuspicion;
   private long replicaChangedNanos = Long.MIN_VALUE / 2;
@@ -147,6 +148,31 @@
     hasOwnSuspicion |= isOwn;
   }
 
+  /** Starts the silence anew, since what was sent before tells nothing about the upstream. */
+  void restartSilence(long nowNanos) {
+    openSinceNanos = nowNanos;
+  }
+
+  /** Ends the suspicion and the time for which it gets no requests. */
+  void clearExclusion() {
+    clearSuspicion();
+    avoidedUntilNanos = Long.MIN_VALUE;
+  }
+
+  /** Records that this process itself found the stall of a head that is suspected. */
+  void confirmSuspicion() {
+    hasOwnSuspicion |= isSuspected;
+  }
+
+  /** Returns true if the path to it was not checked within the time, and records a check now. */
+  boolean takePathCheck(long intervalNanos, long nowNanos) {
+    boolean isDue = nowNanos - pathCheckedNanos > intervalNanos;
+    if (isDue) {
+      pathCheckedNanos = nowNanos;
+    }
+    return isDue;
+  }
+
   private void clearSuspicion() {
     isSuspected = false;
     hasOwnSuspicion = false;
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.fleet.EngineSpec;
@@ -49,6 +50,7 @@
   private final LongSupplier clockNanos;
   private final RandomGenerator random;
   private final String zone;
+  private Predicate<FleetBox> reachability = box -> true;
   private int processCount = 1;
 
   /**
@@ -69,6 +71,11 @@
     this.zone = zone;
   }
 
+  /** Sets the check whether a request to an upstream may reach it, directly or not. */
+  public void setReachability(Predicate<FleetBox> check) {
+    reachability = check;
+  }
+
   /** Sets the number of processes that choose independently, including this one. */
   public void setProcessCount(int count) {
     processCount = count;
@@ -94,6 +101,7 @@
       if (!tried.contains(box.id())
           && !isExcluded(load, nowNanos)
           && backpressure.maySendTo(box)
+          && reachability.test(box)
           && !isFull(load, box, engine, targetLatencyMs)) {
         eligible.add(box);
       }
@@ -121,6 +129,7 @@
     return table.candidates(service, model).stream()
         .filter(box -> box.id().equals(id) && !tried.contains(id))
         .filter(box -> !isExcluded(load, nowNanos) && backpressure.permitsGranted(box))
+        .filter(reachability)
         .map(box -> new Target(box, load))
         .findFirst();
   }
@@ -146,7 +155,11 @@
                       ? "suspected"
                       : !backpressure.maySendTo(box)
                           ? "held_back"
-                          : isFull(load, box, service.engine(), targetLatencyMs) ? "full" : "free";
+                          : !reachability.test(box)
+                              ? "no_path"
+                              : isFull(load, box, service.engine(), targetLatencyMs)
+                                  ? "full"
+                                  : "free";
       counts.merge(state, 1, Integer::sum);
     }
     return counts.toString();
@@ -154,14 +167,17 @@
 
   /**
    * Returns why this process may send none of the upstreams a request now, or null if it may send
-   * one, or if there are no upstreams. Each is in a rest, has a limit without a turn due, is cold
-   * without a turn due, or is in an evacuated zone.
+   * one, or if there are no upstreams. No process has a path to any, or each is in a rest, has a
+   * limit without a turn due, is cold without a turn due, or is in an evacuated zone.
    */
   @Nullable Refusal findHeldBack(UpstreamService service, @Nullable String model) {
     List<FleetBox> upstreams = table.candidates(service, model);
     if (upstreams.isEmpty()) {
       return table.isEvacuated(service, model) ? Refusal.EVACUATED : null;
     }
+    if (upstreams.stream().noneMatch(reachability)) {
+      return Refusal.NO_PATH;
+    }
     if (upstreams.stream().anyMatch(backpressure::maySendTo)) {
       return null;
     }
@@ -169,6 +185,12 @@
     return isCold ? Refusal.COLD : Refusal.HELD_BACK;
   }
 
+  /** Returns true if there are upstreams, but no path to any of them, directly or not. */
+  boolean isWithoutPath(UpstreamService service, @Nullable String model) {
+    List<FleetBox> upstreams = table.candidates(service, model);
+    return !upstreams.isEmpty() && upstreams.stream().noneMatch(reachability);
+  }
+
   private boolean isExcluded(UpstreamLoad load, long nowNanos) {
     if (load.isAvoided(nowNanos)) {
       return true;
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamTable.java
@@ -69,6 +69,20 @@
     }
   }
 
+  /**
+   * Lets requests go to the upstreams of a service again that were avoided or suspected, since the
+   * path of this process to them has failed and not they.
+   */
+  public void clearExclusions(String service) {
+    for (FleetBox box : fleet.boxes()) {
+      UpstreamLoad load = box.service().equals(service) ? loads.get(box.id()) : null;
+      if (load != null) {
+        load.clearExclusion();
+        load.restartSilence(clockNanos.getAsLong());
+      }
+    }
+  }
+
   /** Returns the load of this process at each upstream where it has open requests. */
   public List<Heartbeat.Load> ownLoads() {
     long nowNanos = clockNanos.getAsLong();
--- a/edge/src/main/java/org/shoreroad/edge/replica/EngineMonitor.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/EngineMonitor.java
@@ -36,6 +36,7 @@
   private final Map<String, Long> acceptReportsFromNanos = new HashMap<>();
   private Runnable onUrgentChange = () -> {};
   private Runnable onAnswer = () -> {};
+  private UnreachedBoxes unreached = UnreachedBoxes.PATHS_SOUND;
 
   EngineMonitor(LongSupplier clockNanos, EventLog log, Fleet fleet, Engines engines) {
     this.clockNanos = clockNanos;
@@ -49,6 +50,11 @@
     onUrgentChange = listener;
   }
 
+  /** Sets the check of boxes that do not answer. */
+  void setUnreachedBoxes(UnreachedBoxes check) {
+    unreached = check;
+  }
+
   /** Sets the listener that is called when a box has answered or failed to answer. */
   void setAnswerListener(Runnable listener) {
     onAnswer = listener;
@@ -100,8 +106,7 @@
           @Override
           public void onFailure(Engines.ReportFailure failure) {
             log.write("box_silent", "box", box.id(), "address", box.address(), "why", failure);
-            recordFailure(box.id(), failure);
-            onAnswer.run();
+            recordFailure(box, failure);
           }
         });
   }
@@ -191,12 +196,23 @@
         String.valueOf(report.membership()));
   }
 
-  private void recordFailure(String id, Engines.ReportFailure failure) {
-    boolean isRefused = failure == Engines.ReportFailure.REFUSED;
-    FleetBox known = fleet.find(id);
+  private void recordFailure(FleetBox box, Engines.ReportFailure failure) {
+    FleetBox known = fleet.find(box.id());
     // A refusing box that was to stay has crashed; a leaving one may still finish its requests.
-    boolean isStaying = known != null && !known.isLeaving() && fleet.isListed(id);
-    boolean isGone = failure == Engines.ReportFailure.GONE || (isRefused && isStaying);
+    boolean isStaying = known != null && !known.isLeaving() && fleet.isListed(box.id());
+    if (failure == Engines.ReportFailure.REFUSED && isStaying) {
+      unreached.confirmRefusal(box, isConfirmed -> recordFailure(box.id(), isConfirmed, true));
+      return;
+    }
+    if (failure == Engines.ReportFailure.NO_ANSWER) {
+      unreached.onNoAnswer(box);
+    }
+    recordFailure(
+        box.id(), failure == Engines.ReportFailure.GONE, failure == Engines.ReportFailure.REFUSED);
+  }
+
+  private void recordFailure(String id, boolean isGone, boolean isRefused) {
     reachability.recordFailure(id, isGone, isRefused, clockNanos.getAsLong());
+    onAnswer.run();
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -114,6 +114,11 @@
     observer.setEvacuations(newEvacuations);
   }
 
+  /** Sets the check of boxes that do not answer this process. */
+  public void setUnreachedBoxes(UnreachedBoxes check) {
+    monitor.setUnreachedBoxes(check);
+  }
+
   /** Sets the listener for changed heads, which other processes must receive quickly. */
   public void setUrgentChangeListener(Runnable listener) {
     monitor.setUrgentChangeListener(listener);
--- a/edge/src/main/java/org/shoreroad/edge/sync/DomainIndex.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/DomainIndex.java
@@ -22,6 +22,11 @@
     return service + "/" + domain;
   }
 
+  /** Returns the service in the key of a domain. */
+  public static String serviceOf(String key) {
+    return key.substring(0, key.indexOf('/'));
+  }
+
   /** Returns the keys of all domains that have boxes, an unmodifiable view. */
   Set<String> keys() {
     return Collections.unmodifiableSet(boxesByDomain.keySet());
--- a/edge/src/main/java/org/shoreroad/edge/sync/DomainLeases.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/DomainLeases.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.EventLog;
@@ -60,6 +61,7 @@
   private final Set<String> beingChecked = new HashSet<>();
   private Set<String> notifiedDomains = Set.of();
   private Runnable changeListener = () -> {};
+  private Predicate<String> canServe = domain -> true;
   private long startedNanos;
   private long lastHeartbeatNanos;
   private long formerLeasesEndNanos = Long.MIN_VALUE / 2;
@@ -111,6 +113,16 @@
     changeListener = listener;
   }
 
+  /**
+   * Sets the condition for owning a domain: this process can reach its boxes. A domain that it
+   * can't reach is released, so that another process takes it over.
+   *
+   * @param condition called with the key of a domain, not null
+   */
+  public void setCondition(Predicate<String> condition) {
+    canServe = condition;
+  }
+
   /** Starts the periodic ownership check. */
   public void start() {
     startedNanos = clockNanos.getAsLong();
@@ -191,10 +203,15 @@
     lastHeartbeatNanos = hasHeartbeats ? nowNanos : lastHeartbeatNanos;
     Set<String> ownedElsewhere = othersDomains == null ? Set.of() : othersDomains;
     releaseLost(ownedElsewhere);
+    for (String domain : Set.copyOf(leases.keySet())) {
+      if (!canServe.test(domain)) {
+        releaseDomain(domain);
+      }
+    }
     if (hasHeartbeats || nowNanos - lastHeartbeatNanos > NO_HEARTBEAT_NANOS) {
       Set<String> all = domains.get();
-      claims
-          .due(nowNanos, all, ownedElsewhere, leases.keySet(), peers.names())
+      claims.due(nowNanos, all, ownedElsewhere, leases.keySet(), peers.names()).stream()
+          .filter(canServe)
           .forEach(this::checkThenClaim);
       claims
           .surplusDomain(nowNanos, grantedDomains(), all.size(), peers.aliveCount())
@@ -260,7 +277,7 @@
   }
 
   private void claim(String domain) {
-    if (isLeaving || leases.containsKey(domain)) {
+    if (isLeaving || leases.containsKey(domain) || !canServe.test(domain)) {
       return;
     }
     DomainLease lease =
--- a/edge/src/test/java/org/shoreroad/edge/peer/PeerFramesTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/PeerFramesTest.java
@@ -83,7 +83,7 @@
             replies.send(new byte[] {MARK, (byte) (frame[1] + 1)});
           }
         };
-    loop.submit(() -> mesh.setFrameReceiver(receiver)).sync();
+    loop.submit(() -> mesh.addFrameReceiver(receiver)).sync();
   }
 
   private void send(int... bytes) throws IOException {
--- a/edge/src/test/java/org/shoreroad/edge/relay/PathProxy.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/PathProxy.java
@@ -14,7 +14,7 @@
 
 /** Network path from one process to one upstream, which can be cut. Thread-safe. */
 final class PathProxy implements AutoCloseable {
-  private static final int BACKLOG = 1;
+  private static final int BACKLOG = 16;
   private static final int FILL_TIMEOUT_MS = 50;
   private static final int MAX_FILLERS = 50;
   private static final int POLL_MS = 5;
--- a/edge/src/test/java/org/shoreroad/edge/relay/SharedRoomProcess.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/SharedRoomProcess.java
@@ -135,7 +135,7 @@
         .every(100, "loads", () -> table.setPeerLoads(mesh.latestHeartbeats()));
     if (sharesRoom) {
       relay.setRoomBroker(room.broker());
-      mesh.setFrameReceiver(room);
+      mesh.addFrameReceiver(room);
       room.start();
     }
   }
