--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -5,20 +5,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import org.shoreroad.edge.caller.CallerServer;
 import org.shoreroad.edge.caller.HeldBytes;
-import org.shoreroad.edge.forward.ForwardClient;
-import org.shoreroad.edge.forward.ForwardServer;
-import org.shoreroad.edge.forward.ProbeOutcome;
 import org.shoreroad.edge.http.HttpCalls;
-import org.shoreroad.edge.http.UpstreamCalls;
-import org.shoreroad.edge.path.DirectCalls;
-import org.shoreroad.edge.path.RoutedCalls;
-import org.shoreroad.edge.path.UpstreamPaths;
 import org.shoreroad.edge.peer.Announcement;
 import org.shoreroad.edge.peer.FailureDetector;
 import org.shoreroad.edge.peer.HeartbeatAdditions;
@@ -36,17 +28,14 @@
 import org.shoreroad.edge.relay.UpstreamSelector;
 import org.shoreroad.edge.relay.UpstreamTable;
 import org.shoreroad.edge.replica.ReplicaService;
-import org.shoreroad.edge.replica.UnreachedBoxes;
 import org.shoreroad.edge.room.RoomActivation;
 import org.shoreroad.edge.room.RoomMode;
 import org.shoreroad.edge.room.RoomSharing;
 import org.shoreroad.edge.sync.CountedStore;
-import org.shoreroad.edge.sync.DomainIndex;
 import org.shoreroad.edge.sync.DomainLeases;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.edge.sync.Topic;
 import org.shoreroad.edge.sync.TopicFollower;
-import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.member.HubPlan;
 import org.shoreroad.traffic.CallerLimits;
 
@@ -71,8 +60,6 @@
   /** Longest wait of a process list read; changes are rare, and each empty read has a cost. */
   private static final int PROCESS_WAIT_MS = 15_000;
 
-  private static final int PROCESS_INTERVAL_MS = 500;
-
   /**
    * Longest time for which a member of a hub does not read the process list. Members with lists of
    * different ages choose different hubs, so that a rolling restart would leave more hubs than
@@ -80,12 +67,6 @@
    */
   private static final int MEMBER_PROCESS_PAUSE_MS = 30_000;
 
-  /**
-   * Minimum interval between reads of the process list for a member of a hub, which needs the hubs
-   * only. Reading at every change would cost N reads per process in a rolling restart of N.
-   */
-  private static final int MEMBER_PROCESS_INTERVAL_MS = 4_000;
-
   /**
    * Maximum age of the readers' proof before this process reads the upstream list itself. The proof
    * of one reader is at most 1.1 s old, and a leaving upstream must be known within two seconds.
@@ -102,9 +83,6 @@
   /** The same delay for the process list, which is not urgent. */
   private static final int PROCESS_LISTING_SPREAD_MS = 3_000;
 
-  /** Time without a path to the boxes of a domain after which its lease is released. */
-  private static final long RELEASE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
   private static final int UPDATE_INTERVAL_MS = 100;
   private static final int SUMMARY_INTERVAL_MS = 2_000;
 
@@ -135,10 +113,7 @@
   private final RequestQuarantine quarantine;
   private final QuarantineRegistry quarantineRegistry;
   private final Backpressure backpressure;
-  private final UpstreamPaths paths;
-  private final ForwardClient forwards;
-  private final RoutedCalls routedCalls;
-  private final ForwardServer forwardServer;
+  private final UpstreamAccess access;
   private final Relay relay;
   private final FailureDetector failureDetector;
   private final LocalHeartbeats heartbeats;
@@ -205,17 +180,10 @@
     this.quarantine = new RequestQuarantine(clockNanos, log, metrics);
     this.quarantineRegistry =
         new QuarantineRegistry(store, loop, timeOfDayMs, log, quarantine::applyReports);
-    RepeatingTimer timer = new RepeatingTimer(loop, log);
-    this.paths =
-        new UpstreamPaths(calls, clockNanos, random.split(), log, metrics, timer, fleet::boxes);
-    this.forwards =
-        new ForwardClient(loop, clockNanos, random.split(), log, metrics, this::reachableProcesses);
-    DirectCalls directCalls = new DirectCalls(calls, paths, clockNanos);
-    this.routedCalls = new RoutedCalls(directCalls, forwards);
-    this.forwardServer =
-        new ForwardServer(
-            timer, metrics, ports.headers(), directCalls, calls, paths::isServiceLost, fleet::find);
-    this.relay = makeRelay(loop, routedCalls);
+    this.access =
+        new UpstreamAccess(
+            loop, clockNanos, random, log, metrics, ports, calls, fleet, this::peerAddresses);
+    this.relay = makeRelay(loop);
     this.lag = new LoopLag(log, UPDATE_INTERVAL_MS);
     this.failureDetector = new FailureDetector(clockNanos);
     this.heartbeats = makeHeartbeats();
@@ -227,11 +195,11 @@
     this.callers = makeCallers(loop);
     this.processes = new ProcessRegistry(store, loop, log, mesh, location);
     this.processFollower =
-        follower(Topic.PROCESSES, PROCESS_WAIT_MS, this::processIntervalMs, processes);
+        follower(Topic.PROCESSES, PROCESS_WAIT_MS, processes::readIntervalMs, processes);
     this.periodicUpdate = makePeriodicUpdate();
     this.shutdown =
         new GracefulShutdown(
-            loop, clockNanos, log, settings.graceMs(), leases, callers, relay, forwardServer);
+            loop, clockNanos, log, settings.graceMs(), leases, callers, relay, access);
     connect(calls);
   }
 
@@ -341,7 +309,7 @@
         settings.stallMs());
   }
 
-  private Relay makeRelay(EventLoop loop, UpstreamCalls calls) {
+  private Relay makeRelay(EventLoop loop) {
     return new Relay(
         loop,
         clockNanos,
@@ -349,7 +317,7 @@
         log,
         metrics,
         ports.headers(),
-        calls,
+        access.calls(),
         selector,
         stalls,
         configuration,
@@ -403,40 +371,11 @@
           replicas.forget(box.id());
           failureDetector.forget(box.id());
         });
-    connectPaths();
+    access.connect(mesh, relay, selector, stalls, upstreams, leases, replicas);
     shareRoom();
   }
 
-  /** Connects the parts that distinguish a lost path from failed upstreams. */
-  private void connectPaths() {
-    selector.setReachability(routedCalls::isReachable);
-    relay.setPathCheck(paths);
-    stalls.setPathCheck(paths);
-    paths.setLossListener(upstreams::clearExclusions);
-    leases.setCondition(
-        domain -> !paths.isServiceLostFor(DomainIndex.serviceOf(domain), RELEASE_NANOS));
-    replicas.setUnreachedBoxes(
-        new UnreachedBoxes() {
-          @Override
-          public void onNoAnswer(FleetBox box) {
-            paths.suspect(box);
-          }
-
-          @Override
-          public void confirmRefusal(FleetBox box, Consumer<Boolean> callback) {
-            paths.suspect(box);
-            forwards.probe(box, outcome -> callback.accept(isRefusal(outcome)));
-          }
-        });
-    mesh.addFrameReceiver(forwardServer);
-  }
-
-  /** Returns true if another process was refused too, or if there is no other process to ask. */
-  private boolean isRefusal(ProbeOutcome outcome) {
-    return outcome == ProbeOutcome.REFUSED || reachableProcesses().isEmpty();
-  }
-
-  private Map<String, String> reachableProcesses() {
+  private Map<String, String> peerAddresses() {
     return mesh.reachableAddresses();
   }
 
@@ -484,8 +423,7 @@
     processes.announce(announcement);
     leases.start();
     relay.start();
-    paths.start();
-    forwards.start();
+    access.start();
     replicas.start();
     RepeatingTimer timer = new RepeatingTimer(loop, log);
     timer.every(UPDATE_INTERVAL_MS, "upkeep", periodicUpdate::run);
@@ -518,10 +456,6 @@
     return ConfigurationView.readWaitMs(settings.revokeMs());
   }
 
-  private int processIntervalMs() {
-    return mesh.isMember() ? MEMBER_PROCESS_INTERVAL_MS : PROCESS_INTERVAL_MS;
-  }
-
   private CallerLimits limits() {
     return configuration.config() == null ? CallerLimits.DEFAULT : configuration.config().limits();
   }
--- a/edge/src/main/java/org/shoreroad/edge/GracefulShutdown.java
+++ b/edge/src/main/java/org/shoreroad/edge/GracefulShutdown.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.shoreroad.edge.caller.CallerServer;
-import org.shoreroad.edge.forward.ForwardServer;
 import org.shoreroad.edge.relay.Relay;
 import org.shoreroad.edge.sync.DomainLeases;
 
@@ -33,7 +32,7 @@
   private final DomainLeases leases;
   private final CallerServer callers;
   private final Relay relay;
-  private final ForwardServer forwards;
+  private final UpstreamAccess access;
   private boolean hasBegun;
 
   /**
@@ -49,7 +48,7 @@
       DomainLeases leases,
       CallerServer callers,
       Relay relay,
-      ForwardServer forwards) {
+      UpstreamAccess access) {
     this.loop = loop;
     this.clockNanos = clockNanos;
     this.log = log;
@@ -57,7 +56,7 @@
     this.leases = leases;
     this.callers = callers;
     this.relay = relay;
-    this.forwards = forwards;
+    this.access = access;
   }
 
   /** Returns true once the shutdown has begun. */
@@ -77,7 +76,7 @@
     hasBegun = true;
     log.write("stop", "open", relay.openCount(), "connections", callers.connectionCount());
     leases.leave();
-    forwards.refuseNew();
+    access.forwardServer().refuseNew();
     callers.disableKeepAlive();
     loop.schedule(
         () -> {
@@ -91,8 +90,8 @@
   }
 
   private void endIfDone(long endNanos, Runnable onEnd) {
-    boolean isIdle =
-        callers.connectionCount() == 0 && relay.openCount() == 0 && forwards.openCount() == 0;
+    int openCount = relay.openCount() + access.forwardServer().openCount();
+    boolean isIdle = callers.connectionCount() == 0 && openCount == 0;
     if (isIdle || clockNanos.getAsLong() - endNanos >= 0) {
       log.write("end", "open", relay.openCount());
       relay.endAll();
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/UpstreamAccess.java
@@ -0,0 +1,128 @@
+package org.shoreroad.edge;
+
+import io.netty.channel.EventLoop;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.shoreroad.edge.forward.ForwardClient;
+import org.shoreroad.edge.forward.ForwardServer;
+import org.shoreroad.edge.forward.ProbeOutcome;
+import org.shoreroad.edge.http.HttpCalls;
+import org.shoreroad.edge.http.UpstreamCalls;
+import org.shoreroad.edge.path.DirectCalls;
+import org.shoreroad.edge.path.RoutedCalls;
+import org.shoreroad.edge.path.UpstreamPaths;
+import org.shoreroad.edge.peer.PeerMesh;
+import org.shoreroad.edge.relay.Relay;
+import org.shoreroad.edge.relay.StallDetector;
+import org.shoreroad.edge.relay.UpstreamSelector;
+import org.shoreroad.edge.relay.UpstreamTable;
+import org.shoreroad.edge.replica.ReplicaService;
+import org.shoreroad.edge.replica.UnreachedBoxes;
+import org.shoreroad.edge.sync.DomainIndex;
+import org.shoreroad.edge.sync.DomainLeases;
+import org.shoreroad.edge.sync.Fleet;
+import org.shoreroad.fleet.FleetBox;
+
+/**
+ * Access of the process to the upstreams: directly, or through another process while it has no
+ * path. Creates and connects the parts for it. Not thread-safe: used on the event loop.
+ */
+final class UpstreamAccess {
+  /** Time without a path to the boxes of a domain after which its lease is released. */
+  private static final long RELEASE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  private final UpstreamPaths paths;
+  private final ForwardClient forwards;
+  private final ForwardServer forwardServer;
+  private final RoutedCalls calls;
+  private final Supplier<Map<String, String>> peers;
+
+  /**
+   * Creates the parts.
+   *
+   * @param ports the interfaces to the platform, not null
+   * @param calls the HTTP client, not null
+   * @param peers supplies the addresses of the other processes that seem alive by name, not null
+   */
+  UpstreamAccess(
+      EventLoop loop,
+      LongSupplier clockNanos,
+      SplittableRandom random,
+      EventLog log,
+      EdgeMetrics metrics,
+      EdgePorts ports,
+      HttpCalls calls,
+      Fleet fleet,
+      Supplier<Map<String, String>> peers) {
+    this.peers = peers;
+    RepeatingTimer timer = new RepeatingTimer(loop, log);
+    this.paths =
+        new UpstreamPaths(calls, clockNanos, random.split(), log, metrics, timer, fleet::boxes);
+    this.forwards = new ForwardClient(loop, clockNanos, random.split(), log, metrics, peers);
+    DirectCalls direct = new DirectCalls(calls, paths, clockNanos);
+    this.calls = new RoutedCalls(direct, forwards);
+    this.forwardServer =
+        new ForwardServer(
+            timer, metrics, ports.headers(), direct, calls, paths::isServiceLost, fleet::find);
+    metrics.gauge("shoreroad.paths.services_lost", paths::lostServices);
+    metrics.gauge("shoreroad.calls.for_others_open", forwardServer::openCount);
+  }
+
+  /** Returns the client of the upstreams. */
+  UpstreamCalls calls() {
+    return calls;
+  }
+
+  /** Returns the server of the calls for other processes. */
+  ForwardServer forwardServer() {
+    return forwardServer;
+  }
+
+  /** Lets the parts that decide on failures distinguish a lost path from failed upstreams. */
+  void connect(
+      PeerMesh mesh,
+      Relay relay,
+      UpstreamSelector selector,
+      StallDetector stalls,
+      UpstreamTable upstreams,
+      DomainLeases leases,
+      ReplicaService replicas) {
+    mesh.addFrameReceiver(forwardServer);
+    selector.setReachability(calls::isReachable);
+    relay.setPathCheck(paths);
+    stalls.setPathCheck(paths);
+    paths.setLossListener(upstreams::clearExclusions);
+    leases.setCondition(
+        domain -> !paths.isServiceLostFor(DomainIndex.serviceOf(domain), RELEASE_NANOS));
+    replicas.setUnreachedBoxes(new Unreached());
+  }
+
+  /** Starts the periodic checks. */
+  void start() {
+    paths.start();
+    forwards.start();
+  }
+
+  /** Checks the paths to boxes that do not answer the owner of their domain. */
+  private final class Unreached implements UnreachedBoxes {
+    @Override
+    public void onNoAnswer(FleetBox box) {
+      paths.suspect(box);
+    }
+
+    @Override
+    public void confirmRefusal(FleetBox box, Consumer<Boolean> callback) {
+      paths.suspect(box);
+      forwards.probe(box, outcome -> callback.accept(isRefusal(outcome)));
+    }
+
+    /** Returns true if another process was refused too, or if there is no other process to ask. */
+    private boolean isRefusal(ProbeOutcome outcome) {
+      return outcome == ProbeOutcome.REFUSED || peers.get().isEmpty();
+    }
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerMesh.java
@@ -9,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
@@ -145,23 +144,9 @@
     channels.addReceiver(receiver);
   }
 
-  /**
-   * Returns the addresses by name of the other processes that seem alive: those with a recent
-   * heartbeat, or with hubs also all others that have not failed to answer.
-   */
+  /** Returns the addresses by name of the other processes that seem alive. */
   public Map<String, String> reachableAddresses() {
-    long nowNanos = clockNanos.getAsLong();
-    Map<String, String> addresses = new HashMap<>();
-    for (Peer peer : peers.all()) {
-      boolean isAlive =
-          plan.isFullMesh()
-              ? peer.hasHeartbeatWithin(Peer.ALIVE_NANOS, nowNanos)
-              : !peer.isUnresponsive(nowNanos);
-      if (isAlive) {
-        addresses.put(peer.name(), peer.address());
-      }
-    }
-    return addresses;
+    return peers.reachableAddresses(plan.isFullMesh());
   }
 
   /**
@@ -355,13 +340,7 @@
 
   /** Returns the peers whose latest heartbeat has the scope and arrived within the window. */
   private List<Peer> peersInScope(Scope scope, long windowNanos) {
-    long nowNanos = clockNanos.getAsLong();
-    return peers.all().stream()
-        .filter(
-            peer ->
-                peer.hasHeartbeatWithin(windowNanos, nowNanos)
-                    && peer.lastHeartbeat().scope() == scope)
-        .toList();
+    return peers.inScope(scope, windowNanos);
   }
 
   /** Returns true if this process is a hub by its own plan or by that of another process. */
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerTable.java
@@ -54,6 +54,38 @@
     return peers.values();
   }
 
+  /** Returns the peers whose latest heartbeat has the scope and arrived within the window. */
+  List<Peer> inScope(Heartbeat.Scope scope, long windowNanos) {
+    long nowNanos = clockNanos.getAsLong();
+    return peers.values().stream()
+        .filter(
+            peer ->
+                peer.hasHeartbeatWithin(windowNanos, nowNanos)
+                    && peer.lastHeartbeat().scope() == scope)
+        .toList();
+  }
+
+  /**
+   * Returns the addresses by name of the peers that seem alive.
+   *
+   * @param isFullMesh true if all peers send heartbeats to this process; otherwise those count too
+   *     that send none and have not failed to answer
+   */
+  Map<String, String> reachableAddresses(boolean isFullMesh) {
+    long nowNanos = clockNanos.getAsLong();
+    Map<String, String> addresses = new HashMap<>();
+    for (Peer peer : peers.values()) {
+      boolean isAlive =
+          isFullMesh
+              ? peer.hasHeartbeatWithin(Peer.ALIVE_NANOS, nowNanos)
+              : !peer.isUnresponsive(nowNanos);
+      if (isAlive) {
+        addresses.put(peer.name(), peer.address());
+      }
+    }
+    return addresses;
+  }
+
   /** Returns the names of all peers. */
   Set<String> names() {
     return Set.copyOf(peers.keySet());
--- a/edge/src/main/java/org/shoreroad/edge/peer/ProcessRegistry.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/ProcessRegistry.java
@@ -25,6 +25,15 @@
   /** Delay before the retry of a failed write of the announcement. */
   private static final int RETRY_DELAY_MS = 500;
 
+  /** Minimum interval between reads of the process list. */
+  private static final int INTERVAL_MS = 500;
+
+  /**
+   * Minimum interval between reads of the process list for a member of a hub, which needs the hubs
+   * only. Reading at every change would cost N reads per process in a rolling restart of N.
+   */
+  private static final int MEMBER_INTERVAL_MS = 4_000;
+
   private final Store store;
   private final EventLoop loop;
   private final EventLog log;
@@ -49,6 +58,11 @@
     write(newAnnouncement);
   }
 
+  /** Returns the minimum interval between two reads of the process list, in milliseconds. */
+  public int readIntervalMs() {
+    return mesh.isMember() ? MEMBER_INTERVAL_MS : INTERVAL_MS;
+  }
+
   private void write(Announcement written) {
     store.write(
         Topic.PROCESSES,
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
-import java.util.List;
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -339,7 +338,8 @@
   public void onCallerGone() {
     if (!isOver) {
       relay.counters().count("shoreroad.callers.gone", hasBegun() ? "midway" : "before");
-      log.write("caller_gone", "hasBegun", hasBegun(), "awaited", awaited());
+      log.write(
+          "caller_gone", "hasBegun", hasBegun(), "awaited", attempts.describe(relay.nowNanos()));
       finish(RequestEnd.CALLER_GONE);
     }
   }
@@ -373,16 +373,12 @@
 
   private void refuse(Refusal refusal, String retryAfterSeconds, String why) {
     String candidates = refusal.isForWantOfRoom() ? targets.describe() : "";
-    log.writeRefusal(refusal, why, candidates, awaited());
+    log.writeRefusal(refusal, why, candidates, attempts.describe(relay.nowNanos()));
     traffic.recordRefusal(refusal);
     finish(refusal.end());
     answers.answer(refusal.status(), refusal.headers(retryAfterSeconds), Unpooled.EMPTY_BUFFER);
   }
 
-  private List<String> awaited() {
-    return attempts.describe(relay.nowNanos());
-  }
-
   private void abort(String reason, RequestEnd end) {
     log.writeCut(reason, events, endNanos);
     relay.counters().count("shoreroad.answers.cut", reason);
@@ -396,18 +392,7 @@
     log.writeFailure(failed, failure, isCrash ? fingerprint() : null);
     if (isCrash) {
       Crash crash = new Crash(failed.target().box().incarnation(), failed.hasHead());
-      RequestFingerprint crashing = fingerprint();
-      // A lost path ends connections to sound upstreams too.
-      relay
-          .pathCheck()
-          .confirm(
-              failed.target().box().service(),
-              relay.nowNanos(),
-              isReached -> {
-                if (isReached) {
-                  relay.quarantine().recordCrash(crashing, crash);
-                }
-              });
+      relay.recordCrash(failed.target().box().service(), fingerprint(), crash);
     }
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -16,6 +16,7 @@
 import org.shoreroad.edge.caller.CallerRequest;
 import org.shoreroad.edge.caller.HeaderNames;
 import org.shoreroad.edge.http.UpstreamCalls;
+import org.shoreroad.quarantine.Crash;
 import org.shoreroad.quarantine.RequestFingerprint;
 import org.shoreroad.routing.AttemptBudget;
 
@@ -236,8 +237,19 @@
     return calls;
   }
 
-  PathCheck pathCheck() {
-    return pathCheck;
+  /**
+   * Records that an upstream of the service crashed while it had the request, unless this process
+   * has lost its path to the service, which ends connections to sound upstreams too.
+   */
+  void recordCrash(String service, RequestFingerprint request, Crash crash) {
+    pathCheck.confirm(
+        service,
+        nowNanos(),
+        isReached -> {
+          if (isReached) {
+            quarantine.recordCrash(request, crash);
+          }
+        });
   }
 
   /** Returns the meter of the requests for each model, or null if they are not counted. */
