Owners: silence on a lost path closes no replica

Cause: questions that the owner's own lost path had left unanswered counted as silence of the boxes, and stayed in its table while the lease was released.

Change: an unanswered question counts only if the path is sound: bytes of the service since the question, or a check. What was counted before the loss was found is forgotten. A refused connection counts as a crash if another process is refused too, and not at all if it is accepted there. A loss of the path to one service has the paths to all others checked at once, and a call that another process could not connect is offered to one more.

--- a/edge/src/main/java/org/shoreroad/edge/UpstreamAccess.java
+++ b/edge/src/main/java/org/shoreroad/edge/UpstreamAccess.java
@@ -95,7 +95,7 @@
     selector.setReachability(calls::isReachable);
     relay.setPathCheck(paths);
     stalls.setPathCheck(paths);
-    paths.setLossListener(upstreams::clearExclusions);
+    paths.setLossListener(service -> handleLoss(service, upstreams, replicas));
     leases.setCondition(
         domain -> !paths.isServiceLostFor(DomainIndex.serviceOf(domain), RELEASE_NANOS));
     replicas.setUnreachedBoxes(new Unreached());
@@ -107,22 +107,37 @@
     forwards.start();
   }
 
-  /** Checks the paths to boxes that do not answer the owner of their domain. */
+  private void handleLoss(String service, UpstreamTable upstreams, ReplicaService replicas) {
+    upstreams.clearExclusions(service);
+    replicas.forgetSilence(service);
+  }
+
+  /** Explains by the paths why boxes do not answer the owner of their domain. */
   private final class Unreached implements UnreachedBoxes {
     @Override
-    public void onNoAnswer(FleetBox box) {
-      paths.suspect(box);
+    public void explainSilence(FleetBox box, long sinceNanos, Consumer<Cause> callback) {
+      paths.confirm(
+          box.service(),
+          sinceNanos,
+          isReached -> callback.accept(isReached ? Cause.SILENT : Cause.PATH));
     }
 
     @Override
-    public void confirmRefusal(FleetBox box, Consumer<Boolean> callback) {
+    public void explainRefusal(FleetBox box, Consumer<Cause> callback) {
       paths.suspect(box);
-      forwards.probe(box, outcome -> callback.accept(isRefusal(outcome)));
+      if (peers.get().isEmpty()) {
+        callback.accept(Cause.GONE);
+      } else {
+        forwards.probe(box, outcome -> callback.accept(causeOf(outcome)));
+      }
     }
 
-    /** Returns true if another process was refused too, or if there is no other process to ask. */
-    private boolean isRefusal(ProbeOutcome outcome) {
-      return outcome == ProbeOutcome.REFUSED || peers.get().isEmpty();
+    private static Cause causeOf(ProbeOutcome outcome) {
+      return switch (outcome) {
+        case REFUSED -> Cause.GONE;
+        case CONNECTED -> Cause.PATH;
+        default -> Cause.SILENT;
+      };
     }
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/forward/ForwardedCall.java
+++ b/edge/src/main/java/org/shoreroad/edge/forward/ForwardedCall.java
@@ -109,6 +109,11 @@
     return isTaken;
   }
 
+  /** Returns true if more than one process was asked to send the call. */
+  boolean isRetried() {
+    return tried.size() > 1;
+  }
+
   FleetBox box() {
     return box;
   }
--- a/edge/src/main/java/org/shoreroad/edge/forward/Forwarder.java
+++ b/edge/src/main/java/org/shoreroad/edge/forward/Forwarder.java
@@ -161,6 +161,11 @@
     if (reason == CallFailure.Reason.PATH_LOST && !failed.isSent()) {
       setUnable(call.box().service());
       call.onUnsent();
+    } else if (reason == CallFailure.Reason.NOT_CONNECTED
+        && !failed.isSent()
+        && !call.isRetried()) {
+      // Its path may be lost too, which it has not found yet.
+      call.onUnsent();
     } else {
       call.fail(reason == null ? CallFailure.Reason.BROKEN : reason, failed.isSent());
     }
--- a/edge/src/main/java/org/shoreroad/edge/path/UpstreamPaths.java
+++ b/edge/src/main/java/org/shoreroad/edge/path/UpstreamPaths.java
@@ -326,11 +326,16 @@
     log.write("path_lost", "service", service.service());
     counters.count("shoreroad.paths.lost", service.service());
     lossListener.accept(service.service());
+    Set<String> others = new HashSet<>();
     for (FleetBox box : List.copyOf(upstreams.get())) {
       if (box.service().equals(service.service())) {
         calls.failConnecting(box.address());
+      } else {
+        others.add(box.service());
       }
     }
+    // What cut this process off from one service often cuts it off from others too.
+    others.forEach(other -> check(serviceOf(other), null));
   }
 
   private void markRestored(ServicePath service, List<String> unreached) {
--- a/edge/src/main/java/org/shoreroad/edge/replica/EngineMonitor.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/EngineMonitor.java
@@ -106,7 +106,7 @@
           @Override
           public void onFailure(Engines.ReportFailure failure) {
             log.write("box_silent", "box", box.id(), "address", box.address(), "why", failure);
-            recordFailure(box, failure);
+            explainFailure(box, failure, nowNanos);
           }
         });
   }
@@ -196,22 +196,26 @@
         String.valueOf(report.membership()));
   }
 
-  private void recordFailure(FleetBox box, Engines.ReportFailure failure) {
+  private void explainFailure(FleetBox box, Engines.ReportFailure failure, long sentNanos) {
     FleetBox known = fleet.find(box.id());
     // A refusing box that was to stay has crashed; a leaving one may still finish its requests.
     boolean isStaying = known != null && !known.isLeaving() && fleet.isListed(box.id());
-    if (failure == Engines.ReportFailure.REFUSED && isStaying) {
-      unreached.confirmRefusal(box, isConfirmed -> recordFailure(box.id(), isConfirmed, true));
-      return;
-    }
-    if (failure == Engines.ReportFailure.NO_ANSWER) {
-      unreached.onNoAnswer(box);
+    boolean isRefused = failure == Engines.ReportFailure.REFUSED;
+    if (failure == Engines.ReportFailure.GONE) {
+      recordFailure(box.id(), UnreachedBoxes.Cause.GONE, false);
+    } else if (isRefused && isStaying) {
+      unreached.explainRefusal(box, cause -> recordFailure(box.id(), cause, true));
+    } else {
+      unreached.explainSilence(box, sentNanos, cause -> recordFailure(box.id(), cause, isRefused));
     }
-    recordFailure(
-        box.id(), failure == Engines.ReportFailure.GONE, failure == Engines.ReportFailure.REFUSED);
   }
 
-  private void recordFailure(String id, boolean isGone, boolean isRefused) {
+  private void recordFailure(String id, UnreachedBoxes.Cause cause, boolean isRefused) {
+    if (cause == UnreachedBoxes.Cause.PATH) {
+      reachability.recordUnknown(id);
+      return;
+    }
+    boolean isGone = cause == UnreachedBoxes.Cause.GONE;
     reachability.recordFailure(id, isGone, isRefused, clockNanos.getAsLong());
     onAnswer.run();
   }
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReachabilityTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReachabilityTable.java
@@ -35,6 +35,15 @@
     entry.isGone = false;
   }
 
+  /** Discards what unanswered requests have shown, since the path to the box was lost. */
+  void recordUnknown(String id) {
+    Entry entry = entries.get(id);
+    if (entry != null) {
+      entry.isAwaitingReport = false;
+      entry.failures = 0;
+    }
+  }
+
   void recordFailure(String id, boolean isGone, boolean isRefusing, long nowNanos) {
     Entry entry = entries.computeIfAbsent(id, key -> new Entry());
     entry.isRefusing = isRefusing;
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -119,6 +119,15 @@
     monitor.setUnreachedBoxes(check);
   }
 
+  /** Discards what boxes of a service did not answer, since the path to them was lost. */
+  public void forgetSilence(String service) {
+    for (FleetBox box : fleet.boxes()) {
+      if (box.service().equals(service)) {
+        monitor.reachability().recordUnknown(box.id());
+      }
+    }
+  }
+
   /** Sets the listener for changed heads, which other processes must receive quickly. */
   public void setUrgentChangeListener(Runnable listener) {
     monitor.setUrgentChangeListener(listener);
--- a/edge/src/main/java/org/shoreroad/edge/replica/UnreachedBoxes.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/UnreachedBoxes.java
@@ -14,21 +14,38 @@
   UnreachedBoxes PATHS_SOUND =
       new UnreachedBoxes() {
         @Override
-        public void onNoAnswer(FleetBox box) {}
+        public void explainSilence(FleetBox box, long sinceNanos, Consumer<Cause> callback) {
+          callback.accept(Cause.SILENT);
+        }
 
         @Override
-        public void confirmRefusal(FleetBox box, Consumer<Boolean> callback) {
-          callback.accept(true);
+        public void explainRefusal(FleetBox box, Consumer<Cause> callback) {
+          callback.accept(Cause.GONE);
         }
       };
 
-  /** Called when a box did not answer this process. */
-  void onNoAnswer(FleetBox box);
+  /** Why a box does not answer. */
+  enum Cause {
+    /** This process has no path to it, which says nothing about the box. */
+    PATH,
+    /** The path is sound, but the box does not answer. */
+    SILENT,
+    /** No process listens at its address. */
+    GONE
+  }
+
+  /**
+   * Explains a question without an answer.
+   *
+   * @param sinceNanos when the question was sent, on the steady clock
+   * @param callback called with the cause, now or after a check, not null
+   */
+  void explainSilence(FleetBox box, long sinceNanos, Consumer<Cause> callback);
 
   /**
-   * Finds out whether other processes are refused too.
+   * Explains a refused connection to a box that is listed and not leaving.
    *
-   * @param callback called with true if the box itself refuses connections, not null
+   * @param callback called with the cause, now or after a check, not null
    */
-  void confirmRefusal(FleetBox box, Consumer<Boolean> callback);
+  void explainRefusal(FleetBox box, Consumer<Cause> callback);
 }
