--- a/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
@@ -32,6 +32,9 @@
    */
   private static final long HIDDEN_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+  /** Minimum interval between confirmations of a suspicion that another process reported first. */
+  private static final long CONFIRM_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
   /** Time without a byte on a lost path after which a request is sent by another one as well. */
   private static final long LOST_PATH_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -164,8 +167,8 @@
       UpstreamLoad load, Exchange exchange, Attempt attempt, long nowNanos) {
     boolean isNew = !load.isSuspectedAt(nowNanos);
     load.suspect(false, nowNanos);
+    String headId = attempt.target().box().id();
     if (isNew) {
-      String headId = attempt.target().box().id();
       log.write(
           "replica_suspected",
           "head",
@@ -180,18 +183,25 @@
           load.openCount(),
           "waitingTokens",
           load.waitingPromptTokens());
-      String service = attempt.target().box().service();
+    }
+    if (isNew
+        || (!load.hasOwnSuspicionAt(nowNanos)
+            && load.takePathCheck(CONFIRM_INTERVAL_NANOS, nowNanos))) {
       pathCheck.confirm(
-          service, load.silentSinceNanos(), isReached -> reportSuspicion(load, headId, isReached));
+          attempt.target().box().service(),
+          load.silentSinceNanos(),
+          isReached -> reportSuspicion(load, headId, isNew, isReached));
     }
     return exchange.onStall(load);
   }
 
   /** Tells the other processes of a stall, unless only this process has lost its path. */
-  private void reportSuspicion(UpstreamLoad load, String headId, boolean isReached) {
+  private void reportSuspicion(UpstreamLoad load, String headId, boolean isNew, boolean isReached) {
     if (isReached) {
       load.confirmSuspicion();
-      suspicionListener.accept(headId);
+      if (isNew) {
+        suspicionListener.accept(headId);
+      }
     } else {
       load.clearExclusion();
     }
