--- a/edge/src/test/java/org/shoreroad/edge/relay/CutOffProcessTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/CutOffProcessTest.java
@@ -51,6 +51,9 @@
   private static final int CUT_MS = 2_500;
   private static final int TARGET_MS = 400;
 
+  /** More than fits into one message between processes. */
+  private static final int LONG_BODY_BYTES = 700_000;
+
   private static final int MIN_REQUESTS = 30;
   private static final double MIN_SERVED = 0.98;
   private static final double MIN_DIRECT = 0.9;
@@ -58,6 +61,7 @@
   private final AtomicInteger ids = new AtomicInteger();
   private final Queue<Result> results = new ConcurrentLinkedQueue<>();
   private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+  private final Map<String, Integer> bodyBytes = new ConcurrentHashMap<>();
   private final ExecutorService callers = Executors.newCachedThreadPool();
   private final ScheduledExecutorService ticks = Executors.newScheduledThreadPool(1);
   private EdgeSite site;
@@ -141,10 +145,15 @@
 
   private void recordRun(String head) {
     String attempt = FakeUpstream.header(head, "X-Attempt");
+    bodyBytes.put(attempt, Integer.parseInt(FakeUpstream.header(head, "Content-Length")));
     runs.computeIfAbsent(attempt, added -> new AtomicInteger()).incrementAndGet();
   }
 
   private Result call(EdgeSite.Member process, String path) {
+    return call(process, path, "");
+  }
+
+  private Result call(EdgeSite.Member process, String path, String body) {
     String attempt = "a" + ids.incrementAndGet();
     long sentNanos = System.nanoTime();
     StringBuilder answer = new StringBuilder();
@@ -160,7 +169,10 @@
               + EdgeSite.DEADLINE_MS
               + "\r\nX-Model: m\r\nX-Tokens: 20,40\r\nAuthorization: Bearer "
               + EdgeSite.KEY
-              + "\r\nConnection: close\r\n\r\n");
+              + "\r\nContent-Length: "
+              + body.length()
+              + "\r\nConnection: close\r\n\r\n"
+              + body);
       InputStream in = new BufferedInputStream(socket.getInputStream());
       for (int next = in.read(); next >= 0; next = in.read()) {
         answer.append((char) next);
@@ -281,6 +293,32 @@
     checkNothingRanTwice();
   }
 
+  @Test
+  void requestsAreServedAfterForwardingProcessWasKilled() throws Exception {
+    start(3);
+    EdgeSite.Member process = site.members().get(0);
+    process.cutAll(PathProxy.Cut.RESET);
+    Thread.sleep(DETECTION_MS);
+    site.members().get(1).close();
+    long fromNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DETECTION_MS);
+    Thread.sleep(DETECTION_MS + CUT_MS);
+    long toNanos = System.nanoTime() - TimeUnit.SECONDS.toNanos(1);
+    checkServed(process, fromNanos, toNanos);
+    checkNothingRanTwice();
+    checkRefusalsAreTrue();
+  }
+
+  @Test
+  void longBodyReachesUpstreamThroughAnotherProcess() throws Exception {
+    start(2);
+    EdgeSite.Member process = site.members().get(0);
+    process.cutAll(PathProxy.Cut.RESET);
+    Thread.sleep(DETECTION_MS);
+    Result result = call(process, "/again/", "x".repeat(LONG_BODY_BYTES));
+    assertThat(result.toString(), result.isServed(), is(true));
+    assertThat(bodyBytes.get(result.attempt()), is(LONG_BODY_BYTES));
+  }
+
   @Test
   void requestsAreRefusedAtOnceWhileAllProcessesAreCutOff() throws Exception {
     start(2);
