UpstreamSelector: upstreams with a direct path first

Cause: an upstream whose path only this process has lost, or that is dead, was chosen like any other; the forwarding process then failed to connect too.

Change: an upstream without a direct path is chosen only if no other can take the request.

--- a/edge/src/main/java/org/shoreroad/edge/UpstreamAccess.java
+++ b/edge/src/main/java/org/shoreroad/edge/UpstreamAccess.java
@@ -92,7 +92,7 @@
       DomainLeases leases,
       ReplicaService replicas) {
     mesh.addFrameReceiver(forwardServer);
-    selector.setReachability(calls::isReachable);
+    selector.setPaths(calls::isReachable, calls::isPathLost);
     relay.setPathCheck(paths);
     stalls.setPathCheck(paths);
     paths.setLossListener(service -> handleLoss(service, upstreams, replicas));
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
@@ -51,6 +51,7 @@
   private final RandomGenerator random;
   private final String zone;
   private Predicate<FleetBox> reachability = box -> true;
+  private Predicate<FleetBox> pathLoss = box -> false;
   private int processCount = 1;
 
   /**
@@ -71,9 +72,15 @@
     this.zone = zone;
   }
 
-  /** Sets the check whether a request to an upstream may reach it, directly or not. */
-  public void setReachability(Predicate<FleetBox> check) {
-    reachability = check;
+  /**
+   * Sets the checks of the paths to an upstream.
+   *
+   * @param isReachable returns true if a request may reach it, directly or not, not null
+   * @param isPathLost returns true if this process has no path to it itself, not null
+   */
+  public void setPaths(Predicate<FleetBox> isReachable, Predicate<FleetBox> isPathLost) {
+    reachability = isReachable;
+    pathLoss = isPathLost;
   }
 
   /** Sets the number of processes that choose independently, including this one. */
@@ -108,7 +115,7 @@
     }
     FleetBox best = null;
     double bestCost = Double.MAX_VALUE;
-    for (FleetBox box : Shortlist.draw(eligible, zone, processCount, random)) {
+    for (FleetBox box : Shortlist.draw(preferDirect(eligible), zone, processCount, random)) {
       double cost = cost(table.loadOf(box.id()), box, engine);
       if (cost < bestCost) {
         best = box;
@@ -118,6 +125,13 @@
     return best == null ? Optional.empty() : Optional.of(new Target(best, table.loadOf(best.id())));
   }
 
+  /** Returns the upstreams to which this process itself has a path, or all if there are none. */
+  private List<FleetBox> preferDirect(List<FleetBox> eligible) {
+    List<FleetBox> direct = new ArrayList<>(eligible);
+    direct.removeIf(pathLoss);
+    return direct.isEmpty() ? eligible : direct;
+  }
+
   /**
    * Returns the upstream with this id if this process may send it a request under a grant now,
    * however many requests are open there.
--- a/edge/src/test/java/org/shoreroad/edge/relay/UpstreamSelectorTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UpstreamSelectorTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.nullValue;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -111,4 +112,21 @@
     assertThat(selector.choose(WEB, null, Set.of(), TARGET_MS).isPresent(), is(true));
     assertThat(selector.hasAny(LLM, "m"), is(false));
   }
+
+  @Test
+  void upstreamWithoutDirectPathIsUsedOnlyIfNoOtherIsFree() {
+    list("a", "OPEN");
+    list("b", "OPEN");
+    selector.setPaths(box -> true, box -> box.id().equals("a"));
+    assertThat(choose(Set.of()), is("b"));
+    assertThat(choose(Set.of("b")), is("a"));
+  }
+
+  @Test
+  void upstreamWithoutAnyPathIsNotUsed() {
+    list("a", "OPEN");
+    selector.setPaths(box -> false, box -> true);
+    assertThat(choose(Set.of()), is(nullValue()));
+    assertThat(selector.findHeldBack(LLM, "m"), is(Refusal.NO_PATH));
+  }
 }
