--- a/edge/src/main/java/org/shoreroad/edge/forward/ForwardServer.java
+++ b/edge/src/main/java/org/shoreroad/edge/forward/ForwardServer.java
@@ -192,8 +192,11 @@
       if (isRefusingNew || openCount() >= MAX_OPEN) {
         return CallFailure.Reason.PATH_LOST;
       }
-      if (box == null || isServiceLost.test(box.service())) {
-        return box == null ? CallFailure.Reason.NOT_CONNECTED : CallFailure.Reason.PATH_LOST;
+      if (box == null) {
+        return CallFailure.Reason.NOT_CONNECTED;
+      }
+      if (isServiceLost.test(box.service())) {
+        return CallFailure.Reason.PATH_LOST;
       }
       return calls.isPathLost(box) ? CallFailure.Reason.NOT_CONNECTED : null;
     }
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamSelector.java
@@ -156,29 +156,32 @@
   /** Returns how many upstreams are in each state for a request, for the log. */
   String describe(
       UpstreamService service, @Nullable String model, Set<String> tried, int targetLatencyMs) {
-    long nowNanos = clockNanos.getAsLong();
     Map<String, Integer> counts = new TreeMap<>();
     for (FleetBox box : table.candidates(service, model)) {
-      UpstreamLoad load = table.loadOf(box.id());
-      String state =
-          tried.contains(box.id())
-              ? "tried"
-              : load.isAvoided(nowNanos)
-                  ? "avoided"
-                  : load.isSuspectedAt(nowNanos)
-                      ? "suspected"
-                      : !backpressure.maySendTo(box)
-                          ? "held_back"
-                          : !reachability.test(box)
-                              ? "no_path"
-                              : isFull(load, box, service.engine(), targetLatencyMs)
-                                  ? "full"
-                                  : "free";
-      counts.merge(state, 1, Integer::sum);
+      boolean isTried = tried.contains(box.id());
+      counts.merge(isTried ? "tried" : stateOf(service, box, targetLatencyMs), 1, Integer::sum);
     }
     return counts.toString();
   }
 
+  private String stateOf(UpstreamService service, FleetBox box, int targetLatencyMs) {
+    long nowNanos = clockNanos.getAsLong();
+    UpstreamLoad load = table.loadOf(box.id());
+    if (load.isAvoided(nowNanos)) {
+      return "avoided";
+    }
+    if (load.isSuspectedAt(nowNanos)) {
+      return "suspected";
+    }
+    if (!backpressure.maySendTo(box)) {
+      return "held_back";
+    }
+    if (!reachability.test(box)) {
+      return "no_path";
+    }
+    return isFull(load, box, service.engine(), targetLatencyMs) ? "full" : "free";
+  }
+
   /**
    * Returns why this process may send none of the upstreams a request now, or null if it may send
    * one, or if there are no upstreams. No process has a path to any, or each is in a rest, has a
