UpstreamPaths: a dead upstream is tried again alone

Change: only a path that was not known to be lost has others checked; a lost one is tried every 300 ms, and more of them once one is sound.

--- a/edge/src/main/java/org/shoreroad/edge/http/HttpCalls.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/HttpCalls.java
@@ -89,13 +89,19 @@
 
           @Override
           public void onConnected(String address, boolean isSuccess) {}
+
+          @Override
+          public void onProbed(String address, boolean isSuccess) {}
         };
 
-    /** Called when a connection is being opened. */
+    /** Called when a connection is being opened for a call. */
     void onConnecting(String address);
 
-    /** Called when a connection was opened or could not be opened. */
+    /** Called when a connection for a call was opened or could not be opened. */
     void onConnected(String address, boolean isSuccess);
+
+    /** Called when a connection was opened or could not be opened to try the address. */
+    void onProbed(String address, boolean isSuccess);
   }
 
   /** Sets the listener to the connections that this client opens. */
@@ -175,6 +181,7 @@
 
     private void connect(HttpCall call) {
       connectingCalls.add(call);
+      connectListener.onConnecting(address);
       HttpConnection connection = new HttpConnection(this);
       open(connection, connectTimeoutMs)
           .addListener((ChannelFutureListener) done -> finishConnect(done, connection, call));
@@ -183,7 +190,6 @@
     private ChannelFuture open(HttpConnection connection, int timeoutMs) {
       all.add(connection);
       connectionsOpened++;
-      connectListener.onConnecting(address);
       return new Bootstrap()
           .group(loop)
           .channel(NioSocketChannel.class)
@@ -204,7 +210,7 @@
                     } else {
                       all.remove(connection);
                     }
-                    connectListener.onConnected(address, done.isSuccess());
+                    connectListener.onProbed(address, done.isSuccess());
                     callback.accept(done.isSuccess() ? null : reasonOf(done));
                   });
     }
--- a/edge/src/main/java/org/shoreroad/edge/path/UpstreamPaths.java
+++ b/edge/src/main/java/org/shoreroad/edge/path/UpstreamPaths.java
@@ -215,11 +215,22 @@
     if (path.connectingCount == 0) {
       connecting.remove(path);
     }
+    recordConnection(path, isSuccess);
+  }
+
+  @Override
+  public void onProbed(String address, boolean isSuccess) {
+    Path path = paths.get(address);
+    if (path != null) {
+      recordConnection(path, isSuccess);
+    }
+  }
+
+  private void recordConnection(Path path, boolean isSuccess) {
     if (isSuccess) {
       lost.remove(path);
-    } else {
-      lost.add(path);
-      check(path.service, address);
+    } else if (lost.add(path)) {
+      check(path.service, path.address);
     }
   }
 
@@ -233,7 +244,9 @@
       }
     }
     for (Path path : List.copyOf(connecting)) {
-      if (nowNanos - path.connectingSinceNanos > SLOW_CONNECT_NANOS) {
+      boolean isSlow = nowNanos - path.connectingSinceNanos > SLOW_CONNECT_NANOS;
+      // What a path that is lost already shows is known.
+      if (isSlow && !lost.contains(path)) {
         check(path.service, path.address);
       }
     }
@@ -243,7 +256,7 @@
     }
   }
 
-  /** Tries some of the single paths that are lost, and forgets those to unlisted addresses. */
+  /** Tries a single path that is lost, and forgets those to unlisted addresses. */
   private void recheckLost() {
     if (lost.isEmpty()) {
       return;
@@ -253,13 +266,27 @@
     paths.values().removeIf(path -> !listed.contains(path.address));
     lost.removeIf(path -> !listed.contains(path.address));
     connecting.removeIf(path -> !listed.contains(path.address));
+    probeLost(1);
+  }
+
+  /** Tries some of the single paths that are lost, and more of them if one is sound again. */
+  private void probeLost(int count) {
     List<String> single = new ArrayList<>();
     for (Path path : lost) {
-      if (!path.service.isLost() && path.connectingCount == 0) {
+      if (!path.service.isLost()) {
         single.add(path.address);
       }
     }
-    draw(single, null).forEach(address -> calls.probe(address, CHECK_TIMEOUT_MS, failure -> {}));
+    List<String> drawn = draw(single, null);
+    for (String address : drawn.subList(0, Math.min(count, drawn.size()))) {
+      calls.probe(address, CHECK_TIMEOUT_MS, failure -> probeMoreIfSound(failure == null));
+    }
+  }
+
+  private void probeMoreIfSound(boolean isSound) {
+    if (isSound) {
+      probeLost(SAMPLE);
+    }
   }
 
   private void check(ServicePath service, @Nullable String suspect) {
--- a/edge/src/test/java/org/shoreroad/edge/path/UpstreamPathsTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/path/UpstreamPathsTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -26,6 +27,10 @@
 
 class UpstreamPathsTest {
   private static final int WAIT_MS = 5_000;
+  private static final int RECHECKED_MS = 1_500;
+
+  /** Two checks of three upstreams, and one try of the dead one in each 0.3 s. */
+  private static final long MAX_CONNECTIONS = 2 * 3 + 6;
 
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private final EventLoop loop = group.next();
@@ -138,4 +143,14 @@
     awaitLost("web", false);
     assertThat(onLoop(() -> paths.isLost(boxes.get(0))), is(false));
   }
+
+  @Test
+  void deadUpstreamIsTriedAgainWithoutChecksOfTheOthers() throws Exception {
+    closeServers(1);
+    loop.submit(() -> paths.suspect(boxes.get(0))).sync();
+    confirm("web");
+    Thread.sleep(RECHECKED_MS);
+    long opened = loop.submit(calls::connectionsOpened).get();
+    assertThat(opened, lessThanOrEqualTo(MAX_CONNECTIONS));
+  }
 }
