--- a/edge/src/main/java/org/shoreroad/edge/path/UpstreamPaths.java
+++ b/edge/src/main/java/org/shoreroad/edge/path/UpstreamPaths.java
@@ -245,7 +245,7 @@
     }
     for (Path path : List.copyOf(connecting)) {
       boolean isSlow = nowNanos - path.connectingSinceNanos > SLOW_CONNECT_NANOS;
-      // What a path that is lost already shows is known.
+      // A path that is known to be lost needs no other check.
       if (isSlow && !lost.contains(path)) {
         check(path.service, path.address);
       }
