Forwarder: send a call only to a process that has answered on the connection

Found by reading the change again; three tests failed before (ForwardClientTest): - a process that accepts connections and does not answer, as one that is suspended, was sent calls: each was lost after 1.2 s as one that may have run ('forwarder_lost sent'), and the process was chosen again at once, since what was known of it had been dropped; - an earlier release closes the connection at the first message: its calls were lost in the same way, although it had read none of them; - a question whether it can connect was never ended (5 s in the test, without bound), so the owner of a domain would not have asked that box again.

Change: a ping opens each connection; calls follow its answer, and go to another process if there is none within 0.3 s, which no upstream can have seen. A process that is silent gets no new calls after 0.8 s; its link is replaced after 3 s, so that answers of a slow one still arrive. Questions end with the link.

Also: a process takes a call for another one only if bytes within 0.2 s or a check prove its own path, so that no request is sent on an open connection whose path is lost too (ForwardServerTest). HeaderFields replaces two pairs of loops.

--- a/edge/src/main/java/org/shoreroad/edge/UpstreamAccess.java
+++ b/edge/src/main/java/org/shoreroad/edge/UpstreamAccess.java
@@ -67,7 +67,7 @@
     this.calls = new RoutedCalls(direct, forwards);
     this.forwardServer =
         new ForwardServer(
-            timer, metrics, ports.headers(), direct, calls, paths::isServiceLost, fleet::find);
+            timer, metrics, ports.headers(), direct, calls, paths, clockNanos, fleet::find);
     metrics.gauge("shoreroad.paths.services_lost", paths::lostServices);
     metrics.gauge("shoreroad.calls.for_others_open", forwardServer::openCount);
   }
--- a/edge/src/main/java/org/shoreroad/edge/forward/ForwardClient.java
+++ b/edge/src/main/java/org/shoreroad/edge/forward/ForwardClient.java
@@ -7,7 +7,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -26,9 +25,9 @@
 /**
  * Client of the other processes that sends calls to upstreams through them.
  *
- * <p>Which of them have a path to an upstream is found by asking: one without a path says so at
- * once. A few that have one share the calls of this process. Not thread-safe: used on the event
- * loop.
+ * <p>Which of them have a path to an upstream is found by sending calls: a process without a path
+ * refuses them at once. A few that have one share the calls of this process. Not thread-safe: used
+ * on the event loop.
  *
  * @since 0.2
  */
@@ -147,36 +146,47 @@
 
   /**
    * Returns a process that may have a path to the service: the one with the fewest calls of this
-   * process among those known to have one, or another one while too few are known.
+   * process among those known to have one, or another one while too few are known. A process that
+   * has not answered yet is returned only if there is no other.
    *
    * @param tried the names of the processes that don't count, not null
    * @return the process, or null if there is none
    */
   @Nullable Forwarder choose(String service, Set<String> tried) {
     List<Forwarder> able = new ArrayList<>();
-    List<String> unknown = new ArrayList<>();
+    List<Forwarder> untested = new ArrayList<>();
+    List<String> unconnected = new ArrayList<>();
     for (String name : peers().keySet()) {
-      Forwarder known = forwarders.get(name);
       if (tried.contains(name) || isUnable(name, service)) {
         continue;
       }
-      if (known != null && known.isAble(service)) {
+      Forwarder known = forwarders.get(name);
+      if (known == null || !known.isAnswering()) {
+        unconnected.add(name);
+      } else if (known.isAble(service)) {
         able.add(known);
       } else {
-        unknown.add(name);
+        untested.add(known);
       }
     }
-    if (!unknown.isEmpty() && able.size() < WANTED_FORWARDERS) {
-      String name = unknown.get(random.nextInt(unknown.size()));
-      return forwarders.computeIfAbsent(name, added -> new Forwarder(added, this));
+    if (able.size() < WANTED_FORWARDERS && !untested.isEmpty()) {
+      return untested.get(random.nextInt(untested.size()));
     }
-    if (able.isEmpty()) {
-      boolean hasUntested = tried.stream().anyMatch(name -> !isUnable(name, service));
-      if (!hasUntested) {
-        noneUntilNanos.put(service, clockNanos.getAsLong() + NONE_NANOS);
+    if (able.size() < WANTED_FORWARDERS && !unconnected.isEmpty()) {
+      Forwarder next = forwarderOf(unconnected.get(random.nextInt(unconnected.size())));
+      if (able.isEmpty()) {
+        return next;
       }
+      next.greet();
+    }
+    if (able.isEmpty()) {
+      recordNone(service, tried);
       return null;
     }
+    return leastLoaded(able);
+  }
+
+  private static Forwarder leastLoaded(List<Forwarder> able) {
     Forwarder least = able.get(0);
     for (Forwarder forwarder : able) {
       if (forwarder.openCount() < least.openCount()) {
@@ -186,6 +196,18 @@
     return least;
   }
 
+  /** Records that no process is left, unless one of those tried may send another call. */
+  private void recordNone(String service, Set<String> tried) {
+    if (tried.stream().allMatch(name -> isUnable(name, service))) {
+      noneUntilNanos.put(service, clockNanos.getAsLong() + NONE_NANOS);
+    }
+  }
+
+  private Forwarder forwarderOf(String name) {
+    return forwarders.computeIfAbsent(
+        name, added -> new Forwarder(added, peers().get(added), this));
+  }
+
   private boolean isUnable(String name, String service) {
     Forwarder known = forwarders.get(name);
     return known != null && known.isUnable(service);
@@ -202,16 +224,10 @@
   }
 
   /** Creates a link to a process. */
-  PeerLink newLink(String name, PeerLink.Listener listener) {
-    String address = Objects.requireNonNull(peers().get(name), name);
+  PeerLink newLink(String address, PeerLink.Listener listener) {
     return new PeerLink(loop, clockNanos, address, listener, CONNECT_TIMEOUT_MS);
   }
 
-  /** Removes a process whose link is dead. */
-  void forget(String name) {
-    forwarders.remove(name);
-  }
-
   long nowNanos() {
     return clockNanos.getAsLong();
   }
--- a/edge/src/main/java/org/shoreroad/edge/forward/ForwardServer.java
+++ b/edge/src/main/java/org/shoreroad/edge/forward/ForwardServer.java
@@ -5,19 +5,19 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.function.Predicate;
+import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.RepeatingTimer;
 import org.shoreroad.edge.caller.HeaderNames;
@@ -27,6 +27,7 @@
 import org.shoreroad.edge.http.UpstreamCall;
 import org.shoreroad.edge.http.UpstreamCalls;
 import org.shoreroad.edge.peer.PeerFrames;
+import org.shoreroad.edge.relay.PathCheck;
 import org.shoreroad.edge.relay.RelayCounters;
 import org.shoreroad.fleet.FleetBox;
 
@@ -48,12 +49,16 @@
 
   private static final int PROBE_TIMEOUT_MS = 150;
 
+  /** Time for which received bytes prove the path to a service. */
+  private static final long PROVEN_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
   private final RepeatingTimer timer;
   private final RelayCounters counters;
   private final HeaderNames headers;
   private final UpstreamCalls calls;
   private final HttpCalls probes;
-  private final Predicate<String> isServiceLost;
+  private final PathCheck paths;
+  private final LongSupplier clockNanos;
   private final Function<String, @Nullable FleetBox> upstreams;
   private final Map<Replies, Link> links = new HashMap<>();
   private final Set<Answer> paused = new HashSet<>();
@@ -65,7 +70,7 @@
    *
    * @param calls the client that sends calls directly, not null
    * @param probes the client that opens connections to try them, not null
-   * @param isServiceLost returns true if this process has no path to a service either, not null
+   * @param paths the check whether this process has a path to a service, not null
    * @param upstreams returns the listed upstream with an id, or null, not null
    */
   public ForwardServer(
@@ -74,14 +79,16 @@
       HeaderNames headers,
       UpstreamCalls calls,
       HttpCalls probes,
-      Predicate<String> isServiceLost,
+      PathCheck paths,
+      LongSupplier clockNanos,
       Function<String, @Nullable FleetBox> upstreams) {
     this.timer = timer;
     this.counters = counters;
     this.headers = headers;
     this.calls = calls;
     this.probes = probes;
-    this.isServiceLost = isServiceLost;
+    this.paths = paths;
+    this.clockNanos = clockNanos;
     this.upstreams = upstreams;
   }
 
@@ -175,42 +182,48 @@
 
     private void begin(ForwardMessage.Call message) throws IOException {
       FleetBox box = upstreams.apply(message.upstream());
-      CallFailure.Reason obstacle = findObstacle(box);
-      counters.count("shoreroad.calls.for_others", obstacle == null ? "taken" : obstacle.code());
-      if (obstacle != null || box == null) {
-        String reason = String.valueOf(obstacle);
-        send(new ForwardMessage.Failed(message.number(), reason, false));
-        return;
+      if (isRefusingNew || openCount() >= MAX_OPEN) {
+        refuse(message.number(), CallFailure.Reason.PATH_LOST);
+      } else if (box == null) {
+        refuse(message.number(), CallFailure.Reason.NOT_CONNECTED);
+      } else {
+        Answer answer = new Answer(this, message, box);
+        answers.put(message.number(), answer);
+        answer.addBody(message.body());
+        confirmPath(box, answer::onPathChecked);
       }
-      Answer answer = new Answer(this, message, box);
-      answers.put(message.number(), answer);
-      answer.addBody(message.body());
     }
 
-    /** Returns why a call can't be sent to the upstream now, or null if it can. */
-    private CallFailure.@Nullable Reason findObstacle(@Nullable FleetBox box) {
-      if (isRefusingNew || openCount() >= MAX_OPEN) {
-        return CallFailure.Reason.PATH_LOST;
-      }
-      if (box == null) {
-        return CallFailure.Reason.NOT_CONNECTED;
-      }
-      if (isServiceLost.test(box.service())) {
-        return CallFailure.Reason.PATH_LOST;
-      }
-      return calls.isPathLost(box) ? CallFailure.Reason.NOT_CONNECTED : null;
+    /** Finds out whether this process has a path to the service, if no bytes prove it. */
+    private void confirmPath(FleetBox box, Consumer<Boolean> callback) {
+      paths.confirm(box.service(), clockNanos.getAsLong() - PROVEN_NANOS, callback);
+    }
+
+    void refuse(long number, CallFailure.Reason reason) {
+      counters.count("shoreroad.calls.for_others", reason.code());
+      send(new ForwardMessage.Failed(number, reason.name(), false));
     }
 
     private void probe(ForwardMessage.Probe message) {
       FleetBox box = upstreams.apply(message.upstream());
-      if (box == null || isServiceLost.test(box.service())) {
-        send(new ForwardMessage.Probed(message.number(), ProbeOutcome.UNABLE.name()));
-        return;
+      if (box == null) {
+        sendOutcome(message.number(), ProbeOutcome.UNABLE);
+      } else {
+        confirmPath(box, isReached -> probe(message.number(), box, isReached));
+      }
+    }
+
+    private void probe(long number, FleetBox box, boolean isReached) {
+      if (isReached) {
+        probes.probe(
+            box.address(), PROBE_TIMEOUT_MS, failure -> sendOutcome(number, outcome(failure)));
+      } else {
+        sendOutcome(number, ProbeOutcome.UNABLE);
       }
-      probes.probe(
-          box.address(),
-          PROBE_TIMEOUT_MS,
-          failure -> send(new ForwardMessage.Probed(message.number(), outcome(failure).name())));
+    }
+
+    private void sendOutcome(long number, ProbeOutcome outcome) {
+      send(new ForwardMessage.Probed(number, outcome.name()));
     }
 
     private static ProbeOutcome outcome(CallFailure.@Nullable Reason failure) {
@@ -238,7 +251,9 @@
     private @Nullable UpstreamCall call;
     private boolean isWanted = true;
     private boolean isReading = true;
+    private boolean isPathChecked;
     private boolean isStarted;
+    private boolean isOver;
 
     Answer(Link link, ForwardMessage.Call message, FleetBox box) {
       this.link = link;
@@ -252,23 +267,45 @@
         throw new IOException("the body is longer than announced");
       }
       body.writeBytes(bytes);
-      if (body.readableBytes() == message.bodyBytes()) {
-        isStarted = true;
-        // The connections of the process that asks are not used, so they are added to those here.
-        int maxConnections = message.maxConnections() * (1 + links.size());
-        call =
-            calls.send(box, toRequest(), Math.max(message.maxConnections(), maxConnections), this);
+      startIfReady();
+    }
+
+    void onPathChecked(boolean isReached) {
+      if (isOver) {
+        return;
+      }
+      isPathChecked = true;
+      if (!isReached) {
+        refuse(CallFailure.Reason.PATH_LOST);
+      } else if (calls.isPathLost(box)) {
+        refuse(CallFailure.Reason.NOT_CONNECTED);
+      } else {
+        startIfReady();
       }
     }
 
+    private void refuse(CallFailure.Reason reason) {
+      end();
+      body.release();
+      link.refuse(message.number(), reason);
+    }
+
+    private void startIfReady() {
+      if (!isPathChecked || body.readableBytes() < message.bodyBytes()) {
+        return;
+      }
+      isStarted = true;
+      counters.count("shoreroad.calls.for_others", "taken");
+      // The connections of the process that asks are not used, so they are added to those here.
+      int maxConnections = message.maxConnections() * (1 + links.size());
+      call = calls.send(box, toRequest(), Math.max(message.maxConnections(), maxConnections), this);
+    }
+
     private FullHttpRequest toRequest() {
       FullHttpRequest request =
           new DefaultFullHttpRequest(
               HttpVersion.HTTP_1_1, HttpMethod.valueOf(message.method()), message.uri(), body);
-      List<String> fields = message.headers();
-      for (int i = 0; i + 1 < fields.size(); i += 2) {
-        request.headers().add(fields.get(i), fields.get(i + 1));
-      }
+      HeaderFields.addTo(request.headers(), message.headers());
       return request;
     }
 
@@ -286,12 +323,13 @@
       end();
       if (call != null) {
         call.cancel();
-      } else {
+      } else if (!isStarted) {
         body.release();
       }
     }
 
     private void end() {
+      isOver = true;
       link.answers.remove(message.number());
       paused.remove(this);
     }
@@ -326,7 +364,7 @@
               message.number(),
               head.status().code(),
               head.status().reasonPhrase(),
-              fieldsOf(head.headers())));
+              HeaderFields.toList(head.headers())));
       return true;
     }
 
@@ -349,13 +387,4 @@
           new ForwardMessage.Failed(message.number(), failure.reason().name(), failure.isSent()));
     }
   }
-
-  private static List<String> fieldsOf(HttpHeaders from) {
-    List<String> fields = new ArrayList<>();
-    for (Map.Entry<String, String> field : from) {
-      fields.add(field.getKey());
-      fields.add(field.getValue());
-    }
-    return fields;
-  }
 }
--- a/edge/src/main/java/org/shoreroad/edge/forward/ForwardedCall.java
+++ b/edge/src/main/java/org/shoreroad/edge/forward/ForwardedCall.java
@@ -7,11 +7,8 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.http.CallFailure;
@@ -22,8 +19,8 @@
 /**
  * Call of this process that another one sends to the upstream.
  *
- * <p>A process that can't send it answers so, and the call goes to the next one. Not thread-safe:
- * used on the event loop.
+ * <p>If the process can't send it, the call goes to the next one. Not thread-safe: used on the
+ * event loop.
  */
 final class ForwardedCall implements UpstreamCall {
   /** Maximum bytes of the body in one message, well below the maximum size of a frame. */
@@ -85,11 +82,6 @@
 
   private boolean sendTo(Forwarder next) {
     byte[] body = ByteBufUtil.getBytes(request.content());
-    List<String> headers = new ArrayList<>();
-    for (Map.Entry<String, String> header : request.headers()) {
-      headers.add(header.getKey());
-      headers.add(header.getValue());
-    }
     int partBytes = Math.min(body.length, MAX_PART_BYTES);
     boolean isTaken =
         next.send(
@@ -98,7 +90,7 @@
                 box.id(),
                 request.method().name(),
                 request.uri(),
-                headers,
+                HeaderFields.toList(request.headers()),
                 maxConnections,
                 body.length,
                 Arrays.copyOf(body, partBytes)));
@@ -122,10 +114,7 @@
     DefaultHttpResponse response =
         new DefaultHttpResponse(
             HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status(), head.reasonPhrase()));
-    List<String> headers = head.headers();
-    for (int i = 0; i + 1 < headers.size(); i += 2) {
-      response.headers().add(headers.get(i), headers.get(i + 1));
-    }
+    HeaderFields.addTo(response.headers(), head.headers());
     if (!isOver && !listener.onHead(response)) {
       abandon();
       fail(CallFailure.Reason.MALFORMED, true);
--- a/edge/src/main/java/org/shoreroad/edge/forward/Forwarder.java
+++ b/edge/src/main/java/org/shoreroad/edge/forward/Forwarder.java
@@ -1,5 +1,6 @@
 package org.shoreroad.edge.forward;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,7 +12,12 @@
 
 /**
  * Another process as a sender of calls for this one: the link to it, the calls there, and the
- * services to which it has a path. Not thread-safe: used on the event loop.
+ * services to which it has a path.
+ *
+ * <p>A call is sent only after the process has answered a ping on the same connection. One that is
+ * suspended, or whose release has no forwarding, therefore has nothing of a call, which can be sent
+ * through another process without a risk that it runs twice. Not thread-safe: used on the event
+ * loop.
  */
 final class Forwarder implements PeerLink.Listener {
   /** Time for which a process that could not send a call is not asked again. */
@@ -20,26 +26,39 @@
   /** Time for which a process that has sent a call counts as able to send others. */
   private static final long ABLE_NANOS = TimeUnit.SECONDS.toNanos(5);
 
-  /** Time without a message, while calls are open, after which the link is tested. */
+  /** Time to connect and to answer the first ping. */
+  private static final long FIRST_ANSWER_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+  /** Time without a message, while an answer is awaited, after which the link is tested. */
   private static final long PING_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
-  /** Time without a message, while calls are open, after which the link is lost. */
-  private static final long DEAD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
+  /** Time without a message, while an answer is awaited, after which no call is added. */
+  private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
+  /**
+   * Time without a message, while an answer is awaited, after which the link is lost. A process
+   * that is slow for a second or two still returns its answers.
+   */
+  private static final long DEAD_NANOS = TimeUnit.SECONDS.toNanos(3);
 
   private final String name;
+  private final String address;
   private final ForwardClient client;
   private final Map<Long, ForwardedCall> calls = new HashMap<>();
   private final Map<Long, Consumer<ProbeOutcome>> probes = new HashMap<>();
   private final Map<String, Long> unableUntilNanos = new HashMap<>();
   private final Map<String, Long> ableUntilNanos = new HashMap<>();
-  private final PeerLink link;
-  private boolean isOpen;
-  private long receivedNanos;
+  private final List<ForwardMessage> held = new ArrayList<>();
+  private PeerLink link;
+  private boolean isGreeting;
+  private boolean isAnswering;
+  private long awaitedSinceNanos;
 
-  Forwarder(String name, ForwardClient client) {
+  Forwarder(String name, String address, ForwardClient client) {
     this.name = name;
+    this.address = address;
     this.client = client;
-    this.link = client.newLink(name, this);
+    this.link = client.newLink(address, this);
   }
 
   String name() {
@@ -47,12 +66,20 @@
   }
 
   void add(long number, ForwardedCall call) {
-    if (calls.isEmpty()) {
-      receivedNanos = client.nowNanos();
-    }
+    restartWaitIfIdle();
     calls.put(number, call);
   }
 
+  private void restartWaitIfIdle() {
+    if (!isAwaiting()) {
+      awaitedSinceNanos = client.nowNanos();
+    }
+  }
+
+  private boolean isAwaiting() {
+    return isGreeting || !calls.isEmpty() || !probes.isEmpty();
+  }
+
   void remove(long number) {
     calls.remove(number);
   }
@@ -61,12 +88,25 @@
     return calls.size();
   }
 
+  /** Returns true once the process has answered on the present connection. */
+  boolean isAnswering() {
+    return isAnswering;
+  }
+
   boolean isUnable(String service) {
-    return client.nowNanos() - unableUntilNanos.getOrDefault(service, Long.MIN_VALUE / 2) < 0;
+    return isSilentFor(SILENT_NANOS) || isBefore(unableUntilNanos.get(service));
   }
 
   boolean isAble(String service) {
-    return client.nowNanos() - ableUntilNanos.getOrDefault(service, Long.MIN_VALUE / 2) < 0;
+    return isAnswering && !isUnable(service) && isBefore(ableUntilNanos.get(service));
+  }
+
+  private boolean isBefore(@Nullable Long untilNanos) {
+    return untilNanos != null && client.nowNanos() - untilNanos < 0;
+  }
+
+  private boolean isSilentFor(long nanos) {
+    return isAwaiting() && client.nowNanos() - awaitedSinceNanos > nanos;
   }
 
   private void setUnable(String service) {
@@ -74,13 +114,37 @@
     unableUntilNanos.put(service, client.nowNanos() + UNABLE_NANOS);
   }
 
-  /** Sends a message; returns false if the link does not take it. */
+  /** Connects to the process, so that calls can be sent through it without a delay. */
+  void greet() {
+    if (!isAnswering && !isGreeting) {
+      restartWaitIfIdle();
+      isGreeting = sendNow(new ForwardMessage.Ping(0));
+    }
+  }
+
+  /**
+   * Sends a message once the process has answered.
+   *
+   * @return false if the link does not take it
+   */
   boolean send(ForwardMessage message) {
+    if (isAnswering) {
+      return sendNow(message);
+    }
+    greet();
+    if (isGreeting) {
+      held.add(message);
+    }
+    return isGreeting;
+  }
+
+  private boolean sendNow(ForwardMessage message) {
     return link.sendReliably(ForwardCodec.toBytes(message));
   }
 
   /** Asks whether the process can connect to an upstream. */
   void probe(long number, String upstream, Consumer<ProbeOutcome> callback) {
+    restartWaitIfIdle();
     probes.put(number, callback);
     if (!send(new ForwardMessage.Probe(number, upstream))) {
       endProbe(number, ProbeOutcome.UNABLE);
@@ -94,35 +158,32 @@
     }
   }
 
-  /** Tests the link if calls wait there, and replaces a link that does not answer. */
+  /** Tests the link while an answer is awaited, and replaces a link without answers. */
   void checkLink() {
-    long silentNanos = client.nowNanos() - receivedNanos;
-    if (calls.isEmpty()) {
-      return;
-    }
-    if (silentNanos > DEAD_NANOS) {
-      client.forget(name);
+    if (isSilentFor(isAnswering ? DEAD_NANOS : FIRST_ANSWER_NANOS)) {
       link.close();
+      link = client.newLink(address, this);
       onLost();
-    } else if (silentNanos > PING_NANOS) {
-      send(new ForwardMessage.Ping(0));
+    } else if (isAnswering && isSilentFor(PING_NANOS)) {
+      sendNow(new ForwardMessage.Ping(0));
     }
   }
 
   /** Closes the link if it was not used for some time; returns true if it is closed. */
   boolean closeIfIdle(long nowNanos) {
-    return calls.isEmpty() && probes.isEmpty() && link.closeIfIdle(nowNanos);
-  }
-
-  @Override
-  public void onOpen() {
-    isOpen = true;
-    receivedNanos = client.nowNanos();
+    return !isAwaiting() && link.closeIfIdle(nowNanos);
   }
 
   @Override
   public void onFrame(byte[] frame) throws Exception {
-    receivedNanos = client.nowNanos();
+    awaitedSinceNanos = client.nowNanos();
+    if (!isAnswering) {
+      isAnswering = true;
+      isGreeting = false;
+      List<ForwardMessage> first = List.copyOf(held);
+      held.clear();
+      first.forEach(this::sendNow);
+    }
     if (ForwardCodec.isForwardMessage(frame)) {
       ForwardMessage message = ForwardCodec.parse(frame).orElse(null);
       if (message != null) {
@@ -143,7 +204,7 @@
     if (message instanceof ForwardMessage.Content content) {
       call.onContent(content.bytes());
     } else if (message instanceof ForwardMessage.Head head) {
-      setAble(call);
+      ableUntilNanos.put(call.box().service(), client.nowNanos() + ABLE_NANOS);
       call.onHead(head);
     } else if (message instanceof ForwardMessage.End) {
       call.onEnd();
@@ -152,19 +213,15 @@
     }
   }
 
-  private void setAble(ForwardedCall call) {
-    ableUntilNanos.put(call.box().service(), client.nowNanos() + ABLE_NANOS);
-  }
-
   private void receiveFailure(ForwardedCall call, ForwardMessage.Failed failed) {
-    CallFailure.@Nullable Reason reason = CallFailure.Reason.find(failed.reason());
+    CallFailure.Reason reason = CallFailure.Reason.find(failed.reason());
     if (reason == CallFailure.Reason.PATH_LOST && !failed.isSent()) {
       setUnable(call.box().service());
       call.onUnsent();
     } else if (reason == CallFailure.Reason.NOT_CONNECTED
         && !failed.isSent()
         && !call.isRetried()) {
-      // Its path may be lost too, which it has not found yet.
+      // The process may have lost its path without having detected that.
       call.onUnsent();
     } else {
       call.fail(reason == null ? CallFailure.Reason.BROKEN : reason, failed.isSent());
@@ -173,8 +230,10 @@
 
   @Override
   public void onLost() {
-    boolean wasOpen = isOpen;
-    isOpen = false;
+    boolean hasAnswered = isAnswering;
+    isAnswering = false;
+    isGreeting = false;
+    held.clear();
     client.log().write("forward_link_lost", "peer", name, "calls", calls.size());
     List<ForwardedCall> lost = List.copyOf(calls.values());
     calls.clear();
@@ -182,7 +241,7 @@
       setUnable(call.box().service());
     }
     for (ForwardedCall call : lost) {
-      if (wasOpen) {
+      if (hasAnswered) {
         call.fail(CallFailure.Reason.FORWARDER_LOST, true);
       } else {
         call.onUnsent();
