SharedStore: a read waits as long as it is asked to

Cause of the test that was known red (CutOffProcessTest, two of three processes cut off): the store of the tests counted its wait in polls of 10 ms, each of which takes longer on a loaded machine. So reads of the configuration took up to a fifth longer, the proof of the keys became too old, and all requests of about 0.1 s were refused (keys_too_old). The suspicion that the link to the only sound process opened late was wrong.

Change: the wait ends by the clock. No bound of the test is changed.

--- a/edge/src/test/java/org/shoreroad/edge/forward/FakeProcess.java
+++ b/edge/src/test/java/org/shoreroad/edge/forward/FakeProcess.java
@@ -9,7 +9,9 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
-/** Another process at the end of a link, which handles messages on forwarded calls in a fixed way. */
+/**
+ * Another process at the end of a link, which handles messages on forwarded calls in a fixed way.
+ */
 final class FakeProcess implements AutoCloseable {
   private final ServerSocket listening;
   private final Behavior behavior;
--- a/edge/src/test/java/org/shoreroad/edge/relay/SharedStore.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/SharedStore.java
@@ -97,12 +97,16 @@
 
     @Override
     public void read(Topic topic, long fromOffset, int waitMs, StoreCallback<StorePage> callback) {
+      readUntil(
+          System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMs), topic, fromOffset, callback);
+    }
+
+    private void readUntil(
+        long endNanos, Topic topic, long fromOffset, StoreCallback<StorePage> callback) {
       StorePage page = page(topic, fromOffset);
-      if (page.records().isEmpty() && waitMs > 0) {
+      if (page.records().isEmpty() && System.nanoTime() - endNanos < 0) {
         loop.schedule(
-            () -> read(topic, fromOffset, waitMs - POLL_MS, callback),
-            POLL_MS,
-            TimeUnit.MILLISECONDS);
+            () -> readUntil(endNanos, topic, fromOffset, callback), POLL_MS, TimeUnit.MILLISECONDS);
       } else {
         loop.execute(() -> callback.onValue(page));
       }
