--- a/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/StallDetector.java
@@ -195,7 +195,7 @@
     return exchange.onStall(load);
   }
 
-  /** Tells the other processes of a stall, unless only this process has lost its path. */
+  /** Reports a stall to the other processes, unless only this process has lost its path. */
   private void reportSuspicion(UpstreamLoad load, String headId, boolean isNew, boolean isReached) {
     if (isReached) {
       load.confirmSuspicion();
--- a/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/UpstreamLoad.java
@@ -148,7 +148,7 @@
     hasOwnSuspicion |= isOwn;
   }
 
-  /** Starts the silence anew, since what was sent before tells nothing about the upstream. */
+  /** Restarts the silence, since the path was lost and earlier calls show no stall. */
   void restartSilence(long nowNanos) {
     openSinceNanos = nowNanos;
   }
--- a/edge/src/main/java/org/shoreroad/edge/replica/UnreachedBoxes.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/UnreachedBoxes.java
@@ -26,7 +26,7 @@
 
   /** Why a box does not answer. */
   enum Cause {
-    /** This process has no path to it, which says nothing about the box. */
+    /** This process has no path to the box, which is no evidence against it. */
     PATH,
     /** The path is sound, but the box does not answer. */
     SILENT,
--- a/edge/src/test/java/org/shoreroad/edge/relay/CutOffProcessTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/CutOffProcessTest.java
@@ -42,7 +42,7 @@
   private static final int EVENT_MS = 20;
   private static final int WORK_MS = 15;
 
-  /** Time until all processes know each other and connections to the upstreams are open. */
+  /** Time until the processes exchange heartbeats and have read the list of upstreams. */
   private static final int START_MS = 2_500;
 
   /** Time within which a process must find that it has lost the path. */
