Forwarder: prefer processes whose link did not fail; ports of EdgeSite

Forwarder: a process without an answer was greeted again with each call, and after a loss counted as unable also where no other was left. Now it is avoided for 0.5 s, and used before a refusal if it is the only one.

EdgeSite: CutOffProcessTest failed once in ten runs with 'Address already in use': a port that a test process or a cut path had given back was taken by an outgoing connection. Such ports now lie below the ephemeral ones (TestPorts).

--- a/edge/src/main/java/org/shoreroad/edge/forward/ForwardClient.java
+++ b/edge/src/main/java/org/shoreroad/edge/forward/ForwardClient.java
@@ -156,12 +156,15 @@
     List<Forwarder> able = new ArrayList<>();
     List<Forwarder> untested = new ArrayList<>();
     List<String> unconnected = new ArrayList<>();
+    List<String> failed = new ArrayList<>();
     for (String name : peers().keySet()) {
       if (tried.contains(name) || isUnable(name, service)) {
         continue;
       }
       Forwarder known = forwarders.get(name);
-      if (known == null || !known.isAnswering()) {
+      if (known != null && known.hasFailedRecently()) {
+        failed.add(name);
+      } else if (known == null || !known.isAnswering()) {
         unconnected.add(name);
       } else if (known.isAble(service)) {
         able.add(known);
@@ -179,6 +182,9 @@
       }
       next.greet();
     }
+    if (able.isEmpty() && !failed.isEmpty()) {
+      return forwarderOf(failed.get(random.nextInt(failed.size())));
+    }
     if (able.isEmpty()) {
       recordNone(service, tried);
       return null;
@@ -198,7 +204,7 @@
 
   /** Records that no process is left, unless one of those tried may send another call. */
   private void recordNone(String service, Set<String> tried) {
-    if (tried.stream().allMatch(name -> isUnable(name, service))) {
+    if (tried.stream().allMatch(name -> isUnable(name, service) || hasFailed(name))) {
       noneUntilNanos.put(service, clockNanos.getAsLong() + NONE_NANOS);
     }
   }
@@ -208,6 +214,11 @@
         name, added -> new Forwarder(added, peers().get(added), this));
   }
 
+  private boolean hasFailed(String name) {
+    Forwarder known = forwarders.get(name);
+    return known != null && known.hasFailedRecently();
+  }
+
   private boolean isUnable(String name, String service) {
     Forwarder known = forwarders.get(name);
     return known != null && known.isUnable(service);
--- a/edge/src/main/java/org/shoreroad/edge/forward/Forwarder.java
+++ b/edge/src/main/java/org/shoreroad/edge/forward/Forwarder.java
@@ -20,7 +20,7 @@
  * loop.
  */
 final class Forwarder implements PeerLink.Listener {
-  /** Time for which a process that could not send a call is not asked again. */
+  /** Time for which a process that could not send a call, or whose link failed, is avoided. */
   private static final long UNABLE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   /** Time for which a process that has sent a call counts as able to send others. */
@@ -53,6 +53,7 @@
   private boolean isGreeting;
   private boolean isAnswering;
   private long awaitedSinceNanos;
+  private long failedNanos = Long.MIN_VALUE / 2;
 
   Forwarder(String name, String address, ForwardClient client) {
     this.name = name;
@@ -93,6 +94,12 @@
     return isAnswering;
   }
 
+  /** Returns true if its link was lost, or not answered, a short time ago. */
+  boolean hasFailedRecently() {
+    return client.nowNanos() - failedNanos < UNABLE_NANOS;
+  }
+
+  /** Returns true if it has refused a call to the service, or does not answer. */
   boolean isUnable(String service) {
     return isSilentFor(SILENT_NANOS) || isBefore(unableUntilNanos.get(service));
   }
@@ -237,9 +244,7 @@
     client.log().write("forward_link_lost", "peer", name, "calls", calls.size());
     List<ForwardedCall> lost = List.copyOf(calls.values());
     calls.clear();
-    for (ForwardedCall call : lost) {
-      setUnable(call.box().service());
-    }
+    failedNanos = client.nowNanos();
     for (ForwardedCall call : lost) {
       if (hasAnswered) {
         call.fail(CallFailure.Reason.FORWARDER_LOST, true);
--- a/edge/src/test/java/org/shoreroad/edge/forward/ForwardClientTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/forward/ForwardClientTest.java
@@ -143,6 +143,13 @@
     assertThat(loop.submit(() -> client.hasForwarder("web")).get(), is(false));
   }
 
+  @Test
+  void callThatOnlySuspendedProcessCouldSendFailsUnsentAndOthersAtOnce() throws Exception {
+    start(Behavior.SUSPENDED);
+    assertThat(call(), is("path_lost not sent"));
+    assertThat(loop.submit(() -> client.hasForwarder("web")).get(), is(false));
+  }
+
   @Test
   void callOfProcessThatEndsMayHaveBeenSent() throws Exception {
     start(Behavior.ENDS_AT_CALL);
--- a/edge/src/test/java/org/shoreroad/edge/relay/EdgeSite.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/EdgeSite.java
@@ -213,7 +213,7 @@
     List<ServerSocket> sockets = new ArrayList<>();
     List<InetSocketAddress> addresses = new ArrayList<>();
     for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+      ServerSocket socket = TestPorts.listen(1);
       sockets.add(socket);
       addresses.add(new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort()));
     }
--- a/edge/src/test/java/org/shoreroad/edge/relay/PathProxy.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/PathProxy.java
@@ -39,7 +39,7 @@
 
   PathProxy(String target) throws IOException {
     this.target = target;
-    listening = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+    listening = TestPorts.listen(BACKLOG);
     port = listening.getLocalPort();
     startAccepting(listening);
   }
