Log the shared prompt parts and the writing time of attempts that end with a crash

Change: attempt_failed has writingMs (time since the first bytes of the answer, -1 before) and, for connections that ended, the ids of all parts but the last. No decision depends on them.

--- a/edge/src/main/java/org/shoreroad/edge/caller/HeaderNames.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/HeaderNames.java
@@ -25,6 +25,9 @@
  * @param lengthHint the caller's estimate of the tokens of the answer
  * @param coldMs the time for which the upstream stays cold, in milliseconds, in its answers to
  *     liveness checks
+ * @param promptParts the parts of the prompt in order, each as id, colon and number of tokens,
+ *     separated by commas; the last part belongs to the request or its session, all others may be
+ *     shared with other requests
  * @since 0.2
  */
 public record HeaderNames(
@@ -41,7 +44,8 @@
     String limit,
     String leaving,
     String lengthHint,
-    String coldMs) {
+    String coldMs,
+    String promptParts) {
   /**
    * Returns true if an answer belongs to another request than the one with this id. An upstream may
    * send one more answer late on a connection.
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -45,6 +45,8 @@
   private boolean hasTurn;
   private boolean isRecordedAsSent;
   private boolean isPromptRead;
+  private boolean hasWritten;
+  private long firstContentNanos;
   private long lastEventNanos;
   private boolean isOver;
 
@@ -151,6 +153,14 @@
     return head != null;
   }
 
+  /**
+   * Returns the time since the upstream sent the first bytes of its answer, in nanoseconds, or -1
+   * if it has sent none.
+   */
+  long writingNanos(long nowNanos) {
+    return hasWritten ? nowNanos - firstContentNanos : -1;
+  }
+
   void cancel() {
     if (!isOver) {
       end(isSent() ? GrantEnd.USED : GrantEnd.UNUSED);
@@ -227,6 +237,10 @@
   public void onContent(ByteBuf content) {
     long nowNanos = relay.nowNanos();
     target.load().recordProgress(nowNanos);
+    if (!hasWritten) {
+      hasWritten = true;
+      firstContentNanos = nowNanos;
+    }
     if (events != null) {
       exchange.onProgress(this);
       recordPace(nowNanos);
--- a/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.caller.CallerRequest;
@@ -18,6 +19,7 @@
 final class ExchangeLog {
   private static final long NO_VERSION = -1;
   private static final long NO_EVENT = -1;
+  private static final long NO_ANSWER = -1;
 
   private final Relay relay;
   private final CallerRequest request;
@@ -113,12 +115,21 @@
         String.valueOf(target.replicaName()),
         "hadHead",
         failed.hasHead(),
+        "writingMs",
+        writingMs(failed),
+        "parts",
+        fingerprint == null ? Set.of() : reader.sharedPartIds(),
         "cause",
         failed.failureCause() == null ? "" : failed.failureCause().code(),
         "fingerprint",
         fingerprint == null ? "" : fingerprint);
   }
 
+  private long writingMs(Attempt attempt) {
+    long writingNanos = attempt.writingNanos(relay.nowNanos());
+    return writingNanos < 0 ? NO_ANSWER : TimeUnit.NANOSECONDS.toMillis(writingNanos);
+  }
+
   /**
    * Writes that an answer which has begun ends before it is complete.
    *
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.LinkedHashSet;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.caller.CallerRequest;
@@ -27,6 +28,12 @@
   private static final String BEARER = "Bearer ";
   private static final int DEFAULT_DEADLINE_MS = 60_000;
 
+  /** Maximum number of parts of a prompt that are read; the rest is not considered. */
+  private static final int MAX_PARTS = 64;
+
+  private static final char PART_SEPARATOR = ',';
+  private static final char TOKENS_SEPARATOR = ':';
+
   private final CallerRequest request;
   private final HeaderNames names;
   private @Nullable RequestFingerprint fingerprint;
@@ -63,6 +70,28 @@
     return Decimals.parse(request.header(names.tokenCount()).split(",", 2)[0].trim(), 0);
   }
 
+  /**
+   * Returns the ids of the parts of the prompt that it may share with other requests, in order: all
+   * but the last, which belongs to the request or its session.
+   */
+  Set<String> sharedPartIds() {
+    String header = request.header(names.promptParts());
+    Set<String> ids = new LinkedHashSet<>();
+    int from = 0;
+    int end = header.indexOf(PART_SEPARATOR);
+    while (end >= 0 && ids.size() < MAX_PARTS) {
+      String part = header.substring(from, end);
+      int idEnd = part.indexOf(TOKENS_SEPARATOR);
+      String id = (idEnd < 0 ? part : part.substring(0, idEnd)).trim();
+      if (!id.isEmpty()) {
+        ids.add(id);
+      }
+      from = end + 1;
+      end = header.indexOf(PART_SEPARATOR, from);
+    }
+    return ids;
+  }
+
   /**
    * Returns the caller's estimate of the tokens of the answer, at most the number that it permits,
    * or 0 if it gives none.
--- a/edge/src/test/java/org/shoreroad/edge/forward/ForwardServerTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/forward/ForwardServerTest.java
@@ -30,7 +30,8 @@
 /** Tests of calls that this process sends for others, with fakes of the link and the upstreams. */
 class ForwardServerTest {
   private static final HeaderNames NAMES =
-      new HeaderNames("X-Attempt", "D", "M", "T", "L", "E", "A", "R", "S", "N", "I", "V", "H", "C");
+      new HeaderNames(
+          "X-Attempt", "D", "M", "T", "L", "E", "A", "R", "S", "N", "I", "V", "H", "C", "P");
   private static final FleetBox BOX =
       new FleetBox("web-1", "web", "127.0.0.1:1", "z", 6, false, null, null, List.of(), null);
 
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -65,7 +65,8 @@
           "X-Limit",
           "X-Leaving",
           "X-Length-Hint",
-          "X-Cold-Ms");
+          "X-Cold-Ms",
+          "X-Parts");
   static final int READ_TIMEOUT_MS = 10_000;
 
   /** Prefix of the ids of upstreams that are heads of replicas of model {@code m}. */
