Failing test: a prompt part that crashes head after head

CrashingPartTest plays it with three whole processes, 14 heads that start again after 2.5 s, a sound request each 15 ms and one with the part each 130 ms, of one account.

--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/relay/CrashingPartTest.java
@@ -0,0 +1,73 @@
+package org.shoreroad.edge.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against a prompt part, shared by requests that differ, that crashes head after head. */
+@Timeout(60)
+class CrashingPartTest {
+  private static final int PROCESSES = 3;
+  private static final int SOUND_GAP_MS = 15;
+  private static final int CRASHING_GAP_MS = 130;
+  private static final int PLAY_MS = 9_000;
+  private static final int ALLOWED_CRASHES = 5;
+  private static final int MAX_LATE_ARRIVALS = 3;
+  private static final int MIN_REQUESTS = 100;
+  private static final double MIN_SERVED = 0.98;
+
+  /** Time after the fifth crash within which all processes must refuse the part. */
+  private static final long PROPAGATION_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** Time after the fifth crash until the last crashed heads have started again. */
+  private static final long RECOVERY_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+  @ParameterizedTest
+  @CsvSource({
+    "'c1:800,bad:40', 'c1:800,good:40'",
+    "'bad:40,c1:800', 'good:40,c1:800'",
+    "'c1:800,c2:20,bad:40,c3:9', 'c1:800,c2:20,good:40,c3:9'"
+  })
+  void partThatCrashesHeadsIsRefusedAndSoundRequestsAreServed(String crashing, String sound)
+      throws Exception {
+    try (CrashingPartSite site = new CrashingPartSite(PROCESSES, Set.of("bad"))) {
+      site.sendEvery(SOUND_GAP_MS, sound);
+      Thread.sleep(1_000);
+      site.sendEvery(CRASHING_GAP_MS, crashing);
+      Thread.sleep(PLAY_MS);
+      site.stopSending();
+      List<Long> crashes = site.crashNanos();
+      assertThat("crashes", crashes.size(), greaterThanOrEqualTo(ALLOWED_CRASHES - 2));
+      long fifthNanos = crashes.get(Math.min(crashes.size(), ALLOWED_CRASHES) - 1);
+      assertThat(
+          "arrivals of " + crashes.size() + " crashes",
+          site.crashingArrivalsAfter(fifthNanos + PROPAGATION_NANOS),
+          lessThanOrEqualTo((long) MAX_LATE_ARRIVALS));
+      checkServed(site.resultsAfter(fifthNanos + RECOVERY_NANOS, sound));
+      List<CrashingPartSite.Result> refused =
+          site.resultsAfter(fifthNanos + PROPAGATION_NANOS, crashing);
+      assertThat(
+          "refused",
+          refused.stream().filter(result -> result.status() == 503).count(),
+          is((long) refused.size()));
+    }
+  }
+
+  private static void checkServed(List<CrashingPartSite.Result> results) {
+    long served = results.stream().filter(CrashingPartSite.Result::isServed).count();
+    assertThat("requests", results.size(), greaterThan(MIN_REQUESTS));
+    assertThat(
+        "served of " + results.size(),
+        (double) served / results.size(),
+        greaterThanOrEqualTo(MIN_SERVED));
+  }
+}
--- a/edge/src/test/java/org/shoreroad/edge/relay/EdgeSite.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/EdgeSite.java
@@ -13,6 +13,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.ConfigurationView;
@@ -55,7 +57,8 @@
 
   private final SharedStore store = new SharedStore();
   private final Map<String, FakeUpstream> upstreams = new HashMap<>();
-  private final List<Member> members = new ArrayList<>();
+  private final List<Member> members = new CopyOnWriteArrayList<>();
+  private final Map<String, Integer> starts = new ConcurrentHashMap<>();
 
   /** Starts upstreams that are listed with their ids. */
   EdgeSite(Map<String, FakeUpstream> upstreams) {
@@ -75,6 +78,22 @@
     return members;
   }
 
+  /** Ends an upstream: resets its connections and refuses new ones until it starts again. */
+  void crash(String id) throws IOException {
+    for (Member member : members) {
+      member.paths.get(id).cut(PathProxy.Cut.RESET);
+    }
+  }
+
+  /** Starts an upstream again after it has crashed, as a new incarnation. */
+  void restart(String id) throws IOException {
+    for (Member member : members) {
+      member.paths.get(id).heal();
+    }
+    int start = starts.merge(id, 1, Integer::sum);
+    store.put(Topic.UPSTREAMS, id, new byte[] {(byte) start});
+  }
+
   /** Returns the name of the process that holds a fabric domain, empty if there is none. */
   String holder(String domain) {
     return store.holder(domain);
@@ -152,7 +171,8 @@
       if (id.startsWith(LoopbackRelay.HEAD_PREFIX)) {
         ReplicaId replica = new ReplicaId("r-" + id + "|" + id + "|" + address, 1);
         Membership head = new Membership(replica, 0, MemberState.OPEN);
-        return new FleetBox(id, "llm", address, "z", SLOTS, false, "d", "m", List.of(), head);
+        return new FleetBox(id, "llm", address, "z", SLOTS, false, "d", "m", List.of(), head)
+            .withStart(entry.length == 0 ? 0 : entry[0]);
       }
       return new FleetBox(id, "web", address, "z", 6, false, null, null, List.of(), null);
     }
