PartQuarantine: do not send prompt parts that crash upstreams

Cause: evidence of a crash was kept under the fingerprint of one request, which holds its body. No two of these requests are alike, so each crashed up to three heads and nothing was learnt from it for the next one. Class: evidence filed under a narrower key than the cause.

Change: crashes count under each shared part of the prompts that were about to begin at the head or had just begun. A part is quarantined after three crashes (two at most under one request, 100 ms apart) that no quarantined part explains, if no request with it has been answered since. Parts with the same crashes are refused only together, so a sound companion shows itself. Processes exchange the crashes in heartbeats, and the quarantine stands in the store. A quarantined part is refused at once (503, part_quarantined); one process tries one request ten minutes after the last crash. QuarantineRecord became QuarantineFormat for both kinds; the field fingerprint of the log lines quarantine_written and quarantine_not_written is now key.

Evidence: CrashingPartTest (three processes, 14 heads, one request with the part each 130 ms).

Why it works: a sound part is answered somewhere, a crashing one never is.

--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -16,11 +16,13 @@
 import org.shoreroad.edge.peer.HeartbeatAdditions;
 import org.shoreroad.edge.peer.PeerMesh;
 import org.shoreroad.edge.peer.ProcessRegistry;
+import org.shoreroad.edge.peer.QuarantineFormat;
 import org.shoreroad.edge.peer.QuarantineRegistry;
 import org.shoreroad.edge.relay.Backpressure;
 import org.shoreroad.edge.relay.DemandMeter;
 import org.shoreroad.edge.relay.FleetSummary;
 import org.shoreroad.edge.relay.HeadViews;
+import org.shoreroad.edge.relay.PartGuard;
 import org.shoreroad.edge.relay.Relay;
 import org.shoreroad.edge.relay.RequestQuarantine;
 import org.shoreroad.edge.relay.StallDetector;
@@ -37,6 +39,10 @@
 import org.shoreroad.edge.sync.Topic;
 import org.shoreroad.edge.sync.TopicFollower;
 import org.shoreroad.member.HubPlan;
+import org.shoreroad.quarantine.CrashReport;
+import org.shoreroad.quarantine.PartQuarantine;
+import org.shoreroad.quarantine.PartReport;
+import org.shoreroad.routing.Rendezvous;
 import org.shoreroad.traffic.CallerLimits;
 
 /**
@@ -83,6 +89,9 @@
   /** The same delay for the process list, which is not urgent. */
   private static final int PROCESS_LISTING_SPREAD_MS = 3_000;
 
+  /** Time in which all processes learn of a crash with hubs: three urgent heartbeats. */
+  private static final int HUB_SETTLE_MS = 350;
+
   private static final int UPDATE_INTERVAL_MS = 100;
   private static final int SUMMARY_INTERVAL_MS = 2_000;
 
@@ -111,7 +120,8 @@
   private final DemandMeter demands;
   private final FleetSummary summary;
   private final RequestQuarantine quarantine;
-  private final QuarantineRegistry quarantineRegistry;
+  private final QuarantineRegistry<CrashReport> quarantineRegistry;
+  private final QuarantineRegistry<PartReport> partRegistry;
   private final Backpressure backpressure;
   private final UpstreamAccess access;
   private final Relay relay;
@@ -179,11 +189,15 @@
     this.summary = new FleetSummary(fleet, upstreams, demands, log);
     this.quarantine = new RequestQuarantine(clockNanos, log, metrics);
     this.quarantineRegistry =
-        new QuarantineRegistry(store, loop, timeOfDayMs, log, quarantine::applyReports);
+        new QuarantineRegistry<>(
+            QuarantineFormat.REQUESTS, store, loop, timeOfDayMs, log, quarantine::applyReports);
     this.access =
         new UpstreamAccess(
             loop, clockNanos, random, log, metrics, ports, calls, fleet, this::peerAddresses);
     this.relay = makeRelay(loop);
+    this.partRegistry =
+        new QuarantineRegistry<>(
+            QuarantineFormat.PARTS, store, loop, timeOfDayMs, log, relay.partGuard()::applyReports);
     this.lag = new LoopLag(log, UPDATE_INTERVAL_MS);
     this.failureDetector = new FailureDetector(clockNanos);
     this.heartbeats = makeHeartbeats();
@@ -359,6 +373,7 @@
     backpressure.setLimitListener(mesh::sendSoon);
     backpressure.setLeavingListener(fleet::noteLeaving);
     quarantine.setRecorder(quarantineRegistry::write);
+    connectParts(relay.partGuard());
     fleet.setServiceCheck(configuration::isDeclared);
     fleet.setFaultListener(
         fault -> metrics.count("shoreroad.upstreams.unusable_entries", fault.code()));
@@ -375,6 +390,26 @@
     shareRoom();
   }
 
+  private void connectParts(PartGuard guard) {
+    guard.setRecorder(partRegistry::write);
+    guard.setChangeListener(mesh::sendSoon);
+    guard.setSettleMs(
+        () -> mesh.isHub() || mesh.isMember() ? HUB_SETTLE_MS : PartQuarantine.DEFAULT_SETTLE_MS);
+    guard.setTrialCheck(part -> isFirstFor(part.toString()));
+    heartbeats.addContributor(additions -> additions.withPartReports(guard.reports()));
+    heartbeats.addListener(
+        heartbeat -> {
+          if (guard.applyReports(heartbeat.additions().partReports())) {
+            mesh.sendSoonIfHub();
+          }
+        });
+  }
+
+  /** Returns true if this process is the first of all by rendezvous hashing. */
+  private boolean isFirstFor(String key) {
+    return Rendezvous.positionOf(name, key, mesh.names()) == 0;
+  }
+
   private Map<String, String> peerAddresses() {
     return mesh.reachableAddresses();
   }
@@ -414,6 +449,7 @@
     configFollower.start();
     listFollower.start();
     quarantineRegistry.load();
+    partRegistry.load();
     Announcement announcement = new Announcement(peerAddress(), settings.zone());
     // Members need the list only to find a hub. If 89 processes continued to read it, this would be
     // about 800 of 3,100 calls to the store in 72 s without faults, and each process would read
@@ -476,5 +512,6 @@
     processFollower.noteEra(era);
     leases.noteEra();
     quarantineRegistry.writeAgain(era);
+    partRegistry.writeAgain(era);
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/ProcessGauges.java
+++ b/edge/src/main/java/org/shoreroad/edge/ProcessGauges.java
@@ -23,6 +23,7 @@
     metrics.gauge("shoreroad.requests.open", relay::openCount);
     metrics.gauge("shoreroad.requests.accepted", relay::acceptedCount);
     metrics.gauge("shoreroad.requests.in_quarantine", quarantine::quarantinedCount);
+    metrics.gauge("shoreroad.parts.in_quarantine", relay.partGuard()::quarantinedCount);
     metrics.gauge("shoreroad.callers.connections", callers::connectionCount);
     metrics.gauge("shoreroad.callers.held_bytes", heldBytes::estimatedBytes);
     return this;
--- a/edge/src/main/java/org/shoreroad/edge/peer/AdditionsDigest.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/AdditionsDigest.java
@@ -55,7 +55,8 @@
         owners,
         List.copyOf(traffic.values()),
         List.copyOf(cold.values()),
-        List.copyOf(evacuations.values()));
+        List.copyOf(evacuations.values()),
+        own.partReports());
   }
 
   /** Returns the additions of all processes without the sums of one member. */
@@ -68,7 +69,12 @@
     List<ModelTraffic> traffic = new ArrayList<>();
     total.traffic().forEach(one -> traffic.add(subtract(one, own.get(keyOf(one)))));
     return new HeartbeatAdditions(
-        granted, total.roomOwners(), traffic, total.coldReports(), total.evacuations());
+        granted,
+        total.roomOwners(),
+        traffic,
+        total.coldReports(),
+        total.evacuations(),
+        total.partReports());
   }
 
   private static ModelTraffic subtract(ModelTraffic total, ModelTraffic own) {
--- a/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatAdditions.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatAdditions.java
@@ -7,6 +7,7 @@
 import org.shoreroad.edge.sync.StorePosition;
 import org.shoreroad.fleet.Incarnation;
 import org.shoreroad.fleet.ModelTraffic;
+import org.shoreroad.quarantine.PartReport;
 
 /**
  * Last part of a heartbeat: room at replica heads, traffic of models, cold upstreams and evacuated
@@ -21,6 +22,7 @@
  * @param traffic the requests of the last complete second, by model and availability zone
  * @param coldReports the upstreams that are cold
  * @param evacuations the newest evacuation request or withdrawal of each availability zone
+ * @param partReports the crashes under prompt parts that the receiver may not have received yet
  * @since 0.2
  */
 public record HeartbeatAdditions(
@@ -28,10 +30,11 @@
     Map<String, RoomOwner> roomOwners,
     List<ModelTraffic> traffic,
     List<ColdReport> coldReports,
-    List<Evacuation> evacuations) {
+    List<Evacuation> evacuations,
+    List<PartReport> partReports) {
   /** Additions without content. */
   public static final HeartbeatAdditions NONE =
-      new HeartbeatAdditions(Map.of(), Map.of(), List.of(), List.of(), List.of());
+      new HeartbeatAdditions(Map.of(), Map.of(), List.of(), List.of(), List.of(), List.of());
 
   /** Copies the collections. */
   public HeartbeatAdditions {
@@ -40,27 +43,38 @@
     traffic = List.copyOf(traffic);
     coldReports = List.copyOf(coldReports);
     evacuations = List.copyOf(evacuations);
+    partReports = List.copyOf(partReports);
   }
 
   /** Returns these additions with other granted requests and owners. */
   public HeartbeatAdditions withRoom(
       Map<String, Integer> newGrantedOpen, Map<String, RoomOwner> newRoomOwners) {
-    return new HeartbeatAdditions(newGrantedOpen, newRoomOwners, traffic, coldReports, evacuations);
+    return new HeartbeatAdditions(
+        newGrantedOpen, newRoomOwners, traffic, coldReports, evacuations, partReports);
   }
 
   /** Returns these additions with other traffic. */
   public HeartbeatAdditions withTraffic(List<ModelTraffic> newTraffic) {
-    return new HeartbeatAdditions(grantedOpen, roomOwners, newTraffic, coldReports, evacuations);
+    return new HeartbeatAdditions(
+        grantedOpen, roomOwners, newTraffic, coldReports, evacuations, partReports);
   }
 
   /** Returns these additions with other cold upstreams. */
   public HeartbeatAdditions withColdReports(List<ColdReport> newColdReports) {
-    return new HeartbeatAdditions(grantedOpen, roomOwners, traffic, newColdReports, evacuations);
+    return new HeartbeatAdditions(
+        grantedOpen, roomOwners, traffic, newColdReports, evacuations, partReports);
   }
 
   /** Returns these additions with other evacuations. */
   public HeartbeatAdditions withEvacuations(List<Evacuation> newEvacuations) {
-    return new HeartbeatAdditions(grantedOpen, roomOwners, traffic, coldReports, newEvacuations);
+    return new HeartbeatAdditions(
+        grantedOpen, roomOwners, traffic, coldReports, newEvacuations, partReports);
+  }
+
+  /** Returns these additions with other reports on prompt parts. */
+  public HeartbeatAdditions withPartReports(List<PartReport> newPartReports) {
+    return new HeartbeatAdditions(
+        grantedOpen, roomOwners, traffic, coldReports, evacuations, newPartReports);
   }
 
   /**
--- a/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatAdditionsCodec.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatAdditionsCodec.java
@@ -44,10 +44,11 @@
       out.packString(evacuation.zone()).packBoolean(evacuation.isRequested());
       out.packLong(evacuation.position().era()).packLong(evacuation.position().offset());
     }
+    PartReportCodec.pack(out, additions.partReports());
   }
 
   /**
-   * Reads additions.
+   * Reads additions, also those of an earlier release without reports on prompt parts.
    *
    * @throws IOException or an unchecked exception if the bytes are no valid additions
    */
@@ -57,7 +58,8 @@
         unpackOwners(in),
         unpackTraffic(in),
         unpackCold(in),
-        unpackEvacuations(in));
+        unpackEvacuations(in),
+        in.hasNext() ? PartReportCodec.unpack(in) : List.of());
   }
 
   private static Map<String, Integer> unpackGranted(MessageUnpacker in) throws IOException {
--- a/edge/src/main/java/org/shoreroad/edge/peer/QuarantineRegistry.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/QuarantineRegistry.java
@@ -16,41 +16,40 @@
 import org.shoreroad.edge.sync.StorePage;
 import org.shoreroad.edge.sync.StorePosition;
 import org.shoreroad.edge.sync.StoreRecord;
-import org.shoreroad.edge.sync.Topic;
-import org.shoreroad.quarantine.CrashReport;
 
 /**
- * Quarantined requests in the store, for processes that start while no other process runs.
+ * Quarantined requests or prompt parts in the store, for processes that start while no other
+ * process runs.
  *
  * <p>Running processes exchange quarantines in heartbeats, so each quarantine is written to the
  * store once, by the process that started it, and each process reads the store once at its start.
  * Without the store, one request crashed 3 more upstreams after each restart of all processes
  * (three processes on loopback). Not thread-safe: for use on the event loop.
  *
+ * @param <R> the type of the reports
  * @since 0.2
  */
-public final class QuarantineRegistry {
+public final class QuarantineRegistry<R> {
   /** First retry delay; doubled up to the maximum to reduce the load on an overloaded store. */
   private static final int MIN_RETRY_DELAY_MS = 500;
 
   private static final int MAX_RETRY_DELAY_MS = 8_000;
 
-  /** Time without the request after which its quarantine ends. */
-  private static final long QUARANTINE_MS = TimeUnit.MINUTES.toMillis(10);
-
+  private final QuarantineFormat<R> format;
   private final Store store;
   private final EventLoop loop;
   private final LongSupplier wallClockMs;
   private final EventLog log;
-  private final Consumer<Collection<CrashReport>> listener;
-  private final Map<String, Written> written = new LinkedHashMap<>();
+  private final Consumer<Collection<R>> listener;
+  private final Map<String, Written<R>> written = new LinkedHashMap<>();
 
   /** A record that the store has accepted. */
-  private record Written(QuarantineRecord record, StorePosition position) {}
+  private record Written<R>(R report, long writtenMs, StorePosition position) {}
 
   /**
    * Creates a registry; {@link #load} reads the records from the store.
    *
+   * @param format the form of the records, not null
    * @param store the store, not null
    * @param loop the event loop, not null
    * @param wallClockMs the wall clock in milliseconds since 1970, not null. It determines the age
@@ -60,11 +59,13 @@
    * @param listener called with the quarantined requests of the store, not null
    */
   public QuarantineRegistry(
+      QuarantineFormat<R> format,
       Store store,
       EventLoop loop,
       LongSupplier wallClockMs,
       EventLog log,
-      Consumer<Collection<CrashReport>> listener) {
+      Consumer<Collection<R>> listener) {
+    this.format = format;
     this.store = store;
     this.loop = loop;
     this.wallClockMs = wallClockMs;
@@ -79,7 +80,7 @@
 
   private void load(String afterKey, int delayMs) {
     store.readNewest(
-        Topic.QUARANTINE,
+        format.topic(),
         afterKey,
         new StoreCallback<>() {
           @Override
@@ -99,43 +100,42 @@
   }
 
   private void deliver(List<StoreRecord> records) {
-    List<CrashReport> reports = new ArrayList<>();
+    List<R> reports = new ArrayList<>();
     for (StoreRecord record : records) {
       byte[] value = record.value();
       try {
         if (value != null) {
-          reports.add(QuarantineRecord.parse(value).toReport(wallClockMs.getAsLong()));
+          reports.add(format.parse(value, wallClockMs.getAsLong()));
         }
-      } catch (QuarantineRecord.UnreadableException e) {
+      } catch (QuarantineFormat.UnreadableException e) {
         log.write("quarantine_record_unreadable", "key", record.key(), "why", e.getMessage());
       }
     }
     listener.accept(reports);
   }
 
-  /** Writes a quarantined request; retries until the store accepts it. */
-  public void write(CrashReport report) {
-    QuarantineRecord record = new QuarantineRecord(wallClockMs.getAsLong(), report);
-    write(report.fingerprint().toString(), record, MIN_RETRY_DELAY_MS);
+  /** Writes a report; retries until the store accepts it. */
+  public void write(R report) {
+    write(format.key(report), report, wallClockMs.getAsLong(), MIN_RETRY_DELAY_MS);
   }
 
-  private void write(String key, QuarantineRecord record, int delayMs) {
+  private void write(String key, R report, long writtenMs, int delayMs) {
     store.write(
-        Topic.QUARANTINE,
+        format.topic(),
         key,
-        record.toBytes(),
+        format.toBytes(writtenMs, report),
         new StoreCallback<>() {
           @Override
           public void onValue(StorePosition position) {
             removeEnded();
-            written.put(key, new Written(record, position));
-            log.write("quarantine_written", "fingerprint", key);
+            written.put(key, new Written<>(report, writtenMs, position));
+            log.write("quarantine_written", "key", key);
           }
 
           @Override
           public void onFault(StoreFault fault) {
-            log.write("quarantine_not_written", "fingerprint", key, "fault", fault);
-            retryAfter(() -> write(key, record, nextDelayMs(delayMs)), delayMs);
+            log.write("quarantine_not_written", "key", key, "fault", fault);
+            retryAfter(() -> write(key, report, writtenMs, nextDelayMs(delayMs)), delayMs);
           }
         });
   }
@@ -152,14 +152,14 @@
         .forEach(
             (key, accepted) -> {
               if (accepted.position().era() < era) {
-                write(key, accepted.record(), MIN_RETRY_DELAY_MS);
+                write(key, accepted.report(), accepted.writtenMs(), MIN_RETRY_DELAY_MS);
               }
             });
   }
 
   private void removeEnded() {
-    long oldestMs = wallClockMs.getAsLong() - QUARANTINE_MS;
-    written.values().removeIf(accepted -> accepted.record().writtenMs() < oldestMs);
+    long oldestMs = wallClockMs.getAsLong() - format.keepMs();
+    written.values().removeIf(accepted -> accepted.writtenMs() < oldestMs);
   }
 
   private void retryAfter(Runnable task, int delayMs) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -30,6 +30,16 @@
   /** Time for which an upstream is skipped after it answered that it is full. */
   private static final long AVOID_FULL_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
 
+  /** Pieces and time that an upstream doesn't reach if it crashes as it begins to answer. */
+  private static final int MIN_WRITTEN_PIECES = 6;
+
+  private static final long MIN_WRITTEN_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  /** The same with a wide margin, since what follows from it is not taken back. */
+  private static final int MIN_SURVIVED_PIECES = 12;
+
+  private static final long MIN_SURVIVED_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
   private final Exchange exchange;
   private final Relay relay;
   private final AnswerChannel answers;
@@ -45,8 +55,9 @@
   private boolean hasTurn;
   private boolean isRecordedAsSent;
   private boolean isPromptRead;
-  private boolean hasWritten;
+  private int pieces;
   private long firstContentNanos;
+  private long lastContentNanos;
   private long lastEventNanos;
   private boolean isOver;
 
@@ -153,12 +164,19 @@
     return head != null;
   }
 
-  /**
-   * Returns the time since the upstream sent the first bytes of its answer, in nanoseconds, or -1
-   * if it has sent none.
-   */
-  long writingNanos(long nowNanos) {
-    return hasWritten ? nowNanos - firstContentNanos : -1;
+  /** Returns the time from the first to the last bytes of the answer, or -1 if none have come. */
+  long writingNanos() {
+    return pieces == 0 ? -1 : lastContentNanos - firstContentNanos;
+  }
+
+  /** Returns true if the upstream has answered for longer than one that crashes at the start. */
+  boolean isBeingWritten() {
+    return pieces >= MIN_WRITTEN_PIECES && writingNanos() >= MIN_WRITTEN_NANOS;
+  }
+
+  /** Returns true if the upstream has answered for so long that the request won't crash it. */
+  boolean isWellUnderWay() {
+    return pieces >= MIN_SURVIVED_PIECES && writingNanos() >= MIN_SURVIVED_NANOS;
   }
 
   void cancel() {
@@ -181,6 +199,7 @@
       target.load().setPaused(exchange, !isReading, relay.nowNanos());
       // The time of a pause is not the pace of the upstream.
       lastEventNanos = 0;
+      pieces = 0;
     }
   }
 
@@ -237,10 +256,9 @@
   public void onContent(ByteBuf content) {
     long nowNanos = relay.nowNanos();
     target.load().recordProgress(nowNanos);
-    if (!hasWritten) {
-      hasWritten = true;
-      firstContentNanos = nowNanos;
-    }
+    pieces++;
+    firstContentNanos = pieces == 1 ? nowNanos : firstContentNanos;
+    lastContentNanos = nowNanos;
     if (events != null) {
       exchange.onProgress(this);
       recordPace(nowNanos);
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -5,7 +5,9 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -14,6 +16,7 @@
 import org.shoreroad.edge.caller.CallerExchange;
 import org.shoreroad.edge.caller.CallerRequest;
 import org.shoreroad.quarantine.Crash;
+import org.shoreroad.quarantine.PromptPart;
 import org.shoreroad.quarantine.RequestFingerprint;
 import org.shoreroad.traffic.ClientAccount;
 import org.shoreroad.traffic.RequestKind;
@@ -49,6 +52,8 @@
   private @Nullable ClientAccount account;
   private @Nullable EventRelay events;
   private long endNanos;
+  private @Nullable Set<PromptPart> sharedParts;
+  private boolean isPartTrial;
   private boolean isOver;
 
   Exchange(Relay relay, CallerRequest request, AnswerChannel answers) {
@@ -95,6 +100,7 @@
       refuse(Refusal.QUARANTINED, RetryAfter.QUARANTINE);
       return;
     }
+    isPartTrial = quarantinedParts().filter(relay.partGuard()::takeTrial).isPresent();
     traffic.recordArrival(service, found);
     send();
   }
@@ -114,11 +120,58 @@
   void send() {
     if (isQuarantined()) {
       refuseOrFail(Refusal.QUARANTINED, RetryAfter.QUARANTINE);
+    } else if (hasQuarantinedPart()) {
+      refusePart();
     } else if (dispatch != null) {
       dispatch.next();
     }
   }
 
+  private void refusePart() {
+    if (attempts.isEmpty()) {
+      quarantinedParts()
+          .ifPresent(parts -> log.writePartRefusal(parts, relay.partGuard().describe(parts)));
+    }
+    refuseOrFail(Refusal.PART_QUARANTINED, RetryAfter.QUARANTINE);
+  }
+
+  /** Returns the quarantined parts of the prompt because of which the request is refused. */
+  private Optional<Set<PromptPart>> quarantinedParts() {
+    return relay.partGuard().findQuarantined(this::sharedParts);
+  }
+
+  /** Returns true if a part forbids to send the request; a trial may be sent once. */
+  private boolean hasQuarantinedPart() {
+    boolean isTrialOpen = isPartTrial && !sends.mayHaveRun() && sends.sent() == 0;
+    return !isTrialOpen && quarantinedParts().isPresent();
+  }
+
+  /** Returns the parts of the prompt that other requests may share. */
+  private Set<PromptPart> sharedParts() {
+    Set<PromptPart> known = sharedParts;
+    if (known == null) {
+      known =
+          service == null
+              ? Set.of()
+              : PromptPart.allOf(service.name(), model, reader.sharedPartIds());
+      sharedParts = known;
+    }
+    return known;
+  }
+
+  /**
+   * Records which parts of the prompt an upstream has been answering for some time.
+   *
+   * @param beingWritten receives the parts, not null
+   */
+  void recordWriting(Set<PromptPart> beingWritten) {
+    if (attempts.isAny(Attempt::isWellUnderWay)) {
+      relay.partGuard().recordAnswer(this::sharedParts);
+    } else if (attempts.isAny(Attempt::isBeingWritten)) {
+      beingWritten.addAll(sharedParts());
+    }
+  }
+
   /** Starts an attempt at an upstream, under the grant of its room or without one. */
   void startAttempt(Target target, RoomBroker.@Nullable Grant grant) {
     Attempt next = new Attempt(this, relay, answers, target, grant, relay.nowNanos());
@@ -181,7 +234,11 @@
 
   /** Returns true if the request may be sent; called right before the first byte is sent. */
   boolean maySendNow() {
-    return !isOver && mayUseKey() && !isQuarantined() && relay.nowNanos() < endNanos;
+    return !isOver
+        && mayUseKey()
+        && !isQuarantined()
+        && !hasQuarantinedPart()
+        && relay.nowNanos() < endNanos;
   }
 
   /** Records that a byte may have been sent to an upstream. */
@@ -219,7 +276,7 @@
   void onWholeAnswer(HttpResponse head, ByteBuf body) {
     relay.counters().count("shoreroad.answers", Integer.toString(head.status().code()));
     relay.counters().record("shoreroad.answer", relay.nowNanos() - request.arrivedNanos());
-    relay.quarantine().recordAnswer(this::fingerprint);
+    recordAnswer(head.status().codeClass() == HttpStatusClass.SUCCESS);
     finish(RequestEnd.ANSWERED);
     answers.answer(head.status(), HopByHopHeaders.copyWithout(head.headers()), body);
   }
@@ -230,11 +287,19 @@
     if (events != null) {
       log.writeIfLate(events.timing());
     }
-    relay.quarantine().recordAnswer(this::fingerprint);
+    recordAnswer(true);
     finish(RequestEnd.ANSWERED);
     answers.end();
   }
 
+  /** Records that the request crashed no upstream. */
+  private void recordAnswer(boolean isSuccess) {
+    relay.quarantine().recordAnswer(this::fingerprint);
+    if (isSuccess) {
+      relay.partGuard().recordAnswer(this::sharedParts);
+    }
+  }
+
   /** Repeats the request or ends it after an attempt brought no answer that can be forwarded. */
   void onAttemptFailed(Attempt failed, AttemptFailure failure) {
     if (failure != AttemptFailure.NOT_SENT && failure != AttemptFailure.REFUSED) {
@@ -274,6 +339,7 @@
     return isAllowed
         && sends.hasAttemptsLeft()
         && !isQuarantined()
+        && !hasQuarantinedPart()
         && (attempts.isEmpty() || targets.isAnyFree())
         && takeRepeat();
   }
@@ -305,7 +371,11 @@
     if (newest == null || newest.target().load() != stalled || !canRepeat()) {
       return false;
     }
-    if (!newest.isSent() || isQuarantined() || !targets.isAnyFree() || !takeRepeat()) {
+    if (!newest.isSent()
+        || isQuarantined()
+        || hasQuarantinedPart()
+        || !targets.isAnyFree()
+        || !takeRepeat()) {
       return true;
     }
     recordFailure(newest, AttemptFailure.STALLED);
@@ -320,14 +390,25 @@
    * to answer it. An upstream at which it still waits would crash too.
    */
   void onQuarantined(Set<RequestFingerprint> requests) {
-    if (isOver || !requests.contains(fingerprint())) {
-      return;
+    if (!isOver && requests.contains(fingerprint())) {
+      cancelUnanswered();
+      refuseOrFail(Refusal.QUARANTINED, RetryAfter.QUARANTINE);
     }
+  }
+
+  /** Ends the request if its prompt has all of these parts, which have just been quarantined. */
+  void onPartsQuarantined(Set<PromptPart> group) {
+    if (!isOver && !isPartTrial && sharedParts().containsAll(group)) {
+      cancelUnanswered();
+      refusePart();
+    }
+  }
+
+  private void cancelUnanswered() {
     if (attempts.isAnySent()) {
       sends.recordMayHaveRun();
     }
     attempts.cancelUnanswered();
-    refuseOrFail(Refusal.QUARANTINED, RetryAfter.QUARANTINE);
   }
 
   private boolean isQuarantined() {
@@ -392,7 +473,8 @@
     log.writeFailure(failed, failure, isCrash ? fingerprint() : null);
     if (isCrash) {
       Crash crash = new Crash(failed.target().box().incarnation(), failed.hasHead());
-      relay.recordCrash(failed.target().box().service(), fingerprint(), crash);
+      Set<PromptPart> parts = failed.isWellUnderWay() ? Set.of() : sharedParts();
+      relay.recordCrash(failed.target().box().service(), fingerprint(), crash, parts);
     }
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.caller.CallerRequest;
+import org.shoreroad.quarantine.PromptPart;
 import org.shoreroad.quarantine.RequestFingerprint;
 import org.shoreroad.traffic.ClientAccount;
 import org.shoreroad.traffic.Route;
@@ -125,8 +126,13 @@
         fingerprint == null ? "" : fingerprint);
   }
 
-  private long writingMs(Attempt attempt) {
-    long writingNanos = attempt.writingNanos(relay.nowNanos());
+  /** Writes that the request is refused because of quarantined parts of its prompt. */
+  void writePartRefusal(Set<PromptPart> parts, List<String> crashes) {
+    write("part_refused", "parts", parts, "crashes", crashes);
+  }
+
+  private static long writingMs(Attempt attempt) {
+    long writingNanos = attempt.writingNanos();
     return writingNanos < 0 ? NO_ANSWER : TimeUnit.NANOSECONDS.toMillis(writingNanos);
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/relay/OpenAttempts.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/OpenAttempts.java
@@ -45,7 +45,12 @@
 
   /** Returns true if a byte of any attempt may have left this process. */
   boolean isAnySent() {
-    return open.stream().anyMatch(Attempt::isSent);
+    return isAny(Attempt::isSent);
+  }
+
+  /** Returns true if the condition holds for an attempt. */
+  boolean isAny(Predicate<Attempt> condition) {
+    return open.stream().anyMatch(condition);
   }
 
   /** Cancels all attempts but one; returns true if there was another one. */
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -17,6 +17,7 @@
 import org.shoreroad.edge.caller.HeaderNames;
 import org.shoreroad.edge.http.UpstreamCalls;
 import org.shoreroad.quarantine.Crash;
+import org.shoreroad.quarantine.PromptPart;
 import org.shoreroad.quarantine.RequestFingerprint;
 import org.shoreroad.routing.AttemptBudget;
 
@@ -53,6 +54,7 @@
   private final ConfigurationSource configurationSource;
   private final RelayRules rules;
   private final RequestQuarantine quarantine;
+  private final PartGuard partGuard;
   private final Backpressure backpressure;
   private final Map<String, AttemptBudget> budgets = new HashMap<>();
   private final Set<Exchange> open = new HashSet<>();
@@ -61,6 +63,7 @@
   private @Nullable TrafficMeter traffic;
   private int stallTickMs = MAX_STALL_TICK_MS;
   private boolean isWaitingTickScheduled;
+  private boolean isPartUpdateScheduled;
   private boolean isRefusingNew;
   private @Nullable RoomBroker roomBroker;
   private long acceptedCount;
@@ -94,6 +97,9 @@
     this.quarantine = quarantine;
     this.backpressure = backpressure;
     quarantine.setListener(this::endQuarantined);
+    this.partGuard = new PartGuard(clockNanos, log, counters);
+    partGuard.setListener(this::endPartQuarantined);
+    partGuard.setUpdateScheduler(this::schedulePartUpdate);
   }
 
   /** Sets the broker that asks for room at the heads of engines; without it none is asked for. */
@@ -158,6 +164,34 @@
       exchange.onTick();
     }
     calls.sweep();
+    updateParts();
+  }
+
+  private void schedulePartUpdate() {
+    if (!isPartUpdateScheduled) {
+      isPartUpdateScheduled = true;
+      timer.once(
+          partGuard.settleMs() + 1,
+          "prompt parts",
+          () -> {
+            isPartUpdateScheduled = false;
+            updateParts();
+          });
+    }
+  }
+
+  private void updateParts() {
+    if (partGuard.hasSuspects()) {
+      Set<PromptPart> beingWritten = new HashSet<>();
+      open.forEach(exchange -> exchange.recordWriting(beingWritten));
+      partGuard.update(beingWritten);
+    }
+  }
+
+  private void endPartQuarantined(Set<PromptPart> group) {
+    for (Exchange exchange : open.toArray(new Exchange[0])) {
+      exchange.onPartsQuarantined(group);
+    }
   }
 
   private void endQuarantined(Set<RequestFingerprint> requests) {
@@ -240,14 +274,18 @@
   /**
    * Records that an upstream of the service crashed while it had the request, unless this process
    * has lost its path to the service, which ends connections to sound upstreams too.
+   *
+   * @param parts the shared parts of the prompt if the request was about to begin, or had just
+   *     begun, else none
    */
-  void recordCrash(String service, RequestFingerprint request, Crash crash) {
+  void recordCrash(String service, RequestFingerprint request, Crash crash, Set<PromptPart> parts) {
     pathCheck.confirm(
         service,
         nowNanos(),
         isReached -> {
           if (isReached) {
             quarantine.recordCrash(request, crash);
+            partGuard.recordCrash(parts, crash.upstream(), request.high());
           }
         });
   }
@@ -265,6 +303,11 @@
     return quarantine;
   }
 
+  /** Returns the guard against prompt parts that crash upstreams. */
+  public PartGuard partGuard() {
+    return partGuard;
+  }
+
   Backpressure backpressure() {
     return backpressure;
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/RetryAfter.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RetryAfter.java
@@ -18,7 +18,7 @@
    * renewed, within this time.
    */
   REPLICA(700),
-  /** The quarantine of a request that is not sent again ends after ten minutes. */
+  /** A quarantined request or prompt part is not sent to an upstream for ten minutes. */
   QUARANTINE(600_000);
 
   private static final double SPREAD = 0.5;
--- a/edge/src/main/java/org/shoreroad/edge/sync/Topic.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Topic.java
@@ -13,5 +13,7 @@
   /** The processes of this system, by the names of their incarnations. */
   PROCESSES,
   /** The quarantined requests, by their fingerprints. */
-  QUARANTINE
+  QUARANTINE,
+  /** The quarantined prompt parts, by service, model and id. */
+  PART_QUARANTINE
 }
--- a/edge/src/test/java/org/shoreroad/edge/peer/HeartbeatCodecTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/HeartbeatCodecTest.java
@@ -29,6 +29,9 @@
 import org.shoreroad.limit.RequestLimit;
 import org.shoreroad.quarantine.Crash;
 import org.shoreroad.quarantine.CrashReport;
+import org.shoreroad.quarantine.PartCrash;
+import org.shoreroad.quarantine.PartReport;
+import org.shoreroad.quarantine.PromptPart;
 import org.shoreroad.quarantine.RequestFingerprint;
 
 class HeartbeatCodecTest {
@@ -83,7 +86,13 @@
               Map.of("llm/d-1", new HeartbeatAdditions.RoomOwner("node-2~b", "10.0.0.3:81")),
               List.of(new ModelTraffic("llm", "m", "z", 9, 2, 1, 6_000)),
               List.of(new HeartbeatAdditions.ColdReport(new Incarnation("i-12", 6), 700)),
-              List.of(new HeartbeatAdditions.Evacuation("z", true, StorePosition.of(3, 11)))));
+              List.of(new HeartbeatAdditions.Evacuation("z", true, StorePosition.of(3, 11))),
+              List.of(
+                  new PartReport(
+                      new PromptPart("llm", "m", "5c1e07a2"),
+                      List.of(new PartCrash(new Incarnation("i-13", 8), -4, 250, true)),
+                      false,
+                      250))));
 
   @Test
   void parseReadsWhatToBytesWrites() throws IOException {
@@ -146,6 +155,20 @@
     assertThat(out.toByteArray().length, lessThanOrEqualTo(95));
   }
 
+  /** Guards the heartbeat size: at most 32 parts each. */
+  @Test
+  void partReportWithThreeCrashesIsAtMost150Bytes() throws IOException {
+    List<PartCrash> crashes = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      Incarnation upstream = new Incarnation("i-872fd2b5b" + i, 1_773_212_146_318L);
+      crashes.add(new PartCrash(upstream, Long.MIN_VALUE, 90_000, false));
+    }
+    PromptPart part = new PromptPart("modelpool", "pugo57d7e1", "5c1e07a2");
+    MessageBufferPacker out = MessagePack.newDefaultBufferPacker();
+    PartReportCodec.pack(out, List.of(new PartReport(part, crashes, true, 90_000)));
+    assertThat(out.toByteArray().length, lessThanOrEqualTo(150));
+  }
+
   /** Guards the heartbeat size: at most 64 limits each. */
   @Test
   void limitReportIsAtMost36Bytes() throws IOException {
@@ -157,7 +180,7 @@
   }
 
   /**
-   * Truncated bytes are rejected except at four lengths, where they are a complete heartbeat of an
+   * Truncated bytes are rejected except at five lengths, where they are a complete heartbeat of an
    * earlier release. Frames carry their length, so a truncated heartbeat is not received as one.
    */
   @Test
@@ -172,7 +195,7 @@
         assertThat(truncated.length < whole.length, is(true));
       }
     }
-    assertThat(read.size(), is(4));
+    assertThat(read.size(), is(5));
     Heartbeat withoutStartTimes = read.get(0);
     assertThat(withoutStartTimes.crashReports(), is(List.of()));
     assertThat(withoutStartTimes.reports().get(0).bornMs(), is(Incarnation.UNKNOWN_START));
@@ -186,6 +209,8 @@
     Heartbeat withoutAdditions = read.get(3);
     assertThat(withoutAdditions.limitReports(), is(heartbeat.limitReports()));
     assertThat(withoutAdditions.additions(), is(HeartbeatAdditions.NONE));
+    HeartbeatAdditions withoutParts = read.get(4).additions();
+    assertThat(withoutParts, is(heartbeat.additions().withPartReports(List.of())));
     for (Heartbeat earlier : List.of(withoutStartTimes, withoutEras)) {
       assertThat(earlier.configNext(), is(StorePosition.of(StorePosition.UNKNOWN_ERA, 9)));
       assertThat(earlier.configVersion(), is(Heartbeat.NO_CONFIG));
--- a/edge/src/test/java/org/shoreroad/edge/peer/PeerCodecFuzzTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/PeerCodecFuzzTest.java
@@ -18,6 +18,9 @@
 import org.shoreroad.limit.RequestLimit;
 import org.shoreroad.quarantine.Crash;
 import org.shoreroad.quarantine.CrashReport;
+import org.shoreroad.quarantine.PartCrash;
+import org.shoreroad.quarantine.PartReport;
+import org.shoreroad.quarantine.PromptPart;
 import org.shoreroad.quarantine.RequestFingerprint;
 
 /**
@@ -29,6 +32,13 @@
  * -Djqwik.tries.default=100000}.
  */
 class PeerCodecFuzzTest {
+  private static final PartReport PART_REPORT =
+      new PartReport(
+          new PromptPart("llm", "m", "5c1e07a2"),
+          List.of(new PartCrash(new Incarnation("i-1", 8), -4, 250, true)),
+          true,
+          250);
+
   private static final CrashReport REPORT =
       new CrashReport(
           new RequestFingerprint(1, 2),
@@ -65,9 +75,11 @@
   Arbitrary<byte[]> heartbeats() {
     Heartbeat heartbeat = Heartbeats.of("p").withListUpdate(LIST_UPDATE);
     Heartbeat limits = Heartbeats.of("p").withLimits(List.of(LIMIT));
+    HeartbeatAdditions parts = HeartbeatAdditions.NONE.withPartReports(List.of(PART_REPORT));
     return Arbitraries.oneOf(
         altered(HeartbeatCodec.toBytes(heartbeat)),
         altered(HeartbeatCodec.toBytes(limits)),
+        altered(HeartbeatCodec.toBytes(Heartbeats.of("p").withAdditions(parts))),
         random());
   }
 
@@ -79,7 +91,10 @@
 
   @Provide
   Arbitrary<byte[]> records() {
-    return Arbitraries.oneOf(altered(new QuarantineRecord(7, REPORT).toBytes()), random());
+    return Arbitraries.oneOf(
+        altered(QuarantineFormat.REQUESTS.toBytes(7, REPORT)),
+        altered(QuarantineFormat.PARTS.toBytes(7, PART_REPORT)),
+        random());
   }
 
   @Property
@@ -103,8 +118,13 @@
   @Property
   void quarantineRecordDecoderThrowsOnlyHandledExceptions(@ForAll("records") byte[] bytes) {
     try {
-      QuarantineRecord.parse(bytes);
-    } catch (QuarantineRecord.UnreadableException e) {
+      QuarantineFormat.REQUESTS.parse(bytes, 9);
+    } catch (QuarantineFormat.UnreadableException e) {
+      // The only exception that the registry handles.
+    }
+    try {
+      QuarantineFormat.PARTS.parse(bytes, 9);
+    } catch (QuarantineFormat.UnreadableException e) {
       // The only exception that the registry handles.
     }
   }
--- a/edge/src/test/java/org/shoreroad/edge/peer/QuarantineRegistryTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/QuarantineRegistryTest.java
@@ -24,6 +24,9 @@
 import org.shoreroad.fleet.Incarnation;
 import org.shoreroad.quarantine.Crash;
 import org.shoreroad.quarantine.CrashReport;
+import org.shoreroad.quarantine.PartCrash;
+import org.shoreroad.quarantine.PartReport;
+import org.shoreroad.quarantine.PromptPart;
 import org.shoreroad.quarantine.RequestFingerprint;
 
 class QuarantineRegistryTest {
@@ -33,8 +36,9 @@
   private final FakeTopic store = new FakeTopic();
   private final List<CrashReport> delivered = new ArrayList<>();
   private long nowMs = 1_773_212_146_318L;
-  private final QuarantineRegistry registry =
-      new QuarantineRegistry(
+  private final QuarantineRegistry<CrashReport> registry =
+      new QuarantineRegistry<>(
+          QuarantineFormat.REQUESTS,
           store,
           channel.eventLoop(),
           () -> nowMs,
@@ -157,6 +161,27 @@
     assertThat(store.values.size(), is(1));
   }
 
+  @Test
+  void promptPartsAreReadWithTheirAge() {
+    List<PartReport> parts = new ArrayList<>();
+    QuarantineRegistry<PartReport> partRegistry =
+        new QuarantineRegistry<>(
+            QuarantineFormat.PARTS,
+            store,
+            channel.eventLoop(),
+            () -> nowMs,
+            new EventLog("test", System::nanoTime, OutputStream.nullOutputStream()),
+            parts::addAll);
+    PartCrash crash = new PartCrash(new Incarnation("i-1", 4), -9, 300, false);
+    PromptPart part = new PromptPart("pool", "large", "a?&=/ b".repeat(9));
+    partRegistry.write(new PartReport(part, List.of(crash), true, 200));
+    nowMs += 7_000;
+    partRegistry.load();
+    PartCrash aged = new PartCrash(crash.upstream(), crash.request(), 7_300, false);
+    assertThat(parts, is(List.of(new PartReport(part, List.of(aged), true, 7_200))));
+    assertThat(store.values.keySet().iterator().next().length(), is(32));
+  }
+
   @Test
   void unreadableRecordIsSkipped() {
     registry.write(report(1));
--- a/edge/src/test/java/org/shoreroad/edge/relay/CrashingPartSite.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/CrashingPartSite.java
@@ -139,9 +139,23 @@
     }
   }
 
-  /** Stops the effect of all crashing parts, as a new version of the upstreams does. */
-  void mend() {
-    crashingParts.clear();
+  /** Ends all processes and starts as many new ones. */
+  void restartProcesses() throws Exception {
+    List<EdgeSite.Member> former = List.copyOf(site.members());
+    for (EdgeSite.Member process : former) {
+      site.stop(process);
+    }
+    for (int i = 0; i < former.size(); i++) {
+      start(i);
+    }
+    Thread.sleep(START_MS);
+  }
+
+  /** Returns all log lines of the processes. */
+  String logged() {
+    StringBuilder lines = new StringBuilder();
+    site.members().forEach(process -> lines.append(process.logged()));
+    return lines.toString();
   }
 
   /**
@@ -153,10 +167,13 @@
     timer.scheduleAtFixedRate(() -> send(parts), 0, intervalMs, TimeUnit.MILLISECONDS);
   }
 
-  /** Sends one request to a process. */
+  /** Sends one request to a process, if one is running. */
   void send(String parts) {
     int number = ids.incrementAndGet();
-    List<EdgeSite.Member> processes = site.members();
+    List<EdgeSite.Member> processes = List.copyOf(site.members());
+    if (processes.isEmpty()) {
+      return;
+    }
     EdgeSite.Member process = processes.get(number % processes.size());
     callers.execute(() -> results.add(call(process, parts, "a" + number)));
   }
--- a/edge/src/test/java/org/shoreroad/edge/relay/CrashingPartTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/CrashingPartTest.java
@@ -1,14 +1,17 @@
 package org.shoreroad.edge.relay;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
 
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -22,6 +25,10 @@
   private static final int PLAY_MS = 9_000;
   private static final int ALLOWED_CRASHES = 5;
   private static final int MAX_LATE_ARRIVALS = 3;
+
+  /** Five for each of two parts, and as many requests that are under way at the fifth. */
+  private static final int MAX_CRASHES = 20;
+
   private static final int MIN_REQUESTS = 100;
   private static final double MIN_SERVED = 0.98;
 
@@ -62,6 +69,51 @@
     }
   }
 
+  @Test
+  void requestWithTwoPartsThatCrashHeadsAtOnceIsRefused() throws Exception {
+    try (CrashingPartSite site = new CrashingPartSite(PROCESSES, Set.of("bad1", "bad2"))) {
+      site.sendEvery(SOUND_GAP_MS, "c1:800,good:40");
+      Thread.sleep(1_000);
+      site.sendEvery(2 * CRASHING_GAP_MS, "c1:800,bad1:40");
+      site.sendEvery(2 * CRASHING_GAP_MS, "c1:800,bad2:40");
+      Thread.sleep(PLAY_MS);
+      site.stopSending();
+      long lastNanos = site.crashNanos().get(site.crashNanos().size() - 1);
+      assertThat("crashes", site.crashNanos().size(), lessThanOrEqualTo(MAX_CRASHES));
+      checkServed(site.resultsAfter(lastNanos + RECOVERY_NANOS, "c1:800,good:40"));
+    }
+  }
+
+  @Test
+  void newSoundPartIsNotRefusedWhenHalfOfTheHeadsCrashAtOnce() throws Exception {
+    try (CrashingPartSite site = new CrashingPartSite(PROCESSES, Set.of())) {
+      site.sendEvery(SOUND_GAP_MS, "new:800,other:40");
+      Thread.sleep(300);
+      site.crashHalf();
+      Thread.sleep(5_000);
+      site.stopSending();
+      assertThat(site.logged(), not(containsString("part_quarantined")));
+      checkServed(site.resultsAfter(site.crashNanos().get(0) + 500_000_000L, "new:800,other:40"));
+    }
+  }
+
+  @Test
+  void partIsRefusedByProcessesThatStartLaterAndAfterAllHaveEnded() throws Exception {
+    try (CrashingPartSite site = new CrashingPartSite(PROCESSES, Set.of("bad"))) {
+      site.sendEvery(CRASHING_GAP_MS, "c1:800,bad:40");
+      Thread.sleep(4_000);
+      site.start(PROCESSES);
+      Thread.sleep(2_000);
+      int crashes = site.crashNanos().size();
+      Thread.sleep(2_000);
+      site.restartProcesses();
+      Thread.sleep(2_000);
+      site.stopSending();
+      assertThat("crashes", site.crashNanos().size(), is(crashes));
+      assertThat(site.logged(), containsString("part_refused"));
+    }
+  }
+
   private static void checkServed(List<CrashingPartSite.Result> results) {
     long served = results.stream().filter(CrashingPartSite.Result::isServed).count();
     assertThat("requests", results.size(), greaterThan(MIN_REQUESTS));
--- a/edge/src/test/java/org/shoreroad/edge/relay/EdgeSite.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/EdgeSite.java
@@ -78,6 +78,12 @@
     return members;
   }
 
+  /** Ends a process. */
+  void stop(Member member) throws Exception {
+    members.remove(member);
+    member.close();
+  }
+
   /** Ends an upstream: resets its connections and refuses new ones until it starts again. */
   void crash(String id) throws IOException {
     for (Member member : members) {
