Attempt: an answer without a length that breaks off is a crash

Cause: an answer with neither a length nor chunks ends with its connection, as a crash does. A stream that ended inside an event counted as malformed, so a request that crashed its upstreams reached 12 (UnframedAnswerTest, three allowed). One that ended after an event counted as answered and refuted the crashes of its prompt parts.

Change: the first counts as a crash.

--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.admission.GrantEnd;
@@ -179,6 +180,16 @@
     return pieces >= MIN_SURVIVED_PIECES && writingNanos() >= MIN_SURVIVED_NANOS;
   }
 
+  /**
+   * Returns true if the answer states its own end. Without a length or chunks it ends with the
+   * connection, as it does when the upstream crashes.
+   */
+  boolean isEndStated() {
+    HttpResponse response = head;
+    return response != null
+        && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
+  }
+
   void cancel() {
     if (!isOver) {
       end(isSent() ? GrantEnd.USED : GrantEnd.UNUSED);
@@ -302,12 +313,12 @@
 
   private void endStream(EventRelay relayed) {
     if (relayed.hasPartialEvent()) {
-      fail(AttemptFailure.BROKEN);
+      fail(isEndStated() ? AttemptFailure.BROKEN : AttemptFailure.DISCONNECTED);
       return;
     }
     target.load().recordOutcome(false);
     end(GrantEnd.USED);
-    exchange.onStreamEnd();
+    exchange.onStreamEnd(this);
   }
 
   private void endWholeAnswer(HttpResponse response) {
@@ -322,7 +333,7 @@
     answers.addCollected(-content.readableBytes());
     body = null;
     end(hasFailed ? GrantEnd.FAILED : GrantEnd.USED);
-    exchange.onWholeAnswer(response, content);
+    exchange.onWholeAnswer(this, response, content);
   }
 
   @Override
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -273,27 +273,30 @@
     }
   }
 
-  void onWholeAnswer(HttpResponse head, ByteBuf body) {
+  void onWholeAnswer(Attempt answering, HttpResponse head, ByteBuf body) {
     relay.counters().count("shoreroad.answers", Integer.toString(head.status().code()));
     relay.counters().record("shoreroad.answer", relay.nowNanos() - request.arrivedNanos());
-    recordAnswer(head.status().codeClass() == HttpStatusClass.SUCCESS);
+    recordAnswer(answering, head.status().codeClass() == HttpStatusClass.SUCCESS);
     finish(RequestEnd.ANSWERED);
     answers.answer(head.status(), HopByHopHeaders.copyWithout(head.headers()), body);
   }
 
   /** Ends the answer after its upstream has ended the stream. */
-  void onStreamEnd() {
+  void onStreamEnd(Attempt answering) {
     relay.counters().count("shoreroad.answers", "stream");
     if (events != null) {
       log.writeIfLate(events.timing());
     }
-    recordAnswer(true);
+    recordAnswer(answering, true);
     finish(RequestEnd.ANSWERED);
     answers.end();
   }
 
-  /** Records that the request crashed no upstream. */
-  private void recordAnswer(boolean isSuccess) {
+  /** Records that the request crashed no upstream, if the end of its answer shows that. */
+  private void recordAnswer(Attempt answering, boolean isSuccess) {
+    if (!answering.isEndStated() && !answering.isWellUnderWay()) {
+      return;
+    }
     relay.quarantine().recordAnswer(this::fingerprint);
     if (isSuccess) {
       relay.partGuard().recordAnswer(this::sharedParts);
