PartQuarantine: scan open requests only while a part has two crashes

Cause: one crash under parts that never return kept a scan of the open requests going for ten minutes.

Change: the scan looks for answers that refute suspicions. With one crash nothing is quarantined soon, and whole answers refute it without a scan.

--- a/core/src/main/java/org/shoreroad/quarantine/PartQuarantine.java
+++ b/core/src/main/java/org/shoreroad/quarantine/PartQuarantine.java
@@ -77,9 +77,14 @@
     return histories.isEmpty();
   }
 
-  /** Returns true if a part is suspected or quarantined. */
+  /** Returns true if a part has several crashes that are not refuted, or is quarantined. */
   public boolean hasSuspects() {
-    return histories.values().stream().anyMatch(history -> !history.isRefuted());
+    for (PartHistory history : histories.values()) {
+      if (history.size() > 1 && !history.isRefuted()) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /**
--- a/edge/src/main/java/org/shoreroad/edge/relay/PartGuard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/PartGuard.java
@@ -118,7 +118,7 @@
     return quarantine.quarantinedCount();
   }
 
-  /** Returns true while a part is suspected or quarantined. */
+  /** Returns true while a part has several crashes that are not refuted, or is quarantined. */
   boolean hasSuspects() {
     return !quarantine.isEmpty() && quarantine.hasSuspects();
   }
