ConnectionLimit: close new connections unread while one box gets most of them

Change: while a process receives over three times the mean of the others, and over 40 requests a second, it accepts new connections only so far that it gets twice the mean, and eight a second in any case. Others are closed before a byte is read, so their callers try another process at once. The requests of all processes are in the heartbeats already.

--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -129,6 +129,7 @@
   private final LocalHeartbeats heartbeats;
   private final PeerMesh mesh;
   private final ReplicaService replicas;
+  private final ConnectionLimit connectionLimit;
   private final HeldBytes heldBytes;
   private final CallerServer callers;
   private final LoopLag lag;
@@ -206,6 +207,7 @@
     this.leases = new DomainLeases(store, loop, elapsed::nowNanos, log, name, mesh, fleet::domains);
     this.replicas = makeReplicas(loop);
     this.heldBytes = new HeldBytes(settings.heldBytes(), new HeldBytesLog(log, metrics));
+    this.connectionLimit = new ConnectionLimit(traffic, clockNanos, log, metrics);
     this.callers = makeCallers(loop);
     this.processes = new ProcessRegistry(store, loop, log, mesh, location);
     this.processFollower =
@@ -218,13 +220,16 @@
   }
 
   private CallerServer makeCallers(EventLoop loop) {
-    return new CallerServer(
-        loop,
-        clockNanos,
-        this::limits,
-        relay,
-        reason -> metrics.count("shoreroad.bad_input", reason),
-        heldBytes);
+    CallerServer server =
+        new CallerServer(
+            loop,
+            clockNanos,
+            this::limits,
+            relay,
+            reason -> metrics.count("shoreroad.bad_input", reason),
+            heldBytes);
+    server.setAcceptCheck(connectionLimit::accept);
+    return server;
   }
 
   private SendGates makeGates() {
@@ -283,7 +288,10 @@
         upstreams,
         traffic,
         backpressure,
-        this::updateGates);
+        () -> {
+          updateGates();
+          connectionLimit.update();
+        });
   }
 
   /**
--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
@@ -18,6 +18,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -54,6 +55,7 @@
   private final Consumer<String> badInputCounter;
   private final HeldBytes held;
   private final Set<CallerConnection> connections = new HashSet<>();
+  private BooleanSupplier acceptCheck = () -> true;
   private @Nullable Channel listening;
   private boolean isStopping;
   private boolean isCheckDue;
@@ -92,6 +94,15 @@
     this.badInputCounter = badInputCounter;
   }
 
+  /**
+   * Sets the condition for accepting a new connection; others are closed before a byte is read.
+   *
+   * @param check true if the connection is accepted; called once for each, not null
+   */
+  public void setAcceptCheck(BooleanSupplier check) {
+    acceptCheck = check;
+  }
+
   /**
    * Opens the port.
    *
@@ -223,6 +234,10 @@
   private final class Initializer extends ChannelInitializer<SocketChannel> {
     @Override
     protected void initChannel(SocketChannel channel) {
+      if (!acceptCheck.getAsBoolean()) {
+        channel.close();
+        return;
+      }
       CallerConnection connection = new CallerConnection(CallerServer.this);
       channel
           .pipeline()
--- a/edge/src/main/java/org/shoreroad/edge/relay/TrafficMeter.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/TrafficMeter.java
@@ -76,6 +76,27 @@
             .sum();
   }
 
+  /** Returns the number of requests for all models in this process within the last second. */
+  public int ownArrived() {
+    return sumOfArrived(own.traffic(zone, clockNanos.getAsLong()));
+  }
+
+  /** Returns the number of requests for all models in the other processes within a second. */
+  public int othersArrived() {
+    return peerHeartbeats.stream()
+        .mapToInt(heartbeat -> sumOfArrived(heartbeat.additions().traffic()))
+        .sum();
+  }
+
+  /** Returns the number of other processes whose requests are known. */
+  public int otherProcesses() {
+    return peerHeartbeats.stream().mapToInt(Heartbeat::processes).sum();
+  }
+
+  private static int sumOfArrived(Collection<ModelTraffic> traffic) {
+    return traffic.stream().mapToInt(ModelTraffic::arrived).sum();
+  }
+
   /** Returns the counts of all processes and availability zones for the model. */
   ModelTraffic total(String service, String model) {
     Stream<ModelTraffic> ofOwn = own.traffic(zone, clockNanos.getAsLong()).stream();
