--- a/edge/src/test/java/org/shoreroad/edge/relay/CrashingPartTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/CrashingPartTest.java
@@ -20,6 +20,10 @@
 @Timeout(60)
 class CrashingPartTest {
   private static final int PROCESSES = 3;
+
+  /** More than send their heartbeats to all others. */
+  private static final int PROCESSES_WITH_HUBS = 16;
+
   private static final int SOUND_GAP_MS = 15;
   private static final int CRASHING_GAP_MS = 130;
   private static final int PLAY_MS = 9_000;
@@ -114,6 +118,24 @@
     }
   }
 
+  @Test
+  void partIsRefusedByProcessesThatHearOfItThroughHubs() throws Exception {
+    try (CrashingPartSite site = new CrashingPartSite(PROCESSES_WITH_HUBS, Set.of("bad"))) {
+      site.sendEvery(SOUND_GAP_MS, "c1:800,good:40");
+      Thread.sleep(1_000);
+      site.sendEvery(CRASHING_GAP_MS, "c1:800,bad:40");
+      Thread.sleep(PLAY_MS);
+      site.stopSending();
+      List<Long> crashes = site.crashNanos();
+      long fifthNanos = crashes.get(Math.min(crashes.size(), ALLOWED_CRASHES) - 1);
+      assertThat(
+          "arrivals of " + crashes.size() + " crashes",
+          site.crashingArrivalsAfter(fifthNanos + PROPAGATION_NANOS),
+          lessThanOrEqualTo((long) MAX_LATE_ARRIVALS));
+      checkServed(site.resultsAfter(fifthNanos + RECOVERY_NANOS, "c1:800,good:40"));
+    }
+  }
+
   private static void checkServed(List<CrashingPartSite.Result> results) {
     long served = results.stream().filter(CrashingPartSite.Result::isServed).count();
     assertThat("requests", results.size(), greaterThan(MIN_REQUESTS));
--- a/edge/src/test/java/org/shoreroad/edge/relay/TestPorts.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/TestPorts.java
@@ -11,10 +11,10 @@
  */
 final class TestPorts {
   private static final int FIRST_PORT = 10_000;
-  private static final int BLOCK_PORTS = 200;
+  private static final int BLOCK_PORTS = 400;
 
   /** Test runs on one machine usually have different blocks. */
-  private static final int BLOCKS = 45;
+  private static final int BLOCKS = 25;
 
   private static final int FIRST_OF_BLOCK =
       FIRST_PORT + (int) (ProcessHandle.current().pid() % BLOCKS) * BLOCK_PORTS;
