EdgeProcess: no trial of a prompt part in the first minute

Cause (by reading): a process that starts knows no others yet, so it is the first by rendezvous hashing. After a loss of power of all processes each would have tried a part that had rested. Change: a process tries none within a minute after its start. No test plays it.

--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
@@ -92,6 +93,12 @@
   /** Time in which all processes learn of a crash with hubs: three urgent heartbeats. */
   private static final int HUB_SETTLE_MS = 350;
 
+  /**
+   * Time from the start to the first trial of a prompt part. Processes that start together do not
+   * know each other at once, and each would take itself for the one that tries.
+   */
+  private static final long TRIAL_DELAY_NANOS = TimeUnit.MINUTES.toNanos(1);
+
   private static final int UPDATE_INTERVAL_MS = 100;
   private static final int SUMMARY_INTERVAL_MS = 2_000;
 
@@ -403,7 +410,9 @@
     guard.setChangeListener(mesh::sendSoon);
     guard.setSettleMs(
         () -> mesh.isHub() || mesh.isMember() ? HUB_SETTLE_MS : PartQuarantine.DEFAULT_SETTLE_MS);
-    guard.setTrialCheck(part -> isFirstFor(part.toString()));
+    long mayTryNanos = clockNanos.getAsLong() + TRIAL_DELAY_NANOS;
+    guard.setTrialCheck(
+        part -> clockNanos.getAsLong() - mayTryNanos > 0 && isFirstFor(part.toString()));
     heartbeats.addContributor(additions -> additions.withPartReports(guard.reports()));
     heartbeats.addListener(
         heartbeat -> {
