ForwardServer: report a broken connection as a crash only on a sound path

Callers of a process without a path: requests with a crashing prompt part, forwarded by other processes, ended 33 heads in 9 s; 22 reached heads later than 1 s after the fifth end (CrashingPartTest.partIsRefusedIfItsRequestsReachHeadsThroughOtherProcesses, red before).

Cause: the process counts no crash while its own path is lost, also of forwarded calls, whose connection another process has.

Change: the forwarding process checks its path when a call breaks, and reports BROKEN only if it is sound, else FORWARDER_LOST. The process with the caller counts what is reported as BROKEN.

Result: the test passes, as do ForwardServerTest, ForwardClientTest and CutOffProcessTest.

--- a/edge/src/main/java/org/shoreroad/edge/forward/ForwardServer.java
+++ b/edge/src/main/java/org/shoreroad/edge/forward/ForwardServer.java
@@ -383,8 +383,20 @@
     @Override
     public void onFailure(CallFailure failure) {
       end();
-      link.send(
-          new ForwardMessage.Failed(message.number(), failure.reason().name(), failure.isSent()));
+      if (failure.isSent() && failure.reason() == CallFailure.Reason.BROKEN) {
+        // A connection also ends if this process loses its path; the upstream is then sound.
+        paths.confirm(box.service(), clockNanos.getAsLong(), this::reportBroken);
+      } else {
+        report(failure.reason(), failure.isSent());
+      }
+    }
+
+    private void reportBroken(boolean isReached) {
+      report(isReached ? CallFailure.Reason.BROKEN : CallFailure.Reason.FORWARDER_LOST, true);
+    }
+
+    private void report(CallFailure.Reason reason, boolean isSent) {
+      link.send(new ForwardMessage.Failed(message.number(), reason.name(), isSent));
     }
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -146,6 +146,11 @@
     return call != null && call.isDirect() && relay.calls().isPathLost(target.box());
   }
 
+  /** Returns true if another process sent it, since this one had no path to the upstream. */
+  boolean isForwarded() {
+    return call != null && !call.isDirect();
+  }
+
   /**
    * Returns the upstream, whether the request was sent, and the time since the last bytes that any
    * process has reported from there and since the last ones that this process has received.
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -15,7 +15,6 @@
 import org.shoreroad.edge.caller.AnswerChannel;
 import org.shoreroad.edge.caller.CallerExchange;
 import org.shoreroad.edge.caller.CallerRequest;
-import org.shoreroad.quarantine.Crash;
 import org.shoreroad.quarantine.PromptPart;
 import org.shoreroad.quarantine.RequestFingerprint;
 import org.shoreroad.traffic.ClientAccount;
@@ -475,9 +474,7 @@
     boolean isCrash = failure == AttemptFailure.DISCONNECTED;
     log.writeFailure(failed, failure, isCrash ? fingerprint() : null);
     if (isCrash) {
-      Crash crash = new Crash(failed.target().box().incarnation(), failed.hasHead());
-      Set<PromptPart> parts = failed.isWellUnderWay() ? Set.of() : sharedParts();
-      relay.recordCrash(failed.target().box().service(), fingerprint(), crash, parts);
+      relay.recordCrash(failed, fingerprint(), failed.isWellUnderWay() ? Set.of() : sharedParts());
     }
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -272,24 +272,34 @@
   }
 
   /**
-   * Records that an upstream of the service crashed while it had the request, unless this process
-   * has lost its path to the service, which ends connections to sound upstreams too.
+   * Records that an upstream crashed while it had the request, unless this process has lost its
+   * path to the service, which ends connections to sound upstreams too. A process that forwards a
+   * call checks its own path.
    *
    * @param parts the shared parts of the prompt if the request was about to begin, or had just
    *     begun, else none
    */
-  void recordCrash(String service, RequestFingerprint request, Crash crash, Set<PromptPart> parts) {
+  void recordCrash(Attempt failed, RequestFingerprint request, Set<PromptPart> parts) {
+    Crash crash = new Crash(failed.target().box().incarnation(), failed.hasHead());
+    if (failed.isForwarded()) {
+      recordCrash(request, crash, parts);
+      return;
+    }
     pathCheck.confirm(
-        service,
+        failed.target().box().service(),
         nowNanos(),
         isReached -> {
           if (isReached) {
-            quarantine.recordCrash(request, crash);
-            partGuard.recordCrash(parts, crash.upstream(), request.high());
+            recordCrash(request, crash, parts);
           }
         });
   }
 
+  private void recordCrash(RequestFingerprint request, Crash crash, Set<PromptPart> parts) {
+    quarantine.recordCrash(request, crash);
+    partGuard.recordCrash(parts, crash.upstream(), request.high());
+  }
+
   /** Returns the meter of the requests for each model, or null if they are not counted. */
   @Nullable TrafficMeter traffic() {
     return traffic;
--- a/edge/src/test/java/org/shoreroad/edge/forward/ForwardServerTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/forward/ForwardServerTest.java
@@ -19,6 +19,7 @@
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.RepeatingTimer;
 import org.shoreroad.edge.caller.HeaderNames;
+import org.shoreroad.edge.http.CallFailure;
 import org.shoreroad.edge.http.CallListener;
 import org.shoreroad.edge.http.HttpCalls;
 import org.shoreroad.edge.http.UpstreamCall;
@@ -72,11 +73,14 @@
     }
   }
 
+  private final List<CallListener> listeners = new ArrayList<>();
+
   private final class FakeCalls implements UpstreamCalls {
     @Override
     public UpstreamCall send(
         FleetBox box, FullHttpRequest request, int maxConnections, CallListener listener) {
       sent.add(request);
+      listeners.add(listener);
       return new UpstreamCall() {
         @Override
         public void cancel() {
@@ -199,6 +203,24 @@
     assertThat(replies.messages.get(0), startsWith("Failed[number=7, reason=PATH_LOST"));
   }
 
+  @Test
+  void brokenCallIsReportedAsSuchOnlyIfThePathIsSound() throws Exception {
+    CallFailure broken = new CallFailure(CallFailure.Reason.BROKEN, true);
+    for (long number : List.of(7L, 8L)) {
+      receiveCall(number, "web-1", 0);
+      paths.end(true);
+      listeners.get(listeners.size() - 1).onFailure(broken);
+      assertThat(replies.messages.size(), is((int) number - 7));
+      paths.end(number == 7);
+    }
+    assertThat(
+        replies.messages,
+        contains(
+            "Failed[number=7, reason=BROKEN, isSent=true]",
+            "Failed[number=8, reason=FORWARDER_LOST, isSent=true]"));
+    assertThat(server.openCount(), is(0));
+  }
+
   @Test
   void callsEndWithTheirConnection() throws Exception {
     receiveCall(7, "web-1", 0);
--- a/edge/src/test/java/org/shoreroad/edge/relay/CrashingPartSite.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/CrashingPartSite.java
@@ -167,6 +167,18 @@
     timer.scheduleAtFixedRate(() -> send(parts), 0, intervalMs, TimeUnit.MILLISECONDS);
   }
 
+  /** Sends requests to one process at a fixed interval. */
+  void sendEvery(int intervalMs, EdgeSite.Member process, String parts) {
+    timer.scheduleAtFixedRate(
+        () -> {
+          String attempt = "a" + ids.incrementAndGet();
+          callers.execute(() -> results.add(call(process, parts, attempt)));
+        },
+        0,
+        intervalMs,
+        TimeUnit.MILLISECONDS);
+  }
+
   /** Sends one request to a process, if one is running. */
   void send(String parts) {
     int number = ids.incrementAndGet();
--- a/edge/src/test/java/org/shoreroad/edge/relay/CrashingPartTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/CrashingPartTest.java
@@ -118,6 +118,27 @@
     }
   }
 
+  @Test
+  void partIsRefusedIfItsRequestsReachHeadsThroughOtherProcesses() throws Exception {
+    try (CrashingPartSite site = new CrashingPartSite(PROCESSES, Set.of("bad"))) {
+      EdgeSite.Member process = site.site().members().get(0);
+      site.sendEvery(SOUND_GAP_MS, "c1:800,good:40");
+      Thread.sleep(1_000);
+      process.cutAll(PathProxy.Cut.RESET);
+      Thread.sleep(1_000);
+      site.sendEvery(CRASHING_GAP_MS, process, "c1:800,bad:40");
+      Thread.sleep(PLAY_MS);
+      site.stopSending();
+      List<Long> crashes = site.crashNanos();
+      assertThat("crashes", crashes.size(), greaterThanOrEqualTo(ALLOWED_CRASHES - 2));
+      long fifthNanos = crashes.get(Math.min(crashes.size(), ALLOWED_CRASHES) - 1);
+      assertThat(
+          "arrivals of " + crashes.size() + " crashes",
+          site.crashingArrivalsAfter(fifthNanos + PROPAGATION_NANOS),
+          lessThanOrEqualTo((long) MAX_LATE_ARRIVALS));
+    }
+  }
+
   @Test
   void partIsRefusedByProcessesThatHearOfItThroughHubs() throws Exception {
     try (CrashingPartSite site = new CrashingPartSite(PROCESSES_WITH_HUBS, Set.of("bad"))) {
--- a/edge/src/test/java/org/shoreroad/edge/relay/EdgeSite.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/EdgeSite.java
@@ -94,7 +94,9 @@
   /** Starts an upstream again after it has crashed, as a new incarnation. */
   void restart(String id) throws IOException {
     for (Member member : members) {
-      member.paths.get(id).heal();
+      if (member.cut == null) {
+        member.paths.get(id).heal();
+      }
     }
     int start = starts.merge(id, 1, Integer::sum);
     store.put(Topic.UPSTREAMS, id, new byte[] {(byte) start});
