RequestParts: the prompt parts of one request apart from Exchange

Exchange had grown by the quarantine of prompt parts. No behaviour changes; CrashingPartTest, UnframedAnswerTest, CrashingRequestTest and RelayTest pass.

--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -39,6 +38,7 @@
   private final SendHistory sends = new SendHistory();
   private final OpenAttempts attempts = new OpenAttempts();
   private final RequestReader reader;
+  private final RequestParts parts;
   private final ExchangeLog log;
   private final RequestTraffic traffic;
   private final String model;
@@ -51,8 +51,6 @@
   private @Nullable ClientAccount account;
   private @Nullable EventRelay events;
   private long endNanos;
-  private @Nullable Set<PromptPart> sharedParts;
-  private boolean isPartTrial;
   private boolean isOver;
 
   Exchange(Relay relay, CallerRequest request, AnswerChannel answers) {
@@ -60,6 +58,7 @@
     this.request = request;
     this.answers = answers;
     this.reader = new RequestReader(request, relay.headers());
+    this.parts = new RequestParts(relay.partGuard(), reader, sends);
     this.log = new ExchangeLog(relay, request, reader, sends);
     this.model = reader.model();
     this.promptTokens = reader.promptTokens();
@@ -99,7 +98,7 @@
       refuse(Refusal.QUARANTINED, RetryAfter.QUARANTINE);
       return;
     }
-    isPartTrial = quarantinedParts().filter(relay.partGuard()::takeTrial).isPresent();
+    parts.admit(service);
     traffic.recordArrival(service, found);
     send();
   }
@@ -119,7 +118,7 @@
   void send() {
     if (isQuarantined()) {
       refuseOrFail(Refusal.QUARANTINED, RetryAfter.QUARANTINE);
-    } else if (hasQuarantinedPart()) {
+    } else if (parts.isSendingForbidden()) {
       refusePart();
     } else if (dispatch != null) {
       dispatch.next();
@@ -128,36 +127,13 @@
 
   private void refusePart() {
     if (attempts.isEmpty()) {
-      quarantinedParts()
-          .ifPresent(parts -> log.writePartRefusal(parts, relay.partGuard().describe(parts)));
+      parts
+          .findQuarantined()
+          .ifPresent(group -> log.writePartRefusal(group, parts.describeCrashes(group)));
     }
     refuseOrFail(Refusal.PART_QUARANTINED, RetryAfter.QUARANTINE);
   }
 
-  /** Returns the quarantined parts of the prompt because of which the request is refused. */
-  private Optional<Set<PromptPart>> quarantinedParts() {
-    return relay.partGuard().findQuarantined(this::sharedParts);
-  }
-
-  /** Returns true if a part forbids to send the request; a trial may be sent once. */
-  private boolean hasQuarantinedPart() {
-    boolean isTrialOpen = isPartTrial && !sends.mayHaveRun() && sends.sent() == 0;
-    return !isTrialOpen && quarantinedParts().isPresent();
-  }
-
-  /** Returns the parts of the prompt that other requests may share. */
-  private Set<PromptPart> sharedParts() {
-    Set<PromptPart> known = sharedParts;
-    if (known == null) {
-      known =
-          service == null
-              ? Set.of()
-              : PromptPart.allOf(service.name(), model, reader.sharedPartIds());
-      sharedParts = known;
-    }
-    return known;
-  }
-
   /**
    * Records which parts of the prompt an upstream has been answering for some time.
    *
@@ -165,9 +141,9 @@
    */
   void recordWriting(Set<PromptPart> beingWritten) {
     if (attempts.isAny(Attempt::isWellUnderWay)) {
-      relay.partGuard().recordAnswer(this::sharedParts);
+      parts.recordAnswer();
     } else if (attempts.isAny(Attempt::isBeingWritten)) {
-      beingWritten.addAll(sharedParts());
+      beingWritten.addAll(parts.shared());
     }
   }
 
@@ -236,7 +212,7 @@
     return !isOver
         && mayUseKey()
         && !isQuarantined()
-        && !hasQuarantinedPart()
+        && !parts.isSendingForbidden()
         && relay.nowNanos() < endNanos;
   }
 
@@ -298,7 +274,7 @@
     }
     relay.quarantine().recordAnswer(this::fingerprint);
     if (isSuccess) {
-      relay.partGuard().recordAnswer(this::sharedParts);
+      parts.recordAnswer();
     }
   }
 
@@ -341,7 +317,7 @@
     return isAllowed
         && sends.hasAttemptsLeft()
         && !isQuarantined()
-        && !hasQuarantinedPart()
+        && !parts.isSendingForbidden()
         && (attempts.isEmpty() || targets.isAnyFree())
         && takeRepeat();
   }
@@ -375,7 +351,7 @@
     }
     if (!newest.isSent()
         || isQuarantined()
-        || hasQuarantinedPart()
+        || parts.isSendingForbidden()
         || !targets.isAnyFree()
         || !takeRepeat()) {
       return true;
@@ -400,7 +376,7 @@
 
   /** Ends the request if its prompt has all of these parts, which have just been quarantined. */
   void onPartsQuarantined(Set<PromptPart> group) {
-    if (!isOver && !isPartTrial && sharedParts().containsAll(group)) {
+    if (!isOver && parts.isEndedBy(group)) {
       cancelUnanswered();
       refusePart();
     }
@@ -474,7 +450,7 @@
     boolean isCrash = failure == AttemptFailure.DISCONNECTED;
     log.writeFailure(failed, failure, isCrash ? fingerprint() : null);
     if (isCrash) {
-      relay.recordCrash(failed, fingerprint(), failed.isWellUnderWay() ? Set.of() : sharedParts());
+      relay.recordCrash(failed, fingerprint(), failed.isWellUnderWay() ? Set.of() : parts.shared());
     }
   }
 
