--- a/edge/src/main/java/org/shoreroad/edge/ConnectionLimit.java
+++ b/edge/src/main/java/org/shoreroad/edge/ConnectionLimit.java
@@ -2,6 +2,7 @@
 
 import java.util.function.LongSupplier;
 import org.shoreroad.admission.ConnectionAllowance;
+import org.shoreroad.edge.caller.CallerServer;
 import org.shoreroad.edge.relay.TrafficMeter;
 
 /**
@@ -15,16 +16,21 @@
   private final EventLog log;
   private final EdgeMetrics metrics;
 
+  /** Creates a limit on the connections that the server accepts. */
   ConnectionLimit(
-      TrafficMeter traffic, LongSupplier clockNanos, EventLog log, EdgeMetrics metrics) {
+      CallerServer callers,
+      TrafficMeter traffic,
+      LongSupplier clockNanos,
+      EventLog log,
+      EdgeMetrics metrics) {
     this.traffic = traffic;
     this.clockNanos = clockNanos;
     this.log = log;
     this.metrics = metrics;
+    callers.setAcceptCheck(this::accept);
   }
 
-  /** Returns true if a new connection is accepted, and counts it. */
-  boolean accept() {
+  private boolean accept() {
     boolean isAccepted = allowance.take(clockNanos.getAsLong());
     if (!isAccepted) {
       metrics.count("shoreroad.connections.closed_unread", "uneven");
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
@@ -17,13 +16,10 @@
 import org.shoreroad.edge.peer.HeartbeatAdditions;
 import org.shoreroad.edge.peer.PeerMesh;
 import org.shoreroad.edge.peer.ProcessRegistry;
-import org.shoreroad.edge.peer.QuarantineFormat;
-import org.shoreroad.edge.peer.QuarantineRegistry;
 import org.shoreroad.edge.relay.Backpressure;
 import org.shoreroad.edge.relay.DemandMeter;
 import org.shoreroad.edge.relay.FleetSummary;
 import org.shoreroad.edge.relay.HeadViews;
-import org.shoreroad.edge.relay.PartGuard;
 import org.shoreroad.edge.relay.Relay;
 import org.shoreroad.edge.relay.RequestQuarantine;
 import org.shoreroad.edge.relay.StallDetector;
@@ -40,10 +36,6 @@
 import org.shoreroad.edge.sync.Topic;
 import org.shoreroad.edge.sync.TopicFollower;
 import org.shoreroad.member.HubPlan;
-import org.shoreroad.quarantine.CrashReport;
-import org.shoreroad.quarantine.PartQuarantine;
-import org.shoreroad.quarantine.PartReport;
-import org.shoreroad.routing.Rendezvous;
 import org.shoreroad.traffic.CallerLimits;
 
 /**
@@ -90,15 +82,6 @@
   /** The same delay for the process list, which is not urgent. */
   private static final int PROCESS_LISTING_SPREAD_MS = 3_000;
 
-  /** Time in which all processes learn of a crash with hubs: three urgent heartbeats. */
-  private static final int HUB_SETTLE_MS = 350;
-
-  /**
-   * Time from the start to the first trial of a prompt part. Processes that start together do not
-   * know each other at once, and each would take itself for the one that tries.
-   */
-  private static final long TRIAL_DELAY_NANOS = TimeUnit.MINUTES.toNanos(1);
-
   private static final int UPDATE_INTERVAL_MS = 100;
   private static final int SUMMARY_INTERVAL_MS = 2_000;
 
@@ -127,8 +110,7 @@
   private final DemandMeter demands;
   private final FleetSummary summary;
   private final RequestQuarantine quarantine;
-  private final QuarantineRegistry<CrashReport> quarantineRegistry;
-  private final QuarantineRegistry<PartReport> partRegistry;
+  private final Quarantines quarantines;
   private final Backpressure backpressure;
   private final UpstreamAccess access;
   private final Relay relay;
@@ -196,16 +178,12 @@
     this.demands = new DemandMeter(upstreams, traffic, clockNanos);
     this.summary = new FleetSummary(fleet, upstreams, demands, log);
     this.quarantine = new RequestQuarantine(clockNanos, log, metrics);
-    this.quarantineRegistry =
-        new QuarantineRegistry<>(
-            QuarantineFormat.REQUESTS, store, loop, timeOfDayMs, log, quarantine::applyReports);
     this.access =
         new UpstreamAccess(
             loop, clockNanos, random, log, metrics, ports, calls, fleet, this::peerAddresses);
     this.relay = makeRelay(loop);
-    this.partRegistry =
-        new QuarantineRegistry<>(
-            QuarantineFormat.PARTS, store, loop, timeOfDayMs, log, relay.partGuard()::applyReports);
+    this.quarantines =
+        new Quarantines(quarantine, relay.partGuard(), store, loop, clockNanos, timeOfDayMs, log);
     this.lag = new LoopLag(log, UPDATE_INTERVAL_MS);
     this.failureDetector = new FailureDetector(clockNanos);
     this.heartbeats = makeHeartbeats();
@@ -214,8 +192,8 @@
     this.leases = new DomainLeases(store, loop, elapsed::nowNanos, log, name, mesh, fleet::domains);
     this.replicas = makeReplicas(loop);
     this.heldBytes = new HeldBytes(settings.heldBytes(), new HeldBytesLog(log, metrics));
-    this.connectionLimit = new ConnectionLimit(traffic, clockNanos, log, metrics);
     this.callers = makeCallers(loop);
+    this.connectionLimit = new ConnectionLimit(callers, traffic, clockNanos, log, metrics);
     this.processes = new ProcessRegistry(store, loop, log, mesh, location);
     this.processFollower =
         follower(Topic.PROCESSES, PROCESS_WAIT_MS, processes::readIntervalMs, processes);
@@ -227,16 +205,13 @@
   }
 
   private CallerServer makeCallers(EventLoop loop) {
-    CallerServer server =
-        new CallerServer(
-            loop,
-            clockNanos,
-            this::limits,
-            relay,
-            reason -> metrics.count("shoreroad.bad_input", reason),
-            heldBytes);
-    server.setAcceptCheck(connectionLimit::accept);
-    return server;
+    return new CallerServer(
+        loop,
+        clockNanos,
+        this::limits,
+        relay,
+        reason -> metrics.count("shoreroad.bad_input", reason),
+        heldBytes);
   }
 
   private SendGates makeGates() {
@@ -295,16 +270,12 @@
         upstreams,
         traffic,
         backpressure,
-        () -> {
-          updateGates();
-          connectionLimit.update();
-        });
+        this::updateLimits);
   }
 
-  /**
-   * An upstream that appears before the list was read once and there is traffic has not started.
-   */
-  private void updateGates() {
+  private void updateLimits() {
+    connectionLimit.update();
+    // An upstream that appears before the list was read once and there is traffic has not started.
     boolean hasTraffic = relay.acceptedCount() > 0 || upstreams.hasPeerLoad();
     gates.update(mesh.names(), processFollower.isCurrent(), listFollower.isCurrent() && hasTraffic);
   }
@@ -387,8 +358,7 @@
     mesh.setSuspicionListener(heartbeats::applySuspicions);
     backpressure.setLimitListener(mesh::sendSoon);
     backpressure.setLeavingListener(fleet::noteLeaving);
-    quarantine.setRecorder(quarantineRegistry::write);
-    connectParts(relay.partGuard());
+    quarantines.connect(name, mesh, heartbeats);
     fleet.setServiceCheck(configuration::isDeclared);
     fleet.setFaultListener(
         fault -> metrics.count("shoreroad.upstreams.unusable_entries", fault.code()));
@@ -405,28 +375,6 @@
     shareRoom();
   }
 
-  private void connectParts(PartGuard guard) {
-    guard.setRecorder(partRegistry::write);
-    guard.setChangeListener(mesh::sendSoon);
-    guard.setSettleMs(
-        () -> mesh.isHub() || mesh.isMember() ? HUB_SETTLE_MS : PartQuarantine.DEFAULT_SETTLE_MS);
-    long mayTryNanos = clockNanos.getAsLong() + TRIAL_DELAY_NANOS;
-    guard.setTrialCheck(
-        part -> clockNanos.getAsLong() - mayTryNanos > 0 && isFirstFor(part.toString()));
-    heartbeats.addContributor(additions -> additions.withPartReports(guard.reports()));
-    heartbeats.addListener(
-        heartbeat -> {
-          if (guard.applyReports(heartbeat.additions().partReports())) {
-            mesh.sendSoonIfHub();
-          }
-        });
-  }
-
-  /** Returns true if this process is the first of all by rendezvous hashing. */
-  private boolean isFirstFor(String key) {
-    return Rendezvous.positionOf(name, key, mesh.names()) == 0;
-  }
-
   private Map<String, String> peerAddresses() {
     return mesh.reachableAddresses();
   }
@@ -465,8 +413,7 @@
                     }));
     configFollower.start();
     listFollower.start();
-    quarantineRegistry.load();
-    partRegistry.load();
+    quarantines.load();
     Announcement announcement = new Announcement(peerAddress(), settings.zone());
     // Members need the list only to find a hub. If 89 processes continued to read it, this would be
     // about 800 of 3,100 calls to the store in 72 s without faults, and each process would read
@@ -528,7 +475,6 @@
     listFollower.noteEra(era);
     processFollower.noteEra(era);
     leases.noteEra();
-    quarantineRegistry.writeAgain(era);
-    partRegistry.writeAgain(era);
+    quarantines.writeAgain(era);
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -15,7 +15,6 @@
 import org.shoreroad.edge.caller.CallerExchange;
 import org.shoreroad.edge.caller.CallerRequest;
 import org.shoreroad.quarantine.PromptPart;
-import org.shoreroad.quarantine.RequestFingerprint;
 import org.shoreroad.traffic.ClientAccount;
 import org.shoreroad.traffic.RequestKind;
 import org.shoreroad.traffic.Route;
@@ -38,7 +37,7 @@
   private final SendHistory sends = new SendHistory();
   private final OpenAttempts attempts = new OpenAttempts();
   private final RequestReader reader;
-  private final RequestParts parts;
+  private final RequestGuard guard;
   private final ExchangeLog log;
   private final RequestTraffic traffic;
   private final String model;
@@ -58,7 +57,7 @@
     this.request = request;
     this.answers = answers;
     this.reader = new RequestReader(request, relay.headers());
-    this.parts = new RequestParts(relay.partGuard(), reader, sends);
+    this.guard = new RequestGuard(relay, reader, sends);
     this.log = new ExchangeLog(relay, request, reader, sends);
     this.model = reader.model();
     this.promptTokens = reader.promptTokens();
@@ -94,11 +93,10 @@
     endNanos = request.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
     dispatch = new Dispatch(this, relay, targets, sends, engine, request.arrivedNanos());
     sends.setMaxAttempts(found.maxAttempts());
-    if (relay.quarantine().recordArrival(this::fingerprint)) {
-      refuse(Refusal.QUARANTINED, RetryAfter.QUARANTINE);
+    if (!guard.admit(found, service, account)) {
+      refuse(guard.refusal(), RetryAfter.QUARANTINE);
       return;
     }
-    parts.admit(service);
     traffic.recordArrival(service, found);
     send();
   }
@@ -116,35 +114,16 @@
    * its upstreams is stopped by the quarantine, which counts over all tries and processes.
    */
   void send() {
-    if (isQuarantined()) {
-      refuseOrFail(Refusal.QUARANTINED, RetryAfter.QUARANTINE);
-    } else if (parts.isSendingForbidden()) {
-      refusePart();
+    if (!guard.maySend()) {
+      refuseOrFail(guard.refusal(), RetryAfter.QUARANTINE);
     } else if (dispatch != null) {
       dispatch.next();
     }
   }
 
-  private void refusePart() {
-    if (attempts.isEmpty()) {
-      parts
-          .findQuarantined()
-          .ifPresent(group -> log.writePartRefusal(group, parts.describeCrashes(group)));
-    }
-    refuseOrFail(Refusal.PART_QUARANTINED, RetryAfter.QUARANTINE);
-  }
-
-  /**
-   * Records which parts of the prompt an upstream has been answering for some time.
-   *
-   * @param beingWritten receives the parts, not null
-   */
+  /** Records which parts of the prompt an upstream has been answering for some time. */
   void recordWriting(Set<PromptPart> beingWritten) {
-    if (attempts.isAny(Attempt::isWellUnderWay)) {
-      parts.recordAnswer();
-    } else if (attempts.isAny(Attempt::isBeingWritten)) {
-      beingWritten.addAll(parts.shared());
-    }
+    guard.recordWriting(attempts, beingWritten);
   }
 
   /** Starts an attempt at an upstream, under the grant of its room or without one. */
@@ -209,11 +188,7 @@
 
   /** Returns true if the request may be sent; called right before the first byte is sent. */
   boolean maySendNow() {
-    return !isOver
-        && mayUseKey()
-        && !isQuarantined()
-        && !parts.isSendingForbidden()
-        && relay.nowNanos() < endNanos;
+    return !isOver && mayUseKey() && guard.maySend() && relay.nowNanos() < endNanos;
   }
 
   /** Records that a byte may have been sent to an upstream. */
@@ -251,7 +226,7 @@
   void onWholeAnswer(Attempt answering, HttpResponse head, ByteBuf body) {
     relay.counters().count("shoreroad.answers", Integer.toString(head.status().code()));
     relay.counters().record("shoreroad.answer", relay.nowNanos() - request.arrivedNanos());
-    recordAnswer(answering, head.status().codeClass() == HttpStatusClass.SUCCESS);
+    guard.recordAnswer(answering, head.status().codeClass() == HttpStatusClass.SUCCESS);
     finish(RequestEnd.ANSWERED);
     answers.answer(head.status(), HopByHopHeaders.copyWithout(head.headers()), body);
   }
@@ -262,22 +237,11 @@
     if (events != null) {
       log.writeIfLate(events.timing());
     }
-    recordAnswer(answering, true);
+    guard.recordAnswer(answering, true);
     finish(RequestEnd.ANSWERED);
     answers.end();
   }
 
-  /** Records that the request crashed no upstream, if the end of its answer shows that. */
-  private void recordAnswer(Attempt answering, boolean isSuccess) {
-    if (!answering.isEndStated() && !answering.isWellUnderWay()) {
-      return;
-    }
-    relay.quarantine().recordAnswer(this::fingerprint);
-    if (isSuccess) {
-      parts.recordAnswer();
-    }
-  }
-
   /** Repeats the request or ends it after an attempt brought no answer that can be forwarded. */
   void onAttemptFailed(Attempt failed, AttemptFailure failure) {
     if (failure != AttemptFailure.NOT_SENT && failure != AttemptFailure.REFUSED) {
@@ -316,8 +280,7 @@
     // While an earlier attempt is open, a repeat is useful only if it can be sent now.
     return isAllowed
         && sends.hasAttemptsLeft()
-        && !isQuarantined()
-        && !parts.isSendingForbidden()
+        && guard.maySend()
         && (attempts.isEmpty() || targets.isAnyFree())
         && takeRepeat();
   }
@@ -349,11 +312,7 @@
     if (newest == null || newest.target().load() != stalled || !canRepeat()) {
       return false;
     }
-    if (!newest.isSent()
-        || isQuarantined()
-        || parts.isSendingForbidden()
-        || !targets.isAnyFree()
-        || !takeRepeat()) {
+    if (!newest.isSent() || !guard.maySend() || !targets.isAnyFree() || !takeRepeat()) {
       return true;
     }
     recordFailure(newest, AttemptFailure.STALLED);
@@ -364,33 +323,18 @@
   }
 
   /**
-   * Ends the request if it is among those that have just been quarantined and no upstream has begun
-   * to answer it. An upstream at which it still waits would crash too.
+   * Ends the request if a quarantine that has just begun forbids it and no upstream has begun to
+   * answer it. An upstream at which it still waits would crash too.
    */
-  void onQuarantined(Set<RequestFingerprint> requests) {
-    if (!isOver && requests.contains(fingerprint())) {
-      cancelUnanswered();
-      refuseOrFail(Refusal.QUARANTINED, RetryAfter.QUARANTINE);
-    }
-  }
-
-  /** Ends the request if its prompt has all of these parts, which have just been quarantined. */
-  void onPartsQuarantined(Set<PromptPart> group) {
-    if (!isOver && parts.isEndedBy(group)) {
-      cancelUnanswered();
-      refusePart();
+  void onQuarantined() {
+    if (isOver || !guard.isEnded()) {
+      return;
     }
-  }
-
-  private void cancelUnanswered() {
     if (attempts.isAnySent()) {
       sends.recordMayHaveRun();
     }
     attempts.cancelUnanswered();
-  }
-
-  private boolean isQuarantined() {
-    return relay.quarantine().isQuarantined(this::fingerprint);
+    refuseOrFail(guard.refusal(), RetryAfter.QUARANTINE);
   }
 
   @Override
@@ -427,7 +371,8 @@
   }
 
   private void refuse(Refusal refusal, RetryAfter retryAfter) {
-    refuse(refusal, retryAfter.headerValue(relay.random()), "");
+    String why = refusal == Refusal.PART_QUARANTINED ? guard.describeParts() : "";
+    refuse(refusal, retryAfter.headerValue(relay.random()), why);
   }
 
   private void refuse(Refusal refusal, String retryAfterSeconds, String why) {
@@ -448,16 +393,12 @@
   private void recordFailure(Attempt failed, AttemptFailure failure) {
     relay.counters().count("shoreroad.attempts.failed", failure.code());
     boolean isCrash = failure == AttemptFailure.DISCONNECTED;
-    log.writeFailure(failed, failure, isCrash ? fingerprint() : null);
+    log.writeFailure(failed, failure, isCrash ? guard.fingerprint() : null);
     if (isCrash) {
-      relay.recordCrash(failed, fingerprint(), failed.isWellUnderWay() ? Set.of() : parts.shared());
+      guard.recordCrash(failed);
     }
   }
 
-  private RequestFingerprint fingerprint() {
-    return reader.fingerprint(route == null ? "" : route.host(), account);
-  }
-
   /** Ends the request; called for each way in which a request can end. */
   private void finish(RequestEnd end) {
     if (!isOver) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.caller.CallerRequest;
-import org.shoreroad.quarantine.PromptPart;
 import org.shoreroad.quarantine.RequestFingerprint;
 import org.shoreroad.traffic.ClientAccount;
 import org.shoreroad.traffic.Route;
@@ -68,7 +67,8 @@
   /**
    * Writes that the request is refused, with its priority if it has a route.
    *
-   * @param why the reason of the process that grants the room, or an empty text
+   * @param why the reason of the process that grants the room, or the quarantined parts with their
+   *     crashes, or an empty text
    * @param candidates the number of upstreams in each state, or an empty text
    * @param awaited the open attempts
    */
@@ -126,11 +126,6 @@
         fingerprint == null ? "" : fingerprint);
   }
 
-  /** Writes that the request is refused because of quarantined parts of its prompt. */
-  void writePartRefusal(Set<PromptPart> parts, List<String> crashes) {
-    write("part_refused", "parts", parts, "crashes", crashes);
-  }
-
   private static long writingMs(Attempt attempt) {
     long writingNanos = attempt.writingNanos();
     return writingNanos < 0 ? NO_ANSWER : TimeUnit.NANOSECONDS.toMillis(writingNanos);
--- a/edge/src/main/java/org/shoreroad/edge/relay/PartGuard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/PartGuard.java
@@ -29,7 +29,7 @@
   private final LongSupplier clockNanos;
   private final EventLog log;
   private final RelayCounters counters;
-  private Consumer<Set<PromptPart>> listener = group -> {};
+  private Runnable listener = () -> {};
   private Consumer<PartReport> recorder = report -> {};
   private Runnable changeListener = () -> {};
   private Predicate<PromptPart> trialCheck = part -> true;
@@ -43,12 +43,8 @@
     this.counters = counters;
   }
 
-  /**
-   * Sets the callback for groups of parts that have just been quarantined.
-   *
-   * @param newListener ends the open exchanges whose prompts have all parts of the group, not null
-   */
-  void setListener(Consumer<Set<PromptPart>> newListener) {
+  /** Sets the callback for a quarantine that begins, which ends open requests. */
+  void setListener(Runnable newListener) {
     listener = newListener;
   }
 
@@ -142,9 +138,9 @@
           quarantine.report(part, clockNanos.getAsLong()).ifPresent(recorder);
         }
       }
-      listener.accept(group);
     }
     if (!groups.isEmpty()) {
+      listener.run();
       changeListener.run();
     }
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -96,9 +96,9 @@
     this.rules = rules;
     this.quarantine = quarantine;
     this.backpressure = backpressure;
-    quarantine.setListener(this::endQuarantined);
+    quarantine.setListener(requests -> endQuarantined());
     this.partGuard = new PartGuard(clockNanos, log, counters);
-    partGuard.setListener(this::endPartQuarantined);
+    partGuard.setListener(this::endQuarantined);
     partGuard.setUpdateScheduler(this::schedulePartUpdate);
   }
 
@@ -188,15 +188,9 @@
     }
   }
 
-  private void endPartQuarantined(Set<PromptPart> group) {
+  private void endQuarantined() {
     for (Exchange exchange : open.toArray(new Exchange[0])) {
-      exchange.onPartsQuarantined(group);
-    }
-  }
-
-  private void endQuarantined(Set<RequestFingerprint> requests) {
-    for (Exchange exchange : open.toArray(new Exchange[0])) {
-      exchange.onQuarantined(requests);
+      exchange.onQuarantined();
     }
   }
 
