PartHistory: refuted crashes give way to new ones

Cause (by reading): a history keeps 16 crashes. A part that was answered after 16 crashes recorded no further one, so a new version of the upstreams that crashes on it would not have been noticed until ten minutes without a crash had passed.

--- a/core/src/main/java/org/shoreroad/quarantine/PartHistory.java
+++ b/core/src/main/java/org/shoreroad/quarantine/PartHistory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -73,7 +74,7 @@
       lastCrashNanos = crashNanos;
     }
     Entry known = crashes.get(upstream);
-    if (known == null && crashes.size() >= MAX_CRASHES) {
+    if (known == null && crashes.size() >= MAX_CRASHES && (isRefuted || !removeRefuted())) {
       return false;
     }
     boolean hasChanged =
@@ -89,6 +90,18 @@
     return hasChanged;
   }
 
+  /** Removes the oldest refuted crash; returns false if there is none. */
+  private boolean removeRefuted() {
+    Iterator<Entry> oldestFirst = crashes.values().iterator();
+    while (oldestFirst.hasNext()) {
+      if (oldestFirst.next().isRefuted) {
+        oldestFirst.remove();
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Merges a report of another process; returns true if it holds anything new. */
   boolean merge(PartReport report, long nowNanos) {
     boolean hasChanged = false;
--- a/core/src/test/java/org/shoreroad/quarantine/PartQuarantineTest.java
+++ b/core/src/test/java/org/shoreroad/quarantine/PartQuarantineTest.java
@@ -191,6 +191,16 @@
     assertThat(isRefused("bad"), is(false));
   }
 
+  @Test
+  void partThatWasSoundThroughManyCrashesIsQuarantinedOnceItCrashesUpstreams() {
+    for (int i = 0; i < 40; i++) {
+      crashes(1, "part");
+      quarantine.recordAnswer(parts("part"), nowNanos);
+    }
+    crashes(3, "part");
+    assertThat(isRefused("part"), is(true));
+  }
+
   @Test
   void oneTrialIsAllowedAfterTheTrialTime() {
     crashes(3, "bad");
