PartQuarantine: an answer to one part begins no quarantine of another

Cause (by reading): the decision after a release did not know which answers are under way, so a part that an upstream was answering could be quarantined at that moment. Result: PartQuarantineTest.answerToOnePartDoesNotBeginTheQuarantineOfAnother failed before and passes.

--- a/core/src/main/java/org/shoreroad/quarantine/PartQuarantine.java
+++ b/core/src/main/java/org/shoreroad/quarantine/PartQuarantine.java
@@ -118,7 +118,8 @@
       }
     }
     if (!released.isEmpty()) {
-      update(part -> false, nowNanos);
+      // Ends the quarantine, and begins none: the answers under way are not known here.
+      update(part -> true, nowNanos);
     }
     return released;
   }
--- a/core/src/test/java/org/shoreroad/quarantine/PartQuarantineTest.java
+++ b/core/src/test/java/org/shoreroad/quarantine/PartQuarantineTest.java
@@ -201,6 +201,15 @@
     assertThat(isRefused("part"), is(true));
   }
 
+  @Test
+  void answerToOnePartDoesNotBeginTheQuarantineOfAnother() {
+    crashes(3, "bad");
+    assertThat(isRefused("bad"), is(true));
+    crashes(3, "new");
+    quarantine.recordAnswer(parts("bad"), nowNanos);
+    assertThat(quarantine.findQuarantined(parts("new")), is(Optional.empty()));
+  }
+
   @Test
   void oneTrialIsAllowedAfterTheTrialTime() {
     crashes(3, "bad");
