--- a/edge/src/test/java/org/shoreroad/edge/relay/CrashingPartTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/CrashingPartTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
@@ -64,12 +65,7 @@
           site.crashingArrivalsAfter(fifthNanos + PROPAGATION_NANOS),
           lessThanOrEqualTo((long) MAX_LATE_ARRIVALS));
       checkServed(site.resultsAfter(fifthNanos + RECOVERY_NANOS, sound));
-      List<CrashingPartSite.Result> refused =
-          site.resultsAfter(fifthNanos + PROPAGATION_NANOS, crashing);
-      assertThat(
-          "refused",
-          refused.stream().filter(result -> result.status() == 503).count(),
-          is((long) refused.size()));
+      checkRefused(site.resultsAfter(fifthNanos + PROPAGATION_NANOS, crashing));
     }
   }
 
@@ -101,6 +97,31 @@
     }
   }
 
+  @Test
+  void onlyThePartThatCrashesHeadsIsRefusedWhenHalfOfThemCrashForAnotherCause() throws Exception {
+    try (CrashingPartSite site = new CrashingPartSite(PROCESSES, Set.of("bad"))) {
+      site.sendEvery(SOUND_GAP_MS, "c1:800,good:40");
+      Thread.sleep(1_000);
+      site.sendEvery(CRASHING_GAP_MS, "c1:800,bad:40");
+      site.sendEvery(2 * SOUND_GAP_MS, "new:800,c2:40");
+      Thread.sleep(200);
+      site.crashHalf();
+      Thread.sleep(PLAY_MS + 3_000);
+      site.stopSending();
+      List<String> quarantined =
+          site.logged()
+              .lines()
+              .filter(line -> line.contains("\"event\":\"part_quarantined\""))
+              .toList();
+      assertThat(quarantined, everyItem(containsString("llm/m/bad")));
+      assertThat(quarantined, everyItem(not(containsString("llm/m/c1"))));
+      List<Long> crashes = site.crashNanos();
+      long lastNanos = crashes.get(crashes.size() - 1);
+      checkServed(site.resultsAfter(lastNanos + RECOVERY_NANOS, "new:800,c2:40"));
+      checkRefused(site.resultsAfter(lastNanos + PROPAGATION_NANOS, "c1:800,bad:40"));
+    }
+  }
+
   @Test
   void partIsRefusedByProcessesThatStartLaterAndAfterAllHaveEnded() throws Exception {
     try (CrashingPartSite site = new CrashingPartSite(PROCESSES, Set.of("bad"))) {
@@ -157,6 +178,11 @@
     }
   }
 
+  private static void checkRefused(List<CrashingPartSite.Result> results) {
+    long refused = results.stream().filter(result -> result.status() == 503).count();
+    assertThat("refused", refused, is((long) results.size()));
+  }
+
   private static void checkServed(List<CrashingPartSite.Result> results) {
     long served = results.stream().filter(CrashingPartSite.Result::isServed).count();
     assertThat("requests", results.size(), greaterThan(MIN_REQUESTS));
