--- a/review/standins/src/review/Edge.java
+++ b/review/standins/src/review/Edge.java
@@ -44,6 +44,10 @@
     return ports[0];
   }
 
+  int peerPort() {
+    return ports[2];
+  }
+
   Path log() {
     return folder.resolve(node + ".log");
   }
--- a/review/standins/src/review/Store.java
+++ b/review/standins/src/review/Store.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -30,6 +31,7 @@
   private final ServerSocket listening;
   private final Map<String, List<Entry>> topics = new HashMap<>();
   private final Map<String, Group> groups = new HashMap<>();
+  private final List<ServerSocket> views = new ArrayList<>();
 
   private record Entry(String key, byte[] value) {}
 
@@ -50,7 +52,20 @@
 
   Store() throws IOException {
     listening = new ServerSocket(0, 128, InetAddress.getByName("127.0.0.1"));
-    Threads.daemon("store", this::accept);
+    Threads.daemon("store", () -> accept(listening, UnaryOperator.identity()));
+  }
+
+  /**
+   * Opens another port of the store, at which a machine finds the others. A test that puts a proxy on
+   * the ways between machines changes their addresses there.
+   *
+   * @param addresses changes the text of each record of the processes, for this port alone
+   */
+  int openView(UnaryOperator<String> addresses) throws IOException {
+    ServerSocket view = new ServerSocket(0, 128, InetAddress.getByName("127.0.0.1"));
+    views.add(view);
+    Threads.daemon("store view", () -> accept(view, addresses));
+    return view.getLocalPort();
   }
 
   String address() {
@@ -67,20 +82,21 @@
     return topics.computeIfAbsent(name, key -> new ArrayList<>());
   }
 
-  private void accept() throws IOException {
-    while (!listening.isClosed()) {
-      Socket socket = listening.accept();
-      Threads.daemon("store connection", () -> serve(socket));
+  private void accept(ServerSocket port, UnaryOperator<String> addresses) throws IOException {
+    while (!port.isClosed()) {
+      Socket socket = port.accept();
+      Threads.daemon("store connection", () -> serve(socket, addresses));
     }
   }
 
-  private void serve(Socket socket) throws IOException, InterruptedException {
+  private void serve(Socket socket, UnaryOperator<String> addresses)
+      throws IOException, InterruptedException {
     try (socket) {
       socket.setTcpNoDelay(true);
       BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
       for (Wire.Head head = Wire.readHead(in); head != null; head = Wire.readHead(in)) {
         byte[] body = Wire.readBody(in, head);
-        Answer answer = answer(head.line().split(" ")[1], body);
+        Answer answer = answer(head.line().split(" ")[1], body, addresses);
         OutputStream out = socket.getOutputStream();
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         bytes.write(
@@ -96,7 +112,8 @@
 
   private record Answer(int status, byte[] body) {}
 
-  private Answer answer(String uri, byte[] body) throws IOException, InterruptedException {
+  private Answer answer(String uri, byte[] body, UnaryOperator<String> addresses)
+      throws IOException, InterruptedException {
     int mark = uri.indexOf('?');
     String path = mark < 0 ? uri : uri.substring(0, mark);
     Map<String, String> query = new HashMap<>();
@@ -110,9 +127,9 @@
     }
     switch (path) {
       case "/-/log-read":
-        return read(query);
+        return read(query, addresses);
       case "/-/log-newest":
-        return newest(query);
+        return newest(query, addresses);
       case "/-/log-append":
         return append(query, body);
       case "/-/log-join":
@@ -126,7 +143,7 @@
     }
   }
 
-  private synchronized Answer read(Map<String, String> query)
+  private synchronized Answer read(Map<String, String> query, UnaryOperator<String> addresses)
       throws IOException, InterruptedException {
     List<Entry> log = topic(query.get("topic"));
     int from = Integer.parseInt(query.get("from"));
@@ -142,17 +159,23 @@
     DataOutputStream out = new DataOutputStream(bytes);
     out.writeLong(log.size());
     out.writeLong(0);
+    int maxBytes = 1_024 * Integer.parseInt(query.getOrDefault("max_kb", "1024"));
     for (int i = from; i < log.size(); i++) {
       byte[] key = Wire.bytes(log.get(i).key());
-      out.writeInt(1 + key.length + log.get(i).value().length);
+      byte[] value = seen(query.get("topic"), log.get(i).value(), addresses);
+      if (i > from && bytes.size() + key.length + value.length + 5 > maxBytes) {
+        break;
+      }
+      out.writeInt(1 + key.length + value.length);
       out.writeByte(key.length);
       out.write(key);
-      out.write(log.get(i).value());
+      out.write(value);
     }
     return new Answer(200, bytes.toByteArray());
   }
 
-  private synchronized Answer newest(Map<String, String> query) {
+  private synchronized Answer newest(
+      Map<String, String> query, UnaryOperator<String> addresses) {
     List<Entry> log = topic(query.get("topic"));
     TreeMap<String, Integer> newest = new TreeMap<>();
     for (int i = 0; i < log.size(); i++) {
@@ -162,7 +185,7 @@
     String after = query.getOrDefault("since_rev", "");
     newest.forEach(
         (key, offset) -> {
-          byte[] value = log.get(offset).value();
+          byte[] value = seen(query.get("topic"), log.get(offset).value(), addresses);
           if (value.length > 0 && key.compareTo(after) > 0) {
             items
                 .append(items.length() == 0 ? "" : ",")
@@ -177,6 +200,12 @@
             "{\"items\":[" + items + "],\"more_pages\":false,\"end\":" + log.size() + "}"));
   }
 
+  private static byte[] seen(String topic, byte[] value, UnaryOperator<String> addresses) {
+    return topic.equals("keyed.processes") && value.length > 0
+        ? Wire.bytes(addresses.apply(new String(value, StandardCharsets.UTF_8)))
+        : value;
+  }
+
   private synchronized Answer append(Map<String, String> query, byte[] body) {
     List<Entry> log = topic(query.get("topic"));
     int offset = log.size();
@@ -245,5 +274,8 @@
   @Override
   public void close() throws IOException {
     listening.close();
+    for (ServerSocket view : views) {
+      view.close();
+    }
   }
 }
--- a/review/standins/src/review/Threads.java
+++ b/review/standins/src/review/Threads.java
@@ -9,6 +9,11 @@
     void run() throws Exception;
   }
 
+  /** Returns the steady time in milliseconds. */
+  static long nowMs() {
+    return System.nanoTime() / 1_000_000;
+  }
+
   static Thread daemon(String name, Task task) {
     Thread thread =
         new Thread(
