--- a/review/standins/src/review/Edge.java
+++ b/review/standins/src/review/Edge.java
@@ -90,6 +90,8 @@
     builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
     builder.redirectError(ProcessBuilder.Redirect.appendTo(log().toFile()));
     process = builder.start();
+    // The process ends with the test, also if that is interrupted.
+    Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
   }
 
   private List<String> command() throws IOException {
--- a/review/standins/src/review/RunnerProcess.java
+++ b/review/standins/src/review/RunnerProcess.java
@@ -27,6 +27,7 @@
     command.add("review." + mainClass);
     command.add(id);
     process = new ProcessBuilder(command).redirectErrorStream(true).start();
+    Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
     BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream()));
     String first = out.readLine();
     if (first == null || !first.startsWith("port ")) {
