HttpConnection: complete an answer without a length only after an orderly end

Cause: an answer without a length counted as complete unless an exception had been met while reading. A reset that is met while writing makes Netty close the channel at once, without such an exception; the decoder then ends the answer as the channel becomes inactive. Every other close without the upstream's end did the same, for example the one at the end of the process.

Change: connections to upstreams permit half closure, so that an end by the server is an event of its own, which no reset and no close of this process raises. A handler before the decoder records it, and the end of an answer on a closed channel without this event is a failure (BROKEN). All users of HttpCalls share the connection: whole answers, streams, heads' reports and orders, the store, and calls for other processes.

Ruled out: an exception that comes late (none is raised), and a channel that another call used (the answer carries the id of its own request). Not closing the channel after a failed write was weighed and left: the write takes the error from the socket, so that a read then reports an end as in order.

--- a/edge/src/main/java/org/shoreroad/edge/http/HttpCalls.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/HttpCalls.java
@@ -194,6 +194,8 @@
           .group(loop)
           .channel(NioSocketChannel.class)
           .option(ChannelOption.TCP_NODELAY, true)
+          // An end by the server is then an event of its own, apart from a reset or a close.
+          .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
           .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
           .handler(initializer(connection))
           .connect(toSocketAddress(address));
@@ -279,6 +281,7 @@
         channel
             .pipeline()
             .addLast(
+                connection.newEndMonitor(),
                 new HttpClientCodec(
                     MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, false),
                 connection);
--- a/edge/src/main/java/org/shoreroad/edge/http/HttpConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/HttpConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -17,7 +18,8 @@
 /**
  * Keep-alive connection that carries one call at a time and is closed at any protocol violation.
  *
- * <p>Bytes that arrive without an open call belong to no request, so they close the connection. Not
+ * <p>Bytes that arrive without an open call belong to no request, so they close the connection. An
+ * answer without a length is complete only if the server has ended the connection in order. Not
  * thread-safe: used on the event loop.
  *
  * @since 0.2
@@ -37,7 +39,7 @@
   private boolean isSkipping;
   private boolean isKeptAlive = true;
   private boolean hasHead;
-  private boolean isBroken;
+  private boolean hasServerEnded;
   private boolean isRequestWritten = true;
   private long maxIdleNanos = DEFAULT_IDLE_NANOS;
   private long idleSinceNanos;
@@ -53,7 +55,7 @@
     isSkipping = false;
     next.setConnection(this);
     Channel open = channel;
-    if (open == null || !open.isActive()) {
+    if (open == null || !isOpen()) {
       finish();
       next.fail(CallFailure.Reason.NOT_CONNECTED);
       return;
@@ -86,13 +88,11 @@
   }
 
   boolean isUsable(long nowNanos) {
-    return channel != null
-        && channel.isActive()
-        && nowNanos - idleSinceNanos < maxIdleNanos - IDLE_MARGIN_NANOS;
+    return isOpen() && nowNanos - idleSinceNanos < maxIdleNanos - IDLE_MARGIN_NANOS;
   }
 
-  boolean isOpen() {
-    return channel != null && channel.isActive();
+  private boolean isOpen() {
+    return channel != null && channel.isActive() && !hasServerEnded;
   }
 
   void close() {
@@ -157,8 +157,8 @@
    * reused, since the rest would be held until the server reads it.
    */
   private void readEnd() {
-    if (isBroken) {
-      // The connection was reset; the decoder synthesized this end for an answer without a length.
+    if (!isOpen() && !hasServerEnded) {
+      // The decoder ends an answer without a length also when the connection is reset or closed.
       failCall(CallFailure.Reason.BROKEN);
       return;
     }
@@ -194,18 +194,23 @@
     }
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      // The decoder has passed on what it still had.
+      failCall(CallFailure.Reason.BROKEN);
+    }
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     failCall(CallFailure.Reason.BROKEN);
-    finish();
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     // The call fails with BROKEN; the text of the cause affects no decision.
-    isBroken = true;
     failCall(CallFailure.Reason.BROKEN);
-    finish();
   }
 
   private void failCall(CallFailure.Reason reason) {
@@ -221,4 +226,18 @@
     close();
     pool.remove(this);
   }
+
+  /**
+   * Creates the handler that records an orderly end by the server. It must precede the decoder,
+   * which passes on the end of an answer before this event.
+   */
+  ChannelInboundHandlerAdapter newEndMonitor() {
+    return new ChannelInboundHandlerAdapter() {
+      @Override
+      public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        hasServerEnded |= event instanceof ChannelInputShutdownEvent;
+        context.fireUserEventTriggered(event);
+      }
+    };
+  }
 }
--- a/edge/src/test/java/org/shoreroad/edge/relay/FakeUpstream.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/FakeUpstream.java
@@ -19,17 +19,28 @@
 final class FakeUpstream implements AutoCloseable {
   private final ServerSocket listening;
   private final Script script;
+  private final boolean isReadingBodies;
   private final List<String> requestHeads = new CopyOnWriteArrayList<>();
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
 
   FakeUpstream(Script script) throws IOException {
+    this(script, true);
+  }
+
+  private FakeUpstream(Script script, boolean isReadingBodies) throws IOException {
     this.script = script;
+    this.isReadingBodies = isReadingBodies;
     this.listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     Thread acceptor = new Thread(this::accept, "fake-upstream");
     acceptor.setDaemon(true);
     acceptor.start();
   }
 
+  /** Creates an upstream that reads only the heads of requests. */
+  static FakeUpstream ofUnreadBodies(Script script) throws IOException {
+    return new FakeUpstream(script, false);
+  }
+
   /** Answers requests. */
   interface Script {
     /**
@@ -90,14 +101,14 @@
     }
   }
 
-  private static String readHead(BufferedReader in) throws IOException {
+  private String readHead(BufferedReader in) throws IOException {
     StringBuilder head = new StringBuilder();
     for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
       head.append(line).append('\n');
     }
     int length = 0;
     String text = header(head.toString(), "Content-Length");
-    if (!text.isEmpty()) {
+    if (!text.isEmpty() && isReadingBodies) {
       length = Integer.parseInt(text);
     }
     for (int i = 0; i < length; i++) {
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -209,7 +209,11 @@
   }
 
   final FakeUpstream upstream(String id, FakeUpstream.Script script) throws Exception {
-    FakeUpstream upstream = new FakeUpstream(script);
+    return add(id, new FakeUpstream(script));
+  }
+
+  /** Adds an upstream to the list of upstreams, and closes it after the test. */
+  final FakeUpstream add(String id, FakeUpstream upstream) throws Exception {
     upstreams.add(upstream);
     list(id, upstream);
     return upstream;
--- a/edge/src/test/java/org/shoreroad/edge/relay/UnframedAnswerTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UnframedAnswerTest.java
@@ -8,6 +8,8 @@
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.startsWith;
 
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -17,6 +19,10 @@
   private static final String HEAD = "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Seal: s\r\n\r\n";
   private static final String LAST_CHUNK = "0\r\n\r\n";
   private static final int UPSTREAMS = 8;
+
+  /** More than the socket buffers of an upstream that reads nothing take at once. */
+  private static final int LONG_BODY_BYTES = 4_000_000;
+
   private static final int CALLS = 6;
 
   private static FakeUpstream.Script writing(String body) {
@@ -50,6 +56,54 @@
     assertThat(call("/once/x"), startsWith("HTTP/1.1 502"));
   }
 
+  /** Resets the connection while a part of the request waits to be written. */
+  private FakeUpstream resettingUnreadAfter(String id, String body) throws Exception {
+    return add(id, FakeUpstream.ofUnreadBodies(resettingAfter(body)));
+  }
+
+  private String callWithLongBody(String path) throws Exception {
+    try (Socket socket = connect()) {
+      socket.setSoTimeout(READ_TIMEOUT_MS);
+      write(
+          socket.getOutputStream(),
+          "POST "
+              + path
+              + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt: a1\r\nX-Deadline: 1500\r\n"
+              + "X-Model: m\r\nAuthorization: Bearer secret\r\nConnection: close\r\n"
+              + "Content-Length: "
+              + LONG_BODY_BYTES
+              + "\r\n\r\n"
+              + "x".repeat(LONG_BODY_BYTES));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+  }
+
+  @Test
+  void plainAnswerThatIsResetWhileItsRequestIsWrittenIsNotForwarded() throws Exception {
+    resettingUnreadAfter("i-1", "half");
+    String answer = callWithLongBody("/once/x");
+    assertThat(answer, startsWith("HTTP/1.1 502"));
+    assertThat(answer, not(containsString("half")));
+  }
+
+  @Test
+  void requestWhoseAnswerIsResetWhileItIsWrittenIsRepeated() throws Exception {
+    FakeUpstream resetting = resettingUnreadAfter("i-1", "half");
+    upstream("i-2", SERVING);
+    for (int i = 0; i < CALLS && resetting.requestHeads().isEmpty(); i++) {
+      assertThat(callWithLongBody("/again/x"), endsWith("\r\n\r\nserved"));
+    }
+    assertThat(resetting.requestHeads().size(), is(1));
+  }
+
+  @Test
+  void streamThatIsResetWhileItsRequestIsWrittenIsNotComplete() throws Exception {
+    resettingUnreadAfter(HEAD_PREFIX + 1, FIRST_EVENT);
+    String answer = callWithLongBody("/llm/x");
+    assertThat(answer, containsString("data: a"));
+    assertThat(answer, not(endsWith(LAST_CHUNK)));
+  }
+
   @Test
   void streamThatEndsAfterAnEventIsComplete() throws Exception {
     upstream(HEAD_PREFIX + 1, writing(FIRST_EVENT + "id: 2\ndata: b\n\n"));
