--- a/daemon/src/main/java/org/shoreroad/daemon/gateway/ServiceClient.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/gateway/ServiceClient.java
@@ -36,11 +36,10 @@
 
   private final GatewayContext context;
   private final OkHttpClient client =
-      new OkHttpClient.Builder()
+      DispatchGuard.addTo(new OkHttpClient.Builder())
           .retryOnConnectionFailure(false)
           .followRedirects(false)
           .connectTimeout(Duration.ofSeconds(1))
-          .addNetworkInterceptor(DispatchGuard::intercept)
           .build();
 
   ServiceClient(GatewayContext context) {
--- a/daemon/src/main/java/org/shoreroad/daemon/owner/EngineClient.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/owner/EngineClient.java
@@ -90,12 +90,11 @@
             .callTimeout(Duration.ofMillis(ORDER_TIMEOUT_MS))
             .build();
     this.streams =
-        base.newBuilder()
+        DispatchGuard.addTo(base.newBuilder())
             .dispatcher(dispatcher("engine-stream", MAX_STREAMS))
             .connectionPool(
                 new ConnectionPool(MAX_STREAMS, IDLE_CONNECTION_SECONDS, TimeUnit.SECONDS))
             .readTimeout(Duration.ZERO)
-            .addNetworkInterceptor(DispatchGuard::intercept)
             .build();
   }
 
