Relay: send an answer on, or pause it, before it takes too much room

Cause: the log shows that nothing of these answers had been sent: an answer that is no stream was collected whole, and its upstream was never paused, so that the bytes held for a caller did not depend on how fast it reads. Once all answers exceeded a quarter of the memory, HeldBytesRule ended the largest ones, also of callers that read. Nothing limited what was accepted but the bytes of requests' bodies. Ruled out: slow callers (unreadMs 0), slow upstreams (silentMs), a leak (with 12 callers nothing was ended, and the bytes fell to 0).

Change: an answer may hold half of the room that is free, so with n large answers each holds 1 / (2 + n) of it and some stays free for small ones. - WholeAnswer collects an answer as before, so that its request can be repeated. One that takes more than its room is sent on: with its stated length, else in chunks, so that an answer that breaks off is visibly incomplete. Answers that could not be repeated anyway are sent on first. - An answer that is being sent on and still takes more than its room is paused until its caller has read. A paused upstream is not taken for stalled, and the pause does not count for the deadline (RequestDeadline). - A request whose answer will find no room is refused before it is sent, with 503 (memory_full). The room is reserved by the mean size of the route's answers (AnswerSizes), at most what an answer needs that is sent on. - RepeatRule holds the decision on repeats, which a begun answer forbids. The bytes of one connection are counted by ConnectionBytes.

Answers are now paused from 0.75, requests refused from 0.9.

--- a/edge/src/main/java/org/shoreroad/edge/caller/AnswerChannel.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/AnswerChannel.java
@@ -13,8 +13,20 @@
   /** Sends a complete answer and releases the body's buffer. */
   void answer(HttpResponseStatus status, HttpHeaders headers, ByteBuf body);
 
-  /** Sends the head of an answer whose body follows in pieces. */
-  void begin(HttpResponseStatus status, HttpHeaders headers);
+  /** Length of a body that is not known yet. */
+  long UNKNOWN_LENGTH = -1;
+
+  /** Sends the head of an answer whose body follows in pieces, with a length that is not known. */
+  default void begin(HttpResponseStatus status, HttpHeaders headers) {
+    begin(status, headers, UNKNOWN_LENGTH);
+  }
+
+  /**
+   * Sends the head of an answer whose body follows in pieces.
+   *
+   * @param lengthBytes the length of the body, or {@link #UNKNOWN_LENGTH}
+   */
+  void begin(HttpResponseStatus status, HttpHeaders headers, long lengthBytes);
 
   /** Sends a piece of the body and releases its buffer. */
   void send(ByteBuf piece);
@@ -32,6 +44,21 @@
    */
   default void addCollected(long change) {}
 
+  /**
+   * Reserves room for the answer to a request that is about to be sent, until the answer has come
+   * or has failed.
+   *
+   * @param expectedBytes the bytes that are expected to be held for it
+   * @return false if there is no room for it
+   */
+  boolean reserve(long expectedBytes);
+
+  /**
+   * Returns the bytes that are held for the answer as a part of those that it may hold now. Above 1
+   * it takes room that others need.
+   */
+  double roomTaken();
+
   /** Returns false while the caller reads too slowly. */
   boolean isWritable();
 }
--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -49,6 +48,7 @@
   private static final String MEMORY_RETRY_AFTER_SECONDS = "0.05";
 
   private final CallerServer server;
+  private final ConnectionBytes heldHere;
   private final ArrayDeque<QueuedRequest> queue = new ArrayDeque<>();
   private @Nullable Channel channel;
   private @Nullable HttpRequest arriving;
@@ -63,19 +63,18 @@
   private boolean isFlushDue;
   private long idleSinceNanos;
   private long partialHeadSinceNanos;
-  private long writtenParts;
-  private long collectedBytes;
   private int answeringBodyBytes;
-  private final ReadProgress progress = new ReadProgress();
 
   CallerConnection(CallerServer server) {
     this.server = server;
+    this.heldHere = new ConnectionBytes(server);
     this.idleSinceNanos = server.nowNanos();
   }
 
   @Override
   public void handlerAdded(ChannelHandlerContext context) {
     channel = context.channel();
+    heldHere.setChannel(context.channel());
     server.add(this);
   }
 
@@ -87,9 +86,8 @@
   }
 
   /** Records that a part of an answer is to be sent, after it was encoded. */
-  void onPartWritten(int bytes) {
-    writtenParts++;
-    server.addHeld(bytes);
+  void onPartWritten(int partBytes) {
+    heldHere.recordWritten(partBytes);
   }
 
   @Override
@@ -130,17 +128,17 @@
   }
 
   private void readBody(HttpContent content, HttpRequest head, CompositeByteBuf collected) {
-    ByteBuf bytes = content.content();
-    if (collected.readableBytes() + bytes.readableBytes() > server.limits().maxBodyBytes()) {
+    ByteBuf piece = content.content();
+    if (collected.readableBytes() + piece.readableBytes() > server.limits().maxBodyBytes()) {
       refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large");
       return;
     }
-    if (bytes.isReadable()) {
-      if (!server.addRequestHeld(bytes.readableBytes())) {
+    if (piece.isReadable()) {
+      if (!server.addRequestHeld(piece.readableBytes())) {
         refuseForMemory();
         return;
       }
-      collected.addComponent(true, bytes.retain());
+      collected.addComponent(true, piece.retain());
     }
     if (content instanceof LastHttpContent) {
       arriving = null;
@@ -193,10 +191,15 @@
   }
 
   @Override
-  public void begin(HttpResponseStatus status, HttpHeaders headers) {
+  public void begin(HttpResponseStatus status, HttpHeaders headers, long lengthBytes) {
     HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers);
-    response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
-    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    if (lengthBytes == UNKNOWN_LENGTH) {
+      response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+      response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    } else {
+      response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
+      response.headers().set(HttpHeaderNames.CONTENT_LENGTH, lengthBytes);
+    }
     markLast(response);
     write(response);
     isAnswerBegun = true;
@@ -225,10 +228,17 @@
 
   @Override
   public void addCollected(long change) {
-    collectedBytes = Math.max(0, collectedBytes + change);
-    if (change > 0) {
-      server.addHeld(change);
-    }
+    heldHere.addCollected(change);
+  }
+
+  @Override
+  public boolean reserve(long expectedBytes) {
+    return heldHere.reserve(expectedBytes);
+  }
+
+  @Override
+  public double roomTaken() {
+    return heldHere.roomTaken();
   }
 
   @Override
@@ -273,7 +283,7 @@
   }
 
   private void finishAnswer() {
-    collectedBytes = 0;
+    heldHere.endAnswer();
     answeringBodyBytes = 0;
     isAnswering = false;
     isAnswerBegun = false;
@@ -363,23 +373,11 @@
 
   /** Returns what is held for the caller, and records what it has read since the last check. */
   HeldBytesRule.Holder<CallerConnection> toHolder(long nowNanos) {
-    long pendingBytes = 0;
-    if (channel != null) {
-      // Parts that are not flushed would count as sent.
-      channel.flush();
-    }
-    ChannelOutboundBuffer pending = channel == null ? null : channel.unsafe().outboundBuffer();
-    if (pending != null) {
-      pendingBytes = pending.totalPendingWriteBytes();
-      progress.update(
-          pendingBytes, writtenParts - pending.size(), pending.currentProgress(), nowNanos);
-    }
     long requestBytes = answeringBodyBytes + (body == null ? 0 : body.readableBytes());
     for (QueuedRequest next : queue) {
       requestBytes += next.request().body().readableBytes();
     }
-    return new HeldBytesRule.Holder<>(
-        this, pendingBytes + collectedBytes, requestBytes, progress.unreadNanos());
+    return heldHere.toHolder(this, requestBytes, nowNanos);
   }
 
   /** Ends the connection of a caller that does not read, without the parts not sent yet. */
@@ -409,6 +407,7 @@
     isRefusingInput = true;
     releaseArriving();
     releaseQueue();
+    heldHere.endAnswer();
     server.remove(this);
     CallerExchange left = exchange;
     exchange = null;
--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
@@ -37,7 +37,7 @@
   private static final int BACKLOG = 1_024;
   private static final int TIMEOUT_CHECK_MS = 250;
 
-  /** Minimum time between two checks of the held bytes for requests that seem not to fit. */
+  /** Minimum time between two checks of the held bytes for what seems not to fit. */
   private static final long RECHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
   /**
@@ -191,10 +191,9 @@
    *
    * @return false if they do not fit, so that the request must be refused
    */
-  boolean addRequestHeld(long bytes) {
-    if (!held.hasRoomForRequest(bytes) && nowNanos() - checkedNanos >= RECHECK_NANOS) {
-      // What was sent or answered since the last check is still counted.
-      checkHeld();
+  public boolean addRequestHeld(long bytes) {
+    if (!held.hasRoomForRequest(bytes)) {
+      recheckHeld();
     }
     if (!held.hasRoomForRequest(bytes)) {
       return false;
@@ -203,6 +202,33 @@
     return true;
   }
 
+  /** Reserves room for an answer that is still to come; returns false if it does not fit. */
+  boolean reserveAnswer(long bytes) {
+    if (!held.hasRoomForAnswer(bytes)) {
+      recheckHeld();
+    }
+    if (!held.hasRoomForAnswer(bytes)) {
+      return false;
+    }
+    held.reserve(bytes);
+    return true;
+  }
+
+  /** Returns the bytes of an answer as a part of those that one answer may hold now. */
+  double answerRoomTaken(long bytes) {
+    if (2 * bytes > held.maxAnswerBytes()) {
+      recheckHeld();
+    }
+    return (double) bytes / Math.max(1, held.maxAnswerBytes());
+  }
+
+  /** Counts again what is held, as what was sent since the last check is still counted. */
+  private void recheckHeld() {
+    if (nowNanos() - checkedNanos >= RECHECK_NANOS) {
+      checkHeld();
+    }
+  }
+
   private void checkSoonIf(boolean isCheckNeeded) {
     if (isCheckNeeded && !isCheckDue) {
       isCheckDue = true;
--- a/edge/src/main/java/org/shoreroad/edge/caller/HeldBytes.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/HeldBytes.java
@@ -9,16 +9,18 @@
 import org.shoreroad.edge.caller.HeldBytesRule.Holder;
 
 /**
- * Bytes that are held for the callers of one server, and their bound. Not thread-safe: used on the
- * event loop.
+ * Bytes that are held for the callers of one server and for other processes, and their bound. Not
+ * thread-safe: used on the event loop.
  *
  * @since 0.2
  */
 public final class HeldBytes {
   private final HeldBytesRule rule;
   private final Listener listener;
+  private final List<Source> sources = new ArrayList<>(2);
   private long estimatedBytes;
   private long estimatedRequestBytes;
+  private long reservedBytes;
 
   /** Creates a bound of a server that holds nothing. */
   public HeldBytes(HeldBytesRule rule, Listener listener) {
@@ -31,6 +33,20 @@
     return Math.min(PlatformDependent.maxDirectMemory(), Runtime.getRuntime().maxMemory());
   }
 
+  /** Bytes that are held apart from the connections of callers, counted at each check. */
+  public interface Source {
+    /** Returns the bytes of requests. */
+    long requestBytes();
+
+    /** Returns the bytes of answers. */
+    long answerBytes();
+  }
+
+  /** Adds bytes to those that are counted. */
+  public void addSource(Source source) {
+    sources.add(source);
+  }
+
   /** Listener to the ends of connections. */
   public interface Listener {
     /** Ignores all events. */
@@ -61,15 +77,35 @@
   }
 
   /**
-   * Adds bytes that are held from now on.
+   * Adds bytes that are held from now on, or removes them if negative.
    *
    * @return true if the bound may be exceeded, so that a check is needed
    */
   boolean add(long bytes) {
-    estimatedBytes += bytes;
+    estimatedBytes = Math.max(0, estimatedBytes + bytes);
     return estimatedBytes > rule.maxBytes();
   }
 
+  /** Returns the number of bytes that one answer may hold now. */
+  long maxAnswerBytes() {
+    return rule.maxAnswerBytes(estimatedBytes);
+  }
+
+  /** Returns true if an answer of this size fits beside the answers that are still to come. */
+  boolean hasRoomForAnswer(long bytes) {
+    return estimatedBytes + reservedBytes + bytes <= rule.maxAcceptedBytes();
+  }
+
+  /** Adds bytes of an answer that is still to come, or removes them if negative. */
+  public void reserve(long bytes) {
+    reservedBytes += bytes;
+  }
+
+  /** Returns the bytes of answers that are still to come. */
+  public long reservedBytes() {
+    return reservedBytes;
+  }
+
   /** Adds bytes of a request as {@link #add}. */
   boolean addRequest(long bytes) {
     estimatedRequestBytes += bytes;
@@ -96,9 +132,12 @@
         holders.add(holder);
       }
     }
-    estimatedBytes = HeldBytesRule.totalBytes(holders);
-    estimatedRequestBytes = holders.stream().mapToLong(Holder::requestBytes).sum();
-    for (Ending<CallerConnection> ending : rule.choose(holders)) {
+    long otherRequestBytes = sources.stream().mapToLong(Source::requestBytes).sum();
+    long otherBytes = otherRequestBytes + sources.stream().mapToLong(Source::answerBytes).sum();
+    estimatedBytes = HeldBytesRule.totalBytes(holders) + otherBytes;
+    estimatedRequestBytes =
+        holders.stream().mapToLong(Holder::requestBytes).sum() + otherRequestBytes;
+    for (Ending<CallerConnection> ending : rule.choose(holders, otherBytes)) {
       Holder<CallerConnection> holder = ending.holder();
       long heldBytes = holder.answerBytes() + holder.requestBytes();
       estimatedBytes -= heldBytes;
--- a/edge/src/main/java/org/shoreroad/edge/caller/HeldBytesRule.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/HeldBytesRule.java
@@ -9,6 +9,9 @@
  * Rule that ends connections of callers that do not read, and bounds the bytes that are held for
  * all callers.
  *
+ * <p>An answer may hold a part of the room that is free. With more large answers each may hold
+ * less, while some room always stays free for small ones.
+ *
  * <p>This class is immutable and thread-safe.
  *
  * @param maxBytes the maximum number of bytes held for all callers
@@ -35,6 +38,19 @@
    */
   private static final double REQUEST_PART = 0.75;
 
+  /** Part of the bound from which answers are paused. */
+  private static final double PAUSE_PART = 0.75;
+
+  /**
+   * Part of the bound from which no request is accepted. Between the two, small answers and what
+   * arrives before a pause takes effect find room; above it, what is still to come of the accepted
+   * ones does. So pauses and refusals, not ends of connections, keep the bound.
+   */
+  private static final double ACCEPT_PART = 0.9;
+
+  /** Part of the free room that one answer may hold. */
+  private static final double SHARE = 0.5;
+
   /** Part of the bound to which connections are ended, so that not each new byte ends one. */
   private static final double TARGET_PART = 0.9;
 
@@ -100,6 +116,20 @@
     return (long) (maxBytes * REQUEST_PART);
   }
 
+  /** Returns the number of bytes above which no request is accepted, with its answer included. */
+  public long maxAcceptedBytes() {
+    return (long) (maxBytes * ACCEPT_PART);
+  }
+
+  /**
+   * Returns the number of bytes that one answer may hold.
+   *
+   * @param totalBytes the bytes that are held in total, those of the answer included
+   */
+  long maxAnswerBytes(long totalBytes) {
+    return (long) (SHARE * Math.max(0, maxBytes * PAUSE_PART - totalBytes));
+  }
+
   /** Returns the bytes held on these connections. */
   static <C> long totalBytes(List<Holder<C>> holders) {
     return holders.stream().mapToLong(h -> h.answerBytes() + h.requestBytes()).sum();
@@ -109,8 +139,10 @@
    * Chooses the connections to end: those that have read nothing for too long, and if the total
    * exceeds its bound, those with the most answer bytes, callers that read nothing first. Requests
    * do not end a connection, as new ones are refused while there is no room.
+   *
+   * @param otherBytes the bytes that are held apart from these connections
    */
-  <C> List<Ending<C>> choose(List<Holder<C>> holders) {
+  <C> List<Ending<C>> choose(List<Holder<C>> holders, long otherBytes) {
     List<Ending<C>> endings = new ArrayList<>();
     List<Holder<C>> others = new ArrayList<>();
     for (Holder<C> holder : holders) {
@@ -120,7 +152,7 @@
         others.add(holder);
       }
     }
-    long leftBytes = totalBytes(others);
+    long leftBytes = totalBytes(others) + otherBytes;
     if (leftBytes <= maxBytes) {
       return endings;
     }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -1,8 +1,6 @@
 package org.shoreroad.edge.relay;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -41,6 +39,12 @@
 
   private static final long MIN_SURVIVED_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+  /**
+   * Part of its room from which an answer is sent on that could not be repeated anyway, so that the
+   * others can be collected for longer.
+   */
+  private static final double UNREPEATABLE_PART = 0.5;
+
   private final Exchange exchange;
   private final Relay relay;
   private final AnswerChannel answers;
@@ -50,7 +54,7 @@
   private final long startedNanos;
   private @Nullable UpstreamCall call;
   private @Nullable HttpResponse head;
-  private @Nullable CompositeByteBuf body;
+  private @Nullable WholeAnswer whole;
   private @Nullable EventRelay events;
   private CallFailure.@Nullable Reason failureCause;
   private boolean hasTurn;
@@ -60,6 +64,7 @@
   private long firstContentNanos;
   private long lastContentNanos;
   private long lastEventNanos;
+  private boolean isAwaitingRoom;
   private boolean isOver;
 
   /**
@@ -208,8 +213,16 @@
     }
   }
 
-  /** Pauses or resumes reading the answer, because the caller reads too slowly or goes on. */
-  void setReading(boolean isReading) {
+  /** Pauses or resumes reading a stream because the caller reads too slowly or goes on. */
+  void onWritabilityChanged(boolean isWritable) {
+    if (exchange.isStream() && whole == null) {
+      setReading(isWritable);
+    } else if (isWritable) {
+      resumeWithRoom();
+    }
+  }
+
+  private void setReading(boolean isReading) {
     if (call != null && !isOver) {
       call.setReading(isReading);
       target.load().setPaused(exchange, !isReading, relay.nowNanos());
@@ -219,6 +232,19 @@
     }
   }
 
+  /** Returns true while the answer is not read, since it takes more than its room. */
+  boolean isAwaitingRoom() {
+    return isAwaitingRoom;
+  }
+
+  /** Resumes reading the answer if it was paused for want of room and has some now. */
+  void resumeWithRoom() {
+    if (isAwaitingRoom && answers.roomTaken() <= 1) {
+      isAwaitingRoom = false;
+      setReading(true);
+    }
+  }
+
   @Override
   public boolean onSending() {
     if (!exchange.maySendNow() || !isStillPermitted()) {
@@ -254,7 +280,7 @@
       events = exchange.onStreamHead(this, response);
       events.restart();
     } else {
-      body = Unpooled.compositeBuffer(64);
+      whole = new WholeAnswer(answers, response);
     }
     return true;
   }
@@ -284,12 +310,36 @@
         // Also an attempt that began while the caller did not read.
         setReading(false);
       }
-    } else if (body != null) {
-      answers.addCollected(content.readableBytes());
-      body.addComponent(true, content.retain());
+    } else if (whole != null) {
+      whole.add(content);
+      keepToRoom(whole);
     }
   }
 
+  /** Sends an answer on that takes more than its room, and pauses it while it still does. */
+  private void keepToRoom(WholeAnswer answer) {
+    double mostTaken = exchange.isRepeatable() ? 1 : UNREPEATABLE_PART;
+    if (!answer.isBegun() && answers.roomTaken() > mostTaken) {
+      if (isNotForwarded(answer)) {
+        fail(AttemptFailure.FAILED);
+        return;
+      }
+      exchange.onWholeAnswerBegun(this);
+      answer.begin();
+    }
+    if (answer.isBegun() && !isAwaitingRoom && answers.roomTaken() > 1) {
+      isAwaitingRoom = true;
+      setReading(false);
+      exchange.awaitRoom();
+    }
+  }
+
+  /** Returns true if the request fails or is repeated rather than answered with this answer. */
+  private boolean isNotForwarded(WholeAnswer answer) {
+    return exchange.hasBegun()
+        || (answer.isOfClass(HttpStatusClass.SERVER_ERROR) && exchange.canContinueWithout(this));
+  }
+
   private void recordPace(long nowNanos) {
     if (lastEventNanos != 0) {
       double passMs = exchange.passMs(target.load());
@@ -311,8 +361,8 @@
       exchange.onAttemptFailed(this, AttemptFailure.REFUSED);
     } else if (events != null) {
       endStream(events);
-    } else {
-      endWholeAnswer(response);
+    } else if (whole != null) {
+      endWholeAnswer(whole);
     }
   }
 
@@ -326,19 +376,21 @@
     exchange.onStreamEnd(this);
   }
 
-  private void endWholeAnswer(HttpResponse response) {
-    boolean hasFailed = response.status().codeClass() == HttpStatusClass.SERVER_ERROR;
+  private void endWholeAnswer(WholeAnswer answer) {
+    if (answer.isBegun() && !answer.isOfStatedLength()) {
+      fail(AttemptFailure.BROKEN);
+      return;
+    }
+    boolean hasFailed = answer.isOfClass(HttpStatusClass.SERVER_ERROR);
     target.load().recordOutcome(hasFailed);
-    if (exchange.hasBegun() || (hasFailed && exchange.canContinueWithout(this))) {
+    if (!answer.isBegun() && isNotForwarded(answer)) {
       end(GrantEnd.FAILED);
       exchange.onAttemptFailed(this, AttemptFailure.FAILED);
       return;
     }
-    ByteBuf content = body == null ? Unpooled.EMPTY_BUFFER : body;
-    answers.addCollected(-content.readableBytes());
-    body = null;
+    whole = null;
     end(hasFailed ? GrantEnd.FAILED : GrantEnd.USED);
-    exchange.onWholeAnswer(this, response, content);
+    exchange.onWholeAnswer(this, answer);
   }
 
   @Override
@@ -391,10 +443,8 @@
     } else {
       target.load().removeWaiting(exchange, exchange.promptTokens());
     }
-    if (body != null) {
-      answers.addCollected(-body.readableBytes());
-      body.release();
-      body = null;
+    if (whole != null) {
+      whole.release();
     }
     if (grant != null) {
       grant.end(grantEnd);
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -1,6 +1,5 @@
 package org.shoreroad.edge.relay;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -8,7 +7,6 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Objects;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.admission.RoomDecision;
 import org.shoreroad.edge.caller.AnswerChannel;
@@ -29,8 +27,6 @@
  * @since 0.2
  */
 final class Exchange implements CallerExchange {
-  private static final int MIN_DEADLINE_MS = 20;
-
   private final Relay relay;
   private final CallerRequest request;
   private final AnswerChannel answers;
@@ -38,6 +34,8 @@
   private final OpenAttempts attempts = new OpenAttempts();
   private final RequestReader reader;
   private final RequestGuard guard;
+  private final RepeatRule repeats;
+  private final RequestDeadline deadline = new RequestDeadline();
   private final ExchangeLog log;
   private final RequestTraffic traffic;
   private final String model;
@@ -49,7 +47,6 @@
   private @Nullable ModelEngine engine;
   private @Nullable ClientAccount account;
   private @Nullable EventRelay events;
-  private long endNanos;
   private boolean isOver;
 
   Exchange(Relay relay, CallerRequest request, AnswerChannel answers) {
@@ -58,6 +55,7 @@
     this.answers = answers;
     this.reader = new RequestReader(request, relay.headers());
     this.guard = new RequestGuard(relay, reader, sends);
+    this.repeats = new RepeatRule(relay, sends);
     this.log = new ExchangeLog(relay, request, reader, sends);
     this.model = reader.model();
     this.promptTokens = reader.promptTokens();
@@ -89,8 +87,8 @@
     }
     engine = ModelEngine.of(service, model);
     targets = new RequestTargets(relay.selector(), service, model, sends, found.targetLatencyMs());
-    long timeoutMs = Math.min(reader.deadlineMs(), found.timeoutMs());
-    endNanos = request.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+    deadline.set(request.arrivedNanos(), Math.min(reader.deadlineMs(), found.timeoutMs()));
+    repeats.admit(found, service);
     dispatch = new Dispatch(this, relay, targets, sends, engine, request.arrivedNanos());
     sends.setMaxAttempts(found.maxAttempts());
     if (!guard.admit(found, service, account)) {
@@ -98,6 +96,10 @@
       return;
     }
     traffic.recordArrival(service, found);
+    if (!isStream() && !answers.reserve(relay.answerSizes().expectedBytes(found.name()))) {
+      refuse(Refusal.MEMORY_FULL, RetryAfter.MEMORY);
+      return;
+    }
     send();
   }
 
@@ -130,10 +132,7 @@
   void startAttempt(Target target, RoomBroker.@Nullable Grant grant) {
     Attempt next = new Attempt(this, relay, answers, target, grant, relay.nowNanos());
     attempts.add(next);
-    int maxConnections = Objects.requireNonNull(service, "service").maxConnections();
-    // The connections that the service permits are divided among all processes.
-    int connections = Math.max(2, maxConnections / relay.configurationSource().processCount());
-    next.start(maxConnections == 0 ? Integer.MAX_VALUE : connections);
+    next.start(relay.maxConnections(Objects.requireNonNull(service, "service")));
   }
 
   /** Returns the request for room, for an admitted request to an engine. */
@@ -142,7 +141,7 @@
         Objects.requireNonNull(service, "service"),
         Objects.requireNonNull(route, "route"),
         account,
-        endNanos,
+        deadline.endNanos(),
         excludedHeads);
   }
 
@@ -157,16 +156,34 @@
     if (isOver) {
       return;
     }
-    if (relay.nowNanos() >= endNanos && route != null) {
+    checkRoom();
+    if (route != null && deadline.isPassed(relay.nowNanos())) {
       endAtDeadline();
     } else if (dispatch != null) {
       dispatch.tick();
     }
   }
 
+  /** Checks regularly whether the answer, which is paused now, may be read again. */
+  void awaitRoom() {
+    deadline.pause(relay.nowNanos());
+    relay.addWaiting(this);
+  }
+
+  private void checkRoom() {
+    attempts.resumeWithRoom();
+    if (attempts.isAny(Attempt::isAwaitingRoom)) {
+      relay.addWaiting(this);
+    } else {
+      deadline.resume(relay.nowNanos());
+    }
+  }
+
   private void endAtDeadline() {
     if (hasBegun()) {
-      relay.counters().count("shoreroad.streams.cut", "time");
+      if (isStream()) {
+        relay.counters().count("shoreroad.streams.cut", "time");
+      }
       abort("time", RequestEnd.TIMED_OUT);
     } else {
       boolean isSent = sends.mayHaveRun() || attempts.isAnySent();
@@ -180,7 +197,7 @@
     boolean isRanked = target.box().domain() != null && current != null;
     return reader.toUpstreamRequest(
         target.box().id(),
-        remainingMs(),
+        deadline.remainingMs(relay.nowNanos()),
         account,
         isRanked && current != null ? RequestReader.rank(current, account) : RequestReader.NO_RANK,
         relayed == null ? -1 : relayed.lastId());
@@ -188,7 +205,7 @@
 
   /** Returns true if the request may be sent; called right before the first byte is sent. */
   boolean maySendNow() {
-    return !isOver && mayUseKey() && guard.maySend() && relay.nowNanos() < endNanos;
+    return !isOver && mayUseKey() && guard.maySend() && !deadline.isPassed(relay.nowNanos());
   }
 
   /** Records that a byte may have been sent to an upstream. */
@@ -223,12 +240,19 @@
     }
   }
 
-  void onWholeAnswer(Attempt answering, HttpResponse head, ByteBuf body) {
-    relay.counters().count("shoreroad.answers", Integer.toString(head.status().code()));
-    relay.counters().record("shoreroad.answer", relay.nowNanos() - request.arrivedNanos());
-    guard.recordAnswer(answering, head.status().codeClass() == HttpStatusClass.SUCCESS);
+  /** Completes the answer after its upstream has ended one that is no stream. */
+  void onWholeAnswer(Attempt answering, WholeAnswer answer) {
+    traffic.recordWholeAnswer(answer);
+    guard.recordAnswer(answering, answer.isOfClass(HttpStatusClass.SUCCESS));
     finish(RequestEnd.ANSWERED);
-    answers.answer(head.status(), HopByHopHeaders.copyWithout(head.headers()), body);
+    answer.complete();
+  }
+
+  /** Called before an incomplete answer is sent on, after which no other one can be sent. */
+  void onWholeAnswerBegun(Attempt answering) {
+    onProgress(answering);
+    repeats.forbid();
+    relay.counters().count("shoreroad.answers.sent_early", "room");
   }
 
   /** Ends the answer after its upstream has ended the stream. */
@@ -274,15 +298,11 @@
   }
 
   private boolean mayRepeatAfter(AttemptFailure failure) {
-    Route current = route;
-    boolean isAllowed =
-        current != null && (failure == AttemptFailure.REFUSED || current.isRepeatable());
     // While an earlier attempt is open, a repeat is useful only if it can be sent now.
-    return isAllowed
-        && sends.hasAttemptsLeft()
+    return repeats.canRepeatAfter(failure)
         && guard.maySend()
         && (attempts.isEmpty() || targets.isAnyFree())
-        && takeRepeat();
+        && repeats.takeFromBudget();
   }
 
   private void retryUnsent() {
@@ -295,13 +315,6 @@
     }
   }
 
-  private boolean takeRepeat() {
-    return service != null
-        && relay
-            .budgetOf(service.name())
-            .tryRepeat(relay.nowNanos(), relay.configurationSource().processCount());
-  }
-
   /**
    * Sends the request to another upstream as well, because the one with this load has stalled.
    *
@@ -309,10 +322,10 @@
    */
   boolean onStall(UpstreamLoad stalled) {
     Attempt newest = attempts.newest();
-    if (newest == null || newest.target().load() != stalled || !canRepeat()) {
+    if (newest == null || newest.target().load() != stalled || !repeats.canRepeat()) {
       return false;
     }
-    if (!newest.isSent() || !guard.maySend() || !targets.isAnyFree() || !takeRepeat()) {
+    if (!newest.isSent() || !guard.maySend() || !targets.isAnyFree() || !repeats.takeFromBudget()) {
       return true;
     }
     recordFailure(newest, AttemptFailure.STALLED);
@@ -354,7 +367,7 @@
 
   @Override
   public void onWritabilityChanged(boolean isWritable) {
-    attempts.setReading(isWritable);
+    attempts.onWritabilityChanged(isWritable);
   }
 
   /** Refuses the request or cuts its answer, unless an upstream still has the request. */
@@ -384,7 +397,7 @@
   }
 
   private void abort(String reason, RequestEnd end) {
-    log.writeCut(reason, events, endNanos);
+    log.writeCut(reason, events, deadline.endNanos());
     relay.counters().count("shoreroad.answers.cut", reason);
     finish(end);
     answers.abort();
@@ -422,11 +435,12 @@
 
   /** Returns true if the request can continue without this attempt. */
   boolean canContinueWithout(Attempt failed) {
-    return attempts.hasOther(failed) || canRepeat();
+    return attempts.hasOther(failed) || repeats.canRepeat();
   }
 
-  private boolean canRepeat() {
-    return route != null && route.isRepeatable() && sends.hasAttemptsLeft();
+  /** Returns true if the route permits that the request runs more than once. */
+  boolean isRepeatable() {
+    return repeats.isRepeatable();
   }
 
   /** Returns the engines of the service as they run the model, or null if there are none. */
@@ -453,24 +467,13 @@
     return attempts.findAt(load);
   }
 
-  /** Returns the id of the upstream with this load, empty if the request has no attempt there. */
-  String upstreamIdAt(UpstreamLoad load) {
-    Attempt attempt = attempts.findAt(load);
-    return attempt == null ? "" : attempt.target().box().id();
-  }
-
   /** Returns true if an upstream has the request, or is about to. */
   boolean hasAttempts() {
     return !attempts.isEmpty();
   }
 
-  /** Returns true if a stream's head was sent to the caller, so that no other answer can follow. */
+  /** Returns true if an answer's head was sent to the caller, so that no other one can follow. */
   boolean hasBegun() {
-    return events != null;
-  }
-
-  private long remainingMs() {
-    long leftMs = TimeUnit.NANOSECONDS.toMillis(endNanos - relay.nowNanos());
-    return Math.max(MIN_DEADLINE_MS, leftMs);
+    return events != null || repeats.isForbidden();
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/OpenAttempts.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/OpenAttempts.java
@@ -82,8 +82,13 @@
     return open.stream().map(attempt -> attempt.describe(nowNanos)).toList();
   }
 
-  /** Stops or resumes reading the answers of all attempts. */
-  void setReading(boolean isReading) {
-    open.forEach(attempt -> attempt.setReading(isReading));
+  /** Notifies all attempts that the caller reads too slowly or goes on. */
+  void onWritabilityChanged(boolean isWritable) {
+    List.copyOf(open).forEach(attempt -> attempt.onWritabilityChanged(isWritable));
+  }
+
+  /** Resumes reading answers that were paused for want of room and have some now. */
+  void resumeWithRoom() {
+    List.copyOf(open).forEach(Attempt::resumeWithRoom);
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -20,6 +20,7 @@
 import org.shoreroad.quarantine.PromptPart;
 import org.shoreroad.quarantine.RequestFingerprint;
 import org.shoreroad.routing.AttemptBudget;
+import org.shoreroad.traffic.UpstreamService;
 
 /**
  * Creates the exchanges and holds the objects that they share. Used on the event loop.
@@ -56,6 +57,7 @@
   private final RequestQuarantine quarantine;
   private final PartGuard partGuard;
   private final Backpressure backpressure;
+  private final AnswerSizes answerSizes = new AnswerSizes();
   private final Map<String, AttemptBudget> budgets = new HashMap<>();
   private final Set<Exchange> open = new HashSet<>();
   private final Set<Exchange> waiting = new HashSet<>();
@@ -204,8 +206,8 @@
   }
 
   /**
-   * Adds a request that waits for a free slot at an upstream, to be tried again after a short
-   * delay.
+   * Adds a request that waits for a free slot at an upstream, or for room for its answer, to be
+   * tried again after a short delay.
    */
   void addWaiting(Exchange exchange) {
     waiting.add(exchange);
@@ -316,6 +318,18 @@
     return backpressure;
   }
 
+  /** Returns the connections of this process to one upstream that the service permits. */
+  int maxConnections(UpstreamService service) {
+    // They are divided among all processes.
+    int connections = Math.max(2, service.maxConnections() / configurationSource.processCount());
+    return service.maxConnections() == 0 ? Integer.MAX_VALUE : connections;
+  }
+
+  /** Returns the sizes of the answers of each route. */
+  AnswerSizes answerSizes() {
+    return answerSizes;
+  }
+
   ConfigurationSource configurationSource() {
     return configurationSource;
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestTraffic.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestTraffic.java
@@ -6,7 +6,8 @@
 import org.shoreroad.traffic.UpstreamService;
 
 /**
- * Counts of one request: its arrival, its refusal, its late first event. Used on the event loop.
+ * Counts of one request: its arrival, its refusal, its answer, its late first event. Used on the
+ * event loop.
  */
 final class RequestTraffic {
   private final Relay relay;
@@ -48,6 +49,15 @@
     }
   }
 
+  /** Counts a complete answer that is no stream, and records its size for its route. */
+  void recordWholeAnswer(WholeAnswer answer) {
+    relay.counters().count("shoreroad.answers", Integer.toString(answer.status().code()));
+    relay.counters().record("shoreroad.answer", relay.nowNanos() - request.arrivedNanos());
+    if (route != null) {
+      relay.answerSizes().record(route.name(), answer.receivedBytes());
+    }
+  }
+
   /** Records the time to the head of the answer, which comes with the first event of a stream. */
   void recordFirstHead() {
     long heldNanos = relay.nowNanos() - request.arrivedNanos();
--- a/edge/src/main/java/org/shoreroad/edge/relay/RetryAfter.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RetryAfter.java
@@ -11,6 +11,8 @@
 enum RetryAfter {
   /** Another process can take the request now. */
   AT_ONCE(10),
+  /** Another process usually has memory. */
+  MEMORY(50),
   /** A slot at a replica or a plain upstream usually becomes free within this time. */
   PLACE(400),
   /**
--- a/edge/src/test/java/org/shoreroad/edge/caller/HeldBytesRuleTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/caller/HeldBytesRuleTest.java
@@ -26,7 +26,7 @@
   }
 
   private List<String> choose(List<Holder<String>> holders) {
-    return rule.choose(holders).stream()
+    return rule.choose(holders, 0).stream()
         .map(ending -> ending.holder().connection() + ":" + ending.reason().code())
         .toList();
   }
@@ -87,7 +87,7 @@
         holders.add(holder("c" + i, random.nextInt(1_000_000), 0, random.nextInt(3_500)));
       }
       List<Holder<String>> left = new ArrayList<>(holders);
-      for (Ending<String> ending : rule.choose(holders)) {
+      for (Ending<String> ending : rule.choose(holders, 0)) {
         left.remove(ending.holder());
         boolean isUnread = ending.holder().unreadNanos() >= 3_000 * MS;
         assertThat(ending.reason(), is(isUnread ? Reason.UNREAD : Reason.MEMORY));
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
@@ -95,6 +96,11 @@
   final RequestQuarantine quarantine = new RequestQuarantine(clockNanos, log, metrics);
   final Backpressure backpressure = new Backpressure(SELF, NAMES, clockNanos, log, metrics);
   Relay relay;
+  HeldBytes held;
+
+  /** The callers whose connections were ended because of the bytes held for them. */
+  final List<HeldBytesRule.Reason> endedCallers = new CopyOnWriteArrayList<>();
+
   private InetSocketAddress address;
   private long offset;
 
@@ -161,14 +167,22 @@
             rules(),
             quarantine,
             backpressure);
+    held =
+        new HeldBytes(
+            heldBytesRule(),
+            new HeldBytes.Listener() {
+              @Override
+              public void onEnded(HeldBytesRule.Reason reason, long heldBytes, long unreadMs) {
+                endedCallers.add(reason);
+              }
+
+              @Override
+              public void onRefused() {
+                // Its answer shows it.
+              }
+            });
     CallerServer server =
-        new CallerServer(
-            loop,
-            clockNanos,
-            () -> CallerLimits.DEFAULT,
-            relay,
-            reason -> {},
-            new HeldBytes(heldBytesRule(), HeldBytes.Listener.NONE));
+        new CallerServer(loop, clockNanos, () -> CallerLimits.DEFAULT, relay, reason -> {}, held);
     address =
         (InetSocketAddress)
             server
