CallerConnection: begin a pipelined request once the answer before it was read

A caller that sends requests ahead and reads slowly had the next one sent as soon as the answer before it was written: it held a slot of its upstream although its answer could not be sent, and each further answer took room. Callers that wait for each answer are not affected.

aRequestThatWasSentAheadBeginsOnceTheAnswerBeforeItWasRead fails on the commit before (two begun instead of one).

--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
@@ -151,7 +151,7 @@
   }
 
   private void acceptRequest(QueuedRequest next) {
-    if (!isAnswering && queue.isEmpty()) {
+    if (!isAnswering && queue.isEmpty() && isWritable()) {
       answerNext(next);
       return;
     }
@@ -302,8 +302,9 @@
     }
   }
 
+  /** Answers the next request, once the caller has read most of the answer before it. */
   private void answerQueued() {
-    QueuedRequest next = isAnswering ? null : queue.poll();
+    QueuedRequest next = isAnswering || !isWritable() ? null : queue.poll();
     if (next != null) {
       setReading(queue.size() < MAX_QUEUED);
       answerNext(next);
@@ -400,6 +401,7 @@
     if (exchange != null) {
       exchange.onWritabilityChanged(context.channel().isWritable());
     }
+    answerQueued();
   }
 
   @Override
--- a/edge/src/test/java/org/shoreroad/edge/caller/SlowReadersTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/caller/SlowReadersTest.java
@@ -54,6 +54,7 @@
   private final List<String> ended = new CopyOnWriteArrayList<>();
   private final List<String> refused = new CopyOnWriteArrayList<>();
   private final List<String> gone = new CopyOnWriteArrayList<>();
+  private final List<String> begun = new CopyOnWriteArrayList<>();
   private final List<Socket> sockets = new ArrayList<>();
   private final HeldBytes held =
       new HeldBytes(
@@ -100,6 +101,7 @@
   }
 
   private CallerExchange begin(CallerRequest request, AnswerChannel answers) {
+    begun.add(request.uri());
     boolean isSilent = request.uri().equals("/silent");
     if (!isSilent) {
       request.body().release();
@@ -258,6 +260,21 @@
     assertThat(ended, is(empty()));
   }
 
+  @Test
+  void aRequestThatWasSentAheadBeginsOnceTheAnswerBeforeItWasRead() throws Exception {
+    try (Socket socket = new Socket()) {
+      socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+      socket.connect(address);
+      socket.setSoTimeout(READ_TIMEOUT_MS);
+      send(socket, "GET /whole HTTP/1.1\r\n\r\nGET /whole HTTP/1.1\r\nConnection: close\r\n\r\n");
+      InputStream in = socket.getInputStream();
+      Thread.sleep(MAX_UNREAD_MS / 3);
+      assertThat(begun, is(List.of("/whole")));
+      assertThat(in.readAllBytes().length, greaterThanOrEqualTo(2 * WHOLE_BYTES));
+    }
+    assertThat(begun, is(List.of("/whole", "/whole")));
+  }
+
   @Test
   void requestsThatWereAnsweredTakeNoMemoryFromTheNext() throws Exception {
     int bodyBytes = MAX_BYTES / 4;
