CallerConnection: do not cut an answer that its caller is still reading

Cause: a connection counted as idle as soon as its answer was written to the channel, while the bytes still waited for the caller.

Change: a connection is idle only when all answers were sent; the idle timeout begins then. A stop closes each open connection once it is idle, and no longer only those that are idle at one moment.

--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
@@ -61,6 +61,7 @@
   private boolean isRefusingInput;
   private boolean isKeptAlive = true;
   private boolean isFlushDue;
+  private boolean isClosingOnceIdle;
   private long idleSinceNanos;
   private long partialHeadSinceNanos;
   private int answeringBodyBytes;
@@ -348,13 +349,18 @@
     if (isAnswering || channel == null || isRefusingInput) {
       return;
     }
+    if (isClosingOnceIdle) {
+      closeOnceIdle();
+    }
+    if (heldHere.pendingBytes() > 0) {
+      // The caller is still reading an answer.
+      idleSinceNanos = nowNanos;
+    }
     if (partialHeadSinceNanos != 0 && nowNanos - partialHeadSinceNanos > headLimitNanos) {
       refuse(HttpResponseStatus.REQUEST_TIMEOUT, "slow_head");
     } else if (arriving != null && nowNanos - arrivingSinceNanos > idleLimitNanos) {
       refuse(HttpResponseStatus.REQUEST_TIMEOUT, "slow_body");
-    } else if (arriving == null
-        && partialHeadSinceNanos == 0
-        && nowNanos - idleSinceNanos > idleLimitNanos) {
+    } else if (isIdle() && nowNanos - idleSinceNanos > idleLimitNanos) {
       channel.close();
     }
   }
@@ -391,9 +397,21 @@
     }
   }
 
-  /** Returns true if no request is arriving or being answered. */
+  /** Closes the connection now or at a later check, once it is idle. */
+  void closeOnceIdle() {
+    isClosingOnceIdle = true;
+    if (isIdle()) {
+      abort();
+    }
+  }
+
+  /** Returns true if no request is arriving or being answered, and all answers were sent. */
   boolean isIdle() {
-    return !isAnswering && queue.isEmpty() && arriving == null && partialHeadSinceNanos == 0;
+    return !isAnswering
+        && queue.isEmpty()
+        && arriving == null
+        && partialHeadSinceNanos == 0
+        && heldHere.pendingBytes() == 0;
   }
 
   @Override
--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
@@ -131,13 +131,9 @@
     isStopping = true;
   }
 
-  /** Closes the connections on which nothing is arriving or being answered. */
+  /** Closes each open connection once nothing is arriving, being answered or being sent on it. */
   public void closeIdle() {
-    for (CallerConnection connection : new ArrayList<>(connections)) {
-      if (connection.isIdle()) {
-        connection.abort();
-      }
-    }
+    new ArrayList<>(connections).forEach(CallerConnection::closeOnceIdle);
   }
 
   /** Returns the number of open connections. */
--- a/edge/src/test/java/org/shoreroad/edge/caller/SlowReadersTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/caller/SlowReadersTest.java
@@ -70,13 +70,14 @@
               refused.add("memory");
             }
           });
+  private volatile CallerLimits limits = new CallerLimits(2_000, 64 * MB, 5_000, 20_000);
+  private CallerServer server;
   private long maxHeldBytes;
   private InetSocketAddress address;
 
   @BeforeEach
   void start() throws Exception {
-    CallerLimits limits = new CallerLimits(2_000, 64 * MB, 5_000, 20_000);
-    CallerServer server =
+    server =
         new CallerServer(loop, System::nanoTime, () -> limits, this::begin, reason -> {}, held);
     address =
         (InetSocketAddress)
@@ -107,7 +108,7 @@
       request.body().release();
     }
     StreamExchange exchange = new StreamExchange(request, answers, isSilent);
-    if (request.uri().equals("/whole")) {
+    if (request.uri().startsWith("/whole")) {
       answers.answer(HttpResponseStatus.OK, new DefaultHttpHeaders(), bytes(WHOLE_BYTES));
     } else if (!isSilent) {
       answers.begin(HttpResponseStatus.OK, new DefaultHttpHeaders());
@@ -170,7 +171,8 @@
     socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
     socket.connect(address);
     socket.setSoTimeout(READ_TIMEOUT_MS);
-    send(socket, "GET " + path + " HTTP/1.1\r\nConnection: close\r\n\r\n");
+    String connection = path.endsWith("-kept") ? "keep-alive" : "close";
+    send(socket, "GET " + path + " HTTP/1.1\r\nConnection: " + connection + "\r\n\r\n");
     return socket;
   }
 
@@ -275,6 +277,33 @@
     assertThat(begun, is(List.of("/whole", "/whole")));
   }
 
+  /** Reads an answer for longer than the idle timeout, and returns its size. */
+  private int readSlowly(Socket socket) throws Exception {
+    InputStream in = socket.getInputStream();
+    int size = 0;
+    for (int i = 0; i < 20; i++) {
+      Thread.sleep(MAX_UNREAD_MS / 10);
+      size += in.readNBytes(16_384).length;
+    }
+    return size + in.readAllBytes().length;
+  }
+
+  @Test
+  void anAnswerThatIsStillBeingReadIsNotCutByTheIdleTimeout() throws Exception {
+    limits = new CallerLimits(2_000, 64 * MB, 5_000, MAX_UNREAD_MS / 3);
+    assertThat(readSlowly(open("/whole-kept")), greaterThanOrEqualTo(WHOLE_BYTES));
+  }
+
+  @Test
+  void anAnswerThatIsStillBeingReadIsNotCutByAStop() throws Exception {
+    Socket socket = open("/whole-kept");
+    Thread.sleep(MAX_UNREAD_MS / 10);
+    loop.submit(server::disableKeepAlive).sync();
+    loop.submit(server::closeIdle).sync();
+    assertThat(readSlowly(socket), greaterThanOrEqualTo(WHOLE_BYTES));
+    waitFor(() -> server.connectionCount() == 0);
+  }
+
   @Test
   void requestsThatWereAnsweredTakeNoMemoryFromTheNext() throws Exception {
     int bodyBytes = MAX_BYTES / 4;
