ForwardServer: count what is held for other processes in the same bound

Up to 1,000 calls with bodies of 4 MB each could be taken beside a bound of 27 MB.

Change: HeldBytes counts them with what is held for callers (Source). A call whose body finds no room is refused unsent (PATH_LOST, counted as memory_full), so that the process that has the caller chooses another one. That process counts the frames that wait to be sent to the others. The first part of a body is no longer kept beside the whole one.

callWhoseBodyFindsNoRoomIsRefusedUnsent and bytesAreHeldWhileTheirCallIsOpen have no earlier counterpart: the check and the counts did not exist.

--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -371,7 +371,7 @@
           replicas.forget(box.id());
           failureDetector.forget(box.id());
         });
-    access.connect(mesh, relay, selector, stalls, upstreams, leases, replicas);
+    access.connect(mesh, relay, selector, stalls, upstreams, leases, replicas, callers);
     shareRoom();
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/UpstreamAccess.java
+++ b/edge/src/main/java/org/shoreroad/edge/UpstreamAccess.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.shoreroad.edge.caller.CallerServer;
 import org.shoreroad.edge.forward.ForwardClient;
 import org.shoreroad.edge.forward.ForwardServer;
 import org.shoreroad.edge.forward.ProbeOutcome;
@@ -82,7 +83,10 @@
     return forwardServer;
   }
 
-  /** Lets the parts that decide on failures distinguish a lost path from failed upstreams. */
+  /**
+   * Lets the parts that decide on failures distinguish a lost path from failed upstreams, and
+   * counts what is held for other processes with what is held for callers.
+   */
   void connect(
       PeerMesh mesh,
       Relay relay,
@@ -90,8 +94,12 @@
       StallDetector stalls,
       UpstreamTable upstreams,
       DomainLeases leases,
-      ReplicaService replicas) {
+      ReplicaService replicas,
+      CallerServer callers) {
     mesh.addFrameReceiver(forwardServer);
+    forwardServer.setRoom(callers::addRequestHeld);
+    callers.addHeldElsewhere(forwardServer);
+    callers.addHeldElsewhere(forwards);
     selector.setPaths(calls::isReachable, calls::isPathLost);
     relay.setPathCheck(paths);
     stalls.setPathCheck(paths);
--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
@@ -177,6 +177,11 @@
     return held;
   }
 
+  /** Counts bytes that are held apart from the connections of callers with the others. */
+  public void addHeldElsewhere(HeldBytes.Source source) {
+    held.addSource(source);
+  }
+
   /** Adds bytes that are held for a caller, and checks the bound soon if they may exceed it. */
   void addHeld(long bytes) {
     checkSoonIf(held.add(bytes));
--- a/edge/src/main/java/org/shoreroad/edge/forward/ForwardClient.java
+++ b/edge/src/main/java/org/shoreroad/edge/forward/ForwardClient.java
@@ -16,6 +16,7 @@
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.RepeatingTimer;
+import org.shoreroad.edge.caller.HeldBytes;
 import org.shoreroad.edge.http.CallListener;
 import org.shoreroad.edge.http.UpstreamCall;
 import org.shoreroad.edge.peer.PeerLink;
@@ -31,7 +32,7 @@
  *
  * @since 0.2
  */
-public final class ForwardClient {
+public final class ForwardClient implements HeldBytes.Source {
   private static final int TICK_MS = 100;
 
   /** Number of processes that share the calls of this one. */
@@ -80,6 +81,18 @@
     this.peers = peers;
   }
 
+  /** Returns the bytes of requests that wait to be sent to other processes. */
+  @Override
+  public long requestBytes() {
+    return forwarders.values().stream().mapToLong(Forwarder::pendingBytes).sum();
+  }
+
+  /** Returns 0, since answers from other processes are held for callers. */
+  @Override
+  public long answerBytes() {
+    return 0;
+  }
+
   /** Starts the periodic check of the connections. */
   public void start() {
     new RepeatingTimer(loop, log).every(TICK_MS, "forwarders", this::tick);
--- a/edge/src/main/java/org/shoreroad/edge/forward/ForwardMessage.java
+++ b/edge/src/main/java/org/shoreroad/edge/forward/ForwardMessage.java
@@ -37,6 +37,12 @@
       Objects.requireNonNull(upstream, "upstream");
       headers = List.copyOf(headers);
     }
+
+    /** Returns the same call without the first part of its body. */
+    Call withoutBody() {
+      return new Call(
+          number, upstream, method, uri, headers, maxConnections, bodyBytes, new byte[0]);
+    }
   }
 
   /** Next part of the body of a call. */
--- a/edge/src/main/java/org/shoreroad/edge/forward/ForwardServer.java
+++ b/edge/src/main/java/org/shoreroad/edge/forward/ForwardServer.java
@@ -17,10 +17,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.LongPredicate;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.RepeatingTimer;
 import org.shoreroad.edge.caller.HeaderNames;
+import org.shoreroad.edge.caller.HeldBytes;
 import org.shoreroad.edge.http.CallFailure;
 import org.shoreroad.edge.http.CallListener;
 import org.shoreroad.edge.http.HttpCalls;
@@ -40,7 +42,7 @@
  *
  * @since 0.2
  */
-public final class ForwardServer implements PeerFrames {
+public final class ForwardServer implements PeerFrames, HeldBytes.Source {
   /** Maximum number of open calls for others; above it they are sent through another process. */
   private static final int MAX_OPEN = 1_000;
 
@@ -62,6 +64,7 @@
   private final Function<String, @Nullable FleetBox> upstreams;
   private final Map<Replies, Link> links = new HashMap<>();
   private final Set<Answer> paused = new HashSet<>();
+  private LongPredicate room = bytes -> true;
   private boolean isResumeScheduled;
   private boolean isRefusingNew;
 
@@ -92,6 +95,15 @@
     this.upstreams = upstreams;
   }
 
+  /**
+   * Sets the check of the room for the bodies of requests; without it, there is room for all.
+   *
+   * @param check returns true and takes the room if so many bytes fit, not null
+   */
+  public void setRoom(LongPredicate check) {
+    room = check;
+  }
+
   /** Takes no new calls from now on, so that open ones can end in time. */
   public void refuseNew() {
     isRefusingNew = true;
@@ -106,6 +118,24 @@
     return count;
   }
 
+  /** Returns the bytes of the requests of open calls. */
+  @Override
+  public long requestBytes() {
+    long bytes = 0;
+    for (Link link : links.values()) {
+      for (Answer answer : link.answers.values()) {
+        bytes += answer.message.bodyBytes();
+      }
+    }
+    return bytes;
+  }
+
+  /** Returns the bytes of answers that wait to be sent to other processes. */
+  @Override
+  public long answerBytes() {
+    return links.keySet().stream().mapToLong(Replies::pendingBytes).sum();
+  }
+
   @Override
   public boolean accepts(byte[] frame) {
     return ForwardCodec.isForwardMessage(frame);
@@ -186,6 +216,9 @@
         refuse(message.number(), CallFailure.Reason.PATH_LOST);
       } else if (box == null) {
         refuse(message.number(), CallFailure.Reason.NOT_CONNECTED);
+      } else if (!room.test(message.bodyBytes())) {
+        // Another process may have both a path and room.
+        refuse(message.number(), CallFailure.Reason.PATH_LOST, "memory_full");
       } else {
         Answer answer = new Answer(this, message, box);
         answers.put(message.number(), answer);
@@ -200,7 +233,11 @@
     }
 
     void refuse(long number, CallFailure.Reason reason) {
-      counters.count("shoreroad.calls.for_others", reason.code());
+      refuse(number, reason, reason.code());
+    }
+
+    private void refuse(long number, CallFailure.Reason reason, String code) {
+      counters.count("shoreroad.calls.for_others", code);
       send(new ForwardMessage.Failed(number, reason.name(), false));
     }
 
@@ -257,7 +294,7 @@
 
     Answer(Link link, ForwardMessage.Call message, FleetBox box) {
       this.link = link;
-      this.message = message;
+      this.message = message.withoutBody();
       this.box = box;
       this.body = Unpooled.buffer(Math.max(0, message.body().length));
     }
--- a/edge/src/main/java/org/shoreroad/edge/forward/Forwarder.java
+++ b/edge/src/main/java/org/shoreroad/edge/forward/Forwarder.java
@@ -48,7 +48,8 @@
   private final Map<Long, Consumer<ProbeOutcome>> probes = new HashMap<>();
   private final Map<String, Long> unableUntilNanos = new HashMap<>();
   private final Map<String, Long> ableUntilNanos = new HashMap<>();
-  private final List<ForwardMessage> held = new ArrayList<>();
+  private final List<byte[]> held = new ArrayList<>();
+  private long heldBytes;
   private PeerLink link;
   private boolean isGreeting;
   private boolean isAnswering;
@@ -89,6 +90,11 @@
     return calls.size();
   }
 
+  /** Returns the bytes of messages that wait to be sent. */
+  long pendingBytes() {
+    return link.pendingBytes() + heldBytes;
+  }
+
   /** Returns true once the process has answered on the present connection. */
   boolean isAnswering() {
     return isAnswering;
@@ -140,7 +146,9 @@
     }
     greet();
     if (isGreeting) {
-      held.add(message);
+      byte[] frame = ForwardCodec.toBytes(message);
+      held.add(frame);
+      heldBytes += frame.length;
     }
     return isGreeting;
   }
@@ -149,6 +157,13 @@
     return link.sendReliably(ForwardCodec.toBytes(message));
   }
 
+  private List<byte[]> takeHeld() {
+    List<byte[]> frames = List.copyOf(held);
+    held.clear();
+    heldBytes = 0;
+    return frames;
+  }
+
   /** Asks whether the process can connect to an upstream. */
   void probe(long number, String upstream, Consumer<ProbeOutcome> callback) {
     restartWaitIfIdle();
@@ -187,9 +202,7 @@
     if (!isAnswering) {
       isAnswering = true;
       isGreeting = false;
-      List<ForwardMessage> first = List.copyOf(held);
-      held.clear();
-      first.forEach(this::sendNow);
+      takeHeld().forEach(link::sendReliably);
     }
     if (ForwardCodec.isForwardMessage(frame)) {
       ForwardMessage message = ForwardCodec.parse(frame).orElse(null);
@@ -240,7 +253,7 @@
     boolean hasAnswered = isAnswering;
     isAnswering = false;
     isGreeting = false;
-    held.clear();
+    takeHeld();
     client.log().write("forward_link_lost", "peer", name, "calls", calls.size());
     List<ForwardedCall> lost = List.copyOf(calls.values());
     calls.clear();
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerChannels.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerChannels.java
@@ -109,6 +109,11 @@
       return channel.isWritable();
     }
 
+    @Override
+    public long pendingBytes() {
+      return PeerLink.pendingBytes(channel);
+    }
+
     @Override
     public void onClose(Runnable listener) {
       channel.closeFuture().addListener(closed -> listener.run());
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerFrames.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerFrames.java
@@ -36,6 +36,9 @@
     /** Returns true if the connection takes more frames without delay. */
     boolean isWritable();
 
+    /** Returns the bytes of frames that wait to be sent. */
+    long pendingBytes();
+
     /** Calls a listener when the connection is closed, or now if it is. */
     void onClose(Runnable listener);
   }
--- a/edge/src/main/java/org/shoreroad/edge/peer/PeerLink.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/PeerLink.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -130,6 +131,17 @@
     return true;
   }
 
+  /** Returns the bytes of frames that wait to be sent. */
+  public long pendingBytes() {
+    long queuedBytes = queued.stream().mapToLong(frame -> frame.length).sum();
+    return queuedBytes + (channel == null ? 0 : pendingBytes(channel));
+  }
+
+  static long pendingBytes(Channel channel) {
+    ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
+    return pending == null ? 0 : pending.totalPendingWriteBytes();
+  }
+
   /**
    * Closes the link for good if nothing was sent for some time; the listener isn't called.
    *
--- a/edge/src/test/java/org/shoreroad/edge/caller/HeldBytesRuleTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/caller/HeldBytesRuleTest.java
@@ -2,7 +2,9 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
@@ -107,4 +109,36 @@
     assertThrows(IllegalArgumentException.class, () -> new HeldBytesRule(MB - 1, 1));
     assertThrows(IllegalArgumentException.class, () -> new HeldBytesRule(MB, 0));
   }
+
+  @Test
+  void oneAnswerMayHoldHalfOfTheFreeRoom() {
+    HeldBytesRule larger = new HeldBytesRule(16 * MB, 3_000);
+    assertThat(larger.maxAnswerBytes(0), is(6 * MB));
+    assertThat(larger.maxAnswerBytes(8 * MB), is(2 * MB));
+    assertThat(larger.maxAnswerBytes(12 * MB), is(0L));
+    assertThat(larger.maxAnswerBytes(16 * MB), is(0L));
+  }
+
+  @Test
+  void answersThatGrowToWhatTheyMayHoldLeaveRoomForOthers() {
+    long[] answers = new long[200];
+    long total = 0;
+    for (int round = 0; round < 1_000; round++) {
+      for (int i = 0; i < answers.length; i++) {
+        if (answers[i] < rule.maxAnswerBytes(total)) {
+          answers[i] += 1_000;
+          total += 1_000;
+        }
+      }
+    }
+    assertThat(rule.maxAnswerBytes(total), greaterThan(0L));
+    assertThat(total, lessThan(rule.maxAcceptedBytes()));
+  }
+
+  @Test
+  void bytesHeldElsewhereCountForTheBound() {
+    List<Holder<String>> holders = List.of(holder("a", 4 * MB, 0, 0), holder("b", 2 * MB, 0, 0));
+    assertThat(rule.choose(holders, 4 * MB), is(empty()));
+    assertThat(rule.choose(holders, 5 * MB).size(), is(1));
+  }
 }
--- a/edge/src/test/java/org/shoreroad/edge/caller/HeldBytesTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/caller/HeldBytesTest.java
@@ -34,4 +34,34 @@
     assertThat(held.estimatedBytes(), is(0L));
     assertThat(held.hasRoomForRequest(12 * MB), is(true));
   }
+
+  @Test
+  void bytesThatAreHeldElsewhereLeaveNoRoom() {
+    held.addSource(
+        new HeldBytes.Source() {
+          @Override
+          public long requestBytes() {
+            return 10 * MB;
+          }
+
+          @Override
+          public long answerBytes() {
+            return 3 * MB;
+          }
+        });
+    held.check(List.of(), 0);
+    assertThat(held.estimatedBytes(), is(13 * MB));
+    assertThat(held.hasRoomForRequest(2 * MB), is(true));
+    assertThat(held.hasRoomForRequest(2 * MB + 1), is(false));
+    assertThat(held.hasRoomForAnswer(MB), is(true));
+    assertThat(held.hasRoomForAnswer(2 * MB), is(false));
+  }
+
+  @Test
+  void reservedRoomIsTakenUntilItIsReleased() {
+    held.reserve(14 * MB);
+    assertThat(held.hasRoomForAnswer(MB), is(false));
+    held.reserve(-2 * MB);
+    assertThat(held.hasRoomForAnswer(MB), is(true));
+  }
 }
--- a/edge/src/test/java/org/shoreroad/edge/forward/ForwardServerTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/forward/ForwardServerTest.java
@@ -113,6 +113,7 @@
   private static final class FakeReplies implements PeerFrames.Replies {
     private final List<String> messages = new ArrayList<>();
     private Runnable closeListener = () -> {};
+    private long pendingBytes;
 
     @Override
     public boolean isOpen() {
@@ -138,6 +139,11 @@
       return true;
     }
 
+    @Override
+    public long pendingBytes() {
+      return pendingBytes;
+    }
+
     @Override
     public void onClose(Runnable listener) {
       closeListener = listener;
@@ -232,4 +238,26 @@
     assertThat(sent.size(), is(1));
     assertThat(server.openCount(), is(0));
   }
+
+  @Test
+  void callWhoseBodyFindsNoRoomIsRefusedUnsent() throws Exception {
+    server.setRoom(bytes -> bytes <= 10);
+    receiveCall(7, "web-1", 11);
+    receiveCall(8, "web-1", 10);
+    assertThat(replies.messages, contains("Failed[number=7, reason=PATH_LOST, isSent=false]"));
+    assertThat(server.openCount(), is(1));
+  }
+
+  @Test
+  void bytesAreHeldWhileTheirCallIsOpen() throws Exception {
+    receiveCall(7, "web-1", 3);
+    receiveCall(8, "web-1", 4);
+    assertThat(server.requestBytes(), is(7L));
+    receive(new ForwardMessage.Cancel(7));
+    assertThat(server.requestBytes(), is(4L));
+    replies.pendingBytes = 5;
+    assertThat(server.answerBytes(), is(5L));
+    replies.closeListener.run();
+    assertThat(server.requestBytes() + server.answerBytes(), is(0L));
+  }
 }
--- a/edge/src/test/java/org/shoreroad/edge/forward/ForwardedUnframedAnswerTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/forward/ForwardedUnframedAnswerTest.java
@@ -118,6 +118,11 @@
       return true;
     }
 
+    @Override
+    public long pendingBytes() {
+      return 0;
+    }
+
     @Override
     public void onClose(Runnable listener) {
       // Stays open.
