--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestDeadline.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestDeadline.java
@@ -44,10 +44,6 @@
     }
   }
 
-  boolean isPaused() {
-    return isPaused;
-  }
-
   boolean isPassed(long nowNanos) {
     return !isPaused && nowNanos - endNanos >= 0;
   }
