--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -156,7 +156,9 @@
     if (isOver) {
       return;
     }
-    checkRoom();
+    if (deadline.isPaused()) {
+      checkRoom();
+    }
     if (route != null && deadline.isPassed(relay.nowNanos())) {
       endAtDeadline();
     } else if (dispatch != null) {
@@ -171,8 +173,7 @@
   }
 
   private void checkRoom() {
-    attempts.resumeWithRoom();
-    if (attempts.isAny(Attempt::isAwaitingRoom)) {
+    if (!attempts.resumeWithRoom()) {
       relay.addWaiting(this);
     } else {
       deadline.resume(relay.nowNanos());
--- a/edge/src/main/java/org/shoreroad/edge/relay/OpenAttempts.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/OpenAttempts.java
@@ -87,8 +87,13 @@
     List.copyOf(open).forEach(attempt -> attempt.onWritabilityChanged(isWritable));
   }
 
-  /** Resumes reading answers that were paused for want of room and have some now. */
-  void resumeWithRoom() {
+  /**
+   * Resumes reading answers that were paused for want of room and have some now.
+   *
+   * @return true if none is paused any more
+   */
+  boolean resumeWithRoom() {
     List.copyOf(open).forEach(Attempt::resumeWithRoom);
+    return !isAny(Attempt::isAwaitingRoom);
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestDeadline.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestDeadline.java
@@ -44,6 +44,10 @@
     }
   }
 
+  boolean isPaused() {
+    return isPaused;
+  }
+
   boolean isPassed(long nowNanos) {
     return !isPaused && nowNanos - endNanos >= 0;
   }
