TopicFollower: count a read that was cut off as no proof

A process was cut off from the store and the others for 10 s, in which twelve configurations of 116 KB were written; the last one took the key away.

Cause: the store cuts the answer to a read off at 1 MB. The follower counted each answer as a proof that no record was missed up to the sending of its read, also one that ends before the end that it states. So keys were trusted again after the first eight of twelve configurations. Evidence: the eight requests ran with the former key 6,494 to 6,495 ms after the acknowledgement, right as the store was reached again, and were refused with 401 afterwards.

Change: a read is a proof only if all records up to the end that its answer states were read, as it already was where a proof is renewed beside a long poll. The rest is read without a pause.

readThatIsCutOffProvesNothingUntilTheRestWasRead failed before.

--- a/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
@@ -15,7 +15,8 @@
  * Follower of a keyed topic of the store: reads the newest record of each key, then every record.
  *
  * <p>Reads are long polls: the store answers as soon as there is a record, or when the wait ends.
- * Either answer proves that no record was missed up to the time at which the read was sent.
+ * Either answer proves that no record was missed up to the time at which the read was sent, unless
+ * the store has cut it off at the maximum size.
  *
  * <p>Positions of different eras can't be compared: in a new era, the offsets below a position may
  * belong to records that were never read. So reads, proofs and updates from peers never continue
@@ -346,7 +347,10 @@
               return;
             }
             deliverRecords(page.records());
-            provenNanos = Math.max(provenNanos, sentNanos);
+            if (!acceptProof(page, sentNanos) && !page.records().isEmpty()) {
+              readNextAfter(0, ofListing);
+              return;
+            }
             long spentMs = TimeUnit.NANOSECONDS.toMillis(clockNanos.getAsLong() - sentNanos);
             readNextAfter(Math.max(0, minIntervalMs.getAsInt() - spentMs), ofListing);
           }
@@ -388,9 +392,7 @@
               return;
             }
             deliverRecords(page.records());
-            if (next.hasReached(page.end())) {
-              provenNanos = Math.max(provenNanos, sentNanos);
-            }
+            acceptProof(page, sentNanos);
           }
 
           @Override
@@ -401,6 +403,19 @@
         });
   }
 
+  /**
+   * Counts a read as a proof, unless the store has cut its answer off before the end.
+   *
+   * @return false if the answer was cut off, so that records up to its end are still to be read
+   */
+  private boolean acceptProof(StorePage page, long sentNanos) {
+    if (!next.hasReached(page.end())) {
+      return false;
+    }
+    provenNanos = Math.max(provenNanos, sentNanos);
+    return true;
+  }
+
   private void deliverRecords(List<StoreRecord> records) {
     for (StoreRecord record : records) {
       if (record.position().hasReached(next)) {
--- a/edge/src/test/java/org/shoreroad/edge/sync/FakeStore.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FakeStore.java
@@ -19,6 +19,7 @@
   private long firstOffset;
   private long era = 1;
   private @Nullable StoreFault fault;
+  private int maxReadRecords = Integer.MAX_VALUE;
   private PartitionGrant grant = new PartitionGrant(1, 1, Set.of());
   private boolean hasLeft;
 
@@ -45,6 +46,11 @@
     fault = next;
   }
 
+  /** Cuts each read off after so many records. */
+  void cutReadsAfter(int maxRecords) {
+    maxReadRecords = maxRecords;
+  }
+
   void grant(PartitionGrant next) {
     grant = next;
   }
@@ -71,8 +77,9 @@
     } else if (fromOffset < firstOffset || fromOffset > records.size()) {
       callback.onFault(StoreFault.TRIMMED);
     } else {
-      List<StoreRecord> found = records.subList((int) fromOffset, records.size());
-      callback.onValue(new StorePage(found, end(), false));
+      List<StoreRecord> rest = records.subList((int) fromOffset, records.size());
+      List<StoreRecord> found = rest.subList(0, Math.min(maxReadRecords, rest.size()));
+      callback.onValue(new StorePage(found, end(), found.size() < rest.size()));
     }
   }
 
--- a/edge/src/test/java/org/shoreroad/edge/sync/FollowerAndFleetTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FollowerAndFleetTest.java
@@ -73,6 +73,25 @@
     assertThat(follower.provenNanos(), is(nowNanos - SECOND_NANOS));
   }
 
+  /** Guards against a proof by a read that the store has cut off before a removed key. */
+  @Test
+  void readThatIsCutOffProvesNothingUntilTheRestWasRead() {
+    TopicFollower cutOff = follow(record -> store.failWith(StoreFault.NO_ANSWER));
+    cutOff.start();
+    long proven = cutOff.provenNanos();
+    store.put("a", "1");
+    store.put("a", "2");
+    store.put("a", null);
+    store.cutReadsAfter(2);
+    advance(SECOND_NANOS);
+    assertThat(cutOff.next().offset(), is(2L));
+    assertThat(cutOff.provenNanos(), is(proven));
+    store.failWith(null);
+    advance(SECOND_NANOS);
+    assertThat(cutOff.next().offset(), is(3L));
+    assertThat(cutOff.provenNanos(), is(nowNanos));
+  }
+
   @Test
   void trimmedTopicIsListedAgain() {
     store.put("a", "1");
