WholeCall: skip answers to other requests in reports and orders

Cause: reports and orders use the connections of callers' requests, on which an upstream may answer a request a second time, late, where the next answer is due. Relay and ForwardServer compare the id that such an answer carries; WholeCall took whatever came. A JSON body without a membership was then a report of a head without a replica, and a status of 200 an accepted order.

Change: calls to engines skip an answer that carries the id or the seal of a request, by the rule that Relay uses, since their own answers carry neither. The connection is not used again.

--- a/edge/src/main/java/org/shoreroad/edge/http/WholeCall.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/WholeCall.java
@@ -10,6 +10,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -19,14 +20,16 @@
  */
 public final class WholeCall implements CallListener {
   private final Callback callback;
+  private final Predicate<HttpResponse> isOfOtherRequest;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private @Nullable HttpCall call;
   private @Nullable ScheduledFuture<?> timeout;
   private int status;
   private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
 
-  private WholeCall(Callback callback) {
+  private WholeCall(Callback callback, Predicate<HttpResponse> isOfOtherRequest) {
     this.callback = callback;
+    this.isOfOtherRequest = isOfOtherRequest;
   }
 
   /** Callback for the result of a call. */
@@ -50,7 +53,25 @@
       FullHttpRequest request,
       int timeoutMs,
       Callback callback) {
-    WholeCall whole = new WholeCall(callback);
+    send(calls, loop, address, request, timeoutMs, callback, head -> false);
+  }
+
+  /**
+   * Sends a request on a connection on which answers to former requests may still arrive.
+   *
+   * @param timeoutMs the time for the complete answer, in milliseconds
+   * @param isOfOtherRequest returns true for the head of an answer to another request, which is
+   *     skipped, not null
+   */
+  public static void send(
+      HttpCalls calls,
+      EventLoop loop,
+      String address,
+      FullHttpRequest request,
+      int timeoutMs,
+      Callback callback,
+      Predicate<HttpResponse> isOfOtherRequest) {
+    WholeCall whole = new WholeCall(callback, isOfOtherRequest);
     whole.call = calls.send(address, request, Integer.MAX_VALUE, whole);
     whole.timeout = loop.schedule(whole::timeOut, timeoutMs, TimeUnit.MILLISECONDS);
   }
@@ -67,6 +88,9 @@
 
   @Override
   public boolean onHead(HttpResponse head) {
+    if (isOfOtherRequest.test(head)) {
+      return false;
+    }
     status = head.status().code();
     headers = head.headers();
     return true;
