--- a/edge/src/test/java/org/shoreroad/edge/http/UnframedAnswerEndTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/http/UnframedAnswerEndTest.java
@@ -214,6 +214,15 @@
     assertThat(awaitEnd(), is("broken, sent"));
   }
 
+  @Test
+  void answerThatEndsBeforeItsStatedLengthIsIncomplete() throws Exception {
+    try (Socket socket = accept(SHORT_BODY_BYTES)) {
+      readRequest(socket, SHORT_BODY_BYTES);
+      write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhalf");
+    }
+    assertThat(awaitEnd(), is("broken, sent"));
+  }
+
   @Test
   void answerThatEndsInsideAChunkIsIncomplete() throws Exception {
     try (Socket socket = accept(SHORT_BODY_BYTES)) {
--- a/edge/src/test/java/org/shoreroad/edge/relay/LargeAnswersTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LargeAnswersTest.java
@@ -252,6 +252,14 @@
     assertThat(runCount(), is(CALLERS));
   }
 
+  @Test
+  void callersThatReadGetAnswersThatExceedTheBoundManyTimes() throws Exception {
+    int slots = 6 * UPSTREAMS;
+    checkWhole(getAtOnce(slots, "/once/length/" + ANSWER_BYTES, MB, 0), ANSWER_BYTES);
+    checkBound();
+    assertThat(runCount(), is(slots));
+  }
+
   @Test
   void callersThatReadSlowlyGetTheirAnswersAfterTheDeadlineToo() throws Exception {
     List<Received> results =
