Buffers of answers: use "memory", since room is what engines grant

"Room" already names the slots that the owner of a fabric domain grants at its heads. No change of behaviour.

LargeAnswersTest: its pipelined case failed once, beside a load of 20, with a closed connection. Traced: the twelve answers take some 2.5 s of which each request has 2 s, so one is always at work at its deadline; if it is being sent on by then, it is cut, as a stream is. The case now gives 20 s, and asks for more: all twelve requests have to run and to be answered whole. The case that reads past the deadline keeps its 2 s.

--- a/edge/src/main/java/org/shoreroad/edge/UpstreamAccess.java
+++ b/edge/src/main/java/org/shoreroad/edge/UpstreamAccess.java
@@ -97,7 +97,7 @@
       ReplicaService replicas,
       CallerServer callers) {
     mesh.addFrameReceiver(forwardServer);
-    forwardServer.setRoom(callers::addRequestHeld);
+    forwardServer.setMemoryCheck(callers::addRequestHeld);
     callers.addHeldElsewhere(forwardServer);
     callers.addHeldElsewhere(forwards);
     selector.setPaths(calls::isReachable, calls::isPathLost);
--- a/edge/src/main/java/org/shoreroad/edge/caller/AnswerChannel.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/AnswerChannel.java
@@ -45,19 +45,19 @@
   default void addCollected(long change) {}
 
   /**
-   * Reserves room for the answer to a request that is about to be sent, until the answer has come
+   * Reserves memory for the answer to a request that is about to be sent, until the answer has come
    * or has failed.
    *
    * @param expectedBytes the bytes that are expected to be held for it
-   * @return false if there is no room for it
+   * @return false if there is no memory for it
    */
-  boolean reserve(long expectedBytes);
+  boolean reserveBuffer(long expectedBytes);
 
   /**
-   * Returns the bytes that are held for the answer as a part of those that it may hold now. Above 1
-   * it takes room that others need.
+   * Returns the fill level of the answer's buffer: the bytes that are held for it as a part of
+   * those that it may hold now. Above 1 it takes memory that others need.
    */
-  double roomTaken();
+  double bufferFill();
 
   /** Returns false while the caller reads too slowly. */
   boolean isWritable();
--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
@@ -233,13 +233,13 @@
   }
 
   @Override
-  public boolean reserve(long expectedBytes) {
+  public boolean reserveBuffer(long expectedBytes) {
     return heldHere.reserve(expectedBytes);
   }
 
   @Override
-  public double roomTaken() {
-    return heldHere.roomTaken();
+  public double bufferFill() {
+    return heldHere.bufferFill();
   }
 
   @Override
--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
@@ -203,7 +203,7 @@
     return true;
   }
 
-  /** Reserves room for an answer that is still to come; returns false if it does not fit. */
+  /** Reserves memory for an answer that is still to come; returns false if it does not fit. */
   boolean reserveAnswer(long bytes) {
     if (!held.hasRoomForAnswer(bytes)) {
       recheckHeld();
@@ -216,7 +216,7 @@
   }
 
   /** Returns the bytes of an answer as a part of those that one answer may hold now. */
-  double answerRoomTaken(long bytes) {
+  double bufferFill(long bytes) {
     if (2 * bytes > held.maxAnswerBytes()) {
       recheckHeld();
     }
--- a/edge/src/main/java/org/shoreroad/edge/caller/ConnectionBytes.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/ConnectionBytes.java
@@ -5,8 +5,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Bytes of answers that are held for one connection of a caller, and the room that is reserved for
- * the answer to come.
+ * Bytes of answers that are held for one connection of a caller, and the memory that is reserved
+ * for the answer to come.
  *
  * <p>Not thread-safe: used on the event loop.
  *
@@ -45,7 +45,7 @@
     }
   }
 
-  /** Reserves room for the answer to come; returns false if there is none. */
+  /** Reserves memory for the answer to come; returns false if there is none. */
   boolean reserve(long expectedBytes) {
     if (!server.reserveAnswer(expectedBytes)) {
       return false;
@@ -66,8 +66,8 @@
   }
 
   /** Returns the bytes that are held as a part of those that one answer may hold now. */
-  double roomTaken() {
-    return server.answerRoomTaken(collectedBytes + pendingBytes());
+  double bufferFill() {
+    return server.bufferFill(collectedBytes + pendingBytes());
   }
 
   /** Returns the bytes that were written and that the kernel has not taken. */
--- a/edge/src/main/java/org/shoreroad/edge/caller/HeldBytesRule.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/HeldBytesRule.java
@@ -9,8 +9,8 @@
  * Rule that ends connections of callers that do not read, and bounds the bytes that are held for
  * all callers.
  *
- * <p>An answer may hold a part of the room that is free. With more large answers each may hold
- * less, while some room always stays free for small ones.
+ * <p>An answer may hold a part of the memory that is free. With more large answers each may hold
+ * less, while some memory always stays free for small ones.
  *
  * <p>This class is immutable and thread-safe.
  *
@@ -42,14 +42,14 @@
   private static final double PAUSE_PART = 0.75;
 
   /**
-   * Part of the bound from which no request is accepted. Between the two, small answers and what
-   * arrives before a pause takes effect find room; above it, what is still to come of the accepted
-   * ones does. So pauses and refusals, not ends of connections, keep the bound.
+   * Part of the bound from which no request is accepted. The bytes between the two parts are for
+   * small answers and for pieces that arrive before a pause takes effect, those above for the
+   * answers of requests that were accepted before.
    */
   private static final double ACCEPT_PART = 0.9;
 
-  /** Part of the free room that one answer may hold. */
-  private static final double SHARE = 0.5;
+  /** Part of the free memory that one answer may hold. */
+  private static final double ANSWER_PART = 0.5;
 
   /** Part of the bound to which connections are ended, so that not each new byte ends one. */
   private static final double TARGET_PART = 0.9;
@@ -127,7 +127,7 @@
    * @param totalBytes the bytes that are held in total, those of the answer included
    */
   long maxAnswerBytes(long totalBytes) {
-    return (long) (SHARE * Math.max(0, maxBytes * PAUSE_PART - totalBytes));
+    return (long) (ANSWER_PART * Math.max(0, maxBytes * PAUSE_PART - totalBytes));
   }
 
   /** Returns the bytes held on these connections. */
--- a/edge/src/main/java/org/shoreroad/edge/forward/ForwardServer.java
+++ b/edge/src/main/java/org/shoreroad/edge/forward/ForwardServer.java
@@ -64,7 +64,7 @@
   private final Function<String, @Nullable FleetBox> upstreams;
   private final Map<Replies, Link> links = new HashMap<>();
   private final Set<Answer> paused = new HashSet<>();
-  private LongPredicate room = bytes -> true;
+  private LongPredicate memoryCheck = bytes -> true;
   private boolean isResumeScheduled;
   private boolean isRefusingNew;
 
@@ -96,12 +96,12 @@
   }
 
   /**
-   * Sets the check of the room for the bodies of requests; without it, there is room for all.
+   * Sets the check of the memory for the bodies of requests; without it, there is enough for all.
    *
-   * @param check returns true and takes the room if so many bytes fit, not null
+   * @param check returns true and takes the memory if so many bytes fit, not null
    */
-  public void setRoom(LongPredicate check) {
-    room = check;
+  public void setMemoryCheck(LongPredicate check) {
+    memoryCheck = check;
   }
 
   /** Takes no new calls from now on, so that open ones can end in time. */
@@ -216,8 +216,8 @@
         refuse(message.number(), CallFailure.Reason.PATH_LOST);
       } else if (box == null) {
         refuse(message.number(), CallFailure.Reason.NOT_CONNECTED);
-      } else if (!room.test(message.bodyBytes())) {
-        // Another process may have both a path and room.
+      } else if (!memoryCheck.test(message.bodyBytes())) {
+        // Another process may have both a path and memory.
         refuse(message.number(), CallFailure.Reason.PATH_LOST, "memory_full");
       } else {
         Answer answer = new Answer(this, message, box);
--- a/edge/src/main/java/org/shoreroad/edge/relay/AnswerSizes.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/AnswerSizes.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /**
- * Room that the answers of each route have taken lately, which is expected for the next ones.
+ * Bytes that the answers of each route have needed lately, which are expected for the next ones.
  *
  * <p>No answer needs more than {@link #MAX_EXPECTED_BYTES}, since a larger one can be sent on while
  * its upstream is paused. The mean is used, so that a route with few large answers reserves little
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -40,10 +40,10 @@
   private static final long MIN_SURVIVED_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   /**
-   * Part of its room from which an answer is sent on that could not be repeated anyway, so that the
+   * Fill level from which an answer is sent on that could not be repeated anyway, so that the
    * others can be collected for longer.
    */
-  private static final double UNREPEATABLE_PART = 0.5;
+  private static final double UNREPEATABLE_FILL = 0.5;
 
   private final Exchange exchange;
   private final Relay relay;
@@ -64,7 +64,7 @@
   private long firstContentNanos;
   private long lastContentNanos;
   private long lastEventNanos;
-  private boolean isAwaitingRoom;
+  private boolean isAwaitingBuffer;
   private boolean isOver;
 
   /**
@@ -218,7 +218,7 @@
     if (exchange.isStream() && whole == null) {
       setReading(isWritable);
     } else if (isWritable) {
-      resumeWithRoom();
+      resumeWithBuffer();
     }
   }
 
@@ -232,15 +232,15 @@
     }
   }
 
-  /** Returns true while the answer is not read, since it takes more than its room. */
-  boolean isAwaitingRoom() {
-    return isAwaitingRoom;
+  /** Returns true while the answer is not read, since its buffer is full. */
+  boolean isAwaitingBuffer() {
+    return isAwaitingBuffer;
   }
 
-  /** Resumes reading the answer if it was paused for want of room and has some now. */
-  void resumeWithRoom() {
-    if (isAwaitingRoom && answers.roomTaken() <= 1) {
-      isAwaitingRoom = false;
+  /** Resumes reading the answer if its buffer was full and is not any more. */
+  void resumeWithBuffer() {
+    if (isAwaitingBuffer && answers.bufferFill() <= 1) {
+      isAwaitingBuffer = false;
       setReading(true);
     }
   }
@@ -312,14 +312,14 @@
       }
     } else if (whole != null) {
       whole.add(content);
-      keepToRoom(whole);
+      limitBuffer(whole);
     }
   }
 
-  /** Sends an answer on that takes more than its room, and pauses it while it still does. */
-  private void keepToRoom(WholeAnswer answer) {
-    double mostTaken = exchange.isRepeatable() ? 1 : UNREPEATABLE_PART;
-    if (!answer.isBegun() && answers.roomTaken() > mostTaken) {
+  /** Sends an answer on whose buffer is full, and pauses it while the buffer is still full. */
+  private void limitBuffer(WholeAnswer answer) {
+    double maxFill = exchange.isRepeatable() ? 1 : UNREPEATABLE_FILL;
+    if (!answer.isBegun() && answers.bufferFill() > maxFill) {
       if (isNotForwarded(answer)) {
         fail(AttemptFailure.FAILED);
         return;
@@ -327,10 +327,10 @@
       exchange.onWholeAnswerBegun(this);
       answer.begin();
     }
-    if (answer.isBegun() && !isAwaitingRoom && answers.roomTaken() > 1) {
-      isAwaitingRoom = true;
+    if (answer.isBegun() && !isAwaitingBuffer && answers.bufferFill() > 1) {
+      isAwaitingBuffer = true;
       setReading(false);
-      exchange.awaitRoom();
+      exchange.awaitBuffer();
     }
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -96,7 +96,7 @@
       return;
     }
     traffic.recordArrival(service, found);
-    if (!isStream() && !answers.reserve(relay.answerSizes().expectedBytes(found.name()))) {
+    if (!isStream() && !answers.reserveBuffer(relay.answerSizes().expectedBytes(found.name()))) {
       refuse(Refusal.MEMORY_FULL, RetryAfter.MEMORY);
       return;
     }
@@ -157,7 +157,7 @@
       return;
     }
     if (deadline.isPaused()) {
-      checkRoom();
+      checkBuffer();
     }
     if (route != null && deadline.isPassed(relay.nowNanos())) {
       endAtDeadline();
@@ -167,13 +167,13 @@
   }
 
   /** Checks regularly whether the answer, which is paused now, may be read again. */
-  void awaitRoom() {
+  void awaitBuffer() {
     deadline.pause(relay.nowNanos());
     relay.addWaiting(this);
   }
 
-  private void checkRoom() {
-    if (!attempts.resumeWithRoom()) {
+  private void checkBuffer() {
+    if (!attempts.resumeWithBuffer()) {
       relay.addWaiting(this);
     } else {
       deadline.resume(relay.nowNanos());
@@ -253,7 +253,7 @@
   void onWholeAnswerBegun(Attempt answering) {
     onProgress(answering);
     repeats.forbid();
-    relay.counters().count("shoreroad.answers.sent_early", "room");
+    relay.counters().count("shoreroad.answers.sent_early", "memory");
   }
 
   /** Ends the answer after its upstream has ended the stream. */
--- a/edge/src/main/java/org/shoreroad/edge/relay/OpenAttempts.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/OpenAttempts.java
@@ -88,12 +88,12 @@
   }
 
   /**
-   * Resumes reading answers that were paused for want of room and have some now.
+   * Resumes reading answers whose buffer was full and is not any more.
    *
    * @return true if none is paused any more
    */
-  boolean resumeWithRoom() {
-    List.copyOf(open).forEach(Attempt::resumeWithRoom);
-    return !isAny(Attempt::isAwaitingRoom);
+  boolean resumeWithBuffer() {
+    List.copyOf(open).forEach(Attempt::resumeWithBuffer);
+    return !isAny(Attempt::isAwaitingBuffer);
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -206,7 +206,7 @@
   }
 
   /**
-   * Adds a request that waits for a free slot at an upstream, or for room for its answer, to be
+   * Adds a request that waits for a free slot at an upstream, or whose answer is paused, to be
    * tried again after a short delay.
    */
   void addWaiting(Exchange exchange) {
--- a/edge/src/test/java/org/shoreroad/edge/caller/HeldBytesRuleTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/caller/HeldBytesRuleTest.java
@@ -111,7 +111,7 @@
   }
 
   @Test
-  void oneAnswerMayHoldHalfOfTheFreeRoom() {
+  void oneAnswerMayHoldHalfOfTheFreeMemory() {
     HeldBytesRule larger = new HeldBytesRule(16 * MB, 3_000);
     assertThat(larger.maxAnswerBytes(0), is(6 * MB));
     assertThat(larger.maxAnswerBytes(8 * MB), is(2 * MB));
@@ -120,7 +120,7 @@
   }
 
   @Test
-  void answersThatGrowToWhatTheyMayHoldLeaveRoomForOthers() {
+  void answersThatGrowToWhatTheyMayHoldLeaveMemoryForOthers() {
     long[] answers = new long[200];
     long total = 0;
     for (int round = 0; round < 1_000; round++) {
--- a/edge/src/test/java/org/shoreroad/edge/caller/HeldBytesTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/caller/HeldBytesTest.java
@@ -36,7 +36,7 @@
   }
 
   @Test
-  void bytesThatAreHeldElsewhereLeaveNoRoom() {
+  void bytesThatAreHeldElsewhereLeaveNoMemory() {
     held.addSource(
         new HeldBytes.Source() {
           @Override
@@ -58,7 +58,7 @@
   }
 
   @Test
-  void reservedRoomIsTakenUntilItIsReleased() {
+  void reservedMemoryIsTakenUntilItIsReleased() {
     held.reserve(14 * MB);
     assertThat(held.hasRoomForAnswer(MB), is(false));
     held.reserve(-2 * MB);
--- a/edge/src/test/java/org/shoreroad/edge/forward/ForwardServerTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/forward/ForwardServerTest.java
@@ -240,8 +240,8 @@
   }
 
   @Test
-  void callWhoseBodyFindsNoRoomIsRefusedUnsent() throws Exception {
-    server.setRoom(bytes -> bytes <= 10);
+  void callWhoseBodyFindsNoMemoryIsRefusedUnsent() throws Exception {
+    server.setMemoryCheck(bytes -> bytes <= 10);
     receiveCall(7, "web-1", 11);
     receiveCall(8, "web-1", 10);
     assertThat(replies.messages, contains("Failed[number=7, reason=PATH_LOST, isSent=false]"));
--- a/edge/src/test/java/org/shoreroad/edge/relay/LargeAnswersTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LargeAnswersTest.java
@@ -8,7 +8,6 @@
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
-import static org.hamcrest.Matchers.oneOf;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
@@ -34,7 +33,7 @@
 
 /**
  * Guards against requests that have run and whose callers, although they read, lose their answers
- * because the answers of all callers together need more room than there is.
+ * because the answers of all callers together need more memory than there is.
  */
 @Timeout(60)
 class LargeAnswersTest extends LoopbackRelay {
@@ -50,12 +49,18 @@
   private static final int RECEIVE_BUFFER_BYTES = 16_384;
   private static final int CALLERS = 12;
   private static final int MAX_QUICK_MS = 500;
-  private static final String DEADLINE_MS = "2000";
+  private static final int DEADLINE_MS = 20_000;
+  private static final int SHORT_DEADLINE_MS = 2_000;
 
   private final ExecutorService callers = Executors.newCachedThreadPool();
   private final List<FakeUpstream> upstreams = new ArrayList<>();
   private long maxHeldBytes;
 
+  @Override
+  int routeTimeoutMs() {
+    return DEADLINE_MS;
+  }
+
   @Override
   HeldBytesRule heldBytesRule() {
     return new HeldBytesRule(MAX_BYTES, MAX_UNREAD_MS);
@@ -116,10 +121,14 @@
   }
 
   private static String request(String path) {
+    return request(path, DEADLINE_MS);
+  }
+
+  private static String request(String path, int deadlineMs) {
     return "GET "
         + path
         + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt: a1\r\nX-Deadline: "
-        + DEADLINE_MS
+        + deadlineMs
         + "\r\nX-Model: m\r\nAuthorization: Bearer secret\r\n\r\n";
   }
 
@@ -133,9 +142,13 @@
 
   /** Sends a request and reads its answer, with a pause after each so many bytes. */
   private Received get(String path, int bytesPerPause, int pauseMs) throws Exception {
-    long sentNanos = System.nanoTime();
+    return get(request(path), System.nanoTime(), bytesPerPause, pauseMs);
+  }
+
+  private Received get(String request, long sentNanos, int bytesPerPause, int pauseMs)
+      throws Exception {
     try (Socket socket = open()) {
-      write(socket.getOutputStream(), request(path));
+      write(socket.getOutputStream(), request);
       return read(socket.getInputStream(), bytesPerPause, pauseMs, sentNanos);
     }
   }
@@ -262,11 +275,15 @@
 
   @Test
   void callersThatReadSlowlyGetTheirAnswersAfterTheDeadlineToo() throws Exception {
-    List<Received> results =
-        getAtOnce(CALLERS, "/once/length/" + ANSWER_BYTES, RECEIVE_BUFFER_BYTES, 50);
+    String request = request("/once/length/" + ANSWER_BYTES, SHORT_DEADLINE_MS);
+    List<Future<Received>> pending = new ArrayList<>();
+    for (int i = 0; i < CALLERS; i++) {
+      pending.add(callers.submit(() -> get(request, System.nanoTime(), RECEIVE_BUFFER_BYTES, 50)));
+    }
+    List<Received> results = results(pending);
     checkWhole(results, ANSWER_BYTES);
     checkBound();
-    assertThat(results.get(0).tookMs(), greaterThan(Long.parseLong(DEADLINE_MS)));
+    assertThat(results.get(0).tookMs(), greaterThan((long) SHORT_DEADLINE_MS));
     assertThat(logged(), not(containsString("suspected")));
   }
 
@@ -280,7 +297,7 @@
     List<Received> fast = getAtOnce(CALLERS, "/once/length/" + ANSWER_BYTES, MB, 0);
     checkWhole(fast, ANSWER_BYTES);
     for (Received result : fast) {
-      assertThat(result.toString(), result.tookMs(), lessThan(Long.parseLong(DEADLINE_MS)));
+      assertThat(result.toString(), result.tookMs(), lessThan((long) SHORT_DEADLINE_MS));
     }
     checkWhole(results(slow), ANSWER_BYTES);
     checkBound();
@@ -314,13 +331,9 @@
         results.add(read(in, 4 * RECEIVE_BUFFER_BYTES, 5, System.nanoTime()));
       }
     }
-    for (Received result : results) {
-      assertThat(result.toString(), result.status(), is(oneOf(200, 503, 504)));
-    }
-    List<Received> served = results.stream().filter(one -> one.status() == 200).toList();
-    assertThat(served.size(), greaterThan(MAX_BYTES / ANSWER_BYTES));
-    checkWhole(served, ANSWER_BYTES);
+    checkWhole(results, ANSWER_BYTES);
     checkBound();
+    assertThat(runCount(), is(CALLERS));
   }
 
   @ParameterizedTest
@@ -344,10 +357,10 @@
   }
 
   @Test
-  void requestWhoseAnswerFindsNoRoomIsRefusedAtOnceAndNotRun() throws Exception {
+  void requestWhoseAnswerFindsNoMemoryIsRefusedAtOnceAndNotRun() throws Exception {
     checkWhole(List.of(get("/once/length/" + ANSWER_BYTES)), ANSWER_BYTES);
-    long roomBytes = heldBytesRule().maxAcceptedBytes();
-    loop.submit(() -> held.reserve(roomBytes)).sync();
+    long maxBytes = heldBytesRule().maxAcceptedBytes();
+    loop.submit(() -> held.reserve(maxBytes)).sync();
     int before = runCount();
     Received refused = get("/once/length/" + ANSWER_BYTES);
     assertThat(refused.status(), is(503));
@@ -356,7 +369,7 @@
     assertThat(refused.tookMs(), lessThan((long) MAX_QUICK_MS));
     assertThat(runCount(), is(before));
     assertThat(metrics.toPrometheusText(), containsString("{reason=\"memory_full\"} 1"));
-    loop.submit(() -> held.reserve(-roomBytes)).sync();
+    loop.submit(() -> held.reserve(-maxBytes)).sync();
     checkWhole(List.of(get("/once/length/" + ANSWER_BYTES)), ANSWER_BYTES);
   }
 
@@ -375,7 +388,7 @@
   }
 
   @Test
-  void reservedRoomIsReleasedWithItsRequests() throws Exception {
+  void reservedMemoryIsReleasedWithItsRequests() throws Exception {
     getAtOnce(CALLERS, "/once/length/" + ANSWER_BYTES, MB, 0);
     getAtOnce(2, "/once/cut-length/" + BROKEN_OFF_BYTES, MB, 0);
     try (Socket socket = open()) {
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -91,7 +91,8 @@
   private final List<FakeUpstream> upstreams = new ArrayList<>();
   final UpstreamTable table = new UpstreamTable(fleet, clockNanos, log);
   private final StallDetector stalls = new StallDetector(table, clockNanos, log);
-  final FakeConfigurationSource configurationSource = new FakeConfigurationSource(config(engine()));
+  final FakeConfigurationSource configurationSource =
+      new FakeConfigurationSource(config(engine(), routeTimeoutMs()));
   final EdgeMetrics metrics = new EdgeMetrics();
   final RequestQuarantine quarantine = new RequestQuarantine(clockNanos, log, metrics);
   final Backpressure backpressure = new Backpressure(SELF, NAMES, clockNanos, log, metrics);
@@ -129,24 +130,24 @@
         List.of(new ModelShape("m", 1, 1, 1, 9, 1)));
   }
 
-  private static TrafficConfig config(EngineSpec engine) {
+  private static TrafficConfig config(EngineSpec engine, int timeoutMs) {
     List<ServiceShare> web = List.of(new ServiceShare("web", 1));
     return TrafficConfig.of(
         1,
         List.of(
-            route("/once/", RequestKind.ONCE, web, 1),
-            route("/again/", RequestKind.REPEATABLE, web, 2),
-            route("/stream/", RequestKind.STREAM, web, 2),
-            route("/llm/", RequestKind.STREAM, List.of(new ServiceShare("llm", 1)), 2)),
+            route("/once/", RequestKind.ONCE, web, 1, timeoutMs),
+            route("/again/", RequestKind.REPEATABLE, web, 2, timeoutMs),
+            route("/stream/", RequestKind.STREAM, web, 2, timeoutMs),
+            route("/llm/", RequestKind.STREAM, List.of(new ServiceShare("llm", 1)), 2, timeoutMs)),
         List.of(new UpstreamService("web", 100, null), new UpstreamService("llm", 100, engine)),
         List.of(new ClientAccount("office", Set.of("secret"), ClientAccount.NO_PRIORITY)),
         CallerLimits.DEFAULT);
   }
 
   private static Route route(
-      String prefix, RequestKind kind, List<ServiceShare> shares, int attempts) {
+      String prefix, RequestKind kind, List<ServiceShare> shares, int attempts, int timeoutMs) {
     return new Route(
-        prefix, "h.example", prefix, kind, 2_000, 200, 100, 1, shares, attempts, false, true);
+        prefix, "h.example", prefix, kind, timeoutMs, 200, 100, 1, shares, attempts, false, true);
   }
 
   @BeforeEach
@@ -264,6 +265,11 @@
     return new RelayRules(0.2, 100, 10);
   }
 
+  /** Returns the timeout of all routes, in milliseconds. */
+  int routeTimeoutMs() {
+    return 2_000;
+  }
+
   /** Returns the bounds on what is held for callers. */
   HeldBytesRule heldBytesRule() {
     return HeldBytesRule.forMemory(HeldBytes.bufferMemoryBytes());
