HeadlessReplicas: let members leave a head that is only taken for dead

Cause: a box that is off the list and silent for everybody for longer than the engines' stall time counts as gone, and the members of a gone head were free. The reason was that its engine has broken the replica by then. It has only if the head has lost a member too; nothing tells a head that processes can't reach it.

Change: the members are free at once only if the head is observed alive and has left. If it is taken for dead, each member is ordered to leave and stays bound until it has. An engine from which a member has left runs nothing, and breaks its replica. This costs one order a member and one round trip for each head that is truly lost; the wait before is as it was.

--- a/core/src/main/java/org/shoreroad/fleet/DomainReconciler.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainReconciler.java
@@ -18,9 +18,10 @@
  *
  * <p>Each call compares the status reports of the boxes with the plan and returns the next orders.
  * An order without a visible effect is repeated. A box joins another replica only after the head of
- * its former one was observed neither open nor closing and has left, or is dead. So no head runs
- * requests while a member belongs to another replica, and a delayed order to open no longer matches
- * the replica of any box. Not thread-safe: used by one thread.
+ * its former one was observed neither open nor closing and has left, or, if the head is taken for
+ * dead, after the box itself has left. So no head runs requests while a member belongs to another
+ * replica, and a delayed order to open no longer matches the replica of any box. Not thread-safe:
+ * used by one thread.
  *
  * @since 0.2
  */
@@ -36,7 +37,7 @@
   private final LongSupplier epochs;
   private final Map<ReplicaId, Formation> formations = new LinkedHashMap<>();
   private final ClosingReplicas closingReplicas;
-  private final Map<ReplicaId, Long> headlessSinceNanos = new HashMap<>();
+  private final HeadlessReplicas headlessReplicas;
   private final HostPreparation hostPreparation = new HostPreparation();
   private final SpareWarmup warmups;
   private final ReplicaConversion conversion;
@@ -59,6 +60,7 @@
     this.timing = timing;
     this.epochs = epochs;
     this.closingReplicas = new ClosingReplicas(timing);
+    this.headlessReplicas = new HeadlessReplicas(timing.headlessNanos());
     this.warmups = new SpareWarmup(domain, epochs);
     this.conversion = new ReplicaConversion(domain);
     this.recentOrders = new RecentOrders(timing.orderRepeatNanos());
@@ -120,7 +122,7 @@
     needsReports = false;
     Map<ReplicaId, ObservedReplica> observed = ObservedReplica.from(observedBoxes);
     closingReplicas.retain(observed.keySet());
-    headlessSinceNanos.keySet().retainAll(observed.keySet());
+    headlessReplicas.retain(observed.keySet());
 
     formations.values().removeIf(formation -> !advance(formation, nowNanos));
     warmups.forgetOlder(nowNanos - timing.warmupNanos());
@@ -150,7 +152,9 @@
     if (warmups.isInProgress(replica)) {
       view.bind(replica.members());
     } else if (head == null) {
-      bindHeadlessMembers(replica, headsSeen, nowNanos);
+      headlessReplicas
+          .release(replica, view, headsSeen, nowNanos)
+          .forEach(order -> order(order, nowNanos));
     } else {
       reconcileHeadedReplica(replica, head, spec, nowNanos);
     }
@@ -240,25 +244,6 @@
     return false;
   }
 
-  /**
-   * Binds the members of a replica whose head is not among the boxes. A head that was observed
-   * before is dead or belongs to another replica by now, so its members are free. A head that was
-   * never observed may still be open, so its members stay bound for a time.
-   */
-  private void bindHeadlessMembers(
-      ObservedReplica replica, Set<ReplicaId> headsSeen, long nowNanos) {
-    if (headsSeen.contains(replica.replica())) {
-      // A head does not break its replica over a member that was partitioned together with it, so
-      // such a member stays bound.
-      view.bind(replica.members().stream().filter(member -> !member.isSteady()).toList());
-      return;
-    }
-    long sinceNanos = headlessSinceNanos.computeIfAbsent(replica.replica(), id -> nowNanos);
-    if (nowNanos - sinceNanos < timing.headlessNanos()) {
-      view.bind(replica.members());
-    }
-  }
-
   /** Retains or dissolves a replica with a head that is not being formed by this reconciler. */
   private void reconcileHeadedReplica(
       ObservedReplica replica, ObservedBox head, EngineSpec spec, long nowNanos) {
--- a/core/src/test/java/org/shoreroad/fleet/DomainReconcilerTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainReconcilerTest.java
@@ -149,6 +149,22 @@
     assertThat(domain.violations(), is(empty()));
   }
 
+  /** Guards against members that are taken from a head which is open and reaches them. */
+  @Test
+  void membersOfAHeadThatIsOnlyCutOffLeaveBeforeTheyJoinAnotherReplica() {
+    addBoxes(BOXES);
+    run(SETTLE_SECONDS);
+    String head = headOf("large");
+    domain.cutOff(head);
+    run(30);
+    assertThat(domain.countOpen("large"), is(1L));
+    assertThat(domain.violations(), is(empty()));
+    domain.reconnect(head);
+    run(30);
+    assertThat(domain.countOpen("large"), is(1L));
+    assertThat(domain.violations(), is(empty()));
+  }
+
   @Test
   void replicaOfAnUnlistedHeadThatAnswersIsReplaced() {
     addBoxes(BOXES);
--- a/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
+++ b/core/src/test/java/org/shoreroad/fleet/FakeDomain.java
@@ -159,9 +159,17 @@
     engines.get(id).silentSinceNanos = nowNanos;
   }
 
+  /** Cuts a box off from the list and from all processes; it still reaches the other boxes. */
+  void cutOff(String id) {
+    engines.get(id).isCutOff = true;
+    engines.get(id).isOffList = true;
+    engines.get(id).silentSinceNanos = nowNanos;
+  }
+
   void reconnect(String id) {
     setReachable(id);
     engines.get(id).isOffList = false;
+    engines.get(id).isCutOff = false;
   }
 
   private void setReachable(String id) {
@@ -186,7 +194,7 @@
   List<ObservedBox> observedBoxes() {
     List<ObservedBox> observedBoxes = new ArrayList<>();
     for (Engine engine : engines.values()) {
-      boolean isSilent = !engine.isAlive || engine.isDisconnected;
+      boolean isSilent = !engine.isAlive || engine.isDisconnected || engine.isCutOff;
       long silentNanos = isSilent ? nowNanos - engine.silentSinceNanos : 0;
       boolean isListed = !(isSilent || engine.isOffList) || silentNanos < 3 * SECOND_NANOS;
       Reach reach = silentNanos > 700_000_000L || engine.isSilenced ? Reach.LOST : Reach.LIKELY;
@@ -237,7 +245,8 @@
 
   private boolean carryOut(BoxOrder order) {
     Engine engine = engines.get(order.boxId());
-    boolean isReachable = engine != null && engine.isAlive && !engine.isDisconnected;
+    boolean isReachable =
+        engine != null && engine.isAlive && !engine.isDisconnected && !engine.isCutOff;
     if (isReachable) {
       engine.take(order);
     }
@@ -256,6 +265,7 @@
     private boolean isAlive = true;
     private boolean isLeaving;
     private boolean isDisconnected;
+    private boolean isCutOff;
     private boolean isSilenced;
     private boolean isOffList;
     private long silentSinceNanos;
--- a/edge/src/main/java/org/shoreroad/edge/replica/DomainObserver.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/DomainObserver.java
@@ -189,7 +189,8 @@
       failureDetector.askPeers(box.id(), box.address());
     }
     if (reached == Reach.LOST && !isListed) {
-      // If the head was only unreachable, its own engine has broken the replica by then.
+      // A head that was cut off from its members too has broken its replica by then. Members that
+      // it still reaches leave before they join another one.
       long limitNanos = reachability.isRefusing(box.id()) ? LEAVING_NANOS : replicaBreakNanos;
       boolean isCertain = reachability.silentNanos(box.id(), nowNanos) > limitNanos;
       if (isCertain && failureDetector.isSilentForAll(box.id(), alivePeers.get())) {
