--- a/core/src/main/java/org/shoreroad/fleet/HeadlessReplicas.java
+++ b/core/src/main/java/org/shoreroad/fleet/HeadlessReplicas.java
@@ -24,14 +24,14 @@
   /**
    * Creates an instance without replicas.
    *
-   * @param unseenNanos the time for which the members of a head stay bound that this process has
-   *     never observed, in nanoseconds
+   * @param unseenNanos the time for which members stay bound whose head this process has never
+   *     observed, in nanoseconds
    */
   HeadlessReplicas(long unseenNanos) {
     this.unseenNanos = unseenNanos;
   }
 
-  /** Forgets all other replicas, which no longer exist. */
+  /** Forgets the replicas that are not among these. */
   void retain(Collection<ReplicaId> replicas) {
     sinceNanos.keySet().retainAll(replicas);
   }
