HeadlessReplicas: begin no spare warm-up while members leave

Only the tests of the core had been run.

While members are ordered to leave, the domain counts as dissolving a replica, as it does while a head is ordered to leave; no warm-up begins then.

--- a/core/src/main/java/org/shoreroad/fleet/HeadlessReplicas.java
+++ b/core/src/main/java/org/shoreroad/fleet/HeadlessReplicas.java
@@ -56,7 +56,11 @@
     }
     List<ObservedBox> leaving =
         replica.members().stream().filter(member -> member.isSteady() && member.isFit()).toList();
-    view.addSoonFree(leaving);
+    if (!leaving.isEmpty()) {
+      // No spare box begins a warm-up now, since it can form a replica with these.
+      view.addSoonFree(leaving);
+      view.recordDissolving(true);
+    }
     return leaving.stream().map(member -> leave(member, replica.replica())).toList();
   }
 
