Log crashes that do not count, and crashes that an answer refutes

The output of the incident does not tell whether a crash was dropped or refuted. crash_uncounted names the request, the upstream and the reason, crashes_refuted the request; both are counted. No change of logic.

--- a/core/src/main/java/org/shoreroad/quarantine/CrashHistory.java
+++ b/core/src/main/java/org/shoreroad/quarantine/CrashHistory.java
@@ -42,11 +42,11 @@
     }
   }
 
-  /** Marks all crashes so far as not caused by the request. */
-  void refute(long nowNanos) {
-    if (refuted.addAll(crashes.keySet())) {
-      changedNanos = nowNanos;
-    }
+  /** Marks all crashes so far as not caused by the request; returns true if one was not. */
+  boolean refute(long nowNanos) {
+    boolean hasChanged = refuted.addAll(crashes.keySet());
+    changedNanos = hasChanged ? nowNanos : changedNanos;
+    return hasChanged;
   }
 
   /** Merges a report of another process. */
--- a/core/src/main/java/org/shoreroad/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/shoreroad/quarantine/CrashQuarantine.java
@@ -100,12 +100,14 @@
     return !wasQuarantined && isQuarantined(history, nowNanos);
   }
 
-  /** Records a complete answer to the request, which refutes all crashes so far. */
-  public void recordAnswer(RequestFingerprint request, long nowNanos) {
+  /**
+   * Records a complete answer to the request, which refutes all crashes so far.
+   *
+   * @return true if a crash was not refuted before
+   */
+  public boolean recordAnswer(RequestFingerprint request, long nowNanos) {
     CrashHistory history = histories.get(request);
-    if (history != null) {
-      history.refute(nowNanos);
-    }
+    return history != null && history.refute(nowNanos);
   }
 
   /**
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -287,6 +287,8 @@
         isReached -> {
           if (isReached) {
             recordCrash(request, crash, parts);
+          } else {
+            quarantine.recordUncounted(request, crash.upstream(), "path_lost");
           }
         });
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestQuarantine.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestQuarantine.java
@@ -7,6 +7,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.shoreroad.edge.EventLog;
+import org.shoreroad.fleet.Incarnation;
 import org.shoreroad.quarantine.Crash;
 import org.shoreroad.quarantine.CrashQuarantine;
 import org.shoreroad.quarantine.CrashReport;
@@ -98,10 +99,17 @@
     }
   }
 
+  /** Logs and counts that the end of a connection does not count as a crash. */
+  void recordUncounted(RequestFingerprint request, Incarnation upstream, String reason) {
+    counters.count("shoreroad.crashes.uncounted", reason);
+    log.write("crash_uncounted", "fingerprint", request, "upstream", upstream, "reason", reason);
+  }
+
   /** Records that an upstream has answered the request completely. */
   void recordAnswer(Supplier<RequestFingerprint> request) {
-    if (!quarantine.isEmpty()) {
-      quarantine.recordAnswer(request.get(), clockNanos.getAsLong());
+    if (!quarantine.isEmpty() && quarantine.recordAnswer(request.get(), clockNanos.getAsLong())) {
+      counters.count("shoreroad.requests.crashed", "refuted");
+      log.write("crashes_refuted", "fingerprint", request.get());
     }
   }
 
