--- a/edge/src/test/java/org/shoreroad/edge/relay/EdgeSite.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/EdgeSite.java
@@ -176,13 +176,15 @@
 
     private FleetBox decode(String id, byte[] entry) {
       String address = paths.get(id).address();
+      int start = entry.length == 0 ? 0 : entry[0];
       if (id.startsWith(LoopbackRelay.HEAD_PREFIX)) {
         ReplicaId replica = new ReplicaId("r-" + id + "|" + id + "|" + address, 1);
         Membership head = new Membership(replica, 0, MemberState.OPEN);
         return new FleetBox(id, "llm", address, "z", SLOTS, false, "d", "m", List.of(), head)
-            .withStart(entry.length == 0 ? 0 : entry[0]);
+            .withStart(start);
       }
-      return new FleetBox(id, "web", address, "z", 6, false, null, null, List.of(), null);
+      return new FleetBox(id, "web", address, "z", 6, false, null, null, List.of(), null)
+          .withStart(start);
     }
 
     /** Throws an exception if a port could not be opened. */
