Count a crash once its upstream proves to have ended, whatever the form of the end

Cause: the form of one failed call stood for the end of the upstream. Bytes that are no answer, a head without the seal, silence until the deadline and an answer without a length were never crashes; a closed connection always was one, unless the path check failed, which samples the very upstreams that the request had ended. An end before the first byte had half of the weight, so such a request took six.

CrashMonitor finds out whether the upstream has ended: refused connections here, asked of another process without a path here, or its replacement on the list. Then all of its suspicions are crashes; if it runs, none is. A request that may have crashed three is held back for 0.3 s at most until they were checked. Three crashes quarantine a request also before its answer; one that waited behind a quarantined request is explained by that. threeCrashesBeforeTheAnswers... replaces the test that asked for six: three are allowed.

--- a/core/src/main/java/org/shoreroad/quarantine/Crash.java
+++ b/core/src/main/java/org/shoreroad/quarantine/Crash.java
@@ -4,27 +4,19 @@
 import org.shoreroad.fleet.Incarnation;
 
 /**
- * End of a connection to an upstream while a request was open on it.
+ * End of an upstream that had a request.
  *
  * <p>This class is immutable and thread-safe.
  *
  * @param upstream the upstream, not null; after a restart it counts as another one
- * @param hadBegun true if the upstream had begun to answer the request, so that it was running it
+ * @param hadJustBegun true if the upstream had begun to answer the request a short time before, as
+ *     it does if the request crashes it. If not, the request may have waited behind the one that
+ *     did, or may crash upstreams before they answer
  * @since 0.2
  */
-public record Crash(Incarnation upstream, boolean hadBegun) {
+public record Crash(Incarnation upstream, boolean hadJustBegun) {
   /** Checks that the upstream isn't null. */
   public Crash {
     Objects.requireNonNull(upstream, "upstream");
   }
-
-  /**
-   * Returns the weight of the crash as evidence against the request. Before the first byte of the
-   * answer the request most likely waited behind others: of 32 requests that are open when an
-   * upstream crashes, at most 18 are running. An upstream may also crash before it answers, so that
-   * such a crash still counts for half.
-   */
-  int weight() {
-    return hadBegun ? 2 : 1;
-  }
 }
--- a/core/src/main/java/org/shoreroad/quarantine/CrashHistory.java
+++ b/core/src/main/java/org/shoreroad/quarantine/CrashHistory.java
@@ -1,8 +1,10 @@
 package org.shoreroad.quarantine;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.shoreroad.fleet.Incarnation;
@@ -13,12 +15,15 @@
  * <p>Not thread-safe: confined to one thread.
  */
 final class CrashHistory {
-  /** Bound of the memory of one history; a quarantine needs six crashes at most. */
+  /** Bound of the memory of one history; a quarantine needs three crashes. */
   private static final int MAX_CRASHES = 32;
 
   private final RequestFingerprint fingerprint;
   private final Map<Incarnation, Crash> crashes = new LinkedHashMap<>();
+  private final Map<Incarnation, Long> addedNanos = new HashMap<>();
   private final Set<Incarnation> refuted = new HashSet<>();
+  private boolean isOwn;
+  private boolean isQuarantined;
   private long changedNanos;
   private long seenNanos;
 
@@ -32,12 +37,24 @@
     return fingerprint;
   }
 
+  /** Adds a crash that this process has seen. */
+  void addOwn(Crash crash, long nowNanos) {
+    isOwn = true;
+    add(crash, nowNanos);
+  }
+
+  /** Returns true if this process has seen one of the crashes. */
+  boolean isOwn() {
+    return isOwn;
+  }
+
   /** Adds a crash; each upstream counts once, however often the request was sent to it. */
   void add(Crash crash, long nowNanos) {
     Crash known = crashes.get(crash.upstream());
-    boolean isKnown = known != null && (known.hadBegun() || !crash.hadBegun());
+    boolean isKnown = known != null && (known.hadJustBegun() || !crash.hadJustBegun());
     if (!isKnown && (known != null || crashes.size() < MAX_CRASHES)) {
       crashes.put(crash.upstream(), crash);
+      addedNanos.putIfAbsent(crash.upstream(), nowNanos);
       changedNanos = nowNanos;
     }
   }
@@ -64,13 +81,32 @@
     seenNanos = Math.max(seenNanos, nanos);
   }
 
-  /** Returns the total weight of the crashes that aren't refuted; see {@link Crash#weight()}. */
-  int weight() {
-    int weight = 0;
-    for (Crash crash : crashes.values()) {
-      weight += refuted.contains(crash.upstream()) ? 0 : crash.weight();
-    }
-    return weight;
+  /** Returns the crashes that aren't refuted. */
+  List<Crash> crashes() {
+    return crashes.values().stream().filter(crash -> !refuted.contains(crash.upstream())).toList();
+  }
+
+  /** Returns the number of crashes that aren't refuted. */
+  int size() {
+    return crashes().size();
+  }
+
+  /** Returns the number of crashes, not refuted, of upstreams that had just begun to answer. */
+  int justBegunCount() {
+    return (int) crashes().stream().filter(Crash::hadJustBegun).count();
+  }
+
+  /** Returns the time since this process learned of the crash. */
+  long ageNanos(Crash crash, long nowNanos) {
+    return nowNanos - addedNanos.get(crash.upstream());
+  }
+
+  boolean isQuarantined() {
+    return isQuarantined;
+  }
+
+  void setQuarantined(boolean newQuarantined) {
+    isQuarantined = newQuarantined;
   }
 
   boolean hasChangedWithin(long nanos, long nowNanos) {
--- a/core/src/main/java/org/shoreroad/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/shoreroad/quarantine/CrashQuarantine.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -10,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.shoreroad.fleet.Incarnation;
 
 /**
  * Quarantine of requests that crash upstreams: decides which requests are no longer sent to any.
@@ -18,11 +20,14 @@
  * retries it at any process. Without a quarantine one such request crashed 43 upstreams in a
  * minute, each with up to 32 requests of other callers.
  *
- * <p>A request is quarantined after three crashes of upstreams that were running it, the number of
- * crashes that the requirements allow. Two are not enough evidence: requests that were open at one
- * crash are moved together, so that harmless ones commonly see a second crash. A complete answer
- * refutes the crashes before it. This keeps identical requests of many callers, such as a lookup
- * without a body, out of quarantine.
+ * <p>A request is quarantined after three crashes, the number that the requirements allow. Two are
+ * not enough evidence: requests that were open at one crash are moved together, so that harmless
+ * ones commonly see a second crash. A successful answer refutes the crashes before it. This keeps
+ * identical requests of many callers, such as a lookup without a body, out of quarantine.
+ *
+ * <p>A request that an upstream had not just begun to answer may have waited behind the one that
+ * crashed it. Its crash is explained, and does not count, if a quarantined request had just begun
+ * there. Such a crash counts only after the time in which the other processes report theirs.
  *
  * <p>Processes exchange reports of the crashes and merge them. This class reads no clock: times are
  * passed in, in nanoseconds of the monotonic clock. Not thread-safe: confined to one thread.
@@ -30,8 +35,13 @@
  * @since 0.2
  */
 public final class CrashQuarantine {
-  /** Three crashes of upstreams that ran the request, or six where it may only have waited. */
-  static final int QUARANTINE_WEIGHT = 6;
+  /** Crashes that are needed. */
+  static final int QUARANTINE_CRASHES = 3;
+
+  /** Time in which other processes report what their requests did at a crashed upstream. */
+  public static final int SETTLE_MS = 250;
+
+  private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(SETTLE_MS);
 
   /**
    * Time without a crash or arrival after which a request may run again, and its history is
@@ -69,7 +79,73 @@
   }
 
   private static boolean isQuarantined(CrashHistory history, long nowNanos) {
-    return history.weight() >= QUARANTINE_WEIGHT && history.idleNanos(nowNanos) < KEEP_NANOS;
+    return history.isQuarantined() && history.idleNanos(nowNanos) < KEEP_NANOS;
+  }
+
+  /**
+   * Returns true if the request may have to be quarantined once more is known: crashes that are not
+   * settled, or upstreams that may have ended, would complete the number that is needed.
+   *
+   * @param suspected the upstreams that may have crashed under the request, not null
+   */
+  public boolean isUndecided(
+      RequestFingerprint request, Set<Incarnation> suspected, long nowNanos) {
+    CrashHistory history = histories.get(request);
+    if (history == null || history.idleNanos(nowNanos) >= KEEP_NANOS) {
+      return suspected.size() >= QUARANTINE_CRASHES;
+    }
+    Set<Incarnation> crashed = new HashSet<>(suspected);
+    boolean isSettling = !suspected.isEmpty();
+    for (Crash crash : history.crashes()) {
+      crashed.add(crash.upstream());
+      isSettling |= !crash.hadJustBegun() && history.ageNanos(crash, nowNanos) < SETTLE_NANOS;
+    }
+    return isSettling && !history.isQuarantined() && crashed.size() >= QUARANTINE_CRASHES;
+  }
+
+  /**
+   * Decides again which requests are quarantined; to be called once crashes have settled.
+   *
+   * @return the requests whose quarantine begins
+   */
+  public Set<RequestFingerprint> update(long nowNanos) {
+    List<CrashHistory> candidates = new ArrayList<>();
+    for (CrashHistory history : histories.values()) {
+      if (history.size() >= QUARANTINE_CRASHES) {
+        candidates.add(history);
+      } else {
+        history.setQuarantined(false);
+      }
+    }
+    // Those with the best evidence come first, since they explain crashes of the others.
+    candidates.sort(Comparator.comparingInt(CrashHistory::justBegunCount).reversed());
+    Set<Incarnation> explained = new HashSet<>();
+    Set<RequestFingerprint> begun = new HashSet<>();
+    for (CrashHistory history : candidates) {
+      boolean wasQuarantined = isQuarantined(history, nowNanos);
+      history.setQuarantined(countedCrashes(history, explained, nowNanos) >= QUARANTINE_CRASHES);
+      if (isQuarantined(history, nowNanos)) {
+        history.crashes().stream()
+            .filter(Crash::hadJustBegun)
+            .forEach(crash -> explained.add(crash.upstream()));
+        if (!wasQuarantined) {
+          begun.add(history.fingerprint());
+        }
+      }
+    }
+    return begun;
+  }
+
+  private static int countedCrashes(
+      CrashHistory history, Set<Incarnation> explained, long nowNanos) {
+    int count = 0;
+    for (Crash crash : history.crashes()) {
+      boolean isSettled =
+          history.isQuarantined() || history.ageNanos(crash, nowNanos) >= SETTLE_NANOS;
+      boolean isUnexplained = isSettled && !explained.contains(crash.upstream());
+      count += crash.hadJustBegun() || isUnexplained ? 1 : 0;
+    }
+    return count;
   }
 
   /**
@@ -90,24 +166,34 @@
   /**
    * Records that an upstream crashed while the request was open on it.
    *
-   * @return true if this crash begins the quarantine of the request
+   * @return the requests whose quarantine begins by this crash
    */
-  public boolean recordCrash(RequestFingerprint request, Crash crash, long nowNanos) {
+  public Set<RequestFingerprint> recordCrash(
+      RequestFingerprint request, Crash crash, long nowNanos) {
     CrashHistory history = historyOf(request, nowNanos, nowNanos);
-    boolean wasQuarantined = isQuarantined(history, nowNanos);
-    history.add(crash, nowNanos);
+    history.addOwn(crash, nowNanos);
     history.recordSeen(nowNanos);
-    return !wasQuarantined && isQuarantined(history, nowNanos);
+    return update(nowNanos);
+  }
+
+  /** Returns true if a crash under the request was recorded here, and not only reported. */
+  public boolean isOwn(RequestFingerprint request) {
+    CrashHistory history = histories.get(request);
+    return history != null && history.isOwn();
   }
 
   /**
-   * Records a complete answer to the request, which refutes all crashes so far.
+   * Records a successful answer to the request, which refutes all crashes so far.
    *
    * @return true if a crash was not refuted before
    */
   public boolean recordAnswer(RequestFingerprint request, long nowNanos) {
     CrashHistory history = histories.get(request);
-    return history != null && history.refute(nowNanos);
+    if (history == null || !history.refute(nowNanos)) {
+      return false;
+    }
+    history.setQuarantined(false);
+    return true;
   }
 
   /**
@@ -116,24 +202,17 @@
    * @return the requests whose quarantine begins by these reports
    */
   public Set<RequestFingerprint> applyReports(Collection<CrashReport> reports, long nowNanos) {
-    Set<RequestFingerprint> quarantined = new HashSet<>();
     for (CrashReport report : reports) {
       long idleNanos = TimeUnit.MILLISECONDS.toNanos(Math.max(0, report.idleMs()));
       boolean isOver = idleNanos >= KEEP_NANOS;
       boolean isNeedless = report.isRefuted() && !histories.containsKey(report.fingerprint());
-      if (!isOver && !isNeedless && applyReport(report, nowNanos - idleNanos, nowNanos)) {
-        quarantined.add(report.fingerprint());
+      if (!isOver && !isNeedless) {
+        CrashHistory history = historyOf(report.fingerprint(), nowNanos - idleNanos, nowNanos);
+        history.merge(report, nowNanos);
+        history.recordSeen(nowNanos - idleNanos);
       }
     }
-    return quarantined;
-  }
-
-  private boolean applyReport(CrashReport report, long seenNanos, long nowNanos) {
-    CrashHistory history = historyOf(report.fingerprint(), seenNanos, nowNanos);
-    boolean wasQuarantined = isQuarantined(history, nowNanos);
-    history.merge(report, nowNanos);
-    history.recordSeen(seenNanos);
-    return !wasQuarantined && isQuarantined(history, nowNanos);
+    return update(nowNanos);
   }
 
   private CrashHistory historyOf(RequestFingerprint request, long seenNanos, long nowNanos) {
@@ -187,8 +266,8 @@
         settled.add(history);
       }
     }
-    // Those with the highest weight come first, since the number of reports is bounded.
-    changed.sort((one, other) -> Integer.compare(other.weight(), one.weight()));
+    // Those with the most crashes come first, since the number of reports is bounded.
+    changed.sort(Comparator.comparingInt(CrashHistory::size).reversed());
     List<CrashReport> reports = new ArrayList<>();
     for (CrashHistory history : changed.subList(0, Math.min(changed.size(), MAX_REPORTED))) {
       reports.add(toReport(history, nowNanos));
--- /dev/null
+++ b/core/src/main/java/org/shoreroad/quarantine/CrashSuspicion.java
@@ -0,0 +1,37 @@
+package org.shoreroad.quarantine;
+
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * A request that an upstream had, and that crashed the upstream if it proves to have ended.
+ *
+ * <p>This class is immutable and thread-safe.
+ *
+ * @param request the request, not null
+ * @param parts the shared parts of its prompt if it was about to begin, or had just begun, else
+ *     none
+ * @param crash the crash, if the upstream has ended, not null
+ * @param kind how the request left the upstream, not null
+ * @since 0.2
+ */
+public record CrashSuspicion(
+    RequestFingerprint request, Set<PromptPart> parts, Crash crash, Kind kind) {
+  /** How a request left an upstream. */
+  public enum Kind {
+    /** The connection ended, or was closed for a violation of the protocol, without an answer. */
+    BROKEN_OFF,
+    /** The upstream was silent until the request was moved, timed out or was given up. */
+    UNANSWERED,
+    /** The answer was a failure, or had no stated end, so that it may have been cut short. */
+    ANSWERED
+  }
+
+  /** Copies the parts. */
+  public CrashSuspicion {
+    Objects.requireNonNull(request, "request");
+    Objects.requireNonNull(crash, "crash");
+    Objects.requireNonNull(kind, "kind");
+    parts = Set.copyOf(parts);
+  }
+}
--- a/core/src/test/java/org/shoreroad/quarantine/CrashQuarantineTest.java
+++ b/core/src/test/java/org/shoreroad/quarantine/CrashQuarantineTest.java
@@ -14,6 +14,8 @@
 
 class CrashQuarantineTest {
   private static final RequestFingerprint REQUEST = new RequestFingerprint(1, 2);
+  private static final RequestFingerprint OTHER = new RequestFingerprint(3, 3);
+  private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(CrashQuarantine.SETTLE_MS);
   private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
   private static final long LATER_NANOS = 5 * SECOND_NANOS;
 
@@ -35,19 +37,53 @@
 
   @Test
   void threeCrashesOfUpstreamsThatRanTheRequestQuarantineIt() {
-    assertThat(quarantine.recordCrash(REQUEST, running("i-1"), 0), is(false));
-    assertThat(quarantine.recordCrash(REQUEST, running("i-2"), 0), is(false));
-    assertThat(quarantine.recordCrash(REQUEST, running("i-3"), 0), is(true));
+    assertThat(quarantine.recordCrash(REQUEST, running("i-1"), 0), empty());
+    assertThat(quarantine.recordCrash(REQUEST, running("i-2"), 0), empty());
+    assertThat(quarantine.recordCrash(REQUEST, running("i-3"), 0), is(Set.of(REQUEST)));
     assertThat(quarantine.isQuarantined(REQUEST, LATER_NANOS), is(true));
     assertThat(quarantine.isQuarantined(new RequestFingerprint(1, 3), LATER_NANOS), is(false));
   }
 
   @Test
-  void aRequestThatMayOnlyHaveWaitedNeedsTwiceAsManyCrashes() {
-    for (int i = 0; i < 5; i++) {
-      assertThat(quarantine.recordCrash(REQUEST, waiting("i-" + i), 0), is(false));
+  void threeCrashesBeforeTheAnswersQuarantineARequestOnceTheyHaveSettled() {
+    for (int i = 0; i < 3; i++) {
+      assertThat(quarantine.recordCrash(REQUEST, waiting("i-" + i), 0), empty());
     }
-    assertThat(quarantine.recordCrash(REQUEST, waiting("i-5"), 0), is(true));
+    assertThat(quarantine.update(SETTLE_NANOS - 1), empty());
+    assertThat(quarantine.isUndecided(REQUEST, Set.of(), SETTLE_NANOS - 1), is(true));
+    assertThat(quarantine.update(SETTLE_NANOS), is(Set.of(REQUEST)));
+    assertThat(quarantine.isUndecided(REQUEST, Set.of(), SETTLE_NANOS), is(false));
+  }
+
+  @Test
+  void aRequestThatWaitedBehindTheOneThatCrashesUpstreamsIsNotQuarantined() {
+    for (int i = 0; i < 6; i++) {
+      quarantine.recordCrash(OTHER, waiting("i-" + i), 0);
+      quarantine.recordCrash(REQUEST, running("i-" + i), 0);
+    }
+    quarantine.update(SETTLE_NANOS);
+    assertThat(quarantine.isQuarantined(REQUEST, SETTLE_NANOS), is(true));
+    assertThat(quarantine.isQuarantined(OTHER, SETTLE_NANOS), is(false));
+  }
+
+  @Test
+  void aLateReportOfTheRequestThatCrashesUpstreamsReleasesThoseThatWaited() {
+    for (int i = 0; i < 3; i++) {
+      quarantine.recordCrash(OTHER, waiting("i-" + i), 0);
+    }
+    quarantine.update(SETTLE_NANOS);
+    assertThat(quarantine.isQuarantined(OTHER, SETTLE_NANOS), is(true));
+    crash(quarantine, 3, SETTLE_NANOS);
+    assertThat(quarantine.isQuarantined(OTHER, SETTLE_NANOS), is(false));
+  }
+
+  @Test
+  void aRequestIsUndecidedWhileItsUpstreamsMayHaveEnded() {
+    crash(quarantine, 2, 0);
+    Set<Incarnation> suspected = Set.of(new Incarnation("j-1", 7));
+    assertThat(quarantine.isUndecided(REQUEST, suspected, 0), is(true));
+    assertThat(quarantine.isUndecided(REQUEST, Set.of(), 0), is(false));
+    assertThat(quarantine.isUndecided(OTHER, suspected, 0), is(false));
   }
 
   @Test
@@ -70,9 +106,9 @@
   void aCompleteAnswerRefutesOnlyTheCrashesBeforeIt() {
     crash(quarantine, 2, 0);
     quarantine.recordAnswer(REQUEST, 0);
-    assertThat(quarantine.recordCrash(REQUEST, running("j-1"), 0), is(false));
-    assertThat(quarantine.recordCrash(REQUEST, running("j-2"), 0), is(false));
-    assertThat(quarantine.recordCrash(REQUEST, running("j-3"), 0), is(true));
+    assertThat(quarantine.recordCrash(REQUEST, running("j-1"), 0), empty());
+    assertThat(quarantine.recordCrash(REQUEST, running("j-2"), 0), empty());
+    assertThat(quarantine.recordCrash(REQUEST, running("j-3"), 0), is(Set.of(REQUEST)));
   }
 
   @Test
@@ -100,7 +136,7 @@
     quarantine.recordCrash(REQUEST, running("j-1"), 0);
     assertThat(quarantine.isQuarantined(REQUEST, 0), is(false));
     other.applyReports(quarantine.reports(0), 0);
-    assertThat(other.recordCrash(REQUEST, running("j-2"), 0), is(false));
+    assertThat(other.recordCrash(REQUEST, running("j-2"), 0), empty());
   }
 
   @Test
--- a/edge/src/main/java/org/shoreroad/edge/Quarantines.java
+++ b/edge/src/main/java/org/shoreroad/edge/Quarantines.java
@@ -56,6 +56,7 @@
   /** Connects the quarantines with the other processes. */
   void connect(String processName, PeerMesh mesh, LocalHeartbeats heartbeats) {
     requests.setRecorder(requestRegistry::write);
+    requests.setChangeListener(mesh::sendSoon);
     parts.setRecorder(partRegistry::write);
     parts.setChangeListener(mesh::sendSoon);
     parts.setSettleMs(
--- a/edge/src/main/java/org/shoreroad/edge/UpstreamAccess.java
+++ b/edge/src/main/java/org/shoreroad/edge/UpstreamAccess.java
@@ -15,8 +15,10 @@
 import org.shoreroad.edge.http.UpstreamCalls;
 import org.shoreroad.edge.path.DirectCalls;
 import org.shoreroad.edge.path.RoutedCalls;
+import org.shoreroad.edge.path.UpstreamEndCheck;
 import org.shoreroad.edge.path.UpstreamPaths;
 import org.shoreroad.edge.peer.PeerMesh;
+import org.shoreroad.edge.relay.EndCheck;
 import org.shoreroad.edge.relay.Relay;
 import org.shoreroad.edge.relay.StallDetector;
 import org.shoreroad.edge.relay.UpstreamSelector;
@@ -40,6 +42,7 @@
   private final ForwardClient forwards;
   private final ForwardServer forwardServer;
   private final RoutedCalls calls;
+  private final EndCheck endCheck;
   private final Supplier<Map<String, String>> peers;
 
   /**
@@ -64,6 +67,17 @@
     this.paths =
         new UpstreamPaths(calls, clockNanos, random.split(), log, metrics, timer, fleet::boxes);
     this.forwards = new ForwardClient(loop, clockNanos, random.split(), log, metrics, peers);
+    this.endCheck =
+        new UpstreamEndCheck(
+            calls,
+            paths,
+            forwards,
+            clockNanos,
+            fleet::isReplaced,
+            box -> {
+              FleetBox listed = fleet.find(box.id());
+              return listed != null && listed.isLeaving();
+            });
     DirectCalls direct = new DirectCalls(calls, paths, clockNanos);
     this.calls = new RoutedCalls(direct, forwards);
     this.forwardServer =
@@ -101,7 +115,7 @@
     callers.addHeldElsewhere(forwardServer);
     callers.addHeldElsewhere(forwards);
     selector.setPaths(calls::isReachable, calls::isPathLost);
-    relay.setPathCheck(paths);
+    relay.crashMonitor().setEndCheck(endCheck);
     stalls.setPathCheck(paths);
     paths.setLossListener(service -> handleLoss(service, upstreams, replicas));
     leases.setCondition(
--- a/edge/src/main/java/org/shoreroad/edge/peer/CrashReportCodec.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/CrashReportCodec.java
@@ -24,7 +24,7 @@
       out.packArrayHeader(report.crashes().size());
       for (Crash crash : report.crashes()) {
         out.packString(crash.upstream().id()).packLong(crash.upstream().bornMs());
-        out.packBoolean(crash.hadBegun());
+        out.packBoolean(crash.hadJustBegun());
         out.packBoolean(report.refuted().contains(crash.upstream()));
       }
     }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -404,6 +404,9 @@
       if (isRecordedAsSent) {
         exchange.onNotSent(target);
       }
+      if (failure.reason() == CallFailure.Reason.REFUSED) {
+        relay.crashMonitor().checkIfSuspected(target.box());
+      }
       if (!isPathLost() && failure.reason() != CallFailure.Reason.WITHDRAWN) {
         target.load().avoidUntil(relay.nowNanos() + AVOID_NANOS);
       }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -12,6 +12,7 @@
 import org.shoreroad.edge.caller.AnswerChannel;
 import org.shoreroad.edge.caller.CallerExchange;
 import org.shoreroad.edge.caller.CallerRequest;
+import org.shoreroad.quarantine.CrashSuspicion;
 import org.shoreroad.quarantine.PromptPart;
 import org.shoreroad.traffic.ClientAccount;
 import org.shoreroad.traffic.RequestKind;
@@ -47,6 +48,7 @@
   private @Nullable ModelEngine engine;
   private @Nullable ClientAccount account;
   private @Nullable EventRelay events;
+  private boolean isAwaitingCheck;
   private boolean isOver;
 
   Exchange(Relay relay, CallerRequest request, AnswerChannel answers) {
@@ -116,8 +118,13 @@
    * its upstreams is stopped by the quarantine, which counts over all tries and processes.
    */
   void send() {
+    isAwaitingCheck = false;
     if (!guard.maySend()) {
       refuseOrFail(guard.refusal(), RetryAfter.QUARANTINE);
+    } else if (guard.isUndecided()) {
+      isAwaitingCheck = true;
+      relay.counters().count("shoreroad.requests.held", "end_check");
+      relay.addWaiting(this);
     } else if (dispatch != null) {
       dispatch.next();
     }
@@ -161,6 +168,8 @@
     }
     if (route != null && deadline.isPassed(relay.nowNanos())) {
       endAtDeadline();
+    } else if (isAwaitingCheck) {
+      send();
     } else if (dispatch != null) {
       dispatch.tick();
     }
@@ -206,7 +215,11 @@
 
   /** Returns true if the request may be sent; called right before the first byte is sent. */
   boolean maySendNow() {
-    return !isOver && mayUseKey() && guard.maySend() && !deadline.isPassed(relay.nowNanos());
+    return !isOver
+        && mayUseKey()
+        && guard.maySend()
+        && !guard.isUndecided()
+        && !deadline.isPassed(relay.nowNanos());
   }
 
   /** Records that a byte may have been sent to an upstream. */
@@ -406,18 +419,28 @@
 
   private void recordFailure(Attempt failed, AttemptFailure failure) {
     relay.counters().count("shoreroad.attempts.failed", failure.code());
-    boolean isCrash = failure == AttemptFailure.DISCONNECTED;
-    log.writeFailure(failed, failure, isCrash ? guard.fingerprint() : null);
-    if (isCrash) {
-      guard.recordCrash(failed);
+    CrashSuspicion.Kind kind = failure.suspicion();
+    log.writeFailure(failed, failure, kind == null ? null : guard.fingerprint());
+    if (kind != null) {
+      guard.suspect(failed, kind);
     }
   }
 
+  /** Records which upstreams were silent until the request was given up. */
+  private void recordUnanswered() {
+    attempts.stream()
+        .filter(attempt -> attempt.isSent() && !attempt.hasHead())
+        .forEach(attempt -> guard.suspect(attempt, CrashSuspicion.Kind.UNANSWERED));
+  }
+
   /** Ends the request; called for each way in which a request can end. */
   private void finish(RequestEnd end) {
     if (!isOver) {
       isOver = true;
       relay.counters().count("shoreroad.requests.ended", end.code());
+      if (end == RequestEnd.TIMED_OUT || end == RequestEnd.CALLER_GONE) {
+        recordUnanswered();
+      }
       attempts.cancelAll();
       if (dispatch != null) {
         dispatch.end();
--- a/edge/src/main/java/org/shoreroad/edge/relay/OpenAttempts.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/OpenAttempts.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -14,6 +15,11 @@
 final class OpenAttempts {
   private final List<Attempt> open = new ArrayList<>(1);
 
+  /** Returns the attempts as a stream of a copy. */
+  Stream<Attempt> stream() {
+    return List.copyOf(open).stream();
+  }
+
   void add(Attempt attempt) {
     open.add(attempt);
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Relay.java
@@ -16,9 +16,8 @@
 import org.shoreroad.edge.caller.CallerRequest;
 import org.shoreroad.edge.caller.HeaderNames;
 import org.shoreroad.edge.http.UpstreamCalls;
-import org.shoreroad.quarantine.Crash;
+import org.shoreroad.quarantine.CrashQuarantine;
 import org.shoreroad.quarantine.PromptPart;
-import org.shoreroad.quarantine.RequestFingerprint;
 import org.shoreroad.routing.AttemptBudget;
 import org.shoreroad.traffic.UpstreamService;
 
@@ -56,16 +55,17 @@
   private final RelayRules rules;
   private final RequestQuarantine quarantine;
   private final PartGuard partGuard;
+  private final CrashMonitor crashMonitor;
   private final Backpressure backpressure;
   private final AnswerSizes answerSizes = new AnswerSizes();
   private final Map<String, AttemptBudget> budgets = new HashMap<>();
   private final Set<Exchange> open = new HashSet<>();
   private final Set<Exchange> waiting = new HashSet<>();
-  private PathCheck pathCheck = PathCheck.SOUND;
   private @Nullable TrafficMeter traffic;
   private int stallTickMs = MAX_STALL_TICK_MS;
   private boolean isWaitingTickScheduled;
   private boolean isPartUpdateScheduled;
+  private boolean isQuarantineUpdateScheduled;
   private boolean isRefusingNew;
   private @Nullable RoomBroker roomBroker;
   private long acceptedCount;
@@ -102,6 +102,8 @@
     this.partGuard = new PartGuard(clockNanos, log, counters);
     partGuard.setListener(this::endQuarantined);
     partGuard.setUpdateScheduler(this::schedulePartUpdate);
+    quarantine.setUpdateScheduler(this::scheduleQuarantineUpdate);
+    this.crashMonitor = new CrashMonitor(clockNanos, timer, log, counters, quarantine, partGuard);
   }
 
   /** Sets the broker that asks for room at the heads of engines; without it none is asked for. */
@@ -119,11 +121,6 @@
     traffic = newTraffic;
   }
 
-  /** Sets the check of the paths to upstreams; without it, all are taken for sound. */
-  public void setPathCheck(PathCheck check) {
-    pathCheck = check;
-  }
-
   /** Starts the periodic checks of open requests and of silent heads. */
   public void start() {
     timer.every(TICK_MS, "relay", this::tick);
@@ -182,6 +179,19 @@
     }
   }
 
+  private void scheduleQuarantineUpdate() {
+    if (!isQuarantineUpdateScheduled) {
+      isQuarantineUpdateScheduled = true;
+      timer.once(
+          CrashQuarantine.SETTLE_MS + 1,
+          "quarantine",
+          () -> {
+            isQuarantineUpdateScheduled = false;
+            quarantine.update();
+          });
+    }
+  }
+
   private void updateParts() {
     if (partGuard.hasSuspects()) {
       Set<PromptPart> beingWritten = new HashSet<>();
@@ -267,35 +277,9 @@
     return calls;
   }
 
-  /**
-   * Records that an upstream crashed while it had the request, unless this process has lost its
-   * path to the service, which ends connections to sound upstreams too. A process that forwards a
-   * call checks its own path.
-   *
-   * @param parts the shared parts of the prompt if the request was about to begin, or had just
-   *     begun, else none
-   */
-  void recordCrash(Attempt failed, RequestFingerprint request, Set<PromptPart> parts) {
-    Crash crash = new Crash(failed.target().box().incarnation(), failed.hasHead());
-    if (failed.isForwarded()) {
-      recordCrash(request, crash, parts);
-      return;
-    }
-    pathCheck.confirm(
-        failed.target().box().service(),
-        nowNanos(),
-        isReached -> {
-          if (isReached) {
-            recordCrash(request, crash, parts);
-          } else {
-            quarantine.recordUncounted(request, crash.upstream(), "path_lost");
-          }
-        });
-  }
-
-  private void recordCrash(RequestFingerprint request, Crash crash, Set<PromptPart> parts) {
-    quarantine.recordCrash(request, crash);
-    partGuard.recordCrash(parts, crash.upstream(), request.high());
+  /** Returns the monitor of upstreams that may have crashed. */
+  public CrashMonitor crashMonitor() {
+    return crashMonitor;
   }
 
   /** Returns the meter of the requests for each model, or null if they are not counted. */
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestGuard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestGuard.java
@@ -3,6 +3,9 @@
 import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.quarantine.Crash;
+import org.shoreroad.quarantine.CrashSuspicion;
 import org.shoreroad.quarantine.PromptPart;
 import org.shoreroad.quarantine.RequestFingerprint;
 import org.shoreroad.traffic.ClientAccount;
@@ -54,6 +57,11 @@
     return !isRequestQuarantined() && (isTrialOpen || findQuarantinedParts().isEmpty());
   }
 
+  /** Returns true if the request is to wait until upstreams that it has left were checked. */
+  boolean isUndecided() {
+    return relay.crashMonitor().isUndecided(this::fingerprint);
+  }
+
   /** Returns true if the request is to end because of a quarantine that begins while it is open. */
   boolean isEnded() {
     return isRequestQuarantined() || (!isTrial && findQuarantinedParts().isPresent());
@@ -98,14 +106,21 @@
     return known;
   }
 
-  /** Records that the upstream of an attempt crashed. */
-  void recordCrash(Attempt failed) {
-    relay.recordCrash(failed, fingerprint(), failed.isWellUnderWay() ? Set.of() : sharedParts());
+  /** Records that an attempt has left its upstream without a proper answer. */
+  void suspect(Attempt attempt, CrashSuspicion.Kind kind) {
+    boolean isWellUnderWay = attempt.isWellUnderWay();
+    FleetBox box = attempt.target().box();
+    Crash crash = new Crash(box.incarnation(), attempt.hasHead() && !isWellUnderWay);
+    Set<PromptPart> suspectedParts = isWellUnderWay ? Set.of() : sharedParts();
+    relay
+        .crashMonitor()
+        .suspect(box, new CrashSuspicion(fingerprint(), suspectedParts, crash, kind));
   }
 
-  /** Records that the request crashed no upstream, if the end of its answer shows that. */
+  /** Records what the end of an answer shows: that the request crashes no upstream, or nothing. */
   void recordAnswer(Attempt answering, boolean isSuccess) {
     if (!answering.isEndStated() && !answering.isWellUnderWay()) {
+      suspect(answering, CrashSuspicion.Kind.ANSWERED);
       return;
     }
     relay.quarantine().recordAnswer(this::fingerprint);
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestQuarantine.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestQuarantine.java
@@ -30,6 +30,8 @@
   private final RelayCounters counters;
   private Consumer<Set<RequestFingerprint>> listener = requests -> {};
   private Consumer<CrashReport> recorder = report -> {};
+  private Runnable changeListener = () -> {};
+  private Runnable updateScheduler = () -> {};
 
   /** Creates a quarantine without requests. */
   public RequestQuarantine(LongSupplier clockNanos, EventLog log, RelayCounters counters) {
@@ -57,6 +59,16 @@
     this.recorder = recorder;
   }
 
+  /** Sets the callback for crashes that the other processes must learn of soon. */
+  public void setChangeListener(Runnable newListener) {
+    changeListener = newListener;
+  }
+
+  /** Sets the callback for crashes that count only after {@link CrashQuarantine#SETTLE_MS}. */
+  void setUpdateScheduler(Runnable newScheduler) {
+    updateScheduler = newScheduler;
+  }
+
   /** Returns the reports that are due to be sent to the other processes. */
   public List<CrashReport> reports() {
     return quarantine.reports(clockNanos.getAsLong());
@@ -67,10 +79,26 @@
     if (reports.isEmpty()) {
       return;
     }
-    Set<RequestFingerprint> quarantined = quarantine.applyReports(reports, clockNanos.getAsLong());
-    quarantined.forEach(request -> logQuarantined(request, "peer"));
-    if (!quarantined.isEmpty()) {
-      listener.accept(quarantined);
+    begin(quarantine.applyReports(reports, clockNanos.getAsLong()), "peer");
+    updateScheduler.run();
+  }
+
+  /** Decides again which requests are quarantined, after crashes have settled. */
+  void update() {
+    begin(quarantine.update(clockNanos.getAsLong()), "settled");
+  }
+
+  private void begin(Set<RequestFingerprint> requests, String source) {
+    for (RequestFingerprint request : requests) {
+      counters.count("shoreroad.requests.quarantined", source);
+      log.write("request_quarantined", "fingerprint", request, "by", source);
+      if (quarantine.isOwn(request)) {
+        quarantine.report(request, clockNanos.getAsLong()).ifPresent(recorder);
+      }
+    }
+    if (!requests.isEmpty()) {
+      listener.accept(requests);
+      changeListener.run();
     }
   }
 
@@ -89,32 +117,33 @@
     return !quarantine.isEmpty() && quarantine.isQuarantined(request.get(), clockNanos.getAsLong());
   }
 
-  /** Records that an upstream crashed while it had the request. */
-  void recordCrash(RequestFingerprint request, Crash crash) {
-    counters.count("shoreroad.requests.crashed", crash.hadBegun() ? "running" : "waiting");
-    if (quarantine.recordCrash(request, crash, clockNanos.getAsLong())) {
-      logQuarantined(request, "crash");
-      quarantine.report(request, clockNanos.getAsLong()).ifPresent(recorder);
-      listener.accept(Set.of(request));
-    }
+  /** Returns true if no crash is known. */
+  boolean isEmpty() {
+    return quarantine.isEmpty();
+  }
+
+  /**
+   * Returns true if the request may have to be quarantined once more is known.
+   *
+   * @param suspected the upstreams that may have crashed under the request, not null
+   */
+  boolean isUndecided(RequestFingerprint request, Set<Incarnation> suspected) {
+    return quarantine.isUndecided(request, suspected, clockNanos.getAsLong());
   }
 
-  /** Logs and counts that the end of a connection does not count as a crash. */
-  void recordUncounted(RequestFingerprint request, Incarnation upstream, String reason) {
-    counters.count("shoreroad.crashes.uncounted", reason);
-    log.write("crash_uncounted", "fingerprint", request, "upstream", upstream, "reason", reason);
+  /** Records that an upstream crashed while it had the request. */
+  void recordCrash(RequestFingerprint request, Crash crash) {
+    counters.count("shoreroad.requests.crashed", crash.hadJustBegun() ? "running" : "waiting");
+    begin(quarantine.recordCrash(request, crash, clockNanos.getAsLong()), "crash");
+    changeListener.run();
+    updateScheduler.run();
   }
 
-  /** Records that an upstream has answered the request completely. */
+  /** Records that an upstream has answered the request with success. */
   void recordAnswer(Supplier<RequestFingerprint> request) {
     if (!quarantine.isEmpty() && quarantine.recordAnswer(request.get(), clockNanos.getAsLong())) {
       counters.count("shoreroad.requests.crashed", "refuted");
       log.write("crashes_refuted", "fingerprint", request.get());
     }
   }
-
-  private void logQuarantined(RequestFingerprint request, String source) {
-    counters.count("shoreroad.requests.quarantined", source);
-    log.write("request_quarantined", "fingerprint", request, "by", source);
-  }
 }
