RequestGuard: refute crashes by successful answers only

What callers saw: a request under which upstreams end after they have answered 500 reached 22 upstreams later than 3 s after the third end. Cause: an answer of any status refuted all crashes before it; a failing upstream, or a 4xx sent before the request was read, shows nothing. Parts of prompts asked for a success already. Now both do, and other answers are suspicions.

EndingUpstreamTest, the way after a server error: red before, passes.

--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestGuard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestGuard.java
@@ -119,14 +119,12 @@
 
   /** Records what the end of an answer shows: that the request crashes no upstream, or nothing. */
   void recordAnswer(Attempt answering, boolean isSuccess) {
-    if (!answering.isEndStated() && !answering.isWellUnderWay()) {
+    if (!isSuccess || (!answering.isEndStated() && !answering.isWellUnderWay())) {
       suspect(answering, CrashSuspicion.Kind.ANSWERED);
       return;
     }
     relay.quarantine().recordAnswer(this::fingerprint);
-    if (isSuccess) {
-      relay.partGuard().recordAnswer(this::sharedParts);
-    }
+    relay.partGuard().recordAnswer(this::sharedParts);
   }
 
   /**
