CrashQuarantine: repeat crashes in reports, for processes that missed them

The same cause elsewhere: a crash that led to no quarantine was reported for one second. A process that was cut off, suspended or not started in that second never had it, and counted to three alone. Eight such requests a second are now repeated in rotation while crashes are known.

crashesOfRequestsWithoutQuarantineAreRepeated...: red before. It and aProcessThatStartsLater...AndTheOtherCrashes replace the test that asked for no reports of old crashes, which asked for the fault.

--- a/core/src/main/java/org/shoreroad/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/shoreroad/quarantine/CrashQuarantine.java
@@ -62,11 +62,23 @@
   /** Maximum number of requests in one heartbeat: 95 bytes each with three crashes, 4.6 KB. */
   private static final int MAX_REPORTED = 48;
 
+  /**
+   * Interval at which crashes of requests that are not quarantined are reported again, for
+   * processes that were cut off, suspended or not started when they were announced.
+   */
+  private static final long REPEAT_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** Maximum number of such requests in one heartbeat. */
+  private static final int MAX_REPEATED = 8;
+
   private final Map<RequestFingerprint, CrashHistory> histories = new LinkedHashMap<>();
 
   /** Index of the quarantined request that was reported last. */
   private int lastReportedIndex;
 
+  private int lastRepeatedIndex;
+  private long repeatedNanos = Long.MIN_VALUE / 2;
+
   /** Returns true if no crash is known, so that callers can skip the fingerprints. */
   public boolean isEmpty() {
     return histories.isEmpty();
@@ -250,7 +262,8 @@
   /**
    * Returns the reports for the next heartbeat: the histories that changed within the last second,
    * and the quarantined requests, in rotation if there are many. A process that starts thereby
-   * receives all quarantined requests within its first heartbeats.
+   * receives all quarantined requests within its first heartbeats. A few of the other histories are
+   * added each second, so that processes which missed a change have the same evidence later.
    */
   public List<CrashReport> reports(long nowNanos) {
     if (histories.isEmpty()) {
@@ -259,11 +272,14 @@
     removeExpired(nowNanos);
     List<CrashHistory> changed = new ArrayList<>();
     List<CrashHistory> settled = new ArrayList<>();
+    List<CrashHistory> others = new ArrayList<>();
     for (CrashHistory history : histories.values()) {
       if (history.hasChangedWithin(ANNOUNCE_NANOS, nowNanos)) {
         changed.add(history);
       } else if (isQuarantined(history, nowNanos)) {
         settled.add(history);
+      } else if (history.size() > 0) {
+        others.add(history);
       }
     }
     // Those with the most crashes come first, since the number of reports is bounded.
@@ -276,9 +292,21 @@
       lastReportedIndex = (lastReportedIndex + 1) % settled.size();
       reports.add(toReport(settled.get(lastReportedIndex), nowNanos));
     }
+    if (nowNanos - repeatedNanos >= REPEAT_INTERVAL_NANOS && reports.size() < MAX_REPORTED) {
+      repeatedNanos = nowNanos;
+      repeat(others, reports, nowNanos);
+    }
     return reports;
   }
 
+  private void repeat(List<CrashHistory> others, List<CrashReport> reports, long nowNanos) {
+    int count = Math.min(others.size(), Math.min(MAX_REPEATED, MAX_REPORTED - reports.size()));
+    for (int i = 0; i < count; i++) {
+      lastRepeatedIndex = (lastRepeatedIndex + 1) % others.size();
+      reports.add(toReport(others.get(lastRepeatedIndex), nowNanos));
+    }
+  }
+
   /** Returns the report of one request, or empty if no crash is known for it. */
   public Optional<CrashReport> report(RequestFingerprint request, long nowNanos) {
     return Optional.ofNullable(histories.get(request)).map(history -> toReport(history, nowNanos));
