CrashSuspicion: an answered request does not explain the crashes of others

Cause, from a line at the release: requests that got a 500 from upstreams which ended within the next 10 s counted as just begun there, so that they explained the crashes under the one to blame. They were over before; now they count like requests that waited.

requestThatWasAnsweredBeforeItsUpstreamEndedHadNotJustBegun: red before.

--- a/core/src/main/java/org/shoreroad/quarantine/CrashSuspicion.java
+++ b/core/src/main/java/org/shoreroad/quarantine/CrashSuspicion.java
@@ -27,11 +27,15 @@
     ANSWERED
   }
 
-  /** Copies the parts. */
+  /**
+   * Copies the parts. A request that was answered was over before its upstream ended, so that it
+   * had not just begun.
+   */
   public CrashSuspicion {
     Objects.requireNonNull(request, "request");
     Objects.requireNonNull(crash, "crash");
     Objects.requireNonNull(kind, "kind");
     parts = Set.copyOf(parts);
+    crash = kind == Kind.ANSWERED ? new Crash(crash.upstream(), false) : crash;
   }
 }
--- a/core/src/test/java/org/shoreroad/quarantine/SuspectedCrashesTest.java
+++ b/core/src/test/java/org/shoreroad/quarantine/SuspectedCrashesTest.java
@@ -63,6 +63,14 @@
     assertThat(suspicions.takeEnded(UPSTREAM, 7).size(), is(1));
   }
 
+  /** Else sound requests that got a failure would explain the crashes of the one to blame. */
+  @Test
+  void requestThatWasAnsweredBeforeItsUpstreamEndedHadNotJustBegun() {
+    CrashSuspicion answered = suspicion(UPSTREAM, CrashSuspicion.Kind.ANSWERED);
+    assertThat(answered.crash().hadJustBegun(), is(false));
+    assertThat(brokenOff(UPSTREAM).crash().hadJustBegun(), is(true));
+  }
+
   @Test
   void requestsOfAnUpstreamWithAPlannedEndAreForgotten() {
     suspicions.add(brokenOff(UPSTREAM), 0);
