--- a/core/src/main/java/org/shoreroad/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/shoreroad/quarantine/CrashQuarantine.java
@@ -27,7 +27,8 @@
  *
  * <p>A request that an upstream had not just begun to answer may have waited behind the one that
  * crashed it. Its crash is explained, and does not count, if a quarantined request had just begun
- * there. Such a crash counts only after the time in which the other processes report theirs.
+ * there. If such crashes are among the three, all three count only after the time in which the
+ * other processes report theirs.
  *
  * <p>Processes exchange reports of the crashes and merge them. This class reads no clock: times are
  * passed in, in nanoseconds of the monotonic clock. Not thread-safe: confined to one thread.
@@ -110,7 +111,7 @@
     boolean isSettling = !suspected.isEmpty();
     for (Crash crash : history.crashes()) {
       crashed.add(crash.upstream());
-      isSettling |= !crash.hadJustBegun() && history.ageNanos(crash, nowNanos) < SETTLE_NANOS;
+      isSettling |= !isSettled(history, crash, nowNanos);
     }
     return isSettling && !history.isQuarantined() && crashed.size() >= QUARANTINE_CRASHES;
   }
@@ -152,14 +153,19 @@
       CrashHistory history, Set<Incarnation> explained, long nowNanos) {
     int count = 0;
     for (Crash crash : history.crashes()) {
-      boolean isSettled =
-          history.isQuarantined() || history.ageNanos(crash, nowNanos) >= SETTLE_NANOS;
-      boolean isUnexplained = isSettled && !explained.contains(crash.upstream());
-      count += crash.hadJustBegun() || isUnexplained ? 1 : 0;
+      boolean isBlamed = crash.hadJustBegun() || !explained.contains(crash.upstream());
+      count += isBlamed && isSettled(history, crash, nowNanos) ? 1 : 0;
     }
     return count;
   }
 
+  /** Returns true if the crash counts now: three of upstreams that had just begun do at once. */
+  private static boolean isSettled(CrashHistory history, Crash crash, long nowNanos) {
+    return history.isQuarantined()
+        || history.justBegunCount() >= QUARANTINE_CRASHES
+        || history.ageNanos(crash, nowNanos) >= SETTLE_NANOS;
+  }
+
   /**
    * Records that a caller sent the request. A quarantine lasts until the request hasn't been sent
    * for ten minutes.
--- a/core/src/test/java/org/shoreroad/quarantine/CrashQuarantineTest.java
+++ b/core/src/test/java/org/shoreroad/quarantine/CrashQuarantineTest.java
@@ -66,6 +66,16 @@
     assertThat(quarantine.isQuarantined(OTHER, SETTLE_NANOS), is(false));
   }
 
+  /** Else harmless requests are refused until the other processes report theirs. */
+  @Test
+  void aRequestWithOneWaitingCrashIsDecidedOnceAllHaveSettled() {
+    quarantine.recordCrash(REQUEST, waiting("i-1"), 0);
+    quarantine.recordCrash(REQUEST, running("i-2"), LATER_NANOS);
+    assertThat(quarantine.recordCrash(REQUEST, running("i-3"), LATER_NANOS), empty());
+    assertThat(quarantine.isUndecided(REQUEST, Set.of(), LATER_NANOS), is(true));
+    assertThat(quarantine.update(LATER_NANOS + SETTLE_NANOS), is(Set.of(REQUEST)));
+  }
+
   @Test
   void aLateReportOfTheRequestThatCrashesUpstreamsReleasesThoseThatWaited() {
     for (int i = 0; i < 3; i++) {
