Daemon: read bodies and lines of servers up to a maximum size

The same cause in the daemon's clients, by reading: a body without an end was collected until the call's timeout, or for ever on a stream, which has none. AnswerBody bounds bodies at 8 MB and lines at 1 MB, as EventSplitter does; the failures are those of a broken connection.

--- a/daemon/src/main/java/org/shoreroad/daemon/gateway/ServiceClient.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/gateway/ServiceClient.java
@@ -18,6 +18,7 @@
 import org.shoreroad.ShoreroadException;
 import org.shoreroad.Verdict;
 import org.shoreroad.config.ServiceSpec;
+import org.shoreroad.daemon.http.AnswerBody;
 import org.shoreroad.daemon.intent.IntentClient;
 import org.shoreroad.daemon.owner.DispatchGuard;
 import org.shoreroad.daemon.owner.EngineClient;
@@ -194,7 +195,7 @@
       throw ShoreroadException.notRun(
           ErrorCode.UPSTREAM_REFUSED, "the service answered " + response.code(), RETRY_AFTER_MS);
     }
-    byte[] body = response.body().bytes();
+    byte[] body = AnswerBody.read(response);
     long now = System.nanoTime();
     context.upstreams().succeed(address, now - sentNanos, now);
     String type = response.header("Content-Type", "application/octet-stream");
--- a/daemon/src/main/java/org/shoreroad/daemon/owner/EngineClient.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/owner/EngineClient.java
@@ -25,6 +25,7 @@
 import okhttp3.Response;
 import org.shoreroad.Box;
 import org.shoreroad.LoadName;
+import org.shoreroad.daemon.http.AnswerBody;
 import org.shoreroad.daemon.request.Submission;
 import org.shoreroad.daemon.settings.Settings;
 import org.shoreroad.replica.BoxReport;
@@ -154,7 +155,7 @@
   }
 
   private BoxReport parseReport(Box box, Response response) throws IOException {
-    JsonNode root = mapper.readTree(response.body().bytes());
+    JsonNode root = mapper.readTree(AnswerBody.read(response));
     // The address may have been reassigned to another box, whose report must not be used.
     if (!response.isSuccessful() || !root.path("box").asText().equals(box.name())) {
       throw new IOException("no valid report of box " + box.name());
--- a/daemon/src/main/java/org/shoreroad/daemon/owner/EngineStream.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/owner/EngineStream.java
@@ -14,6 +14,7 @@
 import org.shoreroad.ErrorCode;
 import org.shoreroad.ShoreroadException;
 import org.shoreroad.Verdict;
+import org.shoreroad.daemon.http.AnswerBody;
 import org.shoreroad.daemon.request.Submission;
 
 /**
@@ -107,7 +108,7 @@
       } else if (submission.isStreaming()) {
         readEvents(response.body().source());
       } else {
-        readSingleAnswer(response.body().bytes());
+        readSingleAnswer(AnswerBody.read(response));
       }
     } catch (IOException e) {
       fail(
@@ -137,7 +138,7 @@
 
   private void readEvents(BufferedSource source) throws IOException {
     while (true) {
-      String line = source.readUtf8Line();
+      String line = AnswerBody.readLine(source);
       if (line == null) {
         throw new IOException("the stream ended without its end marker");
       }
--- a/daemon/src/main/java/org/shoreroad/daemon/platform/HttpBoxList.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/platform/HttpBoxList.java
@@ -10,6 +10,7 @@
 import okhttp3.Request;
 import okhttp3.Response;
 import org.shoreroad.Box;
+import org.shoreroad.daemon.http.AnswerBody;
 import org.shoreroad.placement.ListedBox;
 
 /**
@@ -42,7 +43,7 @@
         throw new LogException(true, "the list of boxes returned HTTP status " + response.code());
       }
       List<ListedBox> boxes = new ArrayList<>();
-      for (JsonNode node : mapper.readTree(response.body().bytes())) {
+      for (JsonNode node : mapper.readTree(AnswerBody.read(response))) {
         Box box =
             new Box(
                 node.path("name").asText(),
--- a/daemon/src/main/java/org/shoreroad/daemon/platform/HttpPlatformLog.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/platform/HttpPlatformLog.java
@@ -14,6 +14,7 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
+import org.shoreroad.daemon.http.AnswerBody;
 
 /**
  * Accesses the log over HTTP: {@code POST} and {@code GET /streams/NAME/records} with MessagePack
@@ -100,7 +101,7 @@
         boolean isRefused = response.code() == TOO_MANY_REQUESTS || response.code() == UNAVAILABLE;
         throw new LogException(isRefused, "the log returned HTTP status " + response.code());
       }
-      return response.body().bytes();
+      return AnswerBody.read(response);
     } catch (IOException e) {
       throw new LogException(false, "the log can't be reached: " + e.getMessage());
     }
