CrashExplanation: count a loss of many upstreams at once as one crash

In the comparison of groups, four crashes or more that follow each other within 20 ms now count as one, as they did in the number of separate crashes that a cause needs.

newSoundPartIsNotQuarantinedWhenHalfOfTheUpstreams...: red before.

--- a/core/src/main/java/org/shoreroad/quarantine/CrashExplanation.java
+++ b/core/src/main/java/org/shoreroad/quarantine/CrashExplanation.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -18,8 +19,8 @@
  *
  * <ul>
  *   <li>A crash under a part that is quarantined counts against no other part.
- *   <li>Of two parts with common crashes the one with more crashes is the cause. With equally many
- *       there is none until the next crash.
+ *   <li>Of two parts with common crashes the one with more crashes is the cause; many at the same
+ *       time count as one. With equally many there is none until the next crash.
  *   <li>Parts with exactly the same crashes can't be told apart. Only requests that carry all of
  *       them are refused, so that others show which one is harmless.
  * </ul>
@@ -44,6 +45,11 @@
       return rest;
     }
 
+    /** Returns how many of these crashes count in the comparison with other groups. */
+    private int countApart(Set<Incarnation> evidence) {
+      return histories.get(0).countApart(evidence);
+    }
+
     private boolean isSufficient(Set<Incarnation> evidence) {
       return histories.stream()
           .allMatch(
@@ -119,7 +125,7 @@
       }
     }
     List<Group> groups = new ArrayList<>(byCrashes.values());
-    groups.sort((one, other) -> Integer.compare(other.crashes().size(), one.crashes().size()));
+    groups.sort(Comparator.comparingInt((Group group) -> -group.countApart(group.crashes())));
     return groups;
   }
 
@@ -129,7 +135,7 @@
       if (other != group) {
         Set<Incarnation> rest = other.without(explained);
         boolean overlaps = rest.stream().anyMatch(evidence::contains);
-        if (overlaps && rest.size() >= evidence.size()) {
+        if (overlaps && other.countApart(rest) >= group.countApart(evidence)) {
           return true;
         }
       }
--- a/core/src/main/java/org/shoreroad/quarantine/PartHistory.java
+++ b/core/src/main/java/org/shoreroad/quarantine/PartHistory.java
@@ -1,6 +1,7 @@
 package org.shoreroad.quarantine;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -26,6 +27,11 @@
   /** Time that separates two crashes with a common cause, such as the loss of a rack's power. */
   private static final long SEPARATE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+  /** Crashes, each within the gap of the one before, that are taken for a loss of many at once. */
+  private static final int MASS_CRASHES = 4;
+
+  private static final long MASS_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
   private final PromptPart part;
   private final Map<Incarnation, Entry> crashes = new LinkedHashMap<>();
   private boolean isMarked;
@@ -188,6 +194,27 @@
     return count;
   }
 
+  /**
+   * Returns the number of these crashes, of which many at the same time count as one: they have a
+   * common cause, such as the loss of a rack's power, and tell little about the part.
+   */
+  int countApart(Set<Incarnation> upstreams) {
+    List<Long> times = new ArrayList<>();
+    for (Incarnation upstream : upstreams) {
+      times.add(crashes.get(upstream).nanos);
+    }
+    Collections.sort(times);
+    int count = 0;
+    int from = 0;
+    for (int to = 1; to <= times.size(); to++) {
+      if (to == times.size() || times.get(to) - times.get(to - 1) > MASS_GAP_NANOS) {
+        count += to - from >= MASS_CRASHES ? 1 : to - from;
+        from = to;
+      }
+    }
+    return count;
+  }
+
   /** Records that one request with the part is sent although it is quarantined. */
   void recordTrial(long nowNanos) {
     triedNanos = nowNanos;
--- a/core/src/test/java/org/shoreroad/quarantine/PartQuarantineTest.java
+++ b/core/src/test/java/org/shoreroad/quarantine/PartQuarantineTest.java
@@ -106,6 +106,29 @@
     assertThat(isRefused("new"), is(false));
   }
 
+  /** Else all sound requests are refused, and none is left whose answer shows that they are. */
+  @Test
+  void newSoundPartIsNotQuarantinedWhenHalfOfTheUpstreamsCrashAtOnceBesideACrashingPart() {
+    crashes(1, "bad");
+    Incarnation second = newUpstream();
+    crash(quarantine, second, "bad");
+    crash(quarantine, second, "new", "common");
+    passMs(150);
+    for (int i = 0; i < 7; i++) {
+      crash(quarantine, newUpstream(), "new", "common");
+      passMs(2);
+    }
+    passMs(150);
+    Incarnation third = newUpstream();
+    crash(quarantine, third, "bad");
+    crash(quarantine, third, "new", "common");
+    passMs(300);
+    assertThat(isRefused("new", "common"), is(false));
+    crashes(1, "bad");
+    assertThat(isRefused("bad"), is(true));
+    assertThat(isRefused("new", "common"), is(false));
+  }
+
   @Test
   void newPartOfAllRequestsIsNotQuarantinedWhenHalfOfTheUpstreamsCrashAtOnce() {
     for (int i = 0; i < 24; i++) {
