--- a/core/src/main/java/org/shoreroad/quarantine/SuspectedCrashes.java
+++ b/core/src/main/java/org/shoreroad/quarantine/SuspectedCrashes.java
@@ -29,11 +29,15 @@
   /** Time for which the end of an upstream is remembered, for requests that fail after it. */
   private static final long KEEP_ENDED_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+  /** Interval at which old suspicions are removed. */
+  private static final long EXPIRY_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   /** Maximum number of suspicions; 0.3 KB each. */
   static final int MAX_SUSPICIONS = 1_024;
 
   private final Map<Incarnation, Map<RequestFingerprint, Entry>> entries = new LinkedHashMap<>();
   private final Map<Incarnation, Long> endedNanos = new LinkedHashMap<>();
+  private long expiredNanos = Long.MIN_VALUE / 2;
   private int size;
 
   private record Entry(CrashSuspicion suspicion, long nanos, boolean isUndecided) {
@@ -48,7 +52,9 @@
    * @return true if the upstream is known to have ended, so that the request has crashed it
    */
   public boolean add(CrashSuspicion suspicion, long nowNanos) {
-    removeExpired(nowNanos);
+    if (nowNanos - expiredNanos >= EXPIRY_INTERVAL_NANOS) {
+      removeExpired(nowNanos);
+    }
     Incarnation upstream = suspicion.crash().upstream();
     if (endedNanos.containsKey(upstream)) {
       return true;
@@ -134,6 +140,7 @@
 
   /** Removes the suspicions that are too old. */
   void removeExpired(long nowNanos) {
+    expiredNanos = nowNanos;
     endedNanos.values().removeIf(nanos -> nowNanos - nanos >= KEEP_ENDED_NANOS);
     Iterator<Map.Entry<Incarnation, Map<RequestFingerprint, Entry>>> all =
         entries.entrySet().iterator();
