--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -367,7 +367,6 @@
     fleet.addRemovalListener(
         box -> {
           calls.closeIdle(box.address());
-          relay.crashMonitor().onRemoved(box);
           upstreams.forget(box.id());
           replicas.forget(box.id());
           failureDetector.forget(box.id());
--- a/edge/src/main/java/org/shoreroad/edge/UpstreamAccess.java
+++ b/edge/src/main/java/org/shoreroad/edge/UpstreamAccess.java
@@ -43,6 +43,7 @@
   private final ForwardServer forwardServer;
   private final RoutedCalls calls;
   private final EndCheck endCheck;
+  private final Fleet fleet;
   private final Supplier<Map<String, String>> peers;
 
   /**
@@ -63,21 +64,13 @@
       Fleet fleet,
       Supplier<Map<String, String>> peers) {
     this.peers = peers;
+    this.fleet = fleet;
     RepeatingTimer timer = new RepeatingTimer(loop, log);
     this.paths =
         new UpstreamPaths(calls, clockNanos, random.split(), log, metrics, timer, fleet::boxes);
     this.forwards = new ForwardClient(loop, clockNanos, random.split(), log, metrics, peers);
     this.endCheck =
-        new UpstreamEndCheck(
-            calls,
-            paths,
-            forwards,
-            clockNanos,
-            fleet::isReplaced,
-            box -> {
-              FleetBox listed = fleet.find(box.id());
-              return listed != null && listed.isLeaving();
-            });
+        new UpstreamEndCheck(calls, paths, forwards, clockNanos, this::isReplaced, this::isLeaving);
     DirectCalls direct = new DirectCalls(calls, paths, clockNanos);
     this.calls = new RoutedCalls(direct, forwards);
     this.forwardServer =
@@ -116,6 +109,7 @@
     callers.addHeldElsewhere(forwards);
     selector.setPaths(calls::isReachable, calls::isPathLost);
     relay.crashMonitor().setEndCheck(endCheck);
+    fleet.addRemovalListener(relay.crashMonitor()::onRemoved);
     stalls.setPathCheck(paths);
     paths.setLossListener(service -> handleLoss(service, upstreams, replicas));
     leases.setCondition(
@@ -129,6 +123,22 @@
     forwards.start();
   }
 
+  /** Returns true if a later incarnation is listed, or another upstream at the address. */
+  private boolean isReplaced(FleetBox box) {
+    for (FleetBox listed : fleet.boxes()) {
+      boolean isOther = !listed.id().equals(box.id());
+      if (isOther ? listed.address().equals(box.address()) : listed.isOtherIncarnationOf(box)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean isLeaving(FleetBox box) {
+    FleetBox listed = fleet.find(box.id());
+    return listed != null && listed.isLeaving();
+  }
+
   private void handleLoss(String service, UpstreamTable upstreams, ReplicaService replicas) {
     upstreams.clearExclusions(service);
     replicas.forgetSilence(service);
--- a/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Attempt.java
@@ -29,28 +29,12 @@
   /** Time for which an upstream is skipped after it answered that it is full. */
   private static final long AVOID_FULL_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
 
-  /** Pieces and time that an upstream doesn't reach if it crashes as it begins to answer. */
-  private static final int MIN_WRITTEN_PIECES = 6;
-
-  private static final long MIN_WRITTEN_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
-
-  /** The same with a wide margin, since what follows from it is not taken back. */
-  private static final int MIN_SURVIVED_PIECES = 12;
-
-  private static final long MIN_SURVIVED_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
   /**
    * Fill level from which an answer is sent on that could not be repeated anyway, so that the
    * others can be collected for longer.
    */
   private static final double UNREPEATABLE_FILL = 0.5;
 
-  /** Maximum size of a body that is not forwarded; a connection with a longer one is closed. */
-  private static final int MAX_IGNORED_BYTES = 65_536;
-
-  /** Time after the head for which the end of such a body is awaited. */
-  private static final long MAX_IGNORED_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-
   private final Exchange exchange;
   private final Relay relay;
   private final AnswerChannel answers;
@@ -58,6 +42,7 @@
   private final Incarnation upstream;
   private final RoomBroker.@Nullable Grant grant;
   private final long startedNanos;
+  private final AnswerProgress progress = new AnswerProgress();
   private @Nullable UpstreamCall call;
   private @Nullable HttpResponse head;
   private @Nullable WholeAnswer whole;
@@ -66,12 +51,7 @@
   private boolean hasTurn;
   private boolean isRecordedAsSent;
   private boolean isPromptRead;
-  private int pieces;
-  private long firstContentNanos;
-  private long lastContentNanos;
   private long lastEventNanos;
-  private long headNanos;
-  private long contentBytes;
   private boolean isAwaitingBuffer;
   private boolean isOver;
 
@@ -159,11 +139,6 @@
     return call != null && call.isDirect() && relay.calls().isPathLost(target.box());
   }
 
-  /** Returns true if another process sent it, since this one had no path to the upstream. */
-  boolean isForwarded() {
-    return call != null && !call.isDirect();
-  }
-
   /**
    * Returns the upstream, whether the request was sent, and the time since the last bytes that any
    * process has reported from there and since the last ones that this process has received.
@@ -183,19 +158,9 @@
     return head != null;
   }
 
-  /** Returns the time from the first to the last bytes of the answer, or -1 if none have come. */
-  long writingNanos() {
-    return pieces == 0 ? -1 : lastContentNanos - firstContentNanos;
-  }
-
-  /** Returns true if the upstream has answered for longer than one that crashes at the start. */
-  boolean isBeingWritten() {
-    return pieces >= MIN_WRITTEN_PIECES && writingNanos() >= MIN_WRITTEN_NANOS;
-  }
-
-  /** Returns true if the upstream has answered for so long that the request won't crash it. */
-  boolean isWellUnderWay() {
-    return pieces >= MIN_SURVIVED_PIECES && writingNanos() >= MIN_SURVIVED_NANOS;
+  /** Returns what has been received of the answer. */
+  AnswerProgress progress() {
+    return progress;
   }
 
   /**
@@ -236,7 +201,7 @@
       target.load().setPaused(exchange, !isReading, relay.nowNanos());
       // The time of a pause is not the pace of the upstream.
       lastEventNanos = 0;
-      pieces = 0;
+      progress.restart();
     }
   }
 
@@ -270,7 +235,7 @@
       return false;
     }
     head = response;
-    headNanos = relay.nowNanos();
+    progress.recordHead(relay.nowNanos());
     boolean isSealed = response.headers().contains(relay.headers().seal());
     if (!isMisdirected(response)) {
       relay.backpressure().recordAnswer(upstream, response, startedNanos);
@@ -306,7 +271,7 @@
   @Override
   public void onContent(ByteBuf content) {
     long nowNanos = relay.nowNanos();
-    contentBytes += content.readableBytes();
+    progress.recordBytes(content.readableBytes());
     if (events != null) {
       addToStream(events, content, nowNanos);
       return;
@@ -338,9 +303,7 @@
 
   private void recordPiece(long nowNanos) {
     target.load().recordProgress(nowNanos);
-    pieces++;
-    firstContentNanos = pieces == 1 ? nowNanos : firstContentNanos;
-    lastContentNanos = nowNanos;
+    progress.recordPiece(nowNanos);
   }
 
   /** Returns true if the body of the answer is not forwarded, so that only its end matters. */
@@ -359,9 +322,7 @@
    */
   void checkIgnoredBody(long nowNanos) {
     HttpResponse response = head;
-    boolean isTooLong =
-        contentBytes > MAX_IGNORED_BYTES || nowNanos - headNanos > MAX_IGNORED_NANOS;
-    if (response == null || !isTooLong || !hasIgnoredBody()) {
+    if (response == null || !progress.isTooLongToIgnore(nowNanos) || !hasIgnoredBody()) {
       return;
     }
     relay.counters().count("shoreroad.attempts.endless", "body");
--- a/edge/src/main/java/org/shoreroad/edge/relay/Dispatch.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Dispatch.java
@@ -62,9 +62,18 @@
     return (long) ((engine == null ? PLAIN_WAIT_MS : engine.fullPassMs()) * 1e6);
   }
 
-  /** Sends the request to an upstream, now or later, or refuses it. */
-  void next() {
-    isWaiting = false;
+  /**
+   * Sends the request to an upstream, now or later, or refuses it.
+   *
+   * @param isUndecided true if it has to wait until upstreams that it has left were checked
+   */
+  void next(boolean isUndecided) {
+    isWaiting = isUndecided;
+    if (isUndecided) {
+      relay.counters().count("shoreroad.requests.held", "end_check");
+      relay.addWaiting(exchange);
+      return;
+    }
     if (!exchange.hasBegun() && targets.isWithoutPath()) {
       exchange.refuseOrFail(Refusal.NO_PATH, RetryAfter.PLACE);
       return;
@@ -95,7 +104,7 @@
         && !exchange.hasAttempts();
   }
 
-  /** Tries again to send a request that waits for a slot in the choice of this process. */
+  /** Tries again to send a request that waits for a slot, or until upstreams were checked. */
   void tick() {
     if (isWaiting) {
       isWaiting = false;
--- a/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/Exchange.java
@@ -12,7 +12,6 @@
 import org.shoreroad.edge.caller.AnswerChannel;
 import org.shoreroad.edge.caller.CallerExchange;
 import org.shoreroad.edge.caller.CallerRequest;
-import org.shoreroad.quarantine.CrashSuspicion;
 import org.shoreroad.quarantine.PromptPart;
 import org.shoreroad.traffic.ClientAccount;
 import org.shoreroad.traffic.RequestKind;
@@ -38,6 +37,7 @@
   private final RepeatRule repeats;
   private final RequestDeadline deadline = new RequestDeadline();
   private final ExchangeLog log;
+  private final FailureRecorder failures;
   private final RequestTraffic traffic;
   private final String model;
   private final long promptTokens;
@@ -48,7 +48,6 @@
   private @Nullable ModelEngine engine;
   private @Nullable ClientAccount account;
   private @Nullable EventRelay events;
-  private boolean isAwaitingCheck;
   private boolean isOver;
 
   Exchange(Relay relay, CallerRequest request, AnswerChannel answers) {
@@ -59,6 +58,7 @@
     this.guard = new RequestGuard(relay, reader, sends);
     this.repeats = new RepeatRule(relay, sends);
     this.log = new ExchangeLog(relay, request, reader, sends);
+    this.failures = new FailureRecorder(relay, log, guard);
     this.model = reader.model();
     this.promptTokens = reader.promptTokens();
     this.traffic = new RequestTraffic(relay, request, model, promptTokens);
@@ -118,15 +118,10 @@
    * its upstreams is stopped by the quarantine, which counts over all tries and processes.
    */
   void send() {
-    isAwaitingCheck = false;
     if (!guard.maySend()) {
       refuseOrFail(guard.refusal(), RetryAfter.QUARANTINE);
-    } else if (guard.isUndecided()) {
-      isAwaitingCheck = true;
-      relay.counters().count("shoreroad.requests.held", "end_check");
-      relay.addWaiting(this);
     } else if (dispatch != null) {
-      dispatch.next();
+      dispatch.next(guard.isUndecided());
     }
   }
 
@@ -171,12 +166,7 @@
       return;
     }
     attempts.checkIgnoredBodies(relay.nowNanos());
-    if (isOver) {
-      return;
-    }
-    if (isAwaitingCheck) {
-      send();
-    } else if (dispatch != null) {
+    if (!isOver && dispatch != null) {
       dispatch.tick();
     }
   }
@@ -221,11 +211,7 @@
 
   /** Returns true if the request may be sent; called right before the first byte is sent. */
   boolean maySendNow() {
-    return !isOver
-        && mayUseKey()
-        && guard.maySend()
-        && !guard.isUndecided()
-        && !deadline.isPassed(relay.nowNanos());
+    return !isOver && mayUseKey() && guard.maySendNow() && !deadline.isPassed(relay.nowNanos());
   }
 
   /** Records that a byte may have been sent to an upstream. */
@@ -294,7 +280,7 @@
     }
     boolean isNewest = failed == attempts.newest();
     attempts.remove(failed);
-    recordFailure(failed, failure);
+    failures.record(failed, failure);
     if (isOver || !isNewest) {
       return;
     }
@@ -348,7 +334,7 @@
     if (!newest.isSent() || !guard.maySend() || !targets.isAnyFree() || !repeats.takeFromBudget()) {
       return true;
     }
-    recordFailure(newest, AttemptFailure.STALLED);
+    failures.record(newest, AttemptFailure.STALLED);
     sends.recordMayHaveRun();
     relay.counters().count("shoreroad.retries", AttemptFailure.STALLED.code());
     send();
@@ -423,29 +409,13 @@
     answers.abort();
   }
 
-  private void recordFailure(Attempt failed, AttemptFailure failure) {
-    relay.counters().count("shoreroad.attempts.failed", failure.code());
-    CrashSuspicion.Kind kind = failure.suspicion();
-    log.writeFailure(failed, failure, kind == null ? null : guard.fingerprint());
-    if (kind != null) {
-      guard.suspect(failed, kind);
-    }
-  }
-
-  /** Records which upstreams were silent until the request was given up. */
-  private void recordUnanswered() {
-    attempts.stream()
-        .filter(attempt -> attempt.isSent() && !attempt.hasHead())
-        .forEach(attempt -> guard.suspect(attempt, CrashSuspicion.Kind.UNANSWERED));
-  }
-
   /** Ends the request; called for each way in which a request can end. */
   private void finish(RequestEnd end) {
     if (!isOver) {
       isOver = true;
       relay.counters().count("shoreroad.requests.ended", end.code());
       if (end == RequestEnd.TIMED_OUT || end == RequestEnd.CALLER_GONE) {
-        recordUnanswered();
+        failures.recordUnanswered(attempts);
       }
       attempts.cancelAll();
       if (dispatch != null) {
--- a/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/ExchangeLog.java
@@ -127,7 +127,7 @@
   }
 
   private static long writingMs(Attempt attempt) {
-    long writingNanos = attempt.writingNanos();
+    long writingNanos = attempt.progress().writingNanos();
     return writingNanos < 0 ? NO_ANSWER : TimeUnit.NANOSECONDS.toMillis(writingNanos);
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestGuard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestGuard.java
@@ -57,6 +57,11 @@
     return !isRequestQuarantined() && (isTrialOpen || findQuarantinedParts().isEmpty());
   }
 
+  /** Returns true if the first byte may be sent now. */
+  boolean maySendNow() {
+    return maySend() && !isUndecided();
+  }
+
   /** Returns true if the request is to wait until upstreams that it has left were checked. */
   boolean isUndecided() {
     return relay.crashMonitor().isUndecided(this::fingerprint);
@@ -108,7 +113,7 @@
 
   /** Records that an attempt has left its upstream without a proper answer. */
   void suspect(Attempt attempt, CrashSuspicion.Kind kind) {
-    boolean isWellUnderWay = attempt.isWellUnderWay();
+    boolean isWellUnderWay = attempt.progress().isWellUnderWay();
     FleetBox box = attempt.target().box();
     Crash crash = new Crash(box.incarnation(), attempt.hasHead() && !isWellUnderWay);
     Set<PromptPart> suspectedParts = isWellUnderWay ? Set.of() : sharedParts();
@@ -119,7 +124,7 @@
 
   /** Records what the end of an answer shows: that the request crashes no upstream, or nothing. */
   void recordAnswer(Attempt answering, boolean isSuccess) {
-    if (!isSuccess || (!answering.isEndStated() && !answering.isWellUnderWay())) {
+    if (!isSuccess || (!answering.isEndStated() && !answering.progress().isWellUnderWay())) {
       suspect(answering, CrashSuspicion.Kind.ANSWERED);
       return;
     }
@@ -134,9 +139,9 @@
    * @param beingWritten receives the parts, not null
    */
   void recordWriting(OpenAttempts attempts, Set<PromptPart> beingWritten) {
-    if (attempts.isAny(Attempt::isWellUnderWay)) {
+    if (attempts.isAny(attempt -> attempt.progress().isWellUnderWay())) {
       relay.partGuard().recordAnswer(this::sharedParts);
-    } else if (attempts.isAny(Attempt::isBeingWritten)) {
+    } else if (attempts.isAny(attempt -> attempt.progress().isBeingWritten())) {
       beingWritten.addAll(sharedParts());
     }
   }
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -456,17 +456,6 @@
     return boxes.values();
   }
 
-  /**
-   * Returns true if another incarnation is known under the id of an upstream, or another upstream
-   * at its address, so that its process has ended.
-   */
-  public boolean isReplaced(FleetBox box) {
-    String holder = addresses.find(box.address());
-    FleetBox known = boxes.get(box.id());
-    return (holder != null && !holder.equals(box.id()))
-        || (known != null && known.isOtherIncarnationOf(box));
-  }
-
   /** Returns the upstream, or null if it is not known. */
   public @Nullable FleetBox find(String id) {
     return boxes.get(id);
