CrashMonitor: check an upstream at most ten times a second

Each request that was broken off opened a connection, so that an upstream which spoils many answers got one for each of them.

--- a/edge/src/main/java/org/shoreroad/edge/relay/CrashMonitor.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/CrashMonitor.java
@@ -67,11 +67,15 @@
     private long suspectedNanos;
     private int followUps;
     private int unreachedChecks;
-    private int scheduled;
+    private long checkedNanos = Long.MIN_VALUE / 2;
+    private long dueNanos;
+    private int scheduledCount;
+    private boolean isScheduled;
     private boolean isChecking;
 
-    Watch(FleetBox box) {
+    Watch(FleetBox box, long nowNanos) {
       this.box = box;
+      this.suspectedNanos = nowNanos;
     }
   }
 
@@ -102,10 +106,11 @@
     if (suspicions.add(suspicion, nowNanos)) {
       record(List.of(suspicion));
     } else if (suspicion.kind() != CrashSuspicion.Kind.ANSWERED) {
-      Watch watch = watches.computeIfAbsent(box.incarnation(), added -> new Watch(box));
+      Watch watch = watchOf(box);
       watch.suspectedNanos = nowNanos;
       watch.followUps = 0;
-      if (suspicion.kind() == CrashSuspicion.Kind.BROKEN_OFF) {
+      boolean isDue = nowNanos - watch.checkedNanos >= MIN_AGE_NANOS;
+      if (suspicion.kind() == CrashSuspicion.Kind.BROKEN_OFF && isDue) {
         check(watch);
       } else {
         scheduleNext(watch);
@@ -116,10 +121,15 @@
   /** Checks an upstream that has refused a connection or was replaced on the list. */
   public void checkIfSuspected(FleetBox box) {
     if (suspicions.isSuspected(box.incarnation())) {
-      check(watches.computeIfAbsent(box.incarnation(), added -> new Watch(box)));
+      check(watchOf(box));
     }
   }
 
+  private Watch watchOf(FleetBox box) {
+    return watches.computeIfAbsent(
+        box.incarnation(), added -> new Watch(box, clockNanos.getAsLong()));
+  }
+
   /** Checks an upstream that was removed from the list, unless its end was planned. */
   public void onRemoved(FleetBox box) {
     if (box.isLeaving()) {
@@ -150,9 +160,10 @@
       return;
     }
     watch.isChecking = true;
-    watch.scheduled++;
+    watch.isScheduled = false;
     counters.count("shoreroad.upstreams.end_checks", watch.box.service());
     long startedNanos = clockNanos.getAsLong();
+    watch.checkedNanos = startedNanos;
     endCheck.check(watch.box, outcome -> onOutcome(watch, startedNanos, outcome));
   }
 
@@ -219,13 +230,20 @@
     }
   }
 
+  /** Schedules a check, unless an earlier one is scheduled. */
   private void schedule(Watch watch, long delayMs) {
-    int number = ++watch.scheduled;
+    long dueNanos = clockNanos.getAsLong() + TimeUnit.MILLISECONDS.toNanos(delayMs);
+    if (watch.isChecking || (watch.isScheduled && watch.dueNanos - dueNanos <= 0)) {
+      return;
+    }
+    watch.isScheduled = true;
+    watch.dueNanos = dueNanos;
+    int number = ++watch.scheduledCount;
     timer.once(
         delayMs,
         "upstream ends",
         () -> {
-          if (number == watch.scheduled) {
+          if (watch.isScheduled && number == watch.scheduledCount) {
             check(watch);
           }
         });
--- a/edge/src/test/java/org/shoreroad/edge/relay/CrashMonitorTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/CrashMonitorTest.java
@@ -134,6 +134,29 @@
     assertThat(crashes(), is(1));
   }
 
+  /** An upstream that spoils many answers must not get a connection for each of them. */
+  @Test
+  void manyFailuresOfAnUpstreamThatRunsCauseFewChecksAndAreDecided() {
+    for (int i = 0; i < 200; i++) {
+      suspect("i-1", CrashSuspicion.Kind.BROKEN_OFF);
+      advance(STEP_MS);
+    }
+    assertThat(checks, lessThanOrEqualTo(MAX_CHECKS));
+    advance(220);
+    assertThat(monitor.isUndecided(() -> REQUEST), is(false));
+    assertThat(crashes(), is(0));
+  }
+
+  @Test
+  void endIsFoundWhileRequestsGoOnFailing() {
+    for (int i = 0; i < 50; i++) {
+      lastOutcome = i < 20 ? EndCheck.Outcome.RUNNING : EndCheck.Outcome.ENDED;
+      suspect("i-1", CrashSuspicion.Kind.BROKEN_OFF);
+      advance(STEP_MS);
+    }
+    assertThat(crashes(), is(1));
+  }
+
   @Test
   void upstreamWithoutSuspicionsIsNotChecked() {
     monitor.checkIfSuspected(box("i-1"));
