--- a/core/src/main/java/org/shoreroad/quarantine/CrashHistory.java
+++ b/core/src/main/java/org/shoreroad/quarantine/CrashHistory.java
@@ -48,15 +48,21 @@
     return isOwn;
   }
 
-  /** Adds a crash; each upstream counts once, however often the request was sent to it. */
-  void add(Crash crash, long nowNanos) {
+  /**
+   * Adds a crash; each upstream counts once, however often the request was sent to it.
+   *
+   * @return true if it is new
+   */
+  boolean add(Crash crash, long nowNanos) {
     Crash known = crashes.get(crash.upstream());
     boolean isKnown = known != null && (known.hadJustBegun() || !crash.hadJustBegun());
-    if (!isKnown && (known != null || crashes.size() < MAX_CRASHES)) {
-      crashes.put(crash.upstream(), crash);
-      addedNanos.putIfAbsent(crash.upstream(), nowNanos);
-      changedNanos = nowNanos;
+    if (isKnown || (known == null && crashes.size() >= MAX_CRASHES)) {
+      return false;
     }
+    crashes.put(crash.upstream(), crash);
+    addedNanos.putIfAbsent(crash.upstream(), nowNanos);
+    changedNanos = nowNanos;
+    return true;
   }
 
   /** Marks all crashes so far as not caused by the request; returns true if one was not. */
@@ -66,14 +72,17 @@
     return hasChanged;
   }
 
-  /** Merges a report of another process. */
-  void merge(CrashReport report, long nowNanos) {
-    report.crashes().forEach(crash -> add(crash, nowNanos));
+  /** Merges a report of another process; returns true if it holds anything new. */
+  boolean merge(CrashReport report, long nowNanos) {
+    boolean hasChanged = false;
+    for (Crash crash : report.crashes()) {
+      hasChanged |= add(crash, nowNanos);
+    }
     for (Incarnation upstream : report.refuted()) {
-      if (crashes.containsKey(upstream) && refuted.add(upstream)) {
-        changedNanos = nowNanos;
-      }
+      hasChanged |= crashes.containsKey(upstream) && refuted.add(upstream);
     }
+    changedNanos = hasChanged ? nowNanos : changedNanos;
+    return hasChanged;
   }
 
   /** Records a time at which the request was seen; an earlier time than known has no effect. */
@@ -88,7 +97,7 @@
 
   /** Returns the number of crashes that aren't refuted. */
   int size() {
-    return crashes().size();
+    return crashes.size() - refuted.size();
   }
 
   /** Returns the number of crashes, not refuted, of upstreams that had just begun to answer. */
--- a/core/src/main/java/org/shoreroad/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/shoreroad/quarantine/CrashQuarantine.java
@@ -220,17 +220,18 @@
    * @return the requests whose quarantine begins by these reports
    */
   public Set<RequestFingerprint> applyReports(Collection<CrashReport> reports, long nowNanos) {
+    boolean hasChanged = false;
     for (CrashReport report : reports) {
       long idleNanos = TimeUnit.MILLISECONDS.toNanos(Math.max(0, report.idleMs()));
       boolean isOver = idleNanos >= KEEP_NANOS;
       boolean isNeedless = report.isRefuted() && !histories.containsKey(report.fingerprint());
       if (!isOver && !isNeedless) {
         CrashHistory history = historyOf(report.fingerprint(), nowNanos - idleNanos, nowNanos);
-        history.merge(report, nowNanos);
+        hasChanged |= history.merge(report, nowNanos);
         history.recordSeen(nowNanos - idleNanos);
       }
     }
-    return update(nowNanos);
+    return hasChanged ? update(nowNanos) : Set.of();
   }
 
   private CrashHistory historyOf(RequestFingerprint request, long seenNanos, long nowNanos) {
