CrashSuspicion: an answered request counts only if its upstream ends at once

Such a request counts now if the upstream ends within 0.3 s of the answer. That is found at once: idle connections that an upstream ends cause a check if it is suspected, and an answer without a stated end causes one, which opens the connection that it has cost.

answeredRequestsCountOnlyIfTheirUpstreamEndsRightAfterTheAnswer: red before; EndingUpstreamTest 8 of 8.

--- a/core/src/main/java/org/shoreroad/quarantine/CrashSuspicion.java
+++ b/core/src/main/java/org/shoreroad/quarantine/CrashSuspicion.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A request that an upstream had, and that crashed the upstream if it proves to have ended.
@@ -20,11 +21,29 @@
   /** How a request left an upstream. */
   public enum Kind {
     /** The connection ended, or was closed for a violation of the protocol, without an answer. */
-    BROKEN_OFF,
+    BROKEN_OFF(10_000),
     /** The upstream was silent until the request was moved, timed out or was given up. */
-    UNANSWERED,
-    /** The answer was a failure, or had no stated end, so that it may have been cut short. */
-    ANSWERED
+    UNANSWERED(10_000),
+    /** The answer had no stated end, so that it may have been cut short. */
+    UNFRAMED(300),
+    /** The answer was a failure. */
+    FAILED(300);
+
+    private final int maxDelayMs;
+
+    Kind(int maxDelayMs) {
+      this.maxDelayMs = maxDelayMs;
+    }
+
+    /** Returns the time within which the upstream ends if the request has crashed it. */
+    long maxDelayNanos() {
+      return TimeUnit.MILLISECONDS.toNanos(maxDelayMs);
+    }
+
+    /** Returns true if the upstream had ended its answer, as far as could be seen. */
+    boolean isAnswered() {
+      return this == UNFRAMED || this == FAILED;
+    }
   }
 
   /**
@@ -36,6 +55,6 @@
     Objects.requireNonNull(crash, "crash");
     Objects.requireNonNull(kind, "kind");
     parts = Set.copyOf(parts);
-    crash = kind == Kind.ANSWERED ? new Crash(crash.upstream(), false) : crash;
+    crash = kind.isAnswered() ? new Crash(crash.upstream(), false) : crash;
   }
 }
--- a/core/src/main/java/org/shoreroad/quarantine/SuspectedCrashes.java
+++ b/core/src/main/java/org/shoreroad/quarantine/SuspectedCrashes.java
@@ -23,9 +23,6 @@
  * @since 0.2
  */
 public final class SuspectedCrashes {
-  /** Time within which an upstream ends that a request has crashed, and its end is found. */
-  private static final long KEEP_NANOS = TimeUnit.SECONDS.toNanos(10);
-
   /** Time for which the end of an upstream is remembered, for requests that fail after it. */
   private static final long KEEP_ENDED_NANOS = TimeUnit.SECONDS.toNanos(3);
 
@@ -41,6 +38,10 @@
   private int size;
 
   private record Entry(CrashSuspicion suspicion, long nanos, boolean isUndecided) {
+    boolean isExpired(long nowNanos) {
+      return nowNanos - nanos >= suspicion.kind().maxDelayNanos();
+    }
+
     Entry withDecision() {
       return new Entry(suspicion, nanos, false);
     }
@@ -57,7 +58,7 @@
     }
     Incarnation upstream = suspicion.crash().upstream();
     if (endedNanos.containsKey(upstream)) {
-      return true;
+      return !suspicion.kind().isAnswered();
     }
     if (size >= MAX_SUSPICIONS) {
       removeOldest();
@@ -147,7 +148,7 @@
     while (all.hasNext()) {
       Map.Entry<Incarnation, Map<RequestFingerprint, Entry>> ofUpstream = all.next();
       int before = ofUpstream.getValue().size();
-      ofUpstream.getValue().values().removeIf(entry -> nowNanos - entry.nanos() >= KEEP_NANOS);
+      ofUpstream.getValue().values().removeIf(entry -> entry.isExpired(nowNanos));
       size -= before - ofUpstream.getValue().size();
       if (ofUpstream.getValue().isEmpty()) {
         all.remove();
--- a/edge/src/main/java/org/shoreroad/edge/UpstreamAccess.java
+++ b/edge/src/main/java/org/shoreroad/edge/UpstreamAccess.java
@@ -110,6 +110,7 @@
     selector.setPaths(calls::isReachable, calls::isPathLost);
     relay.crashMonitor().setEndCheck(endCheck);
     fleet.addRemovalListener(relay.crashMonitor()::onRemoved);
+    paths.setIdleEndListener(relay.crashMonitor()::onIdleConnectionEnded);
     stalls.setPathCheck(paths);
     paths.setLossListener(service -> handleLoss(service, upstreams, replicas));
     leases.setCondition(
--- a/edge/src/main/java/org/shoreroad/edge/http/HttpCalls.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/HttpCalls.java
@@ -92,6 +92,9 @@
 
           @Override
           public void onProbed(String address, boolean isSuccess) {}
+
+          @Override
+          public void onIdleEnded(String address) {}
         };
 
     /** Called when a connection is being opened for a call. */
@@ -102,6 +105,9 @@
 
     /** Called when a connection was opened or could not be opened to try the address. */
     void onProbed(String address, boolean isSuccess);
+
+    /** Called when the other side has ended an idle connection. */
+    void onIdleEnded(String address);
   }
 
   /** Sets the listener to the connections that this client opens. */
@@ -248,9 +254,14 @@
       idle.addFirst(connection);
     }
 
-    void remove(HttpConnection connection) {
+    /** Removes a connection; returns true if it was idle. */
+    boolean remove(HttpConnection connection) {
       all.remove(connection);
-      idle.remove(connection);
+      return idle.remove(connection);
+    }
+
+    void onIdleEnded() {
+      connectListener.onIdleEnded(address);
     }
 
     void closeExpired(long nowNanos) {
--- a/edge/src/main/java/org/shoreroad/edge/http/HttpConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/HttpConnection.java
@@ -245,15 +245,18 @@
   private void failCall(CallFailure.Reason reason) {
     HttpCall failed = call;
     call = null;
-    finish();
+    boolean wasIdle = finish();
     if (failed != null) {
       failed.fail(reason);
+    } else if (wasIdle) {
+      pool.onIdleEnded();
     }
   }
 
-  private void finish() {
+  /** Closes the connection; returns true if it was idle. */
+  private boolean finish() {
     close();
-    pool.remove(this);
+    return pool.remove(this);
   }
 
   /**
--- a/edge/src/main/java/org/shoreroad/edge/path/UpstreamPaths.java
+++ b/edge/src/main/java/org/shoreroad/edge/path/UpstreamPaths.java
@@ -63,6 +63,7 @@
   private final Set<Path> connecting = new HashSet<>();
   private final Set<Path> lost = new HashSet<>();
   private Consumer<String> lossListener = service -> {};
+  private Consumer<String> idleEndListener = address -> {};
   private long recheckedNanos = Long.MIN_VALUE / 2;
 
   /** Path to one address. */
@@ -133,6 +134,15 @@
     lossListener = listener;
   }
 
+  /**
+   * Sets the listener for idle connections that upstreams have ended.
+   *
+   * @param listener called with the address, not null
+   */
+  public void setIdleEndListener(Consumer<String> listener) {
+    idleEndListener = listener;
+  }
+
   /** Returns true if this process has no path to the upstream. */
   public boolean isLost(FleetBox box) {
     if (isServiceLost(box.service())) {
@@ -226,6 +236,11 @@
     }
   }
 
+  @Override
+  public void onIdleEnded(String address) {
+    idleEndListener.accept(address);
+  }
+
   private void recordConnection(Path path, boolean isSuccess) {
     if (isSuccess) {
       lost.remove(path);
--- a/edge/src/main/java/org/shoreroad/edge/relay/AttemptFailure.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/AttemptFailure.java
@@ -31,7 +31,7 @@
     return switch (this) {
       case DISCONNECTED, BROKEN -> CrashSuspicion.Kind.BROKEN_OFF;
       case STALLED -> CrashSuspicion.Kind.UNANSWERED;
-      case FAILED -> CrashSuspicion.Kind.ANSWERED;
+      case FAILED -> CrashSuspicion.Kind.FAILED;
       case NOT_SENT, REFUSED -> null;
     };
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/CrashMonitor.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/CrashMonitor.java
@@ -1,6 +1,7 @@
 package org.shoreroad.edge.relay;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -51,8 +52,20 @@
   /** Longest time for which a request is held back until its upstreams were checked. */
   private static final long HOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+  private static final int MAX_BOXES = 1_024;
+
   private final SuspectedCrashes suspicions = new SuspectedCrashes();
   private final Map<Incarnation, Watch> watches = new HashMap<>();
+
+  /** The upstreams that requests left lately without a proper answer, by address. */
+  private final Map<String, FleetBox> boxes =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, FleetBox> eldest) {
+          return size() > MAX_BOXES;
+        }
+      };
+
   private final LongSupplier clockNanos;
   private final RepeatingTimer timer;
   private final EventLog log;
@@ -73,9 +86,11 @@
     private boolean isScheduled;
     private boolean isChecking;
 
+    /** Creates a watch without later checks, which {@link #watchFrom} asks for. */
     Watch(FleetBox box, long nowNanos) {
       this.box = box;
       this.suspectedNanos = nowNanos;
+      this.followUps = FOLLOW_UPS_MS.length;
     }
   }
 
@@ -105,16 +120,45 @@
     long nowNanos = clockNanos.getAsLong();
     if (suspicions.add(suspicion, nowNanos)) {
       record(List.of(suspicion));
-    } else if (suspicion.kind() != CrashSuspicion.Kind.ANSWERED) {
-      Watch watch = watchOf(box);
-      watch.suspectedNanos = nowNanos;
-      watch.followUps = 0;
-      boolean isDue = nowNanos - watch.checkedNanos >= MIN_AGE_NANOS;
-      if (suspicion.kind() == CrashSuspicion.Kind.BROKEN_OFF && isDue) {
-        check(watch);
-      } else {
-        scheduleNext(watch);
+      return;
+    }
+    boxes.put(box.address(), box);
+    switch (suspicion.kind()) {
+      case BROKEN_OFF -> {
+        watchFrom(box, nowNanos);
+        checkIfDue(box);
+      }
+      case UNANSWERED -> scheduleNext(watchFrom(box, nowNanos));
+      case UNFRAMED -> {
+        // The check opens a connection that the next request needs anyway.
+        checkIfDue(box);
+        schedule(watchOf(box), CHECK_INTERVAL_MS);
       }
+      default -> {}
+    }
+  }
+
+  private Watch watchFrom(FleetBox box, long nowNanos) {
+    Watch watch = watchOf(box);
+    watch.suspectedNanos = nowNanos;
+    watch.followUps = 0;
+    return watch;
+  }
+
+  private void checkIfDue(FleetBox box) {
+    Watch watch = watchOf(box);
+    if (clockNanos.getAsLong() - watch.checkedNanos >= MIN_AGE_NANOS) {
+      check(watch);
+    } else {
+      scheduleNext(watch);
+    }
+  }
+
+  /** Checks the upstream at an address, since an idle connection to it has ended. */
+  public void onIdleConnectionEnded(String address) {
+    FleetBox box = boxes.get(address);
+    if (box != null && suspicions.isSuspected(box.incarnation())) {
+      checkIfDue(box);
     }
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestGuard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestGuard.java
@@ -124,8 +124,12 @@
 
   /** Records what the end of an answer shows: that the request crashes no upstream, or nothing. */
   void recordAnswer(Attempt answering, boolean isSuccess) {
-    if (!isSuccess || (!answering.isEndStated() && !answering.progress().isWellUnderWay())) {
-      suspect(answering, CrashSuspicion.Kind.ANSWERED);
+    if (!answering.isEndStated() && !answering.progress().isWellUnderWay()) {
+      suspect(answering, CrashSuspicion.Kind.UNFRAMED);
+      return;
+    }
+    if (!isSuccess) {
+      suspect(answering, CrashSuspicion.Kind.FAILED);
       return;
     }
     relay.quarantine().recordAnswer(this::fingerprint);
