--- a/edge/src/main/java/org/shoreroad/edge/relay/CrashMonitor.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/CrashMonitor.java
@@ -37,8 +37,8 @@
 
   private static final long MIN_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(CHECK_INTERVAL_MS);
 
-  /** Interval of checks of an upstream that can't be reached. */
-  private static final int UNREACHED_INTERVAL_MS = 300;
+  /** Interval of checks while an upstream is not reached, or no check is possible. */
+  private static final int UNCLEAR_INTERVAL_MS = 300;
 
   /** Times after the last failed request at which an upstream that runs is checked again. */
   private static final int[] FOLLOW_UPS_MS = {1_000, 3_000};
@@ -263,8 +263,8 @@
     Incarnation upstream = watch.box.incarnation();
     long sinceNanos = clockNanos.getAsLong() - watch.suspectedNanos;
     if (suspicions.isUndecided(upstream) && sinceNanos < GIVE_UP_NANOS) {
-      boolean isUnreached = watch.unreachedChecks > 0 || sinceNanos > HOLD_NANOS;
-      schedule(watch, isUnreached ? UNREACHED_INTERVAL_MS : CHECK_INTERVAL_MS + 1);
+      boolean isUnclear = watch.unreachedChecks > 0 || sinceNanos > HOLD_NANOS;
+      schedule(watch, isUnclear ? UNCLEAR_INTERVAL_MS : CHECK_INTERVAL_MS + 1);
     } else if (watch.followUps < FOLLOW_UPS_MS.length && suspicions.isSuspected(upstream)) {
       long dueMs = FOLLOW_UPS_MS[watch.followUps++];
       schedule(watch, Math.max(1, dueMs - TimeUnit.NANOSECONDS.toMillis(sinceNanos)));
