RequestGuard: a plain request runs at its upstream without a head to tell

A service without engines queues nothing that is known here, so that its open requests count as just begun: the one to blame counts at once and explains the others.

--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestGuard.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestGuard.java
@@ -115,13 +115,20 @@
   void suspect(Attempt attempt, CrashSuspicion.Kind kind) {
     boolean isWellUnderWay = attempt.progress().isWellUnderWay();
     FleetBox box = attempt.target().box();
-    Crash crash = new Crash(box.incarnation(), attempt.hasHead() && !isWellUnderWay);
+    boolean hasBegun = attempt.hasHead() || isPlain();
+    Crash crash = new Crash(box.incarnation(), hasBegun && !isWellUnderWay);
     Set<PromptPart> suspectedParts = isWellUnderWay ? Set.of() : sharedParts();
     relay
         .crashMonitor()
         .suspect(box, new CrashSuspicion(fingerprint(), suspectedParts, crash, kind));
   }
 
+  /** Returns true if no engine queues the request, so that it runs before its answer has a head. */
+  private boolean isPlain() {
+    UpstreamService admitting = service;
+    return admitting != null && admitting.engine() == null;
+  }
+
   /** Records what the end of an answer shows: that the request crashes no upstream, or nothing. */
   void recordAnswer(Attempt answering, boolean isSuccess) {
     if (!answering.isEndStated() && !answering.progress().isWellUnderWay()) {
--- a/edge/src/test/java/org/shoreroad/edge/relay/CrashingRequestTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/CrashingRequestTest.java
@@ -96,6 +96,17 @@
     assertThat(call("/again/crash"), startsWith("HTTP/1.1 503"));
   }
 
+  /** It has no head before its whole answer, and is not known to have waited. */
+  @Test
+  void aPlainRequestThatCrashesThreeUpstreamsBeforeItsAnswerIsQuarantinedAtOnce() throws Exception {
+    for (int i = 0; i < UPSTREAMS; i++) {
+      upstreams.add(upstream("i-" + i, (head, out, socket) -> false));
+    }
+    callRepeatedly("/again/crash");
+    assertThat(countArrivals("/again/crash"), is((long) CRASHES_ALLOWED));
+    assertThat(logged(), containsString("\"by\":\"crash\""));
+  }
+
   @Test
   void crashesOfAModelStreamAreCountedToo() throws Exception {
     startUpstreams(HEAD_PREFIX);
