UpstreamEndCheck: a refused connection shows no end while no path is known

Now the outcome is unknown, and an end counts once another incarnation or upstream takes the place of the one that has ended, which it does before requests can reach it.

refusedConnectionsShowNoEndWhileNoPathIsKnown: red before. EndingUpstreamTest 8 of 8, the one that ends all upstreams of a service too.

--- a/edge/src/main/java/org/shoreroad/edge/path/UpstreamEndCheck.java
+++ b/edge/src/main/java/org/shoreroad/edge/path/UpstreamEndCheck.java
@@ -14,9 +14,9 @@
  * Finds out by connections whether an upstream has ended.
  *
  * <p>A connection that is refused here shows the end of the upstream only if this process has a
- * path to the service; if not, another process is asked. If no process has a path, all upstreams of
- * the service may have ended at once, and a refused connection is taken for an end. Not
- * thread-safe: used on the event loop.
+ * path to the service; if not, another process is asked. If none has a path, all upstreams of the
+ * service may have ended at once, or all processes may be cut off: their replacement on the list
+ * shows an end. Not thread-safe: used on the event loop.
  *
  * @since 0.2
  */
@@ -72,7 +72,7 @@
       paths.confirm(
           box.service(), clockNanos.getAsLong(), isReached -> onRefused(box, isReached, callback));
     } else {
-      askOthers(box, false, callback);
+      askOthers(box, callback);
     }
   }
 
@@ -80,11 +80,11 @@
     if (isReached) {
       callback.accept(Outcome.ENDED);
     } else {
-      askOthers(box, true, callback);
+      askOthers(box, callback);
     }
   }
 
-  private void askOthers(FleetBox box, boolean isRefused, Consumer<Outcome> callback) {
+  private void askOthers(FleetBox box, Consumer<Outcome> callback) {
     forwards.probe(
         box,
         outcome ->
@@ -93,7 +93,7 @@
                   case CONNECTED -> Outcome.RUNNING;
                   case REFUSED -> Outcome.ENDED;
                   case UNREACHED -> Outcome.UNREACHED;
-                  case UNABLE -> isRefused ? Outcome.ENDED : Outcome.UNKNOWN;
+                  case UNABLE -> Outcome.UNKNOWN;
                 }));
   }
 }
