CrashMonitor: use BoundedMap; design pages on crashes and progress

Read through once more: the map of suspected boxes was a second bounded map, EndCheck.ENDED had the name of an outcome, and two design pages told what the code did before. No change of behaviour.

--- a/core/src/main/java/org/shoreroad/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/shoreroad/quarantine/CrashQuarantine.java
@@ -17,8 +17,7 @@
  * Quarantine of requests that crash upstreams: decides which requests are no longer sent to any.
  *
  * <p>The content of a request may crash every upstream that begins to run it, while its caller
- * retries it at any process. Without a quarantine one such request crashed 43 upstreams in a
- * minute, each with up to 32 requests of other callers.
+ * retries it at any process. Each crash also breaks off up to 32 requests of other callers.
  *
  * <p>A request is quarantined after three crashes, the number that the requirements allow. Two are
  * not enough evidence: requests that were open at one crash are moved together, so that harmless
--- a/edge/src/main/java/org/shoreroad/edge/relay/AnswerProgress.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/AnswerProgress.java
@@ -44,7 +44,7 @@
     lastNanos = nowNanos;
   }
 
-  /** Begins anew, after a pause of this process. */
+  /** Forgets the pieces so far, since reading was paused or resumed. */
   void restart() {
     pieces = 0;
   }
--- a/edge/src/main/java/org/shoreroad/edge/relay/CrashMonitor.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/CrashMonitor.java
@@ -1,7 +1,6 @@
 package org.shoreroad.edge.relay;
 
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -11,6 +10,7 @@
 import java.util.function.Supplier;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.RepeatingTimer;
+import org.shoreroad.edge.sync.BoundedMap;
 import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.fleet.Incarnation;
 import org.shoreroad.quarantine.CrashSuspicion;
@@ -58,13 +58,7 @@
   private final Map<Incarnation, Watch> watches = new HashMap<>();
 
   /** The upstreams that requests left lately without a proper answer, by address. */
-  private final Map<String, FleetBox> boxes =
-      new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, FleetBox> eldest) {
-          return size() > MAX_BOXES;
-        }
-      };
+  private final Map<String, FleetBox> boxes = new BoundedMap<>(MAX_BOXES);
 
   private final LongSupplier clockNanos;
   private final RepeatingTimer timer;
@@ -72,7 +66,7 @@
   private final RelayCounters counters;
   private final RequestQuarantine quarantine;
   private final PartGuard partGuard;
-  private EndCheck endCheck = EndCheck.ENDED;
+  private EndCheck endCheck = EndCheck.ASSUME_ENDED;
 
   /** Checks of one upstream. */
   private static final class Watch {
--- a/edge/src/main/java/org/shoreroad/edge/relay/EndCheck.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/EndCheck.java
@@ -11,7 +11,7 @@
 @FunctionalInterface
 public interface EndCheck {
   /** Takes each upstream for ended at which a request was broken off. */
-  EndCheck ENDED = (box, callback) -> callback.accept(Outcome.ENDED);
+  EndCheck ASSUME_ENDED = (box, callback) -> callback.accept(Outcome.ENDED);
 
   /** What a check has found. */
   enum Outcome {
