HttpConnection: check answers against RFC 9112 before they are decoded

What callers saw: an upstream's answer with status 000 arrived as "HTTP/1.1 0 OK" with its seal and body. The same with 0, 20, 099, 0200, 2000, 600, 999, +200, +20; with the version HTTP/2.0 or HTTP/0.9, in lower case, or as ICY; with control bytes in the status line. A field "X-A b: 1" arrived as "X-A: 1"; "Content-Length x: 2" and two lengths in HTTP/1.0 cut the body to another length; "X-Seal of: s" counted as a seal, "X-Not-Run x: 1" as a promise that nothing had run (503). Transfer codings that nobody decodes were passed on as plain bodies; blanks, zeros and other bytes after the size of a chunk were skipped.

Cause: the decoder of Netty accepts more than the grammar, on purpose, and cuts names at blanks before any handler sees them. Its result can't be told from a sound head, so that a list of exceptions behind it would miss the next form.

Change: AnswerCheck, before the decoder, checks the bytes as they come: status line, field lines, length, chunks, trailer (MessageSyntax and its parts). It passes on valid bytes of one answer at a time, keeps none and copies no body. A violation ends the call as malformed, which existed: it may have run, is repeated only where the route permits, counts as a failure of the upstream and closes the connection. It is counted and logged by reason. A connection on which more bytes follow an answer is not used again.

Refused: what the grammar does not derive, a status outside 100 to 599 (RFC 9110, 15), 101 (no upgrade is asked for), codings other than chunked alone, any in HTTP/1.0 (RFC 9112, 6.1). Accepted as before: what section 4 lets a recipient read in a status line, blanks before a colon and folded lines (mended by the decoder, 5.1 and 5.2), a length beside chunked (removed, 6.3). Lines that end with LF alone stay refused (2.2 permits both).

MessageSyntaxTest compares 20,000 changed answers, in random pieces, with the decoder: what both read ends at the same byte. Control bytes in names were refused before and are kept as tests. Cost: not measured yet.

--- a/edge/src/main/java/org/shoreroad/edge/UpstreamAccess.java
+++ b/edge/src/main/java/org/shoreroad/edge/UpstreamAccess.java
@@ -66,6 +66,11 @@
     this.peers = peers;
     this.fleet = fleet;
     RepeatingTimer timer = new RepeatingTimer(loop, log);
+    calls.setFaultListener(
+        (address, fault) -> {
+          metrics.count("shoreroad.answers.malformed", fault.code());
+          log.write("answer_malformed", "address", address, "fault", fault.code());
+        });
     this.paths =
         new UpstreamPaths(calls, clockNanos, random.split(), log, metrics, timer, fleet::boxes);
     this.forwards = new ForwardClient(loop, clockNanos, random.split(), log, metrics, peers);
--- a/edge/src/main/java/org/shoreroad/edge/http/HttpCalls.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/HttpCalls.java
@@ -10,6 +10,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -19,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
@@ -42,6 +44,7 @@
   private final int connectTimeoutMs;
   private final Map<String, AddressPool> pools = new HashMap<>();
   private ConnectListener connectListener = ConnectListener.NONE;
+  private BiConsumer<String, SyntaxFault> faultListener = (address, fault) -> {};
   private long connectionsOpened;
 
   /**
@@ -110,6 +113,15 @@
     void onIdleEnded(String address);
   }
 
+  /**
+   * Sets the listener to answers that are malformed.
+   *
+   * @param listener called with the address of the server and the reason, not null
+   */
+  public void setFaultListener(BiConsumer<String, SyntaxFault> listener) {
+    faultListener = listener;
+  }
+
   /** Sets the listener to the connections that this client opens. */
   public void setConnectListener(ConnectListener listener) {
     connectListener = listener;
@@ -260,6 +272,10 @@
       return idle.remove(connection);
     }
 
+    void onMalformed(SyntaxFault fault) {
+      faultListener.accept(address, fault);
+    }
+
     void onIdleEnded() {
       connectListener.onIdleEnded(address);
     }
@@ -292,14 +308,21 @@
         channel
             .pipeline()
             .addLast(
-                connection.newMonitor(),
-                new HttpClientCodec(
-                    MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, false),
-                connection);
+                connection.check(), new HttpClientCodec(decoderConfig(), false, false), connection);
       }
     };
   }
 
+  /**
+   * Returns the settings of the decoder, which reads only what {@link AnswerCheck} has passed on.
+   */
+  static HttpDecoderConfig decoderConfig() {
+    return new HttpDecoderConfig()
+        .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+        .setMaxHeaderSize(MAX_HEADER_BYTES)
+        .setMaxChunkSize(MAX_CHUNK_BYTES);
+  }
+
   /**
    * Parses a numeric {@code host:port} without a name lookup.
    *
--- a/edge/src/main/java/org/shoreroad/edge/http/HttpConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/HttpConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -40,12 +41,14 @@
   private static final String KEEP_ALIVE_TIMEOUT = "timeout=";
 
   private final HttpCalls.AddressPool pool;
+  private final AnswerCheck check = new AnswerCheck(this);
   private @Nullable Channel channel;
   private @Nullable HttpCall call;
   private boolean isSkipping;
   private boolean isKeptAlive = true;
   private boolean hasHead;
   private boolean hasServerEnded;
+  private boolean isFollowed;
   private long bytesBeforeHead;
   private long skippedBytes;
   private boolean isRequestWritten = true;
@@ -77,6 +80,7 @@
       return;
     }
     next.markSent();
+    check.expectAnswer(next.request().method().equals(HttpMethod.HEAD));
     isRequestWritten = false;
     open.writeAndFlush(next.request()).addListener(done -> isRequestWritten = done.isSuccess());
   }
@@ -87,6 +91,16 @@
     finish();
   }
 
+  /** Returns the handler that must precede the decoder. */
+  AnswerCheck check() {
+    return check;
+  }
+
+  /** Returns the open call, or null if there is none. */
+  @Nullable HttpCall call() {
+    return call;
+  }
+
   void setReading(boolean isReading) {
     if (channel != null) {
       channel.config().setAutoRead(isReading);
@@ -120,10 +134,9 @@
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
       if (call == null) {
-        // These bytes belong to no request.
-        finish();
+        endUnasked();
       } else if (((HttpObject) message).decoderResult().isFailure()) {
-        failCall(CallFailure.Reason.MALFORMED);
+        failMalformed(SyntaxFault.UNREADABLE);
       } else {
         readPart((HttpObject) message);
       }
@@ -156,9 +169,13 @@
     }
   }
 
-  /** Counts bytes that were received and have not led to the head of an answer. */
-  private void recordReceived(int bytes) {
-    if (call != null && !hasHead) {
+  /**
+   * Counts bytes that were received and have not led to the head of an answer.
+   *
+   * @param reading the call that was open before they were decoded
+   */
+  void recordReceived(@Nullable HttpCall reading, int bytes) {
+    if (call != null && call == reading && !hasHead) {
       bytesBeforeHead += bytes;
       if (bytesBeforeHead > MAX_BYTES_BEFORE_HEAD) {
         failCall(CallFailure.Reason.TOO_LONG);
@@ -183,7 +200,8 @@
 
   /**
    * Ends the call. A server may answer before it has read the request; the connection is then not
-   * reused, since the rest would be held until the server reads it.
+   * reused, since the rest would be held until the server reads it. Nor is it if more bytes follow,
+   * which must not be taken for the answer to the next request.
    */
   private void readEnd() {
     if (!isOpen() && !hasServerEnded) {
@@ -198,7 +216,7 @@
     }
     HttpCall ended = call;
     call = null;
-    if (isKeptAlive && isOpen() && isRequestWritten) {
+    if (isKeptAlive && !isFollowed && isOpen() && isRequestWritten) {
       setReading(true);
       pool.addIdle(this);
     } else {
@@ -242,6 +260,29 @@
     failCall(CallFailure.Reason.BROKEN);
   }
 
+  /** Ends the connection after bytes that belong to no request. */
+  void endUnasked() {
+    finish();
+  }
+
+  /** Sets whether more bytes were received with those of an answer that ends now. */
+  void setFollowed(boolean isFollowed) {
+    this.isFollowed = isFollowed;
+  }
+
+  /** Records that the server has ended the connection in order. */
+  void recordServerEnd() {
+    hasServerEnded = true;
+  }
+
+  /** Fails the call, since the received bytes are not a valid answer. */
+  void failMalformed(SyntaxFault fault) {
+    if (call != null) {
+      pool.onMalformed(fault);
+    }
+    failCall(CallFailure.Reason.MALFORMED);
+  }
+
   private void failCall(CallFailure.Reason reason) {
     HttpCall failed = call;
     call = null;
@@ -258,28 +299,4 @@
     close();
     return pool.remove(this);
   }
-
-  /**
-   * Creates the handler that counts the received bytes and records an orderly end by the server. It
-   * must precede the decoder, which passes on the end of an answer before this event.
-   */
-  ChannelInboundHandlerAdapter newMonitor() {
-    return new ChannelInboundHandlerAdapter() {
-      @Override
-      public void channelRead(ChannelHandlerContext context, Object message) {
-        int bytes = ((ByteBuf) message).readableBytes();
-        HttpCall reading = call;
-        context.fireChannelRead(message);
-        if (call == reading) {
-          recordReceived(bytes);
-        }
-      }
-
-      @Override
-      public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        hasServerEnded |= event instanceof ChannelInputShutdownEvent;
-        context.fireUserEventTriggered(event);
-      }
-    };
-  }
 }
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/http/StartLineSyntax.java
@@ -0,0 +1,13 @@
+package org.shoreroad.edge.http;
+
+/** Grammar of the first line of a message, on which the length of the body depends. */
+interface StartLineSyntax extends LineSyntax {
+  /** Returns the minor version of a complete line, from 0 to 9. */
+  int minorVersion();
+
+  /** Returns true if the message ends with its head, whatever the fields state. */
+  boolean isWithoutBody();
+
+  /** Returns true if a body of which no length is stated goes on until the connection ends. */
+  boolean isBodyUntilEnd();
+}
