ForwardedCall: check the heads that another process passes on

What callers saw: the head in a frame of another process was trusted. A status of 0, 20, 101 or 600, and a reason phrase with a zero byte, were answers; a name with a blank or a value with a line break threw, which closed the link and failed all other calls on it as forwarder_lost. A body or an end without a head was an answer too, and a name without a value was waited for until the deadline.

Cause: frames were taken for checked, but a process of an earlier release has not checked them.

Change: a head must have a final status, a reason phrase and fields that the grammar derives, and come once, before the body. Else this call alone fails as malformed (it may have run), and the other process is told to cancel it.

--- a/edge/src/main/java/org/shoreroad/edge/forward/ForwardMessage.java
+++ b/edge/src/main/java/org/shoreroad/edge/forward/ForwardMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import org.shoreroad.http.HttpGrammar;
 
 /**
  * Message between a process and the one that sends calls to upstreams for it.
@@ -71,6 +72,16 @@
     public Head {
       headers = List.copyOf(headers);
     }
+
+    /**
+     * Returns true if it is the head of a final answer under the grammar of HTTP. A process of an
+     * earlier release may send others.
+     */
+    boolean isWellFormed() {
+      return HttpGrammar.isFinalStatus(status)
+          && HttpGrammar.isText(reasonPhrase)
+          && HeaderFields.areWellFormed(headers);
+    }
   }
 
   /** Part of the body of an answer. */
--- a/edge/src/main/java/org/shoreroad/edge/forward/ForwardedCall.java
+++ b/edge/src/main/java/org/shoreroad/edge/forward/ForwardedCall.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Arrays;
@@ -36,6 +37,7 @@
   private @Nullable Forwarder forwarder;
   private boolean isPermitted;
   private boolean isSent;
+  private boolean hasHead;
   private boolean isOver;
 
   ForwardedCall(
@@ -111,18 +113,32 @@
   }
 
   void onHead(ForwardMessage.Head head) {
+    if (isOver) {
+      return;
+    }
+    if (hasHead || !head.isWellFormed() || !listener.onHead(toResponse(head))) {
+      failMalformed();
+    }
+    hasHead = true;
+  }
+
+  private static HttpResponse toResponse(ForwardMessage.Head head) {
     DefaultHttpResponse response =
         new DefaultHttpResponse(
             HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status(), head.reasonPhrase()));
     HeaderFields.addTo(response.headers(), head.headers());
-    if (!isOver && !listener.onHead(response)) {
-      abandon();
-      fail(CallFailure.Reason.MALFORMED, true);
-    }
+    return response;
+  }
+
+  private void failMalformed() {
+    abandon();
+    fail(CallFailure.Reason.MALFORMED, true);
   }
 
   void onContent(byte[] bytes) {
-    if (!isOver) {
+    if (!isOver && !hasHead) {
+      failMalformed();
+    } else if (!isOver) {
       ByteBuf content = Unpooled.wrappedBuffer(bytes);
       listener.onContent(content);
       content.release();
@@ -130,7 +146,9 @@
   }
 
   void onEnd() {
-    if (!isOver) {
+    if (!isOver && !hasHead) {
+      failMalformed();
+    } else if (!isOver) {
       end();
       listener.onEnd();
     }
--- a/edge/src/main/java/org/shoreroad/edge/forward/HeaderFields.java
+++ b/edge/src/main/java/org/shoreroad/edge/forward/HeaderFields.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.shoreroad.http.HttpGrammar;
 
 /** Conversion of HTTP headers to a list of names and values in turn, and back. Thread-safe. */
 final class HeaderFields {
@@ -24,4 +25,15 @@
       headers.add(fields.get(i), fields.get(i + 1));
     }
   }
+
+  /** Returns true if each name is a token and is followed by a value without control characters. */
+  static boolean areWellFormed(List<String> fields) {
+    for (int i = 0; i < fields.size(); i += 2) {
+      boolean hasValue = i + 1 < fields.size() && HttpGrammar.isText(fields.get(i + 1));
+      if (!hasValue || !HttpGrammar.isToken(fields.get(i))) {
+        return false;
+      }
+    }
+    return true;
+  }
 }
--- a/edge/src/test/java/org/shoreroad/edge/forward/FakeProcess.java
+++ b/edge/src/test/java/org/shoreroad/edge/forward/FakeProcess.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.LongFunction;
 
 /**
  * Another process at the end of a link, which handles messages on forwarded calls in a fixed way.
@@ -15,6 +16,7 @@
 final class FakeProcess implements AutoCloseable {
   private final ServerSocket listening;
   private final Behavior behavior;
+  private final LongFunction<List<ForwardMessage>> answer;
   private final List<Long> calls = new CopyOnWriteArrayList<>();
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
 
@@ -33,11 +35,27 @@
   }
 
   FakeProcess(Behavior behavior) throws IOException {
+    this(behavior, FakeProcess::emptyAnswer);
+  }
+
+  /** Creates a process that answers each call with the messages for its number. */
+  FakeProcess(LongFunction<List<ForwardMessage>> answer) throws IOException {
+    this(Behavior.ANSWERS, answer);
+  }
+
+  private FakeProcess(Behavior behavior, LongFunction<List<ForwardMessage>> answer)
+      throws IOException {
     this.behavior = behavior;
+    this.answer = answer;
     listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     start(this::accept);
   }
 
+  private static List<ForwardMessage> emptyAnswer(long number) {
+    return List.of(
+        new ForwardMessage.Head(number, 200, "OK", List.of()), new ForwardMessage.End(number));
+  }
+
   String address() {
     return "127.0.0.1:" + listening.getLocalPort();
   }
@@ -101,8 +119,9 @@
     } else if (isCall && behavior == Behavior.WITHOUT_PATH) {
       send(out, new ForwardMessage.Failed(number, "PATH_LOST", false));
     } else if (isCall) {
-      send(out, new ForwardMessage.Head(number, 200, "OK", List.of()));
-      send(out, new ForwardMessage.End(number));
+      for (ForwardMessage part : answer.apply(number)) {
+        send(out, part);
+      }
     }
     return true;
   }
--- a/edge/src/test/java/org/shoreroad/edge/forward/ForwardClientTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/forward/ForwardClientTest.java
@@ -19,8 +19,11 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.shoreroad.edge.EdgeMetrics;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.forward.FakeProcess.Behavior;
@@ -45,11 +48,22 @@
   private ForwardClient client;
 
   private void start(Behavior... behaviors) throws Exception {
-    Map<String, String> addresses = new TreeMap<>();
     for (Behavior behavior : behaviors) {
-      FakeProcess process = new FakeProcess(behavior);
-      addresses.put("front-" + processes.size() + "~a", process.address());
-      processes.add(process);
+      processes.add(new FakeProcess(behavior));
+    }
+    startClient();
+  }
+
+  /** Starts one process that answers each call with the messages for its number. */
+  private void startAnswering(LongFunction<List<ForwardMessage>> answer) throws Exception {
+    processes.add(new FakeProcess(answer));
+    startClient();
+  }
+
+  private void startClient() throws Exception {
+    Map<String, String> addresses = new TreeMap<>();
+    for (int i = 0; i < processes.size(); i++) {
+      addresses.put("front-" + i + "~a", processes.get(i).address());
     }
     client =
         new ForwardClient(
@@ -156,6 +170,78 @@
     assertThat(call(), is("forwarder_lost sent"));
   }
 
+  /** An earlier release passes on heads that are no answers. */
+  @ParameterizedTest
+  @CsvSource({
+    "0, OK, X-A, 1",
+    "-200, OK, X-A, 1",
+    "20, OK, X-A, 1",
+    "100, Continue, X-A, 1",
+    "101, Switching, X-A, 1",
+    "600, OK, X-A, 1",
+    "200, 'O\0K', X-A, 1",
+    "200, 'O\nK', X-A, 1",
+    "200, OK, 'X-A b', 1",
+    "200, OK, 'X-A\0', 1",
+    "200, OK, '', 1",
+    "200, OK, X-A, 'a\r\nX-B: 1'",
+    "200, OK, X-A, 'a\0'"
+  })
+  void malformedHeadFromAnotherProcessIsNoAnswer(
+      int status, String reason, String name, String value) throws Exception {
+    startAnswering(
+        number ->
+            List.of(
+                new ForwardMessage.Head(number, status, reason, List.of(name, value)),
+                new ForwardMessage.End(number)));
+    assertThat(call(), is("malformed sent"));
+  }
+
+  @Test
+  void namesWithoutValueFromAnotherProcessAreNoAnswer() throws Exception {
+    startAnswering(
+        number -> List.of(new ForwardMessage.Head(number, 200, "OK", List.of("X-A", "1", "X-B"))));
+    assertThat(call(), is("malformed sent"));
+  }
+
+  @Test
+  void bodyBeforeItsHeadFromAnotherProcessIsNoAnswer() throws Exception {
+    startAnswering(
+        number ->
+            List.of(
+                new ForwardMessage.Content(number, new byte[1]),
+                new ForwardMessage.Head(number, 200, "OK", List.of()),
+                new ForwardMessage.End(number)));
+    assertThat(call(), is("malformed sent"));
+  }
+
+  @Test
+  void endBeforeItsHeadFromAnotherProcessIsNoAnswer() throws Exception {
+    startAnswering(number -> List.of(new ForwardMessage.End(number)));
+    assertThat(call(), is("malformed sent"));
+  }
+
+  @Test
+  void secondHeadFromAnotherProcessIsNoAnswer() throws Exception {
+    startAnswering(
+        number ->
+            List.of(
+                new ForwardMessage.Head(number, 200, "OK", List.of()),
+                new ForwardMessage.Head(number, 200, "OK", List.of()),
+                new ForwardMessage.End(number)));
+    assertThat(call(), is("malformed sent"));
+  }
+
+  @Test
+  void unusualHeadFromAnotherProcessIsAnAnswer() throws Exception {
+    startAnswering(
+        number ->
+            List.of(
+                new ForwardMessage.Head(number, 599, "", List.of("x-a", "", "1", "caf\u00e9 \t.")),
+                new ForwardMessage.End(number)));
+    assertThat(call(), is("answered"));
+  }
+
   @Test
   void probeOfSuspendedProcessEnds() throws Exception {
     start(Behavior.SUSPENDED);
