MessageSyntax: move to the core, without buffers of Netty

The daemon's clients need the same check, and the core does no input or output: it reads a ByteBuffer now. Whether a request had the method HEAD is kept in one place. The comparison with the decoder of Netty stays in edge, as AnswerCheckTest.

--- a/edge/src/main/java/org/shoreroad/edge/http/ChunkLineSyntax.java
+++ b/core/src/main/java/org/shoreroad/http/ChunkLineSyntax.java
@@ -1,7 +1,6 @@
-package org.shoreroad.edge.http;
+package org.shoreroad.http;
 
 import org.jspecify.annotations.Nullable;
-import org.shoreroad.http.HttpGrammar;
 
 /**
  * Grammar of the line before the data of a chunk: the size, and extensions after a semicolon. Not
--- a/edge/src/main/java/org/shoreroad/edge/http/FieldLinesSyntax.java
+++ b/core/src/main/java/org/shoreroad/http/FieldLinesSyntax.java
@@ -1,8 +1,7 @@
-package org.shoreroad.edge.http;
+package org.shoreroad.http;
 
 import java.nio.charset.StandardCharsets;
 import org.jspecify.annotations.Nullable;
-import org.shoreroad.http.HttpGrammar;
 
 /**
  * Grammar of field lines up to the empty line after them. Keeps the values that state the length of
--- a/edge/src/main/java/org/shoreroad/edge/http/LineSyntax.java
+++ b/core/src/main/java/org/shoreroad/http/LineSyntax.java
@@ -1,4 +1,4 @@
-package org.shoreroad.edge.http;
+package org.shoreroad.http;
 
 import org.jspecify.annotations.Nullable;
 
--- a/edge/src/main/java/org/shoreroad/edge/http/MessageSyntax.java
+++ b/core/src/main/java/org/shoreroad/http/MessageSyntax.java
@@ -1,18 +1,16 @@
-package org.shoreroad.edge.http;
+package org.shoreroad.http;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.util.ByteProcessor;
+import java.nio.ByteBuffer;
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
-import org.shoreroad.http.BodyLength;
 
 /**
  * Check of the messages that arrive on a connection against the grammar of RFC 9112.
  *
- * <p>The decoder is lenient: it cuts names of fields at blanks, reads numbers that are no status,
- * and skips bytes between chunks, so that what it returns can't be told from a sound message. The
- * bytes are therefore checked before they are decoded. Bodies are not looked at, and no bytes are
- * kept. Not thread-safe.
+ * <p>Libraries that decode messages are lenient: they cut names of fields at blanks, read numbers
+ * that are no status, and skip bytes between chunks, so that what they return can't be told from a
+ * sound message. The bytes are therefore checked before they are decoded. Bodies are not looked at,
+ * and no bytes are kept. Not thread-safe.
  *
  * @since 0.2
  */
@@ -20,11 +18,10 @@
   private final StartLineSyntax startLine;
   private final FieldLinesSyntax fields = new FieldLinesSyntax();
   private final ChunkLineSyntax chunkLine = new ChunkLineSyntax();
-  private final ByteProcessor processor = this::process;
   private Part part = Part.START_LINE;
   private LineSyntax lines;
-  private LineSyntax.Outcome outcome = LineSyntax.Outcome.MORE;
   private long dataBytes;
+  private boolean isToHead;
   private @Nullable SyntaxFault fault;
 
   private enum Part {
@@ -38,30 +35,43 @@
     OVER
   }
 
-  MessageSyntax(StartLineSyntax startLine) {
+  private MessageSyntax(StartLineSyntax startLine) {
     this.startLine = startLine;
     this.lines = startLine;
   }
 
+  /** Creates a check of answers. */
+  public static MessageSyntax ofAnswers() {
+    return new MessageSyntax(new StatusLineSyntax());
+  }
+
+  /**
+   * Expects the answer to a request.
+   *
+   * @param isToHead true if the request has the method HEAD, so that its answer has no body
+   */
+  public void expectAnswer(boolean isToHead) {
+    this.isToHead = isToHead;
+  }
+
   /**
    * Checks bytes up to the end of the message or to the first byte that violates the grammar. After
    * the end of a message, the next one begins.
    *
-   * @param bytes the bytes, whose indices are not changed
+   * @param bytes the bytes from the position to the limit, which are not changed, not null
    * @return the number of bytes that are valid, which are all unless the message is over or there
    *     is a fault
    */
-  public int read(ByteBuf bytes) {
+  public int read(ByteBuffer bytes) {
     if (part == Part.OVER) {
       moveTo(Part.START_LINE, startLine);
     }
-    int start = bytes.readerIndex();
-    int end = bytes.writerIndex();
-    int at = start;
+    int end = bytes.limit();
+    int at = bytes.position();
     while (at < end && part != Part.OVER && fault == null) {
       at = isData() ? skipData(at, end) : readLines(bytes, at, end);
     }
-    return at - start;
+    return at - bytes.position();
   }
 
   /** Returns true if the bytes that were checked last end a message. */
@@ -99,22 +109,20 @@
     chunkLine.expectEndOfData();
   }
 
-  private int readLines(ByteBuf bytes, int at, int end) {
-    int last = bytes.forEachByte(at, end - at, processor);
-    if (last < 0) {
-      return end;
-    }
-    if (outcome == LineSyntax.Outcome.FAULT) {
-      fault = Objects.requireNonNull(lines.fault(), "fault");
-    } else {
-      endLines();
+  /** Returns the index after the last valid byte of the lines. */
+  private int readLines(ByteBuffer bytes, int from, int end) {
+    for (int at = from; at < end; at++) {
+      LineSyntax.Outcome outcome = lines.accept(bytes.get(at) & 0xff);
+      if (outcome == LineSyntax.Outcome.FAULT) {
+        fault = Objects.requireNonNull(lines.fault(), "fault");
+        return at;
+      }
+      if (outcome == LineSyntax.Outcome.END) {
+        endLines();
+        return fault == null ? at + 1 : at;
+      }
     }
-    return fault == null ? last + 1 : last;
-  }
-
-  private boolean process(byte next) {
-    outcome = lines.accept(next & 0xff);
-    return outcome == LineSyntax.Outcome.MORE;
+    return end;
   }
 
   private void endLines() {
@@ -146,7 +154,10 @@
     String codings = fields.codings();
     String lengths = fields.lengths();
     long length = lengths == null ? 0 : BodyLength.parse(lengths);
-    if (startLine.isWithoutBody()) {
+    boolean isWithoutBody = isToHead || startLine.isWithoutBody();
+    // Only one answer belongs to the request.
+    isToHead = isToHead && !startLine.isFinal();
+    if (isWithoutBody) {
       part = Part.OVER;
     } else if (length == BodyLength.INVALID) {
       fault = SyntaxFault.LENGTH;
--- a/edge/src/main/java/org/shoreroad/edge/http/StartLineSyntax.java
+++ b/core/src/main/java/org/shoreroad/http/StartLineSyntax.java
@@ -1,4 +1,4 @@
-package org.shoreroad.edge.http;
+package org.shoreroad.http;
 
 /** Grammar of the first line of a message, on which the length of the body depends. */
 interface StartLineSyntax extends LineSyntax {
@@ -8,6 +8,9 @@
   /** Returns true if the message ends with its head, whatever the fields state. */
   boolean isWithoutBody();
 
+  /** Returns false for an informational head, which precedes the answer. */
+  boolean isFinal();
+
   /** Returns true if a body of which no length is stated goes on until the connection ends. */
   boolean isBodyUntilEnd();
 }
--- a/edge/src/main/java/org/shoreroad/edge/http/StatusLineSyntax.java
+++ b/core/src/main/java/org/shoreroad/http/StatusLineSyntax.java
@@ -1,7 +1,6 @@
-package org.shoreroad.edge.http;
+package org.shoreroad.http;
 
 import org.jspecify.annotations.Nullable;
-import org.shoreroad.http.HttpGrammar;
 
 /**
  * Grammar of a status line.
@@ -20,7 +19,6 @@
   private State state = State.BEFORE;
   private int status;
   private int digits;
-  private boolean isToHead;
   private @Nullable SyntaxFault fault;
 
   private enum State {
@@ -32,15 +30,8 @@
     LINE_FEED
   }
 
-  /** Sets whether the request had the method HEAD, which has an answer without a body. */
-  void setToHead(boolean isHead) {
-    isToHead = isHead;
-  }
-
   @Override
   public void reset() {
-    // One answer to each request; the decoder counts in the same way.
-    isToHead = isToHead && !HttpGrammar.isFinalStatus(status);
     version.reset();
     state = State.BEFORE;
     status = 0;
@@ -123,10 +114,12 @@
 
   @Override
   public boolean isWithoutBody() {
-    return isToHead
-        || !HttpGrammar.isFinalStatus(status)
-        || status == NO_CONTENT
-        || status == NOT_MODIFIED;
+    return !isFinal() || status == NO_CONTENT || status == NOT_MODIFIED;
+  }
+
+  @Override
+  public boolean isFinal() {
+    return HttpGrammar.isFinalStatus(status);
   }
 
   @Override
--- a/edge/src/main/java/org/shoreroad/edge/http/SyntaxFault.java
+++ b/core/src/main/java/org/shoreroad/http/SyntaxFault.java
@@ -1,4 +1,4 @@
-package org.shoreroad.edge.http;
+package org.shoreroad.http;
 
 import java.util.Locale;
 
--- a/edge/src/main/java/org/shoreroad/edge/http/VersionSyntax.java
+++ b/core/src/main/java/org/shoreroad/http/VersionSyntax.java
@@ -1,6 +1,4 @@
-package org.shoreroad.edge.http;
-
-import org.shoreroad.http.HttpGrammar;
+package org.shoreroad.http;
 
 /**
  * Grammar of the version {@code HTTP/1.x}, of which later minor versions are read as 1.1. Not
--- a/edge/src/main/java/org/shoreroad/edge/http/AnswerCheck.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/AnswerCheck.java
@@ -4,6 +4,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import org.shoreroad.http.MessageSyntax;
+import org.shoreroad.http.SyntaxFault;
 
 /**
  * Handler before the decoder of a connection to a server, which passes on only bytes that are valid
@@ -14,8 +16,7 @@
  */
 final class AnswerCheck extends ChannelInboundHandlerAdapter {
   private final HttpConnection connection;
-  private final StatusLineSyntax statusLine = new StatusLineSyntax();
-  private final MessageSyntax syntax = new MessageSyntax(statusLine);
+  private final MessageSyntax syntax = MessageSyntax.ofAnswers();
 
   AnswerCheck(HttpConnection connection) {
     this.connection = connection;
@@ -23,7 +24,7 @@
 
   /** Expects the answer to a request. */
   void expectAnswer(boolean isToHead) {
-    statusLine.setToHead(isToHead);
+    syntax.expectAnswer(isToHead);
   }
 
   @Override
@@ -44,7 +45,7 @@
 
   /** Passes on valid bytes of one answer. */
   private void passOn(ChannelHandlerContext context, ByteBuf bytes) {
-    int valid = syntax.read(bytes);
+    int valid = syntax.read(bytes.nioBuffer());
     SyntaxFault fault = syntax.fault();
     if (valid > 0) {
       connection.setFollowed(syntax.isOver() && valid < bytes.readableBytes());
--- a/edge/src/main/java/org/shoreroad/edge/http/HttpCalls.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/HttpCalls.java
@@ -25,6 +25,7 @@
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.fleet.FleetBox;
+import org.shoreroad.http.SyntaxFault;
 
 /**
  * HTTP client with a pool of keep-alive connections for each address.
--- a/edge/src/main/java/org/shoreroad/edge/http/HttpConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/HttpConnection.java
@@ -15,6 +15,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.shoreroad.http.SyntaxFault;
 
 /**
  * Keep-alive connection that carries one call at a time and is closed at any protocol violation.
--- a/edge/src/test/java/org/shoreroad/edge/http/MessageSyntaxTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/http/AnswerCheckTest.java
@@ -3,7 +3,6 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
-import static org.hamcrest.Matchers.nullValue;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -16,11 +15,9 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.shoreroad.http.MessageSyntax;
 
-class MessageSyntaxTest {
+class AnswerCheckTest {
   private static final int SEEDS = 20_000;
   private static final int MAX_CHANGES = 3;
   private static final int FAILED = -1;
@@ -35,94 +32,12 @@
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
               + "4;a=b\r\nbody\r\nA ;c\r\n0123456789\r\n00\r\nX-B: 1\r\n\r\n");
 
-  private final StatusLineSyntax statusLine = new StatusLineSyntax();
-  private final MessageSyntax syntax = new MessageSyntax(statusLine);
-
   private static ByteBuf bytes(String text) {
     return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
   }
 
-  private int read(String text) {
-    ByteBuf bytes = bytes(text);
-    int count = syntax.read(bytes);
-    bytes.release();
-    return count;
-  }
-
-  @Test
-  void eachMessageIsReadToItsEnd() {
-    for (String answer : ANSWERS) {
-      assertThat(answer, read(answer + "more"), is(answer.length()));
-      assertThat(answer, syntax.isOver(), is(true));
-      assertThat(answer, syntax.fault(), is(nullValue()));
-    }
-  }
-
-  @Test
-  void eachMessageIsReadByteByByte() {
-    for (String answer : ANSWERS) {
-      for (int i = 0; i < answer.length(); i++) {
-        assertThat(read(answer.substring(i, i + 1)), is(1));
-        assertThat(answer + i, syntax.isOver(), is(i == answer.length() - 1));
-      }
-    }
-  }
-
-  @ParameterizedTest
-  @CsvSource({
-    "'HTTP/1.1\0', START_LINE",
-    "'HTTP/1.1 000', STATUS",
-    "'HTTP/1.1 101', UPGRADE",
-    "'HTTP/1.1 200 OK|X-A b', FIELD_NAME",
-    "'HTTP/1.1 200 OK|X-A: \0', FIELD_VALUE",
-    "'HTTP/1.1 200 OK|Content-Length: a||', LENGTH",
-    "'HTTP/1.1 200 OK|Transfer-Encoding: a||', TRANSFER_CODING",
-    "'HTTP/1.1 200 OK|Transfer-Encoding: chunked||4x', CHUNK",
-    "'HTTP/1.1 200 OK|Transfer-Encoding: chunked||0|X-A b', FIELD_NAME"
-  })
-  void faultIsNamedAtItsFirstByte(String text, SyntaxFault expected) {
-    String sent = text.replace("|", "\r\n");
-    boolean isOfStatus = expected == SyntaxFault.STATUS || expected == SyntaxFault.UPGRADE;
-    // The status is complete only before the next byte.
-    int valid = read(isOfStatus ? sent + " " : sent);
-    assertThat(syntax.fault(), is(expected));
-    if (!isOfStatus && expected != SyntaxFault.FIELD_NAME) {
-      assertThat(valid, is(sent.length() - 1));
-    }
-  }
-
-  @Test
-  void longValueThatStatesTheLengthIsAFault() {
-    read("HTTP/1.1 200 OK\r\nContent-Length: " + "1,".repeat(1_000) + "1\r\n\r\n");
-    assertThat(syntax.fault(), is(SyntaxFault.LENGTH));
-  }
-
-  @Test
-  void answerWithoutLengthIsNeverOver() {
-    String answer = "HTTP/1.0 200 OK\r\n\r\nbody HTTP/1.1 000\r\n\0";
-    assertThat(read(answer), is(answer.length()));
-    assertThat(syntax.isOver(), is(false));
-  }
-
-  @Test
-  void answerToHeadHasNoBody() {
-    String answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
-    statusLine.setToHead(true);
-    assertThat(read("HTTP/1.1 100 Go\r\n\r\n"), is("HTTP/1.1 100 Go\r\n\r\n".length()));
-    assertThat(read(answer), is(answer.length()));
-    assertThat(syntax.isOver(), is(true));
-    assertThat(read(answer + "body"), is(answer.length() + "body".length()));
-  }
-
-  @ParameterizedTest
-  @ValueSource(strings = {"\r\n", "\r\n\r\n", " ", "\t \r\n"})
-  void blanksBeforeTheStatusLineAreSkipped(String before) {
-    read(before + ANSWERS.get(0));
-    assertThat(syntax.isOver(), is(true));
-  }
-
   /**
-   * What is accepted must be decoded as this class reads it, in whatever pieces it comes: where the
+   * What is accepted must be decoded as the check reads it, in whatever pieces it comes: where the
    * two differed on the length of a body, bytes of one answer would be taken for another one.
    */
   @Test
@@ -133,7 +48,7 @@
       String answer = change(ANSWERS.get(random.nextInt(ANSWERS.size())), random);
       EmbeddedChannel decoder =
           new EmbeddedChannel(new HttpResponseDecoder(HttpCalls.decoderConfig()));
-      MessageSyntax checked = new MessageSyntax(new StatusLineSyntax());
+      MessageSyntax checked = MessageSyntax.ofAnswers();
       boolean isOver = passOn(answer, checked, decoder, random);
       int ends = endCount(decoder);
       if (ends != FAILED) {
@@ -165,7 +80,7 @@
     ByteBuf all = bytes(answer);
     while (all.isReadable() && !checked.isOver() && checked.fault() == null) {
       ByteBuf piece = all.readSlice(1 + random.nextInt(all.readableBytes()));
-      int valid = checked.read(piece);
+      int valid = checked.read(piece.nioBuffer());
       decoder.writeInbound(piece.readBytes(valid));
     }
     all.release();
