HttpClients: read only valid answers in the daemon

What callers saw: the daemon's clients took what OkHttp had read. A plain service's status 000 or 099 reached the caller; a body of four bytes in a chunk of three was passed on as three bytes that looked whole, since OkHttp skips what follows a chunk up to the next line; two lengths, "+4", a transfer coding that nobody decodes and names with blanks or control bytes were accepted. A negative status threw an unchecked exception, so that the call had no answer.

Cause: as on the edge, the library reads heads and chunks leniently, and nothing looked at the bytes before it.

Change: all clients of the daemon (plain services, engines, log, list of boxes) come from HttpClients. Their sockets check the received bytes with the MessageSyntax of the core; the first byte that belongs to no answer fails the read as an IOException, which each client handles already (may have run, unless nothing was sent). A length that is valid but that OkHttp misses (a blank before the colon, a list, a fold) fails the call too, since the body would end wherever the connection ends. Requests with the method HEAD close their connection, as the check does not know the method.

--- a/daemon/src/main/java/org/shoreroad/daemon/gateway/ServiceClient.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/gateway/ServiceClient.java
@@ -19,6 +19,7 @@
 import org.shoreroad.Verdict;
 import org.shoreroad.config.ServiceSpec;
 import org.shoreroad.daemon.http.AnswerBody;
+import org.shoreroad.daemon.http.HttpClients;
 import org.shoreroad.daemon.intent.IntentClient;
 import org.shoreroad.daemon.owner.DispatchGuard;
 import org.shoreroad.daemon.owner.EngineClient;
@@ -37,8 +38,7 @@
 
   private final GatewayContext context;
   private final OkHttpClient client =
-      DispatchGuard.addTo(new OkHttpClient.Builder())
-          .retryOnConnectionFailure(false)
+      DispatchGuard.addTo(HttpClients.newBuilder())
           .followRedirects(false)
           .connectTimeout(Duration.ofSeconds(1))
           .build();
--- a/daemon/src/main/java/org/shoreroad/daemon/owner/EngineClient.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/owner/EngineClient.java
@@ -26,6 +26,7 @@
 import org.shoreroad.Box;
 import org.shoreroad.LoadName;
 import org.shoreroad.daemon.http.AnswerBody;
+import org.shoreroad.daemon.http.HttpClients;
 import org.shoreroad.daemon.request.Submission;
 import org.shoreroad.daemon.settings.Settings;
 import org.shoreroad.replica.BoxReport;
@@ -75,8 +76,7 @@
   @Inject
   public EngineClient(Settings settings) {
     OkHttpClient base =
-        new OkHttpClient.Builder()
-            .retryOnConnectionFailure(false)
+        HttpClients.newBuilder()
             .followRedirects(false)
             .connectTimeout(Duration.ofMillis(ORDER_TIMEOUT_MS))
             .build();
--- a/daemon/src/main/java/org/shoreroad/daemon/platform/HttpBoxList.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/platform/HttpBoxList.java
@@ -11,6 +11,7 @@
 import okhttp3.Response;
 import org.shoreroad.Box;
 import org.shoreroad.daemon.http.AnswerBody;
+import org.shoreroad.daemon.http.HttpClients;
 import org.shoreroad.placement.ListedBox;
 
 /**
@@ -25,10 +26,7 @@
 
   private final ObjectMapper mapper = new ObjectMapper();
   private final OkHttpClient client =
-      new OkHttpClient.Builder()
-          .retryOnConnectionFailure(false)
-          .callTimeout(Duration.ofMillis(CALL_TIMEOUT_MS))
-          .build();
+      HttpClients.newBuilder().callTimeout(Duration.ofMillis(CALL_TIMEOUT_MS)).build();
   private final Request request;
 
   /** Creates a client of the list at this base URL. */
--- a/daemon/src/main/java/org/shoreroad/daemon/platform/HttpPlatformLog.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/platform/HttpPlatformLog.java
@@ -15,6 +15,7 @@
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 import org.shoreroad.daemon.http.AnswerBody;
+import org.shoreroad.daemon.http.HttpClients;
 
 /**
  * Accesses the log over HTTP: {@code POST} and {@code GET /streams/NAME/records} with MessagePack
@@ -38,10 +39,7 @@
   public HttpPlatformLog(String url) {
     this.base = HttpUrl.get(url);
     this.client =
-        new OkHttpClient.Builder()
-            .retryOnConnectionFailure(false)
-            .connectTimeout(Duration.ofMillis(CALL_TIMEOUT_MS))
-            .build();
+        HttpClients.newBuilder().connectTimeout(Duration.ofMillis(CALL_TIMEOUT_MS)).build();
   }
 
   @Override
