OpsClient: a malformed answer leaves the outcome of a change unknown

What operators saw: an answer with status 000, 099 or 600, or with a control byte in a field, was reported as a refusal of the change (exit code 1), although the change may have been accepted; one with a malformed name was a success, and a negative status ended the command with a stack trace.

Cause: the status and the fields were taken as OkHttp reads them, leniently.

Change: an answer whose status is not final or whose fields the grammar does not derive is none. After a change the command ends with 6 (not known whether it was accepted), after a query with 3.

--- a/cli/src/main/java/org/shoreroad/cli/OpsClient.java
+++ b/cli/src/main/java/org/shoreroad/cli/OpsClient.java
@@ -3,22 +3,31 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.net.ProtocolException;
 import java.time.Duration;
+import okhttp3.Interceptor;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
 import org.jspecify.annotations.Nullable;
+import org.shoreroad.http.HttpGrammar;
 
 /** Client of the operators' port of one process. Thread-safe. */
 final class OpsClient {
   private static final MediaType YAML = MediaType.get("application/yaml");
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
+  private static final String UNKNOWN_OUTCOME =
+      " (the change may still take effect; check with the status command)";
 
   private final ObjectMapper mapper = new ObjectMapper();
   private final OkHttpClient client =
-      new OkHttpClient.Builder().callTimeout(TIMEOUT).retryOnConnectionFailure(false).build();
+      new OkHttpClient.Builder()
+          .callTimeout(TIMEOUT)
+          .retryOnConnectionFailure(false)
+          .addNetworkInterceptor(OpsClient::checkAnswer)
+          .build();
   private final String url;
   private final String token;
 
@@ -27,6 +36,27 @@
     this.token = token;
   }
 
+  /** Checks an answer as far as OkHttp, which is lenient with heads, has read it. */
+  private static Response checkAnswer(Interceptor.Chain chain) throws IOException {
+    Response response;
+    try {
+      response = chain.proceed(chain.request());
+    } catch (IllegalStateException e) {
+      // A negative status.
+      throw new ProtocolException("malformed answer: " + e.getMessage());
+    }
+    boolean isWellFormed = HttpGrammar.isFinalStatus(response.code());
+    for (int i = 0; i < response.headers().size(); i++) {
+      isWellFormed &= HttpGrammar.isToken(response.headers().name(i).stripTrailing());
+      isWellFormed &= HttpGrammar.isText(response.headers().value(i));
+    }
+    if (!isWellFormed) {
+      response.close();
+      throw new ProtocolException("malformed answer");
+    }
+    return response;
+  }
+
   JsonNode get(String call) {
     return call(new Request.Builder(), call, null);
   }
@@ -49,6 +79,11 @@
         return answer;
       }
       throw toException(answer.path("error"), response.code());
+    } catch (ProtocolException e) {
+      String message = url + " sent no valid answer: " + e.getMessage();
+      throw body == null
+          ? new CommandException(ExitCode.UNREACHABLE, message)
+          : new CommandException(ExitCode.UNKNOWN, message + UNKNOWN_OUTCOME);
     } catch (IOException e) {
       throw new CommandException(
           ExitCode.UNREACHABLE, url + " can't be reached: " + e.getMessage());
@@ -59,9 +94,7 @@
     String code = error.path("code").asText("status " + status);
     String message = code + ": " + error.path("message").asText();
     if (error.path("verdict").asText().equals("may_have_run")) {
-      return new CommandException(
-          ExitCode.UNKNOWN,
-          message + " (the change may still take effect; check with the status command)");
+      return new CommandException(ExitCode.UNKNOWN, message + UNKNOWN_OUTCOME);
     }
     return new CommandException(
         switch (code) {
