CallerServer: check requests against RFC 9112 before they are decoded

What callers could do: the decoder read bytes as a request that another HTTP implementation reads differently, the way in which one request is smuggled inside another. Two lengths in HTTP/1.0 (the first was taken), transfer codings that nobody decodes (with a following request read out of the body), both a length and a coding, blanks and zeros after the size of a chunk, other versions and protocol names, control bytes in the request line.

Cause: the same leniency of the decoder as for answers.

Change: RequestCheck, before the decoder, uses the same MessageSyntax with the grammar of a request line. A violation is refused as malformed_request (400) after the answers to the requests before it, as the decoder's own failures are, and the connection ends. A request with a length and a coding is refused too, which RFC 9112 permits (6.3); for answers the coding still overrides the length.

Tests: BrokenRequestTest failed 25 of 84 before, none now; its 14 cases of unusual or earlier sound requests passed before and pass now. CallerServerTest 14, none failed.

--- a/core/src/main/java/org/shoreroad/http/MessageSyntax.java
+++ b/core/src/main/java/org/shoreroad/http/MessageSyntax.java
@@ -45,6 +45,11 @@
     return new MessageSyntax(new StatusLineSyntax());
   }
 
+  /** Creates a check of requests. */
+  public static MessageSyntax ofRequests() {
+    return new MessageSyntax(new RequestLineSyntax());
+  }
+
   /**
    * Expects the answer to a request.
    *
@@ -161,9 +166,12 @@
       part = Part.OVER;
     } else if (length == BodyLength.INVALID) {
       fault = SyntaxFault.LENGTH;
+    } else if (codings != null && lengths != null && startLine.isRequest()) {
+      // An intermediary that goes by the length would see another request in the body.
+      fault = SyntaxFault.LENGTH;
     } else if (codings != null) {
       endHeadOfChunks(codings);
-    } else if (lengths != null || !startLine.isBodyUntilEnd()) {
+    } else if (lengths != null || startLine.isRequest()) {
       dataBytes = length;
       part = length == 0 ? Part.OVER : Part.BODY;
     } else {
--- a/core/src/main/java/org/shoreroad/http/StartLineSyntax.java
+++ b/core/src/main/java/org/shoreroad/http/StartLineSyntax.java
@@ -11,6 +11,6 @@
   /** Returns false for an informational head, which precedes the answer. */
   boolean isFinal();
 
-  /** Returns true if a body of which no length is stated goes on until the connection ends. */
-  boolean isBodyUntilEnd();
+  /** Returns true for a request, which has no body unless it states a length. */
+  boolean isRequest();
 }
--- a/core/src/main/java/org/shoreroad/http/StatusLineSyntax.java
+++ b/core/src/main/java/org/shoreroad/http/StatusLineSyntax.java
@@ -123,8 +123,8 @@
   }
 
   @Override
-  public boolean isBodyUntilEnd() {
-    return true;
+  public boolean isRequest() {
+    return false;
   }
 
   @Override
--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
@@ -318,10 +318,17 @@
     }
   }
 
+  /** Refuses bytes that are no request, after the answers to the requests before them. */
+  void refuseMalformed() {
+    if (!isRefusingInput) {
+      refuse(HttpResponseStatus.BAD_REQUEST, "malformed_request");
+    }
+  }
+
   private void refuseInput(HttpObject part, Throwable cause) {
     boolean isTooLong = cause instanceof TooLongFrameException;
     if (!isTooLong) {
-      refuse(HttpResponseStatus.BAD_REQUEST, "malformed_request");
+      refuseMalformed();
     } else if (String.valueOf(cause.getMessage()).contains("header")) {
       refuse(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large");
     } else {
--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
@@ -270,6 +270,7 @@
           .pipeline()
           .addLast(
               new ByteMonitor(connection),
+              new RequestCheck(connection),
               new HttpServerCodec(
                   MAX_INITIAL_LINE_BYTES, limits().maxHeaderBytes(), MAX_CHUNK_BYTES),
               connection);
