HttpCalls: read several equal lengths of an answer as one

What callers saw: 502 for a sound answer whose length was stated twice, as "4, 4" or in two fields. RFC 9112 (6.3) has such an answer processed with the one value.

Cause: the decoder refuses repeated lengths unless told otherwise.

Change: it is told. Different lengths are refused before, by MessageSyntax, and by the decoder.

Tests: UnusualAnswerTest#repeatedLengthIsReadAsOne failed in 3 of 3 cases before, none now; BrokenAnswerTest 152, none failed. Requests with repeated lengths stay refused.

--- a/edge/src/main/java/org/shoreroad/edge/http/HttpCalls.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/HttpCalls.java
@@ -321,7 +321,9 @@
     return new HttpDecoderConfig()
         .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
         .setMaxHeaderSize(MAX_HEADER_BYTES)
-        .setMaxChunkSize(MAX_CHUNK_BYTES);
+        .setMaxChunkSize(MAX_CHUNK_BYTES)
+        // Equal ones are one length (RFC 9112, 6.3); others have been refused before.
+        .setAllowDuplicateContentLengths(true);
   }
 
   /**
--- a/edge/src/test/java/org/shoreroad/edge/relay/UnusualAnswerTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UnusualAnswerTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.startsWith;
 
@@ -111,6 +112,20 @@
     checkIsAnswer("HTTP/1.1 200 OK\r\n" + FIELDS + rest);
   }
 
+  /** RFC 9112, 6.3: several equal lengths are one length. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Content-Length: 4, 4\\r\\n",
+        "Content-Length: 4\\r\\nContent-Length: 4\\r\\n",
+        "Content-Length: 4,4\\r\\nX-A: 1\\r\\ncontent-length: 4\\r\\n"
+      })
+  void repeatedLengthIsReadAsOne(String lengths) throws Exception {
+    String answer = checkIsAnswer("HTTP/1.1 200 OK\r\n" + FIELDS + lengths + "\r\nbody");
+    assertThat(answer.toLowerCase(), containsString("content-length: 4\r\n"));
+    assertThat(answer, endsWith("\r\n\r\nbody"));
+  }
+
   @ParameterizedTest
   @ValueSource(
       strings = {
