WholeCallTest: malformed reports and answers of the store prove nothing

Status reports, orders, the list and the store are read over the same connections. The test also holds the reasons under which malformed answers are counted.

--- a/edge/src/test/java/org/shoreroad/edge/http/WholeCallTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/http/WholeCallTest.java
@@ -15,13 +15,18 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.shoreroad.http.SyntaxFault;
 
-/** Guards the calls that collect their answers against answers that never end. */
+/** Guards the calls that collect their answers against answers that never end, or are none. */
 class WholeCallTest {
   private static final int TIMEOUT_MS = 5_000;
   private static final int PROMPT_MS = 2_000;
@@ -32,6 +37,7 @@
   private final HttpCalls calls = new HttpCalls(loop, System::nanoTime, 500);
   private final CompletableFuture<String> ended = new CompletableFuture<>();
   private final CompletableFuture<Boolean> closed = new CompletableFuture<>();
+  private final List<SyntaxFault> faults = new CopyOnWriteArrayList<>();
   private ServerSocket server;
 
   @BeforeEach
@@ -46,6 +52,13 @@
   }
 
   private String callEndless(String start, String piece) throws Exception {
+    writeEndless(start, piece);
+    String outcome = call();
+    assertThat(closed.get(PROMPT_MS, TimeUnit.MILLISECONDS), is(true));
+    return outcome;
+  }
+
+  private void writeEndless(String start, String piece) {
     byte[] pieces = piece.repeat(1_000).getBytes(StandardCharsets.UTF_8);
     Thread writer =
         new Thread(
@@ -62,6 +75,9 @@
             });
     writer.setDaemon(true);
     writer.start();
+  }
+
+  private String call() throws Exception {
     String address = "127.0.0.1:" + server.getLocalPort();
     DefaultFullHttpRequest request =
         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
@@ -78,9 +94,26 @@
           }
         };
     loop.submit(() -> WholeCall.send(calls, loop, address, request, TIMEOUT_MS, callback)).sync();
-    String outcome = ended.get(PROMPT_MS, TimeUnit.MILLISECONDS);
-    assertThat(closed.get(PROMPT_MS, TimeUnit.MILLISECONDS), is(true));
-    return outcome;
+    return ended.get(PROMPT_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Reports of upstreams and answers of the store are read in this way; they prove something. */
+  @ParameterizedTest
+  @CsvSource({
+    "'HTTP/1.1 +200 OK|Content-Length: 2||{}', STATUS",
+    "'HTTP/1.1 000 OK|Content-Length: 2||{}', STATUS",
+    "'HTTP/1.1 200 OK|X-Era 2: 7|Content-Length: 2||{}', FIELD_NAME",
+    "'HTTP/1.1 200 OK|Content-Length x: 1|Content-Length: 2||{}', FIELD_NAME",
+    "'HTTP/1.0 200 OK|Content-Length: 1|Content-Length: 2||{}', LENGTH",
+    "'HTTP/1.1 200 OK|Transfer-Encoding: gzip|Content-Length: 2||{}', TRANSFER_CODING",
+    "'HTTP/1.1 200 OK|Transfer-Encoding: chunked||1|{}|0||', CHUNK",
+    "'HTTP/1.1 101 Switching|||', UPGRADE"
+  })
+  void malformedAnswerIsNoAnswerAndIsCounted(String answer, SyntaxFault expected) throws Exception {
+    loop.submit(() -> calls.setFaultListener((address, fault) -> faults.add(fault))).sync();
+    writeEndless(answer.replace("|", "\r\n"), "");
+    assertThat(call(), is("malformed, sent"));
+    assertThat(faults, is(List.of(expected)));
   }
 
   @Test
