EventSplitter: an id with a control byte is not a number

What callers could miss: an event with "id: 5\0" was taken for event 5 and dropped if the caller had that one, though a receiver of event streams ignores such an id. The id was trimmed of all bytes up to a space.

Change: spaces and the carriage return of the line end are removed, nothing else. A control byte in the name of a field makes it another field, which was so before and is kept as a test: the grammar of event streams permits it, and the event is passed on unchanged.

--- a/edge/src/main/java/org/shoreroad/edge/relay/EventSplitter.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/EventSplitter.java
@@ -119,15 +119,26 @@
       int lineEnd = lineFeed < 0 ? end : lineFeed;
       if (isIdField(event, lineStart, lineEnd)) {
         int valueStart = lineStart + ID_FIELD.length();
-        String value =
-            event.toString(valueStart, lineEnd - valueStart, StandardCharsets.ISO_8859_1);
-        return Decimals.parse(value.trim(), NO_ID);
+        return parseId(
+            event.toString(valueStart, lineEnd - valueStart, StandardCharsets.ISO_8859_1));
       }
       lineStart = lineEnd + 1;
     }
     return NO_ID;
   }
 
+  private static long parseId(String value) {
+    int start = 0;
+    int end = value.endsWith("\r") ? value.length() - 1 : value.length();
+    while (start < end && value.charAt(start) == ' ') {
+      start++;
+    }
+    while (end > start && value.charAt(end - 1) == ' ') {
+      end--;
+    }
+    return Decimals.parse(value.substring(start, end), NO_ID);
+  }
+
   private static boolean isIdField(ByteBuf event, int lineStart, int lineEnd) {
     if (lineEnd - lineStart < ID_FIELD.length()) {
       return false;
--- a/edge/src/test/java/org/shoreroad/edge/relay/EventSplitterTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/EventSplitterTest.java
@@ -54,6 +54,21 @@
     assertThat(ids, contains(-1L, -1L));
   }
 
+  /** Such a name is one that receivers ignore; the event is passed on unchanged. */
+  @Test
+  void aFieldWithAControlByteInItsNameIsNoId() {
+    String event = "\0id: 1\ni\u0001d: 2\nid\0: 3\nid : 4\ndata: a\n\n";
+    add(event);
+    assertThat(events, contains(event));
+    assertThat(ids, contains(-1L));
+  }
+
+  @Test
+  void anIdWithAControlByteIsNotANumber() {
+    add("id: 1\0\n\nid:\u0001 2\n\nid: 3\u001f\r\n\r\nid:\u000b4\n\n");
+    assertThat(ids, contains(-1L, -1L, -1L, -1L));
+  }
+
   @Test
   void theFirstIdFieldOfAnEventIsUsed() {
     add("data: id: 9\nid:5\r\nid: 6\n\n");
