AnswerCheck, RequestCheck: pass a buffer on unsplit where it holds one message

Cause: each received buffer was split off as a slice, also where all of it belongs to one message, as nearly always.

Change: such a buffer is passed on itself.

--- a/edge/src/main/java/org/shoreroad/edge/caller/RequestCheck.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/RequestCheck.java
@@ -23,18 +23,18 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     ByteBuf bytes = (ByteBuf) message;
-    try {
-      while (bytes.isReadable() && syntax.fault() == null) {
-        int valid = syntax.read(bytes.nioBuffer());
-        if (valid > 0) {
-          context.fireChannelRead(bytes.readRetainedSlice(valid));
-        }
-        if (syntax.fault() != null) {
-          connection.refuseMalformed();
-        }
+    while (bytes.isReadable() && syntax.fault() == null) {
+      int valid = syntax.read(bytes.nioBuffer());
+      if (valid == bytes.readableBytes()) {
+        // Most often all bytes belong to one request, so that they need not be split.
+        context.fireChannelRead(bytes);
+        return;
+      }
+      context.fireChannelRead(bytes.readRetainedSlice(valid));
+      if (syntax.fault() != null) {
+        connection.refuseMalformed();
       }
-    } finally {
-      bytes.release();
     }
+    bytes.release();
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/http/AnswerCheck.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/AnswerCheck.java
@@ -30,32 +30,34 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     ByteBuf bytes = (ByteBuf) message;
-    try {
-      while (bytes.isReadable() && syntax.fault() == null) {
-        if (connection.call() == null) {
-          connection.endUnasked();
-          return;
-        }
-        passOn(context, bytes);
+    while (bytes.isReadable()) {
+      if (connection.call() == null) {
+        connection.endUnasked();
+        break;
+      }
+      int valid = syntax.read(bytes.nioBuffer());
+      if (valid == bytes.readableBytes()) {
+        // Most often all bytes belong to one answer, so that they need not be split.
+        connection.setFollowed(false);
+        passOn(context, bytes, valid);
+        return;
+      }
+      connection.setFollowed(syntax.isOver());
+      passOn(context, bytes.readRetainedSlice(valid), valid);
+      SyntaxFault fault = syntax.fault();
+      if (fault != null) {
+        connection.failMalformed(fault);
+        break;
       }
-    } finally {
-      bytes.release();
     }
+    bytes.release();
   }
 
-  /** Passes on valid bytes of one answer. */
-  private void passOn(ChannelHandlerContext context, ByteBuf bytes) {
-    int valid = syntax.read(bytes.nioBuffer());
-    SyntaxFault fault = syntax.fault();
-    if (valid > 0) {
-      connection.setFollowed(syntax.isOver() && valid < bytes.readableBytes());
-      HttpCall reading = connection.call();
-      context.fireChannelRead(bytes.readRetainedSlice(valid));
-      connection.recordReceived(reading, valid);
-    }
-    if (fault != null) {
-      connection.failMalformed(fault);
-    }
+  /** Passes on valid bytes of one answer, which the decoder releases. */
+  private void passOn(ChannelHandlerContext context, ByteBuf bytes, int count) {
+    HttpCall reading = connection.call();
+    context.fireChannelRead(bytes);
+    connection.recordReceived(reading, count);
   }
 
   @Override
--- a/edge/src/test/java/org/shoreroad/edge/relay/UnusualAnswerTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UnusualAnswerTest.java
@@ -3,10 +3,14 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.startsWith;
 
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -20,6 +24,8 @@
   private static final String BODY = "Content-Length: 4\r\n\r\nbody";
   private static final String CHUNKS = "4\r\nbody\r\n0\r\n\r\n";
 
+  private static final int CALLS = 6;
+
   private String answerTo(String bytes) throws Exception {
     String plain =
         bytes.replace("\\r", "\r").replace("\\n", "\n").replace("\\t", "\t").replace("\\xe9", "é");
@@ -181,6 +187,22 @@
     checkIsAnswer(heads + "HTTP/1.1 200 OK\r\n" + FIELDS + BODY);
   }
 
+  @Test
+  void connectionIsUsedAgainAfterInformationalHead() throws Exception {
+    Set<Socket> seen = ConcurrentHashMap.newKeySet();
+    upstream(
+        "i-1",
+        (head, out, socket) -> {
+          seen.add(socket);
+          write(out, "HTTP/1.1 103 Hints\r\n\r\n" + wholeAnswer(head, "served"));
+          return true;
+        });
+    for (int i = 0; i < CALLS; i++) {
+      assertThat(call("/once/x"), endsWith("\r\n\r\nserved"));
+    }
+    assertThat("connections", seen.size(), is(1));
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"400 Bad", "404 No", "418 Teapot", "451 Law", "500 No", "599 No"})
   void unusualStatusIsPassedOn(String status) throws Exception {
