--- a/core/src/main/java/org/shoreroad/http/LineSyntax.java
+++ b/core/src/main/java/org/shoreroad/http/LineSyntax.java
@@ -2,7 +2,7 @@
 
 import org.jspecify.annotations.Nullable;
 
-/** Grammar of a part of a message, which is checked byte by byte. Not thread-safe. */
+/** Grammar of the lines of one part of a message, checked byte by byte. Not thread-safe. */
 interface LineSyntax {
   /** Outcome of a byte. */
   enum Outcome {
