--- a/edge/src/test/java/org/shoreroad/edge/caller/BrokenRequestTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/caller/BrokenRequestTest.java
@@ -23,19 +23,18 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.shoreroad.edge.RawBytes;
 import org.shoreroad.traffic.CallerLimits;
 
 /**
  * Guards against bytes of callers that form no request under RFC 9112 and are run as one, such as a
  * request inside the body of another one; and against a check that refuses sound ones.
  *
- * <p>In the parameters, {@code \r}, {@code \n}, {@code \t} and {@code \xNN} stand for single bytes.
+ * <p>Parameters are written as for {@link RawBytes#parse}.
  */
 class BrokenRequestTest {
   private static final CallerLimits LIMITS = new CallerLimits(2_000, 1_000, 300, 600);
   private static final int READ_TIMEOUT_MS = 10_000;
-  private static final int HEX = 16;
-  private static final int HEX_DIGITS = 2;
 
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private final EventLoop loop = group.next();
@@ -71,24 +70,11 @@
   private String send(String text) throws IOException {
     try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
       socket.setSoTimeout(READ_TIMEOUT_MS);
-      socket.getOutputStream().write(unescape(text).getBytes(StandardCharsets.ISO_8859_1));
+      socket.getOutputStream().write(RawBytes.parse(text));
       return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
     }
   }
 
-  private static String unescape(String text) {
-    String escaped = text.replace("\\r", "\r").replace("\\n", "\n").replace("\\t", "\t");
-    StringBuilder plain = new StringBuilder();
-    int from = 0;
-    for (int at = escaped.indexOf("\\x"); at >= 0; at = escaped.indexOf("\\x", from)) {
-      int end = at + 2 + HEX_DIGITS;
-      plain.append(escaped, from, at);
-      plain.append((char) Integer.parseInt(escaped.substring(at + 2, end), HEX));
-      from = end;
-    }
-    return plain.append(escaped.substring(from)).toString();
-  }
-
   private void checkIsRefused(String request) throws IOException {
     String answer = send(request);
     assertThat(answer, startsWith("HTTP/1.1 400"));
--- a/edge/src/test/java/org/shoreroad/edge/relay/BrokenAnswerTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/BrokenAnswerTest.java
@@ -10,24 +10,22 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.shoreroad.edge.RawBytes;
 
 /**
  * Guards against bytes of upstreams that form no answer under RFC 9112 and reach callers as one.
  * The request may have run, so it is repeated only where its route permits that.
  *
- * <p>In the parameters, {@code \r}, {@code \n}, {@code \t} and {@code \xNN} stand for single bytes.
+ * <p>Parameters are written as for {@link RawBytes#parse}.
  */
 class BrokenAnswerTest extends LoopbackRelay {
   private static final int PROMPT_MS = 1_000;
   private static final int CALLS = 6;
-  private static final int HEX = 16;
-  private static final int HEX_DIGITS = 2;
 
   private static final String FIELDS = "X-Attempt: a1\r\nX-Seal: s\r\n";
   private static final String BODY = "Content-Length: 4\r\n\r\nbody";
@@ -50,23 +48,10 @@
   }
 
   private static void writeRaw(OutputStream out, String text) throws IOException {
-    out.write(unescape(text).getBytes(StandardCharsets.ISO_8859_1));
+    out.write(RawBytes.parse(text));
     out.flush();
   }
 
-  private static String unescape(String text) {
-    String escaped = text.replace("\\r", "\r").replace("\\n", "\n").replace("\\t", "\t");
-    StringBuilder plain = new StringBuilder();
-    int from = 0;
-    for (int at = escaped.indexOf("\\x"); at >= 0; at = escaped.indexOf("\\x", from)) {
-      int end = at + 2 + HEX_DIGITS;
-      plain.append(escaped, from, at);
-      plain.append((char) Integer.parseInt(escaped.substring(at + 2, end), HEX));
-      from = end;
-    }
-    return plain.append(escaped.substring(from)).toString();
-  }
-
   private void checkIsNoAnswer(String bytes) throws Exception {
     upstream("i-1", raw(bytes));
     String answer = call("/once/x");
--- a/edge/src/test/java/org/shoreroad/edge/relay/UnusualAnswerTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UnusualAnswerTest.java
@@ -8,16 +8,16 @@
 import static org.hamcrest.Matchers.startsWith;
 
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.shoreroad.edge.RawBytes;
 
 /**
  * Guards against a check of answers that refuses sound ones: each of these is an answer under RFC
- * 9112, or one that it lets a recipient read.
+ * 9112, or one that it lets a recipient read. Parameters are written as for {@link RawBytes#parse}.
  */
 class UnusualAnswerTest extends LoopbackRelay {
   private static final String FIELDS = "X-Attempt: a1\r\nX-Seal: s\r\n";
@@ -27,12 +27,10 @@
   private static final int CALLS = 6;
 
   private String answerTo(String bytes) throws Exception {
-    String plain =
-        bytes.replace("\\r", "\r").replace("\\n", "\n").replace("\\t", "\t").replace("\\xe9", "é");
     upstream(
         "i-1",
         (head, out, socket) -> {
-          out.write(plain.getBytes(StandardCharsets.ISO_8859_1));
+          out.write(RawBytes.parse(bytes));
           out.flush();
           return false;
         });
@@ -75,7 +73,7 @@
         "X-A: \\t 1 \\t ",
         "X-A: a b\\tc",
         "X-A: caf\\xe9",
-        "x-a: \\\"(),/:;<=>?@[]{}",
+        "x-a: \"(),/:;<=>?@[]{}",
         "!#$%&'*+-.^_`|~09az: 1",
         "1: 1",
         "X-A: 1\\r\\nX-A: 2"
@@ -165,7 +163,7 @@
       strings = {
         "0004\\r\\nbody\\r\\n0\\r\\n\\r\\n",
         "4;a\\r\\nbody\\r\\n0\\r\\n\\r\\n",
-        "4;a=b;c=\\\"d e\\\"\\r\\nbody\\r\\n0;z\\r\\n\\r\\n",
+        "4;a=b;c=\"d e\"\\r\\nbody\\r\\n0;z\\r\\n\\r\\n",
         "4 ; a = b\\r\\nbody\\r\\n0\\r\\n\\r\\n",
         "00000000004\\r\\nbody\\r\\n000\\r\\n\\r\\n",
         "4\\r\\nbody\\r\\n0\\r\\nX-A: 1\\r\\nX-B:\\r\\n\\r\\n",
