--- a/edge/src/test/java/org/shoreroad/edge/relay/UnusualAnswerTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UnusualAnswerTest.java
@@ -202,7 +202,8 @@
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"400 Bad", "404 No", "418 Teapot", "451 Law", "500 No", "599 No"})
+  @ValueSource(
+      strings = {"299 Odd", "400 Bad", "404 No", "418 Teapot", "451 Law", "500 No", "599 No"})
   void unusualStatusIsPassedOn(String status) throws Exception {
     String answer = answerTo("HTTP/1.1 " + status + "\r\n" + FIELDS + BODY);
     assertThat(answer, startsWith("HTTP/1.1 " + status + "\r\n"));
