TopicFollower: isolate the failure of one record

Cause: whatever left a listener went through the callback of the read into the connection. The listing was not finished, no read followed, nothing was logged. Change: each record and each listing is passed on by a listener that catches the failure, counts it (shoreroad_store_records_failed_total, by topic) and logs it with the key, the offset, the reason and the place (record_failed). All topics that are followed use it: list, configuration, processes. An OutOfMemoryError is still not caught: the heap is not certain after it.

--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -449,7 +450,11 @@
 
   private TopicFollower follower(
       Topic topic, int waitMs, IntSupplier minIntervalMs, TopicFollower.Listener listener) {
-    return new TopicFollower(topic, store, loop, clockNanos, log, waitMs, minIntervalMs, listener);
+    TopicFollower follower =
+        new TopicFollower(topic, store, loop, clockNanos, log, waitMs, minIntervalMs, listener);
+    String reason = topic.name().toLowerCase(Locale.ROOT);
+    follower.setFailureListener(() -> metrics.count("shoreroad.store.records_failed", reason));
+    return follower;
   }
 
   private int configWaitMs() {
--- /dev/null
+++ b/edge/src/main/java/org/shoreroad/edge/sync/IsolatingListener.java
@@ -0,0 +1,68 @@
+package org.shoreroad.edge.sync;
+
+import java.util.Set;
+import org.shoreroad.edge.EventLog;
+
+/**
+ * Listener that passes records on to another one and keeps the failure of one record from the
+ * records after it.
+ *
+ * <p>Other writers write to the topics, so a record may cause a failure that nobody foresaw.
+ * Without isolation it would end the reads of its topic, and the process would learn of no later
+ * change. Not thread-safe: used on the event loop.
+ */
+final class IsolatingListener implements TopicFollower.Listener {
+  private final Topic topic;
+  private final TopicFollower.Listener delegate;
+  private final EventLog log;
+  private Runnable failureListener = () -> {};
+
+  IsolatingListener(Topic topic, TopicFollower.Listener delegate, EventLog log) {
+    this.topic = topic;
+    this.delegate = delegate;
+    this.log = log;
+  }
+
+  /** Sets the listener that is called at each failure. */
+  void setFailureListener(Runnable listener) {
+    failureListener = listener;
+  }
+
+  @Override
+  public void onRecord(StoreRecord record) {
+    isolate(record.key(), record.position(), () -> delegate.onRecord(record));
+  }
+
+  @Override
+  public void onListed(Set<String> keys, StorePosition end) {
+    isolate("", end, () -> delegate.onListed(keys, end));
+  }
+
+  private void isolate(String key, StorePosition position, Runnable call) {
+    try {
+      call.run();
+    } catch (RuntimeException | LinkageError | StackOverflowError e) {
+      // The memory is intact after these errors, unlike after an OutOfMemoryError.
+      String place = e.getStackTrace().length == 0 ? "" : e.getStackTrace()[0].toString();
+      noteFailure(key, position, String.valueOf(e), place);
+    }
+  }
+
+  private void noteFailure(String key, StorePosition position, String why, String place) {
+    failureListener.run();
+    log.write(
+        "record_failed",
+        "topic",
+        topic,
+        "key",
+        key,
+        "era",
+        position.era(),
+        "offset",
+        position.offset(),
+        "why",
+        why,
+        "place",
+        place);
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
@@ -20,8 +20,10 @@
  *
  * <p>Positions of different eras can't be compared: in a new era, the offsets below a position may
  * belong to records that were never read. So reads, proofs and updates from peers never continue
- * from one era into another; the topic is listed again instead. Not thread-safe: used on the event
- * loop.
+ * from one era into another; the topic is listed again instead.
+ *
+ * <p>A record whose processing fails is logged and counted, and the topic is read on. Not
+ * thread-safe: used on the event loop.
  *
  * @since 0.2
  */
@@ -43,7 +45,7 @@
   private final LongSupplier clockNanos;
   private final EventLog log;
   private final IntSupplier minIntervalMs;
-  private final Listener listener;
+  private final IsolatingListener listener;
   private final Set<String> listedKeys = new HashSet<>();
   private IntSupplier waitMs;
   private StorePosition next = StorePosition.NONE;
@@ -90,7 +92,7 @@
     this.log = log;
     this.waitMs = () -> waitMs;
     this.minIntervalMs = minIntervalMs;
-    this.listener = listener;
+    this.listener = new IsolatingListener(topic, listener, log);
   }
 
   /**
@@ -138,6 +140,11 @@
     waitMs = newWaitMs;
   }
 
+  /** Sets the listener that is called with each failure to process a record. */
+  public void setFailureListener(Runnable failureListener) {
+    listener.setFailureListener(failureListener);
+  }
+
   /** Starts following the topic. */
   public void start() {
     list();
