--- a/edge/src/main/java/org/shoreroad/edge/EventLog.java
+++ b/edge/src/main/java/org/shoreroad/edge/EventLog.java
@@ -18,18 +18,22 @@
  *
  * <p>Never blocks: if the ring buffer is full because the output is not read, lines are dropped and
  * counted. The number of lines per kind of event and second is limited; the next line of that kind
- * contains the number of omitted ones. {@link #write} must be called on the event loop; the other
- * methods are thread-safe.
+ * contains the number of omitted ones. A long text is cut off, with three dots at its end. {@link
+ * #write} must be called on the event loop; the other methods are thread-safe.
  *
  * @since 0.2
  */
 public final class EventLog {
-  /** Capacity of the ring buffer, in lines of at most some hundred bytes. */
+  /** Capacity of the ring buffer, in lines of usually some hundred bytes. */
   private static final int RING_LINES = 4_096;
 
   /** Maximum lines per kind and second: enough to follow an incident, limited under load. */
   private static final int LINES_PER_SECOND = 40;
 
+  /** Maximum length of a text, in characters; other writers choose some of the texts. */
+  private static final int MAX_TEXT_LENGTH = 2_000;
+
+  private static final String OMISSION = "...";
   private static final long SECOND_NANOS = 1_000_000_000L;
   private static final long WRITER_PAUSE_NANOS = 200_000_000L;
 
@@ -118,10 +122,14 @@
     } else if (value instanceof Boolean truth) {
       generator.writeBoolean(truth);
     } else {
-      generator.writeString(String.valueOf(value));
+      generator.writeString(shorten(String.valueOf(value)));
     }
   }
 
+  private static String shorten(String text) {
+    return text.length() <= MAX_TEXT_LENGTH ? text : text.substring(0, MAX_TEXT_LENGTH) + OMISSION;
+  }
+
   private void writeAll() {
     while (true) {
       drain();
--- a/edge/src/test/java/org/shoreroad/edge/EventLogTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/EventLogTest.java
@@ -52,6 +52,15 @@
     assertThat(all[all.length - 1], containsString("\"omittedBefore\":60"));
   }
 
+  /** Guards against lines of the size of an entry that another writer has put into the store. */
+  @Test
+  void longTextIsCutOff() throws Exception {
+    log.write("kind", "why", "x".repeat(250_000), "next", "y".repeat(2_000));
+    JsonNode line = new ObjectMapper().readTree(lines()[0]);
+    assertThat(line.path("why").asText(), is("x".repeat(2_000) + "..."));
+    assertThat(line.path("next").asText(), is("y".repeat(2_000)));
+  }
+
   @Test
   @Timeout(30)
   void blockedOutputDoesNotBlockWriters() {
