--- a/edge/src/main/java/org/shoreroad/edge/sync/IsolatingListener.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/IsolatingListener.java
@@ -38,6 +38,11 @@
     isolate("", end, () -> delegate.onListed(keys, end));
   }
 
+  /** Records that the bytes at a position are no record of a keyed topic. */
+  void onUnreadable(StorePosition position) {
+    noteFailure("", position, "the bytes are no record", "");
+  }
+
   private void isolate(String key, StorePosition position, Runnable call) {
     try {
       call.run();
--- a/edge/src/test/java/org/shoreroad/edge/sync/FailingRecordTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FailingRecordTest.java
@@ -144,6 +144,27 @@
             containsString("no such state")));
   }
 
+  /** Guards against bytes that are no record at the end of a topic, which is then never reached. */
+  @Test
+  void bytesThatAreNoRecordArePassedOver() {
+    TopicFollower failing = followerFailingWith(new IllegalStateException());
+    failing.start();
+    store.put("a", "1");
+    store.putUnreadable();
+    store.put("b", "1");
+    store.putUnreadable();
+    store.cutReadsAfter(2);
+    advance(SECOND_NANOS);
+    assertThat(failing.next().offset(), is(2L));
+    advance(SECOND_NANOS);
+    assertThat(delivered, contains("a", "b"));
+    assertThat(failing.next().offset(), is(4L));
+    assertThat(failing.provenNanos(), is(nowNanos));
+    assertThat(failures.get(), is(2));
+    failing.renewProof();
+    assertThat(failures.get(), is(2));
+  }
+
   @Test
   void failureOfAListingDoesNotEndTheReads() {
     TopicFollower failing =
--- a/edge/src/test/java/org/shoreroad/edge/sync/FakeStore.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FakeStore.java
@@ -13,6 +13,7 @@
   static final int PAGE_RECORDS = 2;
 
   private final List<StoreRecord> records = new ArrayList<>();
+  private final List<StorePosition> unreadable = new ArrayList<>();
   private final List<String> calls = new ArrayList<>();
   private final List<Integer> waitsMs = new ArrayList<>();
   private final List<Long> joinedGenerations = new ArrayList<>();
@@ -28,6 +29,12 @@
     records.add(new StoreRecord(end(), key, bytes));
   }
 
+  /** Adds bytes that are no record of a keyed topic. */
+  void putUnreadable() {
+    unreadable.add(end());
+    put("unreadable", "");
+  }
+
   private StorePosition end() {
     return StorePosition.of(era, records.size());
   }
@@ -79,7 +86,11 @@
     } else {
       List<StoreRecord> rest = records.subList((int) fromOffset, records.size());
       List<StoreRecord> found = rest.subList(0, Math.min(maxReadRecords, rest.size()));
-      callback.onValue(new StorePage(found, end(), found.size() < rest.size()));
+      List<StoreRecord> readable =
+          found.stream().filter(record -> !unreadable.contains(record.position())).toList();
+      List<StorePosition> others =
+          found.stream().map(StoreRecord::position).filter(unreadable::contains).toList();
+      callback.onValue(new StorePage(readable, others, end(), found.size() < rest.size()));
     }
   }
 
