Quarantines, announcements: bound texts; keep a failure to its record

Cause: a record of another writer with a long id of a part, an upstream or a zone was kept and sent on with the heartbeats; a few made them larger than the maximum frame, and the receiver closes the connection that brings one. A report whose application failed ended the reading of its topic at the start. Change: texts of more than 1,024 characters make such a record unreadable, and reports are applied one at a time, each with its failure logged under its key.

--- a/edge/src/main/java/org/shoreroad/edge/peer/QuarantineFormat.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/QuarantineFormat.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -11,6 +12,7 @@
 import org.shoreroad.edge.sync.Topic;
 import org.shoreroad.quarantine.CrashReport;
 import org.shoreroad.quarantine.PartReport;
+import org.shoreroad.quarantine.PromptPart;
 import org.shoreroad.quarantine.RequestFingerprint;
 
 /**
@@ -29,6 +31,9 @@
   /** Quarantined prompt parts. */
   public static final QuarantineFormat<PartReport> PARTS = new Parts();
 
+  /** Maximum length of a text, in characters; all are kept and sent to the other processes. */
+  private static final int MAX_TEXT_LENGTH = 1_024;
+
   private final Topic topic;
   private final long keepMs;
 
@@ -69,6 +74,9 @@
 
   abstract R agedBy(R report, long elapsedMs);
 
+  /** Returns the texts of a report that another writer may have chosen. */
+  abstract Stream<String> texts(R report);
+
   /** Returns the MessagePack form. */
   final byte[] toBytes(long writtenMs, R report) {
     try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
@@ -93,6 +101,9 @@
       if (reports.size() != 1 || in.hasNext()) {
         throw new UnreadableException("not one report");
       }
+      if (texts(reports.get(0)).anyMatch(text -> text.length() > MAX_TEXT_LENGTH)) {
+        throw new UnreadableException("a text is too long");
+      }
       return agedBy(reports.get(0), Math.max(0, nowMs - writtenMs));
     } catch (IOException | MessagePackException e) {
       throw new UnreadableException(e);
@@ -124,6 +135,11 @@
       return new CrashReport(
           report.fingerprint(), report.crashes(), report.refuted(), report.idleMs() + elapsedMs);
     }
+
+    @Override
+    Stream<String> texts(CrashReport report) {
+      return report.crashes().stream().map(crash -> crash.upstream().id());
+    }
   }
 
   private static final class Parts extends QuarantineFormat<PartReport> {
@@ -152,5 +168,13 @@
     PartReport agedBy(PartReport report, long elapsedMs) {
       return report.agedBy(elapsedMs);
     }
+
+    @Override
+    Stream<String> texts(PartReport report) {
+      PromptPart part = report.part();
+      return Stream.concat(
+          Stream.of(part.service(), part.model(), part.id()),
+          report.crashes().stream().map(crash -> crash.upstream().id()));
+    }
   }
 }
--- a/edge/src/main/java/org/shoreroad/edge/peer/QuarantineRegistry.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/QuarantineRegistry.java
@@ -1,7 +1,6 @@
 package org.shoreroad.edge.peer;
 
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -56,7 +55,7 @@
    *     of a record across restarts. If the clock was set back, a quarantine ends up to ten minutes
    *     late; if it was set forward, up to ten minutes early
    * @param log the log, not null
-   * @param listener called with the quarantined requests of the store, not null
+   * @param listener called with the reports in the store, one at a time, not null
    */
   public QuarantineRegistry(
       QuarantineFormat<R> format,
@@ -100,18 +99,17 @@
   }
 
   private void deliver(List<StoreRecord> records) {
-    List<R> reports = new ArrayList<>();
     for (StoreRecord record : records) {
       byte[] value = record.value();
       try {
         if (value != null) {
-          reports.add(format.parse(value, wallClockMs.getAsLong()));
+          listener.accept(List.of(format.parse(value, wallClockMs.getAsLong())));
         }
-      } catch (QuarantineFormat.UnreadableException e) {
-        log.write("quarantine_record_unreadable", "key", record.key(), "why", e.getMessage());
+      } catch (RuntimeException e) {
+        // Other writers write to the topic; one of their records must not affect those after it.
+        log.write("quarantine_record_unreadable", "key", record.key(), "why", String.valueOf(e));
       }
     }
-    listener.accept(reports);
   }
 
   /** Writes a report; retries until the store accepts it. */
--- a/edge/src/test/java/org/shoreroad/edge/peer/AnnouncementTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/AnnouncementTest.java
@@ -24,7 +24,8 @@
   /** An invalid address would end each round of heartbeats with an exception. */
   @Test
   void invalidBytesAreRejected() {
-    for (String text : List.of("", "h:1 z", "10.0.0.1:x z", "{}", "\u0000")) {
+    String longZone = "10.0.0.1:1 " + "z".repeat(250_000);
+    for (String text : List.of("", "h:1 z", "10.0.0.1:x z", "{}", "\u0000", longZone)) {
       byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
       assertThrows(IllegalArgumentException.class, () -> Announcement.parse(bytes));
     }
--- a/edge/src/test/java/org/shoreroad/edge/peer/QuarantineRegistryTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/QuarantineRegistryTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.OutputStream;
@@ -191,4 +192,46 @@
     registry.load();
     assertThat(delivered.size(), is(1));
   }
+
+  /** Guards against one record that keeps a process from reading the records after it. */
+  @Test
+  void recordWhoseReportFailsAffectsNoOther() {
+    List<CrashReport> applied = new ArrayList<>();
+    QuarantineRegistry<CrashReport> failing =
+        new QuarantineRegistry<>(
+            QuarantineFormat.REQUESTS,
+            store,
+            channel.eventLoop(),
+            () -> nowMs,
+            new EventLog("test", System::nanoTime, OutputStream.nullOutputStream()),
+            reports -> {
+              if (reports.contains(report(1))) {
+                throw new IllegalStateException("odd");
+              }
+              applied.addAll(reports);
+            });
+    for (int i = 0; i < 5; i++) {
+      registry.write(report(i));
+    }
+    failing.load();
+    assertThat(applied, is(List.of(report(0), report(2), report(3), report(4))));
+  }
+
+  /** Guards against texts of other writers that make heartbeats larger than the maximum. */
+  @Test
+  void recordsWithLongTextsAreSkipped() {
+    String longText = "x".repeat(250_000);
+    PartReport part = new PartReport(new PromptPart("s", "m", longText), List.of(), true, 0);
+    Crash crash = new Crash(new Incarnation(longText, 5), true);
+    CrashReport request =
+        new CrashReport(new RequestFingerprint(1, 0), List.of(crash), Set.of(), 0);
+    byte[] partRecord = QuarantineFormat.PARTS.toBytes(nowMs, part);
+    byte[] requestRecord = QuarantineFormat.REQUESTS.toBytes(nowMs, request);
+    assertThrows(
+        QuarantineFormat.UnreadableException.class,
+        () -> QuarantineFormat.PARTS.parse(partRecord, nowMs));
+    assertThrows(
+        QuarantineFormat.UnreadableException.class,
+        () -> QuarantineFormat.REQUESTS.parse(requestRecord, nowMs));
+  }
 }
