MessagePack: check a stated length before memory is allocated

Cause: the library allocates the length that a binary value states. Ten bytes of an answer of the daemon's log, or of a frame of another process (forwarded calls in edge, all frames of the daemon), stated 2 GB: an OutOfMemoryError, which ends the thread that reads the control stream. Heartbeats were checked before, by the maximum size of a frame. Change: BinaryValue compares the length with the rest of the message.

--- a/daemon/src/main/java/org/shoreroad/daemon/peer/PeerCodec.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/peer/PeerCodec.java
@@ -9,6 +9,7 @@
 import org.msgpack.core.MessageUnpacker;
 import org.shoreroad.ErrorCode;
 import org.shoreroad.Verdict;
+import org.shoreroad.codec.BinaryValue;
 import org.shoreroad.daemon.request.Submission;
 import org.shoreroad.intent.IntentRecord;
 import org.shoreroad.member.MembershipMessage;
@@ -99,9 +100,11 @@
                 new Node(in.unpackString(), in.unpackString(), in.unpackString()),
                 in.unpackString());
         case MEMBERSHIP -> new PeerMessage.Membership(unpackMembership(in));
-        case SUBMIT -> new PeerMessage.Submit(unpackSubmission(in));
+        case SUBMIT -> new PeerMessage.Submit(unpackSubmission(in, bytes.length));
         case CANCEL -> new PeerMessage.Cancel(in.unpackString());
-        case CHUNK -> new PeerMessage.Chunk(in.unpackString(), in.unpackLong(), unpackBytes(in));
+        case CHUNK ->
+            new PeerMessage.Chunk(
+                in.unpackString(), in.unpackLong(), BinaryValue.unpack(in, bytes.length));
         case ENDED -> new PeerMessage.Ended(in.unpackString());
         case FAILED ->
             new PeerMessage.Failed(
@@ -111,10 +114,12 @@
                 in.unpackString(),
                 in.unpackLong());
         case CATCH_UP_REQUEST -> new PeerMessage.CatchUpRequest(in.unpackLong());
-        case CATCH_UP_STATE -> new PeerMessage.CatchUpState(unpackBytes(in));
+        case CATCH_UP_STATE -> new PeerMessage.CatchUpState(BinaryValue.unpack(in, bytes.length));
         case CLAIM_REQUEST ->
             new PeerMessage.ClaimRequest(
-                in.unpackLong(), in.unpackInt(), IntentRecord.fromBytes(unpackBytes(in)));
+                in.unpackLong(),
+                in.unpackInt(),
+                IntentRecord.fromBytes(BinaryValue.unpack(in, bytes.length)));
         case CLAIM_RESPONSE ->
             new PeerMessage.ClaimResponse(in.unpackLong(), ClaimResult.valueOf(in.unpackString()));
         default -> throw new IllegalArgumentException("unknown message type: " + type);
@@ -128,10 +133,6 @@
     out.packBinaryHeader(bytes.length).writePayload(bytes);
   }
 
-  private static byte[] unpackBytes(MessageUnpacker in) throws IOException {
-    return in.readPayload(in.unpackBinaryHeader());
-  }
-
   private static void packMembership(MessageBufferPacker out, MembershipMessage message)
       throws IOException {
     out.packInt(message.type().ordinal())
@@ -175,7 +176,8 @@
     packBytes(out, s.body());
   }
 
-  private static Submission unpackSubmission(MessageUnpacker in) throws IOException {
+  private static Submission unpackSubmission(MessageUnpacker in, int messageBytes)
+      throws IOException {
     return new Submission(
         in.unpackString(),
         in.unpackLong(),
@@ -187,6 +189,6 @@
         in.unpackLong(),
         in.unpackBoolean(),
         in.unpackLong(),
-        unpackBytes(in));
+        BinaryValue.unpack(in, messageBytes));
   }
 }
--- a/daemon/src/main/java/org/shoreroad/daemon/platform/HttpPlatformLog.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/platform/HttpPlatformLog.java
@@ -14,6 +14,7 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
+import org.shoreroad.codec.BinaryValue;
 import org.shoreroad.daemon.http.AnswerBody;
 import org.shoreroad.daemon.http.HttpClients;
 
@@ -72,7 +73,7 @@
       List<LogBatch.Entry> records = new ArrayList<>();
       for (int count = in.unpackArrayHeader(); count > 0; count--) {
         long offset = in.unpackLong();
-        records.add(new LogBatch.Entry(offset, in.readPayload(in.unpackBinaryHeader())));
+        records.add(new LogBatch.Entry(offset, BinaryValue.unpack(in, answer.length)));
       }
       return new LogBatch(earliest, head, records);
     } catch (IOException | MessagePackException e) {
--- a/edge/src/main/java/org/shoreroad/edge/forward/ForwardCodec.java
+++ b/edge/src/main/java/org/shoreroad/edge/forward/ForwardCodec.java
@@ -9,6 +9,7 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
+import org.shoreroad.codec.BinaryValue;
 
 /**
  * MessagePack codec of the messages on forwarded calls: a mark, the kind, the number, then the
@@ -110,22 +111,22 @@
       if (in.unpackInt() != MARK) {
         throw new IOException("not a message on forwarded calls");
       }
-      return Optional.ofNullable(unpack(in, in.unpackInt(), in.unpackLong()));
+      return Optional.ofNullable(unpack(in, bytes.length, in.unpackInt(), in.unpackLong()));
     }
   }
 
-  private static @Nullable ForwardMessage unpack(MessageUnpacker in, int kind, long number)
-      throws IOException {
+  private static @Nullable ForwardMessage unpack(
+      MessageUnpacker in, int messageBytes, int kind, long number) throws IOException {
     return switch (kind) {
-      case CALL -> unpackCall(in, number);
-      case BODY -> new ForwardMessage.Body(number, unpackBytes(in));
+      case CALL -> unpackCall(in, messageBytes, number);
+      case BODY -> new ForwardMessage.Body(number, BinaryValue.unpack(in, messageBytes));
       case CANCEL -> new ForwardMessage.Cancel(number);
       case READING -> new ForwardMessage.Reading(number, in.unpackBoolean());
       case PROBE -> new ForwardMessage.Probe(number, in.unpackString());
       case PING -> new ForwardMessage.Ping(number);
       case HEAD ->
           new ForwardMessage.Head(number, in.unpackInt(), in.unpackString(), unpackStrings(in));
-      case CONTENT -> new ForwardMessage.Content(number, unpackBytes(in));
+      case CONTENT -> new ForwardMessage.Content(number, BinaryValue.unpack(in, messageBytes));
       case END -> new ForwardMessage.End(number);
       case FAILED -> new ForwardMessage.Failed(number, in.unpackString(), in.unpackBoolean());
       case PROBED -> new ForwardMessage.Probed(number, in.unpackString());
@@ -134,7 +135,7 @@
     };
   }
 
-  private static ForwardMessage.Call unpackCall(MessageUnpacker in, long number)
+  private static ForwardMessage.Call unpackCall(MessageUnpacker in, int messageBytes, long number)
       throws IOException {
     return new ForwardMessage.Call(
         number,
@@ -144,7 +145,7 @@
         unpackStrings(in),
         in.unpackInt(),
         in.unpackInt(),
-        unpackBytes(in));
+        BinaryValue.unpack(in, messageBytes));
   }
 
   private static List<String> unpackStrings(MessageUnpacker in) throws IOException {
@@ -155,8 +156,4 @@
     }
     return strings;
   }
-
-  private static byte[] unpackBytes(MessageUnpacker in) throws IOException {
-    return in.readPayload(in.unpackBinaryHeader());
-  }
 }
--- a/edge/src/test/java/org/shoreroad/edge/forward/ForwardCodecTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/forward/ForwardCodecTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
@@ -41,6 +42,16 @@
     assertThat(call.body(), is(new byte[] {1, 2}));
   }
 
+  /** Guards against a stated length for which memory is allocated before the bytes are there. */
+  @Test
+  void valueLongerThanItsMessageIsRejected() {
+    byte[] message = ForwardCodec.toBytes(new ForwardMessage.Content(2, new byte[300]));
+    int header = message.length - 300 - 3;
+    message[header] = (byte) 0xc6;
+    message[header + 1] = 0x7f;
+    assertThrows(IOException.class, () -> ForwardCodec.parse(message));
+  }
+
   @Test
   void answersKeepTheirFields() throws Exception {
     ForwardMessage.Head head =
