HttpBoxList: an entry that describes no box affects no other

Cause: in the daemon, one entry of the list of boxes without a name or an address made the whole list unusable, so no replica was formed or mended while it stood; and an answer that is no list counted as a list without boxes. Change: such an entry is passed over and counted by its reason (shoreroad_planner_list_unusable_total); an answer that is no list is a failure.

--- a/daemon/src/main/java/org/shoreroad/daemon/DaemonModule.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/DaemonModule.java
@@ -43,8 +43,9 @@
 
   @Provides
   @Singleton
-  static BoxList boxList(Settings settings) {
-    return new HttpBoxList(settings.boxesUrl());
+  static BoxList boxList(Settings settings, Metrics metrics) {
+    return new HttpBoxList(
+        settings.boxesUrl(), why -> metrics.count("shoreroad.planner.list.unusable", "why", why));
   }
 
   /** Returns the kernel with the services in start order. */
--- a/daemon/src/main/java/org/shoreroad/daemon/platform/HttpBoxList.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/platform/HttpBoxList.java
@@ -6,6 +6,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.Response;
@@ -28,9 +30,16 @@
   private final OkHttpClient client =
       HttpClients.newBuilder().callTimeout(Duration.ofMillis(CALL_TIMEOUT_MS)).build();
   private final Request request;
+  private final Consumer<String> unusableListener;
 
-  /** Creates a client of the list at this base URL. */
-  public HttpBoxList(String url) {
+  /**
+   * Creates a client.
+   *
+   * @param url the base URL of the list, not null
+   * @param unusableListener called with the reason for each entry that describes no box, not null
+   */
+  public HttpBoxList(String url, Consumer<String> unusableListener) {
+    this.unusableListener = unusableListener;
     this.request = new Request.Builder().url(url + "/boxes").build();
   }
 
@@ -40,19 +49,33 @@
       if (!response.isSuccessful()) {
         throw new LogException(true, "the list of boxes returned HTTP status " + response.code());
       }
+      JsonNode list = mapper.readTree(AnswerBody.read(response));
+      if (!list.isArray()) {
+        throw new LogException(true, "the list of boxes is no list");
+      }
       List<ListedBox> boxes = new ArrayList<>();
-      for (JsonNode node : mapper.readTree(AnswerBody.read(response))) {
-        Box box =
-            new Box(
-                node.path("name").asText(),
-                node.path("address").asText(),
-                node.path("fabric_domain").asText(),
-                node.path("availability_zone").asText());
-        boxes.add(new ListedBox(box, node.path("state").asText().equals("leaving")));
+      for (JsonNode entry : list) {
+        parse(entry).ifPresent(boxes::add);
       }
       return boxes;
-    } catch (IOException | IllegalArgumentException e) {
+    } catch (IOException e) {
       throw new LogException(true, "the list of boxes can't be read: " + e.getMessage());
     }
   }
+
+  /** Returns the box that an entry describes; an entry of another writer may describe none. */
+  private Optional<ListedBox> parse(JsonNode entry) {
+    try {
+      Box box =
+          new Box(
+              entry.path("name").asText(),
+              entry.path("address").asText(),
+              entry.path("fabric_domain").asText(),
+              entry.path("availability_zone").asText());
+      return Optional.of(new ListedBox(box, entry.path("state").asText().equals("leaving")));
+    } catch (IllegalArgumentException e) {
+      unusableListener.accept(String.valueOf(e.getMessage()));
+      return Optional.empty();
+    }
+  }
 }
