shoreroadctl: an unreadable answer to a change leaves its outcome unknown

Cause: text that is no JSON, or that is nested beyond the library's limit, was reported as "can't be reached" (exit code 3), though the daemon had answered the change with a success. Nested lines of logs were counted and skipped before; a test states it. Change: such an answer is treated as a malformed one: outcome unknown for a change (6), unreachable for a query (3).

--- a/cli/src/main/java/org/shoreroad/cli/OpsClient.java
+++ b/cli/src/main/java/org/shoreroad/cli/OpsClient.java
@@ -1,5 +1,6 @@
 package org.shoreroad.cli;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
@@ -79,7 +80,7 @@
         return answer;
       }
       throw toException(answer.path("error"), response.code());
-    } catch (ProtocolException e) {
+    } catch (ProtocolException | JsonProcessingException e) {
       String message = url + " sent no valid answer: " + e.getMessage();
       throw body == null
           ? new CommandException(ExitCode.UNREACHABLE, message)
--- a/cli/src/test/java/org/shoreroad/cli/LogCommandsTest.java
+++ b/cli/src/test/java/org/shoreroad/cli/LogCommandsTest.java
@@ -85,6 +85,17 @@
     assertThat(report.path("unreadable").asInt(), is(3));
   }
 
+  @Test
+  void nestedLinesBeyondTheLimitAreCountedAndSkipped() throws IOException {
+    String line = "{\"timeMs\":1,\"event\":\"start\",\"x\":";
+    String nested =
+        write("nested", line + "[".repeat(900) + "]".repeat(900) + "}", line + "[".repeat(100_000));
+    assertThat(run("report", "--output", "json", nested), is(ExitCode.OK));
+    JsonNode report = new ObjectMapper().readTree(out.toByteArray());
+    assertThat(report.path("lines").asInt(), is(1));
+    assertThat(report.path("unreadable").asInt(), is(1));
+  }
+
   @Test
   void omittedLinesAreIncludedInCounts() throws IOException {
     JsonNode late = report().path("late").path(0);
--- a/cli/src/test/java/org/shoreroad/cli/OpsClientTest.java
+++ b/cli/src/test/java/org/shoreroad/cli/OpsClientTest.java
@@ -78,6 +78,16 @@
     assertThat(failure.exitCode(), is(ExitCode.UNREACHABLE));
   }
 
+  /** Guards against an accepted change that is reported as not sent. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 5_000, 100_000})
+  void unreadableTextInAnswerToChangeIsNoRefusal(int depth) {
+    answer("HTTP/1.1 200 OK|Content-Length: " + depth + "||" + "[".repeat(depth));
+    CommandException failure =
+        assertThrows(CommandException.class, () -> client.post("apply", "{}"));
+    assertThat(failure.exitCode(), is(ExitCode.UNKNOWN));
+  }
+
   @Test
   void unusualAnswerIsRead() {
     answer("HTTP/1.0 200|X-A : caf\u00e9|content-length:0002||{}");
