--- a/edge/src/main/java/org/shoreroad/edge/sync/IsolatingListener.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/IsolatingListener.java
@@ -4,11 +4,11 @@
 import org.shoreroad.edge.EventLog;
 
 /**
- * Listener that passes records on to another one and keeps the failure of one record from the
- * records after it.
+ * Listener that passes records on to another listener and catches its failures, so that a failure
+ * at one record does not affect the records after it.
  *
- * <p>Other writers write to the topics, so a record may cause a failure that nobody foresaw.
- * Without isolation it would end the reads of its topic, and the process would learn of no later
+ * <p>Other writers write to the topics, so a record may cause a failure that no check covers. If it
+ * were not caught, it would end the reads of the topic, and the process would learn of no later
  * change. Not thread-safe: used on the event loop.
  */
 final class IsolatingListener implements TopicFollower.Listener {
@@ -47,7 +47,7 @@
     try {
       call.run();
     } catch (RuntimeException | LinkageError | StackOverflowError e) {
-      // The memory is intact after these errors, unlike after an OutOfMemoryError.
+      // At most the state of this record is incomplete, unlike after an OutOfMemoryError.
       String place = e.getStackTrace().length == 0 ? "" : e.getStackTrace()[0].toString();
       noteFailure(key, position, String.valueOf(e), place);
     }
