StoreRecord: mark an unreadable record in place of a second list of positions

A record that is no keyed record is now one of the page's records, marked as unreadable, so the follower needs no code for it; Topic has its text form. The counter is shoreroad_records_failed_total.

--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -335,9 +334,8 @@
     // was late in four of thirteen runs with 7 and 9 processes.
     configFollower.readThroughPeersWhile(
         mesh::isMember, ConfigurationView.peerProofMs(settings.revokeMs()));
-    int configWaitMs = configWaitMs();
     configFollower.setWait(
-        () -> mesh.isHub() ? random.nextInt(configWaitMs / 2, configWaitMs) : configWaitMs);
+        () -> mesh.isHub() ? random.nextInt(configWaitMs() / 2, configWaitMs()) : configWaitMs());
     configFollower.setListingDelay(() -> random.nextInt(LISTING_SPREAD_MS));
     listFollower.setListingDelay(() -> random.nextInt(LISTING_SPREAD_MS));
     processFollower.setListingDelay(() -> random.nextInt(PROCESS_LISTING_SPREAD_MS));
@@ -415,13 +413,11 @@
     configFollower.start();
     listFollower.start();
     quarantines.load();
-    Announcement announcement = new Announcement(peerAddress(), settings.zone());
-    // Members need the list only to find a hub. If 89 processes continued to read it, this would be
-    // about 800 of 3,100 calls to the store in 72 s without faults, and each process would read
-    // every restart of another.
+    // Members need the list only to find a hub. If 89 processes read it on, that is 800 of 3,100
+    // calls to the store in 72 s without faults, and each process reads every restart of another.
     processFollower.suspendReadsWhile(mesh::canSkipProcessList, MEMBER_PROCESS_PAUSE_MS);
     processFollower.start();
-    processes.announce(announcement);
+    processes.announce(new Announcement(peerAddress(), settings.zone()));
     leases.start();
     relay.start();
     access.start();
@@ -452,8 +448,7 @@
       Topic topic, int waitMs, IntSupplier minIntervalMs, TopicFollower.Listener listener) {
     TopicFollower follower =
         new TopicFollower(topic, store, loop, clockNanos, log, waitMs, minIntervalMs, listener);
-    String reason = topic.name().toLowerCase(Locale.ROOT);
-    follower.setFailureListener(() -> metrics.count("shoreroad.store.records_failed", reason));
+    follower.setFailureListener(() -> metrics.count("shoreroad.records.failed", topic.code()));
     return follower;
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/sync/CountedStore.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/CountedStore.java
@@ -1,6 +1,5 @@
 package org.shoreroad.edge.sync;
 
-import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -79,7 +78,7 @@
   }
 
   private void count(String verb, Topic topic) {
-    count(verb + topic.name().toLowerCase(Locale.ROOT));
+    count(verb + topic.code());
   }
 
   private void count(String kind) {
--- a/edge/src/main/java/org/shoreroad/edge/sync/IsolatingListener.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/IsolatingListener.java
@@ -30,7 +30,11 @@
 
   @Override
   public void onRecord(StoreRecord record) {
-    isolate(record.key(), record.position(), () -> delegate.onRecord(record));
+    if (record.isReadable()) {
+      isolate(record.key(), record.position(), () -> delegate.onRecord(record));
+    } else {
+      noteFailure("", record.position(), "the bytes are no record", "");
+    }
   }
 
   @Override
@@ -38,11 +42,6 @@
     isolate("", end, () -> delegate.onListed(keys, end));
   }
 
-  /** Records that the bytes at a position are no record of a keyed topic. */
-  void onUnreadable(StorePosition position) {
-    noteFailure("", position, "the bytes are no record", "");
-  }
-
   private void isolate(String key, StorePosition position, Runnable call) {
     try {
       call.run();
--- a/edge/src/main/java/org/shoreroad/edge/sync/Topic.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Topic.java
@@ -1,5 +1,7 @@
 package org.shoreroad.edge.sync;
 
+import java.util.Locale;
+
 /**
  * A topic of the platform's store that the process reads or writes.
  *
@@ -15,5 +17,10 @@
   /** The quarantined requests, by their fingerprints. */
   QUARANTINE,
   /** The quarantined prompt parts, by service, model and id. */
-  PART_QUARANTINE
+  PART_QUARANTINE;
+
+  /** Returns the text form for counters, such as {@code upstreams}. */
+  public String code() {
+    return name().toLowerCase(Locale.ROOT);
+  }
 }
--- a/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/TopicFollower.java
@@ -353,8 +353,8 @@
               listAgain();
               return;
             }
-            deliver(page);
-            if (!acceptProof(page, sentNanos) && !page.isEmpty()) {
+            deliverRecords(page.records());
+            if (!acceptProof(page, sentNanos) && !page.records().isEmpty()) {
               readNextAfter(0, ofListing);
               return;
             }
@@ -398,7 +398,7 @@
               noteEra(page.end().era());
               return;
             }
-            deliver(page);
+            deliverRecords(page.records());
             acceptProof(page, sentNanos);
           }
 
@@ -423,17 +423,6 @@
     return true;
   }
 
-  /** Delivers the records of a read, and passes over the bytes that are no record. */
-  private void deliver(StorePage page) {
-    List<StorePosition> unreadable =
-        page.unreadable().stream().filter(position -> position.hasReached(next)).toList();
-    deliverRecords(page.records());
-    for (StorePosition position : unreadable) {
-      listener.onUnreadable(position);
-      next = next.withOffset(Math.max(next.offset(), position.offset() + 1));
-    }
-  }
-
   private void deliverRecords(List<StoreRecord> records) {
     for (StoreRecord record : records) {
       if (record.position().hasReached(next)) {
--- a/edge/src/test/java/org/shoreroad/edge/sync/FakeStore.java
+++ b/edge/src/test/java/org/shoreroad/edge/sync/FakeStore.java
@@ -13,7 +13,6 @@
   static final int PAGE_RECORDS = 2;
 
   private final List<StoreRecord> records = new ArrayList<>();
-  private final List<StorePosition> unreadable = new ArrayList<>();
   private final List<String> calls = new ArrayList<>();
   private final List<Integer> waitsMs = new ArrayList<>();
   private final List<Long> joinedGenerations = new ArrayList<>();
@@ -31,8 +30,7 @@
 
   /** Adds bytes that are no record of a keyed topic. */
   void putUnreadable() {
-    unreadable.add(end());
-    put("unreadable", "");
+    records.add(StoreRecord.unreadable(end()));
   }
 
   private StorePosition end() {
@@ -86,11 +84,7 @@
     } else {
       List<StoreRecord> rest = records.subList((int) fromOffset, records.size());
       List<StoreRecord> found = rest.subList(0, Math.min(maxReadRecords, rest.size()));
-      List<StoreRecord> readable =
-          found.stream().filter(record -> !unreadable.contains(record.position())).toList();
-      List<StorePosition> others =
-          found.stream().map(StoreRecord::position).filter(unreadable::contains).toList();
-      callback.onValue(new StorePage(readable, others, end(), found.size() < rest.size()));
+      callback.onValue(new StorePage(found, end(), found.size() < rest.size()));
     }
   }
 
