UnframedAnswerTest: reset the stream once its event was received

Cause, in the test: it expected the event within the 50 ms before the reset. A process that is not scheduled in that time sees the failed write of the request first and has read nothing, so 502 is right. Change: the reset follows once the caller has received the event, and the test checks that it did.

--- a/edge/src/test/java/org/shoreroad/edge/relay/UnframedAnswerTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/UnframedAnswerTest.java
@@ -9,9 +9,11 @@
 import static org.hamcrest.Matchers.startsWith;
 
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
 /** Answers with neither a length nor chunks end with their connection, as a crash does. */
@@ -56,12 +58,31 @@
     assertThat(call("/once/x"), startsWith("HTTP/1.1 502"));
   }
 
+  /** Returns a script that resets the connection once the caller has received the body. */
+  private static FakeUpstream.Script resettingOnceReceived(String body, CountDownLatch received) {
+    return (head, out, socket) -> {
+      write(out, HEAD + body);
+      received.await(READ_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+      socket.setSoLinger(true, 0);
+      return false;
+    };
+  }
+
   /** Resets the connection while a part of the request waits to be written. */
   private FakeUpstream resettingUnreadAfter(String id, String body) throws Exception {
     return add(id, FakeUpstream.ofUnreadBodies(resettingAfter(body)));
   }
 
   private String callWithLongBody(String path) throws Exception {
+    return callWithLongBody(path, answer -> {});
+  }
+
+  /**
+   * Sends a request with a long body.
+   *
+   * @param listener called with all that was received, after each read
+   */
+  private String callWithLongBody(String path, Consumer<String> listener) throws Exception {
     try (Socket socket = connect()) {
       socket.setSoTimeout(READ_TIMEOUT_MS);
       write(
@@ -74,7 +95,14 @@
               + LONG_BODY_BYTES
               + "\r\n\r\n"
               + "x".repeat(LONG_BODY_BYTES));
-      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+      StringBuilder answer = new StringBuilder();
+      for (int next = socket.getInputStream().read();
+          next >= 0;
+          next = socket.getInputStream().read()) {
+        answer.append((char) next);
+        listener.accept(answer.toString());
+      }
+      return answer.toString();
     }
   }
 
@@ -98,8 +126,17 @@
 
   @Test
   void streamThatIsResetWhileItsRequestIsWrittenIsNotComplete() throws Exception {
-    resettingUnreadAfter(HEAD_PREFIX + 1, FIRST_EVENT);
-    String answer = callWithLongBody("/llm/x");
+    CountDownLatch received = new CountDownLatch(1);
+    FakeUpstream.Script script = resettingOnceReceived(FIRST_EVENT, received);
+    add(HEAD_PREFIX + 1, FakeUpstream.ofUnreadBodies(script));
+    Consumer<String> listener =
+        answer -> {
+          if (answer.contains("data: a")) {
+            received.countDown();
+          }
+        };
+    String answer = callWithLongBody("/llm/x", listener);
+    assertThat("the event was received before the reset", received.getCount(), is(0L));
     assertThat(answer, containsString("data: a"));
     assertThat(answer, not(endsWith(LAST_CHUNK)));
   }
