QuarantineRegistry: count a failed record, with the listener of the followers

A failure at a record of the quarantines was caught by code of its own, logged as unreadable and not counted, and a stack overflow or a missing class were not caught. The registry now uses IsolatingListener, as the followers do; failures count in shoreroad_records_failed_total. HeartbeatCodec reads its values with BinaryValue in place of a check of its own. Tests: QuarantineRegistryTest counts the failure; HeartbeatCodecTest, PeerCodecFuzzTest, FailingRecordTest and EdgeMetricsTest pass.

--- a/edge/src/main/java/org/shoreroad/edge/EdgeMetrics.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeMetrics.java
@@ -11,6 +11,7 @@
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.relay.RelayCounters;
+import org.shoreroad.edge.sync.Topic;
 
 /**
  * Counters, gauges and latency histograms of this process.
@@ -50,6 +51,11 @@
     histograms.computeIfAbsent(name, key -> new LatencyHistogram()).record(nanos);
   }
 
+  /** Counts a record of the store whose processing failed. */
+  void countFailedRecord(Topic topic) {
+    count("shoreroad.records.failed", topic.code());
+  }
+
   /** Registers a gauge, whose value is read at each scrape. */
   public void gauge(String name, Supplier<Number> value) {
     gauges.put(name, value);
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -357,7 +357,7 @@
     mesh.setSuspicionListener(heartbeats::applySuspicions);
     backpressure.setLimitListener(mesh::sendSoon);
     backpressure.setLeavingListener(fleet::noteLeaving);
-    quarantines.connect(name, mesh, heartbeats);
+    quarantines.connect(name, mesh, heartbeats, metrics);
     fleet.setServiceCheck(configuration::isDeclared);
     fleet.setFaultListener(
         fault -> metrics.count("shoreroad.upstreams.unusable_entries", fault.code()));
@@ -413,8 +413,8 @@
     configFollower.start();
     listFollower.start();
     quarantines.load();
-    // Members need the list only to find a hub. If 89 processes read it on, that is 800 of 3,100
-    // calls to the store in 72 s without faults, and each process reads every restart of another.
+    // Members need the list only to find a hub. If all processes continued to read it, a quarter of
+    // the calls to the store would be for it, and each would read every restart of another.
     processFollower.suspendReadsWhile(mesh::canSkipProcessList, MEMBER_PROCESS_PAUSE_MS);
     processFollower.start();
     processes.announce(new Announcement(peerAddress(), settings.zone()));
@@ -448,7 +448,7 @@
       Topic topic, int waitMs, IntSupplier minIntervalMs, TopicFollower.Listener listener) {
     TopicFollower follower =
         new TopicFollower(topic, store, loop, clockNanos, log, waitMs, minIntervalMs, listener);
-    follower.setFailureListener(() -> metrics.count("shoreroad.records.failed", topic.code()));
+    follower.setFailureListener(() -> metrics.countFailedRecord(topic));
     return follower;
   }
 
--- a/edge/src/main/java/org/shoreroad/edge/Quarantines.java
+++ b/edge/src/main/java/org/shoreroad/edge/Quarantines.java
@@ -9,6 +9,7 @@
 import org.shoreroad.edge.relay.PartGuard;
 import org.shoreroad.edge.relay.RequestQuarantine;
 import org.shoreroad.edge.sync.Store;
+import org.shoreroad.edge.sync.Topic;
 import org.shoreroad.quarantine.CrashReport;
 import org.shoreroad.quarantine.PartQuarantine;
 import org.shoreroad.quarantine.PartReport;
@@ -53,8 +54,10 @@
             QuarantineFormat.PARTS, store, loop, timeOfDayMs, log, parts::applyReports);
   }
 
-  /** Connects the quarantines with the other processes. */
-  void connect(String processName, PeerMesh mesh, LocalHeartbeats heartbeats) {
+  /** Connects the quarantines with the other processes and the metrics. */
+  void connect(String processName, PeerMesh mesh, LocalHeartbeats heartbeats, EdgeMetrics metrics) {
+    requestRegistry.setFailureListener(() -> metrics.countFailedRecord(Topic.QUARANTINE));
+    partRegistry.setFailureListener(() -> metrics.countFailedRecord(Topic.PART_QUARANTINE));
     requests.setRecorder(requestRegistry::write);
     requests.setChangeListener(mesh::sendSoon);
     parts.setRecorder(partRegistry::write);
--- a/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatCodec.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/HeartbeatCodec.java
@@ -12,6 +12,7 @@
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
+import org.shoreroad.codec.BinaryValue;
 import org.shoreroad.edge.sync.ListUpdate;
 import org.shoreroad.edge.sync.StorePosition;
 import org.shoreroad.edge.sync.StoreRecord;
@@ -90,7 +91,7 @@
       Set<String> silent = new HashSet<>(unpackTexts(in));
       Set<String> owned = new HashSet<>(unpackTexts(in));
       List<FleetBox> reports = unpackBoxes(in);
-      ListUpdate listUpdate = unpackListUpdate(in);
+      ListUpdate listUpdate = unpackListUpdate(in, bytes.length);
       boolean hasCrashReports = in.hasNext();
       List<FleetBox> startedReports = hasCrashReports ? unpackStartTimes(in, reports) : reports;
       List<CrashReport> crashReports = hasCrashReports ? CrashReportCodec.unpack(in) : List.of();
@@ -156,13 +157,14 @@
     }
   }
 
-  private static ListUpdate unpackListUpdate(MessageUnpacker in) throws IOException {
+  private static ListUpdate unpackListUpdate(MessageUnpacker in, int messageBytes)
+      throws IOException {
     return new ListUpdate(
         withoutEra(in.unpackLong()),
         withoutEra(in.unpackLong()),
         in.unpackLong(),
         in.unpackLong(),
-        unpackRecords(in));
+        unpackRecords(in, messageBytes));
   }
 
   /** Returns the position at an offset whose era follows later in the message. */
@@ -170,27 +172,19 @@
     return StorePosition.of(StorePosition.UNKNOWN_ERA, offset);
   }
 
-  private static List<StoreRecord> unpackRecords(MessageUnpacker in) throws IOException {
+  private static List<StoreRecord> unpackRecords(MessageUnpacker in, int messageBytes)
+      throws IOException {
     int count = in.unpackArrayHeader();
     List<StoreRecord> records = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       long offset = in.unpackLong();
       String key = in.unpackString();
-      byte[] value = in.unpackBoolean() ? unpackValue(in) : null;
+      byte[] value = in.unpackBoolean() ? BinaryValue.unpack(in, messageBytes) : null;
       records.add(new StoreRecord(withoutEra(offset), key, value));
     }
     return records;
   }
 
-  /** Reads a value; checks its length before memory is allocated for it. */
-  private static byte[] unpackValue(MessageUnpacker in) throws IOException {
-    int length = in.unpackBinaryHeader();
-    if (length > PeerChannels.MAX_FRAME_BYTES) {
-      throw new IOException("a value of " + length + " bytes in a frame");
-    }
-    return in.readPayload(length);
-  }
-
   private static List<Heartbeat.Load> unpackLoads(MessageUnpacker in) throws IOException {
     int count = in.unpackArrayHeader();
     List<Heartbeat.Load> loads = new ArrayList<>();
--- a/edge/src/main/java/org/shoreroad/edge/peer/QuarantineRegistry.java
+++ b/edge/src/main/java/org/shoreroad/edge/peer/QuarantineRegistry.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.sync.IsolatingListener;
 import org.shoreroad.edge.sync.Store;
 import org.shoreroad.edge.sync.StoreCallback;
 import org.shoreroad.edge.sync.StoreFault;
@@ -40,6 +41,7 @@
   private final LongSupplier wallClockMs;
   private final EventLog log;
   private final Consumer<Collection<R>> listener;
+  private final IsolatingListener records;
   private final Map<String, Written<R>> written = new LinkedHashMap<>();
 
   /** A record that the store has accepted. */
@@ -70,6 +72,12 @@
     this.wallClockMs = wallClockMs;
     this.log = log;
     this.listener = listener;
+    this.records = new IsolatingListener(format.topic(), this::apply, log);
+  }
+
+  /** Sets the listener that is called with each failure to apply a record. */
+  public void setFailureListener(Runnable failureListener) {
+    records.setFailureListener(failureListener);
   }
 
   /** Reads all records; retries until the store answers. */
@@ -84,7 +92,7 @@
         new StoreCallback<>() {
           @Override
           public void onValue(StorePage page) {
-            deliver(page.records());
+            page.records().forEach(records::onRecord);
             if (page.hasMore() && !page.records().isEmpty()) {
               load(page.records().get(page.records().size() - 1).key(), MIN_RETRY_DELAY_MS);
             }
@@ -98,18 +106,19 @@
         });
   }
 
-  private void deliver(List<StoreRecord> records) {
-    for (StoreRecord record : records) {
-      byte[] value = record.value();
-      try {
-        if (value != null) {
-          listener.accept(List.of(format.parse(value, wallClockMs.getAsLong())));
-        }
-      } catch (RuntimeException e) {
-        // Other writers write to the topic; one of their records must not affect those after it.
-        log.write("quarantine_record_unreadable", "key", record.key(), "why", String.valueOf(e));
-      }
+  private void apply(StoreRecord record) {
+    byte[] value = record.value();
+    if (value == null) {
+      return;
+    }
+    R report;
+    try {
+      report = format.parse(value, wallClockMs.getAsLong());
+    } catch (QuarantineFormat.UnreadableException e) {
+      log.write("quarantine_record_unreadable", "key", record.key(), "why", e.getMessage());
+      return;
     }
+    listener.accept(List.of(report));
   }
 
   /** Writes a report; retries until the store accepts it. */
--- a/edge/src/main/java/org/shoreroad/edge/sync/IsolatingListener.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/IsolatingListener.java
@@ -10,21 +10,30 @@
  * <p>Other writers write to the topics, so a record may cause a failure that no check covers. If it
  * were not caught, it would end the reads of the topic, and the process would learn of no later
  * change. Not thread-safe: used on the event loop.
+ *
+ * @since 0.2
  */
-final class IsolatingListener implements TopicFollower.Listener {
+public final class IsolatingListener implements TopicFollower.Listener {
   private final Topic topic;
   private final TopicFollower.Listener delegate;
   private final EventLog log;
   private Runnable failureListener = () -> {};
 
-  IsolatingListener(Topic topic, TopicFollower.Listener delegate, EventLog log) {
+  /**
+   * Creates a listener without a failure listener.
+   *
+   * @param topic the topic of the records, not null
+   * @param delegate the listener that processes the records, not null
+   * @param log the log, not null
+   */
+  public IsolatingListener(Topic topic, TopicFollower.Listener delegate, EventLog log) {
     this.topic = topic;
     this.delegate = delegate;
     this.log = log;
   }
 
   /** Sets the listener that is called at each failure. */
-  void setFailureListener(Runnable listener) {
+  public void setFailureListener(Runnable listener) {
     failureListener = listener;
   }
 
--- a/edge/src/test/java/org/shoreroad/edge/peer/QuarantineRegistryTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/peer/QuarantineRegistryTest.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.sync.Store;
@@ -213,8 +214,11 @@
     for (int i = 0; i < 5; i++) {
       registry.write(report(i));
     }
+    AtomicInteger failures = new AtomicInteger();
+    failing.setFailureListener(failures::incrementAndGet);
     failing.load();
     assertThat(applied, is(List.of(report(0), report(2), report(3), report(4))));
+    assertThat(failures.get(), is(1));
   }
 
   /** Guards against texts of other writers that make heartbeats larger than the maximum. */
