Write names and ids into headers as UTF-8

What callers saw: requests of accounts whose names go beyond ISO 8859-1 reached the upstreams under question marks, so that no upstream could tell two such accounts of equal length apart. Names within ISO 8859-1 went out as one byte a character. An upstream with such an id was named by question marks too, in requests, reports and orders, and refuses them all.

Cause: Netty holds the value of a header as a string with one character for each byte. Text of the configuration and ids of the list were passed as they are; the encoder writes a question mark for each character that is no byte, and logs nothing.

Change: HeaderText converts text to the value of a header, always in UTF-8. One encoding for all texts: with one byte a character where that suffices, "café" and another name could share bytes.

--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
@@ -11,6 +11,7 @@
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.caller.CallerRequest;
 import org.shoreroad.edge.caller.HeaderNames;
+import org.shoreroad.http.HeaderText;
 import org.shoreroad.quarantine.RequestFingerprint;
 import org.shoreroad.traffic.ClientAccount;
 import org.shoreroad.traffic.Route;
@@ -183,10 +184,10 @@
     headers.remove(HttpHeaderNames.AUTHORIZATION);
     headers.remove(names.account());
     headers.remove(names.rank());
-    headers.set(names.expectedUpstream(), upstreamId);
+    headers.set(names.expectedUpstream(), HeaderText.encode(upstreamId));
     headers.set(names.deadlineMs(), Long.toString(deadlineMs));
     if (account != null) {
-      headers.set(names.account(), account.name());
+      headers.set(names.account(), HeaderText.encode(account.name()));
     }
     if (rank != NO_RANK) {
       headers.set(names.rank(), Integer.toString(rank));
--- a/edge/src/test/java/org/shoreroad/edge/forward/ForwardCodecTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/forward/ForwardCodecTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
+import org.shoreroad.http.HeaderText;
 
 class ForwardCodecTest {
   private static ForwardMessage copyOf(ForwardMessage message) throws Exception {
@@ -42,6 +43,17 @@
     assertThat(call.body(), is(new byte[] {1, 2}));
   }
 
+  /** Guards against a name in UTF-8 that another process sends in another encoding. */
+  @Test
+  void bytesOfHeadersAreKept() throws Exception {
+    String value = HeaderText.encode("রাজমিস্ত্রি");
+    ForwardMessage.Call call =
+        new ForwardMessage.Call(7, "i-1", "GET", "/", List.of("A", value), 3, 0, new byte[0]);
+    ForwardMessage.Call copy = (ForwardMessage.Call) copyOf(call);
+    assertThat(copy.headers(), contains("A", value));
+    assertThat(HeaderFields.areWellFormed(copy.headers()), is(true));
+  }
+
   /** Guards against a stated length for which memory is allocated before the bytes are there. */
   @Test
   void valueLongerThanItsMessageIsRejected() {
--- a/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/LoopbackRelay.java
@@ -92,7 +92,7 @@
   final UpstreamTable table = new UpstreamTable(fleet, clockNanos, log);
   private final StallDetector stalls = new StallDetector(table, clockNanos, log);
   final FakeConfigurationSource configurationSource =
-      new FakeConfigurationSource(config(engine(), routeTimeoutMs()));
+      new FakeConfigurationSource(config(engine(), routeTimeoutMs(), accounts()));
   final EdgeMetrics metrics = new EdgeMetrics();
   final RequestQuarantine quarantine = new RequestQuarantine(clockNanos, log, metrics);
   final Backpressure backpressure = new Backpressure(SELF, NAMES, clockNanos, log, metrics);
@@ -130,7 +130,8 @@
         List.of(new ModelShape("m", 1, 1, 1, 9, 1)));
   }
 
-  private static TrafficConfig config(EngineSpec engine, int timeoutMs) {
+  private static TrafficConfig config(
+      EngineSpec engine, int timeoutMs, List<ClientAccount> accounts) {
     List<ServiceShare> web = List.of(new ServiceShare("web", 1));
     return TrafficConfig.of(
         1,
@@ -140,7 +141,7 @@
             route("/stream/", RequestKind.STREAM, web, 2, timeoutMs),
             route("/llm/", RequestKind.STREAM, List.of(new ServiceShare("llm", 1)), 2, timeoutMs)),
         List.of(new UpstreamService("web", 100, null), new UpstreamService("llm", 100, engine)),
-        List.of(new ClientAccount("office", Set.of("secret"), ClientAccount.NO_PRIORITY)),
+        accounts,
         CallerLimits.DEFAULT);
   }
 
@@ -270,6 +271,11 @@
     return 2_000;
   }
 
+  /** Returns the client accounts. */
+  List<ClientAccount> accounts() {
+    return List.of(new ClientAccount("office", Set.of("secret"), ClientAccount.NO_PRIORITY));
+  }
+
   /** Returns the bounds on what is held for callers. */
   HeldBytesRule heldBytesRule() {
     return HeldBytesRule.forMemory(HeldBytes.bufferMemoryBytes());
--- /dev/null
+++ b/edge/src/test/java/org/shoreroad/edge/relay/TextBeyondAsciiTest.java
@@ -0,0 +1,66 @@
+package org.shoreroad.edge.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.shoreroad.traffic.ClientAccount;
+
+/** Tests text of the configuration and the list beyond ASCII, in headers on loopback. */
+class TextBeyondAsciiTest extends LoopbackRelay {
+  private static final List<String> ACCOUNT_NAMES =
+      List.of(
+          "রাজমিস্ত্রি",
+          "কাঠমিস্ত্রি",
+          "東京支店",
+          "Контора",
+          "café",
+          "cafÃ©",
+          "𝒪ffice 🏢",
+          "مكتب",
+          "ascii office");
+
+  static IntStream accountIndexes() {
+    return IntStream.range(0, ACCOUNT_NAMES.size());
+  }
+
+  @Override
+  List<ClientAccount> accounts() {
+    List<ClientAccount> accounts = new ArrayList<>();
+    for (int i = 0; i < ACCOUNT_NAMES.size(); i++) {
+      accounts.add(new ClientAccount(ACCOUNT_NAMES.get(i), Set.of("key-" + i), 1));
+    }
+    return accounts;
+  }
+
+  private static String utf8(String receivedBytes) {
+    return new String(receivedBytes.getBytes(StandardCharsets.ISO_8859_1), StandardCharsets.UTF_8);
+  }
+
+  /** Guards against names that reach the upstream as question marks, two accounts alike. */
+  @ParameterizedTest
+  @MethodSource("accountIndexes")
+  void accountNameReachesTheUpstreamInUtf8(int index) throws Exception {
+    FakeUpstream upstream = upstream("i-1", SERVING);
+    assertThat(call("/once/", "key-" + index, ""), startsWith("HTTP/1.1 200"));
+    String received = FakeUpstream.header(upstream.requestHeads().get(0), "X-Account");
+    assertThat(utf8(received), is(ACCOUNT_NAMES.get(index)));
+  }
+
+  /** Guards against an id that reaches its upstream as question marks, so that it refuses. */
+  @Test
+  void idOfTheExpectedUpstreamIsSentInUtf8() throws Exception {
+    String id = "i-сервер-東";
+    FakeUpstream upstream = upstream(id, SERVING);
+    assertThat(call("/once/", "key-0", ""), startsWith("HTTP/1.1 200"));
+    assertThat(utf8(FakeUpstream.header(upstream.requestHeads().get(0), "X-Expect")), is(id));
+  }
+}
