Read keys and model names of callers as UTF-8

What callers saw: a key beyond ASCII was refused with 401 as unknown, and a request for a declared model whose name goes beyond ASCII was taken for another model, although both were sent in UTF-8, as the configuration is.

Cause: the value of a header, one character for each byte, was compared with text of the configuration.

Change: RequestReader decodes both from UTF-8. Bytes that are not UTF-8 give no key and no model. A second encoding is not accepted, since two accounts could then have one key.

--- a/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
+++ b/edge/src/main/java/org/shoreroad/edge/relay/RequestReader.java
@@ -48,14 +48,22 @@
     return request.header(names.attemptId());
   }
 
+  /** Returns the requested model, or an empty string if there is none or its name is not UTF-8. */
   String model() {
-    return request.header(names.model());
+    return textOf(request.header(names.model()));
   }
 
-  /** Returns the caller's key, or an empty string. */
+  /** Returns the caller's key, or an empty string if there is none or it is not UTF-8. */
   String key() {
     String authorization = request.header(HttpHeaderNames.AUTHORIZATION.toString());
-    return authorization.startsWith(BEARER) ? authorization.substring(BEARER.length()).trim() : "";
+    return authorization.startsWith(BEARER)
+        ? textOf(authorization.substring(BEARER.length()).trim())
+        : "";
+  }
+
+  private static String textOf(String value) {
+    String text = HeaderText.decode(value);
+    return text == null ? "" : text;
   }
 
   long deadlineMs() {
--- a/edge/src/test/java/org/shoreroad/edge/relay/TextBeyondAsciiTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/TextBeyondAsciiTest.java
@@ -27,6 +27,7 @@
           "𝒪ffice 🏢",
           "مكتب",
           "ascii office");
+  private static final String KEY_BEYOND_ASCII = "ключ-é-鍵";
 
   static IntStream accountIndexes() {
     return IntStream.range(0, ACCOUNT_NAMES.size());
@@ -38,6 +39,7 @@
     for (int i = 0; i < ACCOUNT_NAMES.size(); i++) {
       accounts.add(new ClientAccount(ACCOUNT_NAMES.get(i), Set.of("key-" + i), 1));
     }
+    accounts.add(new ClientAccount("keeper", Set.of(KEY_BEYOND_ASCII), 1));
     return accounts;
   }
 
@@ -63,4 +65,12 @@
     assertThat(call("/once/", "key-0", ""), startsWith("HTTP/1.1 200"));
     assertThat(utf8(FakeUpstream.header(upstream.requestHeads().get(0), "X-Expect")), is(id));
   }
+
+  /** Guards against a valid key beyond ASCII that is refused as unknown. */
+  @Test
+  void keyBeyondAsciiIsReadAsUtf8() throws Exception {
+    FakeUpstream upstream = upstream("i-1", SERVING);
+    assertThat(call("/once/", KEY_BEYOND_ASCII, ""), startsWith("HTTP/1.1 200"));
+    assertThat(FakeUpstream.header(upstream.requestHeads().get(0), "X-Account"), is("keeper"));
+  }
 }
