Daemon: compare keys and the operator's token by their bytes

Cause: Undertow reads each byte of a header as one character. The key was encoded in UTF-8 from these characters, so that each byte beyond ASCII became two before it was hashed or compared.

Change: BearerToken returns the received bytes; both checks use it.

The check of the operator's token had the same expression; it was not run with such a token.

--- a/daemon/src/main/java/org/shoreroad/daemon/gateway/Caller.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/gateway/Caller.java
@@ -1,8 +1,7 @@
 package org.shoreroad.daemon.gateway;
 
+import com.google.common.hash.Hashing;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.Headers;
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.ErrorCode;
@@ -10,6 +9,7 @@
 import org.shoreroad.config.AccountSpec;
 import org.shoreroad.config.Configuration;
 import org.shoreroad.config.KindSpec;
+import org.shoreroad.daemon.http.BearerToken;
 import org.shoreroad.intent.RequestKey;
 
 /**
@@ -22,7 +22,6 @@
  * @param key the idempotency key of a request that may not be repeated, else null
  */
 record Caller(AccountSpec account, KindSpec kind, @Nullable RequestKey key) {
-  private static final String BEARER = "Bearer ";
   private static final String KIND_HEADER = "X-Request-Kind";
   private static final String KEY_HEADER = "Idempotency-Key";
 
@@ -67,9 +66,9 @@
    * @throws ShoreroadException if the request has no key of a declared account
    */
   static AccountSpec findAccount(HttpServerExchange exchange, Configuration configuration) {
-    String header = exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION);
-    if (header != null && header.startsWith(BEARER)) {
-      byte[] digest = sha256(header.substring(BEARER.length()));
+    byte[] key = BearerToken.of(exchange);
+    if (key != null) {
+      byte[] digest = Hashing.sha256().hashBytes(key).asBytes();
       for (AccountSpec account : configuration.all(AccountSpec.class)) {
         byte[] expected = java.util.HexFormat.of().parseHex(account.keySha256());
         if (MessageDigest.isEqual(digest, expected)) {
@@ -81,12 +80,6 @@
         ErrorCode.UNKNOWN_ACCOUNT, "the Authorization header has no key of a declared account");
   }
 
-  private static byte[] sha256(String text) {
-    return com.google.common.hash.Hashing.sha256()
-        .hashString(text, StandardCharsets.UTF_8)
-        .asBytes();
-  }
-
   private static @Nullable RequestKey findKey(
       HttpServerExchange exchange, AccountSpec account, KindSpec kind, long nowMs, long windowMs) {
     if (kind.isRepeatable()) {
--- a/daemon/src/main/java/org/shoreroad/daemon/ops/OpsService.java
+++ b/daemon/src/main/java/org/shoreroad/daemon/ops/OpsService.java
@@ -20,6 +20,7 @@
 import org.shoreroad.ErrorCode;
 import org.shoreroad.ShoreroadException;
 import org.shoreroad.daemon.control.ControlLog;
+import org.shoreroad.daemon.http.BearerToken;
 import org.shoreroad.daemon.kernel.Kernel;
 import org.shoreroad.daemon.kernel.Service;
 import org.shoreroad.daemon.member.ContactPolicy;
@@ -41,7 +42,6 @@
   public static final String NAME = "ops";
 
   private static final String OPS_PATH = "/ops/";
-  private static final String BEARER = "Bearer ";
   private static final int WORKERS = 8;
   private static final long MAX_BODY_BYTES = 32L * 1024 * 1024;
   private static final int UNAVAILABLE = 503;
@@ -196,12 +196,9 @@
   }
 
   private boolean isOperator(HttpServerExchange exchange) {
-    String header = exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION);
-    return header != null
-        && header.startsWith(BEARER)
-        && MessageDigest.isEqual(
-            header.substring(BEARER.length()).getBytes(StandardCharsets.UTF_8),
-            settings.operatorToken().getBytes(StandardCharsets.UTF_8));
+    byte[] token = BearerToken.of(exchange);
+    return token != null
+        && MessageDigest.isEqual(token, settings.operatorToken().getBytes(StandardCharsets.UTF_8));
   }
 
   private void sendError(HttpServerExchange exchange, ShoreroadException failure) {
