shoreroadctl: send a token beyond ASCII, refuse one that no header carries

What operators saw: with such a token each command ended with "--url ... is not an HTTP URL".

Cause: OkHttp throws IllegalArgumentException for the value of the header, and the command took this for an invalid address. Blanks at the ends of a token were removed without a message, and half of a surrogate pair was sent as a question mark.

Change: the token is sent in UTF-8; one that can't be carried ends the command with the exit code for wrong use and its reason.

Evidence: OpsClientTest.tokenIsSentInUtf8 and all 5 cases of tokenThatNoHeaderCarriesIsRefused failed without the change and pass with it.

--- a/cli/src/main/java/org/shoreroad/cli/OpsClient.java
+++ b/cli/src/main/java/org/shoreroad/cli/OpsClient.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.ProtocolException;
 import java.time.Duration;
+import okhttp3.Headers;
 import okhttp3.Interceptor;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
@@ -13,6 +14,8 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 import org.jspecify.annotations.Nullable;
+import org.shoreroad.http.HeaderText;
+import org.shoreroad.http.HeaderTextFault;
 import org.shoreroad.http.HttpGrammar;
 
 /** Client of the operators' port of one process. Thread-safe. */
@@ -66,10 +69,21 @@
     return call(new Request.Builder(), call, RequestBody.create(body, YAML));
   }
 
+  private Headers authorization() {
+    HeaderTextFault fault = token.isEmpty() ? null : HeaderText.findFault(token);
+    if (fault != null) {
+      throw new CommandException(
+          ExitCode.USAGE, "the token can't be sent in a header: " + fault.code());
+    }
+    // OkHttp writes these characters in UTF-8.
+    return new Headers.Builder().addUnsafeNonAscii("Authorization", "Bearer " + token).build();
+  }
+
   private JsonNode call(Request.Builder builder, String call, @Nullable RequestBody body) {
     Request request;
+    builder.headers(authorization());
     try {
-      builder.url(url + "/ops/" + call).header("Authorization", "Bearer " + token);
+      builder.url(url + "/ops/" + call);
       request = body == null ? builder.build() : builder.post(body).build();
     } catch (IllegalArgumentException e) {
       throw new CommandException(ExitCode.USAGE, "--url '" + url + "' is not an HTTP URL");
--- a/cli/src/test/java/org/shoreroad/cli/OpsClientTest.java
+++ b/cli/src/test/java/org/shoreroad/cli/OpsClientTest.java
@@ -1,6 +1,7 @@
 package org.shoreroad.cli;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
@@ -9,6 +10,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -88,6 +91,42 @@
     assertThat(failure.exitCode(), is(ExitCode.UNKNOWN));
   }
 
+  /** Guards against a token beyond ASCII that is reported as an invalid address. */
+  @Test
+  void tokenIsSentInUtf8() throws Exception {
+    String url = "http://127.0.0.1:" + server.getLocalPort();
+    CompletableFuture<String> request = new CompletableFuture<>();
+    Thread thread =
+        new Thread(
+            () -> {
+              try (Socket socket = server.accept()) {
+                byte[] head = new byte[MAX_REQUEST_BYTES];
+                int length = socket.getInputStream().read(head);
+                request.complete(new String(head, 0, length, StandardCharsets.UTF_8));
+                socket
+                    .getOutputStream()
+                    .write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}".getBytes());
+              } catch (IOException e) {
+                request.completeExceptionally(e);
+              }
+            });
+    thread.setDaemon(true);
+    thread.start();
+    assertThat(new OpsClient(url, "ключ-é").get("status").isEmpty(), is(true));
+    assertThat(
+        request.get(10, TimeUnit.SECONDS), containsString("Authorization: Bearer ключ-é\r\n"));
+  }
+
+  /** Guards against a token that ends the header and is reported as an invalid address. */
+  @ParameterizedTest
+  @ValueSource(strings = {"a\r\nX: b", " a", "a ", "\u0000", "a\ud800"})
+  void tokenThatNoHeaderCarriesIsRefused(String token) {
+    OpsClient unsendable = new OpsClient("http://127.0.0.1:1", token);
+    CommandException failure = assertThrows(CommandException.class, () -> unsendable.get("status"));
+    assertThat(failure.exitCode(), is(ExitCode.USAGE));
+    assertThat(failure.getMessage(), containsString("token"));
+  }
+
   @Test
   void unusualAnswerIsRead() {
     answer("HTTP/1.0 200|X-A : caf\u00e9|content-length:0002||{}");
