--- a/edge/src/main/java/org/shoreroad/edge/ConfigurationView.java
+++ b/edge/src/main/java/org/shoreroad/edge/ConfigurationView.java
@@ -1,10 +1,12 @@
 package org.shoreroad.edge;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.peer.Heartbeat;
@@ -51,6 +53,7 @@
   private @Nullable TrafficConfig config;
   private @Nullable TopicFollower follower;
   private @Nullable Evacuations evacuations;
+  private Consumer<String> ignoredValueListener = code -> {};
   private long peerProvedNanos = Long.MIN_VALUE / 2;
   private boolean isNewestUnreadable;
   private long peerVersion = Heartbeat.NO_CONFIG;
@@ -108,6 +111,11 @@
     follower = configFollower;
   }
 
+  /** Sets the listener that is called with the code of each value that is not used. */
+  void setIgnoredValueListener(Consumer<String> listener) {
+    ignoredValueListener = listener;
+  }
+
   /** Sets the evacuated zones, whose records are in the topic of the configuration. */
   void setEvacuations(Evacuations newEvacuations) {
     evacuations = newEvacuations;
@@ -129,11 +137,13 @@
       return;
     }
     try {
-      TrafficConfig next = decoder.decode(value);
+      List<IgnoredValue> ignored = new ArrayList<>();
+      TrafficConfig next = decoder.decode(value, ignored::add);
       if (config == null || next.version() > config.version()) {
         config = next;
         isNewestUnreadable = false;
         log.write("configuration_taken", "version", next.version(), "offset", record.offset());
+        ignored.forEach(this::report);
       }
     } catch (RuntimeException e) {
       isNewestUnreadable = true;
@@ -148,6 +158,18 @@
     }
   }
 
+  private void report(IgnoredValue ignored) {
+    ignoredValueListener.accept(ignored.code());
+    log.write(
+        "configuration_value_ignored",
+        ignored.owner().fieldName(),
+        ignored.ownerName(),
+        "code",
+        ignored.code(),
+        "why",
+        ignored.why());
+  }
+
   @Override
   public void onListed(Set<String> keys, StorePosition end) {
     if (evacuations == null) {
@@ -277,9 +299,11 @@
     /**
      * Decodes the configuration.
      *
+     * @param value the value of the record, not null
+     * @param ignoredValues receives each value that is not used, not null
      * @throws RuntimeException if the value can't be read
      */
-    TrafficConfig decode(byte[] value);
+    TrafficConfig decode(byte[] value, Consumer<IgnoredValue> ignoredValues);
 
     /** Returns the zone whose evacuation a key requests, or null if it is another key. */
     default @Nullable String evacuatedZone(String key) {
--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -329,6 +329,8 @@
   /** Connects the parts by listeners and suppliers. */
   private void connect(HttpCalls calls) {
     configuration.setFollower(configFollower);
+    configuration.setIgnoredValueListener(
+        code -> metrics.count("shoreroad.configuration.ignored_values", code));
     // Without hubs each process reads the configuration itself. A change must be in force within
     // two seconds. With three readers for all processes, whose reads the store may refuse, a change
     // was late in four of thirteen runs with 7 and 9 processes.
--- a/edge/src/test/java/org/shoreroad/edge/ConfigurationViewTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/ConfigurationViewTest.java
@@ -9,8 +9,10 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.shoreroad.edge.peer.Heartbeat;
 import org.shoreroad.edge.peer.Heartbeats;
@@ -44,8 +46,10 @@
     }
 
     @Override
-    public TrafficConfig decode(byte[] value) {
+    public TrafficConfig decode(byte[] value, Consumer<IgnoredValue> ignoredValues) {
       long version = Long.parseLong(new String(value, StandardCharsets.UTF_8));
+      ignoredValues.accept(
+          new IgnoredValue(IgnoredValue.Owner.ACCOUNT, "", "name_empty", "left out"));
       return TrafficConfig.of(version, List.of(), List.of(), null, CallerLimits.DEFAULT);
     }
   }
@@ -114,6 +118,16 @@
     assertThat(configuration.config().version(), is(7L));
   }
 
+  /** Guards against a value that is not used without a count. */
+  @Test
+  void valuesThatAreNotUsedAreCountedOnceTheVersionIsTaken() {
+    List<String> counted = new ArrayList<>();
+    configuration.setIgnoredValueListener(counted::add);
+    receive("7");
+    receive("5");
+    assertThat(counted, is(List.of("name_empty")));
+  }
+
   @Test
   void otherKeysAreIgnored() {
     configuration.onRecord(new StoreRecord(StorePosition.of(1, 0), "other", new byte[] {'9'}));
--- a/edge/src/test/java/org/shoreroad/edge/SendGatesTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/SendGatesTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.shoreroad.edge.peer.HeartbeatAdditions;
@@ -49,7 +50,7 @@
     }
 
     @Override
-    public TrafficConfig decode(byte[] value) {
+    public TrafficConfig decode(byte[] value, Consumer<IgnoredValue> ignoredValues) {
       return TrafficConfig.of(
           1,
           List.of(),
--- a/edge/src/test/java/org/shoreroad/edge/relay/EdgeSite.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/EdgeSite.java
@@ -16,12 +16,14 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.ConfigurationView;
 import org.shoreroad.edge.EdgePorts;
 import org.shoreroad.edge.EdgeProcess;
 import org.shoreroad.edge.EdgeSettings;
 import org.shoreroad.edge.EventLog;
+import org.shoreroad.edge.IgnoredValue;
 import org.shoreroad.edge.caller.HeldBytes;
 import org.shoreroad.edge.caller.HeldBytesRule;
 import org.shoreroad.edge.http.HttpCalls;
@@ -260,7 +262,7 @@
     }
 
     @Override
-    public TrafficConfig decode(byte[] value) {
+    public TrafficConfig decode(byte[] value, Consumer<IgnoredValue> ignoredValues) {
       EngineSpec engine =
           new EngineSpec(
               SLOTS,
