UpstreamFormat: refuse an entry whose id no header can carry

Cause: the id of an upstream, a key of the list, is sent to it in a header of each request, report and order. An id with the end of a line would have added a header of another writer's choice to requests of callers; reports and orders to it would have failed with an exception at each attempt.

Change: such an entry is unusable (invalid_id), as other entries that no upstream writes.

--- a/edge/src/main/java/org/shoreroad/edge/sync/EntryFault.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/EntryFault.java
@@ -16,6 +16,8 @@
   WRONG_TYPE,
   /** A number or an address is out of its range. */
   OUT_OF_RANGE,
+  /** The id can't be carried by a header, so that no request could name the upstream. */
+  INVALID_ID,
   /** A state is not one of the defined ones. */
   UNKNOWN_STATE,
   /** No service of that name is declared. */
