RepeatingTimer: name slow tasks, and repeat a task after any Error

Cause: while the event loop was blocked, the log had only loop_late, which does not tell a task that computes from one that waits or from a box without processor time. A task that ended with an Error other than a LinkageError, such as an OutOfMemoryError, was never run again, and nothing was logged.

Change: task_slow names a task of 40 ms or more and its duration; the histogram shoreroad_loop_late_seconds has each delay of the loop. Any Error of a task is logged as an exception is, and the task is repeated.

Evidence: RepeatingTimerTest.taskThatFindsNoMemoryIsLoggedAndRepeated and slowTaskIsLogged failed before and pass now.

--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -184,7 +184,9 @@
     this.relay = makeRelay(loop);
     this.quarantines =
         new Quarantines(quarantine, relay.partGuard(), store, loop, clockNanos, timeOfDayMs, log);
-    this.lag = new LoopLag(log, UPDATE_INTERVAL_MS);
+    this.lag =
+        new LoopLag(
+            log, UPDATE_INTERVAL_MS, lateNanos -> metrics.record("shoreroad.loop.late", lateNanos));
     this.failureDetector = new FailureDetector(clockNanos);
     this.heartbeats = makeHeartbeats();
     HubPlan.ProcessLocation location = new HubPlan.ProcessLocation(name, settings.zone());
--- a/edge/src/main/java/org/shoreroad/edge/LoopLag.java
+++ b/edge/src/main/java/org/shoreroad/edge/LoopLag.java
@@ -1,6 +1,7 @@
 package org.shoreroad.edge;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 
 /**
  * Meter of the delay of the event loop's timers. The loop is late if it is overloaded or the
@@ -13,6 +14,7 @@
   private static final long MIN_LOGGED_MS = 40;
 
   private final EventLog log;
+  private final LongConsumer delayListener;
   private final long intervalNanos;
   private long dueNanos;
   private long longestMs;
@@ -21,9 +23,11 @@
    * Creates a meter without measurements.
    *
    * @param intervalMs the interval between calls of {@link #measure}, in milliseconds
+   * @param delayListener called with each delay, in nanoseconds, not null
    */
-  LoopLag(EventLog log, int intervalMs) {
+  LoopLag(EventLog log, int intervalMs, LongConsumer delayListener) {
     this.log = log;
+    this.delayListener = delayListener;
     this.intervalNanos = TimeUnit.MILLISECONDS.toNanos(intervalMs);
   }
 
@@ -32,6 +36,7 @@
     if (dueNanos != 0) {
       long lateMs = TimeUnit.NANOSECONDS.toMillis(nowNanos - dueNanos);
       longestMs = Math.max(longestMs, lateMs);
+      delayListener.accept(Math.max(0, nowNanos - dueNanos));
       if (lateMs >= MIN_LOGGED_MS) {
         log.write("loop_late", "lateMs", lateMs);
       }
--- a/edge/src/main/java/org/shoreroad/edge/RepeatingTimer.java
+++ b/edge/src/main/java/org/shoreroad/edge/RepeatingTimer.java
@@ -13,6 +13,12 @@
  * @since 0.2
  */
 public final class RepeatingTimer {
+  /**
+   * Duration from which a task is logged, in milliseconds. All other work of the process waits
+   * meanwhile.
+   */
+  private static final long MIN_SLOW_MS = 40;
+
   private final EventLoop loop;
   private final EventLog log;
 
@@ -54,12 +60,17 @@
   }
 
   private void run(String name, Runnable task) {
+    long startNanos = System.nanoTime();
     try {
       task.run();
-    } catch (RuntimeException | LinkageError e) {
-      // A missing class must not end the repetition without a log line either.
+    } catch (Throwable e) {
+      // An Error must not end the repetition without a log line either.
       String location = e.getStackTrace().length == 0 ? "" : e.getStackTrace()[0].toString();
       log.write("task_failed", "task", name, "why", String.valueOf(e), "place", location);
     }
+    long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+    if (tookMs >= MIN_SLOW_MS) {
+      log.write("task_slow", "task", name, "tookMs", tookMs);
+    }
   }
 }
--- a/edge/src/test/java/org/shoreroad/edge/RepeatingTimerTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/RepeatingTimerTest.java
@@ -8,9 +8,12 @@
 import java.io.ByteArrayOutputStream;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 
 class RepeatingTimerTest {
+  private static final int SLOW_TASK_MS = 100;
+
   private final EmbeddedChannel channel = new EmbeddedChannel();
   private final ByteArrayOutputStream out = new ByteArrayOutputStream();
   private final EventLog log = new EventLog("n", () -> 0, out);
@@ -54,6 +57,38 @@
     assertThat(out.toString(), containsString("x/Missing"));
   }
 
+  /** Guards against a task that is never run again after an Error, without a line in the log. */
+  @Test
+  void taskThatFindsNoMemoryIsLoggedAndRepeated() {
+    AtomicInteger runs = new AtomicInteger();
+    new RepeatingTimer(channel.eventLoop(), log)
+        .every(
+            10,
+            "large",
+            () -> {
+              runs.incrementAndGet();
+              throw new OutOfMemoryError("a test");
+            });
+    advanceMs(10);
+    advanceMs(10);
+    log.flush();
+    assertThat(runs.get(), is(2));
+    assertThat(out.toString(), containsString("OutOfMemoryError: a test"));
+  }
+
+  /** Guards against a blocked event loop whose log does not name the task that ran. */
+  @Test
+  void slowTaskIsLogged() {
+    new RepeatingTimer(channel.eventLoop(), log)
+        .once(
+            10,
+            "sleeping",
+            () -> LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(SLOW_TASK_MS)));
+    advanceMs(10);
+    log.flush();
+    assertThat(out.toString(), containsString("\"event\":\"task_slow\",\"task\":\"sleeping\""));
+  }
+
   @Test
   void intervalMayChangeAndSingleTaskRunsOnce() {
     AtomicInteger pauseMs = new AtomicInteger(10);
