--- a/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgeProcess.java
@@ -330,9 +330,8 @@
   private void connect(HttpCalls calls) {
     configuration.setFollower(configFollower);
     configuration.setIgnoredValueListener(metrics::countIgnoredValue);
-    // Without hubs each process reads the configuration itself. A change must be in force within
-    // two seconds. With three readers for all processes, whose reads the store may refuse, a change
-    // was late in four of thirteen runs with 7 and 9 processes.
+    // Without hubs each process reads the configuration itself: if the store refuses the reads of
+    // a few readers, a change is not in force everywhere within two seconds.
     configFollower.readThroughPeersWhile(
         mesh::isMember, ConfigurationView.peerProofMs(settings.revokeMs()));
     configFollower.setWait(
