Find the replicas of a domain without listing all packings

What callers saw: while the manifest listed 7 models of 2 boxes in a domain of 37, whose boxes had all crashed and come back, the process stood still for seconds at a time. Plain requests were unanswered after their timeout, readiness failed and no model was served.

Cause: ReplicaPlan.packings listed every way to fill the boxes with replicas, and ReplicaPlan.fill and DomainPacking.fill weighed each on the event loop: 134,596 ways here, for the domain and again for each choice of replicas to close, in decisions 50 ms apart. The number grows exponentially with the models. No crash is needed: a first plan for 12 models in 27 boxes took 0.6 to 0.8 s.

Change, with the same measure of the best replicas: - LevelSearch plans a domain by a table over models and boxes, for each lowest fill level that can still lead to a smaller difference. - PressureSearch forms replicas. They take boxes in a fixed order, the largest models first, so that if some numbers of replicas find enough boxes, all lower numbers do too. Hence the lowest highest pressure is found by raising the model with the highest one. For the sum of pressures, only the best way is kept for each set of boxes that are left, 64 at most. - Boxes of equal cost are taken in an order that does not depend on the process (BoxGroups): those that the fewest other models can use first. - ReplicaConversion uses the lowest highest pressure without the replicas where that suffices, and as a bound before it searches these; ReplicaChoices considers 24 uses at most, those of models under the lowest pressure first: the pairs grew with the square of the replicas.

Evidence: DomainPackingTest.boxesAreNotReadForEachWayToFillThem failed before (134,596 reads of the boxes, at most 10 allowed).

--- a/core/src/main/java/org/shoreroad/fleet/ConversionGain.java
+++ b/core/src/main/java/org/shoreroad/fleet/ConversionGain.java
@@ -42,15 +42,31 @@
       Map<String, Integer> after,
       double lastingSeconds) {
     DomainPacking atPeak = packing.atPeakOf(closed.keySet());
+    return of(packing, before, closed, atPeak.highestPressure(after, Map.of()), lastingSeconds);
+  }
+
+  /**
+   * Returns the gain as {@link #of(DomainPacking, Map, Map, Map, double)}.
+   *
+   * @param pressureAfter the highest pressure after the conversion, with the closed models at their
+   *     peaks; a lower one never has a lower gain
+   */
+  static double of(
+      DomainPacking packing,
+      Map<String, Integer> before,
+      Map<String, Integer> closed,
+      double pressureAfter,
+      double lastingSeconds) {
+    DomainPacking atPeak = packing.atPeakOf(closed.keySet());
     double servedBefore = served(atPeak.highestPressure(before, Map.of()));
-    double servedAfter = served(atPeak.highestPressure(after, Map.of()));
     Map<String, Integer> minus = new HashMap<>();
     closed.forEach((model, count) -> minus.put(model, -count));
     double servedDuring = served(atPeak.highestPressure(before, minus));
     double gainSeconds = Math.max(0, lastingSeconds - CONVERSION_SECONDS);
     double costSeconds = Math.min(lastingSeconds, CONVERSION_SECONDS);
     double seconds =
-        (servedAfter - servedBefore) * gainSeconds - (servedBefore - servedDuring) * costSeconds;
+        (served(pressureAfter) - servedBefore) * gainSeconds
+            - (servedBefore - servedDuring) * costSeconds;
     String worst = atPeak.highestPressureModel(before, Map.of());
     return worst == null ? 0 : seconds * Math.max(1, atPeak.needed(worst)) / SERVED_PRESSURE;
   }
--- a/core/src/main/java/org/shoreroad/fleet/DomainPacking.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainPacking.java
@@ -1,10 +1,8 @@
 package org.shoreroad.fleet;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -29,15 +27,12 @@
   private static final double ASSUMED_OPEN_REPLICAS = 1;
 
   private final List<ModelShape> models;
-  private final List<ModelShape> largestFirst;
   private final Demand demand;
   private final Map<String, Integer> replicasElsewhere;
 
   private DomainPacking(
       List<ModelShape> models, Demand demand, Map<String, Integer> replicasElsewhere) {
     this.models = List.copyOf(models);
-    this.largestFirst =
-        models.stream().sorted(Comparator.comparingInt(model -> -model.boxes())).toList();
     this.demand = demand;
     this.replicasElsewhere = Map.copyOf(replicasElsewhere);
   }
@@ -79,13 +74,30 @@
    * @param retained the number of retained replicas of each model in the domain, not null
    */
   Map<String, Integer> fill(Collection<ObservedBox> boxes, Map<String, Integer> retained) {
-    return ReplicaPlan.packings(models, boxes.size()).stream()
-        .map(packing -> formable(packing, boxes))
-        .min(
-            Comparator.comparingDouble(
-                    (Map<String, Integer> packing) -> highestPressure(retained, packing))
-                .thenComparingDouble(packing -> sumOfPressures(retained, packing)))
-        .orElse(Map.of());
+    int[] best = search(boxes, retained).best();
+    Map<String, Integer> formed = new HashMap<>();
+    for (int i = 0; i < best.length; i++) {
+      if (best[i] > 0) {
+        formed.put(models.get(i).name(), best[i]);
+      }
+    }
+    return formed;
+  }
+
+  /**
+   * Returns the search for the replicas to form.
+   *
+   * @param boxes the boxes that are free or will be soon, not null
+   * @param retained the number of retained replicas of each model in the domain, not null
+   */
+  PressureSearch search(Collection<ObservedBox> boxes, Map<String, Integer> retained) {
+    int[] present =
+        models.stream().mapToInt(model -> replicas(model.name(), retained, Map.of())).toArray();
+    double[] needed = models.stream().mapToDouble(model -> needed(model.name())).toArray();
+    return new PressureSearch(
+        BoxGroups.of(boxes, models),
+        models,
+        (model, count) -> pressure(needed[model], present[model] + count));
   }
 
   /** Returns the highest pressure of any model with the retained and the newly formed replicas. */
@@ -93,17 +105,25 @@
     return models.stream().mapToDouble(model -> pressure(model, retained, formed)).max().orElse(0);
   }
 
-  private double sumOfPressures(Map<String, Integer> retained, Map<String, Integer> formed) {
-    return models.stream().mapToDouble(model -> pressure(model, retained, formed)).sum();
+  /** Returns the pressure of a model with the replicas of the domain, or 0 if it is not wanted. */
+  double pressure(@Nullable String name, Map<String, Integer> retained) {
+    return models.stream()
+        .filter(model -> model.name().equals(name))
+        .mapToDouble(model -> pressure(model, retained, Map.of()))
+        .findFirst()
+        .orElse(0);
   }
 
   private double pressure(
       ModelShape model, Map<String, Integer> retained, Map<String, Integer> formed) {
     String name = model.name();
-    int replicas = replicas(name, retained, formed);
+    return pressure(needed(name), replicas(name, retained, formed));
+  }
+
+  private double pressure(double needed, int replicas) {
     // Only the count of conversions that other domains may make can lead below zero by design.
     boolean isUnserved = demand.strain() == null ? replicas == 0 : replicas <= 0;
-    return isUnserved ? Demand.NO_REPLICA_PRESSURE : needed(name) / replicas;
+    return isUnserved ? Demand.NO_REPLICA_PRESSURE : needed / replicas;
   }
 
   private int replicas(String model, Map<String, Integer> retained, Map<String, Integer> formed) {
@@ -156,29 +176,4 @@
         .map(ModelShape::name)
         .orElse(null);
   }
-
-  /** Returns the replicas of the packing whose boxes need no weights from the weight store. */
-  private Map<String, Integer> formable(
-      Map<String, Integer> packing, Collection<ObservedBox> boxes) {
-    Map<String, Integer> formable = new HashMap<>();
-    List<ObservedBox> left = new ArrayList<>(boxes);
-    for (ModelShape model : largestFirst) {
-      for (int i = 0; i < packing.getOrDefault(model.name(), 0); i++) {
-        List<ObservedBox> members =
-            left.stream()
-                .filter(box -> !box.isCold(model))
-                .sorted(Comparator.comparingInt(box -> box.joinCost(model)))
-                .limit(model.boxes())
-                .toList();
-        if (members.size() == model.boxes()) {
-          // By id, because the generated equals of ObservedBox uses method handles, which are slow.
-          Set<String> usedIds = new HashSet<>();
-          members.forEach(member -> usedIds.add(member.box().id()));
-          left.removeIf(box -> usedIds.contains(box.box().id()));
-          formable.merge(model.name(), 1, Integer::sum);
-        }
-      }
-    }
-    return formable;
-  }
 }
--- a/core/src/main/java/org/shoreroad/fleet/ReplicaConversion.java
+++ b/core/src/main/java/org/shoreroad/fleet/ReplicaConversion.java
@@ -1,5 +1,7 @@
 package org.shoreroad.fleet;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -125,17 +127,20 @@
       return List.of();
     }
     boolean isOwnTurn = isOwnTurn(nowNanos, TURN_NANOS);
+    List<ObservedReplica> sparableFirst = new ArrayList<>(closable);
+    sparableFirst.sort(
+        Comparator.comparingDouble(replica -> packing.pressure(replica.model(), wanted)));
     List<ObservedReplica> best =
         packing.strain() == null
-            ? chooseByPressure(view, packing, wanted, closable, newlyAvailable > 0, isOwnTurn)
-            : chooseByGain(view, packing, wanted, closable, newlyAvailable, nowNanos);
+            ? chooseByPressure(view, packing, wanted, sparableFirst, newlyAvailable > 0, isOwnTurn)
+            : chooseByGain(view, packing, wanted, sparableFirst, newlyAvailable, nowNanos);
     if (!best.isEmpty()) {
       convertedNanos = nowNanos;
       unreported =
           new Conversion(
               best.stream().map(replica -> replica.replica().toString()).toList(),
               packing.highestPressure(wanted, Map.of()),
-              packing.highestPressure(countsAfter(best, view, packing), Map.of()),
+              packing.highestPressure(Freed.of(best, view).countsAfter(packing), Map.of()),
               packing.strain() != null);
     }
     return best;
@@ -162,7 +167,7 @@
     double lowestPressure =
         pressureBefore - (hasNewlyAvailable ? MIN_GAIN_WITH_AVAILABLE : MIN_GAIN);
     for (List<ObservedReplica> closed : ReplicaChoices.oneOrTwoOf(closable, packing.models())) {
-      double pressureAfter = packing.highestPressure(countsAfter(closed, view, packing), Map.of());
+      double pressureAfter = Freed.of(closed, view).search(packing).lowestHighest();
       if (pressureAfter < lowestPressure) {
         best = closed;
         lowestPressure = pressureAfter;
@@ -198,13 +203,20 @@
     double highestGain = minGain;
     List<ObservedReplica> whole = closable.stream().filter(ReplicaConversion::isWhole).toList();
     for (List<ObservedReplica> closed : ReplicaChoices.oneOrTwoOf(whole, packing.models())) {
-      Map<String, Integer> after = countsAfter(closed, view, packing);
-      double gain =
-          ConversionGain.of(packing, wanted, counts(closed), after, lastingSeconds)
-              - GAIN_SECONDS_PER_CLOSED * closed.size();
-      if (gain > highestGain) {
-        best = closed;
-        highestGain = gain;
+      double cost = GAIN_SECONDS_PER_CLOSED * closed.size();
+      Map<String, Integer> counts = counts(closed);
+      Freed freed = Freed.of(closed, view);
+      // The best replicas for the peaks bound the gain and are found with less work.
+      double lowestAtPeak = freed.search(packing.atPeakOf(counts.keySet())).lowestHighest();
+      double gainAtMost =
+          ConversionGain.of(packing, wanted, counts, lowestAtPeak, lastingSeconds) - cost;
+      if (gainAtMost > highestGain) {
+        Map<String, Integer> after = freed.countsAfter(packing);
+        double gain = ConversionGain.of(packing, wanted, counts, after, lastingSeconds) - cost;
+        if (gain > highestGain) {
+          best = closed;
+          highestGain = gain;
+        }
       }
     }
     if (best.isEmpty() || isAfterLoss) {
@@ -219,7 +231,7 @@
     if (isTurnWithoutFirst(pressure >= Demand.NO_REPLICA_PRESSURE, lastedNanos, nowNanos)) {
       return best;
     }
-    Map<String, Integer> after = countsAfter(best, view, packing);
+    Map<String, Integer> after = Freed.of(best, view).countsAfter(packing);
     int useful =
         ConversionGain.usefulCount(
             packing, wanted, counts(best), after, lastingSeconds, minGain, rank + 1);
@@ -261,16 +273,34 @@
     return counts;
   }
 
-  /** Returns the replicas with the best packing of the available and the closed boxes. */
-  private static Map<String, Integer> countsAfter(
-      List<ObservedReplica> closed, DomainView view, DomainPacking packing) {
-    Map<String, Integer> counts = new HashMap<>(view.retained());
-    List<ObservedBox> boxes = view.available();
-    for (ObservedReplica replica : closed) {
-      counts.merge(String.valueOf(replica.model()), -1, Integer::sum);
-      boxes.addAll(replica.members());
+  /**
+   * Boxes that are available once replicas are closed.
+   *
+   * @param boxes the boxes
+   * @param retained the replicas of each model that are left
+   */
+  private record Freed(List<ObservedBox> boxes, Map<String, Integer> retained) {
+    static Freed of(List<ObservedReplica> closed, DomainView view) {
+      Map<String, Integer> retained = new HashMap<>(view.retained());
+      List<ObservedBox> boxes = view.available();
+      for (ObservedReplica replica : closed) {
+        retained.merge(String.valueOf(replica.model()), -1, Integer::sum);
+        boxes.addAll(replica.members());
+      }
+      return new Freed(boxes, retained);
+    }
+
+    PressureSearch search(DomainPacking packing) {
+      return packing.search(boxes, retained);
+    }
+
+    /** Returns the replicas of each model with the best packing of the boxes. */
+    Map<String, Integer> countsAfter(DomainPacking packing) {
+      Map<String, Integer> counts = new HashMap<>(retained);
+      packing
+          .fill(boxes, retained)
+          .forEach((model, more) -> counts.merge(model, more, Integer::sum));
+      return counts;
     }
-    packing.fill(boxes, counts).forEach((model, more) -> counts.merge(model, more, Integer::sum));
-    return counts;
   }
 }
--- a/core/src/main/java/org/shoreroad/fleet/ReplicaPlan.java
+++ b/core/src/main/java/org/shoreroad/fleet/ReplicaPlan.java
@@ -1,6 +1,5 @@
 package org.shoreroad.fleet;
 
-import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -78,77 +77,31 @@
     // The reserve serves the smallest model, so it counts towards the share of that model.
     ModelShape smallest = Collections.min(models, Comparator.comparingInt(ModelShape::boxes));
     boxesUsed.merge(smallest.name(), reserve, Integer::sum);
-    List<Map<String, Integer>> packings = packings(models, boxes - reserve);
-    Map<String, Integer> best =
-        Collections.min(
-            packings,
-            // No model is served by the reserve alone, because its replicas may be closed.
-            Comparator.comparingInt(
-                    (Map<String, Integer> packing) -> -countNew(packing, plannedModels))
-                .thenComparingDouble(packing -> imbalance(models, packing, boxesUsed))
-                .thenComparingInt(packing -> -usedBoxes(models, packing)));
-    for (ModelShape model : models) {
-      boxesUsed.merge(
-          model.name(), best.getOrDefault(model.name(), 0) * model.boxes(), Integer::sum);
+    int[] counts = search(models, boxes - reserve, boxesUsed, plannedModels).best();
+    Map<String, Integer> best = new HashMap<>();
+    for (int i = 0; i < counts.length; i++) {
+      if (counts[i] > 0) {
+        ModelShape model = models.get(i);
+        best.put(model.name(), counts[i]);
+        boxesUsed.merge(model.name(), counts[i] * model.boxes(), Integer::sum);
+      }
     }
     plannedModels.addAll(best.keySet());
     return best;
   }
 
-  private static int countNew(Map<String, Integer> packing, Set<String> plannedModels) {
-    return (int) packing.keySet().stream().filter(model -> !plannedModels.contains(model)).count();
-  }
-
-  /** Returns each way to fill the boxes with replicas until no other one fits. */
-  static List<Map<String, Integer>> packings(List<ModelShape> models, int boxes) {
-    List<Map<String, Integer>> packings = new ArrayList<>();
-    pack(models, 0, boxes, Map.of(), packings);
-    return packings;
-  }
-
-  /** Adds each way to fill the boxes with models from the first index on until none fits. */
-  private static void pack(
+  /**
+   * Returns the search for the best packing. No model is served by the reserve alone, because its
+   * replicas may be closed.
+   */
+  static LevelSearch search(
       List<ModelShape> models,
-      int first,
-      int left,
-      Map<String, Integer> counts,
-      List<Map<String, Integer>> packings) {
-    if (models.stream().noneMatch(model -> model.boxes() <= left)) {
-      packings.add(counts);
-    }
-    for (int i = first; i < models.size(); i++) {
-      ModelShape model = models.get(i);
-      if (model.boxes() <= left) {
-        Map<String, Integer> next = new HashMap<>(counts);
-        next.merge(model.name(), 1, Integer::sum);
-        // Earlier models are not added again, so that each combination occurs once.
-        pack(models, i, left - model.boxes(), next, packings);
-      }
-    }
-  }
-
-  /** Returns the difference between the highest and the lowest fill level, in boxes per share. */
-  private static double imbalance(
-      List<ModelShape> models, Map<String, Integer> packing, Map<String, Integer> boxesUsed) {
-    double least = Double.MAX_VALUE;
-    double most = 0;
-    for (ModelShape model : models) {
-      double level =
-          fillLevel(model, boxesUsed)
-              + packing.getOrDefault(model.name(), 0) * model.boxes() / model.share();
-      least = Math.min(least, level);
-      most = Math.max(most, level);
-    }
-    return most - least;
-  }
-
-  private static int usedBoxes(List<ModelShape> models, Map<String, Integer> packing) {
-    return models.stream()
-        .mapToInt(model -> packing.getOrDefault(model.name(), 0) * model.boxes())
-        .sum();
-  }
-
-  private static double fillLevel(ModelShape model, Map<String, Integer> boxesUsed) {
-    return boxesUsed.getOrDefault(model.name(), 0) / model.share();
+      int boxes,
+      Map<String, Integer> boxesUsed,
+      Set<String> plannedModels) {
+    int[] used =
+        models.stream().mapToInt(model -> boxesUsed.getOrDefault(model.name(), 0)).toArray();
+    return new LevelSearch(
+        boxes, models, used, model -> !plannedModels.contains(models.get(model).name()));
   }
 }
--- a/core/src/test/java/org/shoreroad/fleet/DomainPackingTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/DomainPackingTest.java
@@ -4,8 +4,12 @@
 import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import java.util.AbstractCollection;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -46,6 +50,47 @@
     assertThat(packing(0.9, 0.2).fill(boxes(4, null), Map.of()), is(Map.of()));
   }
 
+  /** Collection that counts how often it is read. */
+  private static final class CountedBoxes extends AbstractCollection<ObservedBox> {
+    private final List<ObservedBox> boxes;
+    private int readCount;
+
+    CountedBoxes(List<ObservedBox> boxes) {
+      this.boxes = boxes;
+    }
+
+    @Override
+    public Iterator<ObservedBox> iterator() {
+      readCount++;
+      return boxes.iterator();
+    }
+
+    @Override
+    public int size() {
+      return boxes.size();
+    }
+  }
+
+  /**
+   * Guards against an event loop that is blocked for seconds, because each of the 134,596 ways to
+   * fill 37 boxes with replicas of seven models is weighed.
+   */
+  @Test
+  void boxesAreNotReadForEachWayToFillThem() {
+    List<ModelShape> models = new ArrayList<>();
+    Map<String, Double> pressures = new HashMap<>();
+    for (int i = 0; i < 7; i++) {
+      models.add(new ModelShape("m" + i, 2, 1 / 7.0, 1, 12, 1.1));
+      pressures.put("m" + i, 0.1 * i);
+    }
+    CountedBoxes boxes =
+        new CountedBoxes(boxes(37, null, "m0", "m1", "m2", "m3", "m4", "m5", "m6"));
+    Demand demand = new Demand(pressures, Map.of(), true);
+    Map<String, Integer> formed = DomainPacking.of(models, demand, List.of()).fill(boxes, Map.of());
+    assertThat(formed.values().stream().mapToInt(Integer::intValue).sum(), is(18));
+    assertThat(boxes.readCount, is(lessThanOrEqualTo(10)));
+  }
+
   @Test
   void pressureFallsAsReplicasAreAdded() {
     DomainPacking packing = packing(0.6, 0.1);
--- a/core/src/test/java/org/shoreroad/fleet/ReplicaChoicesTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/ReplicaChoicesTest.java
@@ -67,6 +67,27 @@
     assertThat(choices(), contains("a", "a+b", "a+c", "b", "b+c"));
   }
 
+  /** Guards against work that grows with the square of the replicas, if all hold other weights. */
+  @Test
+  void numberOfChoicesIsBounded() {
+    for (int i = 0; i < 150; i++) {
+      List<String> staged = new ArrayList<>();
+      for (int bit = 0; bit < 8; bit++) {
+        if ((i >> bit & 1) == 1) {
+          staged.add("m" + bit);
+        }
+      }
+      addReplica("r" + i, staged);
+    }
+    List<ModelShape> models = new ArrayList<>();
+    for (int bit = 0; bit < 8; bit++) {
+      models.add(new ModelShape("m" + bit, 2, 0.1, 1, 12, 1.1));
+    }
+    List<List<ObservedReplica>> choices = ReplicaChoices.oneOrTwoOf(replicas(), models);
+    assertThat(choices.size(), is(lessThanOrEqualTo(24 + 24 * 24)));
+    assertThat(choices.get(0).get(0).replica().name(), is("r0"));
+  }
+
   /** Returns the replicas that the boxes of the closed ones and a free box form. */
   private Map<String, Integer> formed(List<ObservedReplica> closed, ObservedBox free) {
     Demand demand =
