RequestDecoder: a request without a length has no body

Cause: for these headers of an obsolete WebSocket handshake Netty takes a body of eight bytes, which the check of the bytes against RFC 9112 (6.3) does not: two readers of one connection disagreed on where a request ends.

Change: RequestDecoder decides by Content-Length and Transfer-Encoding alone. Netty's codec for servers can't be extended, so its two halves are used; AnswerEncoder suppresses the body of an answer to HEAD, as the codec did.

Answers have such a body only with status 101, which is refused before it is decoded.

--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerConnection.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -56,6 +57,7 @@
   private @Nullable CompositeByteBuf body;
   private @Nullable CallerExchange exchange;
   private boolean isAnswering;
+  private boolean isAnsweringHead;
   private boolean isAnswerBegun;
   private boolean isLastAnswer;
   private boolean isRefusingInput;
@@ -163,6 +165,7 @@
 
   private void answerNext(QueuedRequest next) {
     isAnswering = true;
+    isAnsweringHead = next.request().method().equals(HttpMethod.HEAD);
     isLastAnswer = false;
     isKeptAlive = next.isKeptAlive();
     answeringBodyBytes = next.request().body().readableBytes();
@@ -287,6 +290,7 @@
     heldHere.endAnswer();
     answeringBodyBytes = 0;
     isAnswering = false;
+    isAnsweringHead = false;
     isAnswerBegun = false;
     exchange = null;
     idleSinceNanos = server.nowNanos();
@@ -378,8 +382,7 @@
     isRefusingInput = true;
     releaseArriving();
     if (!isAnswering && queue.isEmpty()) {
-      HttpHeaders headers = new DefaultHttpHeaders();
-      headers.set("X-Shoreroad-Reason", "memory_full");
+      HttpHeaders headers = new DefaultHttpHeaders().set("X-Shoreroad-Reason", "memory_full");
       headers.set(HttpHeaderNames.RETRY_AFTER, MEMORY_RETRY_AFTER_SECONDS);
       answer(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, Unpooled.EMPTY_BUFFER);
     }
@@ -404,6 +407,11 @@
     }
   }
 
+  /** Returns true while the answer to a request with the method HEAD is written. */
+  boolean isAnsweringHead() {
+    return isAnsweringHead;
+  }
+
   /** Closes the connection now or at a later check, once it is idle. */
   void closeOnceIdle() {
     isClosingOnceIdle = true;
--- a/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
+++ b/edge/src/main/java/org/shoreroad/edge/caller/CallerServer.java
@@ -12,7 +12,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -271,12 +271,20 @@
           .addLast(
               new ByteMonitor(connection),
               new RequestCheck(connection),
-              new HttpServerCodec(
-                  MAX_INITIAL_LINE_BYTES, limits().maxHeaderBytes(), MAX_CHUNK_BYTES),
+              new RequestDecoder(decoderConfig()),
+              new AnswerEncoder(connection::isAnsweringHead),
               connection);
     }
   }
 
+  /** Returns the settings of the decoder, which reads only what {@link RequestCheck} passes on. */
+  private HttpDecoderConfig decoderConfig() {
+    return new HttpDecoderConfig()
+        .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+        .setMaxHeaderSize(limits().maxHeaderBytes())
+        .setMaxChunkSize(MAX_CHUNK_BYTES);
+  }
+
   /** Notifies the connection of received bytes, so that a head that never ends is detected. */
   private static final class ByteMonitor extends ChannelDuplexHandler {
     private final CallerConnection connection;
--- a/edge/src/test/java/org/shoreroad/edge/caller/BrokenRequestTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/caller/BrokenRequestTest.java
@@ -113,6 +113,15 @@
     assertThat(begun, is(List.of("/a body")));
   }
 
+  /** Guards against bytes of the next request that run as the body of an old handshake. */
+  @Test
+  void requestWithTheHeadersOfAnOldHandshakeHasNoBody() throws Exception {
+    send(
+        "GET /a HTTP/1.1\r\nSec-WebSocket-Key1: 1\r\nSec-WebSocket-Key2: 2\r\n\r\n"
+            + "GET /b HTTP/1.1\r\nConnection: close\r\n\r\n");
+    assertThat(begun, is(List.of("/a ", "/b ")));
+  }
+
   /** A request before bytes that are none is still answered, and the connection is closed. */
   @Test
   void requestBeforeBrokenOneIsAnswered() throws Exception {
