RequestEncoder: send the target of a request with the bytes that were read

What callers saw: bytes beyond ASCII in a path or query reached the upstream encoded twice, so that the request ran for another target.

Cause: Netty reads a target as one character for each byte and writes it in UTF-8.

Change: RequestEncoder writes each character as one byte. Netty's codec for clients can't be extended, so AnswerDecoder, the other half, keeps which answer is to a HEAD.

--- a/edge/src/main/java/org/shoreroad/edge/http/HttpCalls.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/HttpCalls.java
@@ -9,7 +9,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -308,8 +307,7 @@
       protected void initChannel(SocketChannel channel) {
         channel
             .pipeline()
-            .addLast(
-                connection.check(), new HttpClientCodec(decoderConfig(), false, false), connection);
+            .addLast(connection.check(), connection.decoder(), new RequestEncoder(), connection);
       }
     };
   }
--- a/edge/src/main/java/org/shoreroad/edge/http/HttpConnection.java
+++ b/edge/src/main/java/org/shoreroad/edge/http/HttpConnection.java
@@ -43,6 +43,7 @@
 
   private final HttpCalls.AddressPool pool;
   private final AnswerCheck check = new AnswerCheck(this);
+  private final AnswerDecoder decoder = new AnswerDecoder(HttpCalls.decoderConfig());
   private @Nullable Channel channel;
   private @Nullable HttpCall call;
   private boolean isSkipping;
@@ -81,7 +82,9 @@
       return;
     }
     next.markSent();
-    check.expectAnswer(next.request().method().equals(HttpMethod.HEAD));
+    boolean isHead = next.request().method().equals(HttpMethod.HEAD);
+    check.expectAnswer(isHead);
+    decoder.expectAnswer(isHead);
     isRequestWritten = false;
     open.writeAndFlush(next.request()).addListener(done -> isRequestWritten = done.isSuccess());
   }
@@ -97,6 +100,11 @@
     return check;
   }
 
+  /** Returns the decoder of the answers that the check has passed on. */
+  AnswerDecoder decoder() {
+    return decoder;
+  }
+
   /** Returns the open call, or null if there is none. */
   @Nullable HttpCall call() {
     return call;
--- a/edge/src/test/java/org/shoreroad/edge/relay/TextBeyondAsciiTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/relay/TextBeyondAsciiTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
 
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.shoreroad.traffic.ClientAccount;
 
 /** Tests text of the configuration and the list beyond ASCII, in headers on loopback. */
@@ -73,4 +75,28 @@
     assertThat(call("/once/", KEY_BEYOND_ASCII, ""), startsWith("HTTP/1.1 200"));
     assertThat(FakeUpstream.header(upstream.requestHeads().get(0), "X-Account"), is("keeper"));
   }
+
+  /** Guards against a target whose bytes beyond ASCII are encoded a second time. */
+  @ParameterizedTest
+  @ValueSource(strings = {"/once/東京?q=é&r=%E6%9D%B1", "/once/", "/once/?{c}|%20"})
+  void targetReachesTheUpstreamUnaltered(String target) throws Exception {
+    FakeUpstream upstream = upstream("i-1", SERVING);
+    assertThat(call(target, "key-0", ""), startsWith("HTTP/1.1 200"));
+    assertThat(utf8(upstream.requestHeads().get(0)), startsWith("GET " + target + " HTTP/1.1\n"));
+  }
+
+  @Test
+  void targetThatIsNotUtf8ReachesTheUpstreamUnaltered() throws Exception {
+    FakeUpstream upstream = upstream("i-1", SERVING);
+    try (Socket socket = connect()) {
+      socket.setSoTimeout(READ_TIMEOUT_MS);
+      String request =
+          "GET /once/caf\u00e9 HTTP/1.1\r\nHost: h.example\r\nX-Attempt: a1\r\n"
+              + "Authorization: Bearer key-0\r\n\r\n";
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+      byte[] status = socket.getInputStream().readNBytes("HTTP/1.1 200".length());
+      assertThat(new String(status, StandardCharsets.US_ASCII), is("HTTP/1.1 200"));
+    }
+    assertThat(upstream.requestHeads().get(0), startsWith("GET /once/caf\u00e9 HTTP/1.1\n"));
+  }
 }
