Accept infinite fill levels and pressures that are no number

Cause: with a share so small that a fill level is infinite, the first table of LevelSearch excluded every filling, and with a pressure that is no number PressureSearch kept no way; both then threw at each decision.

Change: the first limit of the difference is infinite, and a sum is dropped only if it is above the limit.

Evidence: LevelSearchTest.tinyShareIsPlanned and PressureSearchTest.pressureThatIsNoNumberIsAccepted failed before and pass now.

--- a/core/src/main/java/org/shoreroad/fleet/LevelSearch.java
+++ b/core/src/main/java/org/shoreroad/fleet/LevelSearch.java
@@ -60,7 +60,8 @@
     int newCount = newCount();
     boolean isEachNewServed = newCount == countNewModels();
     Filling best =
-        Objects.requireNonNull(fill(0, Double.MAX_VALUE, newCount, isEachNewServed), "best");
+        Objects.requireNonNull(
+            fill(0, Double.POSITIVE_INFINITY, newCount, isEachNewServed), "best");
     double lowestHighest = best.highest();
     for (double lowest : lowestLevels(isEachNewServed).descendingSet()) {
       if (lowestHighest - lowest > best.difference()) {
@@ -78,7 +79,7 @@
     return (int) IntStream.range(0, sizes.length).filter(model -> isNew[model]).count();
   }
 
-  /** Returns how many models without replicas elsewhere can have one: the smallest ones. */
+  /** Returns how many models without replicas elsewhere can have one; the smallest are counted. */
   private int newCount() {
     int[] newSizes =
         IntStream.range(0, sizes.length)
@@ -118,7 +119,7 @@
         possible.add(level);
       }
     }
-    double most = isEachNewServed ? Double.MAX_VALUE : unserved;
+    double most = isEachNewServed ? Double.POSITIVE_INFINITY : unserved;
     possible.removeIf(level -> level > most || !hasBoxesFor(level, isEachNewServed));
     return possible;
   }
--- a/core/src/main/java/org/shoreroad/fleet/PressureSearch.java
+++ b/core/src/main/java/org/shoreroad/fleet/PressureSearch.java
@@ -186,7 +186,8 @@
       if (extended == null) {
         return;
       }
-      if (extended.sumAtBest() <= sumLimit) {
+      boolean isAboveLimit = extended.sumAtBest() > sumLimit;
+      if (!isAboveLimit) {
         ways.merge(new Left(extended.left()), extended, Way::better);
       }
     }
--- a/core/src/test/java/org/shoreroad/fleet/LevelSearchTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/LevelSearchTest.java
@@ -108,6 +108,16 @@
     }
   }
 
+  /** Guards against a plan that fails because a share is so small that a level is infinite. */
+  @Test
+  void tinyShareIsPlanned() {
+    List<ModelShape> models =
+        List.of(new ModelShape("a", 2, 1e-320, 1, 12, 1), new ModelShape("b", 2, 0.5, 1, 12, 1));
+    Domain domain = new Domain(models, 9, Map.of(), Set.of());
+    assertThat(domain.newCount(domain.found()), is(2));
+    assertThat(domain.usedBoxes(domain.found()), is(8));
+  }
+
   /**
    * Guards against work that grows exponentially with the models, which blocks the event loop. It
    * may grow with the models and the square of the boxes.
--- a/core/src/test/java/org/shoreroad/fleet/PressureSearchTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/PressureSearchTest.java
@@ -155,6 +155,17 @@
     }
   }
 
+  /** Guards against a decision that fails because the pressure of a model is no number. */
+  @Test
+  void pressureThatIsNoNumberIsAccepted() {
+    Random random = new Random(3);
+    Domain domain = randomDomain(random, 12, 3, 2);
+    Demand demand = new Demand(Map.of(model(0), Double.NaN), Map.of(model(0), 1), true);
+    DomainPacking packing = DomainPacking.of(domain.models(), demand, List.of());
+    Map<String, Integer> formed = packing.fill(domain.boxes(), Map.of());
+    assertThat(formed.size(), is(lessThanOrEqualTo(3)));
+  }
+
   /**
    * Guards against work that grows exponentially with the models, which blocks the event loop. It
    * may grow with the boxes and the square of the models.
