DomainView: leave boxes that several models can use to the other models

Cause: the number of replicas is chosen on the assumption that each takes the boxes that the fewest other models can use. The members were then picked by id among those of equal cost, so that a replica could take the only boxes of another one, which was not formed until weights had been loaded.

Change: members are picked in the order of BoxGroups.

All tests of core passed once.

--- a/core/src/main/java/org/shoreroad/fleet/DomainView.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainView.java
@@ -104,11 +104,16 @@
     return free().size() + soonFree.size();
   }
 
-  /** Returns the free boxes that can join a replica of the model soonest, at most its size. */
+  /**
+   * Returns the free boxes that can join a replica of the model soonest, at most its size. Of these
+   * the ones that fewest other models can use are preferred, as in {@link BoxGroups}, so that the
+   * other models find the boxes on which the choice of the replicas relies.
+   */
   List<ObservedBox> pickMembers(ModelShape model) {
     List<ObservedBox> free = free();
     free.sort(
         Comparator.comparingInt((ObservedBox observed) -> observed.joinCost(model))
+            .thenComparingInt(ObservedBox::localModelCount)
             .thenComparing(observed -> observed.box().id()));
     return free.subList(0, Math.min(free.size(), model.boxes()));
   }
--- a/core/src/main/java/org/shoreroad/fleet/ObservedBox.java
+++ b/core/src/main/java/org/shoreroad/fleet/ObservedBox.java
@@ -50,6 +50,12 @@
     return !shape.name().equals(lastModel) && !box.stagedModels().contains(shape.name());
   }
 
+  /** Returns the number of models whose weights need not be loaded from the weight store. */
+  public int localModelCount() {
+    boolean isCounted = lastModel == null || box.stagedModels().contains(lastModel);
+    return box.stagedModels().size() + (isCounted ? 0 : 1);
+  }
+
   /** Returns true if the host holds no weights other than those of the box's last model. */
   public boolean hasRoomOnHost() {
     return lastModel != null
