--- a/core/src/test/java/org/shoreroad/fleet/LevelSearchTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/LevelSearchTest.java
@@ -23,6 +23,9 @@
   private static final int MAX_SMALL_MODELS = 4;
   private static final int MAX_SIZE = 4;
 
+  /** Allowed multiple of the models times the square of the boxes, for the tried lowest levels. */
+  private static final long MAX_TABLES = 32;
+
   /** Models and boxes of a domain, and what serves the models elsewhere. */
   private record Domain(
       List<ModelShape> models, int boxes, Map<String, Integer> used, Set<String> planned) {
@@ -136,7 +139,8 @@
       LevelSearch search = domain.search();
       search.best();
       long squareOfBoxes = (boxCount + 1L) * (boxCount + 1L);
-      assertThat(search.stepCount(), is(lessThanOrEqualTo(32 * modelCount * squareOfBoxes)));
+      assertThat(
+          search.stepCount(), is(lessThanOrEqualTo(MAX_TABLES * modelCount * squareOfBoxes)));
     }
   }
 }
--- a/core/src/test/java/org/shoreroad/fleet/PressureSearchTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/PressureSearchTest.java
@@ -25,6 +25,12 @@
   private static final int MAX_SIZE = 4;
   private static final double TOLERANCE = 1e-9;
 
+  /** Steps for each model and each replica that fits: of 64 kept ways and of two first searches. */
+  private static final long MAX_STEPS_PER_MODEL_AND_REPLICA = 66;
+
+  /** A few milliseconds. */
+  private static final long MAX_STEPS_OF_SEVEN_MODELS = 20_000;
+
   /** Models, boxes and demand of a domain. */
   private record Domain(
       List<ModelShape> models,
@@ -184,7 +190,9 @@
       search.best();
       long replicas =
           domain.models().stream().mapToLong(model -> boxCount / model.boxes() + 1).sum();
-      assertThat(search.stepCount(), is(lessThanOrEqualTo(66L * modelCount * replicas)));
+      assertThat(
+          search.stepCount(),
+          is(lessThanOrEqualTo(MAX_STEPS_PER_MODEL_AND_REPLICA * modelCount * replicas)));
     }
   }
 
@@ -206,6 +214,6 @@
     Demand demand = new Demand(pressures, Map.of(), true);
     PressureSearch search = DomainPacking.of(models, demand, List.of()).search(boxes, Map.of());
     search.best();
-    assertThat(search.stepCount(), is(lessThanOrEqualTo(20_000L)));
+    assertThat(search.stepCount(), is(lessThanOrEqualTo(MAX_STEPS_OF_SEVEN_MODELS)));
   }
 }
