ReplicaChoices: the order of boxes makes no other use; name the beam search

ReplicaChoices counted two replicas as different uses if the same boxes stood in another order, which no longer changes what they form (BoxGroups), so that its limit of 24 uses was reached earlier, and its comment claimed that these are all of two models, which does not hold for large replicas. Costs are sorted now; ReplicaChoicesTest.orderOfTheBoxesMakesNoOtherUse guards that.

--- a/core/src/main/java/org/shoreroad/fleet/PressureSearch.java
+++ b/core/src/main/java/org/shoreroad/fleet/PressureSearch.java
@@ -15,18 +15,18 @@
  *
  * <p>Replicas take their boxes in a fixed order, those of the largest models first. If some numbers
  * of replicas find enough boxes, so do all lower numbers. So the lowest highest pressure is found
- * by adding replicas, each to the model with the highest pressure. The lowest sum is found model by
- * model: of all ways to serve the models so far that leave the same boxes, only the best is kept,
- * and of these a limited number. The limit can cost a part of the sum in a domain with many models,
- * whose boxes hold different weights, but never of the highest pressure. The work grows with the
- * boxes and the square of the models. Not thread-safe.
+ * by adding replicas, each to the model with the highest pressure. The lowest sum is found by a
+ * beam search over the models: of all partial solutions that leave the same boxes, only the best is
+ * kept, and of these a limited number. The limit can raise the sum in a domain with many models,
+ * whose boxes hold different weights, but never the highest pressure. The work grows with the boxes
+ * and the square of the models. Not thread-safe.
  */
 final class PressureSearch {
   /**
-   * Maximum number of kept ways. If all boxes hold the same weights, there is one for each number
-   * of boxes that are left.
+   * Maximum number of kept partial solutions. If all boxes hold the same weights, there is one for
+   * each number of boxes that are left.
    */
-  private static final int MAX_WAYS = 64;
+  private static final int BEAM_WIDTH = 64;
 
   /** Relative error of a sum of pressures. */
   private static final double ROUNDING = 1e-9;
@@ -154,79 +154,81 @@
 
   /** Returns the numbers with the lowest sum of pressures, each at least the given one. */
   private int[] lowestSum(int[] fewest) {
-    // A first result excludes most ways from the full search.
-    Way first = Objects.requireNonNull(lowestSum(fewest, 1, Double.MAX_VALUE), "first");
-    Way best = lowestSum(fewest, MAX_WAYS, first.sum());
+    // A first solution excludes most partial solutions from the full search.
+    Partial first = Objects.requireNonNull(lowestSum(fewest, 1, Double.MAX_VALUE), "first");
+    Partial best = lowestSum(fewest, BEAM_WIDTH, first.sum());
     return (best == null ? first : best).counts();
   }
 
-  /**
-   * Returns the best of the ways that are kept, or null if they all exceed the limit of the sum.
-   */
-  private @Nullable Way lowestSum(int[] fewest, int wayLimit, double sumLimit) {
-    List<Way> ways = List.of(new Way(groups.counts(), new int[sizes.length], 0, 0));
+  /** Returns the best of the kept solutions, or null if they all exceed the limit of the sum. */
+  private @Nullable Partial lowestSum(int[] fewest, int width, double sumLimit) {
+    List<Partial> partials = List.of(new Partial(groups.counts(), new int[sizes.length], 0, 0));
     for (int i = 0; i < largestFirst.length; i++) {
-      Map<Left, Way> next = new HashMap<>();
-      for (Way way : ways) {
-        extend(way, i, fewest, sumLimit * (1 + ROUNDING), next);
+      Map<Left, Partial> next = new HashMap<>();
+      for (Partial partial : partials) {
+        extend(partial, i, fewest, sumLimit * (1 + ROUNDING), next);
       }
-      ways = next.values().stream().sorted(Way.BEST_FIRST).limit(wayLimit).toList();
+      partials = next.values().stream().sorted(Partial.BEST_FIRST).limit(width).toList();
     }
-    return ways.isEmpty() ? null : ways.get(0);
+    return partials.isEmpty() ? null : partials.get(0);
   }
 
   /**
-   * Adds the ways with each possible number of replicas of the model at a position of the order.
+   * Adds the solutions with each possible number of replicas of the model at a position of the
+   * order.
    */
-  private void extend(Way way, int position, int[] fewest, double sumLimit, Map<Left, Way> ways) {
+  private void extend(
+      Partial partial, int position, int[] fewest, double sumLimit, Map<Left, Partial> partials) {
     int model = largestFirst[position];
-    int most = groups.usableCount(way.left(), model) / sizes[model];
+    int most = groups.usableCount(partial.left(), model) / sizes[model];
     for (int count = fewest[model]; count <= most; count++) {
-      Way extended = extend(way, position, count, fewest);
+      Partial extended = extend(partial, position, count, fewest);
       if (extended == null) {
         return;
       }
-      boolean isAboveLimit = extended.sumAtBest() > sumLimit;
+      boolean isAboveLimit = extended.lowerBound() > sumLimit;
       if (!isAboveLimit) {
-        ways.merge(new Left(extended.left()), extended, Way::better);
+        partials.merge(new Left(extended.left()), extended, Partial::better);
       }
     }
   }
 
-  /** Returns the way with replicas of one more model, or null if too few boxes are left then. */
-  private @Nullable Way extend(Way way, int position, int count, int[] fewest) {
+  /**
+   * Returns the solution with replicas of one more model, or null if too few boxes are left then.
+   */
+  private @Nullable Partial extend(Partial partial, int position, int count, int[] fewest) {
     int model = largestFirst[position];
-    int[] left = way.left().clone();
+    int[] left = partial.left().clone();
     groups.take(left, model, count * sizes[model]);
     if (!isFormable(left.clone(), fewest, position + 1)) {
       return null;
     }
-    double atBest = 0;
+    double laterAtBest = 0;
     for (int i = position + 1; i < largestFirst.length; i++) {
       int later = largestFirst[i];
-      atBest += pressures[later][groups.usableCount(left, later) / sizes[later]];
+      laterAtBest += pressures[later][groups.usableCount(left, later) / sizes[later]];
     }
     groups.dropUnusable(left, largestFirst, position + 1);
-    int[] counts = way.counts().clone();
+    int[] counts = partial.counts().clone();
     counts[model] = count;
-    double sum = way.sum() + pressures[model][count];
-    return new Way(left, counts, sum, sum + atBest);
+    double sum = partial.sum() + pressures[model][count];
+    return new Partial(left, counts, sum, sum + laterAtBest);
   }
 
   /**
-   * Way to serve the models so far.
+   * Partial solution, for the models so far.
    *
    * @param left the number of boxes of each group that later models can use
    * @param counts the number of replicas of each model
    * @param sum the sum of the pressures of the models so far
-   * @param sumAtBest a lower bound of the sum with all models
+   * @param lowerBound a lower bound of the sum with all models
    */
-  private record Way(int[] left, int[] counts, double sum, double sumAtBest) {
-    private static final Comparator<Way> BEST_FIRST =
-        Comparator.comparingDouble(Way::sumAtBest)
-            .thenComparing((way, other) -> Arrays.compare(other.counts, way.counts));
+  private record Partial(int[] left, int[] counts, double sum, double lowerBound) {
+    private static final Comparator<Partial> BEST_FIRST =
+        Comparator.comparingDouble(Partial::lowerBound)
+            .thenComparing((partial, other) -> Arrays.compare(other.counts, partial.counts));
 
-    Way better(Way other) {
+    Partial better(Partial other) {
       return BEST_FIRST.compare(this, other) <= 0 ? this : other;
     }
   }
--- a/core/src/main/java/org/shoreroad/fleet/ReplicaChoices.java
+++ b/core/src/main/java/org/shoreroad/fleet/ReplicaChoices.java
@@ -1,6 +1,7 @@
 package org.shoreroad.fleet;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,10 +15,7 @@
  * the first uses are considered. All methods are pure and thread-safe.
  */
 final class ReplicaChoices {
-  /**
-   * Maximum number of different uses that are considered: all of two models. The work of weighing
-   * the pairs grows with its square.
-   */
+  /** Maximum number of different uses that are considered; the pairs grow with its square. */
   private static final int MAX_USES = 24;
 
   private ReplicaChoices() {}
@@ -65,13 +63,18 @@
     return choices;
   }
 
-  /** Returns the model of the replica and the costs of its boxes in joining one of each model. */
+  /**
+   * Returns the model of the replica and the costs of its boxes in joining one of each model. The
+   * order of its boxes makes no difference to their use.
+   */
   private static String use(ObservedReplica replica, List<ModelShape> models) {
-    StringBuilder use = new StringBuilder().append(replica.model());
+    List<String> costs = new ArrayList<>();
     for (ObservedBox member : replica.members()) {
-      use.append('/');
-      models.forEach(model -> use.append(member.joinCost(model)));
+      StringBuilder cost = new StringBuilder();
+      models.forEach(model -> cost.append(member.joinCost(model)));
+      costs.add(cost.toString());
     }
-    return use.toString();
+    Collections.sort(costs);
+    return replica.model() + "/" + String.join("/", costs);
   }
 }
--- a/core/src/main/java/org/shoreroad/fleet/ReplicaConversion.java
+++ b/core/src/main/java/org/shoreroad/fleet/ReplicaConversion.java
@@ -140,7 +140,7 @@
           new Conversion(
               best.stream().map(replica -> replica.replica().toString()).toList(),
               packing.highestPressure(wanted, Map.of()),
-              packing.highestPressure(Freed.of(best, view).countsAfter(packing), Map.of()),
+              packing.highestPressure(FreedBoxes.of(best, view).countsAfter(packing), Map.of()),
               packing.strain() != null);
     }
     return best;
@@ -167,7 +167,7 @@
     double lowestPressure =
         pressureBefore - (hasNewlyAvailable ? MIN_GAIN_WITH_AVAILABLE : MIN_GAIN);
     for (List<ObservedReplica> closed : ReplicaChoices.oneOrTwoOf(closable, packing.models())) {
-      double pressureAfter = Freed.of(closed, view).search(packing).lowestHighest();
+      double pressureAfter = FreedBoxes.of(closed, view).search(packing).lowestHighest();
       if (pressureAfter < lowestPressure) {
         best = closed;
         lowestPressure = pressureAfter;
@@ -205,7 +205,7 @@
     for (List<ObservedReplica> closed : ReplicaChoices.oneOrTwoOf(whole, packing.models())) {
       double cost = GAIN_SECONDS_PER_CLOSED * closed.size();
       Map<String, Integer> counts = counts(closed);
-      Freed freed = Freed.of(closed, view);
+      FreedBoxes freed = FreedBoxes.of(closed, view);
       // The best replicas for the peaks bound the gain and are found with less work.
       double lowestAtPeak = freed.search(packing.atPeakOf(counts.keySet())).lowestHighest();
       double gainAtMost =
@@ -231,7 +231,7 @@
     if (isTurnWithoutFirst(pressure >= Demand.NO_REPLICA_PRESSURE, lastedNanos, nowNanos)) {
       return best;
     }
-    Map<String, Integer> after = Freed.of(best, view).countsAfter(packing);
+    Map<String, Integer> after = FreedBoxes.of(best, view).countsAfter(packing);
     int useful =
         ConversionGain.usefulCount(
             packing, wanted, counts(best), after, lastingSeconds, minGain, rank + 1);
@@ -279,15 +279,15 @@
    * @param boxes the boxes
    * @param retained the replicas of each model that are left
    */
-  private record Freed(List<ObservedBox> boxes, Map<String, Integer> retained) {
-    static Freed of(List<ObservedReplica> closed, DomainView view) {
+  private record FreedBoxes(List<ObservedBox> boxes, Map<String, Integer> retained) {
+    static FreedBoxes of(List<ObservedReplica> closed, DomainView view) {
       Map<String, Integer> retained = new HashMap<>(view.retained());
       List<ObservedBox> boxes = view.available();
       for (ObservedReplica replica : closed) {
         retained.merge(String.valueOf(replica.model()), -1, Integer::sum);
         boxes.addAll(replica.members());
       }
-      return new Freed(boxes, retained);
+      return new FreedBoxes(boxes, retained);
     }
 
     PressureSearch search(DomainPacking packing) {
--- a/core/src/test/java/org/shoreroad/fleet/PressureSearchTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/PressureSearchTest.java
@@ -25,7 +25,10 @@
   private static final int MAX_SIZE = 4;
   private static final double TOLERANCE = 1e-9;
 
-  /** Steps for each model and each replica that fits: of 64 kept ways and of two first searches. */
+  /**
+   * Steps for each model and each replica that fits: of 64 partial solutions and of two first
+   * searches.
+   */
   private static final long MAX_STEPS_PER_MODEL_AND_REPLICA = 66;
 
   /** A few milliseconds. */
--- a/core/src/test/java/org/shoreroad/fleet/ReplicaChoicesTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/ReplicaChoicesTest.java
@@ -25,7 +25,12 @@
   private final List<ObservedBox> observedBoxes = new ArrayList<>();
 
   private void addReplica(String name, List<String> staged) {
+    addReplica(name, staged, staged);
+  }
+
+  private void addReplica(String name, List<String> stagedAtHead, List<String> stagedAtMember) {
     for (int rank = 0; rank < 2; rank++) {
+      List<String> staged = rank == 0 ? stagedAtHead : stagedAtMember;
       MemberState state = rank == 0 ? MemberState.OPEN : MemberState.READY;
       Membership membership = new Membership(new ReplicaId(name, 1), rank, state);
       String id = name + rank;
@@ -67,6 +72,14 @@
     assertThat(choices(), contains("a", "a+b", "a+c", "b", "b+c"));
   }
 
+  /** Guards against different choices that close replicas of the same use. */
+  @Test
+  void orderOfTheBoxesMakesNoOtherUse() {
+    addReplica("a", List.of("large"), List.of());
+    addReplica("b", List.of(), List.of("large"));
+    assertThat(choices(), contains("a", "a+b"));
+  }
+
   /** Guards against work that grows with the square of the replicas, if all hold other weights. */
   @Test
   void numberOfChoicesIsBounded() {
--- a/edge/src/main/java/org/shoreroad/edge/ConnectionLimit.java
+++ b/edge/src/main/java/org/shoreroad/edge/ConnectionLimit.java
@@ -47,6 +47,7 @@
       int descriptors) {
     this.callers = callers;
     this.maxConnections = descriptors - descriptors / DESCRIPTORS_PER_KEPT;
+    log.write("descriptors", "limit", descriptors, "maxCallerConnections", maxConnections);
     this.traffic = traffic;
     this.clockNanos = clockNanos;
     this.log = log;
