LevelSearch: find the highest lowest level by a binary search

Cause: the search tried the possible lowest levels one after the other until the difference could not become smaller. With shares that differ by orders of magnitude these were hundreds, each with a table, so that the work exceeded the models times the square of the boxes many times over. The bound of the test, 32 times that, had been met by milder inputs only.

Change: the lowest highest level rises with the lowest level. So for each highest level a binary search finds the highest lowest level, and only differences below the best one are tried further.

--- a/core/src/main/java/org/shoreroad/fleet/LevelSearch.java
+++ b/core/src/main/java/org/shoreroad/fleet/LevelSearch.java
@@ -3,7 +3,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
-import java.util.TreeSet;
 import java.util.function.IntPredicate;
 import java.util.stream.IntStream;
 import org.jspecify.annotations.Nullable;
@@ -14,16 +13,21 @@
  * <p>The fill level of a model is the number of its boxes per share. Of all ways to fill the boxes
  * until no other replica fits, the best one has the most models without replicas elsewhere, then
  * the least difference between the highest and the lowest level, then the most boxes in use, and
- * then more replicas of earlier models. For each possible lowest level, a table over the models and
- * the numbers of boxes gives the lowest highest level. Only lowest levels that can lead to a
- * smaller difference are tried. Not thread-safe.
+ * then more replicas of earlier models. For a lowest level, a table over the models and the numbers
+ * of boxes gives the lowest highest level. The lower the one, the lower the other can be, so that
+ * for each highest level a binary search finds the highest lowest level. Not thread-safe.
  */
 final class LevelSearch {
+  /** Relative error of a level. */
+  private static final double ROUNDING = 1e-9;
+
   private final int boxCount;
   private final int[] sizes;
   private final double[][] levels;
   private final boolean[] isNew;
   private final int smallestSize;
+  private final int newCount;
+  private final boolean isEachNewServed;
   private long stepCount;
 
   /**
@@ -48,6 +52,9 @@
         levels[model][count] = usedBoxes[model] / share + count * sizes[model] / share;
       }
     }
+    int[] newSizes = newSizes();
+    this.newCount = countServed(newSizes, boxCount);
+    this.isEachNewServed = newCount == newSizes.length;
   }
 
   /** Returns the number of tried entries of the tables, which measures the work. */
@@ -57,94 +64,86 @@
 
   /** Returns the best number of replicas of each model. */
   int[] best() {
-    int newCount = newCount();
-    boolean isEachNewServed = newCount == countNewModels();
-    Filling best =
-        Objects.requireNonNull(
-            fill(0, Double.POSITIVE_INFINITY, newCount, isEachNewServed), "best");
+    double[] lowestLevels = lowestLevels();
+    Filling best = Objects.requireNonNull(fill(0, Double.POSITIVE_INFINITY), "best");
     double lowestHighest = best.highest();
-    for (double lowest : lowestLevels(isEachNewServed).descendingSet()) {
-      if (lowestHighest - lowest > best.difference()) {
+    double limit = Double.POSITIVE_INFINITY;
+    int end = lowestLevels.length;
+    while (end > 0 && limit >= lowestHighest) {
+      Filling filling = highestLowest(lowestLevels, end, limit);
+      if (filling == null) {
         break;
       }
-      Filling filling = fill(lowest, best.difference(), newCount, isEachNewServed);
-      if (filling != null && filling.isBetterThan(best)) {
-        best = filling;
-      }
+      best = filling.isBetterThan(best) ? filling : best;
+      // With the same highest level, a lower lowest level only widens the difference.
+      end = Arrays.binarySearch(lowestLevels, filling.lowest());
+      double widest = end > 0 ? lowestLevels[end - 1] + best.difference() : 0;
+      limit = Math.min(Math.nextDown(filling.highest()), widest * (1 + ROUNDING));
     }
     return best.counts();
   }
 
-  private int countNewModels() {
-    return (int) IntStream.range(0, sizes.length).filter(model -> isNew[model]).count();
+  /** Returns the levels that can be the lowest one, in rising order. */
+  private double[] lowestLevels() {
+    return Arrays.stream(levels).flatMapToDouble(Arrays::stream).sorted().distinct().toArray();
   }
 
-  /** Returns how many models without replicas elsewhere can have one; the smallest are counted. */
-  private int newCount() {
-    int[] newSizes =
-        IntStream.range(0, sizes.length)
-            .filter(model -> isNew[model])
-            .map(model -> sizes[model])
-            .sorted()
-            .toArray();
-    int count = 0;
-    int used = 0;
-    while (count < newSizes.length && used + newSizes[count] <= boxCount) {
-      used += newSizes[count++];
+  /**
+   * Returns the filling with the highest lowest level of those whose levels are not above the
+   * limit, or null if there is none.
+   *
+   * @param end the number of the lowest levels that are tried
+   */
+  private @Nullable Filling highestLowest(double[] lowestLevels, int end, double limit) {
+    Filling found = null;
+    int from = 0;
+    int to = end;
+    while (from < to) {
+      int middle = (from + to) >>> 1;
+      Filling filling = fill(lowestLevels[middle], limit);
+      if (filling == null) {
+        to = middle;
+      } else {
+        found = filling;
+        from = middle + 1;
+      }
     }
-    return count;
+    return found;
   }
 
-  /** Returns the fewest replicas that each filling has of a model. */
-  private int fewest(int model, boolean isEachNewServed) {
-    return isEachNewServed && isNew[model] ? 1 : 0;
+  /** Returns the sizes of the models without replicas elsewhere, in rising order. */
+  private int[] newSizes() {
+    return IntStream.range(0, sizes.length)
+        .filter(model -> isNew[model])
+        .map(model -> sizes[model])
+        .sorted()
+        .toArray();
   }
 
-  /** Returns the fewest replicas of a model for a level that is not below the lowest one. */
-  private int fewest(int model, double lowest, boolean isEachNewServed) {
-    int count = fewest(model, isEachNewServed);
-    while (count < levels[model].length && levels[model][count] < lowest) {
-      count++;
+  /** Returns how many models of these sizes, which are in rising order, can have a replica. */
+  private static int countServed(int[] newSizes, int boxCount) {
+    int count = 0;
+    int used = 0;
+    while (count < newSizes.length && used + newSizes[count] <= boxCount) {
+      used += newSizes[count++];
     }
     return count;
   }
 
-  /** Returns the possible lowest levels, for which there are enough boxes. */
-  private TreeSet<Double> lowestLevels(boolean isEachNewServed) {
-    TreeSet<Double> possible = new TreeSet<>();
-    double unserved = 0;
-    for (int model = 0; model < sizes.length; model++) {
-      unserved = Math.max(unserved, isNew[model] ? levels[model][0] : 0);
-      for (double level : levels[model]) {
-        possible.add(level);
-      }
-    }
-    double most = isEachNewServed ? Double.POSITIVE_INFINITY : unserved;
-    possible.removeIf(level -> level > most || !hasBoxesFor(level, isEachNewServed));
-    return possible;
-  }
-
-  private boolean hasBoxesFor(double lowest, boolean isEachNewServed) {
-    int needed = 0;
-    for (int model = 0; model < sizes.length; model++) {
-      needed += fewest(model, lowest, isEachNewServed) * sizes[model];
-    }
-    return needed <= boxCount;
-  }
-
   /**
-   * Returns the filling with the lowest highest level of those whose levels are not below the
-   * lowest one, or null if the difference is wider than the limit or a new model is missing.
+   * Returns the filling with the lowest highest level of those whose levels are neither below the
+   * lowest one nor above the limit, or null if there is none that has enough new models.
    */
-  private @Nullable Filling fill(
-      double lowest, double widest, int newCount, boolean isEachNewServed) {
+  private @Nullable Filling fill(double lowest, double limit) {
     int[] fewest = new int[sizes.length];
     int[] most = new int[sizes.length];
+    int needed = 0;
     for (int model = 0; model < sizes.length; model++) {
-      fewest[model] = fewest(model, lowest, isEachNewServed);
-      most[model] = levels[model].length - 1;
-      while (most[model] >= 0 && levels[model][most[model]] - lowest > widest) {
-        most[model]--;
+      fewest[model] = fewest(model, lowest);
+      most[model] = most(model, limit);
+      needed += fewest[model] * sizes[model];
+      if (fewest[model] > most[model] || needed > boxCount) {
+        return null;
       }
     }
     Table table = new Table(fewest, most);
@@ -152,6 +151,24 @@
     return table.newCounts[0][used] < newCount ? null : new Filling(table.counts(used));
   }
 
+  /** Returns the fewest replicas of a model for a level that is not below the lowest one. */
+  private int fewest(int model, double lowest) {
+    int count = isNew[model] && isEachNewServed ? 1 : 0;
+    while (count < levels[model].length && levels[model][count] < lowest) {
+      count++;
+    }
+    return count;
+  }
+
+  /** Returns the most replicas of a model for a level that is not above the limit, or -1. */
+  private int most(int model, double limit) {
+    int count = levels[model].length - 1;
+    while (count >= 0 && levels[model][count] > limit) {
+      count--;
+    }
+    return count;
+  }
+
   /**
    * Best fillings of the models from a position on with a number of boxes: those with the most new
    * models, and then with the lowest highest level.
@@ -237,22 +254,24 @@
   /** Numbers of replicas with their difference of levels and the boxes in use. */
   private final class Filling {
     private final int[] counts;
+    private final double lowest;
     private final double highest;
     private final double difference;
     private final int used;
 
     Filling(int[] counts) {
-      double lowest = Double.MAX_VALUE;
+      double least = Double.POSITIVE_INFINITY;
       double most = 0;
       int boxes = 0;
       for (int model = 0; model < sizes.length; model++) {
-        lowest = Math.min(lowest, levels[model][counts[model]]);
+        least = Math.min(least, levels[model][counts[model]]);
         most = Math.max(most, levels[model][counts[model]]);
         boxes += counts[model] * sizes[model];
       }
       this.counts = counts;
+      this.lowest = least;
       this.highest = most;
-      this.difference = most - lowest;
+      this.difference = most - least;
       this.used = boxes;
     }
 
@@ -260,6 +279,10 @@
       return counts;
     }
 
+    double lowest() {
+      return lowest;
+    }
+
     double highest() {
       return highest;
     }
--- a/core/src/test/java/org/shoreroad/fleet/LevelSearchTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/LevelSearchTest.java
@@ -23,8 +23,11 @@
   private static final int MAX_SMALL_MODELS = 4;
   private static final int MAX_SIZE = 4;
 
-  /** Allowed multiple of the models times the square of the boxes, for the tried lowest levels. */
-  private static final long MAX_TABLES = 32;
+  /**
+   * Allowed multiple of the models times the square of the boxes: one full table for each step of a
+   * binary search over the levels of 300 boxes and 40 models.
+   */
+  private static final long MAX_TABLES = 14;
 
   /** Models and boxes of a domain, and what serves the models elsewhere. */
   private record Domain(
@@ -133,14 +136,29 @@
   })
   void workIsBounded(int boxCount, int modelCount) {
     Random random = new Random(boxCount * 31L + modelCount);
-    for (int i = 0; i < 30; i++) {
-      double minShare = i % 2 == 0 ? 0.001 : 0.1;
-      Domain domain = randomDomain(random, boxCount, modelCount, 1 + i % 4, minShare);
-      LevelSearch search = domain.search();
+    for (int i = 0; i < 60; i++) {
+      LevelSearch search = unevenDomain(random, boxCount, modelCount, 1 + i % 8).search();
       search.best();
       long squareOfBoxes = (boxCount + 1L) * (boxCount + 1L);
       assertThat(
           search.stepCount(), is(lessThanOrEqualTo(MAX_TABLES * modelCount * squareOfBoxes)));
     }
   }
+
+  /** Returns a domain whose shares differ by up to four orders of magnitude. */
+  private static Domain unevenDomain(Random random, int boxes, int modelCount, int maxSize) {
+    List<ModelShape> models = new ArrayList<>();
+    Map<String, Integer> used = new HashMap<>();
+    Set<String> planned = new HashSet<>();
+    for (int i = 0; i < modelCount; i++) {
+      double share = Math.pow(10, -4 * random.nextDouble());
+      int size = Math.min(boxes, 1 + random.nextInt(maxSize));
+      models.add(new ModelShape("m" + i, size, share, 1, 12, 1));
+      if (random.nextInt(3) > 0) {
+        planned.add("m" + i);
+      }
+      used.put("m" + i, random.nextInt(2) * random.nextInt(400));
+    }
+    return new Domain(models, boxes, used, planned);
+  }
 }
