OrderSender: log the state on which a JOIN was decided

Cause: the logs of an order did not show where the state of the box and of its former head came from, how old it was, how long the answer took, or that a report was ignored.

Fleet keeps the origin of the engine state of each box (list, own report, report of a peer, effect of an order). No decision changes.

Evidence: ReplicaServiceTest, FollowerAndFleetTest, OlderCopyTest, RestartedUpstreamTest, LostPathTest pass.

--- a/edge/src/main/java/org/shoreroad/edge/EdgePorts.java
+++ b/edge/src/main/java/org/shoreroad/edge/EdgePorts.java
@@ -2,7 +2,7 @@
 
 import org.shoreroad.edge.caller.HeaderNames;
 import org.shoreroad.edge.replica.Engines;
-import org.shoreroad.edge.sync.Fleet;
+import org.shoreroad.edge.sync.EntryDecoder;
 import org.shoreroad.edge.sync.LeaseStore;
 import org.shoreroad.edge.sync.Store;
 import org.shoreroad.edge.sync.StoreEra;
@@ -26,4 +26,4 @@
     StoreEra storeEra,
     Engines engines,
     ConfigurationView.Decoder configDecoder,
-    Fleet.Decoder upstreamDecoder) {}
+    EntryDecoder upstreamDecoder) {}
--- a/edge/src/main/java/org/shoreroad/edge/SendGates.java
+++ b/edge/src/main/java/org/shoreroad/edge/SendGates.java
@@ -10,6 +10,7 @@
 import org.shoreroad.edge.relay.ColdGate;
 import org.shoreroad.edge.relay.UpstreamTable;
 import org.shoreroad.edge.relay.ZoneGate;
+import org.shoreroad.edge.sync.EntryDecoder;
 import org.shoreroad.edge.sync.Evacuations;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.edge.sync.StorePosition;
@@ -26,7 +27,7 @@
   private static final char INCARNATION_SEPARATOR = '~';
 
   private final Fleet fleet;
-  private final Fleet.Decoder decoder;
+  private final EntryDecoder decoder;
   private final Evacuations evacuations;
   private final ColdGate coldGate;
   private final ZoneGate zoneGate;
@@ -40,7 +41,7 @@
   SendGates(
       String process,
       Fleet fleet,
-      Fleet.Decoder decoder,
+      EntryDecoder decoder,
       ConfigurationView configuration,
       LongSupplier clockNanos,
       EventLog log,
--- a/edge/src/main/java/org/shoreroad/edge/replica/EngineMonitor.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/EngineMonitor.java
@@ -3,9 +3,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
 import org.shoreroad.edge.EventLog;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.fleet.BoxOrder;
@@ -99,6 +101,8 @@
             reachability.recordReport(box.id(), nowNanos);
             if (acceptsReports(box.id(), nowNanos)) {
               acceptReport(box, newest);
+            } else {
+              logIgnored(newest);
             }
             onAnswer.run();
           }
@@ -125,7 +129,10 @@
     }
     long lagNanos = TimeUnit.MILLISECONDS.toNanos(reportLagMs) + REPORT_MARGIN_NANOS;
     acceptReportsFromNanos.put(box.id(), clockNanos.getAsLong() + lagNanos);
-    applyReport(withEffect(box, order));
+    FleetBox after = withEffect(box, order);
+    if (fleet.updateByOrder(after)) {
+      publish(box, after);
+    }
     onAnswer.run();
   }
 
@@ -173,9 +180,13 @@
 
   private void applyReport(FleetBox newest) {
     FleetBox previous = fleet.find(newest.id());
-    if (!fleet.update(newest)) {
-      return;
+    if (fleet.update(newest)) {
+      publish(previous, newest);
     }
+  }
+
+  /** Logs a changed state and keeps it for the other processes. */
+  private void publish(@Nullable FleetBox previous, FleetBox newest) {
     logReport(newest);
     reports.put(newest.id(), newest);
     if (newest.isHead() || (previous != null && previous.isHead())) {
@@ -183,6 +194,21 @@
     }
   }
 
+  /** Logs a report that is ignored because it may be older than an order, if it contradicts it. */
+  private void logIgnored(FleetBox report) {
+    FleetBox known = fleet.find(report.id());
+    if (known != null && !Objects.equals(known.membership(), report.membership())) {
+      log.write(
+          "report_ignored",
+          "box",
+          report.id(),
+          "membership",
+          String.valueOf(report.membership()),
+          "knownMembership",
+          String.valueOf(known.membership()));
+    }
+  }
+
   private void logReport(FleetBox report) {
     log.write(
         "box_word",
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReplicaService.java
@@ -18,7 +18,6 @@
 import org.shoreroad.edge.sync.DomainLeases;
 import org.shoreroad.edge.sync.Evacuations;
 import org.shoreroad.edge.sync.Fleet;
-import org.shoreroad.fleet.BoxOrder;
 import org.shoreroad.fleet.Conversion;
 import org.shoreroad.fleet.Demand;
 import org.shoreroad.fleet.DomainReconciler;
@@ -64,8 +63,8 @@
   private final EventLog log;
   private final Fleet fleet;
   private final DomainLeases leases;
-  private final Engines engines;
   private final EngineMonitor monitor;
+  private final OrderSender orders;
   private final Supplier<@Nullable TrafficConfig> config;
   private final Supplier<Set<String>> suspectedHeads;
   private final Function<UpstreamService, Demand> demands;
@@ -97,8 +96,8 @@
     this.log = log;
     this.fleet = fleet;
     this.leases = leases;
-    this.engines = engines;
     this.monitor = new EngineMonitor(clockNanos, log, fleet, engines);
+    this.orders = new OrderSender(clockNanos, log, fleet, engines, monitor);
     monitor.setAnswerListener(this::scheduleReconcile);
     this.config = config;
     this.suspectedHeads = suspectedHeads;
@@ -336,7 +335,9 @@
     boolean neededReports = reconciler.needsReports();
     reconciler
         .decide(nowNanos, engine, observedBoxes, plan, observer.headsSeen(), demand)
-        .forEach(order -> sendOrder(key, reconciler, engine, order));
+        .forEach(
+            order ->
+                orders.send(reconciler, order, leases.fencingNumber(key), engine.reportLagMs()));
     logConversion(key, reconciler.takeConversion());
     if (reconciler.needsReports() && !neededReports) {
       // Sends the report requests at once.
@@ -355,33 +356,6 @@
     return new DomainReconciler(domain, ReconcilerTiming.DEFAULT, () -> leases.nextEpoch(key));
   }
 
-  private void sendOrder(
-      String key, DomainReconciler reconciler, EngineSpec engine, BoxOrder order) {
-    FleetBox box = fleet.find(order.boxId());
-    if (box == null) {
-      return;
-    }
-    long fence = leases.fencingNumber(key);
-    engines.order(
-        box,
-        order,
-        fence,
-        outcome -> {
-          FleetBox now = fleet.find(order.boxId());
-          if (now == null || now.isOtherIncarnationOf(box)) {
-            log.write("order_of_former_incarnation", "box", order.boxId(), "outcome", outcome);
-            return;
-          }
-          if (outcome == Engines.OrderOutcome.TAKEN) {
-            reconciler.recordAccepted(order, clockNanos.getAsLong());
-            monitor.applyAccepted(order, engine.reportLagMs());
-          } else if (outcome == Engines.OrderOutcome.NOT_FITTING) {
-            reconciler.recordRejected(order, clockNanos.getAsLong());
-          }
-          logOrder(order, fence, outcome);
-        });
-  }
-
   private void logConversion(String key, @Nullable Conversion conversion) {
     if (conversion != null) {
       log.write(
@@ -398,23 +372,4 @@
           conversion.isStrained());
     }
   }
-
-  private void logOrder(BoxOrder order, long fence, Engines.OrderOutcome outcome) {
-    log.write(
-        "box_order",
-        "box",
-        order.boxId(),
-        "verb",
-        order.verb(),
-        "replica",
-        String.valueOf(order.replica()),
-        "model",
-        String.valueOf(order.model()),
-        "reason",
-        order.reason(),
-        "fence",
-        fence,
-        "outcome",
-        outcome);
-  }
 }
--- a/edge/src/main/java/org/shoreroad/edge/sync/EntryReader.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/EntryReader.java
@@ -20,13 +20,13 @@
   /** Maximum number of ids whose last fault is kept, to log it once and not at each heartbeat. */
   private static final int MAX_FAULTY = 1_000;
 
-  private final Fleet.Decoder decoder;
+  private final EntryDecoder decoder;
   private final EventLog log;
   private final Map<String, String> faultsById = new BoundedMap<>(MAX_FAULTY);
   private Predicate<String> isDeclaredService = name -> true;
   private Consumer<EntryFault> faultListener = fault -> {};
 
-  EntryReader(Fleet.Decoder decoder, EventLog log) {
+  EntryReader(EntryDecoder decoder, EventLog log) {
     this.decoder = decoder;
     this.log = log;
   }
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -49,7 +49,7 @@
   private long targetChanges;
 
   /** Creates an empty fleet. */
-  public Fleet(Decoder decoder, LongSupplier clockNanos, EventLog log) {
+  public Fleet(EntryDecoder decoder, LongSupplier clockNanos, EventLog log) {
     this.entryReader = new EntryReader(decoder, log);
     this.reports = new StatusReports(clockNanos);
     this.clockNanos = clockNanos;
@@ -225,7 +225,7 @@
 
   private void put(FleetBox listed) {
     FleetBox before = boxes.get(listed.id());
-    FleetBox box = before == null ? listed : reports.withNewerState(before, listed);
+    FleetBox box = reports.withNewerState(before, listed);
     replaceBox(box);
     lastModels.note(box);
     boolean wasUnlisted = unlisted.remove(box.id());
@@ -304,7 +304,18 @@
       restart(before, report);
       return true;
     }
-    return applyReport(before, report);
+    return applyReport(before, report, StateOrigin.Source.REPORT);
+  }
+
+  /** Applies the state that follows from an accepted order; returns true if it was not known. */
+  public boolean updateByOrder(FleetBox box) {
+    FleetBox before = boxes.get(box.id());
+    return before != null && applyReport(before, box, StateOrigin.Source.ORDER);
+  }
+
+  /** Returns where the known engine state of a box came from, or null if it is not known. */
+  public @Nullable StateOrigin stateOrigin(String id) {
+    return reports.origin(id);
   }
 
   /**
@@ -318,11 +329,11 @@
     if (before == null || formerIncarnations.dropsPeersReport(before, report)) {
       return false;
     }
-    return applyReport(before, report);
+    return applyReport(before, report, StateOrigin.Source.PEER);
   }
 
-  private boolean applyReport(FleetBox before, FleetBox report) {
-    reports.note(report);
+  private boolean applyReport(FleetBox before, FleetBox report, StateOrigin.Source source) {
+    reports.note(report, source);
     FleetBox after =
         before.withEngineState(report.model(), report.stagedModels(), report.membership());
     if (after.equals(before)) {
@@ -342,7 +353,7 @@
             .withStart(report.bornMs())
             .withEngineState(report.model(), report.stagedModels(), report.membership());
     addresses.assign(after);
-    reports.note(report);
+    reports.note(report, StateOrigin.Source.REPORT);
     replaceBox(after);
     lastModels.note(after);
     // A report does not put an upstream on the list, because the upstream may be about to end.
@@ -465,14 +476,4 @@
   public boolean isListed(String id) {
     return boxes.containsKey(id) && !unlisted.contains(id);
   }
-
-  /** Decoder of the entries of the list. */
-  public interface Decoder extends ColdnessDecoder {
-    /**
-     * Returns the upstream that an entry describes.
-     *
-     * @throws UnusableEntryException if the entry describes no usable upstream
-     */
-    FleetBox decode(String id, byte[] entry);
-  }
 }
--- a/edge/src/main/java/org/shoreroad/edge/sync/StatusReports.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/StatusReports.java
@@ -3,9 +3,11 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
 import org.shoreroad.fleet.FleetBox;
 
 /**
@@ -28,6 +30,7 @@
 
   private final LongSupplier clockNanos;
   private final Map<String, Long> reportedAtNanos = new HashMap<>();
+  private final Map<String, StateOrigin> origins = new HashMap<>();
   private final Map<String, Long> reportedEpochs = new HashMap<>();
 
   /** Upstreams whose newest entry was overridden by newer known state. */
@@ -40,9 +43,10 @@
     this.clockNanos = clockNanos;
   }
 
-  /** Records a report. */
-  void note(FleetBox report) {
+  /** Records a report, or the effect of an accepted order. */
+  void note(FleetBox report, StateOrigin.Source source) {
     reportedAtNanos.put(report.id(), clockNanos.getAsLong());
+    origins.put(report.id(), new StateOrigin(source, clockNanos.getAsLong()));
     reportedEpochs.merge(report.id(), epochOf(report), Math::max);
   }
 
@@ -57,8 +61,21 @@
     era = entryEra;
   }
 
+  /** Returns where the known engine state of a box came from, or null if it is not known. */
+  @Nullable StateOrigin origin(String id) {
+    return origins.get(id);
+  }
+
   /** Returns the entry with the known engine state, if the entry may be older than that. */
-  FleetBox withNewerState(FleetBox before, FleetBox listed) {
+  FleetBox withNewerState(@Nullable FleetBox before, FleetBox listed) {
+    FleetBox newer = before == null ? listed : chooseNewerState(before, listed);
+    if (before == null || !Objects.equals(before.membership(), newer.membership())) {
+      origins.put(listed.id(), new StateOrigin(StateOrigin.Source.LIST, clockNanos.getAsLong()));
+    }
+    return newer;
+  }
+
+  private FleetBox chooseNewerState(FleetBox before, FleetBox listed) {
     overriddenIds.remove(listed.id());
     long knownEpoch = Math.max(epochOf(before), reportedEpochs.getOrDefault(listed.id(), 0L));
     boolean mayBeOlder = hasRecentReport(listed.id()) || mayBeOfCopy();
@@ -89,6 +106,7 @@
   void remove(String id) {
     reportedAtNanos.remove(id);
     reportedEpochs.remove(id);
+    origins.remove(id);
     overriddenIds.remove(id);
   }
 
--- a/edge/src/test/java/org/shoreroad/edge/SendGatesTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/SendGatesTest.java
@@ -13,6 +13,7 @@
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.shoreroad.edge.peer.HeartbeatAdditions;
+import org.shoreroad.edge.sync.EntryDecoder;
 import org.shoreroad.edge.sync.Fleet;
 import org.shoreroad.edge.sync.StorePosition;
 import org.shoreroad.edge.sync.StoreRecord;
@@ -31,7 +32,7 @@
   private final Process second = new Process("front-2~b");
 
   /** Decodes an entry with the remaining time of the coldness as its text. */
-  private static final class Decoder implements Fleet.Decoder {
+  private static final class Decoder implements EntryDecoder {
     @Override
     public FleetBox decode(String id, byte[] entry) {
       return new FleetBox(id, "web", id + ":1", "z", 6, false, null, null, List.of(), null);
