StatusReports: an earlier formation never replaces a later one

Cause: 1.5 s after the last report an entry of the list was applied whatever formation it shows, and a report of a peer at any time. When the list lags (an older state of the store, a peer that reads for this process), a box seems to be in a replica or warm-up that it has left. It is ordered to leave that, the engine answers that this is done, and the box or the members of its true replica join another one.

Change: an engine never joins a formation that is earlier than one it has seen, so the highest number known of a box decides, for entries, own reports, reports of peers and effects of orders alike. States without a membership still go by the time of the last report.

--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -265,24 +266,20 @@
     targetChanges++;
   }
 
-  /** Applies the entries whose overriding report has become old. */
-  private void applyOverriddenEntries() {
-    for (String id : reports.takeReleased()) {
-      ListedEntry entry = entries.get(id);
-      if (entry != null && boxes.containsKey(id) && !formerIncarnations.contains(entry.box())) {
-        put(entry.box());
-      }
-    }
-  }
-
-  /** Applies the entries that a copy of the store brought back and that nothing contradicted. */
-  private void applyRestoredEntries() {
-    for (String id : history.takeReleased(clockNanos.getAsLong())) {
-      ListedEntry entry = entries.get(id);
-      if (entry != null) {
-        apply(entry);
-      }
-    }
+  /**
+   * Applies the entries whose overriding report has become old, and those that a copy of the store
+   * brought back and that nothing contradicted.
+   */
+  private void applyReleasedEntries() {
+    reports.takeReleased().stream()
+        .map(entries::get)
+        .filter(entry -> entry != null && boxes.containsKey(entry.box().id()))
+        .filter(entry -> !formerIncarnations.contains(entry.box()))
+        .forEach(entry -> put(entry.box()));
+    history.takeReleased(clockNanos.getAsLong()).stream()
+        .map(entries::get)
+        .filter(Objects::nonNull)
+        .forEach(this::apply);
   }
 
   /** Returns the model that the box last held in this incarnation, or null if it is not known. */
@@ -313,6 +310,11 @@
     return before != null && applyReport(before, box, StateOrigin.Source.ORDER);
   }
 
+  /** Returns true if a report shows a later formation than all known states of its box. */
+  public boolean showsLaterFormation(FleetBox report) {
+    return reports.isOfLaterFormation(report);
+  }
+
   /** Returns where the known engine state of a box came from, or null if it is not known. */
   public @Nullable StateOrigin stateOrigin(String id) {
     return reports.origin(id);
@@ -333,6 +335,9 @@
   }
 
   private boolean applyReport(FleetBox before, FleetBox report, StateOrigin.Source source) {
+    if (reports.isOfEarlierFormation(report)) {
+      return false;
+    }
     reports.note(report, source);
     FleetBox after =
         before.withEngineState(report.model(), report.stagedModels(), report.membership());
@@ -371,8 +376,7 @@
     if (storeReachableNanos < ENTRY_RETURN_NANOS) {
       return;
     }
-    applyOverriddenEntries();
-    applyRestoredEntries();
+    applyReleasedEntries();
     long nowNanos = clockNanos.getAsLong();
     for (String id : unlisted.ids()) {
       FleetBox box = boxes.get(id);
@@ -388,18 +392,12 @@
       noteListChange();
       log.write("upstream_off_list", "upstream", box.id(), "address", box.address());
     }
-    if (mayRemove(box) || unlisted.isOutdated(box.id(), nowNanos)) {
+    boolean isNoLongerNeeded = box.domain() == null || addresses.hasWaiting(box.address());
+    if (isNoLongerNeeded || unlisted.isOutdated(box.id(), nowNanos)) {
       remove(box.id());
     }
   }
 
-  /**
-   * Returns true if the upstream is in no fabric domain, or another entry waits for its address.
-   */
-  private boolean mayRemove(FleetBox box) {
-    return box.domain() == null || addresses.hasWaiting(box.address());
-  }
-
   /**
    * Adds an upstream that is not on the list, so that its status can be queried. It receives no
    * requests.
--- a/edge/src/main/java/org/shoreroad/edge/sync/StatusReports.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/StatusReports.java
@@ -14,6 +14,11 @@
  * The newest status reports that upstreams returned directly. They override entries of the list
  * that may be older.
  *
+ * <p>An engine never joins a formation that is earlier than one it has seen. So a state with an
+ * earlier formation than the latest known one of the box is older, whatever its source and however
+ * long ago the last report was. Two states without a membership, or with the same formation, show
+ * no order.
+ *
  * <p>A store restored from a copy lists upstreams as they were seconds before. Until the lost
  * records must have been written again, such an entry does not remove a box from its replica:
  * otherwise a partitioned head would seem to have left, and its members would be assigned to
@@ -31,7 +36,7 @@
   private final LongSupplier clockNanos;
   private final Map<String, Long> reportedAtNanos = new HashMap<>();
   private final Map<String, StateOrigin> origins = new HashMap<>();
-  private final Map<String, Long> reportedEpochs = new HashMap<>();
+  private final Map<String, Long> latestEpochs = new HashMap<>();
 
   /** Upstreams whose newest entry was overridden by newer known state. */
   private final Set<String> overriddenIds = new HashSet<>();
@@ -47,7 +52,25 @@
   void note(FleetBox report, StateOrigin.Source source) {
     reportedAtNanos.put(report.id(), clockNanos.getAsLong());
     origins.put(report.id(), new StateOrigin(source, clockNanos.getAsLong()));
-    reportedEpochs.merge(report.id(), epochOf(report), Math::max);
+    noteEpoch(report);
+  }
+
+  private void noteEpoch(FleetBox box) {
+    latestEpochs.merge(box.id(), epochOf(box), Math::max);
+  }
+
+  /** Returns true if a state shows an earlier formation than a known one of the box. */
+  boolean isOfEarlierFormation(FleetBox state) {
+    return state.membership() != null && epochOf(state) < latestEpoch(state.id());
+  }
+
+  /** Returns true if a state shows a later formation than all known ones of the box. */
+  boolean isOfLaterFormation(FleetBox state) {
+    return epochOf(state) > latestEpoch(state.id());
+  }
+
+  private long latestEpoch(String id) {
+    return latestEpochs.getOrDefault(id, 0L);
   }
 
   /** Records the store's era in which an entry was read. */
@@ -69,6 +92,7 @@
   /** Returns the entry with the known engine state, if the entry may be older than that. */
   FleetBox withNewerState(@Nullable FleetBox before, FleetBox listed) {
     FleetBox newer = before == null ? listed : chooseNewerState(before, listed);
+    noteEpoch(newer);
     if (before == null || !Objects.equals(before.membership(), newer.membership())) {
       origins.put(listed.id(), new StateOrigin(StateOrigin.Source.LIST, clockNanos.getAsLong()));
     }
@@ -77,12 +101,18 @@
 
   private FleetBox chooseNewerState(FleetBox before, FleetBox listed) {
     overriddenIds.remove(listed.id());
-    long knownEpoch = Math.max(epochOf(before), reportedEpochs.getOrDefault(listed.id(), 0L));
+    if (isOfEarlierFormation(listed)) {
+      return withStateOf(before, listed);
+    }
     boolean mayBeOlder = hasRecentReport(listed.id()) || mayBeOfCopy();
-    if (!mayBeOlder || epochOf(listed) > knownEpoch) {
+    if (!mayBeOlder || isOfLaterFormation(listed)) {
       return listed;
     }
     overriddenIds.add(listed.id());
+    return withStateOf(before, listed);
+  }
+
+  private static FleetBox withStateOf(FleetBox before, FleetBox listed) {
     return listed.withEngineState(before.model(), before.stagedModels(), before.membership());
   }
 
@@ -105,7 +135,7 @@
   /** Removes all reports of an upstream. */
   void remove(String id) {
     reportedAtNanos.remove(id);
-    reportedEpochs.remove(id);
+    latestEpochs.remove(id);
     origins.remove(id);
     overriddenIds.remove(id);
   }
