DomainObserver: only a state that the engine told itself is confirmed

Cause: a box counted as confirmed for 0.4 s after any report to this process. A late report of a peer, or an entry, may replace the reported state within that time, and is then taken for confirmed.

Change: the origin of the known state decides as well: it must be a report to this process or the effect of an order. A peer that repeats the known state does not become its source.

Evidence: ReplicaServiceTest.reportOfAPeerThatFollowsTheConfirmationFreesNoMembers, red before.

--- a/edge/src/main/java/org/shoreroad/edge/replica/DomainObserver.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/DomainObserver.java
@@ -12,6 +12,7 @@
 import org.shoreroad.edge.peer.FailureDetector;
 import org.shoreroad.edge.sync.Evacuations;
 import org.shoreroad.edge.sync.Fleet;
+import org.shoreroad.edge.sync.StateOrigin;
 import org.shoreroad.fleet.DomainReconciler;
 import org.shoreroad.fleet.FleetBox;
 import org.shoreroad.fleet.MemberState;
@@ -198,7 +199,12 @@
       }
     }
     boolean isSteady = reachability.isSteady(box.id(), replicaBreakNanos, nowNanos);
-    boolean isConfirmed = reachability.hasReport(box.id(), CONFIRMED_NANOS, nowNanos);
+    // An entry or a report of a peer may have replaced the state that the engine reported.
+    StateOrigin origin = fleet.stateOrigin(box.id());
+    boolean isConfirmed =
+        reachability.hasReport(box.id(), CONFIRMED_NANOS, nowNanos)
+            && origin != null
+            && origin.isFromEngine();
     String lastModel = fleet.lastModel(box.id());
     // A box whose entry was removed continues to serve for a while, like one that announced its
     // end.
--- a/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/Fleet.java
@@ -338,9 +338,9 @@
     if (reports.isOfEarlierFormation(report)) {
       return false;
     }
-    reports.note(report, source);
     FleetBox after =
         before.withEngineState(report.model(), report.stagedModels(), report.membership());
+    reports.note(report, source, !after.equals(before));
     if (after.equals(before)) {
       return false;
     }
@@ -358,7 +358,7 @@
             .withStart(report.bornMs())
             .withEngineState(report.model(), report.stagedModels(), report.membership());
     addresses.assign(after);
-    reports.note(report, StateOrigin.Source.REPORT);
+    reports.note(report, StateOrigin.Source.REPORT, true);
     replaceBox(after);
     lastModels.note(after);
     // A report does not put an upstream on the list, because the upstream may be about to end.
--- a/edge/src/main/java/org/shoreroad/edge/sync/StateOrigin.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/StateOrigin.java
@@ -17,6 +17,11 @@
     Objects.requireNonNull(source, "source");
   }
 
+  /** Returns true if the engine itself has told this process the state. */
+  public boolean isFromEngine() {
+    return source == Source.REPORT || source == Source.ORDER;
+  }
+
   /** Source of engine state. */
   public enum Source {
     /** The list of upstreams. */
--- a/edge/src/main/java/org/shoreroad/edge/sync/StatusReports.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/StatusReports.java
@@ -48,10 +48,17 @@
     this.clockNanos = clockNanos;
   }
 
-  /** Records a report, or the effect of an accepted order. */
-  void note(FleetBox report, StateOrigin.Source source) {
+  /**
+   * Records a report, or the effect of an accepted order.
+   *
+   * @param isChange true if it changes the known state; a peer that repeats a state of the engine
+   *     does not become its source
+   */
+  void note(FleetBox report, StateOrigin.Source source, boolean isChange) {
     reportedAtNanos.put(report.id(), clockNanos.getAsLong());
-    origins.put(report.id(), new StateOrigin(source, clockNanos.getAsLong()));
+    if (isChange || source != StateOrigin.Source.PEER) {
+      origins.put(report.id(), new StateOrigin(source, clockNanos.getAsLong()));
+    }
     noteEpoch(report);
   }
 
--- a/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/replica/ReplicaServiceTest.java
@@ -489,4 +489,16 @@
     advance(3_000);
     assertThat(engines.orders.size(), is(orders));
   }
+
+  @Test
+  void reportOfAPeerThatFollowsTheConfirmationFreesNoMembers() {
+    String head = formAndReturnHead();
+    Set<String> members = Set.of("a", "b");
+    engines.orders.clear();
+    for (int i = 0; i < 20; i++) {
+      fleet.updateByPeer(fleet.find(head).withEngineState(null, List.of("m"), null));
+      advance(STEP_MS);
+    }
+    assertThat(joined().stream().anyMatch(members::contains), is(false));
+  }
 }
