EngineMonitor: apply an accepted order to the replica that it names only

Beside that, an open replica could be ordered to leave with requests running, after a late answer to a JOIN.

Cause: the effect of an accepted order was written over whatever was known of the box: LEAVE removed any membership, JOIN replaced any, CLOSE closed any. But an engine also accepts what holds already, such as a LEAVE of a replica that the box has left, and an answer may arrive after reports of later states. Then reports were ignored for the lag, which hid the truth, and each of them counted as a confirmation.

Change: an order takes effect on the known state only if it concerns the known replica, and a JOIN only if it is a later formation than all known ones. A report that shows a later formation is applied at any time.

--- a/edge/src/main/java/org/shoreroad/edge/replica/EngineMonitor.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/EngineMonitor.java
@@ -99,7 +99,7 @@
           @Override
           public void onReport(FleetBox newest) {
             reachability.recordReport(box.id(), nowNanos);
-            if (acceptsReports(box.id(), nowNanos)) {
+            if (acceptsReports(box.id(), nowNanos) || fleet.showsLaterFormation(newest)) {
               acceptReport(box, newest);
             } else {
               logIgnored(newest);
@@ -120,45 +120,43 @@
     return nowNanos >= acceptReportsFromNanos.getOrDefault(id, Long.MIN_VALUE);
   }
 
-  /** Applies the effect of an order that the box has accepted. */
+  /**
+   * Applies the effect of an order that the box has accepted, if the order concerns the known state
+   * of the box. An engine also accepts an order that holds already, and its answer may arrive after
+   * reports that show later states.
+   */
   void applyAccepted(BoxOrder order, int reportLagMs) {
     FleetBox box = fleet.find(order.boxId());
-    boolean isSlow = order.verb() == Verb.OPEN || order.verb() == Verb.STAGE;
-    if (box == null || isSlow) {
-      return;
-    }
-    long lagNanos = TimeUnit.MILLISECONDS.toNanos(reportLagMs) + REPORT_MARGIN_NANOS;
-    acceptReportsFromNanos.put(box.id(), clockNanos.getAsLong() + lagNanos);
-    FleetBox after = withEffect(box, order);
-    if (fleet.updateByOrder(after)) {
+    FleetBox after = box == null ? null : withEffect(box, order);
+    if (after != null && fleet.updateByOrder(after)) {
+      long lagNanos = TimeUnit.MILLISECONDS.toNanos(reportLagMs) + REPORT_MARGIN_NANOS;
+      acceptReportsFromNanos.put(box.id(), clockNanos.getAsLong() + lagNanos);
       publish(box, after);
     }
     onAnswer.run();
   }
 
-  private static FleetBox withEffect(FleetBox box, BoxOrder order) {
+  /** Returns the box after the order, or null if the order does not change its known state. */
+  private @Nullable FleetBox withEffect(FleetBox box, BoxOrder order) {
+    if (order.verb() == Verb.JOIN) {
+      int rank = order.members().indexOf(box.id());
+      Membership joining = new Membership(order.replica(), rank, MemberState.JOINING);
+      FleetBox after = box.withEngineState(null, box.stagedModels(), joining);
+      return fleet.showsLaterFormation(after) ? after : null;
+    }
     Membership membership = box.membership();
-    switch (order.verb()) {
-      case JOIN -> {
-        int rank = order.members().indexOf(box.id());
-        Membership joining = new Membership(order.replica(), rank, MemberState.JOINING);
-        return box.withEngineState(null, box.stagedModels(), joining);
-      }
-      case LEAVE -> {
-        return box.withEngineState(null, box.stagedModels(), null);
-      }
-      case CLOSE_AFTER_WORK -> {
-        boolean isOpen = membership != null && membership.state() == MemberState.OPEN;
-        return isOpen ? withState(box, membership, MemberState.CLOSING) : box;
-      }
-      case CLOSE_NOW -> {
-        boolean isServing = membership != null && membership.state().isServing();
-        return isServing ? withState(box, membership, MemberState.READY) : box;
-      }
-      default -> {
-        return box;
-      }
+    if (membership == null || !membership.replica().equals(order.replica())) {
+      return null;
     }
+    MemberState state = membership.state();
+    return switch (order.verb()) {
+      case LEAVE -> box.withEngineState(null, box.stagedModels(), null);
+      case CLOSE_AFTER_WORK ->
+          state == MemberState.OPEN ? withState(box, membership, MemberState.CLOSING) : null;
+      case CLOSE_NOW -> state.isServing() ? withState(box, membership, MemberState.READY) : null;
+      // An opening or a load takes longer than a report is late.
+      default -> null;
+    };
   }
 
   private static FleetBox withState(FleetBox box, Membership membership, MemberState state) {
