--- a/core/src/main/java/org/shoreroad/fleet/DomainReconciler.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainReconciler.java
@@ -26,12 +26,6 @@
  * @since 0.2
  */
 public final class DomainReconciler {
-  /** Join time of a box whose last model was the same, in seconds (documented by the platform). */
-  private static final double REJOIN_SECONDS = 0.2;
-
-  /** Factor for load times before the first request (documented by the platform). */
-  private static final double INITIAL_LOAD_FACTOR = 0.1;
-
   private final String domain;
   private final ReconcilerTiming timing;
   private final LongSupplier epochs;
@@ -427,11 +421,10 @@
     List<String> ids = members.stream().map(observed -> observed.box().id()).toList();
     long epoch = epochs.getAsLong();
     ReplicaId replica = ReplicaId.of(domain, model.name(), epoch, members.get(0).box());
-    double seconds = loads > 0 ? model.loadSeconds() * loads : model.warmSeconds();
-    long limitNanos = (long) (seconds * 1e9) + timing.joinSlackNanos();
-    long dueNanos = nowNanos + joinNanos(members, model);
-    Formation formation = new Formation(replica, model, ids, nowNanos, dueNanos, limitNanos);
-    formations.put(replica, formation);
+    formations.put(
+        replica,
+        Formation.begin(
+            replica, model, members, demand.hasTraffic(), timing.joinSlackNanos(), nowNanos));
     view.bindRetained(members, model.name());
     for (String id : ids) {
       order(BoxOrder.join(id, replica, model.name(), ids, "to serve " + model.name()), nowNanos);
@@ -444,18 +437,6 @@
     return !demand.hasTraffic() && view.observedBoxes().stream().allMatch(ObservedBox::isBlank);
   }
 
-  /** Returns the join time of the slowest box, in nanoseconds. */
-  private long joinNanos(List<ObservedBox> members, ModelShape model) {
-    int cost = members.stream().mapToInt(observed -> observed.joinCost(model)).max().orElse(0);
-    double seconds =
-        switch (cost) {
-          case 0 -> REJOIN_SECONDS;
-          case 1 -> model.warmSeconds();
-          default -> model.loadSeconds() * (demand.hasTraffic() ? 1 : INITIAL_LOAD_FACTOR);
-        };
-    return (long) (seconds * 1e9);
-  }
-
   private void order(BoxOrder order, long nowNanos) {
     if (recentOrders.isDue(order, nowNanos)) {
       orders.add(order);
