HeadlessReplicas: members leave first unless their head has left for certain

Cause: the members of a replica were free as soon as its head was observed alive outside the replica. Reports were asked of fit boxes only, so for a head that leaves, is silent or off the list an old entry or a report of a peer was enough; and a JOIN and an OPEN that the head did not answer may be carried out seconds after it has left.

Change: members are free at once only if the head's engine has accepted the order to leave and no JOIN that it left unanswered may still be carried out (DepartedHeads). Otherwise each member leaves by an order of its own before it joins; a box in no replica can't break the rule, whatever its former head does. If the head can be reached, it is asked first, so that a sound replica is not taken apart because of an old entry.

Evidence: FormerHeadTest, 3 of 4 red before.

--- /dev/null
+++ b/core/src/main/java/org/shoreroad/fleet/DepartedHeads.java
@@ -0,0 +1,69 @@
+package org.shoreroad.fleet;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.IdentityHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.shoreroad.fleet.BoxOrder.Verb;
+
+/**
+ * The replicas that their heads have left for certain: the engine of the head has accepted the
+ * order to leave, and no order to join that it has not answered can bring it back. Not thread-safe:
+ * used by one thread.
+ *
+ * <p>A report or an entry that shows the head outside the replica is no such proof, since it may be
+ * older than the head's JOIN.
+ */
+final class DepartedHeads {
+  /** Time within which an unanswered order may still be carried out; the platform says seconds. */
+  private static final long LATE_ORDER_NANOS = TimeUnit.SECONDS.toNanos(15);
+
+  private final Set<ReplicaId> departed = new HashSet<>();
+  // By identity: equal orders are given again, and each has its own answer.
+  private final Map<BoxOrder, Long> unansweredJoins = new IdentityHashMap<>();
+
+  /** Records that an order is given now. */
+  void recordGiven(BoxOrder order, long nowNanos) {
+    unansweredJoins.values().removeIf(givenNanos -> nowNanos - givenNanos > LATE_ORDER_NANOS);
+    if (order.verb() == Verb.JOIN && isToHead(order)) {
+      unansweredJoins.put(order, nowNanos);
+    }
+  }
+
+  /** Records that an engine has answered an order. */
+  void recordAnswered(BoxOrder order) {
+    unansweredJoins.remove(order);
+  }
+
+  /** Records that an engine has accepted an order. */
+  void recordAccepted(BoxOrder order) {
+    recordAnswered(order);
+    if (order.verb() == Verb.LEAVE && isToHead(order)) {
+      departed.add(order.replica());
+    }
+  }
+
+  /** Returns true if the head has left the replica for certain and can't be back in it. */
+  boolean contains(ReplicaId replica, long nowNanos) {
+    return departed.contains(replica)
+        && unansweredJoins.entrySet().stream()
+            .filter(entry -> replica.equals(entry.getKey().replica()))
+            .allMatch(entry -> nowNanos - entry.getValue() > LATE_ORDER_NANOS);
+  }
+
+  /** Forgets the departures from other replicas, which have no members any more. */
+  void retain(Collection<ReplicaId> replicas) {
+    departed.retainAll(replicas);
+  }
+
+  /** Forgets the orders to a box that has ended or restarted. */
+  void forget(String boxId) {
+    unansweredJoins.keySet().removeIf(order -> order.boxId().equals(boxId));
+  }
+
+  private static boolean isToHead(BoxOrder order) {
+    return order.replica() != null && order.boxId().equals(order.replica().headId());
+  }
+}
--- a/core/src/main/java/org/shoreroad/fleet/DomainReconciler.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainReconciler.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,11 +18,10 @@
  * Reconciler of one fabric domain: forms its replicas and replaces those that lost a member.
  *
  * <p>Each call compares the status reports of the boxes with the plan and returns the next orders.
- * An order without a visible effect is repeated. A box joins another replica only after the head of
- * its former one was observed neither open nor closing and has left, or, if the head is taken for
- * dead, after the box itself has left. So no head runs requests while a member belongs to another
- * replica, and a delayed order to open no longer matches the replica of any box. Not thread-safe:
- * used by one thread.
+ * An order without a visible effect is repeated. A box joins another replica only after the engine
+ * of its former head has accepted the order to leave, or after the box itself has left. So no head
+ * runs requests while a member belongs to another replica, and a delayed order to open no longer
+ * matches the replica of any box. Not thread-safe: used by one thread.
  *
  * @since 0.2
  */
@@ -31,6 +31,7 @@
   private final LongSupplier epochs;
   private final Map<ReplicaId, Formation> formations = new LinkedHashMap<>();
   private final ClosingReplicas closingReplicas;
+  private final DepartedHeads departedHeads = new DepartedHeads();
   private final HeadlessReplicas headlessReplicas;
   private final HostPreparation hostPreparation = new HostPreparation();
   private final SpareWarmup warmups;
@@ -40,7 +41,7 @@
   private DomainView view = new DomainView(List.of());
   private Demand demand = Demand.NONE;
   private Map<String, Integer> wantedCounts = Map.of();
-  private boolean needsReports;
+  private final Set<String> unconfirmedIds = new HashSet<>();
 
   /**
    * Creates a reconciler without any formation in progress.
@@ -54,7 +55,7 @@
     this.timing = timing;
     this.epochs = epochs;
     this.closingReplicas = new ClosingReplicas(timing);
-    this.headlessReplicas = new HeadlessReplicas(timing.headlessNanos());
+    this.headlessReplicas = new HeadlessReplicas(timing.headlessNanos(), departedHeads);
     this.warmups = new SpareWarmup(domain, epochs);
     this.conversion = new ReplicaConversion(domain);
     this.recentOrders = new RecentOrders(timing.orderRepeatNanos());
@@ -77,9 +78,14 @@
     return dueNanos;
   }
 
-  /** Returns true if a formation waits for recent status reports from the engines. */
+  /** Returns true if a decision waits for recent status reports from engines. */
   public boolean needsReports() {
-    return needsReports;
+    return !unconfirmedIds.isEmpty();
+  }
+
+  /** Returns true if a decision waits for a recent status report from the engine of the box. */
+  public boolean needsReportFrom(String boxId) {
+    return unconfirmedIds.contains(boxId);
   }
 
   /** Returns true if a replica is being formed or closed, so that reports are useful. */
@@ -113,10 +119,11 @@
     this.demand = demand;
     orders = new ArrayList<>();
     view = new DomainView(observedBoxes);
-    needsReports = false;
+    unconfirmedIds.clear();
     Map<ReplicaId, ObservedReplica> observed = ObservedReplica.from(observedBoxes);
     closingReplicas.retain(observed.keySet());
     headlessReplicas.retain(observed.keySet());
+    departedHeads.retain(observed.keySet());
 
     formations.values().removeIf(formation -> !advance(formation, nowNanos));
     warmups.forgetOlder(nowNanos - timing.warmupNanos());
@@ -130,7 +137,7 @@
     closeReplicas(models, observed.values(), nowNanos);
     formMissing(models, nowNanos);
     formReserve(models, nowNanos);
-    if (!needsReports) {
+    if (!needsReports()) {
       boolean isForming = !formations.isEmpty();
       hostPreparation
           .prepare(view, spec, models, demand, this::surplus, isForming, nowNanos)
@@ -147,7 +154,7 @@
       view.bind(replica.members());
     } else if (head == null) {
       headlessReplicas
-          .release(replica, view, headsSeen, nowNanos)
+          .release(replica, view, headsSeen, this::askForReport, nowNanos)
           .forEach(order -> order(order, nowNanos));
     } else {
       reconcileHeadedReplica(replica, head, spec, nowNanos);
@@ -157,12 +164,14 @@
   /** Removes the orders to a box that has ended or restarted. */
   public void forget(String boxId) {
     recentOrders.forget(boxId);
+    departedHeads.forget(boxId);
     hostPreparation.forget(boxId);
   }
 
   /** Records that an engine has accepted an order. */
   public void recordAccepted(BoxOrder order, long nowNanos) {
     recentOrders.recordAccepted(order, nowNanos);
+    departedHeads.recordAccepted(order);
   }
 
   /**
@@ -170,6 +179,7 @@
    * seems ready can't be opened, its replica is dissolved, so that its boxes serve in another one.
    */
   public void recordRejected(BoxOrder order, long nowNanos) {
+    departedHeads.recordAnswered(order);
     if (order.verb() == Verb.OPEN && order.replica() != null) {
       closingReplicas.begin(order.replica(), true, nowNanos);
     }
@@ -415,7 +425,7 @@
     // This check follows the one for weights. The reverse order would request reports from all
     // boxes of a domain for as long as weights are missing.
     if (!view.isConfirmed()) {
-      needsReports = true;
+      view.observedBoxes().forEach(this::askForReport);
       return false;
     }
     List<String> ids = members.stream().map(observed -> observed.box().id()).toList();
@@ -440,6 +450,11 @@
   private void order(BoxOrder order, long nowNanos) {
     if (recentOrders.isDue(order, nowNanos)) {
       orders.add(order);
+      departedHeads.recordGiven(order, nowNanos);
     }
   }
+
+  private void askForReport(ObservedBox observed) {
+    unconfirmedIds.add(observed.box().id());
+  }
 }
--- a/core/src/main/java/org/shoreroad/fleet/HeadlessReplicas.java
+++ b/core/src/main/java/org/shoreroad/fleet/HeadlessReplicas.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.shoreroad.fleet.BoxOrder.Verb;
 
@@ -12,13 +13,15 @@
  * Release of the members of replicas whose head is not observed as a member any more. Not
  * thread-safe: used by one thread.
  *
- * <p>A head that has left its replica runs nothing more, so its members are free. One that is only
- * taken for dead may still be open: it can be cut off from the store and from all processes while
- * it reaches its members, and an engine breaks its replica only over the loss of a member. So its
- * members have to leave before they join another replica.
+ * <p>Members are free at once only if their head has left for certain. Otherwise it may still be
+ * open: what is known of it may be older than its membership, and one that is taken for dead can be
+ * cut off from the store and from all processes while it reaches its members. So its members have
+ * to leave before they join another replica; a box that is in no replica can join one whatever its
+ * former head does.
  */
 final class HeadlessReplicas {
   private final long unseenNanos;
+  private final DepartedHeads departedHeads;
   private final Map<ReplicaId, Long> sinceNanos = new HashMap<>();
 
   /**
@@ -26,9 +29,11 @@
    *
    * @param unseenNanos the time for which members stay bound whose head this process has never
    *     observed, in nanoseconds
+   * @param departedHeads the replicas that their heads have left for certain, not null
    */
-  HeadlessReplicas(long unseenNanos) {
+  HeadlessReplicas(long unseenNanos, DepartedHeads departedHeads) {
     this.unseenNanos = unseenNanos;
+    this.departedHeads = departedHeads;
   }
 
   /** Forgets the replicas that are not among these. */
@@ -40,18 +45,30 @@
    * Binds the members of a replica that must not join another one yet.
    *
    * @param headsSeen the replicas whose heads this process has observed at any time, not null
+   * @param askForReport called with the head if its state must be confirmed first, not null
    * @return the orders to leave the replica, empty if there are none
    */
   List<BoxOrder> release(
-      ObservedReplica replica, DomainView view, Set<ReplicaId> headsSeen, long nowNanos) {
-    if (hasHeadLeft(replica.replica(), view)) {
+      ObservedReplica replica,
+      DomainView view,
+      Set<ReplicaId> headsSeen,
+      Consumer<ObservedBox> askForReport,
+      long nowNanos) {
+    ObservedBox head = findHeadElsewhere(replica.replica(), view);
+    if (head != null && departedHeads.contains(replica.replica(), nowNanos)) {
       // A head does not break its replica over a member that was partitioned together with it, so
       // such a member stays bound.
       view.bind(replica.members().stream().filter(member -> !member.isSteady()).toList());
       return List.of();
     }
     view.bind(replica.members());
-    if (!headsSeen.contains(replica.replica()) && isNew(replica.replica(), nowNanos)) {
+    boolean isHeadReachable = head != null && !head.isLost();
+    if (isHeadReachable && !head.isConfirmed()) {
+      askForReport.accept(head);
+      return List.of();
+    }
+    boolean isHeadUnseen = !isHeadReachable && !headsSeen.contains(replica.replica());
+    if (isHeadUnseen && isNew(replica.replica(), nowNanos)) {
       return List.of();
     }
     List<ObservedBox> leaving =
@@ -64,11 +81,11 @@
     return leaving.stream().map(member -> leave(member, replica.replica())).toList();
   }
 
-  /** Returns true if the head is observed alive, and not as a member of the replica. */
-  private static boolean hasHeadLeft(ReplicaId replica, DomainView view) {
+  /** Returns the head if it is observed alive and not as a member of the replica, or null. */
+  private static @Nullable ObservedBox findHeadElsewhere(ReplicaId replica, DomainView view) {
     String headId = replica.headId();
-    @Nullable ObservedBox head = headId == null ? null : view.observedById().get(headId);
-    return head != null && !head.isDead();
+    ObservedBox head = headId == null ? null : view.observedById().get(headId);
+    return head == null || head.isDead() || head.isMemberOf(replica) ? null : head;
   }
 
   private boolean isNew(ReplicaId replica, long nowNanos) {
--- /dev/null
+++ b/core/src/test/java/org/shoreroad/fleet/FormerHeadTest.java
@@ -0,0 +1,135 @@
+package org.shoreroad.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+import org.shoreroad.fleet.BoxOrder.Verb;
+import org.shoreroad.fleet.ObservedBox.Reach;
+
+/** Guards against a box that joins a replica while the head of its former one may be open. */
+class FormerHeadTest {
+  private static final long STEP_NANOS = 600_000_000L;
+  private static final String HEAD = "head";
+  private static final String MEMBER = "member";
+  private static final String SPARE = "spare";
+  private static final EngineSpec SPEC =
+      FakeDomain.spec(new ModelShape("small", 2, 1, 0.6, 12, 1.1));
+  private static final ReplicaId FORMER = ReplicaId.of("d", "small", 7, box(HEAD, null, false));
+
+  private final Set<ReplicaId> headsSeen = new HashSet<>(Set.of(FORMER));
+  private final DomainReconciler reconciler = newReconciler();
+  private long epoch = 7;
+  private long nowNanos = STEP_NANOS;
+
+  private DomainReconciler newReconciler() {
+    return new DomainReconciler("d", ReconcilerTiming.DEFAULT, () -> ++epoch);
+  }
+
+  private static FleetBox box(String id, @Nullable Membership membership, boolean isLeaving) {
+    String model = membership == null ? null : "small";
+    List<String> staged = List.of("small");
+    return new FleetBox(id, "llm", id + ":1", "z", 18, isLeaving, "d", model, staged, membership);
+  }
+
+  private static ObservedBox observed(FleetBox box, Reach reach, boolean isConfirmed) {
+    return new ObservedBox(box, true, reach, true, isConfirmed, false, "small");
+  }
+
+  private static ObservedBox sound(String id, @Nullable Membership membership) {
+    return observed(box(id, membership, false), Reach.LIKELY, true);
+  }
+
+  private static Membership member(ReplicaId replica, int rank, MemberState state) {
+    return new Membership(replica, rank, state);
+  }
+
+  private static ObservedBox readyMember() {
+    return sound(MEMBER, member(FORMER, 1, MemberState.READY));
+  }
+
+  private List<BoxOrder> decide(ObservedBox... boxes) {
+    nowNanos += STEP_NANOS;
+    return reconciler.decide(
+        nowNanos,
+        SPEC,
+        List.of(boxes),
+        ReplicaPlan.of(SPEC, Map.of("d", boxes.length)),
+        headsSeen,
+        Demand.NONE);
+  }
+
+  private static List<String> verbsFor(String id, List<BoxOrder> orders) {
+    List<String> verbs = new ArrayList<>();
+    orders.stream()
+        .filter(order -> order.boxId().equals(id))
+        .forEach(order -> verbs.add(order.verb().name()));
+    return verbs;
+  }
+
+  private static BoxOrder orderTo(String id, Verb verb, List<BoxOrder> orders) {
+    return orders.stream()
+        .filter(order -> order.boxId().equals(id) && order.verb() == verb)
+        .findFirst()
+        .orElseThrow();
+  }
+
+  @Test
+  void memberWaitsForAReportOfALeavingHeadThatTheListShowsWithoutAReplica() {
+    ObservedBox head = observed(box(HEAD, null, true), Reach.LIKELY, false);
+    List<BoxOrder> orders = decide(head, readyMember(), sound(SPARE, null));
+    assertThat(verbsFor(MEMBER, orders), is(empty()));
+    assertThat(reconciler.needsReports(), is(true));
+  }
+
+  @Test
+  void memberOfASilentHeadThatTheListShowsWithoutAReplicaLeavesFirst() {
+    ObservedBox head = observed(box(HEAD, null, false), Reach.LOST, false);
+    List<BoxOrder> orders = decide(head, readyMember(), sound(SPARE, null));
+    assertThat(verbsFor(MEMBER, orders), is(List.of("LEAVE")));
+    assertThat(
+        verbsFor(MEMBER, decide(head, sound(MEMBER, null), sound(SPARE, null))),
+        is(List.of("JOIN")));
+  }
+
+  @Test
+  void memberJoinsAtOnceWhenTheHeadHasAcceptedToLeave() {
+    ObservedBox open = sound(HEAD, member(FORMER, 0, MemberState.READY));
+    ObservedBox leavingMember =
+        observed(box(MEMBER, member(FORMER, 1, MemberState.READY), true), Reach.LIKELY, true);
+    BoxOrder leave = orderTo(HEAD, Verb.LEAVE, decide(open, leavingMember, sound(SPARE, null)));
+    reconciler.recordAccepted(leave, nowNanos);
+    List<BoxOrder> orders = decide(sound(HEAD, null), readyMember(), sound(SPARE, null));
+    assertThat(verbsFor(HEAD, orders), is(List.of("JOIN")));
+    assertThat(verbsFor(MEMBER, orders), is(List.of("JOIN")));
+  }
+
+  /** Forms a replica; the head's first order to join stays unanswered, the second is accepted. */
+  private ReplicaId formWithUnansweredJoin() {
+    BoxOrder first = orderTo(HEAD, Verb.JOIN, decide(sound(HEAD, null), sound(MEMBER, null)));
+    BoxOrder second = orderTo(HEAD, Verb.JOIN, decide(sound(HEAD, null), sound(MEMBER, null)));
+    reconciler.recordAccepted(second, nowNanos);
+    return first.replica();
+  }
+
+  @Test
+  void memberLeavesFirstWhileAnUnansweredJoinMayBringTheHeadBack() {
+    ReplicaId replica = formWithUnansweredJoin();
+    ObservedBox open = sound(HEAD, member(replica, 0, MemberState.OPEN));
+    ObservedBox ready = sound(MEMBER, member(replica, 1, MemberState.READY));
+    decide(open, ready);
+    ObservedBox closed = sound(HEAD, member(replica, 0, MemberState.READY));
+    ObservedBox leaving =
+        observed(box(MEMBER, member(replica, 1, MemberState.READY), true), Reach.LIKELY, true);
+    reconciler.recordAccepted(orderTo(HEAD, Verb.LEAVE, decide(closed, leaving)), nowNanos);
+    List<BoxOrder> orders = decide(sound(HEAD, null), ready, sound(SPARE, null));
+    assertThat(verbsFor(MEMBER, orders), is(List.of("LEAVE")));
+  }
+}
--- a/edge/src/main/java/org/shoreroad/edge/replica/DomainObserver.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/DomainObserver.java
@@ -258,7 +258,7 @@
       } else if (closing.contains(id)) {
         monitor.requestReport(box, CLOSING_INTERVAL_NANOS, nowNanos);
       }
-      if (reconciler.needsReports()) {
+      if (reconciler.needsReportFrom(id)) {
         monitor.requestReport(box, CONFIRMING_INTERVAL_NANOS, nowNanos);
       }
     }
