DomainReconciler: repeat a JOIN only while the box may still join

Cause: a formation that has begun repeated its JOINs every 0.5 s to each member that is not in the new replica, although reports showed the member in another, open one by then.

Change: a member that is seen in a replica that it has to leave first ends the formation.

Evidence: FormerHeadTest.joinIsNotRepeatedToABoxThatIsSeenInAServingReplica, red before.

--- a/core/src/main/java/org/shoreroad/fleet/DomainReconciler.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainReconciler.java
@@ -206,6 +206,9 @@
       if (observed == null || !observed.isFit()) {
         return abandon(formation, "member " + id + " is unavailable", nowNanos);
       }
+      if (isBoundElsewhere(observed, replica, nowNanos)) {
+        return abandon(formation, "member " + id + " is in another replica", nowNanos);
+      }
       members.add(observed);
     }
     ObservedBox head = members.get(0);
@@ -236,6 +239,14 @@
     return true;
   }
 
+  /** Returns true if a box has to leave another replica before it joins this one. */
+  private boolean isBoundElsewhere(ObservedBox observed, ReplicaId replica, long nowNanos) {
+    Membership membership = observed.box().membership();
+    return membership != null
+        && !membership.replica().equals(replica)
+        && !headlessReplicas.isReleased(membership.replica(), view, nowNanos);
+  }
+
   private boolean abandon(Formation formation, String reason, long nowNanos) {
     Map<String, ObservedBox> observedById = view.observedById();
     ObservedBox head = observedById.get(formation.headId());
--- a/core/src/main/java/org/shoreroad/fleet/HeadlessReplicas.java
+++ b/core/src/main/java/org/shoreroad/fleet/HeadlessReplicas.java
@@ -81,6 +81,11 @@
     return leaving.stream().map(member -> leave(member, replica.replica())).toList();
   }
 
+  /** Returns true if the members of a replica may join another one without leaving it first. */
+  boolean isReleased(ReplicaId replica, DomainView view, long nowNanos) {
+    return findHeadElsewhere(replica, view) != null && departedHeads.contains(replica, nowNanos);
+  }
+
   /** Returns the head if it is observed alive and not as a member of the replica, or null. */
   private static @Nullable ObservedBox findHeadElsewhere(ReplicaId replica, DomainView view) {
     String headId = replica.headId();
--- a/core/src/test/java/org/shoreroad/fleet/FormerHeadTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/FormerHeadTest.java
@@ -2,7 +2,9 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -133,6 +135,15 @@
     assertThat(verbsFor(MEMBER, orders), is(List.of("LEAVE")));
   }
 
+  @Test
+  void joinIsNotRepeatedToABoxThatIsSeenInAServingReplica() {
+    List<BoxOrder> orders = decide(sound(MEMBER, null), sound(SPARE, null));
+    assertThat(verbsFor(MEMBER, orders), is(List.of("JOIN")));
+    ObservedBox open = sound(HEAD, member(FORMER, 0, MemberState.OPEN));
+    assertThat(
+        verbsFor(MEMBER, decide(open, readyMember(), sound(SPARE, null))), not(hasItem("JOIN")));
+  }
+
   @Test
   void warmupWaitsForAReportOfTheBox() {
     FleetBox blank = box(SPARE, null, false);
