HeadlessReplicas: ask the head only if a member can leave

Cause: the head of a replica was asked for a report for as long as members were left that can't be ordered to leave, such as draining ones.

--- a/core/src/main/java/org/shoreroad/fleet/HeadlessReplicas.java
+++ b/core/src/main/java/org/shoreroad/fleet/HeadlessReplicas.java
@@ -13,11 +13,11 @@
  * Release of the members of replicas whose head is not observed as a member any more. Not
  * thread-safe: used by one thread.
  *
- * <p>Members are free at once only if their head has left for certain. Otherwise it may still be
- * open: what is known of it may be older than its membership, and one that is taken for dead can be
- * cut off from the store and from all processes while it reaches its members. So its members have
- * to leave before they join another replica; a box that is in no replica can join one whatever its
- * former head does.
+ * <p>Members are free at once only if their head has left (see {@link DepartedHeads}). Otherwise it
+ * may still be open: what is known of it may be older than its membership, and one that is taken
+ * for dead can be cut off from the store and from all processes while it reaches its members. So
+ * its members have to leave before they join another replica; a box that is in no replica can join
+ * one whatever its former head does.
  */
 final class HeadlessReplicas {
   private final long unseenNanos;
@@ -29,7 +29,7 @@
    *
    * @param unseenNanos the time for which members stay bound whose head this process has never
    *     observed, in nanoseconds
-   * @param departedHeads the replicas that their heads have left for certain, not null
+   * @param departedHeads the replicas that their heads have left, not null
    */
   HeadlessReplicas(long unseenNanos, DepartedHeads departedHeads) {
     this.unseenNanos = unseenNanos;
@@ -62,6 +62,11 @@
       return List.of();
     }
     view.bind(replica.members());
+    List<ObservedBox> leaving =
+        replica.members().stream().filter(member -> member.isSteady() && member.isFit()).toList();
+    if (leaving.isEmpty()) {
+      return List.of();
+    }
     boolean isHeadReachable = head != null && !head.isLost();
     if (isHeadReachable && !head.isConfirmed()) {
       askForReport.accept(head);
@@ -71,13 +76,9 @@
     if (isHeadUnseen && isNew(replica.replica(), nowNanos)) {
       return List.of();
     }
-    List<ObservedBox> leaving =
-        replica.members().stream().filter(member -> member.isSteady() && member.isFit()).toList();
-    if (!leaving.isEmpty()) {
-      // No spare box begins a warm-up now, since it can form a replica with these.
-      view.addSoonFree(leaving);
-      view.recordDissolving(true);
-    }
+    // No spare box begins a warm-up now, since it can form a replica with these.
+    view.addSoonFree(leaving);
+    view.recordDissolving(true);
     return leaving.stream().map(member -> leave(member, replica.replica())).toList();
   }
 
