DepartedHeads: a head may come back by a JOIN that is answered last, or given earlier

Cause: an order to join that was still without an answer when the head accepted to leave, and was accepted afterwards, counted as harmless; the engine may have carried it out last. And a reconciler that is created anew under the same lease knows nothing of the JOINs that the former one gave.

Change: an accepted JOIN ends the departure; only replicas that this reconciler formed have heads that count as departed. A JOIN that is accepted for a box without a replica needs a later report before the box is confirmed again.

Evidence: FormerHeadTest.memberLeavesFirstIfAJoinIsAnsweredAfterTheHeadHasLeft, memberLeavesFirstWhileAJoinOfAnEarlierReconcilerMayBringTheHeadBack, EngineMonitorTest.joinThatIsAnsweredAfterTheLeaveNeedsALaterReport, red before.

--- a/core/src/main/java/org/shoreroad/fleet/DepartedHeads.java
+++ b/core/src/main/java/org/shoreroad/fleet/DepartedHeads.java
@@ -17,9 +17,13 @@
  * older than the head's JOIN.
  */
 final class DepartedHeads {
-  /** Time within which an unanswered order may still be carried out; the platform says seconds. */
+  /**
+   * Time within which an unanswered order may still be carried out. The platform documents seconds,
+   * without a bound.
+   */
   private static final long LATE_ORDER_NANOS = TimeUnit.SECONDS.toNanos(15);
 
+  private final Set<ReplicaId> formedHere = new HashSet<>();
   private final Set<ReplicaId> departed = new HashSet<>();
   // By identity: equal orders are given again, and each has its own answer.
   private final Map<BoxOrder, Long> unansweredJoins = new IdentityHashMap<>();
@@ -28,11 +32,12 @@
   void recordGiven(BoxOrder order, long nowNanos) {
     unansweredJoins.values().removeIf(givenNanos -> nowNanos - givenNanos > LATE_ORDER_NANOS);
     if (order.verb() == Verb.JOIN && isToHead(order)) {
+      formedHere.add(order.replica());
       unansweredJoins.put(order, nowNanos);
     }
   }
 
-  /** Records that an engine has answered an order. */
+  /** Records that an order will not be carried out later, since the engine has answered it. */
   void recordAnswered(BoxOrder order) {
     unansweredJoins.remove(order);
   }
@@ -42,19 +47,26 @@
     recordAnswered(order);
     if (order.verb() == Verb.LEAVE && isToHead(order)) {
       departed.add(order.replica());
+    } else if (order.verb() == Verb.JOIN && isToHead(order)) {
+      // The engine may have carried it out after the order to leave.
+      departed.remove(order.replica());
     }
   }
 
-  /** Returns true if the head has left the replica for certain and can't be back in it. */
+  /**
+   * Returns true if the head has left the replica and no order that was given can bring it back.
+   */
   boolean contains(ReplicaId replica, long nowNanos) {
-    return departed.contains(replica)
+    return formedHere.contains(replica)
+        && departed.contains(replica)
         && unansweredJoins.entrySet().stream()
             .filter(entry -> replica.equals(entry.getKey().replica()))
             .allMatch(entry -> nowNanos - entry.getValue() > LATE_ORDER_NANOS);
   }
 
-  /** Forgets the departures from other replicas, which have no members any more. */
+  /** Forgets all other replicas, which have no members any more. */
   void retain(Collection<ReplicaId> replicas) {
+    formedHere.retainAll(replicas);
     departed.retainAll(replicas);
   }
 
--- a/core/src/main/java/org/shoreroad/fleet/DomainReconciler.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainReconciler.java
@@ -19,9 +19,9 @@
  *
  * <p>Each call compares the status reports of the boxes with the plan and returns the next orders.
  * An order without a visible effect is repeated. A box joins another replica only after the engine
- * of its former head has accepted the order to leave, or after the box itself has left. So no head
- * runs requests while a member belongs to another replica, and a delayed order to open no longer
- * matches the replica of any box. Not thread-safe: used by one thread.
+ * of its former head has accepted the order to leave, or after the box itself has left. So a head
+ * has closed before its members belong to another replica, and a delayed order to open matches the
+ * replica of no box that has left it. Not thread-safe: used by one thread.
  *
  * @since 0.2
  */
@@ -123,7 +123,9 @@
     Map<ReplicaId, ObservedReplica> observed = ObservedReplica.from(observedBoxes);
     closingReplicas.retain(observed.keySet());
     headlessReplicas.retain(observed.keySet());
-    departedHeads.retain(observed.keySet());
+    Set<ReplicaId> present = new HashSet<>(observed.keySet());
+    present.addAll(formations.keySet());
+    departedHeads.retain(present);
 
     formations.values().removeIf(formation -> !advance(formation, nowNanos));
     warmups.forgetOlder(nowNanos - timing.warmupNanos());
--- a/core/src/test/java/org/shoreroad/fleet/FormerHeadTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/FormerHeadTest.java
@@ -103,12 +103,16 @@
 
   @Test
   void memberJoinsAtOnceWhenTheHeadHasAcceptedToLeave() {
-    ObservedBox open = sound(HEAD, member(FORMER, 0, MemberState.READY));
-    ObservedBox leavingMember =
-        observed(box(MEMBER, member(FORMER, 1, MemberState.READY), true), Reach.LIKELY, true);
-    BoxOrder leave = orderTo(HEAD, Verb.LEAVE, decide(open, leavingMember, sound(SPARE, null)));
-    reconciler.recordAccepted(leave, nowNanos);
-    List<BoxOrder> orders = decide(sound(HEAD, null), readyMember(), sound(SPARE, null));
+    BoxOrder join = orderTo(HEAD, Verb.JOIN, decide(sound(HEAD, null), sound(MEMBER, null)));
+    reconciler.recordAccepted(join, nowNanos);
+    ReplicaId replica = join.replica();
+    ObservedBox ready = sound(MEMBER, member(replica, 1, MemberState.READY));
+    decide(sound(HEAD, member(replica, 0, MemberState.OPEN)), ready);
+    ObservedBox closed = sound(HEAD, member(replica, 0, MemberState.READY));
+    ObservedBox leaving =
+        observed(box(MEMBER, member(replica, 1, MemberState.READY), true), Reach.LIKELY, true);
+    reconciler.recordAccepted(orderTo(HEAD, Verb.LEAVE, decide(closed, leaving)), nowNanos);
+    List<BoxOrder> orders = decide(sound(HEAD, null), ready, sound(SPARE, null));
     assertThat(verbsFor(HEAD, orders), is(List.of("JOIN")));
     assertThat(verbsFor(MEMBER, orders), is(List.of("JOIN")));
   }
@@ -153,4 +157,107 @@
     ObservedBox reported = new ObservedBox(blank, true, Reach.LIKELY, true, true, false, null);
     assertThat(verbsFor(SPARE, decide(reported)), is(List.of("JOIN")));
   }
+
+  /** An order to join may be carried out after the order to leave, and be answered last. */
+  @Test
+  void memberLeavesFirstIfAJoinIsAnsweredAfterTheHeadHasLeft() {
+    BoxOrder first = orderTo(HEAD, Verb.JOIN, decide(sound(HEAD, null), sound(MEMBER, null)));
+    BoxOrder second = orderTo(HEAD, Verb.JOIN, decide(sound(HEAD, null), sound(MEMBER, null)));
+    ReplicaId replica = first.replica();
+    reconciler.recordAccepted(first, nowNanos);
+    ObservedBox ready = sound(MEMBER, member(replica, 1, MemberState.READY));
+    ObservedBox leaving =
+        observed(box(MEMBER, member(replica, 1, MemberState.READY), true), Reach.LIKELY, true);
+    decide(sound(HEAD, member(replica, 0, MemberState.OPEN)), ready);
+    ObservedBox closed = sound(HEAD, member(replica, 0, MemberState.READY));
+    reconciler.recordAccepted(orderTo(HEAD, Verb.LEAVE, decide(closed, leaving)), nowNanos);
+    reconciler.recordAccepted(second, nowNanos);
+    List<BoxOrder> orders = decide(sound(HEAD, null), ready, sound(SPARE, null));
+    assertThat(verbsFor(MEMBER, orders), is(List.of("LEAVE")));
+  }
+
+  /** The lease lapsed for a moment, or every zone of the domain was evacuated and returned. */
+  @Test
+  void memberLeavesFirstWhileAJoinOfAnEarlierReconcilerMayBringTheHeadBack() {
+    ReplicaId replica = formWithUnansweredJoin();
+    DomainReconciler next = newReconciler();
+    ObservedBox closed = sound(HEAD, member(replica, 0, MemberState.READY));
+    ObservedBox leaving =
+        observed(box(MEMBER, member(replica, 1, MemberState.READY), true), Reach.LIKELY, true);
+    ObservedBox ready = sound(MEMBER, member(replica, 1, MemberState.READY));
+    List<BoxOrder> orders = decideBy(next, closed, leaving);
+    next.recordAccepted(orderTo(HEAD, Verb.LEAVE, orders), nowNanos);
+    orders = decideBy(next, sound(HEAD, null), ready, sound(SPARE, null));
+    assertThat(verbsFor(MEMBER, orders), is(List.of("LEAVE")));
+  }
+
+  private List<BoxOrder> decideBy(DomainReconciler other, ObservedBox... boxes) {
+    nowNanos += STEP_NANOS;
+    return other.decide(
+        nowNanos,
+        SPEC,
+        List.of(boxes),
+        ReplicaPlan.of(SPEC, Map.of("d", boxes.length)),
+        headsSeen,
+        Demand.NONE);
+  }
+
+  /** The member's first JOIN may be carried out after its LEAVE, while the head is open. */
+  @Test
+  void memberJoinsNoOtherReplicaWhileAnUnansweredJoinMayBringItBack() {
+    BoxOrder first = orderTo(MEMBER, Verb.JOIN, decide(sound(HEAD, null), sound(MEMBER, null)));
+    ReplicaId replica = first.replica();
+    headsSeen.add(replica);
+    BoxOrder second = orderTo(MEMBER, Verb.JOIN, decide(sound(HEAD, null), sound(MEMBER, null)));
+    reconciler.recordAccepted(second, nowNanos);
+    ObservedBox ready = sound(MEMBER, member(replica, 1, MemberState.READY));
+    decide(sound(HEAD, member(replica, 0, MemberState.OPEN)), ready);
+    // The head is off the list and answers no process, but still reaches its member.
+    ObservedBox gone =
+        new ObservedBox(
+            box(HEAD, member(replica, 0, MemberState.OPEN), true),
+            false,
+            Reach.GONE,
+            true,
+            false,
+            false,
+            "small");
+    List<BoxOrder> orders = decide(gone, ready, sound(SPARE, null));
+    reconciler.recordAccepted(orderTo(MEMBER, Verb.LEAVE, orders), nowNanos);
+    orders = decide(gone, sound(MEMBER, null), sound(SPARE, null));
+    assertThat(verbsFor(MEMBER, orders), is(empty()));
+  }
+
+  /** The list may be seconds old: the replica that it shows as forming may be open by now. */
+  @Test
+  void headThatOnlyTheListShowsAsJoiningIsNotOrderedToLeave() {
+    ObservedBox head =
+        observed(box(HEAD, member(FORMER, 0, MemberState.JOINING), false), Reach.LIKELY, false);
+    ObservedBox joining =
+        observed(box(MEMBER, member(FORMER, 1, MemberState.JOINING), false), Reach.LIKELY, false);
+    assertThat(verbsFor(HEAD, decide(head, joining)), not(hasItem("LEAVE")));
+  }
+
+  /** The list may be seconds old: a member that it shows as ready may have left by now. */
+  @Test
+  void headIsNotOpenedBeforeItsMembersAreConfirmed() {
+    ObservedBox head =
+        observed(box(HEAD, member(FORMER, 0, MemberState.READY), false), Reach.LIKELY, false);
+    ObservedBox ready =
+        observed(box(MEMBER, member(FORMER, 1, MemberState.READY), false), Reach.LIKELY, false);
+    assertThat(verbsFor(HEAD, decide(head, ready)), is(empty()));
+  }
+
+  /** A member that drains stays until its end; the other boxes still load weights in advance. */
+  @Test
+  void memberThatDrainsWithoutItsHeadDoesNotKeepAskingForReports() {
+    int asked = 0;
+    ObservedBox draining =
+        observed(box(MEMBER, member(FORMER, 1, MemberState.READY), true), Reach.LIKELY, true);
+    for (int i = 0; i < 10; i++) {
+      decide(observed(box(HEAD, null, false), Reach.LIKELY, false), draining);
+      asked += reconciler.needsReports() ? 1 : 0;
+    }
+    assertThat(asked, is(0));
+  }
 }
--- a/edge/src/main/java/org/shoreroad/edge/replica/EngineMonitor.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/EngineMonitor.java
@@ -21,9 +21,10 @@
  * not answer.
  *
  * <p>A report shows the state of some hundred milliseconds ago, while the answer to an order shows
- * that it is done. So the effect of an accepted order is applied at once, and reports are ignored
- * until they must show it. After the loss of a box, the orders to close, leave and join then follow
- * each other within 40 ms instead of 0.7 s. Not thread-safe: used on the event loop.
+ * that it is done. So the effect of an accepted order on the known replica is applied at once, and
+ * reports are ignored until they must show it, unless they show a later formation. After the loss
+ * of a box, the orders to close, leave and join then follow each other within 40 ms instead of 0.7
+ * s. Not thread-safe: used on the event loop.
  */
 final class EngineMonitor {
   /** Added to the age of a report, since an order and a report request may be reordered. */
@@ -128,10 +129,14 @@
   void applyAccepted(BoxOrder order, int reportLagMs) {
     FleetBox box = fleet.find(order.boxId());
     FleetBox after = box == null ? null : withEffect(box, order);
+    long lagNanos = TimeUnit.MILLISECONDS.toNanos(reportLagMs) + REPORT_MARGIN_NANOS;
+    long shownFromNanos = clockNanos.getAsLong() + lagNanos;
     if (after != null && fleet.updateByOrder(after)) {
-      long lagNanos = TimeUnit.MILLISECONDS.toNanos(reportLagMs) + REPORT_MARGIN_NANOS;
-      acceptReportsFromNanos.put(box.id(), clockNanos.getAsLong() + lagNanos);
+      acceptReportsFromNanos.put(box.id(), shownFromNanos);
       publish(box, after);
+    } else if (order.verb() == Verb.JOIN && box != null && box.membership() == null) {
+      // The engine may have carried it out after the order to leave.
+      reachability.confirmFrom(box.id(), shownFromNanos);
     }
     onAnswer.run();
   }
--- a/edge/src/main/java/org/shoreroad/edge/replica/ReachabilityTable.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/ReachabilityTable.java
@@ -76,10 +76,20 @@
     return isSilent ? Reach.LOST : Reach.LIKELY;
   }
 
-  /** Returns true if the box answered a request that was sent within the time. */
+  /** Disregards the reports of a box that are requested before the time, for confirmation. */
+  void confirmFrom(String id, long fromNanos) {
+    entries.computeIfAbsent(id, key -> new Entry()).confirmFromNanos = fromNanos;
+  }
+
+  /**
+   * Returns true if the box answered a request that was sent within the time, and not before {@link
+   * #confirmFrom}.
+   */
   boolean hasReport(String id, long withinNanos, long nowNanos) {
     Entry entry = entries.get(id);
-    return entry != null && nowNanos - entry.reportNanos < withinNanos;
+    return entry != null
+        && nowNanos - entry.reportNanos < withinNanos
+        && entry.reportNanos >= entry.confirmFromNanos;
   }
 
   /** Returns true if the box left no request unanswered within the time. */
@@ -124,6 +134,7 @@
   private static final class Entry {
     private long requestedNanos = Long.MIN_VALUE / 2;
     private long reportNanos = Long.MIN_VALUE / 2;
+    private long confirmFromNanos = Long.MIN_VALUE / 2;
     private long silentSinceNanos;
     private long lastFailureNanos = Long.MIN_VALUE / 2;
     private int failures;
--- a/edge/src/test/java/org/shoreroad/edge/replica/EngineMonitorTest.java
+++ b/edge/src/test/java/org/shoreroad/edge/replica/EngineMonitorTest.java
@@ -106,6 +106,25 @@
     assertThat(known(), nullValue());
   }
 
+  @Test
+  void joinThatIsAnsweredAfterTheLeaveNeedsALaterReport() {
+    accept(Verb.JOIN, CURRENT);
+    accept(Verb.LEAVE, CURRENT);
+    report(null);
+    assertThat(isConfirmed(), is(true));
+    accept(Verb.JOIN, CURRENT);
+    report(null);
+    assertThat(isConfirmed(), is(false));
+    nowNanos += TimeUnit.MILLISECONDS.toNanos(REPORT_LAG_MS + 50);
+    report(member(CURRENT, MemberState.READY));
+    assertThat(isConfirmed(), is(true));
+    assertThat(known(), is(member(CURRENT, MemberState.READY)));
+  }
+
+  private boolean isConfirmed() {
+    return monitor.reachability().hasReport(BOX, TimeUnit.SECONDS.toNanos(1), nowNanos);
+  }
+
   @Test
   void closingAFormerReplicaDoesNotCloseTheCurrentOne() {
     report(member(CURRENT, MemberState.OPEN));
