--- a/core/src/main/java/org/shoreroad/fleet/DepartedHeads.java
+++ b/core/src/main/java/org/shoreroad/fleet/DepartedHeads.java
@@ -9,12 +9,13 @@
 import org.shoreroad.fleet.BoxOrder.Verb;
 
 /**
- * The replicas that their heads have left for certain: the engine of the head has accepted the
- * order to leave, and no order to join that it has not answered can bring it back. Not thread-safe:
- * used by one thread.
+ * The replicas that their heads have left: the engine of the head has accepted the order to leave
+ * after all its orders to join, and none of these is without an answer. Not thread-safe: used by
+ * one thread.
  *
  * <p>A report or an entry that shows the head outside the replica is no such proof, since it may be
- * older than the head's JOIN.
+ * older than the head's JOIN. Nothing is known of the JOINs that another reconciler gave, so only
+ * replicas that this one formed are included.
  */
 final class DepartedHeads {
   /**
--- a/core/src/main/java/org/shoreroad/fleet/ObservedBox.java
+++ b/core/src/main/java/org/shoreroad/fleet/ObservedBox.java
@@ -14,7 +14,8 @@
  * @param reach whether the box answers, not null
  * @param isSteady true if the box was not silent within the time in which an engine breaks a
  *     replica that lost a member
- * @param isConfirmed true if there is a recent report from the engine itself; the list may lag
+ * @param isConfirmed true if the engine has answered this process recently, and the state is its
+ *     report or the effect of an order that it has accepted; the list may lag
  * @param isStalled true if the box is the head of a replica whose requests make no progress
  * @param lastModel the model of the box's last replica in this incarnation, or null; the box joins
  *     a replica of this model almost at once, but its engine no longer reports the model after it
--- a/edge/src/main/java/org/shoreroad/edge/sync/StatusReports.java
+++ b/edge/src/main/java/org/shoreroad/edge/sync/StatusReports.java
@@ -11,13 +11,14 @@
 import org.shoreroad.fleet.FleetBox;
 
 /**
- * The newest status reports that upstreams returned directly. They override entries of the list
- * that may be older.
+ * Order of the engine states that this process learns: from reports to it, reports to peers, the
+ * effects of accepted orders, and entries of the list. Newer states override entries that may be
+ * older.
  *
- * <p>An engine never joins a formation that is earlier than one it has seen. So a state with an
- * earlier formation than the latest known one of the box is older, whatever its source and however
- * long ago the last report was. Two states without a membership, or with the same formation, show
- * no order.
+ * <p>An incarnation of an engine never joins a formation that is earlier than one it has seen. So a
+ * state with an earlier formation than the latest known one of the box is older, whatever its
+ * source and however long ago the last report was. Two states without a membership, or with the
+ * same formation, show no order.
  *
  * <p>A store restored from a copy lists upstreams as they were seconds before. Until the lost
  * records must have been written again, such an entry does not remove a box from its replica:
--- a/edge/src/test/java/org/shoreroad/edge/replica/SimulatedDomain.java
+++ b/edge/src/test/java/org/shoreroad/edge/replica/SimulatedDomain.java
@@ -25,7 +25,8 @@
 /**
  * Fabric domain whose events reach the owner in another order than they happened: each report, each
  * answer to an order and each entry of the list has a delay of its own, drawn by seed. Orders may
- * be carried out seconds later and without an answer.
+ * be carried out seconds later and without an answer. Not simulated: orders that are carried out
+ * late and answered, fences, another owner, restarts under the same id, evacuations.
  */
 final class SimulatedDomain implements Engines {
   static final String NAME = "d";
