DomainReconciler: do not open a replica that an unanswered JOIN may take a box from

Cause: a late JOIN of a replica that its head had left brought the head back, and the replica was opened as one formed by an earlier owner, while a JOIN of a later replica to the same head was still without an answer. That one was carried out 0.6 s after the opening.

Change: a replica is not opened, but dissolved, while a JOIN of a later one to any of its members may still be carried out.

--- a/core/src/main/java/org/shoreroad/fleet/DepartedHeads.java
+++ b/core/src/main/java/org/shoreroad/fleet/DepartedHeads.java
@@ -32,7 +32,7 @@
   /** Records that an order is given now. */
   void recordGiven(BoxOrder order, long nowNanos) {
     unansweredJoins.values().removeIf(givenNanos -> nowNanos - givenNanos > LATE_ORDER_NANOS);
-    if (order.verb() == Verb.JOIN && isToHead(order)) {
+    if (order.verb() == Verb.JOIN && order.replica() != null) {
       formedHere.add(order.replica());
       unansweredJoins.put(order, nowNanos);
     }
@@ -61,10 +61,19 @@
     return formedHere.contains(replica)
         && departed.contains(replica)
         && unansweredJoins.entrySet().stream()
+            .filter(entry -> isToHead(entry.getKey()))
             .filter(entry -> replica.equals(entry.getKey().replica()))
             .allMatch(entry -> nowNanos - entry.getValue() > LATE_ORDER_NANOS);
   }
 
+  /** Returns true if an unanswered order may still take a box from the replica to a later one. */
+  boolean mayLeaveForLater(String boxId, ReplicaId replica, long nowNanos) {
+    return unansweredJoins.entrySet().stream()
+        .filter(entry -> entry.getKey().boxId().equals(boxId))
+        .filter(entry -> entry.getKey().replica().epoch() > replica.epoch())
+        .anyMatch(entry -> nowNanos - entry.getValue() <= LATE_ORDER_NANOS);
+  }
+
   /** Forgets all other replicas, which have no members any more. */
   void retain(Collection<ReplicaId> replicas) {
     formedHere.retainAll(replicas);
--- a/core/src/main/java/org/shoreroad/fleet/DomainReconciler.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainReconciler.java
@@ -304,7 +304,11 @@
       view.bindRetained(replica.members(), model.name());
       return true;
     }
-    if (state == MemberState.READY && replica.isEveryMemberReady() && !isClosed) {
+    boolean isStable =
+        replica.members().stream()
+            .map(member -> member.box().id())
+            .noneMatch(id -> departedHeads.mayLeaveForLater(id, replica.replica(), nowNanos));
+    if (state == MemberState.READY && replica.isEveryMemberReady() && !isClosed && isStable) {
       // An earlier owner of the domain formed it: it only needs to be opened.
       view.bindRetained(replica.members(), model.name());
       order(
--- a/core/src/test/java/org/shoreroad/fleet/FormerHeadTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/FormerHeadTest.java
@@ -260,4 +260,14 @@
     }
     assertThat(asked, is(0));
   }
+
+  /** A late JOIN of its former replica has brought the head back; a later one is still awaited. */
+  @Test
+  void headThatAnUnansweredLaterJoinMayTakeAwayIsNotOpened() {
+    ObservedBox head = sound(HEAD, member(FORMER, 0, MemberState.READY));
+    BoxOrder later = orderTo(HEAD, Verb.JOIN, decide(sound(HEAD, null), sound(SPARE, null)));
+    assertThat(later.replica().epoch() > FORMER.epoch(), is(true));
+    List<BoxOrder> orders = decide(head, readyMember(), sound(SPARE, null));
+    assertThat(verbsFor(HEAD, orders), is(List.of("LEAVE")));
+  }
 }
