--- a/core/src/main/java/org/shoreroad/fleet/DepartedHeads.java
+++ b/core/src/main/java/org/shoreroad/fleet/DepartedHeads.java
@@ -2,10 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashSet;
-import java.util.IdentityHashMap;
-import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.shoreroad.fleet.BoxOrder.Verb;
 
 /**
@@ -18,39 +15,37 @@
  * replicas that this one formed are included.
  */
 final class DepartedHeads {
-  /**
-   * Time within which an unanswered order may still be carried out. The platform documents seconds,
-   * without a bound.
-   */
-  private static final long LATE_ORDER_NANOS = TimeUnit.SECONDS.toNanos(15);
-
+  private final UnansweredJoins unansweredJoins;
   private final Set<ReplicaId> formedHere = new HashSet<>();
   private final Set<ReplicaId> departed = new HashSet<>();
-  // By identity: equal orders are given again, and each has its own answer.
-  private final Map<BoxOrder, Long> unansweredJoins = new IdentityHashMap<>();
+
+  /**
+   * Creates an empty instance.
+   *
+   * @param unansweredJoins the orders to join that engines have not answered, not null
+   */
+  DepartedHeads(UnansweredJoins unansweredJoins) {
+    this.unansweredJoins = unansweredJoins;
+  }
 
   /** Records that an order is given now. */
-  void recordGiven(BoxOrder order, long nowNanos) {
-    unansweredJoins.values().removeIf(givenNanos -> nowNanos - givenNanos > LATE_ORDER_NANOS);
+  void recordGiven(BoxOrder order) {
     if (order.verb() == Verb.JOIN && order.replica() != null) {
       formedHere.add(order.replica());
-      unansweredJoins.put(order, nowNanos);
     }
   }
 
-  /** Records that an order will not be carried out later, since the engine has answered it. */
-  void recordAnswered(BoxOrder order) {
-    unansweredJoins.remove(order);
-  }
-
   /** Records that an engine has accepted an order. */
   void recordAccepted(BoxOrder order) {
-    recordAnswered(order);
-    if (order.verb() == Verb.LEAVE && isToHead(order)) {
-      departed.add(order.replica());
-    } else if (order.verb() == Verb.JOIN && isToHead(order)) {
+    ReplicaId replica = order.replica();
+    if (replica == null || !order.boxId().equals(replica.headId())) {
+      return;
+    }
+    if (order.verb() == Verb.LEAVE) {
+      departed.add(replica);
+    } else if (order.verb() == Verb.JOIN) {
       // The engine may have carried it out after the order to leave.
-      departed.remove(order.replica());
+      departed.remove(replica);
     }
   }
 
@@ -60,18 +55,7 @@
   boolean contains(ReplicaId replica, long nowNanos) {
     return formedHere.contains(replica)
         && departed.contains(replica)
-        && unansweredJoins.entrySet().stream()
-            .filter(entry -> isToHead(entry.getKey()))
-            .filter(entry -> replica.equals(entry.getKey().replica()))
-            .allMatch(entry -> nowNanos - entry.getValue() > LATE_ORDER_NANOS);
-  }
-
-  /** Returns true if an unanswered order may still take a box from the replica to a later one. */
-  boolean mayLeaveForLater(String boxId, ReplicaId replica, long nowNanos) {
-    return unansweredJoins.entrySet().stream()
-        .filter(entry -> entry.getKey().boxId().equals(boxId))
-        .filter(entry -> entry.getKey().replica().epoch() > replica.epoch())
-        .anyMatch(entry -> nowNanos - entry.getValue() <= LATE_ORDER_NANOS);
+        && !unansweredJoins.mayBringHeadBack(replica, nowNanos);
   }
 
   /** Forgets all other replicas, which have no members any more. */
@@ -79,13 +63,4 @@
     formedHere.retainAll(replicas);
     departed.retainAll(replicas);
   }
-
-  /** Forgets the orders to a box that has ended or restarted. */
-  void forget(String boxId) {
-    unansweredJoins.keySet().removeIf(order -> order.boxId().equals(boxId));
-  }
-
-  private static boolean isToHead(BoxOrder order) {
-    return order.replica() != null && order.boxId().equals(order.replica().headId());
-  }
 }
--- a/core/src/main/java/org/shoreroad/fleet/DomainReconciler.java
+++ b/core/src/main/java/org/shoreroad/fleet/DomainReconciler.java
@@ -31,17 +31,18 @@
   private final LongSupplier epochs;
   private final Map<ReplicaId, Formation> formations = new LinkedHashMap<>();
   private final ClosingReplicas closingReplicas;
-  private final DepartedHeads departedHeads = new DepartedHeads();
+  private final UnansweredJoins unansweredJoins = new UnansweredJoins();
+  private final DepartedHeads departedHeads = new DepartedHeads(unansweredJoins);
   private final HeadlessReplicas headlessReplicas;
   private final HostPreparation hostPreparation = new HostPreparation();
   private final SpareWarmup warmups;
   private final ReplicaConversion conversion;
   private final RecentOrders recentOrders;
+  private final Set<String> unconfirmedIds = new HashSet<>();
   private List<BoxOrder> orders = new ArrayList<>();
   private DomainView view = new DomainView(List.of());
   private Demand demand = Demand.NONE;
   private Map<String, Integer> wantedCounts = Map.of();
-  private final Set<String> unconfirmedIds = new HashSet<>();
 
   /**
    * Creates a reconciler without any formation in progress.
@@ -166,13 +167,14 @@
   /** Removes the orders to a box that has ended or restarted. */
   public void forget(String boxId) {
     recentOrders.forget(boxId);
-    departedHeads.forget(boxId);
+    unansweredJoins.forget(boxId);
     hostPreparation.forget(boxId);
   }
 
   /** Records that an engine has accepted an order. */
   public void recordAccepted(BoxOrder order, long nowNanos) {
     recentOrders.recordAccepted(order, nowNanos);
+    unansweredJoins.recordAnswered(order);
     departedHeads.recordAccepted(order);
   }
 
@@ -181,7 +183,7 @@
    * seems ready can't be opened, its replica is dissolved, so that its boxes serve in another one.
    */
   public void recordRejected(BoxOrder order, long nowNanos) {
-    departedHeads.recordAnswered(order);
+    unansweredJoins.recordAnswered(order);
     if (order.verb() == Verb.OPEN && order.replica() != null) {
       closingReplicas.begin(order.replica(), true, nowNanos);
     }
@@ -208,7 +210,7 @@
       if (observed == null || !observed.isFit()) {
         return abandon(formation, "member " + id + " is unavailable", nowNanos);
       }
-      if (isBoundElsewhere(observed, replica, nowNanos)) {
+      if (headlessReplicas.isBoundElsewhere(observed, replica, view, nowNanos)) {
         return abandon(formation, "member " + id + " is in another replica", nowNanos);
       }
       members.add(observed);
@@ -241,14 +243,6 @@
     return true;
   }
 
-  /** Returns true if a box has to leave another replica before it joins this one. */
-  private boolean isBoundElsewhere(ObservedBox observed, ReplicaId replica, long nowNanos) {
-    Membership membership = observed.box().membership();
-    return membership != null
-        && !membership.replica().equals(replica)
-        && !headlessReplicas.isReleased(membership.replica(), view, nowNanos);
-  }
-
   private boolean abandon(Formation formation, String reason, long nowNanos) {
     Map<String, ObservedBox> observedById = view.observedById();
     ObservedBox head = observedById.get(formation.headId());
@@ -304,11 +298,8 @@
       view.bindRetained(replica.members(), model.name());
       return true;
     }
-    boolean isStable =
-        replica.members().stream()
-            .map(member -> member.box().id())
-            .noneMatch(id -> departedHeads.mayLeaveForLater(id, replica.replica(), nowNanos));
-    if (state == MemberState.READY && replica.isEveryMemberReady() && !isClosed && isStable) {
+    boolean isReady = state == MemberState.READY && replica.isEveryMemberReady();
+    if (isReady && !isClosed && !mayLoseMember(replica, nowNanos)) {
       // An earlier owner of the domain formed it: it only needs to be opened.
       view.bindRetained(replica.members(), model.name());
       order(
@@ -319,6 +310,13 @@
     return false;
   }
 
+  /** Returns true if an unanswered order may still make a member join a later replica. */
+  private boolean mayLoseMember(ObservedReplica replica, long nowNanos) {
+    return replica.members().stream()
+        .map(member -> member.box().id())
+        .anyMatch(id -> unansweredJoins.mayTakeAway(id, replica.replica(), nowNanos));
+  }
+
   private void close(
       ObservedReplica replica,
       ObservedBox head,
@@ -469,7 +467,8 @@
   private void order(BoxOrder order, long nowNanos) {
     if (recentOrders.isDue(order, nowNanos)) {
       orders.add(order);
-      departedHeads.recordGiven(order, nowNanos);
+      unansweredJoins.recordGiven(order, nowNanos);
+      departedHeads.recordGiven(order);
     }
   }
 
--- a/core/src/main/java/org/shoreroad/fleet/HeadlessReplicas.java
+++ b/core/src/main/java/org/shoreroad/fleet/HeadlessReplicas.java
@@ -20,19 +20,19 @@
  * one whatever its former head does.
  */
 final class HeadlessReplicas {
-  private final long unseenNanos;
+  private final long doubtNanos;
   private final DepartedHeads departedHeads;
   private final Map<ReplicaId, Long> sinceNanos = new HashMap<>();
 
   /**
    * Creates an instance without replicas.
    *
-   * @param unseenNanos the time for which members stay bound whose head this process has never
-   *     observed, in nanoseconds
+   * @param doubtNanos the time for which members stay bound whose head this process has never
+   *     observed, or whose reachable head does not confirm its state, in nanoseconds
    * @param departedHeads the replicas that their heads have left, not null
    */
-  HeadlessReplicas(long unseenNanos, DepartedHeads departedHeads) {
-    this.unseenNanos = unseenNanos;
+  HeadlessReplicas(long doubtNanos, DepartedHeads departedHeads) {
+    this.doubtNanos = doubtNanos;
     this.departedHeads = departedHeads;
   }
 
@@ -68,12 +68,12 @@
       return List.of();
     }
     boolean isHeadReachable = head != null && !head.isLost();
-    if (isHeadReachable && !head.isConfirmed()) {
-      askForReport.accept(head);
-      return List.of();
-    }
-    boolean isHeadUnseen = !isHeadReachable && !headsSeen.contains(replica.replica());
-    if (isHeadUnseen && isNew(replica.replica(), nowNanos)) {
+    boolean isHeadInDoubt =
+        isHeadReachable ? !head.isConfirmed() : !headsSeen.contains(replica.replica());
+    if (isHeadInDoubt && isNew(replica.replica(), nowNanos)) {
+      if (isHeadReachable) {
+        askForReport.accept(head);
+      }
       return List.of();
     }
     // No spare box begins a warm-up now, since it can form a replica with these.
@@ -82,9 +82,15 @@
     return leaving.stream().map(member -> leave(member, replica.replica())).toList();
   }
 
-  /** Returns true if the members of a replica may join another one without leaving it first. */
-  boolean isReleased(ReplicaId replica, DomainView view, long nowNanos) {
-    return findHeadElsewhere(replica, view) != null && departedHeads.contains(replica, nowNanos);
+  /** Returns true if a box has to leave another replica before it joins this one. */
+  boolean isBoundElsewhere(
+      ObservedBox observed, ReplicaId replica, DomainView view, long nowNanos) {
+    Membership membership = observed.box().membership();
+    if (membership == null || membership.replica().equals(replica)) {
+      return false;
+    }
+    ReplicaId former = membership.replica();
+    return findHeadElsewhere(former, view) == null || !departedHeads.contains(former, nowNanos);
   }
 
   /** Returns the head if it is observed alive and not as a member of the replica, or null. */
@@ -95,7 +101,7 @@
   }
 
   private boolean isNew(ReplicaId replica, long nowNanos) {
-    return nowNanos - sinceNanos.computeIfAbsent(replica, id -> nowNanos) < unseenNanos;
+    return nowNanos - sinceNanos.computeIfAbsent(replica, id -> nowNanos) < doubtNanos;
   }
 
   private static BoxOrder leave(ObservedBox member, ReplicaId replica) {
