--- a/core/src/main/java/org/shoreroad/fleet/ReconcilerTiming.java
+++ b/core/src/main/java/org/shoreroad/fleet/ReconcilerTiming.java
@@ -13,7 +13,8 @@
  *     cancelled
  * @param urgentDrainLimitNanos the same for a replica that is closed after a loss to free its
  *     boxes, or whose requests still progress although a member seems to be lost
- * @param headlessNanos how long the members of a replica whose head was never observed stay bound
+ * @param headlessNanos how long the members of a replica stay bound whose head was never observed,
+ *     or does not confirm that it is elsewhere
  * @param warmupNanos the time that a spare box may take to load weights from its host
  * @since 0.2
  */
--- a/core/src/test/java/org/shoreroad/fleet/FormerHeadTest.java
+++ b/core/src/test/java/org/shoreroad/fleet/FormerHeadTest.java
@@ -248,6 +248,14 @@
     assertThat(verbsFor(HEAD, decide(head, ready)), is(empty()));
   }
 
+  @Test
+  void memberLeavesIfAReachableHeadNeverConfirmsItsState() {
+    ObservedBox head = observed(box(HEAD, null, true), Reach.LIKELY, false);
+    assertThat(verbsFor(MEMBER, decide(head, readyMember())), is(empty()));
+    nowNanos += ReconcilerTiming.DEFAULT.headlessNanos();
+    assertThat(verbsFor(MEMBER, decide(head, readyMember())), is(List.of("LEAVE")));
+  }
+
   /** A member that drains stays until its end; the other boxes still load weights in advance. */
   @Test
   void memberThatDrainsWithoutItsHeadDoesNotKeepAskingForReports() {
