--- a/edge/src/main/java/org/shoreroad/edge/replica/EngineMonitor.java
+++ b/edge/src/main/java/org/shoreroad/edge/replica/EngineMonitor.java
@@ -128,13 +128,18 @@
    */
   void applyAccepted(BoxOrder order, int reportLagMs) {
     FleetBox box = fleet.find(order.boxId());
-    FleetBox after = box == null ? null : withEffect(box, order);
+    // An opening or a load takes longer than a report is late.
+    boolean isSlow = order.verb() == Verb.OPEN || order.verb() == Verb.STAGE;
+    if (box == null || isSlow) {
+      return;
+    }
+    FleetBox after = withEffect(box, order);
     long lagNanos = TimeUnit.MILLISECONDS.toNanos(reportLagMs) + REPORT_MARGIN_NANOS;
     long shownFromNanos = clockNanos.getAsLong() + lagNanos;
     if (after != null && fleet.updateByOrder(after)) {
       acceptReportsFromNanos.put(box.id(), shownFromNanos);
       publish(box, after);
-    } else if (order.verb() == Verb.JOIN && box != null && box.membership() == null) {
+    } else if (order.verb() == Verb.JOIN && box.membership() == null) {
       // The engine may have carried it out after the order to leave.
       reachability.confirmFrom(box.id(), shownFromNanos);
     }
@@ -159,7 +164,6 @@
       case CLOSE_AFTER_WORK ->
           state == MemberState.OPEN ? withState(box, membership, MemberState.CLOSING) : null;
       case CLOSE_NOW -> state.isServing() ? withState(box, membership, MemberState.READY) : null;
-      // An opening or a load takes longer than a report is late.
       default -> null;
     };
   }
